--- /dev/null
+++ b/adapters/src/main/java/applespindle/adapters/DiskFault.java
@@ -0,0 +1,13 @@
+package applespindle.adapters;
+
+/** A disk that can not be trusted or used. */
+public final class DiskFault extends RuntimeException {
+  public enum Kind { CORRUPT, UNREADABLE, SYNC_FAILED }
+
+  public final Kind kind;
+
+  DiskFault(Kind kind, String file, Throwable cause) {
+    super(kind + " " + file, cause);
+    this.kind = kind;
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -0,0 +1,212 @@
+package applespindle.adapters;
+
+import applespindle.corelogic.Constants;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.Json;
+import applespindle.corelogic.Node;
+import applespindle.corelogic.Response;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.HttpServer;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** The HTTP side of a process: a table of paths, and what every process answers. All on the http thread. */
+public final class HttpInterface {
+  /** A request with its body, the named parts of its path, and what answers it. */
+  public record Call(HttpRequest request, Map<String, String> parts, byte[] body) {
+    public String header(String name) {
+      String value = request.getHeader(HttpHeaders.of(name));
+      return value == null ? "" : value;
+    }
+
+    public String query(String name) {
+      String value = request.getQueryParameter(name);
+      return value == null ? "" : value;
+    }
+  }
+
+  public interface Handler {
+    Promise<HttpResponse> handle(Call call);
+  }
+
+  private record Path(HttpMethod method, String[] segments, Handler handler) {}
+
+  private final NodeProcess process;
+  private final List<Path> paths = new ArrayList<>();
+
+  public HttpInterface(NodeProcess process) {
+    this.process = process;
+    get("/live", call -> Promise.of(render(Response.of(200, JSON.createObjectNode().put("live", true)))));
+    get("/ready", call -> ask(then -> then.accept(ready())));
+    get("/metrics", call -> metrics());
+    get("/v1/status", call -> ask(then -> then.accept(Response.of(200, process.node().status()))));
+    get("/v1/journal", call -> ask(then -> {
+      ObjectNode body = JSON.createObjectNode().put("node", process.node().place().name());
+      body.set("events", JSON.valueToTree(process.node().journal().about(call.query("key"), Constants.JOURNAL_KEPT)));
+      then.accept(Response.of(200, body));
+    }));
+  }
+
+  private Response ready() {
+    String reason = process.node().notReadyBecause();
+    return reason.isEmpty() ? Response.of(200, JSON.createObjectNode().put("ready", true))
+        : Response.of(new Fault.NotReady(reason));
+  }
+
+  private Promise<HttpResponse> metrics() {
+    return this.<String>onLogic(then -> {
+      StringBuilder text = new StringBuilder();
+      process.node().counters().forEach((name, value) ->
+          text.append("applespindle_").append(name.toLowerCase()).append("_total ").append(value).append('\n'));
+      process.node().status().fields().forEachRemaining(field -> {
+        if (field.getValue().isNumber()) {
+          text.append("applespindle_").append(field.getKey().replaceAll("([A-Z])", "_$1").toLowerCase()).append(' ')
+              .append(field.getValue().asLong()).append('\n');
+        }
+      });
+      then.accept(text.toString());
+    }).map(text -> HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4")
+        .withBody(text.getBytes(UTF_8)).build());
+  }
+
+  public void get(String path, Handler handler) {
+    add(HttpMethod.GET, path, handler);
+  }
+
+  public void post(String path, Handler handler) {
+    add(HttpMethod.POST, path, handler);
+  }
+
+  public void put(String path, Handler handler) {
+    add(HttpMethod.PUT, path, handler);
+  }
+
+  public void delete(String path, Handler handler) {
+    add(HttpMethod.DELETE, path, handler);
+  }
+
+  private void add(HttpMethod method, String path, Handler handler) {
+    paths.add(new Path(method, path.substring(1).split("/"), handler));
+  }
+
+  public void listen() {
+    HttpServer server = HttpServer.builder(process.httpLoop(), this::serve)
+        .withListenAddress(PeerTransport.socketAddress(process.startup().http()))
+        .withHttpErrorFormatter(fault -> Promise.of(render(Response.of(new Fault.InternalFault(fault.getClass().getSimpleName())))))
+        .build();
+    try {
+      server.listen();
+    } catch (IOException fault) {
+      throw new UncheckedIOException(fault);
+    }
+  }
+
+  private Promise<HttpResponse> serve(HttpRequest request) {
+    String[] segments = request.getPath().substring(1).split("/");
+    TreeSet<String> allowed = new TreeSet<>();
+    for (Path path : paths) {
+      Map<String, String> parts = match(path.segments(), segments);
+      if (parts == null) {
+        continue;
+      }
+      if (path.method() == request.getMethod()) {
+        return load(request, body -> path.handler().handle(new Call(request, parts, body)));
+      }
+      allowed.add(path.method().name());
+    }
+    if (allowed.isEmpty()) {
+      return Promise.of(render(Response.of(new Fault.NoSuchPath(request.getPath()))));
+    }
+    return Promise.of(begin(Response.of(new Fault.MethodNotAllowed(request.getMethod().name())))
+        .withHeader(HttpHeaders.ALLOW, String.join(", ", allowed)).build());
+  }
+
+  private interface WithBody {
+    Promise<HttpResponse> handle(byte[] body);
+  }
+
+  private Promise<HttpResponse> load(HttpRequest request, WithBody handler) {
+    String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+    if (length != null && (length.length() > 9 || Long.parseLong(length) > Constants.BODY_BYTES_MOST)) {
+      return Promise.of(tooLarge());
+    }
+    return request.loadBody(Constants.BODY_BYTES_MOST).then(
+        body -> handler.handle(body.getArray()),
+        fault -> Promise.of(tooLarge()));
+  }
+
+  private static HttpResponse tooLarge() {
+    return render(Response.of(new Fault.InputTooLarge(Constants.BODY_BYTES_MOST)));
+  }
+
+  private static Map<String, String> match(String[] pattern, String[] segments) {
+    if (pattern.length != segments.length) {
+      return null;
+    }
+    Map<String, String> parts = new java.util.HashMap<>();
+    for (int index = 0; index < pattern.length; index++) {
+      if (pattern[index].startsWith("{")) {
+        parts.put(pattern[index].substring(1, pattern[index].length() - 1), segments[index]);
+      } else if (!pattern[index].equals(segments[index])) {
+        return null;
+      }
+    }
+    return parts;
+  }
+
+  /** Runs on the logic thread and comes back to the http thread with what the logic answers. */
+  public Promise<HttpResponse> ask(Consumer<Consumer<Response>> question) {
+    return this.<Response>onLogic(question).map(HttpInterface::render, fault -> render(Response.of(new Fault.Overloaded("logic"))));
+  }
+
+  private <T> Promise<T> onLogic(Consumer<Consumer<T>> question) {
+    SettablePromise<T> promise = new SettablePromise<>();
+    boolean taken = process.toLogic(() -> question.accept(answer -> process.httpLoop().execute(() -> promise.trySet(answer))));
+    if (!taken) {
+      promise.setException(new IOException("logic ring full"));
+    }
+    return promise;
+  }
+
+  public static Promise<HttpResponse> refuse(Fault fault) {
+    return Promise.of(render(Response.of(fault)));
+  }
+
+  public static HttpResponse render(Response response) {
+    return begin(response).build();
+  }
+
+  private static HttpResponse.Builder begin(Response response) {
+    HttpResponse.Builder builder = HttpResponse.ofCode(response.status())
+        .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+        .withBody(ByteBuf.wrapForReading(Json.bytes(response.body())));
+    if (response.comeBackSeconds() > 0) {
+      builder.withHeader(HttpHeaders.RETRY_AFTER, Integer.toString(response.comeBackSeconds()));
+    }
+    return builder;
+  }
+
+  public static Map<String, String> headers(HttpRequest request) {
+    Map<String, String> headers = new java.util.HashMap<>();
+    for (Map.Entry<HttpHeader, io.activej.http.HttpHeaderValue> each : request.getHeaders()) {
+      headers.put(each.getKey().toString().toLowerCase(), each.getValue().toString());
+    }
+    return headers;
+  }
+}
--- /dev/null
+++ b/adapters/src/main/java/applespindle/adapters/Program.java
@@ -0,0 +1,42 @@
+package applespindle.adapters;
+
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.Node;
+import applespindle.corelogic.Surroundings;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/** The beginning of a program: startup read and checked, then the process. */
+public final class Program {
+  private static final int EXIT_STARTUP = 2;
+
+  public static void run(String name, String role, String[] arguments,
+      Function<Startup, BiFunction<Surroundings, Node.Place, Node>> maker, Consumer<NodeProcess> openInterface) {
+    System.setProperty("org.jboss.logging.provider", "slf4j");
+    Startup.Read read = Startup.read(name, role, arguments);
+    if (read == null) {
+      System.exit(EXIT_STARTUP);
+    }
+    if (!read.faults().isEmpty()) {
+      for (Fault.Field fault : read.faults()) {
+        System.err.println("startup: " + fault.path() + ": " + fault.reason());
+      }
+      System.exit(EXIT_STARTUP);
+    }
+    if (read.checkOnly()) {
+      System.out.println("startup: good");
+      return;
+    }
+    try {
+      new NodeProcess(read.startup(), maker.apply(read.startup())).start(openInterface);
+    } catch (IOException | UncheckedIOException fault) {
+      System.err.println("startup: $.http or $.peer: can not listen: " + fault.getMessage());
+      System.exit(EXIT_STARTUP);
+    }
+  }
+
+  private Program() {}
+}
--- /dev/null
+++ b/control-plane/src/main/java/applespindle/controlplane/ControlPlane.java
@@ -0,0 +1,22 @@
+package applespindle.controlplane;
+
+import applespindle.adapters.HttpInterface;
+import applespindle.adapters.NodeProcess;
+import applespindle.adapters.Program;
+import applespindle.corelogic.CoreNode;
+
+/** The control plane's program: one process in each zone. */
+public final class ControlPlane {
+  public static void main(String[] arguments) {
+    Program.run("control-plane", "core", arguments, startup -> (surroundings, place) ->
+        new CoreNode(surroundings, place, startup.keys(), startup.coreFounders()), ControlPlane::open);
+  }
+
+  private static void open(NodeProcess process) {
+    HttpInterface http = new HttpInterface(process);
+    new CoreInterface((CoreNode) process.node()).addTo(http);
+    http.listen();
+  }
+
+  private ControlPlane() {}
+}
--- /dev/null
+++ b/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
@@ -0,0 +1,128 @@
+package applespindle.controlplane;
+
+import applespindle.adapters.HttpInterface;
+import applespindle.adapters.HttpInterface.Call;
+import applespindle.corelogic.CoreNode;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.InputReader;
+import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.WorkerInput;
+import applespindle.corelogic.Response;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.NotNull;
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Json.JSON;
+
+/** What operators and the platform see of a core process; any of them will do. */
+final class CoreInterface {
+  record WorkerList(@NotNull List<@Valid @NotNull WorkerInput> workers) {}
+
+  private final CoreNode core;
+
+  CoreInterface(CoreNode core) {
+    this.core = core;
+  }
+
+  void addTo(HttpInterface http) {
+    http.post("/v1/bundles", call -> sendBundle(http, call));
+    http.get("/v1/bundles/current", call -> http.ask(then -> core.command("read", "bundle", new byte[] {'{', '}'},
+        response -> then.accept(readBundle(response)))));
+    http.get("/v1/workers", call -> http.ask(then -> then.accept(Response.of(200, core.workers()))));
+    http.put("/v1/workers", call -> putAll(http, call));
+    http.put("/v1/workers/{id}", call -> putWorker(http, call));
+    http.post("/v1/workers/{id}/leaving", call -> http.ask(then -> mark(call.parts().get("id"), true, then)));
+    http.delete("/v1/workers/{id}", call -> http.ask(then -> mark(call.parts().get("id"), false, then)));
+  }
+
+  private Promise<HttpResponse> sendBundle(HttpInterface http, Call call) {
+    byte[] signature;
+    try {
+      signature = Base64.getDecoder().decode(call.header("Applespindle-Signature"));
+    } catch (IllegalArgumentException fault) {
+      return HttpInterface.refuse(new Fault.SignatureRefused("the signature is not base64"));
+    }
+    var sent = new SignedBundle(0, call.body(), call.header("Applespindle-Key-Id"), signature);
+    return http.ask(then -> core.command("bundle", "bundle", sent, then));
+  }
+
+  private static Response readBundle(Response response) {
+    if (!response.good()) {
+      return response;
+    }
+    if (response.body().isNull()) {
+      return Response.of(new Fault.NoBundle());
+    }
+    SignedBundle inForce = JSON.convertValue(response.body(), SignedBundle.class);
+    ObjectNode body = JSON.createObjectNode().put("number", inForce.number()).put("keyId", inForce.keyId())
+        .put("signature", Base64.getEncoder().encodeToString(inForce.signature()))
+        .put("bytes", Base64.getEncoder().encodeToString(inForce.bytes()));
+    body.set("bundle", applespindle.corelogic.Json.tree(inForce.bytes()));
+    return Response.of(200, body);
+  }
+
+  private Promise<HttpResponse> putWorker(HttpInterface http, Call call) {
+    JsonNode tree;
+    try {
+      tree = JSON.readTree(call.body());
+    } catch (java.io.IOException fault) {
+      return HttpInterface.refuse(new Fault.InvalidInput(List.of(new Fault.Field("$", "not well-formed JSON"))));
+    }
+    if (tree instanceof ObjectNode object && !object.has("id")) {
+      object.put("id", call.parts().get("id"));
+    }
+    InputReader.Input<WorkerInput> input = InputReader.read(tree, WorkerInput.class);
+    if (!input.good()) {
+      return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
+    }
+    if (!input.value().id().equals(call.parts().get("id"))) {
+      return HttpInterface.refuse(new Fault.InvalidInput(List.of(new Fault.Field("$.id", "differs from the path"))));
+    }
+    return http.ask(then -> put(input.value(), then));
+  }
+
+  private void put(WorkerInput input, Consumer<Response> then) {
+    core.command("worker", "worker/" + input.id(), CoreNode.workerListed(input), then);
+  }
+
+  private void mark(String id, boolean leaving, Consumer<Response> then) {
+    core.command("worker", "worker/" + id, CoreNode.workerMarked(id, leaving), then);
+  }
+
+  /** The whole list: puts each listed worker, takes out each other; answers once all of it is committed. */
+  private Promise<HttpResponse> putAll(HttpInterface http, Call call) {
+    InputReader.Input<WorkerList> input = InputReader.read(call.body(), WorkerList.class);
+    if (!input.good()) {
+      return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
+    }
+    return http.ask(then -> {
+      Set<String> listed = new HashSet<>();
+      input.value().workers().forEach(worker -> listed.add(worker.id()));
+      List<String> gone = core.workerIds().stream().filter(id -> !listed.contains(id)).toList();
+      int[] open = {listed.size() + gone.size()};
+      Response[] firstFault = new Response[1];
+      Consumer<Response> each = response -> {
+        if (!response.good() && firstFault[0] == null) {
+          firstFault[0] = response;
+        }
+        if (--open[0] == 0) {
+          then.accept(firstFault[0] != null ? firstFault[0]
+              : Response.of(200, JSON.createObjectNode().put("listed", listed.size()).put("gone", gone.size())));
+        }
+      };
+      if (open[0] == 0) {
+        then.accept(Response.of(200, JSON.createObjectNode().put("listed", 0).put("gone", 0)));
+      }
+      input.value().workers().forEach(worker -> put(worker, each));
+      gone.forEach(id -> mark(id, false, each));
+    });
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
@@ -0,0 +1,403 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.HandoutItem;
+import applespindle.corelogic.Message.RangeHandout;
+import applespindle.corelogic.Message.RangePull;
+import applespindle.corelogic.Message.RangeReport;
+import applespindle.corelogic.Message.RangeReported;
+import applespindle.corelogic.Message.ReportedItem;
+import applespindle.corelogic.Message.WorkOffer;
+import applespindle.corelogic.Surroundings.WorkerCall;
+import applespindle.corelogic.Surroundings.WorkerListener;
+import applespindle.corelogic.Surroundings.WorkerRun;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import static applespindle.corelogic.Json.JSON;
+
+/**
+ * This edge's feeding of workers with batch items, for those workers whose feeder it is. It pulls a range when its
+ * buffer for a worker runs empty, streams the items in order, and moves on only from what the leader has recorded.
+ */
+final class BatchFeeder {
+  /** What the feeder needs of the edge it lives on. */
+  interface Edge {
+    void send(String toAddress, String toId, Message message);
+
+    boolean feeds(String worker);
+
+    /** Null when work may begin now; asked right before each item is sent. */
+    Fault mayBegin();
+
+    Bundle bundle();
+
+    boolean stopping();
+  }
+
+  private record Leader(String id, String address) {}
+
+  private static final class Offer {
+    Leader leader;
+    long dueAt;
+    long heardAt;
+  }
+
+  private static final class Held {
+    final String batch;
+    final int range;
+    final long epoch;
+    final String worker;
+    Leader leader;
+    long dueAt;
+    /** On our clock, from the sending of what the leader answered: always before the leader's own end of it. */
+    long grantEndsAt;
+    final ArrayDeque<HandoutItem> unsent = new ArrayDeque<>();
+    final Map<Integer, Run> running = new LinkedHashMap<>();
+    /** Items of the range without a finished run; the lowest is the range's offset. */
+    final TreeSet<Integer> lacking = new TreeSet<>();
+    int end;
+    /** Outcomes the leader has not yet answered for; sent again with each report. */
+    final List<Outcome> unanswered = new ArrayList<>();
+    final TreeMap<Long, Long> reportsSentAt = new TreeMap<>();
+    long lastReport;
+    boolean givingBack;
+    boolean dropped;
+
+    Held(String batch, int range, long epoch, String worker) {
+      this.batch = batch;
+      this.range = range;
+      this.epoch = epoch;
+      this.worker = worker;
+    }
+  }
+
+  private record Outcome(ReportedItem item, long firstReport) {}
+
+  private static final class Run {
+    final Held held;
+    final HandoutItem item;
+    final StringBuilder output = new StringBuilder();
+    final String id;
+    WorkerBook.Known worker;
+    WorkerRun handle = () -> { };
+    boolean over;
+
+    Run(Held held, HandoutItem item, String id) {
+      this.held = held;
+      this.item = item;
+      this.id = id;
+    }
+  }
+
+  private final Surroundings surroundings;
+  private final String nodeId;
+  private final Edge edge;
+  private final WorkerBook book;
+  private final Map<String, Offer> offers = new LinkedHashMap<>();
+  /** By batch, range and epoch: one assignment is held once. */
+  private final Map<String, Held> held = new LinkedHashMap<>();
+  /** Pulls on their way, by batch and worker, with when they were sent. */
+  private final Map<String, Long> pulls = new HashMap<>();
+  private final Map<String, Long> noRoomSince = new HashMap<>();
+  private long runs;
+
+  BatchFeeder(Surroundings surroundings, String nodeId, Edge edge, WorkerBook book) {
+    this.surroundings = surroundings;
+    this.nodeId = nodeId;
+    this.edge = edge;
+    this.book = book;
+  }
+
+  void offered(WorkOffer offer, String fromId, String fromAddress) {
+    Leader leader = new Leader(fromId, fromAddress);
+    leaderMoved(offer.batch(), fromId, fromAddress);
+    if (offer.unassigned() > 0) {
+      Offer known = offers.computeIfAbsent(offer.batch(), unseen -> new Offer());
+      known.leader = leader;
+      known.heardAt = surroundings.now();
+      known.dueAt = surroundings.now() + offer.dueInMs();
+      pump();
+    }
+  }
+
+  void leaderMoved(String batch, String leaderId, String leaderAddress) {
+    held.values().stream().filter(each -> each.batch.equals(batch))
+        .forEach(each -> each.leader = new Leader(leaderId, leaderAddress));
+  }
+
+  void handedOut(RangeHandout handout, String fromId, String fromAddress) {
+    Long pulledAt = pulls.remove(handout.batch() + " " + handout.worker());
+    if (handout.none()) {
+      offers.remove(handout.batch());
+    } else if (pulledAt != null) {
+      Held range = new Held(handout.batch(), handout.range(), handout.rangeEpoch(), handout.worker());
+      range.leader = new Leader(fromId, fromAddress);
+      range.dueAt = surroundings.now() + handout.dueInMs();
+      range.grantEndsAt = pulledAt + Constants.RANGE_GRANT_MS;
+      range.unsent.addAll(handout.items());
+      handout.items().forEach(item -> range.lacking.add(item.index()));
+      range.end = range.lacking.isEmpty() ? 0 : range.lacking.last() + 1;
+      held.put(name(range), range);
+    }
+    pump();
+  }
+
+  private static String name(Held range) {
+    return range.batch + " " + range.range + " " + range.epoch;
+  }
+
+  void answered(RangeReported answer) {
+    Held range = held.get(answer.batch() + " " + answer.range() + " " + answer.rangeEpoch());
+    if (range == null) {
+      return;
+    }
+    range.unanswered.removeIf(outcome -> outcome.firstReport() <= answer.reportNumber());
+    Long sentAt = range.reportsSentAt.get(answer.reportNumber());
+    range.reportsSentAt.headMap(answer.reportNumber(), true).clear();
+    if (answer.keep() && sentAt != null) {
+      range.grantEndsAt = Math.max(range.grantEndsAt, sentAt + Constants.RANGE_GRANT_MS);
+    } else if (!answer.keep()) {
+      drop(range);
+    }
+    forgetIfDone(range);
+    pump();
+  }
+
+  void ended(String batch) {
+    offers.remove(batch);
+    List.copyOf(held.values()).stream().filter(range -> range.batch.equals(batch)).forEach(range -> {
+      List.copyOf(range.running.values()).forEach(this::cancel);
+      range.unanswered.clear();
+      drop(range);
+      forgetIfDone(range);
+    });
+    pump();
+  }
+
+  /** Nothing more of the range is sent; what runs may end and is reported, as its item may still lack a result. */
+  private void drop(Held range) {
+    range.dropped = true;
+    range.unsent.clear();
+  }
+
+  private void forgetIfDone(Held range) {
+    if (range.unsent.isEmpty() && range.running.isEmpty() && range.unanswered.isEmpty()) {
+      held.remove(name(range));
+    }
+  }
+
+  // ---- sending
+
+  private int room(WorkerBook.Known worker) {
+    Bundle bundle = edge.bundle();
+    if (bundle == null || !book.usable(worker) || !worker.worker.pool().equals(bundle.limits().batch().pool())) {
+      return 0;
+    }
+    int left = worker.load.capacity() - bundle.limits().batch().liveReserve() - worker.liveRunning();
+    return Math.min(bundle.limits().batch().perWorkerMost(), left) - worker.batch;
+  }
+
+  void pump() {
+    for (WorkerBook.Known worker : List.copyOf(book.all())) {
+      pump(worker);
+    }
+  }
+
+  private void pump(WorkerBook.Known worker) {
+    String workerId = worker.worker.id();
+    boolean feeds = edge.feeds(workerId) && !edge.stopping();
+    List<Held> ranges = held.values().stream().filter(range -> range.worker.equals(workerId))
+        .sorted(Comparator.comparingLong(range -> range.dueAt)).toList();
+    if (!feeds || !book.usable(worker)) {
+      ranges.forEach(this::giveBack);
+      return;
+    }
+    int room = room(worker);
+    if (room < 0 && edge.bundle().limits().batch().cancelForLive()) {
+      cancelNewest(worker, -room);
+    }
+    for (Held range : ranges) {
+      while (room > 0 && !range.unsent.isEmpty() && begin(range, worker)) {
+        room--;
+      }
+    }
+    if (room > 0) {
+      noRoomSince.remove(workerId);
+    } else if (surroundings.now() - noRoomSince.computeIfAbsent(workerId, unseen -> surroundings.now())
+        > Constants.RANGE_GRANT_MS) {
+      ranges.stream().filter(range -> !range.unsent.isEmpty()).forEach(this::giveBack);
+    }
+    int unsent = ranges.stream().mapToInt(range -> range.unsent.size()).sum();
+    pull(workerId, room + (room > 0 ? Constants.PREFETCH_RANGES * Constants.RANGE_ITEMS : 0) - unsent);
+  }
+
+  private void pull(String workerId, int wanted) {
+    long now = surroundings.now();
+    offers.values().removeIf(offer -> now - offer.heardAt > Constants.OFFER_LENGTH_MS);
+    pulls.values().removeIf(sentAt -> now - sentAt > Constants.OFFER_LENGTH_MS);
+    int missing = wanted - Constants.RANGE_ITEMS
+        * (int) pulls.keySet().stream().filter(name -> name.endsWith(" " + workerId)).count();
+    if (missing <= 0 || edge.mayBegin() != null) {
+      return;
+    }
+    List<String> earliestDue = offers.entrySet().stream()
+        .sorted(Comparator.comparingLong(entry -> entry.getValue().dueAt)).map(Map.Entry::getKey).toList();
+    for (String batch : earliestDue) {
+      if (missing <= 0) {
+        return;
+      }
+      if (pulls.putIfAbsent(batch + " " + workerId, now) == null) {
+        Leader leader = offers.get(batch).leader;
+        edge.send(leader.address(), leader.id(), new RangePull(batch, workerId));
+        missing -= Constants.RANGE_ITEMS;
+      }
+    }
+  }
+
+  /** The range's grant, the feed's age and the worker's mark are checked here, right before the item is sent. */
+  private boolean begin(Held range, WorkerBook.Known worker) {
+    if (range.givingBack || range.dropped || surroundings.now() >= range.grantEndsAt || edge.mayBegin() != null
+        || !book.usable(worker)) {
+      return false;
+    }
+    HandoutItem item = range.unsent.poll();
+    Run run = new Run(range, item, nodeId + "-" + ++runs);
+    run.worker = worker;
+    range.running.put(item.index(), run);
+    book.began(worker, true);
+    JsonNode itemBody = Json.tree(item.body());
+    ObjectNode body = JSON.createObjectNode();
+    itemBody.fields().forEachRemaining(field -> {
+      if (!field.getKey().equals("id")) {
+        body.set(field.getKey(), field.getValue());
+      }
+    });
+    body.put("stream", true).put("applespindle_item", range.batch + "/" + itemBody.path("id").asText());
+    long expiry = edge.bundle().limits().batch().itemExpiryMs();
+    run.handle = surroundings.run(new WorkerCall(worker.worker.address(), Json.bytes(body), expiry), listener(run));
+    return true;
+  }
+
+  private WorkerListener listener(Run run) {
+    return new WorkerListener() {
+      @Override public void text(String text) {
+        run.output.append(text);
+      }
+
+      @Override public void end(String finishReason) {
+        if (leave(run)) {
+          book.served(run.worker);
+          run.held.lacking.remove(run.item.index());
+          outcome(run, finishReason, "", run.output.toString());
+        }
+      }
+
+      @Override public void fault(Fault fault, boolean mayHaveRun) {
+        if (leave(run)) {
+          book.faulted(run.worker);
+          outcome(run, "", fault.type(), "");
+          giveBack(run.held);
+        }
+      }
+    };
+  }
+
+  private boolean leave(Run run) {
+    if (run.over) {
+      return false;
+    }
+    run.over = true;
+    book.ended(run.worker, true);
+    run.held.running.remove(run.item.index());
+    return true;
+  }
+
+  private void outcome(Run run, String finishReason, String faultType, String output) {
+    Held range = run.held;
+    range.unanswered.add(new Outcome(new ReportedItem(run.item.index(), run.id, range.worker, finishReason, faultType,
+        output.getBytes(StandardCharsets.UTF_8)), range.lastReport + 1));
+    report(range);
+    pump();
+  }
+
+  private void cancel(Run run) {
+    if (leave(run)) {
+      run.handle.cancel();
+    }
+  }
+
+  /** Live traffic needs the room: the newest items go back to the front of their ranges; their partial output is dropped. */
+  private void cancelNewest(WorkerBook.Known worker, int number) {
+    List<Run> newestFirst = new ArrayList<>();
+    held.values().stream().filter(range -> range.worker.equals(worker.worker.id()))
+        .forEach(range -> newestFirst.addAll(range.running.values()));
+    java.util.Collections.reverse(newestFirst);
+    newestFirst.stream().limit(number).forEach(run -> {
+      cancel(run);
+      if (!run.held.dropped) {
+        run.held.unsent.addFirst(run.item);
+      }
+    });
+  }
+
+  // ---- reporting
+
+  private void giveBack(Held range) {
+    if (!range.givingBack && !range.dropped) {
+      range.givingBack = true;
+      range.unsent.clear();
+      report(range);
+    }
+  }
+
+  private void report(Held range) {
+    long number = ++range.lastReport;
+    range.reportsSentAt.put(number, surroundings.now());
+    if (range.reportsSentAt.size() > 16) {
+      range.reportsSentAt.pollFirstEntry();
+    }
+    boolean handsBack = range.givingBack && range.running.isEmpty();
+    edge.send(range.leader.address(), range.leader.id(), new RangeReport(range.batch, range.range, range.epoch,
+        range.worker, number, range.lacking.isEmpty() ? range.end : range.lacking.first(), handsBack, range.unanswered.stream().map(Outcome::item).toList()));
+  }
+
+  /** Repeats each report: it renews the range's grant and carries what has not been answered. */
+  void tick() {
+    long now = surroundings.now();
+    for (Held range : List.copyOf(held.values())) {
+      Long lastSentAt = range.reportsSentAt.isEmpty() ? null : range.reportsSentAt.lastEntry().getValue();
+      if (lastSentAt == null || now - lastSentAt >= Constants.RANGE_REPORT_MS) {
+        report(range);
+      }
+      boolean lapsedLong = now - range.grantEndsAt > 4 * Constants.RANGE_GRANT_MS;
+      if (range.running.isEmpty() && lapsedLong) {
+        held.remove(name(range));
+      }
+    }
+    pump();
+  }
+
+  /** For a polite stop: gives back all that has not begun. True once nothing runs and nothing is unanswered. */
+  boolean drain() {
+    List.copyOf(held.values()).forEach(this::giveBack);
+    return held.values().stream().allMatch(range -> range.running.isEmpty() && range.unanswered.isEmpty());
+  }
+
+  int heldRanges() {
+    return held.size();
+  }
+
+  int runningItems() {
+    return held.values().stream().mapToInt(range -> range.running.size()).sum();
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -0,0 +1,434 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.BatchEvent.Accepted;
+import applespindle.corelogic.BatchEvent.Assigned;
+import applespindle.corelogic.BatchEvent.Attempt;
+import applespindle.corelogic.BatchEvent.Recorded;
+import applespindle.corelogic.BatchEvent.Result;
+import applespindle.corelogic.BatchEvent.Returned;
+import applespindle.corelogic.BatchView.Range;
+import applespindle.corelogic.BatchView.RangeState;
+import applespindle.corelogic.Message.HandoutItem;
+import applespindle.corelogic.Message.RangeHandout;
+import applespindle.corelogic.Message.RangePull;
+import applespindle.corelogic.Message.RangeReport;
+import applespindle.corelogic.Message.RangeReported;
+import applespindle.corelogic.Message.ReportedItem;
+import applespindle.corelogic.Message.WorkOffer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import static applespindle.corelogic.Json.JSON;
+
+/**
+ * The leader of one batch: holds the order of its ranges and the progress of each, hands the next range to whoever
+ * pulls, and takes reports. All it holds comes from the batch's log, except the grants.
+ */
+final class BatchLeader {
+  /** What the leader needs of the edge it lives on. */
+  interface Edge {
+    void send(String toAddress, String toId, Message message);
+
+    /** To every live edge, this one included. */
+    void toAllEdges(Message message);
+
+    void reportRoom(String batch, long items);
+
+    void log(String sentence);
+
+    /** A report moves the offset beyond what is recorded here yet; the results it carries must make up for it. */
+    void offsetAhead(String batch);
+  }
+
+  private final Surroundings surroundings;
+  private final Edge edge;
+  final String batch;
+  final OwnedKey key;
+  final BatchView view = new BatchView();
+  private final long bornAt;
+  private final long ageAtBirthMs;
+  /** Range to when its grant ends on our clock; in memory only: a new leader gives each range a full one. */
+  private final Map<Integer, Long> grants = new HashMap<>();
+  /** Ranges with an event on its way to the disks. */
+  private final Set<Integer> busyRanges = new HashSet<>();
+  private final Set<Integer> itemsBeingRecorded = new HashSet<>();
+  private long lastOfferAt = Long.MIN_VALUE / 2;
+  private long lastRoomReportAt = Long.MIN_VALUE / 2;
+  private long lastReportedRoom = -1;
+  private long lastUsedAt;
+  private long highestRangeEpoch;
+  private boolean accepting;
+  private boolean finishing;
+  private boolean ending;
+
+  BatchLeader(Surroundings surroundings, Edge edge, String batch, OwnedKey key) {
+    this.surroundings = surroundings;
+    this.edge = edge;
+    this.batch = batch;
+    this.key = key;
+    for (Entry entry : key.entries()) {
+      if (!entry.isTakeover()) {
+        view.fold(entry.event());
+      }
+    }
+    bornAt = surroundings.now();
+    lastUsedAt = bornAt;
+    ageAtBirthMs = view.ageMs;
+    highestRangeEpoch = view.highestRangeEpoch;
+    for (int range = 0; range < view.ranges.size(); range++) {
+      if (view.ranges.get(range).state == RangeState.ASSIGNED) {
+        grants.put(range, bornAt + Constants.RANGE_GRANT_MS);
+      }
+    }
+    if (view.open() && view.ranges.isEmpty()) {
+      layOut();
+    }
+    if (view.open()) {
+      edge.toAllEdges(new WorkOffer(batch, dueInMs(), 0));
+      offer();
+    }
+  }
+
+  private long ageMs() {
+    return ageAtBirthMs + surroundings.now() - bornAt;
+  }
+
+  private void append(BatchEvent event, Consumer<Fault> then) {
+    byte[] bytes = Json.bytes(event);
+    key.append(false, bytes, fault -> {
+      if (fault == null) {
+        view.fold(bytes);
+      }
+      then.accept(fault);
+    });
+  }
+
+  // ---- acceptance and end
+
+  void submit(Accepted accepted, Consumer<Response> then) {
+    lastUsedAt = surroundings.now();
+    if (view.accepted != null || accepting) {
+      key.confirm(fault -> then.accept(fault != null ? unknown(fault)
+          : view.accepted == null ? Response.of(new Fault.OutcomeUnknown(batch))
+          : view.accepted.digest().equals(accepted.digest()) ? Response.of(201, summary())
+          : Response.of(new Fault.KeyContentConflict(batch))));
+      return;
+    }
+    accepting = true;
+    append(BatchEvent.accepted(accepted), fault -> {
+      accepting = false;
+      if (fault == null) {
+        edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
+      }
+      then.accept(fault == null ? Response.of(201, summary()) : unknown(fault));
+    });
+    layOut(accepted.items().size());
+  }
+
+  private Response unknown(Fault fault) {
+    return Response.of(fault instanceof Fault.NotOwner ? fault : new Fault.OutcomeUnknown(batch));
+  }
+
+  private void layOut() {
+    layOut(view.accepted.items().size());
+  }
+
+  /** Splits by position only; the items stay where they are recorded. The order is a random permutation. */
+  private void layOut(int items) {
+    int ranges = (items + Constants.RANGE_ITEMS - 1) / Constants.RANGE_ITEMS;
+    List<Integer> order = IntStream.range(0, ranges).boxed().collect(Collectors.toList());
+    Collections.shuffle(order, new Random(surroundings.random().nextLong()));
+    append(BatchEvent.ordered(order, Constants.RANGE_ITEMS), fault -> offer());
+  }
+
+  /** Makes sure that nothing of this batch can be accepted by an older owner, and says so in the record. */
+  void refuse(Consumer<Fault> then) {
+    if (view.accepted != null || view.refused || accepting) {
+      then.accept(null);
+      return;
+    }
+    append(BatchEvent.plain(BatchEvent.REFUSED, 0), then);
+  }
+
+  void end(Consumer<Response> then) {
+    lastUsedAt = surroundings.now();
+    if (view.accepted == null) {
+      key.confirm(fault -> then.accept(Response.of(fault != null ? fault : new Fault.NoSuchBatch(batch))));
+      return;
+    }
+    if (view.ended || view.finished || ending || view.unfinishedItems() == 0) {
+      key.confirm(fault -> then.accept(fault != null ? unknown(fault) : Response.of(200, summary())));
+      return;
+    }
+    ending = true;
+    append(BatchEvent.plain(BatchEvent.ENDED, ageMs()), fault -> {
+      ending = false;
+      if (fault == null) {
+        grants.clear();
+        edge.toAllEdges(new Message.BatchEnded(batch));
+        edge.log("Batch ended: " + batch + ".");
+        reportRoom(true);
+      }
+      then.accept(fault == null ? Response.of(200, summary()) : unknown(fault));
+    });
+  }
+
+  // ---- reading
+
+  void read(Consumer<Response> then) {
+    lastUsedAt = surroundings.now();
+    key.confirm(fault -> then.accept(fault != null ? Response.of(fault)
+        : view.accepted == null ? Response.of(new Fault.NoSuchBatch(batch)) : Response.of(200, summary())));
+  }
+
+  void results(long after, int limit, Consumer<Response> then) {
+    lastUsedAt = surroundings.now();
+    key.confirm(fault -> then.accept(fault != null ? Response.of(fault)
+        : view.accepted == null ? Response.of(new Fault.NoSuchBatch(batch))
+        : Response.of(200, page(after, limit))));
+  }
+
+  private ObjectNode summary() {
+    ObjectNode summary = JSON.createObjectNode();
+    long failed = view.results.stream().filter(result -> result.fault() != null).count();
+    return summary.put("batch", batch).put("state", view.state()).put("items", view.items())
+        .put("recorded", view.results.size()).put("failed", failed).put("ageMs", ageMs());
+  }
+
+  private ObjectNode page(long after, int limit) {
+    ObjectNode page = summary();
+    ArrayNode rows = page.putArray("results");
+    int last = (int) Math.min(view.results.size(), after + limit);
+    for (int number = (int) Math.min(after, last); number < last; number++) {
+      Result result = view.results.get(number);
+      JsonNode item = view.accepted.items().get(result.index());
+      ObjectNode row = rows.addObject().put("n", number + 1).put("id", item.path("id").asText())
+          .put("type", result.fault() == null ? "succeeded" : "failed");
+      if (result.fault() == null) {
+        row.put("output", result.output()).put("finish_reason", result.finishReason());
+      } else {
+        row.put("fault", result.fault());
+      }
+      row.put("run", result.run()).put("worker", result.worker());
+    }
+    return page.put("next", Math.max(last, Math.min(after, view.results.size())));
+  }
+
+  // ---- ranges
+
+  /** Next range in the batch's order for whoever pulls; the pull itself says that a buffer ran empty. */
+  void pulled(RangePull pull, String fromId, String fromAddress) {
+    int chosenRange = -1;
+    if (view.open() && !ending) {
+      for (int range : view.order) {
+        if (view.ranges.get(range).state == RangeState.UNASSIGNED && !busyRanges.contains(range)) {
+          chosenRange = range;
+          break;
+        }
+      }
+    }
+    if (chosenRange < 0) {
+      edge.send(fromAddress, fromId, new RangeHandout(batch, pull.worker(), 0, 0, true, 0, List.of()));
+      return;
+    }
+    int range = chosenRange;
+    long rangeEpoch = ++highestRangeEpoch;
+    busyRanges.add(range);
+    grants.put(range, surroundings.now() + Constants.COMMAND_EXPIRY_MS + Constants.RANGE_GRANT_MS);
+    append(BatchEvent.assigned(ageMs(), new Assigned(range, rangeEpoch, fromId, pull.worker())), fault -> {
+      busyRanges.remove(range);
+      if (fault != null || !view.open()) {
+        return;
+      }
+      grants.put(range, surroundings.now() + Constants.RANGE_GRANT_MS);
+      edge.send(fromAddress, fromId, handout(pull, range, rangeEpoch));
+    });
+  }
+
+  private RangeHandout handout(RangePull pull, int range, long rangeEpoch) {
+    Range handed = view.ranges.get(range);
+    List<HandoutItem> items = new ArrayList<>();
+    for (int index = handed.first + handed.offset; index < handed.first + handed.length; index++) {
+      if (!view.has(index)) {
+        items.add(new HandoutItem(index, Json.bytes(view.accepted.items().get(index))));
+      }
+    }
+    return new RangeHandout(batch, pull.worker(), range, rangeEpoch, false, dueInMs(), items);
+  }
+
+  private long dueInMs() {
+    return view.accepted.dueInMs() - ageMs();
+  }
+
+  /** Results first to the disks, then the answer; only then may the feeder move its offset and forget. */
+  void reported(RangeReport report, String fromId, String fromAddress) {
+    if (!view.open() || ending || report.range() >= view.ranges.size()) {
+      key.confirm(fault -> answer(report, fromId, fromAddress, false));
+      return;
+    }
+    Range range = view.ranges.get(report.range());
+    if (report.offset() > range.first + range.offset) {
+      edge.offsetAhead(batch);
+    }
+    boolean current = range.epoch == report.rangeEpoch() && range.state != RangeState.UNASSIGNED;
+    if (current && !report.giveBack()) {
+      grants.put(report.range(), surroundings.now() + Constants.RANGE_GRANT_MS);
+    }
+    List<Result> results = new ArrayList<>();
+    List<Attempt> attempts = new ArrayList<>();
+    sort(report, results, attempts);
+    if (!results.isEmpty() || !attempts.isEmpty()) {
+      results.forEach(result -> itemsBeingRecorded.add(result.index()));
+      append(BatchEvent.recorded(ageMs(), new Recorded(report.range(), report.rangeEpoch(), results, attempts)),
+          fault -> {
+            results.forEach(result -> itemsBeingRecorded.remove(result.index()));
+            if (fault == null) {
+              finishIfDone();
+            }
+          });
+    }
+    if (report.giveBack() && current) {
+      append(BatchEvent.returned(ageMs(), new Returned(report.range(), report.rangeEpoch())), fault -> {
+        grants.remove(report.range());
+        offer();
+      });
+    }
+    key.confirm(fault -> {
+      if (fault == null) {
+        boolean keep = view.open() && !report.giveBack() && range.epoch == report.rangeEpoch()
+            && range.state == RangeState.ASSIGNED;
+        answer(report, fromId, fromAddress, keep);
+      }
+    });
+  }
+
+  private void answer(RangeReport report, String fromId, String fromAddress, boolean keep) {
+    edge.send(fromAddress, fromId, new RangeReported(batch, report.range(), report.rangeEpoch(), report.worker(),
+        report.reportNumber(), keep));
+  }
+
+  private void sort(RangeReport report, List<Result> results, List<Attempt> attempts) {
+    for (ReportedItem item : report.results()) {
+      if (item.index() < 0 || item.index() >= view.items() || view.has(item.index())
+          || itemsBeingRecorded.contains(item.index())) {
+        continue;
+      }
+      if (item.faultType().isEmpty()) {
+        results.add(new Result(item.index(), item.run(), item.worker(), item.finishReason(), null,
+            new String(item.output(), StandardCharsets.UTF_8)));
+      } else if (!view.hasFailed(item.run())) {
+        attempts.add(new Attempt(item.index(), item.run(), item.faultType()));
+        if (view.attempts(item.index()) + 1 >= Constants.ITEM_ATTEMPTS) {
+          results.add(new Result(item.index(), item.run(), item.worker(), null, item.faultType(), null));
+        }
+      }
+    }
+  }
+
+  private void finishIfDone() {
+    if (view.accepted == null || view.ended || view.finished || finishing || view.unfinishedItems() > 0) {
+      return;
+    }
+    finishing = true;
+    append(BatchEvent.plain(BatchEvent.FINISHED, ageMs()), fault -> {
+      finishing = false;
+      if (fault == null) {
+        edge.log("Batch finished: " + batch + ", after " + ageMs() + " ms.");
+        reportRoom(true);
+      }
+    });
+  }
+
+  // ---- time
+
+  /** True once nothing is left to do here and nobody has asked for a while: the key may be let go. */
+  boolean tick() {
+    long now = surroundings.now();
+    if (!key.owned()) {
+      return true;
+    }
+    if (!view.open()) {
+      reportRoom(false);
+      return now - lastUsedAt > Constants.LEADER_IDLE_MS && !accepting;
+    }
+    finishIfDone();
+    if (ageMs() > view.accepted.expiresInMs()) {
+      expireItems();
+    }
+    takeBackSilentRanges(now);
+    if (now - lastOfferAt >= Constants.OFFER_MS) {
+      offer();
+    }
+    reportRoom(false);
+    return false;
+  }
+
+  private void takeBackSilentRanges(long now) {
+    for (int range = 0; range < view.ranges.size(); range++) {
+      Range each = view.ranges.get(range);
+      if (each.state == RangeState.ASSIGNED && !busyRanges.contains(range)
+          && now >= grants.getOrDefault(range, Long.MIN_VALUE)) {
+        int silentRange = range;
+        busyRanges.add(range);
+        append(BatchEvent.returned(ageMs(), new Returned(range, each.epoch)), fault -> {
+          busyRanges.remove(silentRange);
+          offer();
+        });
+      }
+    }
+  }
+
+  private void expireItems() {
+    List<Result> results = new ArrayList<>();
+    for (int index = 0; index < view.items(); index++) {
+      if (!view.has(index) && itemsBeingRecorded.add(index)) {
+        results.add(new Result(index, "", "", null, new Fault.ItemExpired().type(), null));
+      }
+    }
+    if (!results.isEmpty()) {
+      append(BatchEvent.recorded(ageMs(), new Recorded(-1, 0, results, List.of())), fault -> {
+        results.forEach(result -> itemsBeingRecorded.remove(result.index()));
+        finishIfDone();
+      });
+    }
+  }
+
+  private void offer() {
+    lastOfferAt = surroundings.now();
+    if (!view.open() || ending) {
+      return;
+    }
+    int unassigned = (int) view.ranges.stream().filter(range -> range.state == RangeState.UNASSIGNED).count();
+    if (unassigned > 0) {
+      edge.toAllEdges(new WorkOffer(batch, dueInMs(), unassigned));
+    }
+  }
+
+  private void reportRoom(boolean atOnce) {
+    long now = surroundings.now();
+    long unfinished = view.unfinishedItems();
+    if ((unfinished != lastReportedRoom || unfinished == 0) && view.accepted != null
+        && (atOnce || now - lastRoomReportAt >= Constants.ROOM_REPORT_MS)) {
+      lastRoomReportAt = now;
+      lastReportedRoom = unfinished;
+      edge.reportRoom(batch, unfinished);
+    }
+  }
+
+  void handedOver() {
+    key.stop();
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchView.java
@@ -0,0 +1,152 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.BatchEvent.Accepted;
+import applespindle.corelogic.BatchEvent.Attempt;
+import applespindle.corelogic.BatchEvent.Result;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A batch as folded from the committed entries of its log; every leader that folds the same log sees the same. */
+final class BatchView {
+  enum RangeState { UNASSIGNED, ASSIGNED, DONE }
+
+  static final class Range {
+    final int first;
+    final int length;
+    RangeState state = RangeState.UNASSIGNED;
+    /** Of the newest assignment. Rises with each; a report with an older one no longer moves the range. */
+    long epoch;
+    String feeder = "";
+    /** Items from first up to here all have results. Never falls. */
+    int offset;
+
+    Range(int first, int length) {
+      this.first = first;
+      this.length = length;
+    }
+  }
+
+  Accepted accepted;
+  boolean refused;
+  boolean ended;
+  boolean finished;
+  /** Highest age any leader knew of; carried on by the next, so that no wall clock is needed for the expiry. */
+  long ageMs;
+  /** In the order of handing out: a random permutation of range numbers, fixed at acceptance. */
+  List<Integer> order = List.of();
+  final List<Range> ranges = new ArrayList<>();
+  /** In order of recording. Only ever grows, and an entry never changes once it is in. */
+  final List<Result> results = new ArrayList<>();
+  /** By item: the first committed result, later ones are dropped. */
+  private Result[] byItem = new Result[0];
+  private int[] attempts = new int[0];
+  /** Each failed run counts once, however often it is reported. */
+  private final Set<String> failedRuns = new HashSet<>();
+  long highestRangeEpoch;
+
+  void fold(byte[] bytes) {
+    BatchEvent event = Json.read(bytes, BatchEvent.class);
+    ageMs = Math.max(ageMs, event.ageMs() == null ? 0 : event.ageMs());
+    switch (event.kind()) {
+      case BatchEvent.ACCEPTED -> accept(event.accepted());
+      case BatchEvent.ORDERED -> order(event);
+      case BatchEvent.ASSIGNED -> {
+        Range range = ranges.get(event.assigned().range());
+        range.state = RangeState.ASSIGNED;
+        range.epoch = event.assigned().rangeEpoch();
+        range.feeder = event.assigned().feeder();
+        highestRangeEpoch = Math.max(highestRangeEpoch, range.epoch);
+      }
+      case BatchEvent.RECORDED -> record(event.recorded());
+      case BatchEvent.RETURNED -> {
+        Range range = ranges.get(event.returned().range());
+        if (range.epoch == event.returned().rangeEpoch() && range.state == RangeState.ASSIGNED) {
+          range.state = RangeState.UNASSIGNED;
+        }
+      }
+      case BatchEvent.ENDED -> ended = true;
+      case BatchEvent.FINISHED -> finished = true;
+      case BatchEvent.REFUSED -> refused = accepted == null;
+      default -> { }
+    }
+  }
+
+  private void accept(Accepted event) {
+    if (accepted == null) {
+      accepted = event;
+      refused = false;
+      byItem = new Result[event.items().size()];
+      attempts = new int[event.items().size()];
+    }
+  }
+
+  private void order(BatchEvent event) {
+    if (!ranges.isEmpty()) {
+      return;
+    }
+    order = event.order();
+    int items = accepted.items().size();
+    for (int first = 0; first < items; first += event.rangeItems()) {
+      ranges.add(new Range(first, Math.min(event.rangeItems(), items - first)));
+    }
+  }
+
+  private void record(BatchEvent.Recorded event) {
+    if (ended) {
+      return;
+    }
+    for (Result result : event.results()) {
+      if (byItem[result.index()] == null) {
+        byItem[result.index()] = result;
+        results.add(result);
+      }
+    }
+    for (Attempt attempt : event.attempts()) {
+      if (failedRuns.add(attempt.run())) {
+        attempts[attempt.index()]++;
+      }
+    }
+    for (Range range : ranges) {
+      while (range.offset < range.length && byItem[range.first + range.offset] != null) {
+        range.offset++;
+      }
+      if (range.offset == range.length) {
+        range.state = RangeState.DONE;
+      }
+    }
+  }
+
+  boolean has(int item) {
+    return byItem[item] != null;
+  }
+
+  boolean hasFailed(String run) {
+    return failedRuns.contains(run);
+  }
+
+  int attempts(int item) {
+    return attempts[item];
+  }
+
+  int items() {
+    return byItem.length;
+  }
+
+  int unfinishedItems() {
+    return accepted == null || ended ? 0 : byItem.length - results.size();
+  }
+
+  boolean open() {
+    return accepted != null && !ended && !finished;
+  }
+
+  String state() {
+    if (accepted == null) {
+      return refused ? "refused" : "unknown";
+    }
+    return ended ? "ended" : unfinishedItems() == 0 ? "finished" : results.isEmpty() && highestRangeEpoch == 0
+        ? "accepted" : "running";
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Bundle.java
@@ -0,0 +1,110 @@
+package applespindle.corelogic;
+
+import jakarta.validation.Valid;
+import jakarta.validation.constraints.DecimalMax;
+import jakarta.validation.constraints.DecimalMin;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.NotEmpty;
+import jakarta.validation.constraints.NotNull;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.Signature;
+import java.security.spec.X509EncodedKeySpec;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+
+/** The operators' routing configuration, as signed off under one number. */
+public record Bundle(
+    @Min(1) long number,
+    @NotEmpty Map<String, @Valid @NotNull Pool> pools,
+    @NotEmpty List<@Valid @NotNull Rule> rules,
+    @NotNull @Valid Limits limits) {
+
+  /** A named set of workers; each worker names its pool when the platform lists it. */
+  public record Pool(
+      @Min(16) @Max(100_000) int prefixBlockChars,
+      @Min(1) @Max(64) int prefixBlocks,
+      @DecimalMin("1.0") @DecimalMax("10.0") double loadFactor) {}
+
+  public record Rule(@NotBlank String name, @Valid Match match, @NotNull @Valid Way way) {}
+
+  /** Every field given must fit; a rule without a match fits all. */
+  public record Match(String model, String sender, String trafficClass, Map<String, String> headers,
+      @Min(0) Integer promptCharsMost, @Min(0) Integer promptCharsLeast) {}
+
+  public record Way(@NotBlank String pool, @NotBlank String trafficClass, @Min(1) @Max(600_000) long expiryMs,
+      @Min(0) @Max(10) int retries) {}
+
+  public record Limits(
+      @NotEmpty Map<String, @Valid @NotNull ClassLimit> classes,
+      @NotNull @Valid BatchLimits batch) {}
+
+  /** Classes with a lower rank are served first. */
+  public record ClassLimit(@Min(0) @Max(100) int rank, @Min(0) @Max(1_000_000) int queueMost) {}
+
+  public record BatchLimits(
+      @NotBlank String pool,
+      @Min(0) long waitingItemsMost,
+      @Min(0) @Max(10_000) int perWorkerMost,
+      @Min(0) @Max(10_000) int liveReserve,
+      boolean cancelForLive,
+      @Min(1) @Max(3_600_000) long itemExpiryMs) {}
+
+  /** What the checks in order came to: a bundle, or the one fault that ended them. */
+  public record Checked(Bundle bundle, Fault fault) {}
+
+  public static Checked check(byte[] bytes, String signerKeyId, byte[] signature, Map<String, String> operatorKeys) {
+    if (bytes.length > Constants.BODY_BYTES_MOST) {
+      return new Checked(null, new Fault.InputTooLarge(Constants.BODY_BYTES_MOST));
+    }
+    String operatorKey = operatorKeys.get(signerKeyId);
+    if (operatorKey == null) {
+      return new Checked(null, new Fault.SignatureRefused("unknown signer key id"));
+    }
+    if (!signatureFits(bytes, signature, operatorKey)) {
+      return new Checked(null, new Fault.SignatureRefused("the signature does not fit the bytes"));
+    }
+    return check(bytes);
+  }
+
+  /** The checks without the signature: JSON, field rules, then what only the whole shows. */
+  public static Checked check(byte[] bytes) {
+    InputReader.Input<Bundle> input = InputReader.read(bytes, Bundle.class);
+    List<Fault.Field> faults = input.good() ? input.value().wholeFaults() : input.faults();
+    return faults.isEmpty() ? new Checked(input.value(), null) : new Checked(null, new Fault.InvalidBundle(faults));
+  }
+
+  private static boolean signatureFits(byte[] bytes, byte[] signature, String operatorKey) {
+    try {
+      var publicKey = KeyFactory.getInstance("Ed25519")
+          .generatePublic(new X509EncodedKeySpec(Base64.getDecoder().decode(operatorKey)));
+      Signature verifier = Signature.getInstance("Ed25519");
+      verifier.initVerify(publicKey);
+      verifier.update(bytes);
+      return verifier.verify(signature);
+    } catch (GeneralSecurityException | IllegalArgumentException fault) {
+      return false;
+    }
+  }
+
+  private List<Fault.Field> wholeFaults() {
+    List<Fault.Field> faults = new ArrayList<>();
+    for (int index = 0; index < rules.size(); index++) {
+      Way way = rules.get(index).way();
+      if (!pools.containsKey(way.pool())) {
+        faults.add(new Fault.Field("$.rules[" + index + "].way.pool", "names no pool of this bundle"));
+      }
+      if (!limits.classes().containsKey(way.trafficClass())) {
+        faults.add(new Fault.Field("$.rules[" + index + "].way.trafficClass", "names no class of this bundle"));
+      }
+    }
+    if (!pools.containsKey(limits.batch().pool())) {
+      faults.add(new Fault.Field("$.limits.batch.pool", "names no pool of this bundle"));
+    }
+    return faults;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/CompiledRules.java
@@ -0,0 +1,83 @@
+package applespindle.corelogic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/** A bundle's rules as a short program, and the small interpreter that runs it for each request. */
+final class CompiledRules {
+  enum Operation { MODEL_IS, SENDER_IS, CLASS_IS, HEADER_IS, PROMPT_AT_MOST, PROMPT_AT_LEAST, TAKE_WAY }
+
+  /** Tests jump to elseGoTo when they do not fit; TAKE_WAY ends the program. */
+  record Instruction(Operation operation, String name, String text, int number, Bundle.Rule rule, int elseGoTo) {}
+
+  record Subject(String model, String sender, String trafficClass, Map<String, String> headers, int promptChars) {}
+
+  private final List<Instruction> program = new ArrayList<>();
+
+  static CompiledRules compile(Bundle bundle) {
+    CompiledRules compiled = new CompiledRules();
+    for (Bundle.Rule rule : bundle.rules()) {
+      List<Instruction> tests = compiled.tests(rule);
+      int nextRule = compiled.program.size() + tests.size() + 1;
+      tests.forEach(test -> compiled.program.add(new Instruction(test.operation(), test.name(), test.text(),
+          test.number(), rule, nextRule)));
+      compiled.program.add(new Instruction(Operation.TAKE_WAY, "", "", 0, rule, nextRule));
+    }
+    return compiled;
+  }
+
+  private List<Instruction> tests(Bundle.Rule rule) {
+    List<Instruction> tests = new ArrayList<>();
+    Bundle.Match match = rule.match();
+    if (match == null) {
+      return tests;
+    }
+    text(tests, Operation.MODEL_IS, "", match.model());
+    text(tests, Operation.SENDER_IS, "", match.sender());
+    text(tests, Operation.CLASS_IS, "", match.trafficClass());
+    if (match.headers() != null) {
+      match.headers().forEach((name, value) -> text(tests, Operation.HEADER_IS, name.toLowerCase(), value));
+    }
+    number(tests, Operation.PROMPT_AT_MOST, match.promptCharsMost());
+    number(tests, Operation.PROMPT_AT_LEAST, match.promptCharsLeast());
+    return tests;
+  }
+
+  private static void text(List<Instruction> tests, Operation operation, String name, String text) {
+    if (text != null) {
+      tests.add(new Instruction(operation, name, text, 0, null, 0));
+    }
+  }
+
+  private static void number(List<Instruction> tests, Operation operation, Integer number) {
+    if (number != null) {
+      tests.add(new Instruction(operation, "", "", number, null, 0));
+    }
+  }
+
+  /** The way of the first rule that fits, or null. */
+  Bundle.Way run(Subject subject) {
+    int at = 0;
+    while (at < program.size()) {
+      Instruction instruction = program.get(at);
+      boolean fits = switch (instruction.operation()) {
+        case MODEL_IS -> Objects.equals(instruction.text(), subject.model());
+        case SENDER_IS -> Objects.equals(instruction.text(), subject.sender());
+        case CLASS_IS -> Objects.equals(instruction.text(), subject.trafficClass());
+        case HEADER_IS -> Objects.equals(instruction.text(), subject.headers().get(instruction.name()));
+        case PROMPT_AT_MOST -> subject.promptChars() <= instruction.number();
+        case PROMPT_AT_LEAST -> subject.promptChars() >= instruction.number();
+        case TAKE_WAY -> true;
+      };
+      if (instruction.operation() == Operation.TAKE_WAY) {
+        return instruction.rule().way();
+      }
+      at = fits ? at + 1 : instruction.elseGoTo();
+    }
+    return null;
+  }
+
+  private CompiledRules() {}
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -0,0 +1,117 @@
+package applespindle.corelogic;
+
+/** All constants of the system, each with its unit and its reason. Times are monotonic milliseconds. */
+public final class Constants {
+  // --- membership
+  /** How often a node renews its grant: four tries fit in one grant, so one lost message costs nothing. */
+  public static final long GRANT_RENEW_MS = 500;
+  /** Length of a member's grant: bounds how long a dead edge keeps its duties in the others' view. */
+  public static final long GRANT_LENGTH_MS = 2_000;
+  /** How often core nodes greet each other: several fit into {@link #CORE_SILENT_MS}. */
+  public static final long CORE_PING_MS = 200;
+  /** A core node unheard for this long is left out of the agreed order: five lost greetings. */
+  public static final long CORE_SILENT_MS = 1_000;
+
+  // --- owned keys
+  /** How often an owner repeats itself to its replicas; also resends what a replica lacks. */
+  public static final long OWNER_BEAT_MS = 250;
+  /** A replica turns a claimant away while it heard another owner this recently. Only liveness rests on it. */
+  public static final long TAKEOVER_MS = 1_000;
+  /** How long a claimant waits for promises before it tries again under a higher epoch. */
+  public static final long CLAIM_ROUND_MS = 600;
+  /** Random wait after a refused claim, at most: keeps two claimants from meeting again at once. */
+  public static final long CLAIM_BACKOFF_MS = 200;
+  /** How long a command may wait for its majority before its sender hears that the outcome is unknown. */
+  public static final long COMMAND_EXPIRY_MS = 2_500;
+  /** An owner of a log with deltas writes a whole-state entry this often, so that logs stay short. */
+  public static final int WHOLE_STATE_EVERY = 64;
+  /** A claim that has not got its majority in this time is given up; the caller hears of no majority. */
+  public static final long CLAIM_EXPIRY_MS = 2_500;
+
+  // --- asks between processes
+  /** One try of an ask to one node: a dead node must not use up the whole expiry of a sender. */
+  public static final long ASK_TRY_MS = 1_200;
+  /** All tries together: the brief wants a response within a few seconds even while a node dies. */
+  public static final long ASK_EXPIRY_MS = 6_000;
+  /** Wait between two tries, so that a node without duty yet can take it. */
+  public static final long ASK_PAUSE_MS = 150;
+  /** How often an ask may be handed on inside the fleet: owner unknown, owner moved, one spare. */
+  public static final int ASK_HOPS = 3;
+
+  // --- feed
+  /** How often a follower asks from its place on; changes are pushed at once in between. */
+  public static final long FEED_POLL_MS = 300;
+  /** A follower changes its core node when it heard nothing for this long. */
+  public static final long FEED_SWITCH_MS = 900;
+  /** Oldest feed on which an edge begins new work: leaves half a second of the 3 s for leaving workers. */
+  public static final long FEED_STALE_MS = 2_500;
+  /** Changes a core node keeps for followers; older places get a checkpoint instead. */
+  public static final int FEED_KEPT = 4_096;
+  /** How long a signed bundle's acknowledgement waits for confirmations: the brief's 2 s. */
+  public static final long BUNDLE_CONFIRM_MS = 2_000;
+  /** Shards of the batch records: enough to spread over some tens of storage nodes, few enough to follow. */
+  public static final int SHARDS = 16;
+  /** Replicas of a shard: survives the loss of any one disk. */
+  public static final int SHARD_REPLICAS = 3;
+
+  // --- batches
+  /** Items in a range: 80 items over some nine feeders leave several ranges for each. */
+  public static final int RANGE_ITEMS = 3;
+  /** Grant of a range from its last report: bounds both re-runs after a crash and work after an end. */
+  public static final long RANGE_GRANT_MS = 1_500;
+  /** A feeder repeats its report this often: three fit into a range grant. */
+  public static final long RANGE_REPORT_MS = 400;
+  /** How often a leader tells feeders that it has ranges left. */
+  public static final long OFFER_MS = 300;
+  /** An offer unheard for this long is forgotten by a feeder. */
+  public static final long OFFER_LENGTH_MS = 1_000;
+  /** Ranges a feeder holds for one worker beyond what runs: one, so that others find work too. */
+  public static final int PREFETCH_RANGES = 1;
+  /** Runs of one item before its failure is recorded as its result. */
+  public static final int ITEM_ATTEMPTS = 5;
+  /** How often a storage node looks for unfinished batches whose owner has gone silent. */
+  public static final long ORPHAN_SCAN_MS = 400;
+  /** How often a leader tells the ledger how many of its items are still unfinished. */
+  public static final long ROOM_REPORT_MS = 500;
+  /** A ledger entry untouched for this long is looked into: its record may never have been written. */
+  public static final long ROOM_AUDIT_MS = 10_000;
+  /** Longest time one batch item may run at a worker, unless the bundle says otherwise. */
+  public static final long ITEM_EXPIRY_MS = 30_000;
+  /** A finished batch stays at its leader's memory this long after its last use. */
+  public static final long LEADER_IDLE_MS = 5_000;
+  /** Page size of results when none is given, and the largest one: keeps a response within a few MB. */
+  public static final int RESULTS_PAGE = 100;
+  public static final int RESULTS_PAGE_MOST = 1_000;
+
+  // --- workers and live requests
+  /** How often a worker's load is read, with a tenth of jitter either way. */
+  public static final long LOAD_POLL_MS = 200;
+  /** A load report older than this leaves the worker out of selection. */
+  public static final long LOAD_STALE_MS = 1_500;
+  /** A worker that faulted rests this long, doubled with each further fault up to the limit below. */
+  public static final long WORKER_REST_MS = 500;
+  public static final long WORKER_REST_MOST_MS = 4_000;
+  /** Expiry of a live request whose rule names none. */
+  public static final long LIVE_EXPIRY_MS = 10_000;
+  /** Longest silence within a worker's stream before the run counts as cut. */
+  public static final long STREAM_SILENCE_MS = 5_000;
+  /** Time a polite stop leaves to running live responses. */
+  public static final long DRAIN_MS = 8_000;
+
+  // --- sizes
+  /** Largest request body taken: 4 MiB holds some hundred long letters. */
+  public static final int BODY_BYTES_MOST = 4 << 20;
+  /** Largest frame between two processes: several bodies, and a whole batch's log. */
+  public static final int FRAME_BYTES_MOST = 64 << 20;
+  public static final int BATCH_ITEMS_MOST = 10_000;
+  public static final int TOKENS_MOST = 1_000_000;
+  public static final int ITEM_ID_LENGTH_MOST = 200;
+  /** Entries of the in-memory journal. */
+  public static final int JOURNAL_KEPT = 8_192;
+  /** Slots of a ring between two threads; a full ring refuses instead of blocking. */
+  public static final int RING_SLOTS = 16_384;
+  /** A log segment is closed and a checkpoint written at this size. */
+  public static final long SEGMENT_BYTES = 32L << 20;
+
+  private Constants() {}
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -0,0 +1,773 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.DiskRecord.Kind;
+import applespindle.corelogic.Message.Ask;
+import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.CorePing;
+import applespindle.corelogic.Message.FeedFollow;
+import applespindle.corelogic.Message.FeedItem;
+import applespindle.corelogic.Message.FeedNews;
+import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyHandOver;
+import applespindle.corelogic.Message.KeyPromise;
+import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.OwnedKey.Claim;
+import applespindle.corelogic.Records.CoreMember;
+import applespindle.corelogic.Records.Member;
+import applespindle.corelogic.Records.Room;
+import applespindle.corelogic.Records.RoomChange;
+import applespindle.corelogic.Records.Roster;
+import applespindle.corelogic.Records.Shard;
+import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.StorageReplica;
+import applespindle.corelogic.Records.Worker;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Json.JSON;
+import static applespindle.corelogic.Records.Worker.GONE;
+import static applespindle.corelogic.Records.Worker.LEAVING;
+import static applespindle.corelogic.Records.Worker.READY;
+
+/** The control plane's process: replicas and owners of the core keys, grants of members, the feed. */
+public final class CoreNode extends Node {
+  private static final String BUNDLE = "bundle";
+  private static final String ROOM = "batch-room";
+  private static final String PART = "core";
+
+  /** A core key this node owns: the state after every event it appended, answered or not. */
+  private static final class Owned {
+    final OwnedKey key;
+    /** What the last appended event made of the key; lost with the ownership. */
+    JsonNode value = JSON.nullNode();
+    final Map<String, Long> room = new LinkedHashMap<>();
+    /** When each ledger entry was last spoken of by its leader; only for the audit. */
+    final Map<String, Long> roomTouchedAt = new HashMap<>();
+    int eventsSinceWhole;
+    long grantExpiresAt;
+
+    Owned(OwnedKey key) {
+      this.key = key;
+    }
+  }
+
+  private static final class Peer {
+    long heardAt = Long.MIN_VALUE / 2;
+    long newsAt = Long.MIN_VALUE / 2;
+    CoreMember member;
+    boolean blank;
+    boolean hearsUs;
+    String feedId = "";
+    long feedIncarnation;
+    long feedNumber;
+  }
+
+  private record Follower(String id, String address, long until) {}
+
+  /** A bundle committed here whose sender still waits for the members' confirmations. */
+  private static final class Confirming {
+    final Ask ask;
+    final long number;
+    final long expiresAt;
+
+    Confirming(Ask ask, long number, long expiresAt) {
+      this.ask = ask;
+      this.number = number;
+      this.expiresAt = expiresAt;
+    }
+  }
+
+  private final Map<String, String> operatorKeys;
+  private final List<String> founders;
+  private final KeyReplicas replicas;
+  private final Map<String, Owned> owned = new TreeMap<>();
+  private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
+  private final Map<String, OwnedKey> claiming = new HashMap<>();
+  /** By peer address, as a founder's id is not known before it speaks. */
+  private final Map<String, Peer> peers = new TreeMap<>();
+  /** The newest committed value known for each key. Sequences never fall. */
+  private final Map<String, FeedItem> table = new TreeMap<>();
+  /** Invariant: feed holds the last changes, numbered up to feedNumber without a gap. */
+  private final ArrayDeque<FeedItem> feed = new ArrayDeque<>();
+  private long feedNumber;
+  private final Map<String, Follower> followers = new LinkedHashMap<>();
+  private final Map<String, Long> confirmedBundles = new HashMap<>();
+  private final List<Confirming> confirming = new ArrayList<>();
+
+  public CoreNode(Surroundings surroundings, Place place, Map<String, String> operatorKeys, List<String> founders) {
+    super(surroundings, place);
+    this.operatorKeys = operatorKeys;
+    this.founders = founders;
+    this.replicas = new KeyReplicas(surroundings, this::send, this::committed);
+  }
+
+  public KeyReplicas replicas() {
+    return replicas;
+  }
+
+  @Override public void recover(DiskRecord record) {
+    if (record.kind() == Kind.ROSTER) {
+      learnRoster(Json.read(record.payload(), Roster.class));
+    } else {
+      replicas.recover(record);
+    }
+  }
+
+  @Override public List<DiskRecord> checkpoint() {
+    List<DiskRecord> records = new ArrayList<>();
+    if (isMember()) {
+      records.add(rosterRecord());
+    }
+    records.addAll(replicas.checkpoint());
+    return records;
+  }
+
+  private DiskRecord rosterRecord() {
+    return new DiskRecord(Kind.ROSTER, "roster", Epoch.NONE, roster.number(), true, Json.bytes(roster));
+  }
+
+  private boolean isMember() {
+    return roster.members().stream().anyMatch(member -> member.id().equals(place.id()));
+  }
+
+  @Override public void start() {
+    replicas.recovered();
+    for (String address : founders) {
+      if (!address.equals(place.peerAddress())) {
+        peers.put(address, new Peer());
+      }
+    }
+    every(Constants.CORE_PING_MS, this::tick);
+    every(Constants.FEED_POLL_MS, this::followPeers);
+  }
+
+  // ---- the roster and the other core nodes
+
+  private void tick() {
+    ObjectNode ping = JSON.createObjectNode();
+    ping.set("member", JSON.valueToTree(self()));
+    ping.put("blank", !isMember());
+    ArrayNode heard = ping.putArray("heard");
+    peers.values().stream().filter(this::alive).forEach(peer -> heard.add(peer.member.id()));
+    if (roster.number() > 0) {
+      ping.set("roster", JSON.valueToTree(roster));
+    }
+    byte[] body = Json.bytes(ping);
+    peers.keySet().forEach(address -> send(address, "", new CorePing(body)));
+    if (roster.number() == 0) {
+      formRoster();
+    }
+    if (isMember() && !stopping) {
+      claimOrphans();
+      expireMembers();
+      makeShards();
+      auditRoom();
+    }
+    confirmBundles();
+  }
+
+  private CoreMember self() {
+    return new CoreMember(place.id(), place.peerAddress(), place.httpAddress(), place.zone(), place.name());
+  }
+
+  private boolean alive(Peer peer) {
+    return peer.member != null && surroundings.now() - peer.heardAt < Constants.CORE_SILENT_MS;
+  }
+
+  private void pinged(CorePing ping, String fromAddress) {
+    JsonNode body = Json.tree(ping.body());
+    Peer peer = peers.computeIfAbsent(fromAddress, unseen -> new Peer());
+    peer.member = JSON.convertValue(body.get("member"), CoreMember.class);
+    peer.heardAt = surroundings.now();
+    peer.blank = body.path("blank").asBoolean();
+    peer.hearsUs = false;
+    body.path("heard").forEach(id -> peer.hearsUs |= id.asText().equals(place.id()));
+    if (body.has("roster")) {
+      Roster told = JSON.convertValue(body.get("roster"), Roster.class);
+      boolean wasMember = isMember();
+      learnRoster(told);
+      if (!wasMember && isMember()) {
+        surroundings.write(List.of(rosterRecord()), () -> { });
+      }
+    }
+  }
+
+  /**
+   * Only the first founder forms roster 1, and only while each other founder, hearing this very process, says that
+   * it is blank: so none of them is in a roster already.
+   */
+  private void formRoster() {
+    if (founders.isEmpty() || !founders.get(0).equals(place.peerAddress())) {
+      return;
+    }
+    List<CoreMember> members = new ArrayList<>(List.of(self()));
+    for (String address : founders.subList(1, founders.size())) {
+      Peer peer = peers.get(address);
+      if (!alive(peer) || !peer.blank || !peer.hearsUs) {
+        return;
+      }
+      members.add(peer.member);
+    }
+    Roster formed = new Roster(1, members);
+    byte[] body = Json.bytes(formed);
+    surroundings.write(List.of(new DiskRecord(Kind.ROSTER, "roster", Epoch.NONE, 1, true, body)), () -> {
+      surroundings.log(PART, "Roster 1 formed.");
+      learnRoster(formed);
+    });
+  }
+
+  private List<String> liveCore() {
+    Set<String> live = new LinkedHashSet<>();
+    for (CoreMember member : roster.members()) {
+      Peer peer = peers.get(member.peerAddress());
+      if (member.id().equals(place.id()) || peer != null && alive(peer) && peer.member.id().equals(member.id())) {
+        live.add(member.id());
+      }
+    }
+    return List.copyOf(live);
+  }
+
+  private String addressOf(String coreId) {
+    return roster.members().stream().filter(member -> member.id().equals(coreId)).map(CoreMember::peerAddress)
+        .findFirst().orElse("");
+  }
+
+  // ---- owning keys
+
+  private void claimOrphans() {
+    List<String> live = liveCore();
+    replicas.copies().forEach((key, copy) -> {
+      if (!owned.containsKey(key) && replicas.ownerSilent(copy) && worthOwning(key)
+          && place.id().equals(Rendezvous.first(key, live))) {
+        claim(key, false, outcome -> { });
+      }
+    });
+  }
+
+  /** Keys of members that have gone and workers that were taken out rest until somebody asks for them. */
+  private boolean worthOwning(String key) {
+    FeedItem item = table.get(key);
+    if (item != null && key.startsWith("member/")) {
+      return Json.read(item.value(), Member.class).live();
+    }
+    return item != null || key.equals(ROOM);
+  }
+
+  private void claim(String key, boolean handedOver, Consumer<OwnedKey.ClaimOutcome> then) {
+    List<Consumer<OwnedKey.ClaimOutcome>> waiting = claims.get(key);
+    if (waiting != null) {
+      waiting.add(then);
+      return;
+    }
+    claims.put(key, new ArrayList<>(List.of(then)));
+    List<OwnedKey.Replica> coreReplicas = roster.members().stream()
+        .map(member -> new OwnedKey.Replica(member.id(), member.peerAddress())).toList();
+    OwnedKey[] holder = new OwnedKey[1];
+    OwnedKey ownedKey = new OwnedKey(surroundings, place.id(), this::send, key, coreReplicas, handedOver, outcome -> {
+      claiming.remove(key);
+      if (outcome.claim() == Claim.OWNED) {
+        begin(holder[0]);
+      }
+      claims.remove(key).forEach(each -> each.accept(outcome));
+    });
+    holder[0] = ownedKey;
+    if (ownedKey.state() == OwnedKey.State.CLAIMING) {
+      claiming.put(key, ownedKey);
+    }
+  }
+
+  private void begin(OwnedKey ownedKey) {
+    Owned state = new Owned(ownedKey);
+    for (Entry entry : ownedKey.entries()) {
+      fold(state, entry);
+    }
+    state.grantExpiresAt = surroundings.now() + Constants.GRANT_LENGTH_MS;
+    owned.put(ownedKey.key, state);
+    ownedKey.whenLost(() -> {
+      owned.remove(ownedKey.key);
+      journal.add("lost", ownedKey.key, "");
+    });
+    journal.add("owned", ownedKey.key, "epoch " + ownedKey.epoch().counter());
+  }
+
+  private static void fold(Owned state, Entry entry) {
+    if (entry.isTakeover()) {
+      return;
+    }
+    if (!state.key.key.equals(ROOM)) {
+      state.value = Json.tree(entry.event());
+    } else if (entry.whole()) {
+      state.room.clear();
+      state.room.putAll(Json.read(entry.event(), Room.class).items());
+    } else {
+      RoomChange change = Json.read(entry.event(), RoomChange.class);
+      if (change.items() == 0) {
+        state.room.remove(change.batch());
+      } else {
+        state.room.put(change.batch(), change.items());
+      }
+    }
+  }
+
+  /** Appends the key's whole new value and tells once it is on a majority. */
+  private void put(Owned state, Object value, Consumer<Fault> then) {
+    byte[] event = Json.bytes(value);
+    state.value = Json.tree(event);
+    state.key.append(true, event, then);
+  }
+
+  private void committed(String key, Entry entry) {
+    if (!entry.isTakeover() && entry.whole() && !key.equals(ROOM)) {
+      learn(new FeedItem(key, entry.sequence(), entry.event()));
+    }
+  }
+
+  // ---- the feed
+
+  private void learn(FeedItem item) {
+    FeedItem known = table.get(item.key());
+    if (known != null && known.sequence() >= item.sequence()) {
+      return;
+    }
+    table.put(item.key(), item);
+    if (feed.size() == Constants.FEED_KEPT) {
+      feed.removeFirst();
+    }
+    feed.add(item);
+    feedNumber++;
+    journal.add("committed", item.key(), "sequence " + item.sequence());
+    long now = surroundings.now();
+    followers.values().removeIf(follower -> follower.until() < now);
+    for (Follower follower : followers.values()) {
+      send(follower.address(), follower.id(), new FeedNews(place.id(), place.incarnation(), feedNumber - 1, feedNumber,
+          false, false, feedAge(), 0, List.of(item)));
+    }
+  }
+
+  /** How old this node's view may be: the time since it last had news from a majority of the core, itself included. */
+  private long feedAge() {
+    if (!isMember()) {
+      return Long.MAX_VALUE / 4;
+    }
+    long now = surroundings.now();
+    long[] ages = roster.members().stream().mapToLong(member -> {
+      Peer peer = peers.get(member.peerAddress());
+      return member.id().equals(place.id()) ? 0
+          : peer == null ? Long.MAX_VALUE / 4 : Math.min(now - peer.newsAt, Long.MAX_VALUE / 4);
+    }).sorted().toArray();
+    return ages[ages.length / 2];
+  }
+
+  private void followed(FeedFollow follow, String fromId, String fromAddress) {
+    followers.put(fromAddress, new Follower(fromId, fromAddress, surroundings.now() + 3 * Constants.FEED_POLL_MS));
+    boolean known = follow.coreId().equals(place.id()) && follow.incarnation() == place.incarnation()
+        && follow.number() <= feedNumber && follow.number() >= feedNumber - feed.size();
+    List<FeedItem> news = known
+        ? feed.stream().skip(feed.size() - (feedNumber - follow.number())).toList()
+        : List.copyOf(table.values());
+    send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), known ? follow.number() : 0, feedNumber,
+        !known, false, feedAge(), follow.sentAt(), news));
+  }
+
+  /** Core nodes follow each other's feeds: the repair of whatever one of them missed. */
+  private void followPeers() {
+    for (CoreMember member : roster.members()) {
+      Peer peer = peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer());
+      if (!member.id().equals(place.id())) {
+        send(member.peerAddress(), member.id(), new FeedFollow(peer.feedId, peer.feedIncarnation, peer.feedNumber,
+            surroundings.now()));
+      }
+    }
+  }
+
+  private void news(FeedNews news, String fromAddress) {
+    Peer peer = peers.get(fromAddress);
+    if (peer == null) {
+      return;
+    }
+    boolean fits = news.checkpoint() || news.coreId().equals(peer.feedId)
+        && news.incarnation() == peer.feedIncarnation && news.fromNumber() <= peer.feedNumber;
+    if (!fits) {
+      return;
+    }
+    peer.newsAt = Math.max(peer.newsAt, news.echoedAt() == 0 ? peer.newsAt : news.echoedAt());
+    peer.feedId = news.coreId();
+    peer.feedIncarnation = news.incarnation();
+    peer.feedNumber = news.number();
+    news.items().forEach(this::learn);
+  }
+
+  // ---- members and shards
+
+  private List<Member> liveMembers() {
+    return table.values().stream().filter(item -> item.key().startsWith("member/"))
+        .map(item -> Json.read(item.value(), Member.class)).filter(Member::live).toList();
+  }
+
+  private void expireMembers() {
+    long now = surroundings.now();
+    for (Owned state : List.copyOf(owned.values())) {
+      if (state.key.key.startsWith("member/") && state.value.path("live").asBoolean() && now >= state.grantExpiresAt) {
+        Member member = JSON.convertValue(state.value, Member.class);
+        surroundings.log(PART, "Member expired: " + member.name() + ".");
+        put(state, withLive(member, false), fault -> { });
+      }
+    }
+  }
+
+  private static Member withLive(Member member, boolean live) {
+    return new Member(member.id(), member.incarnation(), member.name(), member.zone(), member.role(),
+        member.peerAddress(), member.httpAddress(), live);
+  }
+
+  /** Gives every shard its first replica set once enough storage nodes are there. */
+  private void makeShards() {
+    List<Member> storage = liveMembers().stream().filter(member -> member.role().equals("storage")).toList();
+    if (storage.size() < Constants.SHARD_REPLICAS) {
+      return;
+    }
+    List<String> live = liveCore();
+    for (int shard = 0; shard < Constants.SHARDS; shard++) {
+      String key = "shard/" + shard;
+      if (table.containsKey(key) || !place.id().equals(Rendezvous.first(key, live))) {
+        continue;
+      }
+      Owned state = owned.get(key);
+      if (state == null) {
+        claim(key, false, outcome -> { });
+      } else if (state.value.isNull()) {
+        put(state, new Shard(1, placeShard(key, storage)), fault -> { });
+      }
+    }
+  }
+
+  private static List<StorageReplica> placeShard(String key, List<Member> storage) {
+    Map<String, Member> byId = new HashMap<>();
+    storage.forEach(member -> byId.put(member.id(), member));
+    List<Member> ordered = Rendezvous.order(key, byId.keySet()).stream().map(byId::get).toList();
+    List<Member> chosenMembers = new ArrayList<>();
+    Set<String> zones = new LinkedHashSet<>();
+    ordered.stream().filter(member -> zones.add(member.zone())).forEach(chosenMembers::add);
+    ordered.stream().filter(member -> !chosenMembers.contains(member)).forEach(chosenMembers::add);
+    return chosenMembers.stream().limit(Constants.SHARD_REPLICAS)
+        .map(member -> new StorageReplica(member.id(), member.peerAddress(), member.zone())).toList();
+  }
+
+  // ---- asks
+
+  @Override protected void handleAsk(Ask ask) {
+    if (!isMember()) {
+      respond(ask, Response.of(new Fault.NotReady("this process is not in the core's roster")));
+      return;
+    }
+    Owned state = owned.get(ask.key());
+    if (state != null) {
+      run(ask, state);
+      return;
+    }
+    String first = Rendezvous.first(ask.key(), liveCore());
+    KeyReplicas.Copy copy = replicas.copies().get(ask.key());
+    if (copy != null && !replicas.ownerSilent(copy) && !copy.owner.equals(place.id())) {
+      handOver(ask, copy.owner, copy.ownerAddress);
+    } else if (!place.id().equals(first)) {
+      handOver(ask, first, addressOf(first));
+    } else if (stopping) {
+      respond(ask, Response.of(new Fault.NodeStopping()));
+    } else {
+      claim(ask.key(), false, outcome -> {
+        switch (outcome.claim()) {
+          case OWNED -> run(ask, owned.get(ask.key()));
+          case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
+          case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+        }
+      });
+    }
+  }
+
+  private void run(Ask ask, Owned state) {
+    if (state == null) {
+      respond(ask, Response.of(new Fault.NotOwner(ask.key())));
+      return;
+    }
+    switch (ask.duty()) {
+      case "grant" -> grant(ask, state, Json.read(ask.body(), Member.class));
+      case "leave" -> leave(ask, state);
+      case "bundle" -> bundle(ask, state, Json.read(ask.body(), SignedBundle.class));
+      case "worker" -> worker(ask, state, Json.read(ask.body(), Worker.class));
+      case "room" -> room(ask, state, Json.tree(ask.body()));
+      case "read" -> state.key.confirm(fault -> respond(ask,
+          fault == null ? Response.of(200, state.value) : Response.of(fault)));
+      default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
+    }
+  }
+
+  private void grant(Ask ask, Owned state, Member member) {
+    state.grantExpiresAt = surroundings.now() + Constants.GRANT_LENGTH_MS;
+    ObjectNode body = JSON.createObjectNode().put("grantMs", Constants.GRANT_LENGTH_MS);
+    if (!state.value.isNull() && member.equals(JSON.convertValue(state.value, Member.class))) {
+      respond(ask, Response.of(200, body));
+      return;
+    }
+    surroundings.log(PART, "Member joined: " + member.name() + ".");
+    put(state, member, fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
+  }
+
+  private void leave(Ask ask, Owned state) {
+    if (state.value.path("live").asBoolean()) {
+      put(state, withLive(JSON.convertValue(state.value, Member.class), false),
+          fault -> respond(ask, fault == null ? Response.of(200, JSON.createObjectNode()) : Response.of(fault)));
+    } else {
+      respond(ask, Response.of(200, JSON.createObjectNode()));
+    }
+  }
+
+  private void bundle(Ask ask, Owned state, SignedBundle sent) {
+    Bundle.Checked checked = Bundle.check(sent.bytes(), sent.keyId(), sent.signature(), operatorKeys);
+    if (checked.fault() != null) {
+      respond(ask, Response.of(checked.fault()));
+      return;
+    }
+    long number = checked.bundle().number();
+    SignedBundle inForce = state.value.isNull() ? null : JSON.convertValue(state.value, SignedBundle.class);
+    if (inForce != null && inForce.number() == number && Arrays.equals(inForce.bytes(), sent.bytes())) {
+      state.key.confirm(fault -> acknowledgeBundle(ask, number, fault));
+    } else if (inForce != null && inForce.number() >= number) {
+      state.key.confirm(fault ->
+          respond(ask, Response.of(fault == null ? new Fault.BundleConflict(inForce.number()) : fault)));
+    } else {
+      put(state, new SignedBundle(number, sent.bytes(), sent.keyId(), sent.signature()),
+          fault -> acknowledgeBundle(ask, number, fault));
+    }
+  }
+
+  private void acknowledgeBundle(Ask ask, long number, Fault fault) {
+    if (fault != null) {
+      respond(ask, Response.of(fault));
+      return;
+    }
+    confirming.add(new Confirming(ask, number, surroundings.now() + Constants.BUNDLE_CONFIRM_MS));
+    confirmBundles();
+  }
+
+  /** Acknowledges a bundle once each live data-plane member has it in force, or its time is over. */
+  private void confirmBundles() {
+    confirming.removeIf(each -> {
+      ObjectNode body = JSON.createObjectNode().put("number", each.number);
+      ArrayNode confirmedNames = body.putArray("confirmed");
+      ArrayNode missingNames = body.putArray("unconfirmed");
+      for (Member member : liveMembers()) {
+        boolean confirmed = confirmedBundles.getOrDefault(member.id(), 0L) >= each.number;
+        (confirmed ? confirmedNames : missingNames).add(member.name());
+      }
+      if (!missingNames.isEmpty() && surroundings.now() < each.expiresAt) {
+        return false;
+      }
+      journal.add("acknowledged", BUNDLE, "number " + each.number);
+      respond(each.ask, Response.of(200, body));
+      return true;
+    });
+  }
+
+  private void worker(Ask ask, Owned state, Worker sent) {
+    Worker known = state.value.isNull() ? null : JSON.convertValue(state.value, Worker.class);
+    boolean absent = known == null || known.state().equals(GONE);
+    boolean marksKnown = sent.address().isEmpty();
+    if (marksKnown && absent) {
+      state.key.confirm(fault -> respond(ask, Response.of(fault == null ? new Fault.NoSuchWorker(sent.id()) : fault)));
+      return;
+    }
+    Worker next = marksKnown ? new Worker(known.id(), known.address(), known.pool(), sent.state()) : sent;
+    if (next.equals(known)) {
+      state.key.confirm(fault -> respond(ask, fault == null ? Response.of(200, next) : Response.of(fault)));
+    } else {
+      put(state, next, fault -> respond(ask, fault == null ? Response.of(200, next) : Response.of(fault)));
+    }
+  }
+
+  // ---- room for waiting batch work
+
+  /** Sets a batch's unfinished items. Only a first reservation can be refused, and then nothing is written. */
+  private void room(Ask ask, Owned state, JsonNode body) {
+    String batch = body.get("batch").asText();
+    long items = body.get("items").asLong();
+    long ceiling = body.path("ceiling").asLong(0);
+    long present = state.room.getOrDefault(batch, 0L);
+    boolean reserves = body.path("reserve").asBoolean();
+    state.roomTouchedAt.put(batch, surroundings.now());
+    if (reserves && present == 0) {
+      long waiting = state.room.values().stream().mapToLong(Long::longValue).sum();
+      if (waiting + items > ceiling) {
+        respond(ask, Response.of(new Fault.NoRoom(waiting, ceiling)));
+        return;
+      }
+    }
+    if (reserves && present > 0 || !reserves && (present == 0 || present == items)) {
+      state.key.confirm(fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
+      return;
+    }
+    if (items == 0) {
+      state.room.remove(batch);
+      state.roomTouchedAt.remove(batch);
+    } else {
+      state.room.put(batch, items);
+    }
+    boolean whole = ++state.eventsSinceWhole >= Constants.WHOLE_STATE_EVERY;
+    Object event = whole ? new Room(state.room) : new RoomChange(batch, items);
+    state.eventsSinceWhole = whole ? 0 : state.eventsSinceWhole;
+    state.key.append(whole, Json.bytes(event),
+        fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
+  }
+
+  /** A ledger entry nobody spoke of for long: some edge looks whether its batch exists at all. */
+  private void auditRoom() {
+    Owned state = owned.get(ROOM);
+    if (state == null) {
+      return;
+    }
+    long now = surroundings.now();
+    List<Member> edges = liveMembers().stream().filter(member -> member.role().equals("edge")).toList();
+    for (String batch : state.room.keySet()) {
+      long touchedAt = state.roomTouchedAt.computeIfAbsent(batch, unseen -> now);
+      if (now - touchedAt >= Constants.ROOM_AUDIT_MS && !edges.isEmpty()) {
+        state.roomTouchedAt.put(batch, now);
+        String chosenEdge = Rendezvous.first(batch, edges.stream().map(Member::id).toList());
+        edges.stream().filter(member -> member.id().equals(chosenEdge)).findFirst().ifPresent(member ->
+            send(member.peerAddress(), member.id(), new Message.Unfinished(List.of("batch/" + batch))));
+      }
+    }
+  }
+
+  // ---- messages, interface, end
+
+  @Override protected void handle(Message message, String fromId, String fromAddress) {
+    if (message instanceof KeyAppend append) {
+      if (isMember()) {
+        replicas.append(append, fromId, fromAddress);
+      }
+    } else if (message instanceof KeyPromise promise) {
+      if (isMember()) {
+        replicas.promise(promise, fromId, fromAddress);
+      }
+    } else if (message instanceof KeyPromised promised) {
+      OwnedKey claimedKey = claiming.get(promised.key());
+      if (claimedKey != null) {
+        claimedKey.promised(promised, fromId);
+      }
+    } else if (message instanceof KeyAppended appended) {
+      Owned state = owned.get(appended.key());
+      OwnedKey ownedKey = state != null ? state.key : claiming.get(appended.key());
+      if (ownedKey != null) {
+        ownedKey.appended(appended, fromId);
+      }
+    } else if (message instanceof CorePing ping) {
+      pinged(ping, fromAddress);
+    } else if (message instanceof FeedFollow follow) {
+      followed(follow, fromId, fromAddress);
+    } else if (message instanceof FeedNews news) {
+      news(news, fromAddress);
+    } else if (message instanceof BundleConfirmed confirmed) {
+      confirmedBundles.merge(fromId, confirmed.number(), Math::max);
+      confirmBundles();
+    } else if (message instanceof KeyHandOver handedOver) {
+      if (isMember() && !stopping && !owned.containsKey(handedOver.key())) {
+        claim(handedOver.key(), true, outcome -> { });
+      }
+    }
+  }
+
+  /** An operator's or the platform's ask that came in over HTTP here. */
+  public void command(String duty, String key, Object body, Consumer<Response> then) {
+    if (stopping) {
+      then.accept(Response.of(new Fault.NodeStopping()));
+      return;
+    }
+    ask(attempt -> new Target(place.id(), place.peerAddress()), duty, key, body, Constants.ASK_EXPIRY_MS, then);
+  }
+
+  /** The workers as committed and known here, with the age of this knowledge. */
+  public ObjectNode workers() {
+    ObjectNode body = JSON.createObjectNode();
+    ArrayNode workers = body.putArray("workers");
+    table.values().stream().filter(item -> item.key().startsWith("worker/")).map(item -> Json.tree(item.value()))
+        .filter(worker -> !worker.path("state").asText().equals(GONE)).forEach(workers::add);
+    return body.put("ageMs", feedAge());
+  }
+
+  public List<String> workerIds() {
+    List<String> ids = new ArrayList<>();
+    workers().get("workers").forEach(worker -> ids.add(worker.path("id").asText()));
+    return ids;
+  }
+
+  public static Worker workerMarked(String id, boolean leaving) {
+    return new Worker(id, "", "", leaving ? LEAVING : GONE);
+  }
+
+  public static Worker workerListed(Records.WorkerInput input) {
+    return new Worker(input.id(), input.address(), input.pool(), input.state() == null ? READY : input.state());
+  }
+
+  @Override public String notReadyBecause() {
+    if (stopping) {
+      return "stopping";
+    }
+    if (!isMember()) {
+      return "not in the core's roster";
+    }
+    return feedAge() > Constants.CORE_SILENT_MS ? "no majority of the core heard" : "";
+  }
+
+  @Override public ObjectNode status() {
+    ObjectNode status = commonStatus();
+    status.put("feedNumber", feedNumber).put("feedAgeMs", feedAge());
+    ArrayNode live = status.putArray("liveCore");
+    liveCore().forEach(live::add);
+    ObjectNode keys = status.putObject("owned");
+    owned.forEach((key, state) -> keys.put(key, state.key.epoch().counter()));
+    ArrayNode members = status.putArray("members");
+    liveMembers().forEach(member -> members.add(JSON.<JsonNode>valueToTree(member)));
+    status.set("workers", workers().get("workers"));
+    FeedItem bundleItem = table.get(BUNDLE);
+    status.put("bundle", bundleItem == null ? 0 : Json.read(bundleItem.value(), SignedBundle.class).number());
+    ObjectNode shards = status.putObject("shards");
+    table.values().stream().filter(item -> item.key().startsWith("shard/"))
+        .forEach(item -> shards.set(item.key().substring(6), Json.tree(item.value())));
+    Owned room = owned.get(ROOM);
+    if (room != null) {
+      status.put("waitingBatchItems", room.room.values().stream().mapToLong(Long::longValue).sum());
+    }
+    return status;
+  }
+
+  @Override public void stop(Runnable whenDone) {
+    stopping = true;
+    for (Owned state : List.copyOf(owned.values())) {
+      String successor = Rendezvous.order(state.key.key, liveCore()).stream()
+          .filter(id -> !id.equals(place.id())).findFirst().orElse("");
+      OwnedKey ownedKey = state.key;
+      ownedKey.stop();
+      owned.remove(ownedKey.key);
+      if (!successor.isEmpty()) {
+        send(addressOf(successor), successor,
+            new KeyHandOver(ownedKey.key, ownedKey.epoch(), ownedKey.lastSequence()));
+      }
+    }
+    surroundings.after(Constants.CORE_PING_MS, () -> {
+      end();
+      whenDone.run();
+    });
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -0,0 +1,269 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.FeedFollow;
+import applespindle.corelogic.Message.FeedItem;
+import applespindle.corelogic.Message.FeedNews;
+import applespindle.corelogic.Message.WhereIsCore;
+import applespindle.corelogic.Records.CoreMember;
+import applespindle.corelogic.Records.Member;
+import applespindle.corelogic.Records.Shard;
+import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.Worker;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Records.Worker.GONE;
+
+/** A data-plane process: finds the core by its seeds, holds a grant there, and follows the feed from a place on. */
+public abstract class DataNode extends Node {
+  private static final String PART = "feed";
+
+  /** Newest value known for each key. Sequences never fall, so repeats, switches and reordering are harmless. */
+  private final Map<String, FeedItem> table = new TreeMap<>();
+  /** Views folded from the table. */
+  protected final Map<String, Member> members = new TreeMap<>();
+  protected final Map<String, Worker> workers = new TreeMap<>();
+  private final Map<String, Shard> shards = new HashMap<>();
+  protected Bundle bundle;
+  private String feedId = "";
+  private long feedIncarnation;
+  private long feedNumber;
+  private int chosenCore;
+  private long lastHeardAt;
+  /** On our clock: at this moment everything the core had acknowledged was known here. */
+  private long freshAt = Long.MIN_VALUE / 2;
+  private long joinedUntil = Long.MIN_VALUE / 2;
+  /** When each fellow edge last answered, and how old its feed was then; only kept while our own is stale. */
+  private final Map<String, long[]> fellows = new HashMap<>();
+
+  protected DataNode(Surroundings surroundings, Place place) {
+    super(surroundings, place);
+  }
+
+  @Override public void start() {
+    lastHeardAt = surroundings.now();
+    findCore();
+    every(Constants.FEED_POLL_MS, this::followFeed);
+    every(Constants.GRANT_RENEW_MS, this::renewGrant);
+    every(Constants.GRANT_LENGTH_MS, this::findCore);
+  }
+
+  private void findCore() {
+    place.seeds().forEach(seed -> send(seed, "", new WhereIsCore()));
+    roster.members().forEach(member -> send(member.peerAddress(), member.id(), new WhereIsCore()));
+  }
+
+  private void followFeed() {
+    if (roster.members().isEmpty()) {
+      findCore();
+      return;
+    }
+    if (surroundings.now() - lastHeardAt > Constants.FEED_SWITCH_MS) {
+      chosenCore++;
+      lastHeardAt = surroundings.now();
+    }
+    CoreMember core = chosenCore();
+    send(core.peerAddress(), core.id(), new FeedFollow(feedId, feedIncarnation, feedNumber, surroundings.now()));
+    if (feedAge() > Constants.FEED_SWITCH_MS) {
+      members.values().stream().filter(member -> member.role().equals("edge")
+          && !member.id().equals(place.id())).forEach(member ->
+          send(member.peerAddress(), member.id(), new FeedFollow("", 0, 0, surroundings.now())));
+    }
+  }
+
+  private CoreMember chosenCore() {
+    List<CoreMember> ordered = Rendezvous.order(place.id(), roster.members().stream().map(CoreMember::id).toList())
+        .stream().map(id -> roster.members().stream().filter(member -> member.id().equals(id)).findFirst().get())
+        .toList();
+    return ordered.get(Math.floorMod(chosenCore, ordered.size()));
+  }
+
+  /** Tries the followed core node first, then the others in turn. */
+  protected void askCore(String duty, String key, Object body, long expiryMs, Consumer<Response> then) {
+    ask(attempt -> {
+      if (roster.members().isEmpty()) {
+        return null;
+      }
+      int chosen = Math.max(0, roster.members().indexOf(chosenCore()));
+      CoreMember member = roster.members().get((chosen + attempt) % roster.members().size());
+      return new Target(member.id(), member.peerAddress());
+    }, duty, key, body, expiryMs, then);
+  }
+
+  private void renewGrant() {
+    if (stopping || roster.members().isEmpty()) {
+      return;
+    }
+    long sentAt = surroundings.now();
+    var self = new Member(place.id(), place.incarnation(), place.name(), place.zone(), place.role(),
+        place.peerAddress(), place.httpAddress(), true);
+    askCore("grant", "member/" + place.id(), self, Constants.GRANT_LENGTH_MS, response -> {
+      if (response.good()) {
+        joinedUntil = Math.max(joinedUntil, sentAt + Constants.GRANT_LENGTH_MS);
+      }
+    });
+  }
+
+  protected boolean joined() {
+    return surroundings.now() < joinedUntil;
+  }
+
+  /** Gives this node's place up at the core, so that others take its duties at once. */
+  protected void leaveCore(Runnable whenDone) {
+    if (roster.members().isEmpty()) {
+      whenDone.run();
+      return;
+    }
+    askCore("leave", "member/" + place.id(), new byte[] {'{', '}'}, Constants.GRANT_LENGTH_MS, response -> whenDone.run());
+  }
+
+  /** How long ago, at most, all that the core acknowledged was known here. */
+  protected long feedAge() {
+    return surroundings.now() - freshAt;
+  }
+
+  protected boolean feedStale() {
+    return feedAge() > Constants.FEED_STALE_MS;
+  }
+
+  /**
+   * Stale, and most of the other edges silent too: this node is alone and must not begin anything. If most edges
+   * answer and are as stale, it is the core that is cut off, and live traffic goes on.
+   */
+  protected boolean isolated() {
+    if (!feedStale()) {
+      return false;
+    }
+    long now = surroundings.now();
+    long others = members.values().stream().filter(member -> member.role().equals("edge")
+        && !member.id().equals(place.id())).count();
+    long reached = fellows.values().stream().filter(heard -> now - heard[0] < Constants.FEED_STALE_MS).count();
+    return freshAt < 0 || reached * 2 <= others;
+  }
+
+  @Override protected void handle(Message message, String fromId, String fromAddress) {
+    if (message instanceof FeedNews news) {
+      news(news, fromId);
+    } else if (message instanceof FeedFollow follow) {
+      send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), 0, 0, true, true,
+          Math.max(0, feedAge()), follow.sentAt(), List.copyOf(table.values())));
+    }
+  }
+
+  private void news(FeedNews news, String fromId) {
+    long now = surroundings.now();
+    if (news.relayed()) {
+      fellows.put(fromId, new long[] {news.echoedAt()});
+    } else {
+      boolean follows = news.coreId().equals(feedId) && news.incarnation() == feedIncarnation;
+      if (!news.checkpoint() && !(follows && news.fromNumber() <= feedNumber)) {
+        return;
+      }
+      if (news.ageMs() < Constants.CORE_SILENT_MS) {
+        lastHeardAt = now;
+      }
+      feedNumber = follows ? Math.max(feedNumber, news.number()) : news.number();
+      feedId = news.coreId();
+      feedIncarnation = news.incarnation();
+    }
+    long numberBefore = bundle == null ? 0 : bundle.number();
+    for (FeedItem item : news.items()) {
+      FeedItem known = table.get(item.key());
+      if (known == null || known.sequence() < item.sequence()) {
+        table.put(item.key(), item);
+        fold(item);
+      }
+    }
+    if (news.echoedAt() > 0) {
+      freshAt = Math.max(freshAt, news.echoedAt() - news.ageMs());
+      fellows.values().removeIf(heard -> now - heard[0] > 2 * Constants.FEED_STALE_MS);
+    }
+    if (bundle != null && (bundle.number() > numberBefore || news.checkpoint() && !news.relayed())) {
+      long number = bundle.number();
+      roster.members().forEach(member -> send(member.peerAddress(), member.id(), new BundleConfirmed(number)));
+    }
+  }
+
+  private void fold(FeedItem item) {
+    String key = item.key();
+    journal.add("known", key, "sequence " + item.sequence());
+    if (key.startsWith("member/")) {
+      Member member = Json.read(item.value(), Member.class);
+      if (member.live()) {
+        members.put(member.id(), member);
+      } else {
+        members.remove(member.id());
+      }
+    } else if (key.startsWith("worker/")) {
+      Worker worker = Json.read(item.value(), Worker.class);
+      if (worker.state().equals(GONE)) {
+        workers.remove(worker.id());
+      } else {
+        workers.put(worker.id(), worker);
+      }
+    } else if (key.startsWith("shard/")) {
+      shards.put(key, Json.read(item.value(), Shard.class));
+    } else if (key.equals("bundle")) {
+      SignedBundle signed = Json.read(item.value(), SignedBundle.class);
+      Bundle.Checked checked = Bundle.check(signed.bytes());
+      if (checked.fault() == null) {
+        bundle = checked.bundle();
+        surroundings.log(PART, "Bundle " + bundle.number() + " is in force.");
+        journal.add("in-force", "bundle", "number " + bundle.number());
+      } else {
+        surroundings.log(PART, "Bundle " + signed.number() + " was passed over: " + checked.fault().type() + ".");
+      }
+    }
+    changed(key);
+  }
+
+  /** Called after the view of a key has changed. */
+  protected void changed(String key) {}
+
+  protected List<Member> liveEdges() {
+    return members.values().stream().filter(member -> member.role().equals("edge")).toList();
+  }
+
+  protected Target firstEdge(String key, int attempt) {
+    List<Member> edges = liveEdges();
+    List<String> order = Rendezvous.order(key, edges.stream().map(Member::id).toList());
+    if (order.isEmpty()) {
+      return null;
+    }
+    String chosenId = order.get(attempt % order.size());
+    return edges.stream().filter(member -> member.id().equals(chosenId))
+        .map(member -> new Target(member.id(), member.peerAddress())).findFirst().get();
+  }
+
+  /** The replicas of the shard a key belongs to; empty while the shard has none. */
+  protected List<OwnedKey.Replica> replicasOf(String key) {
+    Shard shard = shards.get("shard/" + Math.floorMod(Rendezvous.hash(key), Constants.SHARDS));
+    return shard == null ? List.of()
+        : shard.replicas().stream().map(each -> new OwnedKey.Replica(each.id(), each.address())).toList();
+  }
+
+  @Override public String notReadyBecause() {
+    if (stopping) {
+      return "stopping";
+    }
+    if (!joined()) {
+      return "no grant from the core";
+    }
+    if (feedStale()) {
+      return "the feed is stale";
+    }
+    return bundle == null ? "no bundle in force" : shards.isEmpty() ? "no shards placed" : "";
+  }
+
+  @Override public ObjectNode status() {
+    ObjectNode status = commonStatus();
+    status.put("feedCore", feedId).put("feedNumber", feedNumber).put("feedAgeMs", Math.min(feedAge(), Integer.MAX_VALUE))
+        .put("bundle", bundle == null ? 0 : bundle.number()).put("joined", joined()).put("isolated", isolated());
+    return status;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -0,0 +1,470 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.BatchEvent.Accepted;
+import applespindle.corelogic.Message.Ask;
+import applespindle.corelogic.Message.BatchEnded;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyHandOver;
+import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.Message.RangeHandout;
+import applespindle.corelogic.Message.RangePull;
+import applespindle.corelogic.Message.RangeReport;
+import applespindle.corelogic.Message.RangeReported;
+import applespindle.corelogic.Message.Unfinished;
+import applespindle.corelogic.Message.WorkOffer;
+import applespindle.corelogic.OwnedKey.Claim;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** The data plane's edge role: live requests, the batch interface, and the leader's and feeder's duties. */
+public final class EdgeNode extends DataNode implements BatchLeader.Edge, BatchFeeder.Edge, LiveDesk.Edge {
+  private static final String PART = "edge";
+
+  private final WorkerBook book;
+  private final LiveDesk live;
+  private final BatchFeeder feeder;
+  private final Map<String, BatchLeader> leaders = new TreeMap<>();
+  private final Map<String, OwnedKey> claiming = new HashMap<>();
+  private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
+
+  public EdgeNode(Surroundings surroundings, Place place) {
+    super(surroundings, place);
+    book = new WorkerBook(surroundings, this::pump);
+    live = new LiveDesk(surroundings, place.id(), this, book);
+    feeder = new BatchFeeder(surroundings, place.id(), this, book);
+  }
+
+  @Override public void start() {
+    super.start();
+    every(Constants.LOAD_POLL_MS, this::tick);
+  }
+
+  private void pump() {
+    live.pump();
+    feeder.pump();
+  }
+
+  private void tick() {
+    for (BatchLeader leader : List.copyOf(leaders.values())) {
+      if (leader.tick()) {
+        leader.key.stop();
+        leaders.remove(leader.key.key);
+      }
+    }
+    feeder.tick();
+    live.pump();
+  }
+
+  @Override protected void changed(String key) {
+    if (key.startsWith("worker/")) {
+      book.follow(workers);
+    }
+  }
+
+  // ---- what the interface calls
+
+  public LiveDesk.Handle complete(LiveDesk.Request request, LiveDesk.Listener listener) {
+    return live.take(request, listener);
+  }
+
+  public static String batchId(String sender, String idempotencyKey) {
+    return "b-" + digest((sender.length() + ":" + sender + idempotencyKey).getBytes(UTF_8)).substring(0, 32);
+  }
+
+  static String digest(byte[] bytes) {
+    try {
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+    } catch (NoSuchAlgorithmException missing) {
+      throw new IllegalStateException(missing);
+    }
+  }
+
+  public void submit(String sender, String idempotencyKey, BatchInput input, Consumer<Response> then) {
+    Fault hindrance = mayBegin();
+    if (hindrance == null && bundle == null) {
+      hindrance = new Fault.NoBundle();
+    }
+    if (hindrance != null) {
+      then.accept(Response.of(hindrance));
+      return;
+    }
+    List<JsonNode> items = input.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
+    var accepted = new Accepted(sender, digest(Json.bytes(input)), input.dueInMs(), input.expiresInMs(), items);
+    askLeader("submit", batchId(sender, idempotencyKey), accepted, then);
+  }
+
+  public void readBatch(String batch, Consumer<Response> then) {
+    askLeader("get", batch, JSON.createObjectNode(), then);
+  }
+
+  public void readResults(String batch, long after, int limit, Consumer<Response> then) {
+    askLeader("results", batch, JSON.createObjectNode().put("after", after).put("limit", limit), then);
+  }
+
+  public void endBatch(String batch, Consumer<Response> then) {
+    askLeader("end", batch, JSON.createObjectNode(), then);
+  }
+
+  private void askLeader(String duty, String batch, Object body, Consumer<Response> then) {
+    String key = "batch/" + batch;
+    ask(attempt -> leaders.containsKey(key) ? new Target(place.id(), place.peerAddress()) : firstEdge(key, attempt),
+        duty, key, body, Constants.ASK_EXPIRY_MS, then);
+  }
+
+  // ---- asks to the leader of a batch
+
+  @Override protected void handleAsk(Ask ask) {
+    BatchLeader leader = leaders.get(ask.key());
+    if (leader != null && leader.key.owned()) {
+      serve(ask, leader);
+    } else if (stopping) {
+      respond(ask, Response.of(new Fault.NodeStopping()));
+    } else if (isolated()) {
+      respond(ask, Response.of(new Fault.NodeIsolated(feedAge())));
+    } else if (ask.duty().equals("submit")) {
+      reserveThenLead(ask);
+    } else {
+      peek(ask.key(), present -> {
+        if (present == null) {
+          respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+        } else if (present) {
+          lead(ask);
+        } else {
+          respond(ask, Response.of(new Fault.NoSuchBatch(batchOf(ask.key()))));
+        }
+      });
+    }
+  }
+
+  private static String batchOf(String key) {
+    return key.substring("batch/".length());
+  }
+
+  private void serve(Ask ask, BatchLeader leader) {
+    JsonNode body = Json.tree(ask.body());
+    switch (ask.duty()) {
+      case "submit" -> leader.submit(Json.read(ask.body(), Accepted.class), response -> respond(ask, response));
+      case "get" -> leader.read(response -> respond(ask, response));
+      case "results" -> leader.results(body.path("after").asLong(), body.path("limit").asInt(),
+          response -> respond(ask, response));
+      case "end" -> leader.end(response -> respond(ask, response));
+      default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
+    }
+  }
+
+  /** Room first, then the record: a refusal for want of room is said before anything of the batch is written. */
+  private void reserveThenLead(Ask ask) {
+    Accepted accepted = Json.read(ask.body(), Accepted.class);
+    String batch = batchOf(ask.key());
+    ObjectNode reservation = JSON.createObjectNode().put("batch", batch).put("items", accepted.items().size())
+        .put("reserve", true).put("ceiling", bundle == null ? 0 : bundle.limits().batch().waitingItemsMost());
+    askCore("room", "batch-room", reservation, Constants.COMMAND_EXPIRY_MS, response -> {
+      if (response.good()) {
+        lead(ask);
+      } else if (response.faultType().equals("NoRoom")) {
+        peek(ask.key(), present -> {
+          if (present == null) {
+            respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+          } else if (present) {
+            lead(ask);
+          } else {
+            respond(ask, response);
+          }
+        });
+      } else {
+        respond(ask, Response.of(new Fault.NoMajority("batch-room")));
+      }
+    });
+  }
+
+  private void lead(Ask ask) {
+    claim(ask.key(), false, outcome -> {
+      switch (outcome.claim()) {
+        case OWNED -> {
+          BatchLeader leader = leaders.get(ask.key());
+          if (leader == null) {
+            respond(ask, Response.of(new Fault.NotOwner(ask.key())));
+          } else {
+            serve(ask, leader);
+          }
+        }
+        case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
+        case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+      }
+    });
+  }
+
+  private void claim(String key, boolean handedOver, Consumer<OwnedKey.ClaimOutcome> then) {
+    BatchLeader present = leaders.get(key);
+    if (present != null && present.key.owned()) {
+      then.accept(new OwnedKey.ClaimOutcome(Claim.OWNED, place.id(), place.peerAddress()));
+      return;
+    }
+    List<Consumer<OwnedKey.ClaimOutcome>> waiting = claims.get(key);
+    if (waiting != null) {
+      waiting.add(then);
+      return;
+    }
+    claims.put(key, new ArrayList<>(List.of(then)));
+    OwnedKey[] holder = new OwnedKey[1];
+    holder[0] = new OwnedKey(surroundings, place.id(), this::send, key, replicasOf(key), handedOver, outcome -> {
+      claiming.remove(key);
+      if (outcome.claim() == Claim.OWNED) {
+        begin(key, holder[0]);
+      }
+      claims.remove(key).forEach(each -> each.accept(outcome));
+    });
+    if (holder[0].state() == OwnedKey.State.CLAIMING) {
+      claiming.put(key, holder[0]);
+    }
+  }
+
+  private void begin(String key, OwnedKey ownedKey) {
+    leaders.put(key, new BatchLeader(surroundings, this, batchOf(key), ownedKey));
+    journal.add("leads", key, "epoch " + ownedKey.epoch().counter());
+    ownedKey.whenLost(() -> {
+      leaders.remove(key);
+      journal.add("lost", key, "");
+      surroundings.log(PART, "Leadership lost: " + key + ".");
+    });
+  }
+
+  /** True or false on a majority's evidence, else null. Writes nothing anywhere. */
+  private void peek(String key, Consumer<Boolean> then) {
+    List<OwnedKey.Replica> replicas = replicasOf(key);
+    int majority = replicas.size() / 2 + 1;
+    if (replicas.isEmpty()) {
+      then.accept(null);
+      return;
+    }
+    int[] counts = new int[3];
+    boolean[] told = new boolean[1];
+    for (OwnedKey.Replica replica : replicas) {
+      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, "peek", key,
+          JSON.createObjectNode(), Constants.ASK_TRY_MS, response -> {
+            counts[!response.good() ? 2 : response.body().path("present").asBoolean() ? 1 : 0]++;
+            boolean all = counts[0] + counts[1] + counts[2] == replicas.size();
+            if (told[0] || !all && counts[0] < majority && counts[1] == 0) {
+              return;
+            }
+            told[0] = true;
+            then.accept(counts[1] > 0 ? Boolean.TRUE : counts[0] >= majority ? Boolean.FALSE : null);
+          });
+    }
+  }
+
+  // ---- what leaders, feeder and live desk need
+
+  @Override public void send(String toAddress, String toId, Message message) {
+    super.send(toAddress, toId, message);
+  }
+
+  @Override public void toAllEdges(Message message) {
+    liveEdges().forEach(member -> send(member.peerAddress(), member.id(), message));
+  }
+
+  @Override public void reportRoom(String batch, long items) {
+    askCore("room", "batch-room", JSON.createObjectNode().put("batch", batch).put("items", items),
+        Constants.COMMAND_EXPIRY_MS, response -> { });
+  }
+
+  @Override public void log(String sentence) {
+    surroundings.log("batch", sentence);
+  }
+
+  @Override public void offsetAhead(String batch) {
+    count("batch_offsets_ahead");
+  }
+
+  @Override public boolean feeds(String worker) {
+    Target chosenFeeder = firstEdge("feeder/" + worker, 0);
+    return chosenFeeder != null && chosenFeeder.id().equals(place.id());
+  }
+
+  @Override public Fault mayBegin() {
+    if (stopping) {
+      return new Fault.NodeStopping();
+    }
+    return mayGoOn();
+  }
+
+  @Override public Fault mayGoOn() {
+    return isolated() ? new Fault.NodeIsolated(feedAge()) : null;
+  }
+
+  @Override public Bundle bundle() {
+    return bundle;
+  }
+
+  @Override public boolean stopping() {
+    return stopping;
+  }
+
+  @Override public void count(String counter) {
+    super.count(counter);
+  }
+
+  @Override public void claimOnce(String id, String token, Consumer<Fault> then) {
+    String key = "once/" + id;
+    List<OwnedKey.Replica> replicas = replicasOf(key);
+    int majority = replicas.size() / 2 + 1;
+    if (replicas.isEmpty()) {
+      then.accept(new Fault.NoMajority(key));
+      return;
+    }
+    int[] counts = new int[3];
+    boolean[] told = new boolean[1];
+    for (OwnedKey.Replica replica : replicas) {
+      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, "claim", key,
+          JSON.createObjectNode().put("token", token), Constants.ASK_TRY_MS, response -> {
+            counts[response.good() ? 0 : response.faultType().equals("AlreadyClaimed") ? 1 : 2]++;
+            int heard = counts[0] + counts[1] + counts[2];
+            boolean won = counts[0] >= majority;
+            boolean lost = counts[0] + replicas.size() - heard < majority;
+            if (told[0] || !won && !lost) {
+              return;
+            }
+            told[0] = true;
+            if (lost) {
+              unclaimOnce(id, token);
+            }
+            then.accept(won ? null : counts[1] > 0 ? new Fault.AlreadyClaimed(id) : new Fault.NoMajority(key));
+          });
+    }
+  }
+
+  @Override public void unclaimOnce(String id, String token) {
+    String key = "once/" + id;
+    replicasOf(key).forEach(replica -> ask(attempt -> new Target(replica.id(), replica.address()), "unclaim", key,
+        JSON.createObjectNode().put("token", token), Constants.COMMAND_EXPIRY_MS, response -> { }));
+  }
+
+  // ---- messages
+
+  @Override protected void handle(Message message, String fromId, String fromAddress) {
+    if (message instanceof KeyPromised promised) {
+      OwnedKey ownedKey = claiming.get(promised.key());
+      if (ownedKey != null) {
+        ownedKey.promised(promised, fromId);
+      }
+    } else if (message instanceof KeyAppended appended) {
+      BatchLeader leader = leaders.get(appended.key());
+      OwnedKey ownedKey = leader != null ? leader.key : claiming.get(appended.key());
+      if (ownedKey != null) {
+        ownedKey.appended(appended, fromId);
+      }
+    } else if (message instanceof KeyHandOver handedOver) {
+      if (!stopping && !leaders.containsKey(handedOver.key())) {
+        claim(handedOver.key(), true, outcome -> { });
+      }
+    } else if (message instanceof Unfinished unfinished) {
+      unfinished.keys().forEach(this::takeOrphan);
+    } else if (message instanceof WorkOffer offer) {
+      feeder.offered(offer, fromId, fromAddress);
+    } else if (message instanceof RangePull pull) {
+      BatchLeader leader = leaders.get("batch/" + pull.batch());
+      if (leader != null) {
+        leader.pulled(pull, fromId, fromAddress);
+      }
+    } else if (message instanceof RangeHandout handout) {
+      feeder.handedOut(handout, fromId, fromAddress);
+    } else if (message instanceof RangeReport report) {
+      BatchLeader leader = leaders.get("batch/" + report.batch());
+      if (leader != null) {
+        leader.reported(report, fromId, fromAddress);
+      }
+    } else if (message instanceof RangeReported answer) {
+      feeder.answered(answer);
+    } else if (message instanceof BatchEnded ended) {
+      feeder.ended(ended.batch());
+    } else {
+      super.handle(message, fromId, fromAddress);
+    }
+  }
+
+  /** A batch without a leader, or a ledger entry nobody spoke of: looks, leads it on, or makes its absence lasting. */
+  private void takeOrphan(String key) {
+    if (stopping || isolated()) {
+      return;
+    }
+    claim(key, false, outcome -> {
+      BatchLeader leader = leaders.get(key);
+      if (outcome.claim() != Claim.OWNED || leader == null) {
+        return;
+      }
+      if (leader.view.accepted == null) {
+        leader.refuse(fault -> {
+          if (fault == null) {
+            reportRoom(leader.batch, 0);
+          }
+        });
+      } else if (!leader.view.open()) {
+        reportRoom(leader.batch, 0);
+      }
+    });
+  }
+
+  // ---- readiness and end
+
+  @Override public ObjectNode status() {
+    ObjectNode status = super.status();
+    status.put("liveRunning", live.runningRequests()).put("liveQueued", live.queuedRequests())
+        .put("heldRanges", feeder.heldRanges()).put("batchRunning", feeder.runningItems());
+    ObjectNode leading = status.putObject("leads");
+    leaders.forEach((key, leader) -> leading.put(leader.batch, leader.view.state() + ", epoch "
+        + leader.key.epoch().counter() + ", recorded " + leader.view.results.size() + " of " + leader.view.items()));
+    book.describe(status.putArray("workers"));
+    return status;
+  }
+
+  /** Polite end: gives up its place first, hands each batch to its successor, then waits for what still runs. */
+  @Override public void stop(Runnable whenDone) {
+    stopping = true;
+    long drainEndsAt = surroundings.now() + Constants.DRAIN_MS;
+    feeder.drain();
+    leaveCore(() -> { });
+    surroundings.after(Constants.CLAIM_BACKOFF_MS, this::handOverLeaders);
+    surroundings.after(2 * Constants.CLAIM_BACKOFF_MS, () -> drain(drainEndsAt, whenDone));
+  }
+
+  private void handOverLeaders() {
+    for (BatchLeader leader : List.copyOf(leaders.values())) {
+      String key = leader.key.key;
+      Target successor = null;
+      for (int attempt = 0; attempt < liveEdges().size() && successor == null; attempt++) {
+        Target candidate = firstEdge(key, attempt);
+        successor = candidate.id().equals(place.id()) ? null : candidate;
+      }
+      leader.key.stop();
+      leaders.remove(key);
+      if (successor != null && leader.view.open()) {
+        send(successor.address(), successor.id(),
+            new KeyHandOver(key, leader.key.epoch(), leader.key.lastSequence()));
+        feeder.leaderMoved(leader.batch, successor.id(), successor.address());
+        surroundings.log("batch", "Batch handed over: " + leader.batch + ".");
+      }
+    }
+  }
+
+  private void drain(long drainEndsAt, Runnable whenDone) {
+    boolean drained = feeder.drain() && live.runningRequests() == 0 && live.queuedRequests() == 0;
+    if (drained || surroundings.now() >= drainEndsAt) {
+      end();
+      whenDone.run();
+    } else {
+      surroundings.after(Constants.CLAIM_BACKOFF_MS, () -> drain(drainEndsAt, whenDone));
+    }
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -0,0 +1,67 @@
+package applespindle.corelogic;
+
+import java.util.List;
+
+/** What the processes say to each other. The adapters carry each as one SBE message. */
+public sealed interface Message {
+  enum Verdict { OK, REFUSED, BUSY, BEHIND }
+
+  record Ask(long correlation, String duty, String key, String originId, String originAddress, int hops, byte[] body)
+      implements Message {}
+
+  record AskResponse(long correlation, int status, int comeBackSeconds, byte[] body) implements Message {}
+
+  record KeyPromise(String key, Epoch epoch, boolean handedOver) implements Message {}
+
+  record KeyPromised(String key, Epoch asked, Verdict verdict, Epoch promised, String owner, String ownerAddress,
+      long committed, List<Entry> entries) implements Message {}
+
+  record KeyAppend(String key, Epoch epoch, long round, long previousSequence, Epoch previousEpoch, long committed,
+      List<Entry> entries) implements Message {}
+
+  record KeyAppended(String key, Epoch epoch, long round, Verdict verdict, Epoch promised, long matched)
+      implements Message {}
+
+  /** The present owner asks its successor to take the key over at once. */
+  record KeyHandOver(String key, Epoch epoch, long lastSequence) implements Message {}
+
+  record CorePing(byte[] body) implements Message {}
+
+  record WhereIsCore() implements Message {}
+
+  record CoreIs(long rosterNumber, byte[] body) implements Message {}
+
+  /** sentAt is the follower's own clock; it comes back with the news, so that old news is never taken for fresh. */
+  record FeedFollow(String coreId, long incarnation, long number, long sentAt) implements Message {}
+
+  record FeedItem(String key, long sequence, byte[] value) {}
+
+  /** echoedAt is the sentAt of the poll this responds to; 0 when the news was pushed. */
+  record FeedNews(String coreId, long incarnation, long fromNumber, long number, boolean checkpoint, boolean relayed,
+      long ageMs, long echoedAt, List<FeedItem> items) implements Message {}
+
+  record BundleConfirmed(long number) implements Message {}
+
+  /** The sender leads the batch; with unassigned above 0 there are ranges to pull. */
+  record WorkOffer(String batch, long dueInMs, int unassigned) implements Message {}
+
+  record RangePull(String batch, String worker) implements Message {}
+
+  record HandoutItem(int index, byte[] body) {}
+
+  record RangeHandout(String batch, String worker, int range, long rangeEpoch, boolean none, long dueInMs,
+      List<HandoutItem> items) implements Message {}
+
+  record ReportedItem(int index, String run, String worker, String finishReason, String faultType, byte[] output) {}
+
+  /** offset: every item before it is done, counting the results carried here and those answered before. */
+  record RangeReport(String batch, int range, long rangeEpoch, String worker, long reportNumber, int offset,
+      boolean giveBack, List<ReportedItem> results) implements Message {}
+
+  record RangeReported(String batch, int range, long rangeEpoch, String worker, long reportNumber, boolean keep)
+      implements Message {}
+
+  record BatchEnded(String batch) implements Message {}
+
+  record Unfinished(List<String> keys) implements Message {}
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -0,0 +1,225 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.Ask;
+import applespindle.corelogic.Message.AskResponse;
+import applespindle.corelogic.Message.CoreIs;
+import applespindle.corelogic.Message.WhereIsCore;
+import applespindle.corelogic.Records.Roster;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+
+import static applespindle.corelogic.Json.JSON;
+
+/** What every process has: a place, a journal, peers to ask and to answer, and the newest roster it knows. */
+public abstract class Node {
+  /** Who and where this process is. The id is new whenever its disk is; the incarnation rises at every start. */
+  public record Place(String id, long incarnation, String name, String zone, String role, String peerAddress,
+      String httpAddress, List<String> seeds) {}
+
+  public record Target(String id, String address) {}
+
+  /** Faults that say for certain that nothing was done, so that another try is safe. */
+  private static final Set<String> NOTHING_DONE =
+      Set.of("NotOwner", "NoMajority", "NotReady", "NodeStopping", "Overloaded", "NodeIsolated");
+
+  private final class Asking {
+    final IntFunction<Target> targets;
+    final String duty;
+    final String key;
+    final byte[] body;
+    final long expiresAt;
+    final Consumer<Response> then;
+    int tries;
+    /** Once a try went unanswered, no later refusal may be passed on as "nothing was done". */
+    boolean unknown;
+    Response lastResponse = Response.of(new Fault.NotReady("nobody to ask yet"));
+
+    Asking(IntFunction<Target> targets, String duty, String key, byte[] body, long expiresAt, Consumer<Response> then) {
+      this.targets = targets;
+      this.duty = duty;
+      this.key = key;
+      this.body = body;
+      this.expiresAt = expiresAt;
+      this.then = then;
+    }
+
+    void tryOnce() {
+      long left = expiresAt - surroundings.now();
+      if (left <= 0) {
+        finish(lastResponse);
+        return;
+      }
+      Target target = targets.apply(tries++);
+      if (target == null) {
+        surroundings.after(Math.min(left, Constants.ASK_PAUSE_MS), this::tryOnce);
+        return;
+      }
+      long correlation = ++lastCorrelation;
+      open.put(correlation, response -> responded(response));
+      send(target.address(), target.id(),
+          new Ask(correlation, duty, key, place.id(), place.peerAddress(), Constants.ASK_HOPS, body));
+      surroundings.after(Math.min(left, Constants.ASK_TRY_MS), () -> {
+        if (open.remove(correlation) != null) {
+          unknown = true;
+          tryOnce();
+        }
+      });
+    }
+
+    void responded(Response response) {
+      if (NOTHING_DONE.contains(response.faultType())) {
+        lastResponse = response;
+        surroundings.after(Constants.ASK_PAUSE_MS, this::tryOnce);
+      } else {
+        finish(response);
+      }
+    }
+
+    void finish(Response response) {
+      boolean refusal = response.status() == 429 || response.status() == 503;
+      then.accept(unknown && refusal ? Response.of(new Fault.OutcomeUnknown(key)) : response);
+    }
+  }
+
+  protected final Surroundings surroundings;
+  protected final Place place;
+  protected final Journal journal;
+  /** Newest roster known; its number never falls. */
+  protected Roster roster = new Roster(0, List.of());
+  protected boolean stopping;
+  private final Map<Long, Consumer<Response>> open = new HashMap<>();
+  private long lastCorrelation;
+  private final Map<String, Long> counters = new LinkedHashMap<>();
+
+  protected Node(Surroundings surroundings, Place place) {
+    this.surroundings = surroundings;
+    this.place = place;
+    this.journal = new Journal(surroundings);
+  }
+
+  public abstract void start();
+
+  /** Replays one record of the log; called before start, in order. */
+  public void recover(DiskRecord record) {}
+
+  public List<DiskRecord> checkpoint() {
+    return List.of();
+  }
+
+  /** Hands duties over and ends; the callback runs when the process may exit. */
+  public abstract void stop(Runnable whenDone);
+
+  /** Empty when ready, else why not. */
+  public abstract String notReadyBecause();
+
+  protected abstract void handle(Message message, String fromId, String fromAddress);
+
+  protected abstract void handleAsk(Ask ask);
+
+  public abstract ObjectNode status();
+
+  public Place place() {
+    return place;
+  }
+
+  public Journal journal() {
+    return journal;
+  }
+
+  public Map<String, Long> counters() {
+    return counters;
+  }
+
+  protected void count(String counter) {
+    counters.merge(counter, 1L, Long::sum);
+  }
+
+  public void receive(Envelope envelope) {
+    if (!envelope.toId().isEmpty() && !envelope.toId().equals(place.id())) {
+      return;
+    }
+    Message message = envelope.message();
+    if (message instanceof AskResponse response) {
+      Consumer<Response> then = open.remove(response.correlation());
+      if (then != null) {
+        then.accept(new Response(response.status(), Json.tree(response.body()), response.comeBackSeconds()));
+      }
+    } else if (message instanceof Ask ask) {
+      handleAsk(ask);
+    } else if (message instanceof WhereIsCore) {
+      if (roster.number() > 0) {
+        send(envelope.fromAddress(), envelope.fromId(), new CoreIs(roster.number(), Json.bytes(roster)));
+      }
+    } else if (message instanceof CoreIs told) {
+      learnRoster(Json.read(told.body(), Roster.class));
+    } else {
+      handle(message, envelope.fromId(), envelope.fromAddress());
+    }
+  }
+
+  protected void learnRoster(Roster told) {
+    if (told.number() > roster.number()) {
+      roster = told;
+      journal.add("roster", "roster", "number " + told.number());
+    }
+  }
+
+  protected void send(String toAddress, String toId, Message message) {
+    surroundings.send(toAddress, new Envelope(place.id(), place.peerAddress(), toId, message));
+  }
+
+  protected void ask(IntFunction<Target> targets, String duty, String key, Object body, long expiryMs,
+      Consumer<Response> then) {
+    byte[] bytes = body instanceof byte[] raw ? raw : Json.bytes(body);
+    new Asking(targets, duty, key, bytes, surroundings.now() + expiryMs, then).tryOnce();
+  }
+
+  protected void respond(Ask ask, Response response) {
+    send(ask.originAddress(), ask.originId(), new AskResponse(ask.correlation(), response.status(),
+        response.comeBackSeconds(), Json.bytes(response.body())));
+  }
+
+  /** Hands an ask on to whom it belongs; the other responds to the origin directly. */
+  protected void handOver(Ask ask, String toId, String toAddress) {
+    if (ask.hops() <= 0 || toAddress.isEmpty() || toId.equals(place.id())) {
+      respond(ask, Response.of(new Fault.NotOwner(ask.key())));
+      return;
+    }
+    send(toAddress, toId, new Ask(ask.correlation(), ask.duty(), ask.key(), ask.originId(), ask.originAddress(),
+        ask.hops() - 1, ask.body()));
+  }
+
+  protected void every(long millis, Runnable duty) {
+    surroundings.after(millis, () -> {
+      if (!stopped()) {
+        duty.run();
+        every(millis, duty);
+      }
+    });
+  }
+
+  private boolean ended;
+
+  protected boolean stopped() {
+    return ended;
+  }
+
+  protected void end() {
+    ended = true;
+  }
+
+  protected ObjectNode commonStatus() {
+    ObjectNode status = JSON.createObjectNode();
+    status.put("name", place.name()).put("id", place.id()).put("incarnation", place.incarnation())
+        .put("zone", place.zone()).put("role", place.role()).put("stopping", stopping);
+    status.set("roster", JSON.<JsonNode>valueToTree(roster));
+    return status;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -0,0 +1,368 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyPromise;
+import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.Surroundings.Schedule;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Message.Verdict.BUSY;
+import static applespindle.corelogic.Message.Verdict.OK;
+import static applespindle.corelogic.Message.Verdict.REFUSED;
+
+/**
+ * The owner's side of one key: claims it under a higher epoch, appends in order, and answers once a majority of
+ * synced disks has the entry. It stops for good when it meets a higher epoch; a new claim needs a new object.
+ */
+final class OwnedKey {
+  enum Claim { OWNED, BUSY, NO_MAJORITY }
+
+  enum State { CLAIMING, SETTLING, OWNED, LOST }
+
+  record Replica(String id, String address) {}
+
+  record ClaimOutcome(Claim claim, String ownerId, String ownerAddress) {}
+
+  private static final class Progress {
+    final Replica replica;
+    /** The replica has synced our log up to here. Never falls. */
+    long matched;
+    /** The next sequence to send; may run ahead of matched, falls back when the replica is behind. */
+    long next = 1;
+    long heardRound;
+    boolean heardSinceBeat;
+
+    Progress(Replica replica) {
+      this.replica = replica;
+    }
+  }
+
+  private record Waiting(long mark, long expiresAt, Consumer<Fault> then) {}
+
+  private final Surroundings surroundings;
+  private final String nodeId;
+  private final KeyReplicas.Replies sender;
+  final String key;
+  private final Map<String, Progress> progress = new LinkedHashMap<>();
+  private final boolean handedOver;
+  private final long claimExpiresAt;
+  private Consumer<ClaimOutcome> whenClaimed;
+  private Runnable whenLost = () -> { };
+
+  private State state = State.CLAIMING;
+  /** Rises with each claim round; never used again once refused. */
+  private Epoch epoch;
+  private long seenCounter;
+  private final Map<String, KeyPromised> promises = new LinkedHashMap<>();
+  /** Our log: contiguous; nothing before the takeover entry changes after the claim. */
+  private final List<Entry> entries = new ArrayList<>();
+  private long takeoverSequence;
+  /** Highest sequence synced on a majority in our own epoch. Never falls. */
+  private long committed;
+  private long round;
+  private final ArrayDeque<Waiting> waitingForCommit = new ArrayDeque<>();
+  private final ArrayDeque<Waiting> waitingForRound = new ArrayDeque<>();
+  private boolean flushPlanned;
+  private Schedule beat = () -> { };
+  private Schedule claimRound = () -> { };
+
+  OwnedKey(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender, String key, List<Replica> replicas,
+      boolean handedOver, Consumer<ClaimOutcome> whenClaimed) {
+    this.surroundings = surroundings;
+    this.nodeId = nodeId;
+    this.sender = sender;
+    this.key = key;
+    this.handedOver = handedOver;
+    this.whenClaimed = whenClaimed;
+    this.claimExpiresAt = surroundings.now() + Constants.CLAIM_EXPIRY_MS;
+    replicas.forEach(replica -> progress.put(replica.id(), new Progress(replica)));
+    claimRound();
+  }
+
+  State state() {
+    return state;
+  }
+
+  boolean owned() {
+    return state == State.OWNED;
+  }
+
+  Epoch epoch() {
+    return epoch;
+  }
+
+  List<Entry> entries() {
+    return entries;
+  }
+
+  long lastSequence() {
+    return entries.isEmpty() ? 0 : entries.get(entries.size() - 1).sequence();
+  }
+
+  void whenLost(Runnable whenLost) {
+    this.whenLost = whenLost;
+  }
+
+  private int majority() {
+    return progress.size() / 2 + 1;
+  }
+
+  private void claimRound() {
+    if (state != State.CLAIMING) {
+      return;
+    }
+    if (surroundings.now() >= claimExpiresAt || progress.isEmpty()) {
+      finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
+      return;
+    }
+    promises.clear();
+    epoch = new Epoch(seenCounter + 1, nodeId);
+    seenCounter = epoch.counter();
+    for (Progress each : progress.values()) {
+      sender.reply(each.replica.address(), each.replica.id(), new KeyPromise(key, epoch, handedOver));
+    }
+    claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::claimRound);
+  }
+
+  void promised(KeyPromised message, String fromId) {
+    seenCounter = Math.max(seenCounter, message.promised().counter());
+    if (state != State.CLAIMING || !message.asked().equals(epoch) || !progress.containsKey(fromId)) {
+      return;
+    }
+    promises.put(fromId, message);
+    long agreed = promises.values().stream().filter(each -> each.verdict() == OK).count();
+    if (agreed >= majority()) {
+      takeOver();
+      return;
+    }
+    long refused = promises.size() - agreed;
+    if (refused > progress.size() - majority()) {
+      var busy = promises.values().stream().filter(each -> each.verdict() == BUSY).findFirst();
+      if (busy.isPresent()) {
+        finishClaim(new ClaimOutcome(Claim.BUSY, busy.get().owner(), busy.get().ownerAddress()));
+      } else {
+        claimRound.cancel();
+        claimRound = surroundings.after(1 + surroundings.random().nextLong(Constants.CLAIM_BACKOFF_MS), this::claimRound);
+      }
+    }
+  }
+
+  private void takeOver() {
+    claimRound.cancel();
+    KeyPromised best = null;
+    for (KeyPromised each : promises.values()) {
+      if (each.verdict() == OK && (best == null || newer(each.entries(), best.entries()))) {
+        best = each;
+      }
+    }
+    entries.addAll(best.entries());
+    takeoverSequence = lastSequence() + 1;
+    entries.add(new Entry(takeoverSequence, epoch, false, new byte[0]));
+    for (Progress each : progress.values()) {
+      KeyPromised promise = promises.get(each.replica.id());
+      boolean known = promise != null && promise.verdict() == OK;
+      each.next = known ? Math.min(lastOf(promise.entries()), takeoverSequence - 1) + 1 : takeoverSequence;
+    }
+    state = State.SETTLING;
+    waitingForCommit.add(new Waiting(takeoverSequence, claimExpiresAt, fault -> {
+      if (fault == null) {
+        state = State.OWNED;
+        finishClaim(new ClaimOutcome(Claim.OWNED, nodeId, ""));
+      } else {
+        stop();
+        finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
+      }
+    }));
+    broadcast();
+    beat = surroundings.after(Constants.OWNER_BEAT_MS, this::beat);
+  }
+
+  private static boolean newer(List<Entry> one, List<Entry> other) {
+    if (one.isEmpty() || other.isEmpty()) {
+      return !one.isEmpty();
+    }
+    Entry lastOne = one.get(one.size() - 1);
+    Entry lastOther = other.get(other.size() - 1);
+    int byEpoch = lastOne.epoch().compareTo(lastOther.epoch());
+    return byEpoch != 0 ? byEpoch > 0 : lastOne.sequence() > lastOther.sequence();
+  }
+
+  private static long lastOf(List<Entry> entries) {
+    return entries.isEmpty() ? 0 : entries.get(entries.size() - 1).sequence();
+  }
+
+  private void finishClaim(ClaimOutcome outcome) {
+    if (outcome.claim() != Claim.OWNED) {
+      stop();
+    }
+    Consumer<ClaimOutcome> listener = whenClaimed;
+    whenClaimed = ignored -> { };
+    listener.accept(outcome);
+  }
+
+  /** Appends an event; the callback gets null once a majority has synced it, else a fault. */
+  long append(boolean whole, byte[] event, Consumer<Fault> then) {
+    if (state != State.OWNED) {
+      then.accept(new Fault.NotOwner(key));
+      return 0;
+    }
+    long sequence = lastSequence() + 1;
+    entries.add(new Entry(sequence, epoch, whole, event));
+    waitingForCommit.add(new Waiting(sequence, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
+    planFlush();
+    return sequence;
+  }
+
+  /**
+   * Runs the callback with null once all that was appended before is committed and a majority has confirmed, after
+   * this call, that our epoch still stands.
+   */
+  void confirm(Consumer<Fault> then) {
+    if (state != State.OWNED) {
+      then.accept(new Fault.NotOwner(key));
+      return;
+    }
+    if (lastSequence() > committed) {
+      waitingForCommit.add(new Waiting(lastSequence(), surroundings.now() + Constants.COMMAND_EXPIRY_MS, fault -> {
+        if (fault == null) {
+          confirm(then);
+        } else {
+          then.accept(fault);
+        }
+      }));
+      return;
+    }
+    waitingForRound.add(new Waiting(round + 1, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
+    planFlush();
+  }
+
+  private void planFlush() {
+    if (!flushPlanned) {
+      flushPlanned = true;
+      surroundings.after(0, () -> {
+        flushPlanned = false;
+        broadcast();
+      });
+    }
+  }
+
+  private void broadcast() {
+    if (state != State.OWNED && state != State.SETTLING) {
+      return;
+    }
+    round++;
+    progress.values().forEach(this::sendTo);
+  }
+
+  private void sendTo(Progress each) {
+    long first = entries.get(0).sequence();
+    long from = each.next < first || each.next == 1 ? first : each.next;
+    List<Entry> lacking = from > lastSequence() ? List.of()
+        : List.copyOf(entries.subList((int) (from - first), entries.size()));
+    long previous = from == first ? 0 : from - 1;
+    Epoch previousEpoch = from == first ? Epoch.NONE : entries.get((int) (from - 1 - first)).epoch();
+    each.next = lastSequence() + 1;
+    sender.reply(each.replica.address(), each.replica.id(),
+        new KeyAppend(key, epoch, round, previous, previousEpoch, committed, lacking));
+  }
+
+  void appended(KeyAppended message, String fromId) {
+    Progress from = progress.get(fromId);
+    if (from == null || state != State.OWNED && state != State.SETTLING) {
+      return;
+    }
+    if (message.verdict() == REFUSED && epoch.below(message.promised())) {
+      lose();
+      return;
+    }
+    if (!message.epoch().equals(epoch)) {
+      return;
+    }
+    from.heardSinceBeat = true;
+    from.heardRound = Math.max(from.heardRound, message.round());
+    if (message.verdict() == OK) {
+      from.matched = Math.max(from.matched, message.matched());
+      from.next = Math.max(from.next, from.matched + 1);
+    } else {
+      from.next = Math.max(1, Math.min(message.matched() + 1, lastSequence()));
+      sendTo(from);
+    }
+    advance();
+  }
+
+  private void advance() {
+    long[] matches = progress.values().stream().mapToLong(each -> each.matched).sorted().toArray();
+    long majorityMatched = matches[matches.length - majority()];
+    if (majorityMatched >= takeoverSequence && majorityMatched > committed) {
+      committed = majorityMatched;
+      KeyReplicas.trim(entries, committed);
+      planFlush();
+    }
+    while (!waitingForCommit.isEmpty() && waitingForCommit.peek().mark() <= committed) {
+      waitingForCommit.poll().then().accept(null);
+      if (state == State.LOST) {
+        return;
+      }
+    }
+    long[] rounds = progress.values().stream().mapToLong(each -> each.heardRound).sorted().toArray();
+    long majorityRound = rounds[rounds.length - majority()];
+    while (!waitingForRound.isEmpty() && waitingForRound.peek().mark() <= majorityRound) {
+      waitingForRound.poll().then().accept(null);
+      if (state == State.LOST) {
+        return;
+      }
+    }
+  }
+
+  private void beat() {
+    if (state != State.OWNED && state != State.SETTLING) {
+      return;
+    }
+    expire(waitingForCommit, new Fault.OutcomeUnknown(key));
+    expire(waitingForRound, new Fault.NoMajority(key));
+    if (state != State.OWNED && state != State.SETTLING) {
+      return;
+    }
+    for (Progress each : progress.values()) {
+      if (!each.heardSinceBeat) {
+        each.next = each.matched + 1;
+      }
+      each.heardSinceBeat = false;
+    }
+    broadcast();
+    beat = surroundings.after(Constants.OWNER_BEAT_MS, this::beat);
+  }
+
+  private void expire(ArrayDeque<Waiting> waiting, Fault fault) {
+    while (!waiting.isEmpty() && waiting.peek().expiresAt() <= surroundings.now()) {
+      waiting.poll().then().accept(fault);
+    }
+  }
+
+  private void lose() {
+    stop();
+    whenLost.run();
+  }
+
+  /** Gives the key up without a word: whoever claims it next reads the log from the replicas. */
+  void stop() {
+    if (state == State.LOST) {
+      return;
+    }
+    state = State.LOST;
+    beat.cancel();
+    claimRound.cancel();
+    List<Waiting> unanswered = new ArrayList<>(waitingForCommit);
+    List<Waiting> unconfirmed = new ArrayList<>(waitingForRound);
+    waitingForCommit.clear();
+    waitingForRound.clear();
+    unanswered.forEach(each -> each.then().accept(new Fault.OutcomeUnknown(key)));
+    unconfirmed.forEach(each -> each.then().accept(new Fault.NotOwner(key)));
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -0,0 +1,51 @@
+package applespindle.corelogic;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import jakarta.validation.constraints.NotBlank;
+import jakarta.validation.constraints.Pattern;
+import java.util.List;
+import java.util.Map;
+
+/** Values of the core keys. Readers pass over fields they do not know, so that two versions can live together. */
+public final class Records {
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record CoreMember(String id, String peerAddress, String httpAddress, String zone, String name) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record Roster(long number, List<CoreMember> members) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record Member(String id, long incarnation, String name, String zone, String role, String peerAddress,
+      String httpAddress, boolean live) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record Worker(String id, String address, String pool, String state) {
+    static final String READY = "ready";
+    static final String LEAVING = "leaving";
+    static final String GONE = "gone";
+  }
+
+  /** A bundle as kept: the exact bytes that were signed. */
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record SignedBundle(long number, byte[] bytes, String keyId, byte[] signature) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record Shard(long number, List<StorageReplica> replicas) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record StorageReplica(String id, String address, String zone) {}
+
+  /** The ledger of waiting batch work: unfinished items by batch. */
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  record Room(Map<String, Long> items) {}
+
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  record RoomChange(String batch, long items) {}
+
+  /** What the platform hands in for one worker. */
+  public record WorkerInput(@NotBlank @Pattern(regexp = "[A-Za-z0-9_.-]{1,100}") String id,
+      @NotBlank @Pattern(regexp = "[0-9.]+:[0-9]{1,5}") String address, @NotBlank String pool,
+      @Pattern(regexp = "ready|leaving") String state) {}
+
+  private Records() {}
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Rendezvous.java
@@ -0,0 +1,38 @@
+package applespindle.corelogic;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/** The agreed order of nodes for a key: highest random weight first. */
+public final class Rendezvous {
+  public static List<String> order(String key, Collection<String> nodes) {
+    long keyHash = hash(key);
+    return nodes.stream()
+        .sorted(Comparator.comparingLong((String node) -> mix(keyHash ^ mix(hash(node)))).reversed()
+            .thenComparing(Comparator.naturalOrder()))
+        .toList();
+  }
+
+  public static String first(String key, Collection<String> nodes) {
+    List<String> orderedNodes = order(key, nodes);
+    return orderedNodes.isEmpty() ? null : orderedNodes.get(0);
+  }
+
+  static long hash(String text) {
+    long hash = 0xcbf29ce484222325L;
+    for (byte one : text.getBytes(StandardCharsets.UTF_8)) {
+      hash = (hash ^ (one & 0xff)) * 0x100000001b3L;
+    }
+    return mix(hash);
+  }
+
+  static long mix(long value) {
+    value = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
+    value = (value ^ (value >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return value ^ (value >>> 33);
+  }
+
+  private Rendezvous() {}
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/Response.java
@@ -0,0 +1,28 @@
+package applespindle.corelogic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import static applespindle.corelogic.Json.JSON;
+
+/** What a sender gets: a status, a JSON body, and for a refusal when to come back (seconds; 0: not said). */
+public record Response(int status, JsonNode body, int comeBackSeconds) {
+  public static Response of(int status, Object body) {
+    return new Response(status, body instanceof JsonNode node ? node : JSON.valueToTree(body), 0);
+  }
+
+  public static Response of(Fault fault) {
+    return of(fault, fault.row().status() == 429 || fault.row().status() == 503 ? 1 : 0);
+  }
+
+  public static Response of(Fault fault, int comeBackSeconds) {
+    return new Response(fault.row().status(), fault.toJson(), comeBackSeconds);
+  }
+
+  public boolean good() {
+    return status < 300;
+  }
+
+  public String faultType() {
+    return good() ? "" : body.path("type").asText();
+  }
+}
--- /dev/null
+++ b/data-plane/src/main/java/applespindle/dataplane/DataPlane.java
@@ -0,0 +1,27 @@
+package applespindle.dataplane;
+
+import applespindle.adapters.HttpInterface;
+import applespindle.adapters.NodeProcess;
+import applespindle.adapters.Program;
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.Node;
+import applespindle.corelogic.StorageNode;
+
+/** The data plane's program, in the role its startup names. */
+public final class DataPlane {
+  public static void main(String[] arguments) {
+    Program.run("data-plane", null, arguments, startup -> (surroundings, place) -> startup.role().equals("storage")
+        ? new StorageNode(surroundings, place) : new EdgeNode(surroundings, place), DataPlane::open);
+  }
+
+  private static void open(NodeProcess process) {
+    HttpInterface http = new HttpInterface(process);
+    Node node = process.node();
+    if (node instanceof EdgeNode edge) {
+      new EdgeInterface(process, edge).addTo(http);
+    }
+    http.listen();
+  }
+
+  private DataPlane() {}
+}
--- /dev/null
+++ b/data-plane/src/main/java/applespindle/dataplane/EdgeInterface.java
@@ -0,0 +1,122 @@
+package applespindle.dataplane;
+
+import applespindle.adapters.HttpInterface;
+import applespindle.adapters.HttpInterface.Call;
+import applespindle.adapters.NodeProcess;
+import applespindle.corelogic.BatchInput;
+import applespindle.corelogic.Constants;
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.InputReader;
+import applespindle.corelogic.LiveDesk;
+import applespindle.corelogic.Response;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import jakarta.validation.constraints.Max;
+import jakarta.validation.constraints.Min;
+import jakarta.validation.constraints.NotNull;
+import java.util.List;
+
+import static applespindle.corelogic.Json.JSON;
+
+/** What callers and batch senders see of an edge. */
+final class EdgeInterface {
+  /** A live request's body; further fields of the published format pass through to the worker as they are. */
+  record Completion(@NotNull String prompt, String model, @Min(1) @Max(Constants.TOKENS_MOST) Integer max_tokens,
+      Boolean stream, Double temperature, Double top_p, JsonNode stop, Long seed, String user) {}
+
+  private static final int KEY_LENGTH_MOST = 200;
+
+  private final NodeProcess process;
+  private final EdgeNode edge;
+
+  EdgeInterface(NodeProcess process, EdgeNode edge) {
+    this.process = process;
+    this.edge = edge;
+  }
+
+  void addTo(HttpInterface http) {
+    http.post("/v1/completions", this::complete);
+    http.post("/v1/batches", call -> submit(http, call));
+    http.get("/v1/batches/{id}", call -> http.ask(then -> edge.readBatch(call.parts().get("id"), then)));
+    http.get("/v1/batches/{id}/results", call -> results(http, call));
+    http.post("/v1/batches/{id}/end", call -> http.ask(then -> edge.endBatch(call.parts().get("id"), then)));
+  }
+
+  private static String sender(Call call) {
+    String sender = call.header("Applespindle-Sender");
+    return sender.isEmpty() ? "anonymous" : sender;
+  }
+
+  // ---- batches
+
+  private Promise<HttpResponse> submit(HttpInterface http, Call call) {
+    String key = call.header("Idempotency-Key");
+    if (key.isEmpty() || key.length() > KEY_LENGTH_MOST) {
+      return HttpInterface.refuse(new Fault.InvalidInput(List.of(
+          new Fault.Field("header Idempotency-Key", "must have 1 to " + KEY_LENGTH_MOST + " characters"))));
+    }
+    InputReader.Input<BatchInput> input = BatchInput.read(call.body());
+    if (!input.good()) {
+      return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
+    }
+    return http.ask(then -> edge.submit(sender(call), key, input.value(), then));
+  }
+
+  private Promise<HttpResponse> results(HttpInterface http, Call call) {
+    Long after = number(call.query("after"), 0, 0, Long.MAX_VALUE);
+    Long limit = number(call.query("limit"), Constants.RESULTS_PAGE, 1, Constants.RESULTS_PAGE_MOST);
+    if (after == null || limit == null) {
+      return HttpInterface.refuse(new Fault.InvalidInput(List.of(after == null
+          ? new Fault.Field("query after", "must be a whole number from 0")
+          : new Fault.Field("query limit", "must be a whole number from 1 to " + Constants.RESULTS_PAGE_MOST))));
+    }
+    return http.ask(then -> edge.readResults(call.parts().get("id"), after, limit.intValue(), then));
+  }
+
+  private static Long number(String text, long missing, long least, long most) {
+    if (text.isEmpty()) {
+      return missing;
+    }
+    if (!text.matches("[0-9]{1,18}")) {
+      return null;
+    }
+    long number = Long.parseLong(text);
+    return number < least || number > most ? null : number;
+  }
+
+  // ---- live requests
+
+  private Promise<HttpResponse> complete(Call call) {
+    InputReader.Input<Completion> input = InputReader.read(call.body(), Completion.class);
+    if (!input.good()) {
+      return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
+    }
+    Completion completion = input.value();
+    boolean streams = Boolean.TRUE.equals(completion.stream());
+    ObjectNode body = JSON.createObjectNode();
+    JSON.valueToTree(completion).fields().forEachRemaining(field -> {
+      if (!field.getValue().isNull()) {
+        body.set(field.getKey(), field.getValue());
+      }
+    });
+    body.put("stream", true);
+    var request = new LiveDesk.Request(sender(call), completion.model(), call.header("Applespindle-Class"),
+        HttpInterface.headers(call.request()), completion.prompt(), body, streams, call.header("Applespindle-Once"));
+    LiveExchange exchange = new LiveExchange(process, edge, request);
+    return exchange.begin();
+  }
+
+  static HttpResponse whole(String output, String finishReason) {
+    ObjectNode body = JSON.createObjectNode().put("object", "text_completion");
+    body.putArray("choices").addObject().put("index", 0).put("text", output).put("finish_reason", finishReason);
+    return HttpInterface.render(Response.of(200, body));
+  }
+
+  static HttpResponse streamed(EventStream events) {
+    return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream").withBodyStream(events).build();
+  }
+}
--- /dev/null
+++ b/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
@@ -0,0 +1,97 @@
+package applespindle.dataplane;
+
+import applespindle.adapters.HttpInterface;
+import applespindle.adapters.NodeProcess;
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.Json;
+import applespindle.corelogic.LiveDesk;
+import applespindle.corelogic.Response;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** One live request between the http thread, where its sender is, and the logic thread, where it is decided. */
+final class LiveExchange implements LiveDesk.Listener {
+  private final NodeProcess process;
+  private final EdgeNode edge;
+  private final LiveDesk.Request request;
+  private final SettablePromise<HttpResponse> response = new SettablePromise<>();
+  /** On the http thread only. */
+  private EventStream events;
+  /** On the logic thread only. */
+  private LiveDesk.Handle handle;
+
+  LiveExchange(NodeProcess process, EdgeNode edge, LiveDesk.Request request) {
+    this.process = process;
+    this.edge = edge;
+    this.request = request;
+  }
+
+  Promise<HttpResponse> begin() {
+    boolean taken = process.toLogic(() -> handle = edge.complete(request, this));
+    if (!taken) {
+      return HttpInterface.refuse(new Fault.Overloaded("logic"));
+    }
+    return response;
+  }
+
+  private void onHttp(Runnable task) {
+    process.httpLoop().execute(task);
+  }
+
+  private void senderGone() {
+    process.toLogic(() -> handle.cancel());
+  }
+
+  private EventStream events() {
+    if (events == null) {
+      events = new EventStream(this::senderGone);
+      response.trySet(EdgeInterface.streamed(events));
+    }
+    return events;
+  }
+
+  private static byte[] event(ObjectNode data) {
+    return ("data: " + new String(Json.bytes(data), UTF_8) + "\n\n").getBytes(UTF_8);
+  }
+
+  private static byte[] piece(String text, String finishReason) {
+    ObjectNode data = JSON.createObjectNode().put("object", "text_completion");
+    data.putArray("choices").addObject().put("index", 0).put("text", text).put("finish_reason", finishReason);
+    return event(data);
+  }
+
+  @Override public void text(String text) {
+    onHttp(() -> events().push(piece(text, null)));
+  }
+
+  @Override public void end(String wholeOutput, String finishReason) {
+    onHttp(() -> {
+      if (request.stream()) {
+        events().push(piece("", finishReason));
+        events().push("data: [DONE]\n\n".getBytes(UTF_8));
+        events().end();
+      } else {
+        response.trySet(EdgeInterface.whole(wholeOutput, finishReason));
+      }
+    });
+  }
+
+  @Override public void fault(Response fault, boolean cut) {
+    onHttp(() -> {
+      if (events == null) {
+        response.trySet(HttpInterface.render(fault));
+      } else {
+        ObjectNode data = JSON.createObjectNode();
+        data.set("error", fault.body());
+        events.push(event(data));
+        events.cut();
+      }
+    });
+  }
+}
--- /dev/null
+++ b/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
@@ -0,0 +1,78 @@
+package applespindle.operatortool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** One HTTP call at a time, waited for; for command lines and tests. */
+public final class HttpCaller {
+  public record Result(int status, JsonNode body, String text) {
+    public boolean good() {
+      return status >= 200 && status < 300;
+    }
+  }
+
+  private static final int BODY_BYTES_MOST = 64 << 20;
+  private final Duration timeout;
+
+  public HttpCaller(Duration timeout) {
+    this.timeout = timeout;
+  }
+
+  /** Status 0 means that no response came. */
+  public Result call(HttpMethod method, String address, String path, byte[] body, Map<String, String> headers) {
+    Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
+    HttpClient client = HttpClient.builder(eventloop, new IDnsClient() {
+      @Override public Promise<DnsResponse> resolve(DnsQuery query) {
+        DnsResponse response = IDnsClient.resolveFromQuery(query);
+        return response != null ? Promise.of(response) : Promise.ofException(new IOException("give an IP number"));
+      }
+
+      @Override public void close() {}
+    }).withNoKeepAlive().withConnectTimeout(timeout).withReadWriteTimeout(timeout).build();
+    HttpRequest.Builder request = HttpRequest.builder(method, "http://" + address + path);
+    headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
+    if (body != null) {
+      request.withBody(body);
+    }
+    Result[] result = {new Result(0, JSON.nullNode(), "")};
+    client.request(request.build()).then(response -> response.loadBody(BODY_BYTES_MOST)
+        .whenResult(bytes -> {
+          String text = bytes.getString(UTF_8);
+          JsonNode tree;
+          try {
+            tree = text.isEmpty() ? JSON.nullNode() : JSON.readTree(text);
+          } catch (IOException notJson) {
+            tree = JSON.nullNode();
+          }
+          result[0] = new Result(response.getCode(), tree, text);
+        })).whenException(fault -> result[0] = new Result(0, JSON.nullNode(), String.valueOf(fault.getMessage())));
+    eventloop.run();
+    return result[0];
+  }
+
+  public Result get(String address, String path) {
+    return call(HttpMethod.GET, address, path, null, Map.of());
+  }
+
+  public Result post(String address, String path, byte[] body, Map<String, String> headers) {
+    return call(HttpMethod.POST, address, path, body, headers);
+  }
+
+  public Result put(String address, String path, byte[] body) {
+    return call(HttpMethod.PUT, address, path, body, Map.of("Content-Type", "application/json"));
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -0,0 +1,44 @@
+package applespindle.testfleet;
+
+import applespindle.testfleet.StandInWorkers.Pace;
+
+/** The two deployments of today, and a small one for trying out. Paces are ours; the brief names none. */
+public enum Deployment {
+  AUTHORITY(9, 10, 80, 10_000, new Pace(16, 60, 15, 120)),
+  COOPERATIVE(9, 8, 40, 8_000, new Pace(16, 60, 15, 120)),
+  SMALL(3, 3, 20, 10_000, new Pace(8, 20, 5, 20));
+
+  public final int edges;
+  public final int workers;
+  public final int batchItems;
+  public final long dueMs;
+  public final Pace pace;
+
+  Deployment(int edges, int workers, int batchItems, long dueMs, Pace pace) {
+    this.edges = edges;
+    this.workers = workers;
+    this.batchItems = batchItems;
+    this.dueMs = dueMs;
+    this.pace = pace;
+  }
+
+  /** Short checks before notes, one pool, and batch work in what live traffic leaves. */
+  public String bundle(long number) {
+    return """
+        {
+          "number": %d,
+          "pools": {"main": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5}},
+          "rules": [
+            {"name": "notes", "match": {"trafficClass": "note"},
+             "way": {"pool": "main", "trafficClass": "note", "expiryMs": 10000, "retries": 2}},
+            {"name": "checks", "way": {"pool": "main", "trafficClass": "check", "expiryMs": 5000, "retries": 2}}
+          ],
+          "limits": {
+            "classes": {"check": {"rank": 0, "queueMost": 200}, "note": {"rank": 1, "queueMost": 100}},
+            "batch": {"pool": "main", "waitingItemsMost": 2000, "perWorkerMost": 12, "liveReserve": 2,
+                      "cancelForLive": true, "itemExpiryMs": 30000}
+          }
+        }
+        """.formatted(number);
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -0,0 +1,246 @@
+package applespindle.testfleet;
+
+import applespindle.controlplane.ControlPlane;
+import applespindle.corelogic.Json;
+import applespindle.dataplane.DataPlane;
+import applespindle.operatortool.HttpCaller;
+import applespindle.operatortool.HttpCaller.Result;
+import applespindle.operatortool.Signing;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** A whole fleet of real processes on loopback: three control planes, edges, three storage nodes, stand-in workers. */
+public final class Fleet implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final int ZONES = 3;
+  private static final List<String> JVM = List.of("-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+
+  /** One process of the fleet and how it is started again. */
+  public static final class Member {
+    public final String name;
+    public final String http;
+    public final Path data;
+    private final List<String> command;
+    private final File log;
+    private Process process;
+
+    Member(String name, String http, Path data, List<String> command, File log) {
+      this.name = name;
+      this.http = http;
+      this.data = data;
+      this.command = command;
+      this.log = log;
+    }
+
+    public void start() throws IOException {
+      process = new ProcessBuilder(command).redirectErrorStream(true)
+          .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+    }
+
+    public void kill() {
+      process.destroyForcibly();
+      waitFor();
+    }
+
+    /** SIGTERM, as the platform does it; returns its exit status. */
+    public int stopPolitely() {
+      process.destroy();
+      return waitFor();
+    }
+
+    public void freeze() throws IOException {
+      signal("-STOP");
+    }
+
+    public void wake() throws IOException {
+      signal("-CONT");
+    }
+
+    private void signal(String signal) throws IOException {
+      try {
+        new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private int waitFor() {
+      try {
+        return process.waitFor(60, TimeUnit.SECONDS) ? process.exitValue() : -1;
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return -1;
+      }
+    }
+
+    public long pid() {
+      return process.pid();
+    }
+
+    public boolean alive() {
+      return process != null && process.isAlive();
+    }
+  }
+
+  public final Deployment deployment;
+  public final StandInWorkers workers;
+  public final Map<String, Member> members = new LinkedHashMap<>();
+  public final Signing.Keys keys = Signing.generate();
+  public final HttpCaller caller = new HttpCaller(Duration.ofSeconds(10));
+  private final Path folder;
+  private final String classPath;
+  private final List<String> corePeers = new ArrayList<>();
+  private int nextPort;
+
+  /** firstPort 0 takes whatever ports are free. */
+  public Fleet(Deployment deployment, Path folder, String classPath, int firstPort) throws IOException {
+    this.deployment = deployment;
+    this.folder = Files.createDirectories(folder);
+    this.classPath = classPath;
+    this.nextPort = firstPort;
+    this.workers = new StandInWorkers(deployment.pace);
+  }
+
+  private String address() throws IOException {
+    if (nextPort > 0) {
+      return HOST + ":" + nextPort++;
+    }
+    try (ServerSocket free = new ServerSocket(0)) {
+      return HOST + ":" + free.getLocalPort();
+    }
+  }
+
+  public void start() throws IOException {
+    for (int index = 0; index < deployment.workers; index++) {
+      workers.add("w" + (index + 1), address());
+    }
+    workers.start();
+    for (int index = 0; index < ZONES; index++) {
+      corePeers.add(address());
+    }
+    ObjectNode startup = JSON.createObjectNode();
+    startup.putObject("operatorKeys").put("operator", keys.publicKey());
+    Path file = folder.resolve("startup.json");
+    Files.write(file, Json.bytes(startup));
+    Files.writeString(folder.resolve("operator.key"), keys.privateKey());
+    for (int zone = 0; zone < ZONES; zone++) {
+      add("core-" + (zone + 1), zone, ControlPlane.class, corePeers.get(zone), true, "--startup", file.toString());
+    }
+    for (int index = 0; index < ZONES; index++) {
+      add("storage-" + (index + 1), index, DataPlane.class, address(), true, "--role", "storage");
+    }
+    for (int index = 0; index < deployment.edges; index++) {
+      add("edge-" + (index + 1), index % ZONES, DataPlane.class, address(), false, "--role", "edge");
+    }
+    for (Member member : members.values()) {
+      member.start();
+    }
+  }
+
+  private void add(String name, int zone, Class<?> program, String peer, boolean disk, String... more)
+      throws IOException {
+    String http = address();
+    List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
+    command.addAll(JVM);
+    command.addAll(List.of("-cp", classPath, program.getName(), "--name", name, "--zone", "zone-" + (zone + 1),
+        "--http", http, "--peer", peer));
+    command.addAll(List.of(more));
+    Path data = folder.resolve(name);
+    if (disk) {
+      command.addAll(List.of("--data", data.toString()));
+    }
+    command.add("--seeds");
+    command.addAll(corePeers);
+    members.put(name, new Member(name, http, data, command, folder.resolve(name + ".log").toFile()));
+  }
+
+  public List<Member> ofRole(String role) {
+    return members.values().stream().filter(member -> member.name.startsWith(role + "-")).toList();
+  }
+
+  public Member member(String name) {
+    return members.get(name);
+  }
+
+  /** Lists the workers and sends the first bundle as soon as the core takes them, then waits until all are ready. */
+  public void open(long mostMs) {
+    String core = ofRole("core").get(0).http;
+    awaitTrue("the core", mostMs, () -> allAlive() && caller.get(core, "/ready").good());
+    awaitTrue("the worker list", mostMs, () -> caller.put(core, "/v1/workers", workerList()).good());
+    awaitTrue("the bundle", mostMs, () -> sendBundle(core, deployment.bundle(1)).good());
+    awaitTrue("all nodes", mostMs, () -> members.values().stream()
+        .allMatch(member -> caller.get(member.http, "/ready").good()));
+  }
+
+  private boolean allAlive() {
+    members.values().stream().filter(member -> !member.alive()).findFirst().ifPresent(member -> {
+      throw new IllegalStateException(member.name + " ended at once, see " + member.log);
+    });
+    return true;
+  }
+
+  private byte[] workerList() {
+    ObjectNode list = JSON.createObjectNode();
+    ArrayNode rows = list.putArray("workers");
+    workers.all().forEach(worker -> rows.addObject().put("id", worker.id).put("address", worker.address)
+        .put("pool", "main"));
+    return Json.bytes(list);
+  }
+
+  public Result sendBundle(String core, String bundle) {
+    byte[] bytes = bundle.getBytes(UTF_8);
+    return caller.post(core, "/v1/bundles", bytes, Map.of("Applespindle-Key-Id", "operator",
+        "Applespindle-Signature", Signing.sign(bytes, keys.privateKey())));
+  }
+
+  /** A batch of letters that share a long prefix, as the brief's do. */
+  public static byte[] letters(String name, int items, int tokens, long dueMs) {
+    ObjectNode batch = JSON.createObjectNode().put("due_in_ms", dueMs);
+    ArrayNode rows = batch.putArray("items");
+    String shared = "Write an invitation letter in the usual form of the office, with greeting, place and hour. "
+        .repeat(4);
+    IntStream.range(0, items).forEach(index -> rows.addObject().put("id", name + "-" + index)
+        .put("prompt", shared + "Guest " + name + " " + index).put("max_tokens", tokens));
+    return Json.bytes(batch);
+  }
+
+  public Result submit(Member edge, String key, byte[] batch) {
+    return caller.post(edge.http, "/v1/batches", batch,
+        Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"));
+  }
+
+  public static void awaitTrue(String what, long mostMs, BooleanSupplier condition) {
+    long endsAt = System.nanoTime() + mostMs * 1_000_000L;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > endsAt) {
+        throw new IllegalStateException("waited too long for " + what);
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(50);
+      } catch (InterruptedException interrupted) {
+        throw new IllegalStateException(interrupted);
+      }
+    }
+  }
+
+  @Override public void close() {
+    members.values().stream().filter(Member::alive).forEach(member -> member.process.destroyForcibly());
+    members.values().stream().filter(Member::alive).forEach(Member::waitFor);
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInOutput.java
@@ -0,0 +1,30 @@
+package applespindle.testfleet;
+
+import java.util.zip.CRC32C;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** What a stand-in worker writes for a prompt: the same for the same prompt, so that a checker can tell a whole output. */
+public final class StandInOutput {
+  public static final int TOKENS_UNLESS_TOLD = 8;
+
+  public static String token(String prompt, int position) {
+    return "t" + Long.toString(sum(prompt), 36) + "." + position + " ";
+  }
+
+  public static String whole(String prompt, int tokens) {
+    StringBuilder text = new StringBuilder();
+    for (int position = 0; position < tokens; position++) {
+      text.append(token(prompt, position));
+    }
+    return text.toString();
+  }
+
+  private static long sum(String prompt) {
+    CRC32C crc = new CRC32C();
+    crc.update(prompt.getBytes(UTF_8));
+    return crc.getValue();
+  }
+
+  private StandInOutput() {}
+}
