--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import static applespindle.corelogic.Message.Verdict.BEHIND;
 import static applespindle.corelogic.Message.Verdict.BUSY;
@@ -49,6 +50,7 @@
   private final BiConsumer<String, Entry> whenCommitted;
   private final Map<String, Copy> copies = new TreeMap<>();
   private final Replies replies;
+  private String lastTouched = "";
 
   interface Replies {
     void reply(String toAddress, String toId, Message message);
@@ -60,11 +62,35 @@
     this.whenCommitted = whenCommitted;
   }
 
-  public Map<String, Copy> copies() {
+  Map<String, Copy> copies() {
     return copies;
   }
 
+  /** What a checker of invariants may see of one key. */
+  public record View(Epoch promised, List<Entry> committedEntries) {}
+
+  /** The key of the last message taken, for a checker; empty before the first. */
+  public String lastTouched() {
+    return lastTouched;
+  }
+
+  public View view(String key) {
+    Copy copy = copies.get(key);
+    return new View(copy.promised, copy.entries.stream().filter(entry -> entry.sequence() <= copy.committed).toList());
+  }
+
+  /** Whether the entry stands here, or a whole entry after it does. */
+  public boolean holds(String key, long sequence, Predicate<Entry> same) {
+    Copy copy = copies.get(key);
+    if (copy == null || copy.entries.isEmpty()) {
+      return false;
+    }
+    Entry entry = copy.at(sequence);
+    return entry != null ? same.test(entry) : copy.entries.get(0).sequence() > sequence;
+  }
+
   Copy copy(String key) {
+    lastTouched = key;
     return copies.computeIfAbsent(key, missing -> new Copy());
   }
 
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -0,0 +1,320 @@
+package applespindle.testfleet;
+
+import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.History.Seen;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** Tests the never-rules of the brief, with their time limits, on nothing but what was observed from outside. */
+public final class Checker {
+  public enum Rule {
+    ACCEPTED_BATCH_LOST, REFUSED_BATCH_RAN, RESULT_TWICE_OR_CHANGED, RESULT_NOT_WHOLE, REPORTED_MISSING,
+    RAN_AFTER_END, ONCE_REQUEST_RAN_WRONGLY, WRONG_OR_CUT_ANSWER, WORK_TO_LEAVING_WORKER, BUNDLE_NOT_IN_FORCE,
+    SERVICE_NOT_BACK, CEILING_OVERSHOT
+  }
+
+  public record Violation(Rule rule, long atMs, String what) {}
+
+  static final long MISSING_MS = 1_000;
+  static final long AFTER_END_MS = 3_000;
+  static final long LEAVING_MS = 3_000;
+  static final long BUNDLE_MS = 2_000;
+  static final long BACK_MS = 12_000;
+  private static final double OVERSHOOT = 1.1;
+  /** A gap without success counts only if this many attempts were made in it. */
+  private static final int ATTEMPTS_LEAST = 3;
+
+  private final List<Seen> seen;
+  private final List<Violation> violations = new ArrayList<>();
+  private final Map<String, String> keyOfBatch = new HashMap<>();
+  private final Map<String, Long> acceptedAt = new TreeMap<>();
+  /** By batch key and item id. */
+  private final Map<String, Seen> items = new HashMap<>();
+  private final Map<String, Integer> itemCounts = new HashMap<>();
+
+  private Checker(History history) {
+    this.seen = history.all();
+  }
+
+  public static List<Violation> check(History history) {
+    Checker checker = new Checker(history);
+    checker.learn();
+    checker.batches();
+    checker.results();
+    checker.ends();
+    checker.live();
+    checker.leaving();
+    checker.bundles();
+    checker.service(Kind.LIVE_ANSWERED, "live");
+    checker.service(Kind.SUBMIT_ANSWERED, "submission");
+    checker.ceiling();
+    return checker.violations;
+  }
+
+  private void violated(Rule rule, long atMs, String what) {
+    violations.add(new Violation(rule, atMs, what));
+  }
+
+  private List<Seen> of(Kind kind) {
+    return seen.stream().filter(each -> each.kind() == kind).toList();
+  }
+
+  private void learn() {
+    for (Seen each : seen) {
+      if (each.kind() == Kind.ITEM) {
+        items.put(each.subject() + " " + each.detail(), each);
+        itemCounts.merge(each.subject(), 1, Integer::sum);
+      } else if (each.kind() == Kind.SUBMIT_ANSWERED) {
+        if (!each.text().isEmpty()) {
+          keyOfBatch.put(each.text(), each.subject());
+        }
+        if (each.number() == 200 || each.number() == 201) {
+          acceptedAt.putIfAbsent(each.subject(), each.atMs());
+        }
+      }
+    }
+  }
+
+  private void batches() {
+    Map<String, Boolean> refusedAtEveryTry = new HashMap<>();
+    for (Seen each : of(Kind.SUBMIT_ANSWERED)) {
+      boolean refused = each.number() == 429 || each.number() == 503 || each.number() == 400 || each.number() == 413;
+      refusedAtEveryTry.merge(each.subject(), refused, Boolean::logicalAnd);
+    }
+    Map<String, Long> firstRun = new HashMap<>();
+    for (Seen each : of(Kind.WORKER_RECEIVED)) {
+      if (!each.detail().isEmpty()) {
+        firstRun.putIfAbsent(keyOf(each), each.atMs());
+      }
+    }
+    refusedAtEveryTry.forEach((key, refused) -> {
+      if (refused && firstRun.containsKey(key)) {
+        violated(Rule.REFUSED_BATCH_RAN, firstRun.get(key), key);
+      }
+    });
+    Map<String, Seen> lastRead = new HashMap<>();
+    for (Seen each : of(Kind.BATCH_READ)) {
+      Long accepted = acceptedAt.get(each.subject());
+      if (accepted != null && each.number() == 404 && each.atMs() > accepted + MISSING_MS) {
+        violated(Rule.REPORTED_MISSING, each.atMs(), each.subject());
+      }
+      if (each.number() != 503 && each.number() != 504 && each.number() != 0) {
+        lastRead.put(each.subject(), each);
+      }
+    }
+    acceptedAt.keySet().forEach(key -> {
+      Seen last = lastRead.get(key);
+      boolean kept = last != null && last.number() == 200
+          && (last.detail().equals("ended") || last.detail().equals("finished"));
+      if (!kept) {
+        violated(Rule.ACCEPTED_BATCH_LOST, last == null ? 0 : last.atMs(),
+            key + (last == null ? " never read" : " last read " + last.number() + " " + last.detail()));
+      }
+    });
+  }
+
+  private String keyOf(Seen workerSeen) {
+    String batch = workerSeen.detail().substring(0, workerSeen.detail().indexOf('/'));
+    return keyOfBatch.getOrDefault(batch, batch);
+  }
+
+  private void results() {
+    Map<String, TreeMap<Long, Seen>> byBatch = new HashMap<>();
+    for (Seen each : of(Kind.RESULT_READ)) {
+      TreeMap<Long, Seen> results = byBatch.computeIfAbsent(each.subject(), unseen -> new TreeMap<>());
+      Seen before = results.putIfAbsent(each.number(), each);
+      if (before != null && !(before.detail().equals(each.detail()) && before.text().equals(each.text()))) {
+        violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), each.subject() + " number " + each.number() + " changed");
+      }
+    }
+    byBatch.forEach((key, results) -> {
+      Set<String> ids = new HashSet<>();
+      for (Seen each : results.values()) {
+        String id = each.detail().substring(0, each.detail().indexOf('|'));
+        if (!ids.add(id)) {
+          violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), key + " item " + id + " twice");
+        }
+        Seen item = items.get(key + " " + id);
+        boolean succeeded = each.detail().endsWith("|succeeded");
+        if (item == null || succeeded && !each.text().equals(StandInOutput.whole(item.text(), (int) item.number()))) {
+          violated(Rule.RESULT_NOT_WHOLE, each.atMs(), key + " item " + id);
+        }
+      }
+    });
+    Map<String, Long> highestRead = new HashMap<>();
+    Map<String, Long> highestReadAt = new HashMap<>();
+    for (Seen each : seen) {
+      if (each.kind() == Kind.RESULT_READ && each.number() > highestRead.getOrDefault(each.subject(), 0L)) {
+        highestRead.put(each.subject(), each.number());
+        highestReadAt.put(each.subject(), each.atMs());
+      } else if (each.kind() == Kind.BATCH_READ && each.number() == 200
+          && highestRead.getOrDefault(each.subject(), 0L) > Long.parseLong(each.text())
+          && each.atMs() > highestReadAt.get(each.subject()) + MISSING_MS) {
+        violated(Rule.REPORTED_MISSING, each.atMs(), each.subject() + " shows fewer results than were read");
+      }
+    }
+  }
+
+  private void ends() {
+    Map<String, Long> endedAt = new HashMap<>();
+    for (Seen each : of(Kind.END_ANSWERED)) {
+      if (each.number() == 200) {
+        endedAt.putIfAbsent(each.subject(), each.atMs());
+      }
+    }
+    for (Seen each : of(Kind.WORKER_RECEIVED)) {
+      if (!each.detail().isEmpty() && each.atMs() > endedAt.getOrDefault(keyOf(each), Long.MAX_VALUE / 2) + AFTER_END_MS) {
+        violated(Rule.RAN_AFTER_END, each.atMs(), each.detail());
+      }
+    }
+  }
+
+  private void live() {
+    Map<String, Seen> sentByPrompt = new HashMap<>();
+    Map<String, Seen> sent = new HashMap<>();
+    for (Seen each : of(Kind.LIVE_SENT)) {
+      sentByPrompt.put(each.text(), each);
+      sent.put(each.subject(), each);
+    }
+    Map<String, List<Seen>> runsByOnce = new HashMap<>();
+    Map<String, List<Seen>> runsByRequest = new HashMap<>();
+    for (Seen each : of(Kind.WORKER_RECEIVED)) {
+      Seen request = each.detail().isEmpty() ? sentByPrompt.get(each.text()) : null;
+      if (request != null) {
+        runsByRequest.computeIfAbsent(request.subject(), unseen -> new ArrayList<>()).add(each);
+        if (!request.detail().isEmpty()) {
+          runsByOnce.computeIfAbsent(request.detail(), unseen -> new ArrayList<>()).add(each);
+        }
+      }
+    }
+    runsByOnce.forEach((once, runs) -> {
+      if (runs.size() > 1) {
+        violated(Rule.ONCE_REQUEST_RAN_WRONGLY, runs.get(1).atMs(), once + " ran " + runs.size() + " times");
+      }
+    });
+    for (Seen each : of(Kind.LIVE_ANSWERED)) {
+      Seen request = sent.get(each.subject());
+      boolean toldNotRun = each.number() == 429 || each.number() == 503 || each.number() == 409;
+      if (!request.detail().isEmpty() && toldNotRun && runsByRequest.containsKey(each.subject())) {
+        violated(Rule.ONCE_REQUEST_RAN_WRONGLY, each.atMs(), each.subject() + " was told that it did not run");
+      }
+      String whole = StandInOutput.whole(request.text(), (int) request.number());
+      if (!whole.startsWith(each.text())) {
+        violated(Rule.WRONG_OR_CUT_ANSWER, each.atMs(), each.subject() + " got another's output");
+      } else if (each.detail().equals("complete") && !each.text().equals(whole)) {
+        violated(Rule.WRONG_OR_CUT_ANSWER, each.atMs(), each.subject() + " was cut and looks complete");
+      }
+    }
+  }
+
+  private void leaving() {
+    Map<String, Long> leavingAt = new HashMap<>();
+    for (Seen each : seen) {
+      if (each.kind() == Kind.LEAVING_ANSWERED && each.number() == 200) {
+        leavingAt.putIfAbsent(each.subject(), each.atMs());
+      } else if (each.kind() == Kind.WORKER_RECEIVED
+          && each.atMs() > leavingAt.getOrDefault(each.subject(), Long.MAX_VALUE / 2) + LEAVING_MS) {
+        violated(Rule.WORK_TO_LEAVING_WORKER, each.atMs(), each.subject());
+      }
+    }
+  }
+
+  private void bundles() {
+    TreeMap<Long, Long> acknowledgedAt = new TreeMap<>();
+    for (Seen each : seen) {
+      switch (each.kind()) {
+        case BUNDLE_ANSWERED -> {
+          if (each.number() == 200) {
+            acknowledgedAt.putIfAbsent(Long.parseLong(each.subject()), each.atMs());
+          }
+        }
+        case BUNDLE_READ -> {
+          long begunAt = Long.parseLong(each.text());
+          highestBefore(acknowledgedAt, begunAt).filter(number -> number > each.number()).ifPresent(number ->
+              violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "read " + each.number() + " after " + number));
+        }
+        case EDGE_BUNDLE -> highestBefore(acknowledgedAt, each.atMs() - BUNDLE_MS)
+            .filter(number -> number > each.number()).ifPresent(number ->
+                violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), each.subject() + " has " + each.number()
+                    + " after " + number));
+        default -> { }
+      }
+    }
+  }
+
+  private static java.util.Optional<Long> highestBefore(TreeMap<Long, Long> acknowledgedAt, long time) {
+    return acknowledgedAt.entrySet().stream().filter(entry -> entry.getValue() < time).map(Map.Entry::getKey)
+        .max(Long::compare);
+  }
+
+  /**
+   * No stretch longer than the limit in which attempts were made and none succeeded. That there is no room is a
+   * working service's answer too.
+   */
+  private void service(Kind kind, String what) {
+    long lastGoodAt = -1;
+    int attempts = 0;
+    for (Seen each : of(kind)) {
+      boolean good = kind == Kind.LIVE_ANSWERED ? each.detail().equals("complete")
+          : each.number() == 200 || each.number() == 201 || each.detail().equals("NoRoom");
+      if (lastGoodAt < 0) {
+        lastGoodAt = each.atMs();
+      }
+      attempts++;
+      if (each.atMs() - lastGoodAt > BACK_MS && attempts > ATTEMPTS_LEAST) {
+        violated(Rule.SERVICE_NOT_BACK, each.atMs(), "no " + what + " succeeded since " + lastGoodAt);
+        lastGoodAt = each.atMs();
+      }
+      if (good) {
+        lastGoodAt = each.atMs();
+        attempts = 0;
+      }
+    }
+  }
+
+  /**
+   * Accepted items whose run has not ended at any worker are waiting for certain. A ceiling lowered below what waits
+   * already is kept by not letting it grow.
+   */
+  private void ceiling() {
+    double allowed = Long.MAX_VALUE / 4;
+    long waiting = 0;
+    Set<String> accepted = new TreeSet<>();
+    Set<String> finished = new HashSet<>();
+    Set<String> gone = new HashSet<>();
+    Map<String, Integer> finishedOf = new HashMap<>();
+    for (Seen each : seen) {
+      switch (each.kind()) {
+        case CEILING -> allowed = Math.max(each.number() * OVERSHOOT, waiting);
+        case WORKER_FINISHED -> {
+          if (!each.detail().isEmpty() && finished.add(each.detail())) {
+            String key = keyOf(each);
+            finishedOf.merge(key, 1, Integer::sum);
+            waiting -= accepted.contains(key) && !gone.contains(key) ? 1 : 0;
+          }
+        }
+        case SUBMIT_ANSWERED -> {
+          if ((each.number() == 200 || each.number() == 201) && accepted.add(each.subject())) {
+            waiting += itemCounts.getOrDefault(each.subject(), 0) - finishedOf.getOrDefault(each.subject(), 0);
+          }
+        }
+        case END_ANSWERED -> {
+          if (each.number() == 200 && accepted.contains(each.subject()) && gone.add(each.subject())) {
+            waiting -= itemCounts.getOrDefault(each.subject(), 0) - finishedOf.getOrDefault(each.subject(), 0);
+          }
+        }
+        default -> { }
+      }
+      if (waiting > allowed) {
+        violated(Rule.CEILING_OVERSHOT, each.atMs(), waiting + " waiting where " + allowed + " may");
+        return;
+      }
+    }
+  }
+}
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -4,20 +4,23 @@
 
 /** The two deployments of today, and a small one for trying out. Paces are ours; the brief names none. */
 public enum Deployment {
-  AUTHORITY(9, 10, 80, 10_000, new Pace(16, 60, 15, 120)),
-  COOPERATIVE(9, 8, 40, 8_000, new Pace(16, 60, 15, 120)),
-  SMALL(3, 3, 20, 10_000, new Pace(8, 20, 5, 20));
+  AUTHORITY(9, 10, 80, 160, 10_000, new Pace(16, 60, 15, 120)),
+  COOPERATIVE(9, 8, 40, 110, 8_000, new Pace(16, 60, 15, 120)),
+  SMALL(3, 3, 20, 16, 10_000, new Pace(8, 20, 5, 20));
 
   public final int edges;
   public final int workers;
   public final int batchItems;
+  /** Length of one letter or notice. */
+  public final int batchTokens;
   public final long dueMs;
   public final Pace pace;
 
-  Deployment(int edges, int workers, int batchItems, long dueMs, Pace pace) {
+  Deployment(int edges, int workers, int batchItems, int batchTokens, long dueMs, Pace pace) {
     this.edges = edges;
     this.workers = workers;
     this.batchItems = batchItems;
+    this.batchTokens = batchTokens;
     this.dueMs = dueMs;
     this.pace = pace;
   }
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -0,0 +1,101 @@
+package applespindle.testfleet;
+
+import applespindle.corelogic.Json;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.ArrayList;
+import java.util.List;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** What was observed from outside, in order of time: by senders, workers, operators and the platform. */
+public final class History {
+  public enum Kind {
+    /** subject: batch key; detail: item id; text: prompt; number: tokens. */
+    ITEM,
+    /** subject: batch key; number: items. */
+    SUBMIT_SENT,
+    /** subject: batch key; number: status, 0 for none; detail: fault type; text: batch id. */
+    SUBMIT_ANSWERED,
+    /** subject: batch key; number: status; detail: state; text: results recorded. */
+    BATCH_READ,
+    /** subject: batch key; number: the result's number; detail: item id and type; text: output. */
+    RESULT_READ,
+    /** subject: batch key; number: status. */
+    END_ANSWERED,
+    /** subject: worker; detail: batch id and item id, empty for a live request; text: prompt. */
+    WORKER_RECEIVED,
+    WORKER_FINISHED,
+    /** subject: request; detail: once-id; text: prompt; number: tokens. */
+    LIVE_SENT,
+    /** subject: request; number: status, 0 for none; detail: complete, cut, or the fault type; text: output. */
+    LIVE_ANSWERED,
+    /** number: the bundle's number. */
+    BUNDLE_SENT,
+    /** subject: the bundle's number; number: status. */
+    BUNDLE_ANSWERED,
+    /** number: the number read; text: when the read began. */
+    BUNDLE_READ,
+    /** subject: an edge that says it is ready; number: the bundle it has in force. */
+    EDGE_BUNDLE,
+    /** subject: worker; number: status. */
+    LEAVING_ANSWERED,
+    /** number: agreed ceiling of waiting items. */
+    CEILING,
+    /** subject: what was done to the fleet. */
+    FAULT
+  }
+
+  public record Seen(long atMs, Kind kind, String subject, String detail, String text, long number) {}
+
+  private final List<Seen> all = new ArrayList<>();
+
+  public synchronized void add(long atMs, Kind kind, String subject, String detail, String text, long number) {
+    all.add(new Seen(atMs, kind, subject, detail, text, number));
+  }
+
+  public synchronized List<Seen> all() {
+    return List.copyOf(all);
+  }
+
+  public List<Seen> of(Kind kind) {
+    return all().stream().filter(seen -> seen.kind() == kind).toList();
+  }
+
+  public String toLines() {
+    StringBuilder lines = new StringBuilder();
+    all().forEach(seen -> lines.append(new String(Json.bytes(seen), UTF_8)).append('\n'));
+    return lines.toString();
+  }
+
+  /** A line of a written history that can not be read. */
+  public static final class BrokenLine extends Exception {
+    public final int line;
+
+    BrokenLine(int line, String reason) {
+      super("line " + line + ": " + reason);
+      this.line = line;
+    }
+  }
+
+  public static History fromLines(String lines) throws BrokenLine {
+    History history = new History();
+    int number = 0;
+    for (String line : lines.split("\n")) {
+      number++;
+      if (line.isBlank()) {
+        continue;
+      }
+      try {
+        Seen seen = JSON.readValue(line, Seen.class);
+        if (seen.kind() == null || seen.subject() == null || seen.detail() == null || seen.text() == null) {
+          throw new BrokenLine(number, "a field is missing");
+        }
+        history.all.add(seen);
+      } catch (JsonProcessingException fault) {
+        throw new BrokenLine(number, fault.getOriginalMessage());
+      }
+    }
+    return history;
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -0,0 +1,231 @@
+package applespindle.testfleet;
+
+import applespindle.testfleet.Checker.Violation;
+import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.Simulation.Process;
+import applespindle.testfleet.SimulatedFleet.Sender;
+import applespindle.testfleet.SimulatedWorkers.Condition;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
+ * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
+ * expect (what, number). Whatever the file says, the outside checker and the invariants always count.
+ */
+public final class Scenario {
+  private static final long TRAFFIC_FROM_MS = 15_000;
+  private static final long SETTLE_MS = 60_000;
+
+  /** A line of a scenario that can not be read. */
+  public static final class BrokenLine extends RuntimeException {
+    BrokenLine(int line, String text) {
+      super("line " + line + " can not be read: " + text);
+    }
+  }
+
+  public record Outcome(List<String> faults, History history, long steps, long messages, SimulatedFleet fleet) {}
+
+  private record Timed(long atMs, String[] words, int line, String text) {}
+
+  private record Expected(String what, double number) {}
+
+  private Deployment deployment = Deployment.AUTHORITY;
+  private List<Long> seeds = List.of(1L);
+  private long runMs = 50_000;
+  private double checks = 20;
+  private double notes = 2;
+  private double once = 2;
+  private double batchEverySeconds = 2.5;
+  private final List<Timed> timed = new ArrayList<>();
+  private final List<Expected> expected = new ArrayList<>();
+
+  public static Scenario parse(String text) {
+    Scenario scenario = new Scenario();
+    int number = 0;
+    for (String line : text.split("\n")) {
+      number++;
+      String bare = line.strip();
+      if (!bare.isEmpty() && !bare.startsWith("#")) {
+        try {
+          scenario.take(bare, number);
+        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException fault) {
+          throw new BrokenLine(number, bare);
+        }
+      }
+    }
+    return scenario;
+  }
+
+  private void take(String line, int number) {
+    String[] words = line.split("\\s+");
+    switch (words[0]) {
+      case "about" -> { }
+      case "fleet" -> deployment = Deployment.valueOf(words[1].toUpperCase());
+      case "seeds" -> seeds = Arrays.stream(words).skip(1).map(Long::parseLong).toList();
+      case "run" -> runMs = seconds(words[1]);
+      case "checks" -> checks = Double.parseDouble(words[1]);
+      case "notes" -> notes = Double.parseDouble(words[1]);
+      case "once" -> once = Double.parseDouble(words[1]);
+      case "batches" -> batchEverySeconds = Double.parseDouble(words[1]);
+      case "at" -> timed.add(new Timed(seconds(words[1]), Arrays.copyOfRange(words, 2, words.length), number, line));
+      case "expect" -> expected.add(new Expected(words[1], Double.parseDouble(words[2])));
+      default -> throw new IllegalArgumentException(line);
+    }
+  }
+
+  private static long seconds(String word) {
+    return (long) (Double.parseDouble(word) * 1000);
+  }
+
+  public List<Long> seeds() {
+    return seeds;
+  }
+
+  public Outcome run(long seed, boolean logging) {
+    SimulatedFleet fleet = new SimulatedFleet(deployment, seed);
+    Simulation simulation = fleet.simulation;
+    simulation.logging = logging;
+    List<String> faults = new ArrayList<>();
+    Process[] last = new Process[1];
+    fleet.start();
+    fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
+    fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
+    fleet.live("once", once, TRAFFIC_FROM_MS, runMs);
+    fleet.batches((long) (batchEverySeconds * 1000), TRAFFIC_FROM_MS, runMs);
+    timed.forEach(each -> simulation.atMs(each.atMs(), () -> {
+      simulation.history.add(simulation.nowMs(), Kind.FAULT, each.text(), "", "", 0);
+      last[0] = act(fleet, each, last[0]);
+    }));
+    try {
+      simulation.runUntil(runMs);
+      simulation.healLinks();
+      simulation.processes.values().forEach(process -> {
+        process.wake();
+        if (!process.alive()) {
+          process.start();
+        }
+      });
+      long endsBy = runMs + SETTLE_MS;
+      while (simulation.nowMs() < endsBy && fleet.senders.stream().anyMatch(sender -> !sender.over)) {
+        simulation.runUntil(simulation.nowMs() + 500);
+      }
+      simulation.runUntil(simulation.nowMs() + 2_000);
+      simulation.checkNothingVanished();
+    } catch (Simulation.InvariantBroken broken) {
+      faults.add("invariant: " + broken.getMessage());
+    }
+    for (Violation violation : Checker.check(simulation.history)) {
+      faults.add(violation.rule() + " at " + violation.atMs() + ": " + violation.what());
+    }
+    expected.forEach(each -> expect(fleet, each, faults));
+    return new Outcome(faults, simulation.history, simulation.steps(), simulation.messages(), fleet);
+  }
+
+  private Process act(SimulatedFleet fleet, Timed timed, Process last) {
+    Simulation simulation = fleet.simulation;
+    String[] words = timed.words();
+    Process target = words.length > 1 && words[1].equals("last") ? last
+        : words.length > 1 ? fleet.target(words[1]) : null;
+    switch (words[0]) {
+      case "kill" -> target.kill(false);
+      case "power-loss" -> target.kill(true);
+      case "lose-disk" -> {
+        target.kill(true);
+        target.loseDisk();
+      }
+      case "start" -> target.start();
+      case "freeze" -> target.freeze();
+      case "wake" -> target.wake();
+      case "stop" -> {
+        Process stopped = target;
+        int[] done = new int[1];
+        simulation.call(stopped, (java.util.function.Consumer<Object> then) -> stopped.node().stop(() -> {
+          if (done[0]++ == 0) {
+            simulation.afterMs(1, () -> stopped.kill(false));
+          }
+        }), new Simulation.Caller<>() {
+          @Override public void answered(Object answer) {}
+
+          @Override public void broken(boolean neverReached) {}
+        });
+      }
+      case "isolate" -> simulation.isolate(target.name);
+      case "cut" -> simulation.cutLink(words[1], words[2]);
+      case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core"))
+          .forEach(name -> List.of("core-1", "core-2", "core-3").forEach(core -> simulation.cutLink(name, core)));
+      case "heal" -> simulation.healLinks();
+      case "stall-disk" -> target.stallDisk(seconds(words[2]));
+      case "jump-clock" -> target.shiftClock(seconds(words[2]));
+      case "worker" -> simulation.workers.get(words[1]).become(Condition.valueOf(words[2].toUpperCase()));
+      case "worker-says-leaving" -> simulation.workers.get(words[1]).leaving = true;
+      case "leaving" -> fleet.markLeaving(words[1]);
+      case "bundle" -> fleet.sendBundle(Long.parseLong(words[1]), fleet.deployment.bundle(Long.parseLong(words[1])),
+          words.length > 2 ? words[2] : "core-1");
+      case "bundle-ceiling" -> {
+        String bundle = fleet.deployment.bundle(Long.parseLong(words[1]))
+            .replace("\"waitingItemsMost\": 2000", "\"waitingItemsMost\": " + words[2]);
+        simulation.history.add(simulation.nowMs(), Kind.CEILING, "", "", "", Long.parseLong(words[2]));
+        fleet.sendBundle(Long.parseLong(words[1]), bundle, "core-1");
+      }
+      case "bundles-collide" -> {
+        String bundle = fleet.deployment.bundle(Long.parseLong(words[1]));
+        fleet.sendBundle(Long.parseLong(words[1]), bundle, "core-1");
+        fleet.sendBundle(Long.parseLong(words[1]), bundle.replace("\"queueMost\": 100", "\"queueMost\": 99"), "core-2");
+      }
+      case "end-batch" -> {
+        for (int index = fleet.senders.size() - 1; index >= 0; index--) {
+          Sender sender = fleet.senders.get(index);
+          if (!sender.batch.isEmpty() && !sender.over && !sender.endAsked) {
+            sender.end();
+            break;
+          }
+        }
+      }
+      case "crowd-batch" -> {
+        for (int index = 0; index < Integer.parseInt(words[1]); index++) {
+          simulation.afterMs(simulation.random.nextInt(300), fleet::submitOne);
+        }
+      }
+      case "crowd-live" -> fleet.live("check", Double.parseDouble(words[1]), simulation.nowMs(),
+          simulation.nowMs() + seconds(words[2]));
+      default -> throw new BrokenLine(timed.line(), timed.text());
+    }
+    return target == null ? last : target;
+  }
+
+  private void expect(SimulatedFleet fleet, Expected expected, List<String> faults) {
+    switch (expected.what()) {
+      case "slowest-batch-s" -> {
+        long slowest = fleet.senders.stream().filter(sender -> sender.acceptedAtMs >= 0 && !sender.endAsked)
+            .mapToLong(sender -> sender.finishedAtMs < 0 ? Long.MAX_VALUE : sender.finishedAtMs - sender.acceptedAtMs)
+            .max().orElse(0);
+        if (slowest > expected.number() * 1000) {
+          faults.add("expected each batch within " + expected.number() + " s, slowest took " + slowest + " ms");
+        }
+      }
+      case "accepted-least" -> atLeast("accepted batches", fleet.senders.stream()
+          .filter(sender -> sender.acceptedAtMs >= 0).count(), expected.number(), faults);
+      case "refused-least" -> atLeast("refused batches", fleet.senders.stream()
+          .filter(sender -> sender.acceptedAtMs < 0).count(), expected.number(), faults);
+      case "ended-least" -> atLeast("ended batches", fleet.senders.stream().filter(sender -> sender.ended).count(),
+          expected.number(), faults);
+      case "live-share" -> {
+        List<History.Seen> answers = fleet.simulation.history.of(Kind.LIVE_ANSWERED);
+        double share = (double) answers.stream().filter(seen -> seen.detail().equals("complete")).count()
+            / Math.max(1, answers.size());
+        if (share < expected.number()) {
+          faults.add("expected a share of " + expected.number() + " live requests served, was " + share);
+        }
+      }
+      default -> faults.add("unknown expectation " + expected.what());
+    }
+  }
+
+  private static void atLeast(String what, long seen, double wanted, List<String> faults) {
+    if (seen < wanted) {
+      faults.add("expected at least " + wanted + " " + what + ", were " + seen);
+    }
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -0,0 +1,468 @@
+package applespindle.testfleet;
+
+import applespindle.corelogic.BatchInput;
+import applespindle.corelogic.CoreNode;
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.LiveDesk;
+import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.WorkerInput;
+import applespindle.corelogic.Response;
+import applespindle.operatortool.Signing;
+import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.Simulation.Process;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** One deployment in the simulator, with its senders, its operators and its platform. */
+final class SimulatedFleet {
+  private static final List<String> CORE = List.of("core-1", "core-2", "core-3");
+  private static final int SUBMIT_TRIES = 6;
+  private static final long SENDER_PATIENCE_MS = 8_000;
+  private static final long LIVE_PATIENCE_MS = 12_000;
+  private static final long POLL_MS = 400;
+  private static final long READY_MS = 500;
+  private static final String SHARED = "In the usual form of the office, with greeting, place and hour of the event. "
+      .repeat(4);
+  private static final Signing.Keys KEYS = Signing.generate();
+
+  /** One batch as its sender knows it. */
+  final class Sender {
+    final String key;
+    final byte[] body;
+    final int items;
+    final long dueMs;
+    String batch = "";
+    long acceptedAtMs = -1;
+    long finishedAtMs = -1;
+    boolean endAsked;
+    boolean ended;
+    int tries;
+    long next;
+    boolean over;
+
+    Sender(String key, int items, int tokens, long dueMs) {
+      this.key = key;
+      this.items = items;
+      this.dueMs = dueMs;
+      ObjectNode input = JSON.createObjectNode().put("due_in_ms", dueMs);
+      var rows = input.putArray("items");
+      for (int index = 0; index < items; index++) {
+        String prompt = SHARED + "Guest " + key + "/" + index;
+        rows.addObject().put("id", "i" + index).put("prompt", prompt).put("max_tokens", tokens);
+        simulation.history.add(simulation.nowMs(), Kind.ITEM, key, "i" + index, prompt, tokens);
+      }
+      body = applespindle.corelogic.Json.bytes(input);
+    }
+
+    void submit() {
+      tries++;
+      simulation.history.add(simulation.nowMs(), Kind.SUBMIT_SENT, key, "", "", items);
+      Process edge = anyEdge();
+      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
+          ((EdgeNode) edge.node()).submit("sender", key, BatchInput.read(body).value(), then), this::submitted);
+    }
+
+    /** Null: the connection broke, or patience ended. */
+    private void submitted(Response response) {
+      int status = response == null ? 0 : response.status();
+      String id = status == 201 ? response.body().path("batch").asText() : EdgeNode.batchId("sender", key);
+      simulation.history.add(simulation.nowMs(), Kind.SUBMIT_ANSWERED, key, response == null ? "" : response.faultType(),
+          id, status);
+      if (status == 201) {
+        batch = id;
+        acceptedAtMs = simulation.nowMs();
+        poll();
+      } else if (tries < SUBMIT_TRIES) {
+        simulation.afterMs(response == null ? 500 : 1000.0 * Math.max(1, response.comeBackSeconds()), this::submit);
+      } else {
+        over = true;
+      }
+    }
+
+    void poll() {
+      if (over) {
+        return;
+      }
+      Process edge = anyEdge();
+      long after = next;
+      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
+          ((EdgeNode) edge.node()).readResults(batch, after, 100, then), response -> polled(response));
+    }
+
+    private void polled(Response response) {
+      long now = simulation.nowMs();
+      if (response != null) {
+        JsonNode page = response.body();
+        String state = response.good() ? page.path("state").asText() : response.faultType();
+        simulation.history.add(now, Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), response.status());
+        if (response.good()) {
+          for (JsonNode row : page.path("results")) {
+            simulation.history.add(now, Kind.RESULT_READ, key, row.path("id").asText() + "|" + row.path("type").asText(),
+                row.path("output").asText(""), row.path("n").asLong());
+          }
+          next = page.path("next").asLong();
+          if (state.equals("finished") && finishedAtMs < 0) {
+            finishedAtMs = now;
+          }
+          if (state.equals("ended") || state.equals("finished") && next >= items) {
+            over = true;
+            // Reads once more from the start: nothing that was read may have changed.
+            reread(0);
+            return;
+          }
+        }
+      }
+      simulation.afterMs(POLL_MS, this::poll);
+    }
+
+    private void reread(long after) {
+      Process edge = anyEdge();
+      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
+          ((EdgeNode) edge.node()).readResults(batch, after, 100, then), response -> {
+            if (response == null || !response.good()) {
+              return;
+            }
+            for (JsonNode row : response.body().path("results")) {
+              simulation.history.add(simulation.nowMs(), Kind.RESULT_READ, key,
+                  row.path("id").asText() + "|" + row.path("type").asText(), row.path("output").asText(""),
+                  row.path("n").asLong());
+            }
+          });
+    }
+
+    void end() {
+      endAsked = true;
+      Process edge = anyEdge();
+      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) -> ((EdgeNode) edge.node()).endBatch(batch, then),
+          response -> {
+            int status = response == null ? 0 : response.status();
+            simulation.history.add(simulation.nowMs(), Kind.END_ANSWERED, key, "", "", status);
+            if (status == 200) {
+              ended = true;
+            } else if (!over) {
+              simulation.afterMs(500, this::end);
+            }
+          });
+    }
+  }
+
+  final Simulation simulation;
+  final Deployment deployment;
+  final List<Sender> senders = new ArrayList<>();
+  private final List<Process> edges = new ArrayList<>();
+  private final List<Process> all = new ArrayList<>();
+  private List<Process> readyEdges = List.of();
+  private long liveNumber;
+  private long batchNumber;
+  final List<Long> checkLatencies = new ArrayList<>();
+  final List<Long> noteLatencies = new ArrayList<>();
+
+  SimulatedFleet(Deployment deployment, long seed) {
+    this.deployment = deployment;
+    simulation = new Simulation(seed, Map.of("operator", KEYS.publicKey()), deployment.pace);
+    for (int zone = 0; zone < 3; zone++) {
+      all.add(simulation.add(CORE.get(zone), "zone-" + zone, "core", CORE, true));
+      all.add(simulation.add("storage-" + (zone + 1), "zone-" + zone, "storage", CORE, true));
+    }
+    for (int index = 0; index < deployment.edges; index++) {
+      Process edge = simulation.add("edge-" + (index + 1), "zone-" + index % 3, "edge", CORE, false);
+      edges.add(edge);
+      all.add(edge);
+    }
+    for (int index = 0; index < deployment.workers; index++) {
+      simulation.workers.add("w" + (index + 1));
+    }
+  }
+
+  void start() {
+    all.forEach(process -> simulation.atMs(simulation.random.nextInt(300), process::start));
+    simulation.atMs(1_500, () -> simulation.workers.all().values().stream().map(worker -> worker.id).sorted()
+        .forEach(this::listWorker));
+    simulation.atMs(1_500, () -> sendBundle(1, deployment.bundle(1), "core-1"));
+    simulation.atMs(2_000, this::watchBundles);
+    simulation.atMs(3_000, this::lookForReadyEdges);
+    simulation.history.add(0, Kind.CEILING, "", "", "", Simulation.tree(deployment.bundle(1).getBytes(UTF_8))
+        .at("/limits/batch/waitingItemsMost").asLong());
+  }
+
+  // ---- callers
+
+  /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
+  Process anyEdge() {
+    List<Process> choice = readyEdges.isEmpty() ? edges : readyEdges;
+    return choice.get(simulation.random.nextInt(choice.size()));
+  }
+
+  private void lookForReadyEdges() {
+    List<Process> ready = new ArrayList<>();
+    for (Process edge : edges) {
+      waitFor(edge, READY_MS, (Consumer<String> then) -> then.accept(edge.node().notReadyBecause()), reason -> {
+        if ("".equals(reason)) {
+          ready.add(edge);
+        }
+      });
+    }
+    simulation.afterMs(READY_MS, () -> {
+      readyEdges = ready;
+      lookForReadyEdges();
+    });
+  }
+
+  private <T> void waitFor(Process process, long patienceMs, Consumer<Consumer<T>> question, Consumer<T> then) {
+    boolean[] done = new boolean[1];
+    simulation.call(process, question, new Caller<T>() {
+      @Override public void answered(T answer) {
+        finish(answer);
+      }
+
+      @Override public void broken(boolean neverReached) {
+        finish(null);
+      }
+
+      private void finish(T answer) {
+        if (!done[0]) {
+          done[0] = true;
+          then.accept(answer);
+        }
+      }
+    });
+    simulation.afterMs(patienceMs, () -> {
+      if (!done[0]) {
+        done[0] = true;
+        then.accept(null);
+      }
+    });
+  }
+
+  private void command(String coreName, String duty, String key, Object body, Consumer<Response> then) {
+    Process core = simulation.processes.get(coreName);
+    waitFor(core, SENDER_PATIENCE_MS, (Consumer<Response> answer) ->
+        ((CoreNode) core.node()).command(duty, key, body, answer), then);
+  }
+
+  private String liveCore() {
+    List<String> live = CORE.stream().filter(name -> simulation.processes.get(name).alive()
+        && !simulation.processes.get(name).frozen()).toList();
+    return live.isEmpty() ? CORE.get(0) : live.get(simulation.random.nextInt(live.size()));
+  }
+
+  private void listWorker(String id) {
+    var input = new WorkerInput(id, SimulatedWorkers.address(id), "main", null);
+    command(liveCore(), "worker", "worker/" + id, CoreNode.workerListed(input), response -> {
+      if (response == null || !response.good()) {
+        simulation.afterMs(500, () -> listWorker(id));
+      }
+    });
+  }
+
+  void markLeaving(String id) {
+    command(liveCore(), "worker", "worker/" + id, CoreNode.workerMarked(id, true), response -> {
+      int status = response == null ? 0 : response.status();
+      simulation.history.add(simulation.nowMs(), Kind.LEAVING_ANSWERED, id, "", "", status);
+      if (status != 200) {
+        simulation.afterMs(500, () -> markLeaving(id));
+      }
+    });
+  }
+
+  /** Sends once; a sender that hears nothing certain asks again with the same bytes. */
+  void sendBundle(long number, String content, String coreName) {
+    byte[] bytes = content.getBytes(UTF_8);
+    byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
+    simulation.history.add(simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    command(coreName, "bundle", "bundle", new SignedBundle(0, bytes, "operator", signature), response -> {
+      int status = response == null ? 0 : response.status();
+      simulation.history.add(simulation.nowMs(), Kind.BUNDLE_ANSWERED, Long.toString(number),
+          response == null ? "" : response.faultType(), "", status);
+      if (status != 200 && status != 409) {
+        simulation.afterMs(700, () -> sendBundle(number, content, liveCore()));
+      }
+    });
+  }
+
+  /** Reads the bundle back at the core, and sees what each ready edge has in force. */
+  private void watchBundles() {
+    long begunAt = simulation.nowMs();
+    command(liveCore(), "read", "bundle", new byte[] {'{', '}'}, response -> {
+      if (response != null && response.good() && !response.body().isNull()) {
+        simulation.history.add(simulation.nowMs(), Kind.BUNDLE_READ, "", "", Long.toString(begunAt),
+            response.body().path("number").asLong());
+      }
+    });
+    for (Process edge : edges) {
+      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<JsonNode> then) -> {
+        boolean ready = edge.node().notReadyBecause().isEmpty();
+        then.accept(ready ? edge.node().status() : null);
+      }, status -> {
+        if (status != null) {
+          simulation.history.add(simulation.nowMs(), Kind.EDGE_BUNDLE, edge.name, "", "", status.path("bundle").asLong());
+        }
+      });
+    }
+    simulation.afterMs(500, this::watchBundles);
+  }
+
+  // ---- traffic
+
+  /** Requests a second, as a stream with random gaps. */
+  void live(String trafficClass, double perSecond, long fromMs, long untilMs) {
+    if (perSecond <= 0) {
+      return;
+    }
+    simulation.atMs(fromMs, () -> nextLive(trafficClass, perSecond, untilMs));
+  }
+
+  private void nextLive(String trafficClass, double perSecond, long untilMs) {
+    if (simulation.nowMs() >= untilMs) {
+      return;
+    }
+    sendLive(trafficClass, trafficClass.equals("once") ? "once-" + liveNumber : "");
+    double gap = -Math.log(1 - simulation.random.nextDouble()) * 1000 / perSecond;
+    simulation.afterMs(gap, () -> nextLive(trafficClass, perSecond, untilMs));
+  }
+
+  void sendLive(String trafficClass, String once) {
+    long number = ++liveNumber;
+    String id = "l" + number;
+    int tokens = trafficClass.equals("note") ? 24 : 2;
+    String prompt = SHARED.substring(0, 200 + (int) (number % 4) * 20) + "Ruling " + id;
+    boolean stream = simulation.random.nextBoolean();
+    Process edge = anyEdge();
+    long sentAt = simulation.nowMs();
+    simulation.history.add(sentAt, Kind.LIVE_SENT, id, once, prompt, tokens);
+    StringBuilder streamed = new StringBuilder();
+    LiveDesk.Handle[] handle = new LiveDesk.Handle[1];
+    boolean[] done = new boolean[1];
+    simulation.call(edge, (Consumer<Runnable> then) -> {
+      ObjectNode body = JSON.createObjectNode().put("prompt", prompt).put("max_tokens", tokens).put("stream", true);
+      var request = new LiveDesk.Request("sender", null, trafficClass, Map.of(), prompt, body, stream, once);
+      handle[0] = ((EdgeNode) edge.node()).complete(request, new LiveDesk.Listener() {
+        @Override public void text(String text) {
+          simulation.afterMs(0.3, () -> streamed.append(done[0] ? "" : text));
+        }
+
+        @Override public void end(String wholeOutput, String finishReason) {
+          then.accept(() -> liveAnswered(id, trafficClass, sentAt, done, 200, "complete",
+              stream ? streamed.toString() : wholeOutput));
+        }
+
+        @Override public void fault(Response response, boolean cut) {
+          then.accept(() -> liveAnswered(id, trafficClass, sentAt, done, cut ? 200 : response.status(),
+              cut ? "cut" : response.faultType(), streamed.toString()));
+        }
+      });
+    }, new Caller<Runnable>() {
+      @Override public void answered(Runnable answer) {
+        answer.run();
+      }
+
+      @Override public void broken(boolean neverReached) {
+        liveAnswered(id, trafficClass, sentAt, done, 0, neverReached ? "unreachable" : "cut", streamed.toString());
+      }
+    });
+    simulation.afterMs(LIVE_PATIENCE_MS, () -> {
+      if (!done[0]) {
+        liveAnswered(id, trafficClass, sentAt, done, 0, "cut", streamed.toString());
+        simulation.call(edge, (Consumer<Object> then) -> handle[0].cancel(), new Caller<>() {
+          @Override public void answered(Object answer) {}
+
+          @Override public void broken(boolean neverReached) {}
+        });
+      }
+    });
+  }
+
+  private void liveAnswered(String id, String trafficClass, long sentAt, boolean[] done, int status, String detail,
+      String text) {
+    if (!done[0]) {
+      done[0] = true;
+      simulation.history.add(simulation.nowMs(), Kind.LIVE_ANSWERED, id, detail, text, status);
+      if (detail.equals("complete")) {
+        (trafficClass.equals("note") ? noteLatencies : checkLatencies).add(simulation.nowMs() - sentAt);
+      }
+    }
+  }
+
+  void batches(long everyMs, long fromMs, long untilMs) {
+    for (long at = fromMs; everyMs > 0 && at < untilMs; at += everyMs) {
+      simulation.atMs(at, this::submitOne);
+    }
+  }
+
+  Sender submitOne() {
+    Sender sender = new Sender("batch-" + ++batchNumber, deployment.batchItems, deployment.batchTokens, deployment.dueMs);
+    senders.add(sender);
+    sender.submit();
+    return sender;
+  }
+
+  /** One line of figures, in simulated milliseconds. */
+  String summary() {
+    List<Long> batches = senders.stream().filter(sender -> sender.finishedAtMs >= 0)
+        .map(sender -> sender.finishedAtMs - sender.acceptedAtMs).toList();
+    long accepted = senders.stream().filter(sender -> sender.acceptedAtMs >= 0).count();
+    int looks = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
+    int hits = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
+    long received = simulation.history.of(Kind.WORKER_RECEIVED).stream().filter(seen -> !seen.detail().isEmpty()).count();
+    return "batches " + senders.size() + ", accepted " + accepted + ", done median " + percentile(batches, 50) + " most "
+        + percentile(batches, 100) + "; checks " + checkLatencies.size() + " median " + percentile(checkLatencies, 50)
+        + " p99 " + percentile(checkLatencies, 99) + "; notes " + noteLatencies.size() + " p99 "
+        + percentile(noteLatencies, 99) + "; item runs " + received + "; cache hits "
+        + (looks == 0 ? 0 : 100 * hits / looks) + "%";
+  }
+
+  static long percentile(List<Long> values, int percent) {
+    List<Long> sorted = values.stream().sorted().toList();
+    return sorted.isEmpty() ? -1 : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
+  }
+
+  // ---- targets of faults
+
+  /** A process by name or by what it does at this moment. */
+  Process target(String name) {
+    Process named = simulation.processes.get(name);
+    if (named != null) {
+      return named;
+    }
+    return switch (name) {
+      case "leader" -> busiest("leads");
+      case "feeder" -> busiest("batchRunning");
+      case "any-edge" -> anyEdge();
+      case "any-core" -> simulation.processes.get(CORE.get(simulation.random.nextInt(3)));
+      case "any-storage" -> simulation.processes.get("storage-" + (1 + simulation.random.nextInt(3)));
+      default -> name.startsWith("owner:") ? ownerOf(name.substring(6)) : null;
+    };
+  }
+
+  private Process ownerOf(String key) {
+    return CORE.stream().map(simulation.processes::get)
+        .filter(core -> core.alive() && core.node().status().path("owned").has(key)).findFirst()
+        .orElse(simulation.processes.get(CORE.get(0)));
+  }
+
+  private Process busiest(String field) {
+    Process busiest = edges.get(0);
+    long most = -1;
+    for (Process edge : edges) {
+      JsonNode value = edge.alive() ? edge.node().status().path(field) : JSON.nullNode();
+      long open = 0;
+      for (JsonNode each : value) {
+        open += each.asText().startsWith("running") || each.asText().startsWith("accepted") ? 1 : 0;
+      }
+      long busy = value.isNumber() ? value.asLong() : open;
+      if (edge.alive() && !edge.frozen() && busy > most) {
+        busiest = edge;
+        most = busy;
+      }
+    }
+    return busiest;
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
@@ -0,0 +1,236 @@
+package applespindle.testfleet;
+
+import applespindle.corelogic.Constants;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.Surroundings.WorkerCall;
+import applespindle.corelogic.Surroundings.WorkerListener;
+import applespindle.corelogic.Surroundings.WorkerLoad;
+import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.StandInWorkers.Pace;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** Workers on simulated time, with the same output and pace as the stand-ins, and with faults at will. */
+public final class SimulatedWorkers {
+  public enum Condition { WELL, CRASHED, DARK, VANISHED, CUTS, GARBAGE, REFUSES, SLOW }
+
+  private static final double WIRE_MS = 0.4;
+  private static final int CACHE_PREFIXES = 64;
+  private static final int CACHE_PREFIX_CHARS = 256;
+  private static final int SLOW_BY = 8;
+
+  public final class Worker {
+    public final String id;
+    Condition condition = Condition.WELL;
+    boolean leaving;
+    private final Set<Run> running = new LinkedHashSet<>();
+    private final Map<String, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true) {
+      @Override protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+        return size() > CACHE_PREFIXES;
+      }
+    };
+    int cacheLooks;
+    int cacheHits;
+    int mostRunning;
+
+    Worker(String id) {
+      this.id = id;
+    }
+
+    void become(Condition next) {
+      condition = next;
+      if (next == Condition.CRASHED) {
+        List.copyOf(running).forEach(run -> run.fail(new Fault.WorkerCut(id)));
+        running.clear();
+        cache.clear();
+      } else if (next == Condition.VANISHED) {
+        running.clear();
+      }
+    }
+  }
+
+  public final class Run {
+    private final Worker worker;
+    private final WorkerListener listener;
+    private final BooleanSupplier callerDead;
+    private final String prompt;
+    private final String item;
+    private final int tokens;
+    private final long expiresAtMs;
+    private long heardAtMs;
+    private int position;
+    private boolean over;
+
+    Run(Worker worker, WorkerCall call, WorkerListener listener, BooleanSupplier callerDead) {
+      JsonNode body = Simulation.tree(call.body());
+      this.worker = worker;
+      this.listener = listener;
+      this.callerDead = callerDead;
+      this.prompt = body.path("prompt").asText();
+      this.item = body.path("applespindle_item").asText("");
+      this.tokens = body.path("max_tokens").asInt(StandInOutput.TOKENS_UNLESS_TOLD);
+      this.heardAtMs = simulation.nowMs();
+      this.expiresAtMs = simulation.nowMs() + call.expiryMs();
+    }
+
+    private void arrive() {
+      if (over) {
+        return;
+      }
+      switch (worker.condition) {
+        case CRASHED -> {
+          over = true;
+          listener.fault(new Fault.WorkerUnreachable(worker.id), false);
+          return;
+        }
+        case VANISHED -> {
+          simulation.afterMs(simulation.connectTimeoutMs(), () -> {
+            if (!over) {
+              over = true;
+              listener.fault(new Fault.WorkerUnreachable(worker.id), false);
+            }
+          });
+          return;
+        }
+        case DARK -> {
+          watch();
+          return;
+        }
+        default -> { }
+      }
+      if (worker.condition == Condition.REFUSES || worker.running.size() >= pace.capacity()) {
+        over = true;
+        simulation.afterMs(WIRE_MS, () -> listener.fault(new Fault.WorkerRefused(503), false));
+        return;
+      }
+      simulation.history.add(simulation.nowMs(), Kind.WORKER_RECEIVED, worker.id, item, prompt, 0);
+      worker.running.add(this);
+      worker.mostRunning = Math.max(worker.mostRunning, worker.running.size());
+      boolean warm = worker.cache.put(prompt.substring(0, Math.min(prompt.length(), CACHE_PREFIX_CHARS)), true) != null;
+      worker.cacheLooks++;
+      worker.cacheHits += warm ? 1 : 0;
+      watch();
+      next(pace.firstTokenMs() + (warm ? 0 : pace.coldPrefixMs()));
+    }
+
+    private void next(long waitMs) {
+      long spread = Math.max(1, waitMs / 4);
+      simulation.afterMs((worker.condition == Condition.SLOW ? SLOW_BY * waitMs : waitMs)
+          + simulation.random.nextLong(spread), this::token);
+    }
+
+    private void token() {
+      if (over || !worker.running.contains(this) || worker.condition == Condition.DARK) {
+        return;
+      }
+      if (callerDead.getAsBoolean()) {
+        dropped();
+        return;
+      }
+      if (worker.condition == Condition.CUTS && position >= tokens / 2) {
+        worker.running.remove(this);
+        fail(new Fault.WorkerCut(worker.id));
+        return;
+      }
+      if (worker.condition == Condition.GARBAGE) {
+        worker.running.remove(this);
+        fail(new Fault.WorkerGarbage(worker.id));
+        return;
+      }
+      heardAtMs = simulation.nowMs();
+      if (position == tokens) {
+        worker.running.remove(this);
+        over = true;
+        simulation.history.add(simulation.nowMs(), Kind.WORKER_FINISHED, worker.id, item, prompt, 0);
+        simulation.afterMs(WIRE_MS, () -> listener.end("stop"));
+        return;
+      }
+      String text = StandInOutput.token(prompt, position++);
+      simulation.afterMs(WIRE_MS, () -> listener.text(text));
+      next(pace.tokenMs());
+    }
+
+    /** The caller's side: silence and expiry end a run, as the real client does. */
+    private void watch() {
+      simulation.afterMs(Constants.LOAD_POLL_MS, () -> {
+        if (over) {
+          return;
+        }
+        long now = simulation.nowMs();
+        if (now - heardAtMs > Constants.STREAM_SILENCE_MS || now > expiresAtMs) {
+          worker.running.remove(this);
+          fail(new Fault.WorkerSilent(worker.id));
+        } else {
+          watch();
+        }
+      });
+    }
+
+    private void fail(Fault fault) {
+      if (!over) {
+        over = true;
+        simulation.afterMs(WIRE_MS, () -> listener.fault(fault, true));
+      }
+    }
+
+    void dropped() {
+      over = true;
+      simulation.afterMs(WIRE_MS, () -> worker.running.remove(this));
+    }
+  }
+
+  private final Simulation simulation;
+  final Pace pace;
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+  SimulatedWorkers(Simulation simulation, Pace pace) {
+    this.simulation = simulation;
+    this.pace = pace;
+  }
+
+  public Worker add(String id) {
+    Worker worker = new Worker(id);
+    workers.put(address(id), worker);
+    return worker;
+  }
+
+  static String address(String id) {
+    return "worker:" + id;
+  }
+
+  public Worker get(String id) {
+    return workers.get(address(id));
+  }
+
+  public Map<String, Worker> all() {
+    return new HashMap<>(workers);
+  }
+
+  Run run(WorkerCall call, WorkerListener listener, BooleanSupplier callerDead) {
+    Run run = new Run(workers.get(call.workerAddress()), call, listener, callerDead);
+    simulation.afterMs(WIRE_MS, run::arrive);
+    return run;
+  }
+
+  void readLoad(String address, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+    Worker worker = workers.get(address);
+    simulation.afterMs(WIRE_MS, () -> {
+      switch (worker.condition) {
+        case CRASHED -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id));
+        case DARK, VANISHED -> simulation.afterMs(Constants.LOAD_STALE_MS,
+            () -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id)));
+        default -> {
+          WorkerLoad load = new WorkerLoad(worker.running.size(), 0, pace.capacity(), worker.leaving);
+          simulation.afterMs(WIRE_MS, () -> whenRead.accept(load));
+        }
+      }
+    });
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -0,0 +1,486 @@
+package applespindle.testfleet;
+
+import applespindle.adapters.PeerCodec;
+import applespindle.adapters.UnreadableFrame;
+import applespindle.corelogic.CoreNode;
+import applespindle.corelogic.DiskRecord;
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.Envelope;
+import applespindle.corelogic.Epoch;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.KeyReplicas;
+import applespindle.corelogic.Node;
+import applespindle.corelogic.StorageNode;
+import applespindle.corelogic.Surroundings;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import static applespindle.corelogic.Json.JSON;
+
+/**
+ * A whole fleet in one thread on simulated time: the nodes are the real logic, and network, disks, clocks and workers
+ * are made up from one seed. After every step the invariants of the owned keys are checked on what the step touched.
+ */
+public final class Simulation {
+  /** Microseconds, one way: within a zone, and between zones as the brief has it. */
+  private static final long WITHIN_ZONE_US = 150;
+  private static final long BETWEEN_ZONES_US = 1_000;
+  private static final long JITTER_US = 300;
+  private static final long SYNC_LEAST_US = 400;
+  private static final long SYNC_SPREAD_US = 3_000;
+  private static final long CONNECT_TIMEOUT_MS = 1_000;
+  private static final long MS = 1_000;
+  /** Between full checks only the newest committed entries of a touched key are looked at. */
+  private static final int FULL_CHECK_EVERY = 200;
+
+  private record Event(long atUs, long order, Runnable task) implements Comparable<Event> {
+    @Override public int compareTo(Event other) {
+      int byTime = Long.compare(atUs, other.atUs);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /** Broken by a step: the text names key, node and what was seen. */
+  public static final class InvariantBroken extends RuntimeException {
+    InvariantBroken(String what) {
+      super(what);
+    }
+  }
+
+  /** A disk: what is synced survives anything but the disk's own loss. */
+  private static final class Disk {
+    String id;
+    long incarnation;
+    final List<DiskRecord> synced = new ArrayList<>();
+    long stalledUntilUs;
+    long lastSyncUs;
+  }
+
+  /** One process and the machine it runs on; its surroundings are made up here. */
+  public final class Process implements Surroundings {
+    public final String name;
+    final String zone;
+    final String role;
+    private final List<String> seeds;
+    private Disk disk;
+    private Node node;
+    private int life;
+    private boolean alive;
+    private boolean frozen;
+    private long clockShiftMs;
+    private final ArrayDeque<Runnable> whileFrozen = new ArrayDeque<>();
+    private final List<DiskRecord> unsynced = new ArrayList<>();
+    private final Set<SimulatedWorkers.Run> runs = new LinkedHashSet<>();
+    /** Told when the process dies: callers that wait for it. */
+    private final Set<Runnable> waitingCallers = new LinkedHashSet<>();
+
+    Process(String name, String zone, String role, List<String> seeds, boolean hasDisk) {
+      this.name = name;
+      this.zone = zone;
+      this.role = role;
+      this.seeds = seeds;
+      this.disk = hasDisk ? new Disk() : null;
+    }
+
+    public Node node() {
+      return node;
+    }
+
+    public boolean alive() {
+      return alive;
+    }
+
+    public boolean frozen() {
+      return frozen;
+    }
+
+    void start() {
+      life++;
+      alive = true;
+      frozen = false;
+      String id = newId();
+      long incarnation = 1;
+      if (disk != null) {
+        disk.id = disk.id == null ? id : disk.id;
+        id = disk.id;
+        incarnation = ++disk.incarnation;
+      }
+      var place = new Node.Place(id, incarnation, name, zone, role, name, name + "/http", seeds);
+      node = switch (role) {
+        case "core" -> new CoreNode(this, place, operatorKeys, seeds);
+        case "storage" -> new StorageNode(this, place);
+        default -> new EdgeNode(this, place);
+      };
+      if (disk != null) {
+        disk.synced.forEach(node::recover);
+      }
+      node.start();
+    }
+
+    private String newId() {
+      return String.format("%08x%04x", random.nextInt(), random.nextInt(1 << 16));
+    }
+
+    /** The process dies; what was written but not synced may or may not have reached the disk, power loss takes it. */
+    void kill(boolean powerLoss) {
+      alive = false;
+      life++;
+      whileFrozen.clear();
+      if (!powerLoss && !unsynced.isEmpty()) {
+        disk.synced.addAll(unsynced.subList(0, random.nextInt(unsynced.size() + 1)));
+      }
+      unsynced.clear();
+      List.copyOf(runs).forEach(SimulatedWorkers.Run::dropped);
+      runs.clear();
+      List.copyOf(waitingCallers).forEach(Runnable::run);
+      waitingCallers.clear();
+    }
+
+    void loseDisk() {
+      disk = new Disk();
+    }
+
+    void freeze() {
+      frozen = true;
+    }
+
+    void wake() {
+      if (!frozen) {
+        return;
+      }
+      frozen = false;
+      int present = life;
+      while (!whileFrozen.isEmpty() && life == present && alive && !frozen) {
+        whileFrozen.poll().run();
+      }
+    }
+
+    /** Runs in the process now, later if it is frozen, never if it has died meanwhile. */
+    void enter(int inLife, Runnable task) {
+      if (!alive || life != inLife) {
+        return;
+      }
+      if (frozen) {
+        whileFrozen.add(task);
+      } else {
+        task.run();
+        checkInvariants(this);
+      }
+    }
+
+    void stallDisk(long millis) {
+      disk.stalledUntilUs = nowUs + millis * MS;
+    }
+
+    void shiftClock(long millis) {
+      clockShiftMs += millis;
+    }
+
+    // ---- ports
+
+    @Override public long now() {
+      return nowUs / MS + 1_000_000 + clockShiftMs;
+    }
+
+    @Override public Schedule after(long millis, Runnable task) {
+      int inLife = life;
+      boolean[] cancelled = new boolean[1];
+      at(nowUs + millis * MS, () -> enter(inLife, () -> {
+        if (!cancelled[0]) {
+          task.run();
+        }
+      }));
+      return () -> cancelled[0] = true;
+    }
+
+    @Override public void send(String peerAddress, Envelope envelope) {
+      Process target = processes.get(peerAddress);
+      if (target == null || cut(this, target) || !target.alive) {
+        return;
+      }
+      Envelope carried = target == this ? envelope : throughCodec(envelope);
+      int targetLife = target.life;
+      String link = name + ">" + peerAddress;
+      long arrives = Math.max(nowUs + latency(zone, target.zone, target == this), linkBusyUntil.getOrDefault(link, 0L) + 1);
+      linkBusyUntil.put(link, arrives);
+      messages++;
+      at(arrives, () -> {
+        if (!cut(this, target)) {
+          target.enter(targetLife, () -> target.node.receive(carried));
+        }
+      });
+    }
+
+    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+      int inLife = life;
+      unsynced.addAll(records);
+      long done = Math.max(Math.max(nowUs, disk.stalledUntilUs) + SYNC_LEAST_US + random.nextLong(SYNC_SPREAD_US),
+          disk.lastSyncUs + 1);
+      disk.lastSyncUs = done;
+      sync(done, inLife, List.copyOf(records), whenSynced);
+    }
+
+    private void sync(long done, int inLife, List<DiskRecord> records, Runnable whenSynced) {
+      at(done, () -> {
+        if (!alive || life != inLife) {
+          return;
+        }
+        if (nowUs < disk.stalledUntilUs) {
+          sync(disk.stalledUntilUs + 1, inLife, records, whenSynced);
+          return;
+        }
+        disk.synced.addAll(records);
+        unsynced.subList(0, records.size()).clear();
+        enter(inLife, whenSynced);
+      });
+    }
+
+    @Override public boolean takesWrites() {
+      return true;
+    }
+
+    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+      int inLife = life;
+      SimulatedWorkers.Run run = workers.run(call, new WorkerListener() {
+        @Override public void text(String text) {
+          enter(inLife, () -> listener.text(text));
+        }
+
+        @Override public void end(String finishReason) {
+          enter(inLife, () -> listener.end(finishReason));
+        }
+
+        @Override public void fault(Fault fault, boolean mayHaveRun) {
+          enter(inLife, () -> listener.fault(fault, mayHaveRun));
+        }
+      }, () -> !alive || life != inLife);
+      runs.add(run);
+      return () -> {
+        runs.remove(run);
+        run.dropped();
+      };
+    }
+
+    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+      int inLife = life;
+      workers.readLoad(workerAddress, load -> enter(inLife, () -> whenRead.accept(load)),
+          fault -> enter(inLife, () -> whenFaulty.accept(fault)));
+    }
+
+    @Override public RandomGenerator random() {
+      return random;
+    }
+
+    @Override public void log(String part, String sentence) {
+      if (logging) {
+        System.out.printf("%9.3f %-10s [%s] %s%n", nowUs / 1e6, name, part, sentence);
+      }
+    }
+  }
+
+  public final SplittableRandom random;
+  public final Map<String, Process> processes = new LinkedHashMap<>();
+  public final SimulatedWorkers workers;
+  public final History history = new History();
+  boolean logging;
+  private final Map<String, String> operatorKeys;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final PeerCodec codec = new PeerCodec();
+  private final Map<String, Long> linkBusyUntil = new HashMap<>();
+  /** Pairs of process names that can not reach each other, both orders. */
+  private final Set<String> cutLinks = new HashSet<>();
+  /** Key and sequence to epoch and content, for every entry any replica ever held as committed. */
+  private final Map<String, String> committedEver = new HashMap<>();
+  private final Map<String, Long> committedHighest = new TreeMap<>();
+  private final Map<String, Epoch> promisedBefore = new HashMap<>();
+  private final Map<String, Long> checkedUpTo = new HashMap<>();
+  private long nowUs;
+  private long order;
+  private long steps;
+  private long messages;
+
+  public Simulation(long seed, Map<String, String> operatorKeys, StandInWorkers.Pace pace) {
+    this.random = new SplittableRandom(seed);
+    this.operatorKeys = operatorKeys;
+    this.workers = new SimulatedWorkers(this, pace);
+  }
+
+  public Process add(String name, String zone, String role, List<String> seeds, boolean hasDisk) {
+    Process process = new Process(name, zone, role, seeds, hasDisk);
+    processes.put(name, process);
+    return process;
+  }
+
+  public long nowMs() {
+    return nowUs / MS;
+  }
+
+  public long steps() {
+    return steps;
+  }
+
+  void at(long atUs, Runnable task) {
+    events.add(new Event(Math.max(atUs, nowUs), order++, task));
+  }
+
+  public void atMs(long atMs, Runnable task) {
+    at(atMs * MS, task);
+  }
+
+  public void afterMs(double millis, Runnable task) {
+    at(nowUs + (long) (millis * MS), task);
+  }
+
+  public void runUntil(long untilMs) {
+    while (!events.isEmpty() && events.peek().atUs() <= untilMs * MS) {
+      Event event = events.poll();
+      nowUs = event.atUs();
+      steps++;
+      event.task().run();
+    }
+    nowUs = untilMs * MS;
+  }
+
+  // ---- network
+
+  private long latency(String fromZone, String toZone, boolean self) {
+    if (self) {
+      return 20;
+    }
+    return (fromZone.equals(toZone) ? WITHIN_ZONE_US : BETWEEN_ZONES_US) + random.nextLong(JITTER_US);
+  }
+
+  private Envelope throughCodec(Envelope envelope) {
+    try {
+      return codec.decode(codec.encode(envelope));
+    } catch (UnreadableFrame broken) {
+      throw new InvariantBroken("a message did not survive its own codec: " + envelope.message());
+    }
+  }
+
+  private boolean cut(Process one, Process other) {
+    return cutLinks.contains(one.name + " " + other.name);
+  }
+
+  public void cutLink(String one, String other) {
+    cutLinks.add(one + " " + other);
+    cutLinks.add(other + " " + one);
+  }
+
+  public void healLinks() {
+    cutLinks.clear();
+  }
+
+  public void isolate(String name) {
+    processes.keySet().stream().filter(other -> !other.equals(name)).forEach(other -> cutLink(name, other));
+  }
+
+  // ---- callers from outside
+
+  /** What a caller sees of one call to a process: an answer, or that the connection broke or never stood. */
+  public interface Caller<T> {
+    void answered(T answer);
+
+    void broken(boolean neverReached);
+  }
+
+  /** Runs a question in a process on behalf of an outside caller. */
+  public <T> void call(Process process, Consumer<Consumer<T>> question, Caller<T> caller) {
+    afterMs(0.3, () -> {
+      if (!process.alive) {
+        caller.broken(true);
+        return;
+      }
+      boolean[] done = new boolean[1];
+      Runnable whenDead = () -> {
+        if (!done[0]) {
+          done[0] = true;
+          caller.broken(false);
+        }
+      };
+      process.waitingCallers.add(whenDead);
+      process.enter(process.life, () -> question.accept(answer -> afterMs(0.3, () -> {
+        process.waitingCallers.remove(whenDead);
+        if (!done[0]) {
+          done[0] = true;
+          caller.answered(answer);
+        }
+      })));
+    });
+  }
+
+  // ---- invariants
+
+  private KeyReplicas replicasOf(Process process) {
+    return process.node instanceof CoreNode core ? core.replicas()
+        : process.node instanceof StorageNode storage ? storage.replicas() : null;
+  }
+
+  private void checkInvariants(Process process) {
+    KeyReplicas replicas = process.alive ? replicasOf(process) : null;
+    if (replicas == null || replicas.lastTouched().isEmpty()) {
+      return;
+    }
+    String key = replicas.lastTouched();
+    String holder = process.name + "/" + process.disk.id + " " + key;
+    KeyReplicas.View view = replicas.view(key);
+    Epoch before = promisedBefore.put(holder, view.promised());
+    if (before != null && view.promised().compareTo(before) < 0) {
+      throw new InvariantBroken("epoch fell on " + holder + ": " + before + " to " + view.promised());
+    }
+    long checkedTo = steps % FULL_CHECK_EVERY == 0 ? 0 : checkedUpTo.getOrDefault(holder, 0L) - 1;
+    view.committedEntries().stream().filter(entry -> entry.sequence() > checkedTo).forEach(entry -> {
+      checkedUpTo.merge(holder, entry.sequence(), Math::max);
+      String place = key + " " + entry.sequence();
+      String content = entry.epoch() + " " + java.util.Arrays.hashCode(entry.event());
+      String known = committedEver.putIfAbsent(place, content);
+      if (known != null && !known.equals(content)) {
+        throw new InvariantBroken("two committed values at " + place + " on " + holder + ": " + known + ", " + content);
+      }
+      committedHighest.merge(key, entry.sequence(), Math::max);
+    });
+  }
+
+  /** At the end, with the fleet healed: whatever was committed stands on at least one replica that lives. */
+  public void checkNothingVanished() {
+    committedHighest.forEach((key, sequence) -> {
+      String content = committedEver.get(key + " " + sequence);
+      boolean stands = processes.values().stream().filter(Process::alive).map(this::replicasOf)
+          .filter(replicas -> replicas != null).anyMatch(replicas -> replicas.holds(key, sequence, entry ->
+              content.equals(entry.epoch() + " " + java.util.Arrays.hashCode(entry.event()))));
+      if (!stands) {
+        throw new InvariantBroken("committed entry vanished: " + key + " " + sequence);
+      }
+    });
+  }
+
+  public long messages() {
+    return messages;
+  }
+
+  static JsonNode tree(byte[] bytes) {
+    try {
+      return JSON.readTree(bytes);
+    } catch (IOException fault) {
+      throw new IllegalStateException(fault);
+    }
+  }
+
+  long connectTimeoutMs() {
+    return CONNECT_TIMEOUT_MS;
+  }
+}
