Hold each safety check by a scenario that fails without it

Cause: with the range grant check or the sync before the reply taken out, all scenarios still passed. Ruled out: a wrong sabotage; a living leader repairs its replicas from memory, and the feed's age stops a feeder that slept. A handout now echoes its pull's time, so its grant does not rest on the feeder's memory of the pull.

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -208,11 +208,11 @@
       finish(begin(new WorkOfferBodyEncoder()).dueInMs(offer.dueInMs()).unassigned(offer.unassigned())
           .batch(offer.batch()));
     } else if (message instanceof RangePull pull) {
-      finish(begin(new RangePullBodyEncoder()).batch(pull.batch()).worker(pull.worker()));
+      finish(begin(new RangePullBodyEncoder()).sentAt(pull.sentAt()).batch(pull.batch()).worker(pull.worker()));
     } else if (message instanceof RangeHandout handout) {
       RangeHandoutBodyEncoder body = begin(new RangeHandoutBodyEncoder());
       body.range(handout.range()).rangeEpoch(handout.rangeEpoch()).none(flag(handout.none()))
-          .dueInMs(handout.dueInMs());
+          .dueInMs(handout.dueInMs()).pulledAt(handout.pulledAt());
       RangeHandoutBodyEncoder.ItemsEncoder items = body.itemsCount(handout.items().size());
       for (HandoutItem item : handout.items()) {
         items.next().index(item.index()).putBody(item.body(), 0, item.body().length);
@@ -335,7 +335,7 @@
       }
       case RangePullBodyDecoder.TEMPLATE_ID -> {
         RangePullBodyDecoder body = open(new RangePullBodyDecoder());
-        return new RangePull(body.batch(), body.worker());
+        return new RangePull(body.batch(), body.worker(), body.sentAt());
       }
       case RangeHandoutBodyDecoder.TEMPLATE_ID -> {
         RangeHandoutBodyDecoder body = open(new RangeHandoutBodyDecoder());
@@ -345,7 +345,7 @@
               bytes(each.bodyLength(), (bytes, length) -> each.getBody(bytes, 0, length))));
         }
         return new RangeHandout(body.batch(), body.worker(), body.range(), body.rangeEpoch(), body.none() == 1,
-            body.dueInMs(), items);
+            body.dueInMs(), body.pulledAt(), items);
       }
       case RangeReportBodyDecoder.TEMPLATE_ID -> {
         RangeReportBodyDecoder body = open(new RangeReportBodyDecoder());
--- a/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
@@ -136,14 +136,14 @@
   }
 
   void handedOut(RangeHandout handout, String fromId, String fromAddress) {
-    Long pulledAt = pulls.remove(handout.batch() + " " + handout.worker());
+    pulls.remove(handout.batch() + " " + handout.worker());
     if (handout.none()) {
       offers.remove(handout.batch());
-    } else if (pulledAt != null) {
+    } else {
       Held range = new Held(handout.batch(), handout.range(), handout.rangeEpoch(), handout.worker());
       range.leader = new Leader(fromId, fromAddress);
       range.dueAt = surroundings.now() + handout.dueInMs();
-      range.grantEndsAt = pulledAt + Constants.RANGE_GRANT_MS;
+      range.grantEndsAt = handout.pulledAt() + Constants.RANGE_GRANT_MS;
       range.unsent.addAll(handout.items());
       handout.items().forEach(item -> range.lacking.add(item.index()));
       range.end = range.lacking.isEmpty() ? 0 : range.lacking.last() + 1;
@@ -258,7 +258,7 @@
       }
       if (pulls.putIfAbsent(batch + " " + workerId, now) == null) {
         Leader leader = offers.get(batch).leader;
-        edge.send(leader.address(), leader.id(), new RangePull(batch, workerId));
+        edge.send(leader.address(), leader.id(), new RangePull(batch, workerId, now));
         missing -= Constants.RANGE_ITEMS;
       }
     }
--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -241,7 +241,7 @@
       }
     }
     if (chosenRange < 0) {
-      edge.send(fromAddress, fromId, new RangeHandout(batch, pull.worker(), 0, 0, true, 0, List.of()));
+      edge.send(fromAddress, fromId, new RangeHandout(batch, pull.worker(), 0, 0, true, 0, pull.sentAt(), List.of()));
       return;
     }
     int range = chosenRange;
@@ -266,7 +266,7 @@
         items.add(new HandoutItem(index, Json.bytes(view.accepted.items().get(index))));
       }
     }
-    return new RangeHandout(batch, pull.worker(), range, rangeEpoch, false, dueInMs(), items);
+    return new RangeHandout(batch, pull.worker(), range, rangeEpoch, false, dueInMs(), pull.sentAt(), items);
   }
 
   private long dueInMs() {
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -45,12 +45,13 @@
   /** The sender leads the batch; with unassigned above 0 there are ranges to pull. */
   record WorkOffer(String batch, long dueInMs, int unassigned) implements Message {}
 
-  record RangePull(String batch, String worker) implements Message {}
+  /** sentAt is the feeder's own clock; it comes back with the handout, which is worth nothing once it is too old. */
+  record RangePull(String batch, String worker, long sentAt) implements Message {}
 
   record HandoutItem(int index, byte[] body) {}
 
   record RangeHandout(String batch, String worker, int range, long rangeEpoch, boolean none, long dueInMs,
-      List<HandoutItem> items) implements Message {}
+      long pulledAt, List<HandoutItem> items) implements Message {}
 
   record ReportedItem(int index, String run, String worker, String finishReason, String faultType, byte[] output) {}
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -12,6 +12,7 @@
 /**
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
+ * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
  * expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
@@ -29,6 +30,8 @@
 
   private record Timed(long atMs, String[] words, int line, String text) {}
 
+  private record Triggered(String event, long number, Timed action) {}
+
   private record Expected(String what, double number) {}
 
   private Deployment deployment = Deployment.AUTHORITY;
@@ -39,6 +42,7 @@
   private double once = 2;
   private double batchEverySeconds = 2.5;
   private final List<Timed> timed = new ArrayList<>();
+  private final List<Triggered> triggered = new ArrayList<>();
   private final List<Expected> expected = new ArrayList<>();
 
   public static Scenario parse(String text) {
@@ -70,6 +74,8 @@
       case "once" -> once = Double.parseDouble(words[1]);
       case "batches" -> batchEverySeconds = Double.parseDouble(words[1]);
       case "at" -> timed.add(new Timed(seconds(words[1]), Arrays.copyOfRange(words, 2, words.length), number, line));
+      case "on" -> triggered.add(new Triggered(words[1], Long.parseLong(words[2]),
+          new Timed(0, Arrays.copyOfRange(words, 3, words.length), number, line)));
       case "expect" -> expected.add(new Expected(words[1], Double.parseDouble(words[2])));
       default -> throw new IllegalArgumentException(line);
     }
@@ -94,10 +100,10 @@
     fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
     fleet.live("once", once, TRAFFIC_FROM_MS, runMs);
     fleet.batches((long) (batchEverySeconds * 1000), TRAFFIC_FROM_MS, runMs);
-    timed.forEach(each -> simulation.atMs(each.atMs(), () -> {
-      simulation.history.add(simulation.nowMs(), Kind.FAULT, each.text(), "", "", 0);
-      last[0] = act(fleet, each, last[0]);
-    }));
+    timed.forEach(each -> simulation.atMs(each.atMs(), () -> last[0] = act(fleet, each, last[0])));
+    fleet.whenTold = (event, number) -> triggered.stream()
+        .filter(each -> each.event().equals(event) && each.number() == number)
+        .forEach(each -> last[0] = act(fleet, each.action(), last[0]));
     try {
       simulation.runUntil(runMs);
       simulation.healLinks();
@@ -126,8 +132,17 @@
   private Process act(SimulatedFleet fleet, Timed timed, Process last) {
     Simulation simulation = fleet.simulation;
     String[] words = timed.words();
-    Process target = words.length > 1 && words[1].equals("last") ? last
-        : words.length > 1 ? fleet.target(words[1]) : null;
+    simulation.history.add(simulation.nowMs(), Kind.FAULT, timed.text(), "", "", 0);
+    if (words.length > 1 && words[1].startsWith("all-")) {
+      simulation.processes.keySet().stream().filter(name -> name.startsWith(words[1].substring(4))).toList()
+          .forEach(name -> {
+            String[] one = words.clone();
+            one[1] = name;
+            act(fleet, new Timed(timed.atMs(), one, timed.line(), timed.text()), last);
+          });
+      return last;
+    }
+    Process target = target(fleet, words, last);
     switch (words[0]) {
       case "kill" -> target.kill(false);
       case "power-loss" -> target.kill(true);
@@ -152,6 +167,8 @@
         });
       }
       case "isolate" -> simulation.isolate(target.name);
+      case "hold" -> simulation.processes.keySet().stream().filter(name -> name.startsWith("edge")
+          && !name.equals(target.name)).forEach(name -> simulation.holdLink(target.name, name));
       case "cut" -> simulation.cutLink(words[1], words[2]);
       case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core"))
           .forEach(name -> List.of("core-1", "core-2", "core-3").forEach(core -> simulation.cutLink(name, core)));
@@ -195,6 +212,10 @@
     return target == null ? last : target;
   }
 
+  private static Process target(SimulatedFleet fleet, String[] words, Process last) {
+    return words.length < 2 ? null : words[1].equals("last") ? last : fleet.target(words[1]);
+  }
+
   private void expect(SimulatedFleet fleet, Expected expected, List<String> faults) {
     switch (expected.what()) {
       case "slowest-batch-s" -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import static applespindle.corelogic.Json.JSON;
@@ -79,6 +80,7 @@
       if (status == 201) {
         batch = id;
         acceptedAtMs = simulation.nowMs();
+        whenTold.accept("accepted", ++acceptances);
         poll();
       } else if (tries < SUBMIT_TRIES) {
         simulation.afterMs(response == null ? 500 : 1000.0 * Math.max(1, response.comeBackSeconds()), this::submit);
@@ -147,6 +149,7 @@
             simulation.history.add(simulation.nowMs(), Kind.END_ANSWERED, key, "", "", status);
             if (status == 200) {
               ended = true;
+              whenTold.accept("ended", ++ends);
             } else if (!over) {
               simulation.afterMs(500, this::end);
             }
@@ -160,6 +163,10 @@
   private final List<Process> edges = new ArrayList<>();
   private final List<Process> all = new ArrayList<>();
   private List<Process> readyEdges = List.of();
+  /** Told the moment a sender hears yes: of an acceptance or an end (how many so far), or of a bundle (its number). */
+  BiConsumer<String, Long> whenTold = (event, number) -> { };
+  private long acceptances;
+  private long ends;
   private long liveNumber;
   private long batchNumber;
   final List<Long> checkLatencies = new ArrayList<>();
@@ -282,6 +289,9 @@
       int status = response == null ? 0 : response.status();
       simulation.history.add(simulation.nowMs(), Kind.BUNDLE_ANSWERED, Long.toString(number),
           response == null ? "" : response.faultType(), "", status);
+      if (status == 200) {
+        whenTold.accept("bundle", number);
+      }
       if (status != 200 && status != 409) {
         simulation.afterMs(700, () -> sendBundle(number, content, liveCore()));
       }
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -218,11 +218,16 @@
       long arrives = Math.max(nowUs + latency(zone, target.zone, target == this), linkBusyUntil.getOrDefault(link, 0L) + 1);
       linkBusyUntil.put(link, arrives);
       messages++;
-      at(arrives, () -> {
+      Runnable arrival = () -> {
         if (!cut(this, target)) {
           target.enter(targetLife, () -> target.node.receive(carried));
         }
-      });
+      };
+      if (heldLinks.contains(link)) {
+        held.add(arrival);
+      } else {
+        at(arrives, arrival);
+      }
     }
 
     @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
@@ -303,6 +308,8 @@
   private final Map<String, Long> linkBusyUntil = new HashMap<>();
   /** Pairs of process names that can not reach each other, both orders. */
   private final Set<String> cutLinks = new HashSet<>();
+  private final Set<String> heldLinks = new HashSet<>();
+  private final List<Runnable> held = new ArrayList<>();
   /** Key and sequence to epoch and content, for every entry any replica ever held as committed. */
   private final Map<String, String> committedEver = new HashMap<>();
   private final Map<String, Long> committedHighest = new TreeMap<>();
@@ -381,8 +388,19 @@
     cutLinks.add(other + " " + one);
   }
 
+  /** What is sent from one to the other arrives only once the links are healed, as over a stalled connection. */
+  public void holdLink(String from, String to) {
+    heldLinks.add(from + ">" + to);
+  }
+
   public void healLinks() {
     cutLinks.clear();
+    heldLinks.clear();
+    long arrives = nowUs + BETWEEN_ZONES_US;
+    for (Runnable arrival : held) {
+      at(arrives++, arrival);
+    }
+    held.clear();
   }
 
   public void isolate(String name) {
