Cancel batch items only when a worker is full, and requeue what it calls full

Cause: items were cancelled as soon as live reached into the reserve; a full worker cost a live request a retry. Ruled out: wrong load reports; they were as old as their interval allows.

--- a/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
@@ -218,13 +218,13 @@
     boolean feeds = edge.feeds(workerId) && !edge.stopping();
     List<Held> ranges = held.values().stream().filter(range -> range.worker.equals(workerId))
         .sorted(Comparator.comparingLong(range -> range.dueAt)).toList();
-    if (!feeds || !book.usable(worker)) {
+    if (!feeds || !book.comesBackBy(worker, surroundings.now() + Constants.LOAD_POLL_MS)) {
       ranges.forEach(this::giveBack);
       return;
     }
     int room = room(worker);
-    if (room < 0 && edge.bundle().limits().batch().cancelForLive()) {
-      cancelNewest(worker, -room);
+    if (worker.free() <= 0 && room < 0 && edge.bundle().limits().batch().cancelForLive()) {
+      cancelNewest(worker, Math.min(-room, edge.bundle().limits().batch().liveReserve()));
     }
     for (Held range : ranges) {
       while (room > 0 && !range.unsent.isEmpty() && begin(range, worker)) {
@@ -304,6 +304,11 @@
 
       @Override public void fault(Fault fault, boolean mayHaveRun) {
         if (leave(run)) {
+          if (WorkerBook.saysFull(fault)) {
+            book.refused(run.worker);
+            putBack(run);
+            return;
+          }
           book.faulted(run.worker);
           outcome(run, "", fault.type(), "");
           giveBack(run.held);
@@ -344,12 +349,16 @@
     java.util.Collections.reverse(newestFirst);
     newestFirst.stream().limit(number).forEach(run -> {
       cancel(run);
-      if (!run.held.dropped) {
-        run.held.unsent.addFirst(run.item);
-      }
+      putBack(run);
     });
   }
 
+  private static void putBack(Run run) {
+    if (!run.held.dropped && !run.held.givingBack) {
+      run.held.unsent.addFirst(run.item);
+    }
+  }
+
   // ---- reporting
 
   private void giveBack(Held range) {
--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -181,7 +181,7 @@
     if (queue.size() >= taken.classLimit.queueMost() && (queue.size() > 0 || select(taken) == null)) {
       return new Fault.QueueFull(taken.way.trafficClass());
     }
-    if (book.all().stream().noneMatch(worker -> ofPool(worker, taken) && book.usable(worker))) {
+    if (book.all().stream().noneMatch(worker -> ofPool(worker, taken) && book.comesBackBy(worker, taken.expiresAt))) {
       return new Fault.NoWorker(taken.way.pool());
     }
     double interval = startIntervals.getOrDefault(taken.way.trafficClass(), 0.0);
@@ -224,7 +224,7 @@
         }
         WorkerBook.Known worker = select(taken);
         if (worker == null) {
-          if (book.all().stream().noneMatch(each -> ofPool(each, taken) && book.usable(each)
+          if (book.all().stream().noneMatch(each -> ofPool(each, taken) && book.comesBackBy(each, taken.expiresAt)
               && !taken.tried.contains(each.worker.id()))) {
             taken.refuse(new Fault.NoWorker(taken.way.pool()));
             continue;
@@ -346,6 +346,13 @@
           return;
         }
         release();
+        if (WorkerBook.saysFull(fault)) {
+          book.refused(worker);
+          taken.handedOver = false;
+          queue(taken).addFirst(taken);
+          pump();
+          return;
+        }
         if (!(fault instanceof Fault.WorkerRefused)) {
           book.faulted(worker);
         }
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -19,6 +19,7 @@
     /** This edge's runs begun less those ended since the last report: what the report can not know yet. */
     int sinceReport;
     int faultsInRow;
+    int refusalsInRow;
     long restsUntil = Long.MIN_VALUE / 2;
     boolean polling;
 
@@ -102,6 +103,12 @@
         && now >= worker.restsUntil;
   }
 
+  /** Usable now, or as soon as a rest ends that ends before the expiry. */
+  boolean comesBackBy(Known worker, long expiresAt) {
+    return listed(worker) && !worker.leaving() && surroundings.now() - worker.loadAt < Constants.LOAD_STALE_MS
+        && worker.restsUntil < expiresAt;
+  }
+
   void began(Known worker, boolean batch) {
     worker.sinceReport++;
     if (batch) {
@@ -126,8 +133,21 @@
     worker.restsUntil = surroundings.now() + rest;
   }
 
+  /** It said that it is full: left alone until its next report can tell more, longer if it keeps saying so. */
+  void refused(Known worker) {
+    long rest = Math.min(Constants.WORKER_REST_MOST_MS, Constants.LOAD_POLL_MS << Math.min(worker.refusalsInRow, 10));
+    worker.refusalsInRow++;
+    worker.restsUntil = surroundings.now() + rest;
+  }
+
+  /** A refusal for want of room, which says nothing against the request. */
+  static boolean saysFull(Fault fault) {
+    return fault instanceof Fault.WorkerRefused refused && (refused.status() == 429 || refused.status() == 503);
+  }
+
   void served(Known worker) {
     worker.faultsInRow = 0;
+    worker.refusalsInRow = 0;
   }
 
   void describe(ArrayNode rows) {
