Prefetch no range beyond a feeder's room

Question: whether to hold a range ahead. A handout takes about 10 ms, an item seconds. Conclusion: none is the default.

--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -65,8 +65,8 @@
   public static final long OFFER_MS = 300;
   /** An offer unheard for this long is forgotten by a feeder. */
   public static final long OFFER_LENGTH_MS = 1_000;
-  /** Ranges a feeder holds for one worker beyond what runs: one, so that others find work too. */
-  public static final int PREFETCH_RANGES = 1;
+  /** Ranges a feeder holds for one worker beyond its room: none, as a handout takes far less than an item (round 3). */
+  public static final int PREFETCH_RANGES = 0;
   /** Runs of one item before its failure is recorded as its result. */
   public static final int ITEM_ATTEMPTS = 5;
   /** How often a storage node looks for unfinished batches whose owner has gone silent. */
