--- a/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
@@ -90,6 +90,7 @@
     final String id;
     WorkerBook.Known worker;
     WorkerRun handle = () -> { };
+    long lastTextAt;
     boolean over;
 
     Run(Held held, HandoutItem item, String id) {
@@ -273,6 +274,7 @@
     HandoutItem item = range.unsent.poll();
     Run run = new Run(range, item, nodeId + "-" + ++runs);
     run.worker = worker;
+    run.lastTextAt = surroundings.now();
     range.running.put(item.index(), run);
     book.began(worker, true);
     JsonNode itemBody = Json.tree(item.body());
@@ -291,6 +293,7 @@
   private WorkerListener listener(Run run) {
     return new WorkerListener() {
       @Override public void text(String text) {
+        run.lastTextAt = surroundings.now();
         run.output.append(text);
       }
 
@@ -303,20 +306,37 @@
       }
 
       @Override public void fault(Fault fault, boolean mayHaveRun) {
-        if (leave(run)) {
-          if (WorkerBook.saysFull(fault)) {
-            book.refused(run.worker);
-            putBack(run);
-            return;
-          }
-          book.faulted(run.worker);
-          outcome(run, "", fault.type(), "");
-          giveBack(run.held);
-        }
+        faulted(run, fault);
       }
     };
   }
 
+  private void faulted(Run run, Fault fault) {
+    if (!leave(run)) {
+      return;
+    }
+    if (WorkerBook.saysFull(fault)) {
+      book.refused(run.worker);
+      putBack(run);
+      return;
+    }
+    book.faulted(run.worker);
+    outcome(run, "", fault.type(), "");
+    giveBack(run.held);
+  }
+
+  /** A worker that went dark takes its connections down with it late; its silence is believed sooner. */
+  private void giveUpLostRuns() {
+    for (Held range : List.copyOf(held.values())) {
+      for (Run run : List.copyOf(range.running.values())) {
+        if (book.lost(run.worker, run.lastTextAt)) {
+          run.handle.cancel();
+          faulted(run, new Fault.WorkerSilent(range.worker));
+        }
+      }
+    }
+  }
+
   private boolean leave(Run run) {
     if (run.over) {
       return false;
@@ -383,6 +403,7 @@
   /** Repeats each report: it renews the range's grant and carries what has not been answered. */
   void tick() {
     long now = surroundings.now();
+    giveUpLostRuns();
     for (Held range : List.copyOf(held.values())) {
       Long lastSentAt = range.reportsSentAt.isEmpty() ? null : range.reportsSentAt.lastEntry().getValue();
       if (lastSentAt == null || now - lastSentAt >= Constants.RANGE_REPORT_MS) {
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -64,7 +64,7 @@
       }
     }
     feeder.tick();
-    live.pump();
+    live.tick();
   }
 
   @Override protected void changed(String key) {
--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -64,6 +65,8 @@
     int retriesLeft;
     WorkerBook.Known worker;
     WorkerRun run;
+    WorkerListener runListener;
+    long lastTextAt;
     boolean passedOn;
     boolean handedOver;
     boolean over;
@@ -109,7 +112,7 @@
         run.cancel();
         run = null;
         book.ended(worker, false);
-        running--;
+        atWorkers.remove(this);
       }
     }
   }
@@ -125,7 +128,7 @@
   private CompiledRules rules;
   private Bundle rulesOf;
   private long tokens;
-  private int running;
+  private final Set<Taken> atWorkers = new LinkedHashSet<>();
 
   LiveDesk(Surroundings surroundings, String nodeId, Edge edge, WorkerBook book) {
     this.surroundings = surroundings;
@@ -294,10 +297,23 @@
     taken.handedOver = true;
     taken.output.setLength(0);
     book.began(worker, false);
-    running++;
     long expiry = Math.max(1, taken.expiresAt - surroundings.now()) + Constants.STREAM_SILENCE_MS;
+    taken.lastTextAt = surroundings.now();
+    taken.runListener = listener(taken, worker);
     taken.run = surroundings.run(new WorkerCall(worker.worker.address(), Json.bytes(taken.request.body()), expiry),
-        listener(taken, worker));
+        taken.runListener);
+    atWorkers.add(taken);
+  }
+
+  /** Ends runs at workers that have gone dark, long before their connections would. */
+  void tick() {
+    for (Taken taken : List.copyOf(atWorkers)) {
+      if (taken.run != null && book.lost(taken.worker, taken.lastTextAt)) {
+        taken.run.cancel();
+        taken.runListener.fault(new Fault.WorkerSilent(taken.worker.worker.id()), true);
+      }
+    }
+    pump();
   }
 
   private void noteStart(Taken taken) {
@@ -321,6 +337,7 @@
         if (!stands()) {
           return;
         }
+        taken.lastTextAt = surroundings.now();
         if (taken.request.stream()) {
           taken.passedOn = true;
           taken.listener.text(text);
@@ -372,13 +389,13 @@
       private void release() {
         taken.run = null;
         book.ended(worker, false);
-        running--;
+        atWorkers.remove(taken);
       }
     };
   }
 
   int runningRequests() {
-    return running;
+    return atWorkers.size();
   }
 
   int queuedRequests() {
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -103,6 +103,12 @@
         && now >= worker.restsUntil;
   }
 
+  /** Neither its load nor a run there has been heard of for so long that what runs there is taken for lost. */
+  boolean lost(Known worker, long lastTextAt) {
+    long now = surroundings.now();
+    return now - worker.loadAt > Constants.LOAD_STALE_MS && now - lastTextAt > Constants.LOAD_STALE_MS;
+  }
+
   /** Usable now, or as soon as a rest ends that ends before the expiry. */
   boolean comesBackBy(Known worker, long expiresAt) {
     return listed(worker) && !worker.leaving() && surroundings.now() - worker.loadAt < Constants.LOAD_STALE_MS
