--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -13,7 +13,7 @@
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
  * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
- * expect (what, number). Whatever the file says, the outside checker and the invariants always count.
+ * random (from, to: one fault after the other, each mended before the next), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -41,6 +41,8 @@
   private double notes = 2;
   private double once = 2;
   private double batchEverySeconds = 2.5;
+  private long randomFromMs;
+  private long randomToMs;
   private final List<Timed> timed = new ArrayList<>();
   private final List<Triggered> triggered = new ArrayList<>();
   private final List<Expected> expected = new ArrayList<>();
@@ -74,6 +76,10 @@
       case "once" -> once = Double.parseDouble(words[1]);
       case "batches" -> batchEverySeconds = Double.parseDouble(words[1]);
       case "at" -> timed.add(new Timed(seconds(words[1]), Arrays.copyOfRange(words, 2, words.length), number, line));
+      case "random" -> {
+        randomFromMs = seconds(words[1]);
+        randomToMs = seconds(words[2]);
+      }
       case "on" -> triggered.add(new Triggered(words[1], Long.parseLong(words[2]),
           new Timed(0, Arrays.copyOfRange(words, 3, words.length), number, line)));
       case "expect" -> expected.add(new Expected(words[1], Double.parseDouble(words[2])));
@@ -104,6 +110,9 @@
     fleet.whenTold = (event, number) -> triggered.stream()
         .filter(each -> each.event().equals(event) && each.number() == number)
         .forEach(each -> last[0] = act(fleet, each.action(), last[0]));
+    if (randomToMs > 0) {
+      simulation.atMs(randomFromMs, () -> randomFault(fleet, last, new long[] {1}));
+    }
     try {
       simulation.runUntil(runMs);
       simulation.healLinks();
@@ -129,6 +138,41 @@
     return new Outcome(faults, simulation.history, simulation.steps(), simulation.messages(), fleet);
   }
 
+  private static final List<String> RANDOM_FAULTS = List.of(
+      "kill leader / start last", "kill feeder / start last", "kill any-edge / start last", "kill any-core / start last",
+      "kill any-storage / start last", "power-loss any-storage / start last", "power-loss any-core / start last",
+      "freeze leader / wake last", "freeze feeder / wake last", "freeze any-core / wake last",
+      "freeze any-storage / wake last", "isolate any-edge / heal", "isolate any-core / heal",
+      "isolate any-storage / heal", "hold leader / heal", "stop any-edge / start last", "stop any-storage / start last",
+      "stop any-core / start last", "stall-disk any-storage 3", "stall-disk any-core 3", "jump-clock any-edge 4",
+      "jump-clock any-core 4", "worker w1 crashed / worker w1 well", "worker w2 dark / worker w2 well",
+      "worker w3 vanished / worker w3 well", "worker w4 cuts / worker w4 well", "worker w5 garbage / worker w5 well",
+      "worker w6 refuses / worker w6 well", "cut core-1 core-2 / heal", "cut core-2 core-3 / heal", "end-batch",
+      "leaving w7", "bundle N", "bundles-collide N", "cut-off / heal");
+
+  /** One fault, its mending 0.3 to 7 s later, then the next within 4 s. */
+  private void randomFault(SimulatedFleet fleet, Process[] last, long[] bundleNumber) {
+    Simulation simulation = fleet.simulation;
+    if (simulation.nowMs() >= randomToMs) {
+      return;
+    }
+    String[] parts = RANDOM_FAULTS.get(simulation.random.nextInt(RANDOM_FAULTS.size())).split(" / ");
+    String fault = parts[0].replace(" N", " " + (parts[0].endsWith(" N") ? ++bundleNumber[0] : 0));
+    last[0] = act(fleet, new Timed(0, fault.split(" "), 0, fault), last[0]);
+    long mendedAfter = parts.length > 1 ? 300 + simulation.random.nextInt(6_700) : 0;
+    if (parts.length > 1) {
+      simulation.afterMs(mendedAfter, () -> {
+        boolean standsAlready = parts[1].startsWith("start") && last[0].alive();
+        if (standsAlready) {
+          last[0].kill(false);
+        }
+        last[0] = act(fleet, new Timed(0, parts[1].split(" "), 0, parts[1]), last[0]);
+      });
+    }
+    simulation.afterMs(mendedAfter + 500 + simulation.random.nextInt(3_500),
+        () -> randomFault(fleet, last, bundleNumber));
+  }
+
   private Process act(SimulatedFleet fleet, Timed timed, Process last) {
     Simulation simulation = fleet.simulation;
     String[] words = timed.words();
