--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -31,6 +31,7 @@
 public final class NodeProcess implements Surroundings {
   private static final String PART = "process";
   private static final int EXIT_DISK = 3;
+  private static final int EXIT_UNFINISHED = 4;
 
   private record Planned(long at, long order, Runnable task, AtomicBoolean cancelled) implements Comparable<Planned> {
     @Override public int compareTo(Planned other) {
@@ -112,7 +113,8 @@
     while (!done.get() && System.nanoTime() < endsAt) {
       LockSupport.parkNanos(10_000_000L);
     }
-    log(PART, "Stopped.");
+    log(PART, done.get() ? "Stopped." : "Stopped before all was handed over.");
+    Runtime.getRuntime().halt(done.get() ? 0 : EXIT_UNFINISHED);
   }
 
   /** Hands a task to the logic thread; false when its ring is full, and then nothing was done. */
--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -99,6 +99,7 @@
   }
 
   public final Deployment deployment;
+  public final History history = new History();
   public final StandInWorkers workers;
   public final Map<String, Member> members = new LinkedHashMap<>();
   public final Signing.Keys keys = Signing.generate();
@@ -114,7 +115,7 @@
     this.folder = Files.createDirectories(folder);
     this.classPath = classPath;
     this.nextPort = firstPort;
-    this.workers = new StandInWorkers(deployment.pace);
+    this.workers = new StandInWorkers(deployment.pace, history);
   }
 
   private String address() throws IOException {
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -1,21 +1,33 @@
 package applespindle.testfleet;
 
+import applespindle.testfleet.Fleet.Member;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
-/** Starts a fleet on this machine and keeps it until the program is stopped. */
+/** Starts a fleet on this machine; keeps it until stopped, or runs the brief's traffic and judges what was seen. */
 public final class FleetProgram {
   private static final long OPEN_MS = 60_000;
+  /** The brief: traffic starts fifteen seconds after the machines. */
+  private static final long TRAFFIC_FROM_MS = 15_000;
 
   public static void main(String[] arguments) throws IOException, InterruptedException {
     ArgumentParser parser = ArgumentParsers.newFor("test-fleet").build().description("A whole fleet on this machine.");
     parser.addArgument("--deployment").choices("authority", "cooperative", "small").setDefault("small");
-    parser.addArgument("--folder").setDefault("fleet-data").help("data folders and logs; must be new or left by this");
+    parser.addArgument("--folder").setDefault("fleet-data").help("data folders and logs; emptied at the start");
     parser.addArgument("--first-port").type(Integer.class).setDefault(7100);
+    parser.addArgument("--traffic").type(Integer.class).metavar("SECONDS").help("run the brief's traffic, then judge");
+    parser.addArgument("--faults").nargs("*").metavar("SECOND:VERB:WHO").setDefault(List.of())
+        .help("such as 10:kill:leader 18:start:last; verbs kill start freeze wake stop lose-disk");
     Namespace flags;
     try {
       flags = parser.parseArgs(arguments);
@@ -25,15 +37,93 @@
       return;
     }
     Deployment deployment = Deployment.valueOf(flags.getString("deployment").toUpperCase());
-    Fleet fleet = new Fleet(deployment, Path.of(flags.getString("folder")), System.getProperty("java.class.path"),
-        flags.getInt("first_port"));
+    Path folder = Path.of(flags.getString("folder"));
+    empty(folder);
+    Fleet fleet = new Fleet(deployment, folder, System.getProperty("java.class.path"), flags.getInt("first_port"));
     Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
+    long startedAt = StandInWorkers.nowMs();
     fleet.start();
     fleet.open(OPEN_MS);
-    fleet.members.values().forEach(member -> System.out.println(member.name + "  http " + member.http
-        + "  pid " + member.pid()));
-    System.out.println("The fleet serves. Stop it with Ctrl-C.");
-    Thread.currentThread().join();
+    System.out.println("ready after " + (StandInWorkers.nowMs() - startedAt) + " ms");
+    if (flags.getInt("traffic") == null) {
+      fleet.members.values().forEach(member -> System.out.println(member.name + "  http " + member.http
+          + "  pid " + member.pid()));
+      System.out.println("The operators' key is " + folder.resolve("operator.key") + ", its id is operator.");
+      System.out.println("The fleet serves. Stop it with Ctrl-C.");
+      Thread.currentThread().join();
+    }
+    TimeUnit.MILLISECONDS.sleep(Math.max(0, TRAFFIC_FROM_MS - (StandInWorkers.nowMs() - startedAt)));
+    long everyMs = deployment == Deployment.COOPERATIVE ? 2_000 : 4_000;
+    var plan = new RealTraffic.Plan(30, 3, 2, everyMs, flags.getInt("traffic") * 1_000L);
+    RealTraffic traffic = new RealTraffic(fleet, plan);
+    Thread faults = new Thread(() -> runFaults(fleet, flags.getList("faults")), "faults");
+    faults.setDaemon(true);
+    faults.start();
+    traffic.run();
+    System.out.println(traffic.summary());
+    Files.writeString(folder.resolve("history.jsonl"), fleet.history.toLines());
+    List<Checker.Violation> violations = Checker.check(fleet.history);
+    violations.forEach(violation -> System.out.println("BROKEN " + violation));
+    System.out.println(violations.isEmpty() ? "No never-rule was broken." : violations.size() + " rules broken.");
+    System.exit(violations.isEmpty() ? 0 : 1);
+  }
+
+  private static void empty(Path folder) throws IOException {
+    if (!Files.exists(folder)) {
+      return;
+    }
+    if (!Files.exists(folder.resolve("startup.json"))) {
+      System.err.println(folder + " was not made by this program; name another folder");
+      System.exit(2);
+    }
+    delete(folder);
+  }
+
+  private static void delete(Path folder) throws IOException {
+    try (Stream<Path> files = Files.walk(folder)) {
+      List<Path> deepestFirst = new ArrayList<>(files.sorted(Comparator.reverseOrder()).toList());
+      for (Path file : deepestFirst) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  private static void runFaults(Fleet fleet, List<String> faults) {
+    long begunAt = StandInWorkers.nowMs();
+    Member last = null;
+    for (String fault : faults) {
+      String[] words = fault.split(":");
+      try {
+        TimeUnit.MILLISECONDS.sleep(Math.max(0, begunAt + (long) (Double.parseDouble(words[0]) * 1_000)
+            - StandInWorkers.nowMs()));
+        Member target = words[2].equals("last") ? last : target(fleet, words[2]);
+        last = target;
+        System.out.println(words[0] + " s: " + words[1] + " " + target.name);
+        fleet.history.add(StandInWorkers.nowMs(), History.Kind.FAULT, words[1] + " " + target.name, "", "", 0);
+        switch (words[1]) {
+          case "kill" -> target.kill();
+          case "start" -> target.start();
+          case "freeze" -> target.freeze();
+          case "wake" -> target.wake();
+          case "stop" -> System.out.println("    exit status " + target.stopPolitely());
+          case "lose-disk" -> {
+            target.kill();
+            delete(target.data);
+          }
+          default -> throw new IllegalArgumentException(fault);
+        }
+      } catch (IOException | InterruptedException failed) {
+        throw new IllegalStateException(failed);
+      }
+    }
+  }
+
+  private static Member target(Fleet fleet, String who) {
+    if (!who.equals("leader")) {
+      return fleet.member(who);
+    }
+    return fleet.ofRole("edge").stream().filter(Member::alive).max(Comparator.comparingInt(edge ->
+        fleet.caller.get(edge.http, "/v1/status").body().path("leads").size())).orElseThrow();
   }
 
   private FleetProgram() {}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -0,0 +1,285 @@
+package applespindle.testfleet;
+
+import applespindle.corelogic.EdgeNode;
+import applespindle.corelogic.Json;
+import applespindle.testfleet.Fleet.Member;
+import applespindle.testfleet.History.Kind;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BiConsumer;
+
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+/** The brief's traffic against real processes, bounded in time, with all that its senders see put into a history. */
+final class RealTraffic {
+  private static final int SUBMIT_TRIES = 6;
+  private static final Duration PATIENCE = Duration.ofSeconds(12);
+  private static final long POLL_MS = 300;
+  private static final long READY_MS = 500;
+  private static final long SETTLE_MS = 60_000;
+  private static final String SHARED = "In the usual form of the office, with greeting, place and hour of the event. "
+      .repeat(4);
+
+  record Plan(double checksPerSecond, double notesPerSecond, double oncePerSecond, long batchEveryMs, long lengthMs) {}
+
+  private final class Sender {
+    final String key;
+    byte[] body;
+    String batch = "";
+    long acceptedAt;
+    long finishedAt = -1;
+    long next;
+    int tries;
+    boolean over;
+
+    Sender(String key) {
+      this.key = key;
+      ObjectNode input = JSON.createObjectNode().put("due_in_ms", fleet.deployment.dueMs);
+      ArrayNode rows = input.putArray("items");
+      for (int index = 0; index < fleet.deployment.batchItems; index++) {
+        String prompt = SHARED + "Guest " + key + "/" + index;
+        rows.addObject().put("id", "i" + index).put("prompt", prompt).put("max_tokens", fleet.deployment.batchTokens);
+        see(Kind.ITEM, key, "i" + index, prompt, fleet.deployment.batchTokens);
+      }
+      body = Json.bytes(input);
+    }
+
+    void submit() {
+      tries++;
+      see(Kind.SUBMIT_SENT, key, "", "", fleet.deployment.batchItems);
+      call(HttpMethod.POST, anyEdge(), "/v1/batches", body,
+          Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"), (status, text) -> {
+            JsonNode answer = tree(text);
+            see(Kind.SUBMIT_ANSWERED, key, answer.path("type").asText(""), EdgeNode.batchId("fleet", key), status);
+            if (status == 201) {
+              batch = answer.path("batch").asText();
+              acceptedAt = StandInWorkers.nowMs();
+              poll();
+            } else if (tries < SUBMIT_TRIES) {
+              eventloop.delay(1_000L, this::submit);
+            } else {
+              over = true;
+            }
+          });
+    }
+
+    void poll() {
+      call(HttpMethod.GET, anyEdge(), "/v1/batches/" + batch + "/results?after=" + next, null, Map.of(),
+          (status, text) -> {
+            JsonNode page = tree(text);
+            String state = status == 200 ? page.path("state").asText() : page.path("type").asText("");
+            see(Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), status);
+            if (status == 200) {
+              page.path("results").forEach(row -> see(Kind.RESULT_READ, key,
+                  row.path("id").asText() + "|" + row.path("type").asText(), row.path("output").asText(""),
+                  row.path("n").asLong()));
+              next = page.path("next").asLong();
+              if (state.equals("finished") && next >= fleet.deployment.batchItems) {
+                finishedAt = StandInWorkers.nowMs();
+                over = true;
+                return;
+              }
+            }
+            eventloop.delay(POLL_MS, this::poll);
+          });
+    }
+  }
+
+  private final Fleet fleet;
+  private final Plan plan;
+  private final Random random = new Random(20261202);
+  private final Eventloop eventloop = Eventloop.builder().withThreadName("traffic").build();
+  private final HttpClient client;
+  private final List<Sender> senders = new ArrayList<>();
+  private final CountDownLatch done = new CountDownLatch(1);
+  private List<Member> readyEdges = List.of();
+  private long endsAt;
+  private long liveNumber;
+  private final Map<String, List<Long>> latencies = new HashMap<>();
+
+  RealTraffic(Fleet fleet, Plan plan) {
+    this.fleet = fleet;
+    this.plan = plan;
+    client = HttpClient.builder(eventloop, new IDnsClient() {
+      @Override public Promise<DnsResponse> resolve(DnsQuery query) {
+        return Promise.of(IDnsClient.resolveFromQuery(query));
+      }
+
+      @Override public void close() {}
+    }).withNoKeepAlive().withReadWriteTimeout(PATIENCE).withConnectTimeout(Duration.ofSeconds(2)).build();
+  }
+
+  /** Runs the whole plan and waits until every accepted batch is over, or long enough. */
+  void run() throws InterruptedException {
+    eventloop.keepAlive(true);
+    Thread thread = new Thread(eventloop, "traffic");
+    thread.setDaemon(true);
+    thread.start();
+    eventloop.execute(() -> {
+      endsAt = StandInWorkers.nowMs() + plan.lengthMs();
+      see(Kind.CEILING, "", "", "", tree(fleet.deployment.bundle(1)).at("/limits/batch/waitingItemsMost").asLong());
+      lookForReadyEdges();
+      eventloop.delay(READY_MS, () -> {
+        live("check", plan.checksPerSecond());
+        live("note", plan.notesPerSecond());
+        live("once", plan.oncePerSecond());
+        batches();
+      });
+      eventloop.delay(plan.lengthMs(), () -> waitForEnd(StandInWorkers.nowMs() + SETTLE_MS));
+    });
+    done.await();
+  }
+
+  private void waitForEnd(long latest) {
+    if (senders.stream().allMatch(sender -> sender.over) || StandInWorkers.nowMs() > latest) {
+      eventloop.delay(2_000L, done::countDown);
+    } else {
+      eventloop.delay(POLL_MS, () -> waitForEnd(latest));
+    }
+  }
+
+  private void see(Kind kind, String subject, String detail, String text, long number) {
+    fleet.history.add(StandInWorkers.nowMs(), kind, subject, detail, text, number);
+  }
+
+  private static JsonNode tree(String text) {
+    try {
+      return text.startsWith("{") ? JSON.readTree(text) : JSON.nullNode();
+    } catch (IOException cut) {
+      return JSON.nullNode();
+    }
+  }
+
+  private void lookForReadyEdges() {
+    List<Member> ready = new ArrayList<>();
+    for (Member edge : fleet.ofRole("edge")) {
+      call(HttpMethod.GET, edge, "/ready", null, Map.of(), (status, text) -> {
+        if (status == 200) {
+          ready.add(edge);
+        }
+      });
+    }
+    eventloop.delay(READY_MS, () -> {
+      readyEdges = List.copyOf(ready);
+      lookForReadyEdges();
+    });
+  }
+
+  private Member anyEdge() {
+    List<Member> choice = readyEdges.isEmpty() ? fleet.ofRole("edge") : readyEdges;
+    return choice.get(random.nextInt(choice.size()));
+  }
+
+  /** Status 0: no answer, or one that was cut. */
+  private void call(HttpMethod method, Member to, String path, byte[] body, Map<String, String> headers,
+      BiConsumer<Integer, String> then) {
+    HttpRequest.Builder request = HttpRequest.builder(method, "http://" + to.http + path);
+    headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
+    if (body != null) {
+      request.withBody(body);
+    }
+    client.request(request.build()).then(response -> {
+      StringBuilder text = new StringBuilder();
+      return read(response.takeBodyStream(), text).map(whole -> {
+        then.accept(whole ? response.getCode() : -response.getCode(), text.toString());
+        return (Void) null;
+      });
+    }).whenException(fault -> then.accept(0, ""));
+  }
+
+  private static Promise<Boolean> read(io.activej.csp.supplier.ChannelSupplier<io.activej.bytebuf.ByteBuf> stream,
+      StringBuilder text) {
+    return stream.get().then(chunk -> {
+      if (chunk == null) {
+        return Promise.of(true);
+      }
+      text.append(chunk.asString(UTF_8));
+      return read(stream, text);
+    }, fault -> Promise.of(false));
+  }
+
+  private void batches() {
+    if (StandInWorkers.nowMs() >= endsAt) {
+      return;
+    }
+    Sender sender = new Sender("batch-" + (senders.size() + 1));
+    senders.add(sender);
+    sender.submit();
+    eventloop.delay(plan.batchEveryMs(), this::batches);
+  }
+
+  private void live(String trafficClass, double perSecond) {
+    if (StandInWorkers.nowMs() >= endsAt || perSecond <= 0) {
+      return;
+    }
+    sendLive(trafficClass);
+    eventloop.delay((long) Math.max(1, -Math.log(1 - random.nextDouble()) * 1_000 / perSecond),
+        () -> live(trafficClass, perSecond));
+  }
+
+  private void sendLive(String trafficClass) {
+    String id = "l" + ++liveNumber;
+    String once = trafficClass.equals("once") ? "once-" + id : "";
+    int tokens = trafficClass.equals("note") ? 24 : 2;
+    String prompt = SHARED.substring(0, 200 + (int) (liveNumber % 4) * 20) + "Ruling " + id;
+    boolean stream = random.nextBoolean();
+    see(Kind.LIVE_SENT, id, once, prompt, tokens);
+    long sentAt = StandInWorkers.nowMs();
+    byte[] body = Json.bytes(JSON.createObjectNode().put("prompt", prompt).put("max_tokens", tokens).put("stream", stream));
+    Map<String, String> headers = new HashMap<>(Map.of("Applespindle-Class", trafficClass));
+    if (!once.isEmpty()) {
+      headers.put("Applespindle-Once", once);
+    }
+    call(HttpMethod.POST, anyEdge(), "/v1/completions", body, headers, (status, text) -> {
+      String output = stream ? streamed(text) : tree(text).at("/choices/0/text").asText("");
+      boolean complete = status == 200 && (!stream || text.endsWith("data: [DONE]\n\n"));
+      String detail = complete ? "complete" : Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
+      see(Kind.LIVE_ANSWERED, id, detail, output, Math.abs(status));
+      if (complete) {
+        latencies.computeIfAbsent(trafficClass, unseen -> new ArrayList<>()).add(StandInWorkers.nowMs() - sentAt);
+      }
+    });
+  }
+
+  private static String streamed(String text) {
+    StringBuilder output = new StringBuilder();
+    for (String line : text.split("\n")) {
+      if (line.startsWith("data: {")) {
+        output.append(tree(line.substring(6)).at("/choices/0/text").asText(""));
+      }
+    }
+    return output.toString();
+  }
+
+  String summary() {
+    List<Long> took = senders.stream().filter(sender -> sender.finishedAt >= 0)
+        .map(sender -> sender.finishedAt - sender.acceptedAt).toList();
+    StringBuilder text = new StringBuilder("batches sent " + senders.size() + ", finished " + took.size() + ", median "
+        + SimulatedFleet.percentile(took, 50) + " ms, slowest " + SimulatedFleet.percentile(took, 100) + " ms");
+    latencies.forEach((trafficClass, times) -> text.append("; ").append(trafficClass).append(' ').append(times.size())
+        .append(" served, median ").append(SimulatedFleet.percentile(times, 50)).append(" ms, p99 ")
+        .append(SimulatedFleet.percentile(times, 99)).append(" ms"));
+    long answered = fleet.history.of(Kind.LIVE_ANSWERED).size();
+    long complete = fleet.history.of(Kind.LIVE_ANSWERED).stream().filter(seen -> seen.detail().equals("complete")).count();
+    return text + "; live complete " + complete + " of " + answered;
+  }
+}
--- a/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
@@ -1,6 +1,7 @@
 package applespindle.testfleet;
 
 import applespindle.corelogic.Json;
+import applespindle.testfleet.History.Kind;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
@@ -31,9 +32,6 @@
 
   public record Pace(int capacity, long firstTokenMs, long tokenMs, long coldPrefixMs) {}
 
-  /** One request as a worker received it, for the checker. */
-  public record Received(long atMs, String worker, String item, String prompt) {}
-
   public final class Worker {
     public final String id;
     public final String address;
@@ -76,7 +74,8 @@
         return HttpResponse.ofCode(503).build();
       }
       String prompt = body.path("prompt").asText();
-      received.add(new Received(System.nanoTime() / 1_000_000L, id, body.path("applespindle_item").asText(""), prompt));
+      String item = body.path("applespindle_item").asText("");
+      history.add(nowMs(), Kind.WORKER_RECEIVED, id, item, prompt, 0);
       running++;
       String prefix = prompt.substring(0, Math.min(prompt.length(), CACHE_PREFIX_CHARS));
       boolean warm = cache.put(prefix, true) != null;
@@ -84,18 +83,20 @@
       cacheHits += warm ? 1 : 0;
       int tokens = body.path("max_tokens").asInt(StandInOutput.TOKENS_UNLESS_TOLD);
       return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-          .withBodyStream(new Output(prompt, tokens, warm ? 0 : pace.coldPrefixMs())).build();
+          .withBodyStream(new Output(prompt, item, tokens, warm ? 0 : pace.coldPrefixMs())).build();
     }
 
     private final class Output extends AbstractChannelSupplier<ByteBuf> {
       private final String prompt;
+      private final String item;
       private final int tokens;
       private final long coldMs;
       private int position;
       private boolean over;
 
-      Output(String prompt, int tokens, long coldMs) {
+      Output(String prompt, String item, int tokens, long coldMs) {
         this.prompt = prompt;
+        this.item = item;
         this.tokens = tokens;
         this.coldMs = coldMs;
       }
@@ -128,6 +129,9 @@
         boolean last = position == tokens;
         String text = last ? "" : StandInOutput.token(prompt, position);
         position++;
+        if (last) {
+          history.add(nowMs(), Kind.WORKER_FINISHED, id, item, prompt, 0);
+        }
         ObjectNode data = JSON.createObjectNode();
         data.putArray("choices").addObject().put("text", text).put("finish_reason", last ? "stop" : null);
         String event = "data: " + new String(Json.bytes(data), UTF_8) + "\n\n" + (last ? "data: [DONE]\n\n" : "");
@@ -154,10 +158,15 @@
   private final Eventloop eventloop = Eventloop.builder().withThreadName("workers").build();
   private final Pace pace;
   private final List<Worker> workers = new ArrayList<>();
-  private final List<Received> received = java.util.Collections.synchronizedList(new ArrayList<>());
+  private final History history;
 
-  public StandInWorkers(Pace pace) {
+  public StandInWorkers(Pace pace, History history) {
     this.pace = pace;
+    this.history = history;
+  }
+
+  static long nowMs() {
+    return System.nanoTime() / 1_000_000L;
   }
 
   public Worker add(String id, String address) throws IOException {
@@ -180,10 +189,4 @@
   public List<Worker> all() {
     return workers;
   }
-
-  public List<Received> received() {
-    synchronized (received) {
-      return List.copyOf(received);
-    }
-  }
 }
