--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -134,7 +134,8 @@
       finish(body);
     } else if (message instanceof KeyPromise promise) {
       KeyPromiseBodyEncoder body = begin(new KeyPromiseBodyEncoder());
-      body.epochCounter(promise.epoch().counter()).handedOver(flag(promise.handedOver())).key(promise.key())
+      body.epochCounter(promise.epoch().counter()).handedOver(flag(promise.handedOver()))
+          .setNumber(promise.setNumber()).key(promise.key())
           .epochNode(promise.epoch().node());
       finish(body);
     } else if (message instanceof KeyPromised promised) {
@@ -152,7 +153,8 @@
     } else if (message instanceof KeyAppend append) {
       KeyAppendBodyEncoder body = begin(new KeyAppendBodyEncoder());
       body.epochCounter(append.epoch().counter()).round(append.round()).previousSequence(append.previousSequence())
-          .previousCounter(append.previousEpoch().counter()).committed(append.committed());
+          .previousCounter(append.previousEpoch().counter()).committed(append.committed())
+          .setNumber(append.setNumber());
       KeyAppendBodyEncoder.EntriesEncoder entries = body.entriesCount(append.entries().size());
       for (Entry entry : append.entries()) {
         entries.next().sequence(entry.sequence()).epochCounter(entry.epoch().counter()).whole(flag(entry.whole()))
@@ -260,7 +262,8 @@
       }
       case KeyPromiseBodyDecoder.TEMPLATE_ID -> {
         KeyPromiseBodyDecoder body = open(new KeyPromiseBodyDecoder());
-        return new KeyPromise(body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.handedOver() == 1);
+        return new KeyPromise(body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.setNumber(),
+            body.handedOver() == 1);
       }
       case KeyPromisedBodyDecoder.TEMPLATE_ID -> {
         KeyPromisedBodyDecoder body = open(new KeyPromisedBodyDecoder());
@@ -280,8 +283,8 @@
           entries.add(new Entry(each.sequence(), new Epoch(each.epochCounter(), each.epochNode()), each.whole() == 1,
               bytes(each.eventLength(), (bytes, length) -> each.getEvent(bytes, 0, length))));
         }
-        return new KeyAppend(body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.round(),
-            body.previousSequence(), new Epoch(body.previousCounter(), body.previousNode()), body.committed(), entries);
+        return new KeyAppend(body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.setNumber(),
+            body.round(), body.previousSequence(), new Epoch(body.previousCounter(), body.previousNode()), body.committed(), entries);
       }
       case KeyAppendedBodyDecoder.TEMPLATE_ID -> {
         KeyAppendedBodyDecoder body = open(new KeyAppendedBodyDecoder());
--- a/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
+++ b/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
@@ -6,6 +6,7 @@
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.InputReader;
 import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.StorageState;
 import applespindle.corelogic.Records.WorkerInput;
 import applespindle.corelogic.Response;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -36,6 +37,9 @@
     http.post("/v1/bundles", call -> sendBundle(http, call));
     http.get("/v1/bundles/current", call -> http.ask(then -> core.command("read", "bundle", new byte[] {'{', '}'},
         response -> then.accept(readBundle(response)))));
+    http.get("/v1/storage", call -> http.ask(then -> then.accept(Response.of(200, core.storageNodes()))));
+    http.post("/v1/storage/{id}/empty", call -> http.ask(then -> storage(call, StorageState.EMPTYING, then)));
+    http.post("/v1/storage/{id}/retire", call -> http.ask(then -> storage(call, StorageState.RETIRED, then)));
     http.get("/v1/workers", call -> http.ask(then -> then.accept(Response.of(200, core.workers()))));
     http.put("/v1/workers", call -> putAll(http, call));
     http.put("/v1/workers/{id}", call -> putWorker(http, call));
@@ -89,6 +93,11 @@
     return http.ask(then -> put(input.value(), then));
   }
 
+  private void storage(Call call, String state, Consumer<Response> then) {
+    String id = core.storageId(call.parts().get("id"));
+    core.command("storage", "storage/" + id, new StorageState(id, call.parts().get("id"), state), then);
+  }
+
   private void put(WorkerInput input, Consumer<Response> then) {
     core.command("worker", "worker/" + input.id(), CoreNode.workerListed(input), then);
   }
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -12,6 +12,9 @@
   /** A core node unheard for this long is left out of the agreed order: five lost greetings. */
   public static final long CORE_SILENT_MS = 1_000;
 
+  /** A core member silent for this long is replaced if a candidate is there: longer than a quick restart. */
+  public static final long CORE_REPLACE_MS = 5_000;
+
   // --- owned keys
   /** How often an owner repeats itself to its replicas; also resends what a replica lacks. */
   public static final long OWNER_BEAT_MS = 250;
@@ -54,6 +57,18 @@
   /** Replicas of a shard: survives the loss of any one disk. */
   public static final int SHARD_REPLICAS = 3;
 
+  /** A storage node silent for this long is replaced if there is a spare: longer than a restart takes. */
+  public static final long STORAGE_SILENT_MS = 10_000;
+  /** Fewest replicas a shard is ever brought down to by hand: one disk may still die. */
+  public static final int SHARD_REPLICAS_LEAST = 2;
+  /** Shards one core node has under change at once: keeps copying below live and batch writes. */
+  public static final int SHARD_CHANGES_MOST = 2;
+  /** Size of a page of copied keys, and the pause between two: about 5 MB a second from each source at most. */
+  public static final int COPY_PAGE_BYTES = 256 << 10;
+  public static final long COPY_PAUSE_MS = 50;
+  /** How often a newcomer says again that it has copied, until the core has taken it in. */
+  public static final long COPIED_REPEAT_MS = 1_000;
+
   // --- batches
   /** Items in a range: 80 items over some nine feeders leave several ranges for each. */
   public static final int RANGE_ITEMS = 3;
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -21,6 +21,7 @@
 import applespindle.corelogic.Records.Shard;
 import applespindle.corelogic.Records.SignedBundle;
 import applespindle.corelogic.Records.StorageReplica;
+import applespindle.corelogic.Records.StorageState;
 import applespindle.corelogic.Records.Worker;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -28,11 +29,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -46,6 +49,9 @@
 public final class CoreNode extends Node {
   private static final String BUNDLE = "bundle";
   private static final String ROOM = "batch-room";
+  private static final String ROSTER = "roster";
+  /** The name under which all core keys change their replicas together. */
+  private static final String CORE_SET = "core";
   private static final String PART = "core";
 
   /** A core key this node owns: the state after every event it appended, answered or not. */
@@ -58,6 +64,8 @@
     final Map<String, Long> roomTouchedAt = new HashMap<>();
     int eventsSinceWhole;
     long grantExpiresAt;
+    /** For a shard under change: who said under which set number that it has copied. */
+    final Map<String, Long> copied = new HashMap<>();
 
     Owned(OwnedKey key) {
       this.key = key;
@@ -68,7 +76,10 @@
     long heardAt = Long.MIN_VALUE / 2;
     long newsAt = Long.MIN_VALUE / 2;
     CoreMember member;
+    /** Knows of no roster at all. */
     boolean blank;
+    /** Knows the roster and is not in it. */
+    boolean candidate;
     boolean hearsUs;
     String feedId = "";
     long feedIncarnation;
@@ -93,6 +104,7 @@
   private final Map<String, String> operatorKeys;
   private final List<String> founders;
   private final KeyReplicas replicas;
+  private final ReplicaCopier copier;
   private final Map<String, Owned> owned = new TreeMap<>();
   private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
   private final Map<String, OwnedKey> claiming = new HashMap<>();
@@ -103,6 +115,10 @@
   /** Invariant: feed holds the last changes, numbered up to feedNumber without a gap. */
   private final ArrayDeque<FeedItem> feed = new ArrayDeque<>();
   private long feedNumber;
+  private boolean started;
+  /** Storage nodes that shards name and that are no members now, with since when; only known to this process. */
+  private final Map<String, Long> storageSilentSince = new HashMap<>();
+  private final Map<String, Long> coreSilentSince = new HashMap<>();
   private final Map<String, Follower> followers = new LinkedHashMap<>();
   private final Map<String, Long> confirmedBundles = new HashMap<>();
   private final List<Confirming> confirming = new ArrayList<>();
@@ -111,7 +127,8 @@
     super(surroundings, place);
     this.operatorKeys = operatorKeys;
     this.founders = founders;
-    this.replicas = new KeyReplicas(surroundings, this::send, this::committed);
+    this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
+    this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
   }
 
   public KeyReplicas replicas() {
@@ -128,7 +145,7 @@
 
   @Override public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
-    if (isMember()) {
+    if (isReplica()) {
       records.add(rosterRecord());
     }
     records.addAll(replicas.checkpoint());
@@ -136,15 +153,76 @@
   }
 
   private DiskRecord rosterRecord() {
-    return new DiskRecord(Kind.ROSTER, "roster", Epoch.NONE, roster.number(), true, Json.bytes(roster));
+    return new DiskRecord(Kind.ROSTER, ROSTER, Epoch.NONE, roster.number(), true, Json.bytes(roster));
   }
 
   private boolean isMember() {
-    return roster.members().stream().anyMatch(member -> member.id().equals(place.id()));
+    return names(roster.members(), place.id());
+  }
+
+  /** A member, or the newcomer of a change under way, which takes entries but owns nothing yet. */
+  private boolean isReplica() {
+    return isMember() || names(roster.next(), place.id());
+  }
+
+  private static boolean names(List<CoreMember> members, String id) {
+    return members.stream().anyMatch(member -> member.id().equals(id));
+  }
+
+  private ReplicaSets coreSets() {
+    return new ReplicaSets(roster.number(), coreReplicas(roster.members()), coreReplicas(roster.next()));
+  }
+
+  private static List<OwnedKey.Replica> coreReplicas(List<CoreMember> members) {
+    return members.stream().map(member -> new OwnedKey.Replica(member.id(), member.peerAddress())).toList();
+  }
+
+  @Override protected void learnRoster(Roster told) {
+    long before = roster.number();
+    super.learnRoster(told);
+    if (roster.number() == before || !started) {
+      return;
+    }
+    roster.members().forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    roster.next().forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    peers.remove(place.peerAddress());
+    if (!isReplica()) {
+      List.copyOf(owned.values()).forEach(state -> state.key.stop());
+      owned.clear();
+      return;
+    }
+    surroundings.write(List.of(rosterRecord()), () -> { });
+    replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
+    owned.values().forEach(state -> state.key.changeSets(coreSets()));
+    List.copyOf(claiming.values()).forEach(claimed -> claimed.changeSets(coreSets()));
+  }
+
+  private void copyIfNewcomer() {
+    long number = roster.number();
+    if (isMember() || !isReplica()) {
+      return;
+    }
+    journal.add("copying", CORE_SET, "set " + number);
+    copier.copyIn(CORE_SET, number, coreReplicas(roster.members()), () -> roster.number() == number && !stopped(),
+        () -> sayCopied(number));
+  }
+
+  private void sayCopied(long number) {
+    if (roster.number() != number || stopped()) {
+      return;
+    }
+    ask(attempt -> {
+      CoreMember member = roster.members().get(attempt % roster.members().size());
+      return new Target(member.id(), member.peerAddress());
+    }, "copied", ROSTER, JSON.createObjectNode().put("id", place.id()).put("number", number), Constants.ASK_EXPIRY_MS,
+        response -> { });
+    surroundings.after(Constants.COPIED_REPEAT_MS, () -> sayCopied(number));
   }
 
   @Override public void start() {
+    started = true;
     replicas.recovered();
+    copyIfNewcomer();
     for (String address : founders) {
       if (!address.equals(place.peerAddress())) {
         peers.put(address, new Peer());
@@ -159,7 +237,7 @@
   private void tick() {
     ObjectNode ping = JSON.createObjectNode();
     ping.set("member", JSON.valueToTree(self()));
-    ping.put("blank", !isMember());
+    ping.put("blank", roster.number() == 0).put("candidate", roster.number() > 0 && !isReplica());
     ArrayNode heard = ping.putArray("heard");
     peers.values().stream().filter(this::alive).forEach(peer -> heard.add(peer.member.id()));
     if (roster.number() > 0) {
@@ -169,11 +247,14 @@
     peers.keySet().forEach(address -> send(address, "", new CorePing(body)));
     if (roster.number() == 0) {
       formRoster();
+      place.seeds().forEach(seed -> send(seed, "", new Message.WhereIsCore()));
     }
     if (isMember() && !stopping) {
       claimOrphans();
+      changeRoster();
       expireMembers();
       makeShards();
+      changeShards();
       auditRoom();
     }
     confirmBundles();
@@ -193,15 +274,11 @@
     peer.member = JSON.convertValue(body.get("member"), CoreMember.class);
     peer.heardAt = surroundings.now();
     peer.blank = body.path("blank").asBoolean();
+    peer.candidate = body.path("candidate").asBoolean();
     peer.hearsUs = false;
     body.path("heard").forEach(id -> peer.hearsUs |= id.asText().equals(place.id()));
     if (body.has("roster")) {
-      Roster told = JSON.convertValue(body.get("roster"), Roster.class);
-      boolean wasMember = isMember();
-      learnRoster(told);
-      if (!wasMember && isMember()) {
-        surroundings.write(List.of(rosterRecord()), () -> { });
-      }
+      learnRoster(JSON.convertValue(body.get("roster"), Roster.class));
     }
   }
 
@@ -221,12 +298,64 @@
       }
       members.add(peer.member);
     }
-    Roster formed = new Roster(1, members);
-    byte[] body = Json.bytes(formed);
-    surroundings.write(List.of(new DiskRecord(Kind.ROSTER, "roster", Epoch.NONE, 1, true, body)), () -> {
-      surroundings.log(PART, "Roster 1 formed.");
-      learnRoster(formed);
-    });
+    Roster formed = new Roster(1, members, List.of());
+    surroundings.log(PART, "Roster 1 formed.");
+    learnRoster(formed);
+  }
+
+  /**
+   * The owner of the roster replaces a member that has been silent for long by a candidate, one at a time: first both
+   * sets, then, once the newcomer has copied, the new one. Each step is taken only when the one before is committed
+   * and in use here.
+   */
+  private void changeRoster() {
+    Owned state = owned.get(ROSTER);
+    if (state == null) {
+      boolean first = place.id().equals(Rendezvous.first(ROSTER, liveCore()));
+      KeyReplicas.Copy copy = replicas.copies().get(ROSTER);
+      if (first && (copy == null || replicas.ownerSilent(copy))) {
+        claim(ROSTER, false, outcome -> { });
+      }
+      return;
+    }
+    Roster inForce = state.value.isNull() ? roster : JSON.convertValue(state.value, Roster.class);
+    if (inForce.number() != roster.number()) {
+      return;
+    }
+    if (!inForce.next().isEmpty()) {
+      CoreMember newcomer = inForce.next().stream().filter(member -> !inForce.members().contains(member)).findFirst().get();
+      Peer peer = peers.get(newcomer.peerAddress());
+      boolean present = peer != null && alive(peer) && peer.member.id().equals(newcomer.id());
+      if (state.copied.getOrDefault(newcomer.id(), 0L) == inForce.number()) {
+        surroundings.log(PART, "Core member taken in: " + newcomer.name() + ".");
+        put(state, new Roster(inForce.number() + 1, inForce.next(), List.of()), fault -> { });
+      } else if (!present) {
+        put(state, new Roster(inForce.number() + 1, inForce.members(), List.of()), fault -> { });
+      }
+      return;
+    }
+    long now = surroundings.now();
+    for (CoreMember member : inForce.members()) {
+      Peer peer = peers.get(member.peerAddress());
+      boolean itself = member.id().equals(place.id());
+      boolean heard = itself || peer != null && peer.member != null && peer.member.id().equals(member.id())
+          && now - peer.heardAt < Constants.CORE_REPLACE_MS;
+      if (heard) {
+        coreSilentSince.remove(member.id());
+      } else if (now - coreSilentSince.computeIfAbsent(member.id(), unseen -> now) >= Constants.CORE_REPLACE_MS) {
+        Optional<CoreMember> candidate = peers.values().stream().filter(each -> alive(each) && each.candidate)
+            .map(each -> each.member).min(Comparator.comparing((CoreMember each) -> !each.zone().equals(member.zone()))
+                .thenComparing(CoreMember::id));
+        if (candidate.isPresent()) {
+          List<CoreMember> next = new ArrayList<>(inForce.members());
+          next.set(next.indexOf(member), candidate.get());
+          surroundings.log(PART, "Core member " + member.name() + " is being replaced by " + candidate.get().name() + ".");
+          state.copied.clear();
+          put(state, new Roster(inForce.number() + 1, inForce.members(), next), fault -> { });
+          return;
+        }
+      }
+    }
   }
 
   private List<String> liveCore() {
@@ -273,10 +402,8 @@
       return;
     }
     claims.put(key, new ArrayList<>(List.of(then)));
-    List<OwnedKey.Replica> coreReplicas = roster.members().stream()
-        .map(member -> new OwnedKey.Replica(member.id(), member.peerAddress())).toList();
     OwnedKey[] holder = new OwnedKey[1];
-    OwnedKey ownedKey = new OwnedKey(surroundings, place.id(), this::send, key, coreReplicas, handedOver, outcome -> {
+    OwnedKey ownedKey = new OwnedKey(surroundings, place.id(), this::send, key, coreSets(), handedOver, outcome -> {
       claiming.remove(key);
       if (outcome.claim() == Claim.OWNED) {
         begin(holder[0]);
@@ -343,6 +470,9 @@
       return;
     }
     table.put(item.key(), item);
+    if (item.key().equals(ROSTER)) {
+      learnRoster(Json.read(item.value(), Roster.class));
+    }
     if (feed.size() == Constants.FEED_KEPT) {
       feed.removeFirst();
     }
@@ -449,11 +579,178 @@
       if (state == null) {
         claim(key, false, outcome -> { });
       } else if (state.value.isNull()) {
-        put(state, new Shard(1, placeShard(key, storage)), fault -> { });
+        put(state, new Shard(1, placeShard(key, storage), List.of()), fault -> { });
       }
     }
   }
 
+  // ---- changes of a shard's replicas, one member at a time
+
+  private List<Shard> allShards() {
+    return table.values().stream().filter(item -> item.key().startsWith("shard/"))
+        .map(item -> Json.read(item.value(), Shard.class)).toList();
+  }
+
+  private StorageState storageState(String id) {
+    FeedItem item = table.get("storage/" + id);
+    return item == null ? new StorageState(id, "", "active") : Json.read(item.value(), StorageState.class);
+  }
+
+  private void changeShards() {
+    long now = surroundings.now();
+    Map<String, Member> live = new TreeMap<>();
+    liveMembers().stream().filter(member -> member.role().equals("storage")).forEach(member -> live.put(member.id(), member));
+    live.keySet().forEach(storageSilentSince::remove);
+    Map<String, Long> holding = new HashMap<>();
+    allShards().forEach(shard -> shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
+    holding.keySet().stream().filter(id -> !live.containsKey(id))
+        .forEach(id -> storageSilentSince.putIfAbsent(id, now));
+    List<Member> spares = live.values().stream()
+        .filter(member -> storageState(member.id()).state().equals("active")).toList();
+    long pending = owned.values().stream().filter(state -> state.key.key.startsWith("shard/") && !state.value.isNull()
+        && !state.value.path("next").isEmpty()).count();
+    for (Owned state : List.copyOf(owned.values())) {
+      if (!state.key.key.startsWith("shard/") || state.value.isNull()) {
+        continue;
+      }
+      Shard shard = JSON.convertValue(state.value, Shard.class);
+      if (!shard.next().isEmpty()) {
+        settleChange(state, shard, live);
+      } else if (pending < Constants.SHARD_CHANGES_MOST) {
+        List<StorageReplica> next = nextReplicas(state.key.key, shard, live, spares, holding, now);
+        if (next != null) {
+          pending++;
+          state.copied.clear();
+          journal.add("changing", state.key.key, "set " + (shard.number() + 1));
+          put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> { });
+        }
+      }
+    }
+  }
+
+  /** Ends a change once the newcomer has copied, or calls it off if the newcomer has died. */
+  private void settleChange(Owned state, Shard shard, Map<String, Member> live) {
+    List<StorageReplica> newcomers = shard.next().stream().filter(each -> !shard.replicas().contains(each)).toList();
+    List<StorageReplica> needed = newcomers.isEmpty() ? shard.next() : newcomers;
+    if (needed.stream().allMatch(each -> state.copied.getOrDefault(each.id(), 0L) == shard.number())) {
+      surroundings.log(PART, "Replicas changed: " + state.key.key + ".");
+      put(state, new Shard(shard.number() + 1, shard.next(), List.of()), fault -> { });
+    } else if (newcomers.stream().anyMatch(each -> !live.containsKey(each.id()))) {
+      put(state, new Shard(shard.number() + 1, shard.replicas(), List.of()), fault -> { });
+    }
+  }
+
+  /** The set that should be next, differing in one member, or null if the present one is right. */
+  private List<StorageReplica> nextReplicas(String key, Shard shard, Map<String, Member> live, List<Member> spares,
+      Map<String, Long> holding, long now) {
+    Set<String> present = new LinkedHashSet<>();
+    shard.replicas().forEach(each -> present.add(each.id()));
+    List<StorageReplica> leaving = shard.replicas().stream().filter(each ->
+        !storageState(each.id()).state().equals("active") || !live.containsKey(each.id())
+            && now - storageSilentSince.getOrDefault(each.id(), now) >= Constants.STORAGE_SILENT_MS).toList();
+    Set<String> zones = new LinkedHashSet<>();
+    shard.replicas().stream().filter(each -> !leaving.contains(each)).forEach(each -> zones.add(each.zone()));
+    List<Member> candidates = spares.stream().filter(member -> !present.contains(member.id()))
+        .sorted(Comparator.comparing((Member member) -> zones.contains(member.zone()))
+            .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
+            .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id())))).toList();
+    if (!leaving.isEmpty()) {
+      if (!candidates.isEmpty()) {
+        return replaced(shard, leaving.get(0), candidates.get(0));
+      }
+      boolean byHand = !storageState(leaving.get(0).id()).state().equals("active");
+      return byHand && shard.replicas().size() > Constants.SHARD_REPLICAS_LEAST
+          && shard.replicas().stream().filter(each -> !each.equals(leaving.get(0))).allMatch(each -> live.containsKey(each.id()))
+          ? replaced(shard, leaving.get(0), null) : null;
+    }
+    if (candidates.isEmpty()) {
+      return null;
+    }
+    if (shard.replicas().size() < Constants.SHARD_REPLICAS) {
+      return replaced(shard, null, candidates.get(0));
+    }
+    return shard.replicas().stream()
+        .filter(each -> zonesWithout(shard, each, candidates.get(0)) >= zonesWithout(shard, null, null)
+            && holding.getOrDefault(candidates.get(0).id(), 0L) + 2 <= holding.getOrDefault(each.id(), 0L))
+        .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)))
+        .map(each -> replaced(shard, each, candidates.get(0))).orElse(null);
+  }
+
+  private static long zonesWithout(Shard shard, StorageReplica leaver, Member newcomer) {
+    Set<String> zones = new LinkedHashSet<>();
+    shard.replicas().stream().filter(each -> !each.equals(leaver)).forEach(each -> zones.add(each.zone()));
+    if (newcomer != null) {
+      zones.add(newcomer.zone());
+    }
+    return zones.size();
+  }
+
+  private static List<StorageReplica> replaced(Shard shard, StorageReplica leaver, Member newcomer) {
+    List<StorageReplica> next = new ArrayList<>(shard.replicas());
+    next.remove(leaver);
+    if (newcomer != null) {
+      next.add(new StorageReplica(newcomer.id(), newcomer.peerAddress(), newcomer.zone()));
+    }
+    return next;
+  }
+
+  private void copied(Ask ask, Owned state, JsonNode body) {
+    state.copied.put(body.path("id").asText(), body.path("number").asLong());
+    respond(ask, Response.of(200, body));
+  }
+
+  /** Marks a storage node as emptying or retired. The same mark again gets the same answer. */
+  private void storage(Ask ask, Owned state, StorageState sent) {
+    StorageState known = state.value.isNull() ? null : JSON.convertValue(state.value, StorageState.class);
+    int shards = (int) allShards().stream().filter(shard -> names(shard, sent.id())).count();
+    Fault refusal = null;
+    if (known == null && !table.containsKey("member/" + sent.id())) {
+      refusal = new Fault.NoSuchStorage(sent.id());
+    } else if (sent.state().equals(StorageState.EMPTYING)) {
+      long others = liveMembers().stream().filter(member -> member.role().equals("storage")
+          && !member.id().equals(sent.id()) && storageState(member.id()).state().equals("active")).count();
+      refusal = known != null && known.state().equals(StorageState.RETIRED) ? new Fault.StorageRetired(sent.id())
+          : known == null && others < Constants.SHARD_REPLICAS_LEAST ? new Fault.TooFewCopies((int) others) : null;
+    } else if (shards > 0 || known == null) {
+      refusal = new Fault.StorageNotEmpty(shards);
+    }
+    Response answer = refusal != null ? Response.of(refusal)
+        : Response.of(200, ((ObjectNode) JSON.<JsonNode>valueToTree(sent)).put("shards", shards));
+    if (refusal != null || sent.equals(known)) {
+      state.key.confirm(fault -> respond(ask, fault == null ? answer : Response.of(fault)));
+    } else {
+      put(state, sent, fault -> respond(ask, fault == null ? answer : Response.of(fault)));
+    }
+  }
+
+  private static boolean names(Shard shard, String id) {
+    return shard.replicas().stream().anyMatch(each -> each.id().equals(id))
+        || shard.next().stream().anyMatch(each -> each.id().equals(id));
+  }
+
+  /** A storage node's id by its id or its name; the text itself if neither is known. */
+  public String storageId(String idOrName) {
+    return table.values().stream().filter(item -> item.key().startsWith("member/"))
+        .map(item -> Json.read(item.value(), Member.class)).filter(member -> member.role().equals("storage")
+            && (member.id().equals(idOrName) || member.name().equals(idOrName) && member.live()))
+        .map(Member::id).findFirst().orElse(idOrName);
+  }
+
+  /** Every storage node known, with its state and how many shards name it. */
+  public ArrayNode storageNodes() {
+    ArrayNode rows = JSON.createArrayNode();
+    table.values().stream().filter(item -> item.key().startsWith("member/"))
+        .map(item -> Json.read(item.value(), Member.class)).filter(member -> member.role().equals("storage"))
+        .forEach(member -> {
+          long shards = allShards().stream().filter(shard -> names(shard, member.id())).count();
+          String state = storageState(member.id()).state();
+          rows.addObject().put("id", member.id()).put("name", member.name()).put("zone", member.zone())
+              .put("live", member.live()).put("shards", shards)
+              .put("state", state.equals(StorageState.EMPTYING) && shards == 0 ? "emptied" : state);
+        });
+    return rows;
+  }
+
   private static List<StorageReplica> placeShard(String key, List<Member> storage) {
     Map<String, Member> byId = new HashMap<>();
     storage.forEach(member -> byId.put(member.id(), member));
@@ -469,6 +766,10 @@
   // ---- asks
 
   @Override protected void handleAsk(Ask ask) {
+    if (ask.duty().equals("copy")) {
+      copier.copyOut(ask);
+      return;
+    }
     if (!isMember()) {
       respond(ask, Response.of(new Fault.NotReady("this process is not in the core's roster")));
       return;
@@ -508,6 +809,8 @@
       case "bundle" -> bundle(ask, state, Json.read(ask.body(), SignedBundle.class));
       case "worker" -> worker(ask, state, Json.read(ask.body(), Worker.class));
       case "room" -> room(ask, state, Json.tree(ask.body()));
+      case "copied" -> copied(ask, state, Json.tree(ask.body()));
+      case "storage" -> storage(ask, state, Json.read(ask.body(), StorageState.class));
       case "read" -> state.key.confirm(fault -> respond(ask,
           fault == null ? Response.of(200, state.value) : Response.of(fault)));
       default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
@@ -654,11 +957,11 @@
 
   @Override protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyAppend append) {
-      if (isMember()) {
+      if (isReplica()) {
         replicas.append(append, fromId, fromAddress);
       }
     } else if (message instanceof KeyPromise promise) {
-      if (isMember()) {
+      if (isReplica()) {
         replicas.promise(promise, fromId, fromAddress);
       }
     } else if (message instanceof KeyPromised promised) {
@@ -694,7 +997,13 @@
       then.accept(Response.of(new Fault.NodeStopping()));
       return;
     }
-    ask(attempt -> new Target(place.id(), place.peerAddress()), duty, key, body, Constants.ASK_EXPIRY_MS, then);
+    ask(attempt -> {
+      if (isMember() || roster.members().isEmpty()) {
+        return new Target(place.id(), place.peerAddress());
+      }
+      CoreMember member = roster.members().get(attempt % roster.members().size());
+      return new Target(member.id(), member.peerAddress());
+    }, duty, key, body, Constants.ASK_EXPIRY_MS, then);
   }
 
   /** The workers as committed and known here, with the age of this knowledge. */
@@ -745,6 +1054,9 @@
     ObjectNode shards = status.putObject("shards");
     table.values().stream().filter(item -> item.key().startsWith("shard/"))
         .forEach(item -> shards.set(item.key().substring(6), Json.tree(item.value())));
+    status.set("storage", storageNodes());
+    status.put("shardsWithReducedRedundancy",
+        allShards().stream().filter(shard -> shard.replicas().size() < Constants.SHARD_REPLICAS).count());
     Owned room = owned.get(ROOM);
     if (room != null) {
       status.put("waitingBatchItems", room.room.values().stream().mapToLong(Long::longValue).sum());
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -7,8 +7,10 @@
 import applespindle.corelogic.Message.WhereIsCore;
 import applespindle.corelogic.Records.CoreMember;
 import applespindle.corelogic.Records.Member;
+import applespindle.corelogic.Records.Roster;
 import applespindle.corelogic.Records.Shard;
 import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.StorageReplica;
 import applespindle.corelogic.Records.Worker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
@@ -206,6 +208,8 @@
       } else {
         workers.put(worker.id(), worker);
       }
+    } else if (key.equals("roster")) {
+      learnRoster(Json.read(item.value(), Roster.class));
     } else if (key.startsWith("shard/")) {
       shards.put(key, Json.read(item.value(), Shard.class));
     } else if (key.equals("bundle")) {
@@ -240,11 +244,23 @@
         .map(member -> new Target(member.id(), member.peerAddress())).findFirst().get();
   }
 
-  /** The replicas of the shard a key belongs to; empty while the shard has none. */
-  protected List<OwnedKey.Replica> replicasOf(String key) {
-    Shard shard = shards.get("shard/" + Math.floorMod(Rendezvous.hash(key), Constants.SHARDS));
-    return shard == null ? List.of()
-        : shard.replicas().stream().map(each -> new OwnedKey.Replica(each.id(), each.address())).toList();
+  static String shardOf(String key) {
+    return "shard/" + Math.floorMod(Rendezvous.hash(key), Constants.SHARDS);
+  }
+
+  /** The replica sets of the shard a key belongs to; none while the shard has none. */
+  ReplicaSets setsOf(String key) {
+    Shard shard = shards.get(shardOf(key));
+    return shard == null ? ReplicaSets.NONE
+        : new ReplicaSets(shard.number(), replicas(shard.replicas()), replicas(shard.next()));
+  }
+
+  static List<OwnedKey.Replica> replicas(List<StorageReplica> replicas) {
+    return replicas.stream().map(each -> new OwnedKey.Replica(each.id(), each.address())).toList();
+  }
+
+  protected Map<String, Shard> shards() {
+    return shards;
   }
 
   @Override public String notReadyBecause() {
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -19,10 +19,13 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import static applespindle.corelogic.Json.JSON;
@@ -70,6 +73,11 @@
   @Override protected void changed(String key) {
     if (key.startsWith("worker/")) {
       book.follow(workers);
+    } else if (key.startsWith("shard/")) {
+      leaders.values().stream().map(leader -> leader.key).filter(owned -> shardOf(owned.key).equals(key)).toList()
+          .forEach(owned -> owned.changeSets(setsOf(owned.key)));
+      List.copyOf(claiming.values()).stream().filter(owned -> shardOf(owned.key).equals(key))
+          .forEach(owned -> owned.changeSets(setsOf(owned.key)));
     }
   }
 
@@ -219,7 +227,7 @@
     }
     claims.put(key, new ArrayList<>(List.of(then)));
     OwnedKey[] holder = new OwnedKey[1];
-    holder[0] = new OwnedKey(surroundings, place.id(), this::send, key, replicasOf(key), handedOver, outcome -> {
+    holder[0] = new OwnedKey(surroundings, place.id(), this::send, key, setsOf(key), handedOver, outcome -> {
       claiming.remove(key);
       if (outcome.claim() == Claim.OWNED) {
         begin(key, holder[0]);
@@ -241,28 +249,37 @@
     });
   }
 
+  /** Asks each replica of a key's shard once; the callback hears of each answer, and whether it was the last. */
+  private void askReplicas(ReplicaSets sets, String duty, String key, ObjectNode body, BiConsumer<String, Response> then) {
+    body.put("setNumber", sets.number());
+    for (OwnedKey.Replica replica : sets.all()) {
+      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, duty, key, body,
+          Constants.ASK_TRY_MS, response -> then.accept(replica.id(), response));
+    }
+  }
+
   /** True or false on a majority's evidence, else null. Writes nothing anywhere. */
   private void peek(String key, Consumer<Boolean> then) {
-    List<OwnedKey.Replica> replicas = replicasOf(key);
-    int majority = replicas.size() / 2 + 1;
-    if (replicas.isEmpty()) {
+    ReplicaSets sets = setsOf(key);
+    if (sets.isEmpty()) {
       then.accept(null);
       return;
     }
-    int[] counts = new int[3];
+    Set<String> absent = new HashSet<>();
+    int[] heard = new int[1];
     boolean[] told = new boolean[1];
-    for (OwnedKey.Replica replica : replicas) {
-      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, "peek", key,
-          JSON.createObjectNode(), Constants.ASK_TRY_MS, response -> {
-            counts[!response.good() ? 2 : response.body().path("present").asBoolean() ? 1 : 0]++;
-            boolean all = counts[0] + counts[1] + counts[2] == replicas.size();
-            if (told[0] || !all && counts[0] < majority && counts[1] == 0) {
-              return;
-            }
-            told[0] = true;
-            then.accept(counts[1] > 0 ? Boolean.TRUE : counts[0] >= majority ? Boolean.FALSE : null);
-          });
-    }
+    askReplicas(sets, "peek", key, JSON.createObjectNode(), (replica, response) -> {
+      heard[0]++;
+      boolean present = response.good() && response.body().path("present").asBoolean();
+      if (response.good() && !present) {
+        absent.add(replica);
+      }
+      boolean certain = present || sets.quorum(absent);
+      if (!told[0] && (certain || heard[0] == sets.all().size())) {
+        told[0] = true;
+        then.accept(certain ? (Boolean) present : null);
+      }
+    });
   }
 
   // ---- what leaders, feeder and live desk need
@@ -318,36 +335,38 @@
 
   @Override public void claimOnce(String id, String token, Consumer<Fault> then) {
     String key = "once/" + id;
-    List<OwnedKey.Replica> replicas = replicasOf(key);
-    int majority = replicas.size() / 2 + 1;
-    if (replicas.isEmpty()) {
+    ReplicaSets sets = setsOf(key);
+    if (sets.isEmpty()) {
       then.accept(new Fault.NoMajority(key));
       return;
     }
-    int[] counts = new int[3];
+    Set<String> won = new HashSet<>();
+    Set<String> open = new HashSet<>();
+    sets.all().forEach(replica -> open.add(replica.id()));
+    boolean[] claimedByOther = new boolean[1];
     boolean[] told = new boolean[1];
-    for (OwnedKey.Replica replica : replicas) {
-      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, "claim", key,
-          JSON.createObjectNode().put("token", token), Constants.ASK_TRY_MS, response -> {
-            counts[response.good() ? 0 : response.faultType().equals("AlreadyClaimed") ? 1 : 2]++;
-            int heard = counts[0] + counts[1] + counts[2];
-            boolean won = counts[0] >= majority;
-            boolean lost = counts[0] + replicas.size() - heard < majority;
-            if (told[0] || !won && !lost) {
-              return;
-            }
-            told[0] = true;
-            if (lost) {
-              unclaimOnce(id, token);
-            }
-            then.accept(won ? null : counts[1] > 0 ? new Fault.AlreadyClaimed(id) : new Fault.NoMajority(key));
-          });
-    }
+    askReplicas(sets, "claim", key, JSON.createObjectNode().put("token", token), (replica, response) -> {
+      if (response.good()) {
+        won.add(replica);
+      } else {
+        open.remove(replica);
+        claimedByOther[0] |= response.faultType().equals("AlreadyClaimed");
+      }
+      boolean lost = !sets.quorum(open);
+      if (told[0] || !lost && !sets.quorum(won)) {
+        return;
+      }
+      told[0] = true;
+      if (lost) {
+        unclaimOnce(id, token);
+      }
+      then.accept(!lost ? null : claimedByOther[0] ? new Fault.AlreadyClaimed(id) : new Fault.NoMajority(key));
+    });
   }
 
   @Override public void unclaimOnce(String id, String token) {
     String key = "once/" + id;
-    replicasOf(key).forEach(replica -> ask(attempt -> new Target(replica.id(), replica.address()), "unclaim", key,
+    setsOf(key).all().forEach(replica -> ask(attempt -> new Target(replica.id(), replica.address()), "unclaim", key,
         JSON.createObjectNode().put("token", token), Constants.COMMAND_EXPIRY_MS, response -> { }));
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -35,6 +35,11 @@
   record NodeIsolated(long feedAgeMs) implements Fault {}
   record NodeStopping() implements Fault {}
   record NotOwner(String key) implements Fault {}
+  record OldReplicaSet(long setNumber) implements Fault {}
+  record NoSuchStorage(String node) implements Fault {}
+  record TooFewCopies(int copies) implements Fault {}
+  record StorageRetired(String node) implements Fault {}
+  record StorageNotEmpty(int shards) implements Fault {}
   record OutcomeUnknown(String subject) implements Fault {}
   record AlreadyClaimed(String id) implements Fault {}
   record WorkerRefused(int status) implements Fault {}
@@ -93,6 +98,11 @@
     rows.put(NodeIsolated.class, new Row(503, true, "The node is cut off from the others; nothing was done."));
     rows.put(NodeStopping.class, new Row(503, true, "The node is stopping; nothing was done."));
     rows.put(NotOwner.class, new Row(503, true, "The node does not own the key; nothing was done."));
+    rows.put(OldReplicaSet.class, new Row(503, true, "The replica set has changed; nothing was done."));
+    rows.put(NoSuchStorage.class, new Row(404, false, "There is no such storage node."));
+    rows.put(TooFewCopies.class, new Row(409, false, "This would leave fewer than two copies."));
+    rows.put(StorageRetired.class, new Row(409, false, "The storage node is retired already."));
+    rows.put(StorageNotEmpty.class, new Row(409, true, "The storage node still holds shards."));
     rows.put(OutcomeUnknown.class, new Row(504, true, "The outcome is not known: it may or may not have taken effect."));
     rows.put(AlreadyClaimed.class, new Row(409, false, "The once-id is already claimed; this request did not run."));
     rows.put(WorkerRefused.class, new Row(503, true, "The worker refused; the request did not run."));
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -12,10 +12,12 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 
 import static applespindle.corelogic.Message.Verdict.BEHIND;
 import static applespindle.corelogic.Message.Verdict.BUSY;
 import static applespindle.corelogic.Message.Verdict.OK;
+import static applespindle.corelogic.Message.Verdict.OLD_SET;
 import static applespindle.corelogic.Message.Verdict.REFUSED;
 
 /** One node's copies of owned keys: it promises epochs, takes entries in order, and refuses older epochs. */
@@ -48,7 +50,10 @@
 
   private final Surroundings surroundings;
   private final BiConsumer<String, Entry> whenCommitted;
-  private final Map<String, Copy> copies = new TreeMap<>();
+  private final TreeMap<String, Copy> copies = new TreeMap<>();
+  /** By set name, the highest set number known. Never falls; every message with a lower one is refused. */
+  private final Map<String, Long> setNumbers = new TreeMap<>();
+  private final UnaryOperator<String> setNameOf;
   private final Replies replies;
   private String lastTouched = "";
 
@@ -56,7 +61,10 @@
     void reply(String toAddress, String toId, Message message);
   }
 
-  KeyReplicas(Surroundings surroundings, Replies replies, BiConsumer<String, Entry> whenCommitted) {
+  /** setNameOf tells which set a key belongs to: keys of one set change their replicas together. */
+  KeyReplicas(Surroundings surroundings, Replies replies, BiConsumer<String, Entry> whenCommitted,
+      UnaryOperator<String> setNameOf) {
+    this.setNameOf = setNameOf;
     this.surroundings = surroundings;
     this.replies = replies;
     this.whenCommitted = whenCommitted;
@@ -96,6 +104,10 @@
 
   /** Replays one record of this node's log at start. */
   void recover(DiskRecord record) {
+    if (record.kind() == Kind.SET) {
+      setNumbers.merge(record.key(), record.sequence(), Math::max);
+      return;
+    }
     Copy copy = copy(record.key());
     switch (record.kind()) {
       case PROMISE -> {
@@ -119,6 +131,7 @@
   /** Everything a new log needs in order to stand without the older segments. */
   List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
+    setNumbers.forEach((name, number) -> records.add(setRecord(name, number)));
     copies.forEach((key, copy) -> {
       records.add(new DiskRecord(Kind.PROMISE, key, copy.promised, 0, false, new byte[0]));
       for (Entry entry : copy.entries) {
@@ -129,11 +142,44 @@
     return records;
   }
 
+  private static DiskRecord setRecord(String name, long number) {
+    return new DiskRecord(Kind.SET, name, Epoch.NONE, number, true, new byte[0]);
+  }
+
+  /** Records that the set has this number, and with that refuses lower ones; the callback runs once it is synced. */
+  void learnSet(String name, long number, Runnable whenSynced) {
+    List<DiskRecord> records = List.of();
+    if (number > setNumbers.getOrDefault(name, 0L)) {
+      setNumbers.put(name, number);
+      records = List.of(setRecord(name, number));
+    }
+    surroundings.write(records, whenSynced);
+  }
+
+  long setNumber(String name) {
+    return setNumbers.getOrDefault(name, 0L);
+  }
+
+  /** True if the message speaks of an older set than the one known here; a newer one is recorded at once. */
+  private boolean oldSet(String key, long setNumber) {
+    String name = setNameOf.apply(key);
+    long known = setNumber(name);
+    if (setNumber > known) {
+      setNumbers.put(name, setNumber);
+      surroundings.write(List.of(setRecord(name, setNumber)), () -> { });
+    }
+    return setNumber < known;
+  }
+
   void promise(KeyPromise message, String fromId, String fromAddress) {
     if (!surroundings.takesWrites()) {
       return;
     }
     Copy copy = copy(message.key());
+    if (oldSet(message.key(), message.setNumber())) {
+      replies.reply(fromAddress, fromId, promised(message, copy, OLD_SET));
+      return;
+    }
     boolean ownerHeard = surroundings.now() - copy.heardOwnerAt < Constants.TAKEOVER_MS;
     if (message.epoch().compareTo(copy.promised) <= 0) {
       afterSync(copy, List.of(), () -> replies.reply(fromAddress, fromId, promised(message, copy, REFUSED)));
@@ -161,6 +207,10 @@
       return;
     }
     Copy copy = copy(message.key());
+    if (oldSet(message.key(), message.setNumber())) {
+      replies.reply(fromAddress, fromId, appended(message, OLD_SET, copy.promised, 0));
+      return;
+    }
     if (message.epoch().below(copy.promised)) {
       replies.reply(fromAddress, fromId, appended(message, REFUSED, copy.promised, 0));
       return;
@@ -224,6 +274,57 @@
     });
   }
 
+  /** One key as it is handed to a newcomer. */
+  record Copied(String key, Epoch promised, long committed, List<Entry> entries) {}
+
+  /** The next keys of a set after the given one, up to a size; what a newcomer starts from. */
+  List<Copied> copiesOf(String setName, String afterKey, int bytesMost) {
+    List<Copied> page = new ArrayList<>();
+    int bytes = 0;
+    for (Map.Entry<String, Copy> each : copies.tailMap(afterKey, false).entrySet()) {
+      if (!setNameOf.apply(each.getKey()).equals(setName)) {
+        continue;
+      }
+      Copy copy = each.getValue();
+      bytes += 64 + copy.entries.stream().mapToInt(entry -> entry.event().length).sum();
+      page.add(new Copied(each.getKey(), copy.promised, copy.committed, List.copyOf(copy.entries)));
+      if (bytes >= bytesMost) {
+        break;
+      }
+    }
+    return page;
+  }
+
+  /**
+   * Takes over another replica's copy of a key if its log is the newer one, by the same rule as an owner's claim. The
+   * promise is taken over too, so that an epoch refused there is refused here.
+   */
+  void absorb(Copied other, Runnable whenSynced) {
+    Copy copy = copy(other.key());
+    List<DiskRecord> records = new ArrayList<>();
+    if (copy.promised.below(other.promised())) {
+      copy.promised = other.promised();
+      records.add(new DiskRecord(Kind.PROMISE, other.key(), copy.promised, 0, false, new byte[0]));
+    }
+    if (OwnedKey.newer(other.entries(), copy.entries)) {
+      for (Entry entry : other.entries()) {
+        Entry present = copy.at(entry.sequence());
+        if (present == null || !present.epoch().equals(entry.epoch())) {
+          place(copy, entry);
+          records.add(record(other.key(), entry));
+        }
+      }
+    }
+    long committed = Math.min(other.committed(), copy.lastSequence());
+    if (committed > copy.committed) {
+      copy.committed = committed;
+      records.add(new DiskRecord(Kind.COMMITTED, other.key(), Epoch.NONE, committed, false, new byte[0]));
+      announce(other.key(), copy);
+      trim(copy);
+    }
+    afterSync(copy, records, whenSynced);
+  }
+
   private static DiskRecord record(String key, Entry entry) {
     return new DiskRecord(Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.whole(), entry.event());
   }
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -4,19 +4,20 @@
 
 /** What the processes say to each other. The adapters carry each as one SBE message. */
 public sealed interface Message {
-  enum Verdict { OK, REFUSED, BUSY, BEHIND }
+  /** OLD_SET: the message's set number is below the one the replica knows; a newer set must be learned first. */
+  enum Verdict { OK, REFUSED, BUSY, BEHIND, OLD_SET }
 
   record Ask(long correlation, String duty, String key, String originId, String originAddress, int hops, byte[] body)
       implements Message {}
 
   record AskResponse(long correlation, int status, int comeBackSeconds, byte[] body) implements Message {}
 
-  record KeyPromise(String key, Epoch epoch, boolean handedOver) implements Message {}
+  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver) implements Message {}
 
   record KeyPromised(String key, Epoch asked, Verdict verdict, Epoch promised, String owner, String ownerAddress,
       long committed, List<Entry> entries) implements Message {}
 
-  record KeyAppend(String key, Epoch epoch, long round, long previousSequence, Epoch previousEpoch, long committed,
+  record KeyAppend(String key, Epoch epoch, long setNumber, long round, long previousSequence, Epoch previousEpoch, long committed,
       List<Entry> entries) implements Message {}
 
   record KeyAppended(String key, Epoch epoch, long round, Verdict verdict, Epoch promised, long matched)
--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -92,7 +92,7 @@
   protected final Place place;
   protected final Journal journal;
   /** Newest roster known; its number never falls. */
-  protected Roster roster = new Roster(0, List.of());
+  protected Roster roster = new Roster(0, List.of(), List.of());
   protected boolean stopping;
   private final Map<Long, Consumer<Response>> open = new HashMap<>();
   private long lastCorrelation;
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -7,13 +7,16 @@
 import applespindle.corelogic.Surroundings.Schedule;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import static applespindle.corelogic.Message.Verdict.BUSY;
 import static applespindle.corelogic.Message.Verdict.OK;
+import static applespindle.corelogic.Message.Verdict.OLD_SET;
 import static applespindle.corelogic.Message.Verdict.REFUSED;
 
 /**
@@ -49,6 +52,8 @@
   private final String nodeId;
   private final KeyReplicas.Replies sender;
   final String key;
+  /** Replaced only by one of a higher number. */
+  private ReplicaSets sets;
   private final Map<String, Progress> progress = new LinkedHashMap<>();
   private final boolean handedOver;
   private final long claimExpiresAt;
@@ -72,7 +77,7 @@
   private Schedule beat = () -> { };
   private Schedule claimRound = () -> { };
 
-  OwnedKey(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender, String key, List<Replica> replicas,
+  OwnedKey(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender, String key, ReplicaSets sets,
       boolean handedOver, Consumer<ClaimOutcome> whenClaimed) {
     this.surroundings = surroundings;
     this.nodeId = nodeId;
@@ -81,7 +86,8 @@
     this.handedOver = handedOver;
     this.whenClaimed = whenClaimed;
     this.claimExpiresAt = surroundings.now() + Constants.CLAIM_EXPIRY_MS;
-    replicas.forEach(replica -> progress.put(replica.id(), new Progress(replica)));
+    this.sets = sets;
+    sets.all().forEach(replica -> progress.put(replica.id(), new Progress(replica)));
     claimRound();
   }
 
@@ -109,15 +115,32 @@
     this.whenLost = whenLost;
   }
 
-  private int majority() {
-    return progress.size() / 2 + 1;
+  /** Goes on under newer sets: newcomers get the log from its start, those that left are no longer counted. */
+  void changeSets(ReplicaSets newer) {
+    if (newer.number() <= sets.number() || state == State.LOST) {
+      return;
+    }
+    sets = newer;
+    Map<String, Progress> before = new LinkedHashMap<>(progress);
+    progress.clear();
+    for (Replica replica : newer.all()) {
+      Progress known = before.get(replica.id());
+      progress.put(replica.id(), known != null ? known : new Progress(replica));
+    }
+    if (state == State.CLAIMING) {
+      claimRound.cancel();
+      claimRound();
+    } else {
+      advance();
+      planFlush();
+    }
   }
 
   private void claimRound() {
     if (state != State.CLAIMING) {
       return;
     }
-    if (surroundings.now() >= claimExpiresAt || progress.isEmpty()) {
+    if (surroundings.now() >= claimExpiresAt || sets.isEmpty()) {
       finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
       return;
     }
@@ -125,7 +148,7 @@
     epoch = new Epoch(seenCounter + 1, nodeId);
     seenCounter = epoch.counter();
     for (Progress each : progress.values()) {
-      sender.reply(each.replica.address(), each.replica.id(), new KeyPromise(key, epoch, handedOver));
+      sender.reply(each.replica.address(), each.replica.id(), new KeyPromise(key, epoch, sets.number(), handedOver));
     }
     claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::claimRound);
   }
@@ -136,13 +159,13 @@
       return;
     }
     promises.put(fromId, message);
-    long agreed = promises.values().stream().filter(each -> each.verdict() == OK).count();
-    if (agreed >= majority()) {
+    if (sets.quorum(withVerdictOk(true))) {
       takeOver();
       return;
     }
-    long refused = promises.size() - agreed;
-    if (refused > progress.size() - majority()) {
+    Set<String> stillPossible = new HashSet<>(progress.keySet());
+    stillPossible.removeAll(withVerdictOk(false));
+    if (!sets.quorum(stillPossible)) {
       var busy = promises.values().stream().filter(each -> each.verdict() == BUSY).findFirst();
       if (busy.isPresent()) {
         finishClaim(new ClaimOutcome(Claim.BUSY, busy.get().owner(), busy.get().ownerAddress()));
@@ -153,6 +176,16 @@
     }
   }
 
+  private Set<String> withVerdictOk(boolean wanted) {
+    Set<String> ids = new HashSet<>();
+    promises.forEach((id, promise) -> {
+      if (promise.verdict() == OK == wanted) {
+        ids.add(id);
+      }
+    });
+    return ids;
+  }
+
   private void takeOver() {
     claimRound.cancel();
     KeyPromised best = null;
@@ -183,7 +216,8 @@
     beat = surroundings.after(Constants.OWNER_BEAT_MS, this::beat);
   }
 
-  private static boolean newer(List<Entry> one, List<Entry> other) {
+  /** Whose log is to be believed: the one whose last entry has the higher epoch, then the higher sequence. */
+  static boolean newer(List<Entry> one, List<Entry> other) {
     if (one.isEmpty() || other.isEmpty()) {
       return !one.isEmpty();
     }
@@ -269,7 +303,7 @@
     Epoch previousEpoch = from == first ? Epoch.NONE : entries.get((int) (from - 1 - first)).epoch();
     each.next = lastSequence() + 1;
     sender.reply(each.replica.address(), each.replica.id(),
-        new KeyAppend(key, epoch, round, previous, previousEpoch, committed, lacking));
+        new KeyAppend(key, epoch, sets.number(), round, previous, previousEpoch, committed, lacking));
   }
 
   void appended(KeyAppended message, String fromId) {
@@ -281,7 +315,7 @@
       lose();
       return;
     }
-    if (!message.epoch().equals(epoch)) {
+    if (!message.epoch().equals(epoch) || message.verdict() == OLD_SET) {
       return;
     }
     from.heardSinceBeat = true;
@@ -297,8 +331,7 @@
   }
 
   private void advance() {
-    long[] matches = progress.values().stream().mapToLong(each -> each.matched).sorted().toArray();
-    long majorityMatched = matches[matches.length - majority()];
+    long majorityMatched = sets.reached(id -> progress.get(id).matched);
     if (majorityMatched >= takeoverSequence && majorityMatched > committed) {
       committed = majorityMatched;
       KeyReplicas.trim(entries, committed);
@@ -310,8 +343,7 @@
         return;
       }
     }
-    long[] rounds = progress.values().stream().mapToLong(each -> each.heardRound).sorted().toArray();
-    long majorityRound = rounds[rounds.length - majority()];
+    long majorityRound = sets.reached(id -> progress.get(id).heardRound);
     while (!waitingForRound.isEmpty() && waitingForRound.peek().mark() <= majorityRound) {
       waitingForRound.poll().then().accept(null);
       if (state == State.LOST) {
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -11,8 +11,13 @@
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record CoreMember(String id, String peerAddress, String httpAddress, String zone, String name) {}
 
+  /** The core's members; next is empty unless one of them is being replaced. */
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record Roster(long number, List<CoreMember> members) {}
+  public record Roster(long number, List<CoreMember> members, List<CoreMember> next) {
+    public Roster {
+      next = next == null ? List.of() : next;
+    }
+  }
 
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record Member(String id, long incarnation, String name, String zone, String role, String peerAddress,
@@ -30,7 +35,15 @@
   public record SignedBundle(long number, byte[] bytes, String keyId, byte[] signature) {}
 
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record Shard(long number, List<StorageReplica> replicas) {}
+  /** A shard's replicas; next is empty unless a change of one member is under way. */
+  public record Shard(long number, List<StorageReplica> replicas, List<StorageReplica> next) {}
+
+  /** A storage machine's place in life, as operators have it: emptying, retired; no record means active. */
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record StorageState(String id, String name, String state) {
+    public static final String EMPTYING = "emptying";
+    public static final String RETIRED = "retired";
+  }
 
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record StorageReplica(String id, String address, String zone) {}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/ReplicaCopier.java
@@ -0,0 +1,98 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.Ask;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+import static applespindle.corelogic.Json.JSON;
+
+/**
+ * Brings a newcomer's copies of one set up to date: pages from a majority of the present set, each source of which has
+ * refused older set numbers before its first page, so nothing can be committed behind the newcomer's back.
+ */
+final class ReplicaCopier {
+  /** A page of a set; last is empty on the last one. Claims come with the first. */
+  record Page(List<KeyReplicas.Copied> keys, Map<String, String> claims, String last) {}
+
+  private final Surroundings surroundings;
+  private final Node node;
+  private final KeyReplicas replicas;
+  /** Once-claims by id, the holder's token; empty for the core. */
+  private final Map<String, String> claims;
+  private final Function<String, String> setNameOfClaim;
+
+  ReplicaCopier(Surroundings surroundings, Node node, KeyReplicas replicas, Map<String, String> claims,
+      Function<String, String> setNameOfClaim) {
+    this.surroundings = surroundings;
+    this.node = node;
+    this.replicas = replicas;
+    this.claims = claims;
+    this.setNameOfClaim = setNameOfClaim;
+  }
+
+  void copyIn(String name, long number, List<OwnedKey.Replica> sources, BooleanSupplier stillPending, Runnable whenDone) {
+    int[] done = new int[1];
+    int majority = sources.size() / 2 + 1;
+    for (OwnedKey.Replica source : sources) {
+      copyPage(name, number, source, "", stillPending, () -> {
+        if (++done[0] == majority) {
+          whenDone.run();
+        }
+      });
+    }
+  }
+
+  private void copyPage(String name, long number, OwnedKey.Replica source, String after, BooleanSupplier stillPending,
+      Runnable whenDone) {
+    if (!stillPending.getAsBoolean()) {
+      return;
+    }
+    node.ask(attempt -> new Node.Target(source.id(), source.address()), "copy", name,
+        JSON.createObjectNode().put("setNumber", number).put("after", after), Constants.ASK_EXPIRY_MS, response -> {
+          if (!response.good()) {
+            surroundings.after(Constants.COPIED_REPEAT_MS,
+                () -> copyPage(name, number, source, after, stillPending, whenDone));
+            return;
+          }
+          Page page = JSON.convertValue(response.body(), Page.class);
+          page.claims().forEach((id, token) -> {
+            if (claims.putIfAbsent(id, token) == null) {
+              surroundings.write(List.of(onceRecord(id, token)), () -> { });
+            }
+          });
+          page.keys().forEach(copied -> replicas.absorb(copied, () -> { }));
+          if (page.last().isEmpty()) {
+            surroundings.write(List.of(), whenDone);
+          } else {
+            surroundings.after(Constants.COPY_PAUSE_MS,
+                () -> copyPage(name, number, source, page.last(), stillPending, whenDone));
+          }
+        });
+  }
+
+  void copyOut(Ask ask) {
+    JsonNode body = Json.tree(ask.body());
+    String after = body.path("after").asText();
+    replicas.learnSet(ask.key(), body.path("setNumber").asLong(), () -> {
+      List<KeyReplicas.Copied> keys = replicas.copiesOf(ask.key(), after, Constants.COPY_PAGE_BYTES);
+      Map<String, String> ofSet = new LinkedHashMap<>();
+      if (after.isEmpty()) {
+        claims.forEach((id, token) -> {
+          if (setNameOfClaim.apply(id).equals(ask.key())) {
+            ofSet.put(id, token);
+          }
+        });
+      }
+      String last = keys.isEmpty() ? "" : keys.get(keys.size() - 1).key();
+      node.respond(ask, Response.of(200, new Page(keys, ofSet, last)));
+    });
+  }
+
+  static DiskRecord onceRecord(String id, String token) {
+    return new DiskRecord(DiskRecord.Kind.ONCE, id, new Epoch(0, token), 0, false, new byte[0]);
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
@@ -5,6 +5,8 @@
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.Unfinished;
+import applespindle.corelogic.Records.Shard;
+import applespindle.corelogic.Records.StorageReplica;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -20,6 +22,7 @@
 /** The data plane's storage role: replicas of batch records, and once-claims. */
 public final class StorageNode extends DataNode {
   private final KeyReplicas replicas;
+  private final ReplicaCopier copier;
   /** Batches accepted by a committed entry and not yet committed as finished, ended or refused. */
   private final Set<String> unfinished = new TreeSet<>();
   /** Once-id to the one token that claimed it here. Written once; taken back only by the token itself. */
@@ -27,7 +30,8 @@
 
   public StorageNode(Surroundings surroundings, Place place) {
     super(surroundings, place);
-    replicas = new KeyReplicas(surroundings, this::send, this::committed);
+    replicas = new KeyReplicas(surroundings, this::send, this::committed, DataNode::shardOf);
+    copier = new ReplicaCopier(surroundings, this, replicas, claims, DataNode::shardOf);
   }
 
   public KeyReplicas replicas() {
@@ -52,14 +56,10 @@
 
   @Override public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>(replicas.checkpoint());
-    claims.forEach((id, token) -> records.add(onceRecord(id, token)));
+    claims.forEach((id, token) -> records.add(ReplicaCopier.onceRecord(id, token)));
     return records;
   }
 
-  private static DiskRecord onceRecord(String id, String token) {
-    return new DiskRecord(Kind.ONCE, id, new Epoch(0, token), 0, false, new byte[0]);
-  }
-
   @Override public void start() {
     super.start();
     replicas.recovered();
@@ -105,6 +105,7 @@
 
   @Override protected void handleAsk(Ask ask) {
     switch (ask.duty()) {
+      case "copy" -> copier.copyOut(ask);
       case "peek" -> peek(ask);
       case "claim" -> claim(ask);
       case "unclaim" -> unclaim(ask);
@@ -112,14 +113,27 @@
     }
   }
 
+  /** True, and told so, if the asker speaks of an older replica set than the one known here. */
+  private boolean refusesOldSet(Ask ask) {
+    long known = replicas.setNumber(shardOf(ask.key()));
+    boolean old = Json.tree(ask.body()).path("setNumber").asLong() < known;
+    if (old) {
+      respond(ask, Response.of(new Fault.OldReplicaSet(known)));
+    }
+    return old;
+  }
+
   private void peek(Ask ask) {
+    if (refusesOldSet(ask)) {
+      return;
+    }
     KeyReplicas.Copy copy = replicas.copies().get(ask.key());
     boolean present = copy != null && copy.entries.stream().anyMatch(entry -> !entry.isTakeover());
     respond(ask, Response.of(200, JSON.createObjectNode().put("present", present)));
   }
 
   private void claim(Ask ask) {
-    if (!surroundings.takesWrites()) {
+    if (!surroundings.takesWrites() || refusesOldSet(ask)) {
       return;
     }
     String token = Json.tree(ask.body()).path("token").asText();
@@ -128,7 +142,7 @@
       respond(ask, Response.of(new Fault.AlreadyClaimed(ask.key())));
       return;
     }
-    List<DiskRecord> records = holder == null ? List.of(onceRecord(ask.key(), token)) : List.of();
+    List<DiskRecord> records = holder == null ? List.of(ReplicaCopier.onceRecord(ask.key(), token)) : List.of();
     surroundings.write(records, () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", true))));
   }
 
@@ -136,10 +150,60 @@
   private void unclaim(Ask ask) {
     JsonNode body = Json.tree(ask.body());
     boolean holds = claims.remove(ask.key(), body.path("token").asText());
-    List<DiskRecord> records = holds ? List.of(onceRecord(ask.key(), "")) : List.of();
+    List<DiskRecord> records = holds ? List.of(ReplicaCopier.onceRecord(ask.key(), "")) : List.of();
     surroundings.write(records, () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", false))));
   }
 
+  // ---- changes of a shard's replicas
+
+  @Override protected void changed(String key) {
+    if (key.startsWith("shard/")) {
+      follow(key);
+    }
+  }
+
+  /** Fences older sets first; then a newcomer copies, and whoever stays only says that it is fenced. */
+  private void follow(String name) {
+    Shard shard = shards().get(name);
+    replicas.learnSet(name, shard.number(), () -> {
+      if (shard.number() != shards().get(name).number() || shard.next().isEmpty() || !holds(shard.next())) {
+        return;
+      }
+      if (holds(shard.replicas())) {
+        sayCopied(name, shard.number());
+      } else {
+        copyIn(name, shard);
+      }
+    });
+  }
+
+  private boolean holds(List<StorageReplica> set) {
+    return set.stream().anyMatch(replica -> replica.id().equals(place.id()));
+  }
+
+  private boolean stillPending(String name, long number) {
+    Shard shard = shards().get(name);
+    return shard.number() == number && !shard.next().isEmpty() && !stopped();
+  }
+
+  /** Said again until the shard's number moves on: the core may be changing hands just now. */
+  private void sayCopied(String name, long number) {
+    if (!stillPending(name, number)) {
+      return;
+    }
+    askCore("copied", name, JSON.createObjectNode().put("id", place.id()).put("number", number),
+        Constants.ASK_TRY_MS, response -> { });
+    surroundings.after(Constants.COPIED_REPEAT_MS, () -> sayCopied(name, number));
+  }
+
+  private void copyIn(String name, Shard shard) {
+    journal.add("copying", name, "set " + shard.number());
+    copier.copyIn(name, shard.number(), replicas(shard.replicas()), () -> stillPending(name, shard.number()), () -> {
+      journal.add("copied", name, "set " + shard.number());
+      sayCopied(name, shard.number());
+    });
+  }
+
   @Override public String notReadyBecause() {
     return stopping ? "stopping" : !joined() ? "no grant from the core" : "";
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -5,6 +5,7 @@
 import applespindle.testfleet.Simulation.Process;
 import applespindle.testfleet.SimulatedFleet.Sender;
 import applespindle.testfleet.SimulatedWorkers.Condition;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -118,7 +119,7 @@
       simulation.healLinks();
       simulation.processes.values().forEach(process -> {
         process.wake();
-        if (!process.alive()) {
+        if (!process.alive() && !process.destroyed) {
           process.start();
         }
       });
@@ -190,6 +191,10 @@
     switch (words[0]) {
       case "kill" -> target.kill(false);
       case "power-loss" -> target.kill(true);
+      case "destroy" -> {
+        target.kill(true);
+        target.destroyed = true;
+      }
       case "lose-disk" -> {
         target.kill(true);
         target.loseDisk();
@@ -217,6 +222,9 @@
       case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core"))
           .forEach(name -> List.of("core-1", "core-2", "core-3").forEach(core -> simulation.cutLink(name, core)));
       case "heal" -> simulation.healLinks();
+      case "add" -> fleet.add(words[1], words[2]);
+      case "empty" -> fleet.markStorage(words[1], "emptying");
+      case "retire" -> fleet.markStorage(words[1], "retired");
       case "stall-disk" -> target.stallDisk(seconds(words[2]));
       case "jump-clock" -> target.shiftClock(seconds(words[2]));
       case "worker" -> simulation.workers.get(words[1]).become(Condition.valueOf(words[2].toUpperCase()));
@@ -276,6 +284,9 @@
           .filter(sender -> sender.acceptedAtMs < 0).count(), expected.number(), faults);
       case "ended-least" -> atLeast("ended batches", fleet.senders.stream().filter(sender -> sender.ended).count(),
           expected.number(), faults);
+      case "reduced-shards" -> exactly("shards with reduced redundancy",
+          fleet.coreStatus().path("shardsWithReducedRedundancy").asLong(-1), expected.number(), faults);
+      case "storage-refused" -> exactly("refused storage marks", fleet.storageRefusals, expected.number(), faults);
       case "live-share" -> {
         List<History.Seen> answers = fleet.simulation.history.of(Kind.LIVE_ANSWERED);
         double share = (double) answers.stream().filter(seen -> seen.detail().equals("complete")).count()
@@ -284,7 +295,35 @@
           faults.add("expected a share of " + expected.number() + " live requests served, was " + share);
         }
       }
-      default -> faults.add("unknown expectation " + expected.what());
+      default -> {
+        if (expected.what().startsWith("shards-on:")) {
+          String name = expected.what().substring(10);
+          long shards = -1;
+          for (JsonNode each : fleet.coreStatus().path("storage")) {
+            if (each.path("name").asText().equals(name) && each.path("live").asBoolean()) {
+              shards = each.path("shards").asLong();
+            }
+          }
+          exactly("shards on " + name, shards, expected.number(), faults);
+          return;
+        }
+        if (expected.what().startsWith("core-member:")) {
+          String name = expected.what().substring(12);
+          long member = 0;
+          for (JsonNode each : fleet.coreStatus().at("/roster/members")) {
+            member += each.path("name").asText().equals(name) ? 1 : 0;
+          }
+          exactly("core members named " + name, member, expected.number(), faults);
+          return;
+        }
+        faults.add("unknown expectation " + expected.what());
+      }
+    }
+  }
+
+  private static void exactly(String what, long seen, double wanted, List<String> faults) {
+    if (seen != wanted) {
+      faults.add("expected " + (long) wanted + " " + what + ", were " + seen);
     }
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.LiveDesk;
 import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.StorageState;
 import applespindle.corelogic.Records.WorkerInput;
 import applespindle.corelogic.Response;
 import applespindle.operatortool.Signing;
@@ -165,6 +166,7 @@
   private List<Process> readyEdges = List.of();
   /** Told the moment a sender hears yes: of an acceptance or an end (how many so far), or of a bundle (its number). */
   BiConsumer<String, Long> whenTold = (event, number) -> { };
+  long storageRefusals;
   private long acceptances;
   private long ends;
   private long liveNumber;
@@ -320,6 +322,35 @@
     simulation.afterMs(500, this::watchBundles);
   }
 
+  /** A new machine joins, in the zone and role its name tells. */
+  void add(String name, String zone) {
+    boolean edge = name.startsWith("edge");
+    Process process = simulation.add(name, zone, edge ? "edge" : name.startsWith("core") ? "core" : "storage", CORE, !edge);
+    all.add(process);
+    if (edge) {
+      edges.add(process);
+    }
+    process.start();
+  }
+
+  void markStorage(String name, String state) {
+    String core = liveCore();
+    String id = ((CoreNode) simulation.processes.get(core).node()).storageId(name);
+    command(core, "storage", "storage/" + id, new StorageState(id, name, state), response -> {
+      if (response != null && response.status() == 409) {
+        storageRefusals++;
+      } else if (response == null || !response.good()) {
+        simulation.afterMs(500, () -> markStorage(name, state));
+      }
+    });
+  }
+
+  JsonNode coreStatus() {
+    return simulation.processes.values().stream().filter(process -> process.role.equals("core") && process.alive())
+        .map(process -> process.node()).filter(node -> node.notReadyBecause().isEmpty()).findFirst()
+        .map(node -> (JsonNode) node.status()).orElse(JSON.nullNode());
+  }
+
   // ---- traffic
 
   /** Requests a second, as a stream with random gaps. */
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -81,6 +81,8 @@
     private int life;
     private boolean alive;
     private boolean frozen;
+    /** Gone for good: not even the end of the run brings it back. */
+    boolean destroyed;
     private long clockShiftMs;
     private final ArrayDeque<Runnable> whileFrozen = new ArrayDeque<>();
     private final List<DiskRecord> unsynced = new ArrayList<>();
