--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -109,7 +109,7 @@
   private void stopPolitely() {
     AtomicBoolean done = new AtomicBoolean();
     toLogic(() -> node.stop(() -> done.set(true)));
-    long endsAt = System.nanoTime() + (Constants.DRAIN_MS + Constants.GRANT_LENGTH_MS) * 1_000_000L;
+    long endsAt = System.nanoTime() + (Constants.STOP_NOTICE_MS + Constants.DRAIN_MS + Constants.GRANT_LENGTH_MS) * 1_000_000L;
     while (!done.get() && System.nanoTime() < endsAt) {
       LockSupport.parkNanos(10_000_000L);
     }
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -110,6 +110,8 @@
   public static final long LIVE_EXPIRY_MS = 10_000;
   /** Longest silence within a worker's stream before the run counts as cut. */
   public static final long STREAM_SILENCE_MS = 5_000;
+  /** A stopping edge says so on /ready and goes on taking work this long, so that the platform can notice first. */
+  public static final long STOP_NOTICE_MS = 1_500;
   /** Time a polite stop leaves to running live responses. */
   public static final long DRAIN_MS = 8_000;
 
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -38,6 +38,7 @@
   private final WorkerBook book;
   private final LiveDesk live;
   private final BatchFeeder feeder;
+  private boolean stopAnnounced;
   private final Map<String, BatchLeader> leaders = new TreeMap<>();
   private final Map<String, OwnedKey> claiming = new HashMap<>();
   private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
@@ -448,8 +449,20 @@
     return status;
   }
 
-  /** Polite end: gives up its place first, hands each batch to its successor, then waits for what still runs. */
+  @Override public String notReadyBecause() {
+    return stopAnnounced ? "stopping" : super.notReadyBecause();
+  }
+
+  /**
+   * Polite end: announces itself and still takes work until the platform has had time to notice, then gives up its
+   * place, hands each batch to its successor, and waits for what still runs.
+   */
   @Override public void stop(Runnable whenDone) {
+    stopAnnounced = true;
+    surroundings.after(Constants.STOP_NOTICE_MS, () -> stopTaking(whenDone));
+  }
+
+  private void stopTaking(Runnable whenDone) {
     stopping = true;
     long drainEndsAt = surroundings.now() + Constants.DRAIN_MS;
     feeder.drain();
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -219,6 +219,11 @@
       case "hold" -> simulation.processes.keySet().stream().filter(name -> name.startsWith("edge")
           && !name.equals(target.name)).forEach(name -> simulation.holdLink(target.name, name));
       case "cut" -> simulation.cutLink(words[1], words[2]);
+      case "leave" -> {
+        List<String> kept = Arrays.stream(words).skip(2).map(name -> name.equals("last") ? last.name : name).toList();
+        simulation.processes.keySet().stream().filter(name -> !name.equals(target.name) && !kept.contains(name))
+            .forEach(name -> simulation.cutLink(target.name, name));
+      }
       case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core"))
           .forEach(name -> List.of("core-1", "core-2", "core-3").forEach(core -> simulation.cutLink(name, core)));
       case "heal" -> simulation.healLinks();
@@ -227,7 +232,10 @@
       case "retire" -> fleet.markStorage(words[1], "retired");
       case "stall-disk" -> target.stallDisk(seconds(words[2]));
       case "jump-clock" -> target.shiftClock(seconds(words[2]));
-      case "worker" -> simulation.workers.get(words[1]).become(Condition.valueOf(words[2].toUpperCase()));
+      case "worker" -> simulation.workers.all().values().stream()
+          .filter(worker -> words[1].equals("every") || worker.id.equals(words[1]))
+          .sorted(java.util.Comparator.comparing(worker -> worker.id))
+          .forEach(worker -> worker.become(Condition.valueOf(words[2].toUpperCase())));
       case "worker-says-leaving" -> simulation.workers.get(words[1]).leaving = true;
       case "leaving" -> fleet.markLeaving(words[1]);
       case "bundle" -> fleet.sendBundle(Long.parseLong(words[1]), fleet.deployment.bundle(Long.parseLong(words[1])),
@@ -261,7 +269,7 @@
           simulation.nowMs() + seconds(words[2]));
       default -> throw new BrokenLine(timed.line(), timed.text());
     }
-    return target == null ? last : target;
+    return target == null || words[0].equals("leave") && last != null ? last : target;
   }
 
   private static Process target(SimulatedFleet fleet, String[] words, Process last) {
