--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -14,7 +14,7 @@
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
  * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
- * random (from, to: one fault after the other, each mended before the next), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
+ * random (from, to: one fault after the other, each mended before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -42,6 +42,7 @@
   private double notes = 2;
   private double once = 2;
   private double batchEverySeconds = 2.5;
+  private boolean losses;
   private long randomFromMs;
   private long randomToMs;
   private final List<Timed> timed = new ArrayList<>();
@@ -77,6 +78,7 @@
       case "once" -> once = Double.parseDouble(words[1]);
       case "batches" -> batchEverySeconds = Double.parseDouble(words[1]);
       case "at" -> timed.add(new Timed(seconds(words[1]), Arrays.copyOfRange(words, 2, words.length), number, line));
+      case "losses" -> losses = true;
       case "random" -> {
         randomFromMs = seconds(words[1]);
         randomToMs = seconds(words[2]);
@@ -151,13 +153,20 @@
       "worker w6 refuses / worker w6 well", "cut core-1 core-2 / heal", "cut core-2 core-3 / heal", "end-batch",
       "leaving w7", "bundle N", "bundles-collide N", "cut-off / heal");
 
+  private static final List<String> RANDOM_LOSSES = List.of("lose-disk any-storage / start last",
+      "lose-disk any-core / start last");
+  /** A second disk is not lost before the first loss can be repaired: that is what the fleet promises to survive. */
+  private static final long REPAIR_MS = 28_000;
+
   /** One fault, its mending 0.3 to 7 s later, then the next within 4 s. */
   private void randomFault(SimulatedFleet fleet, Process[] last, long[] bundleNumber) {
     Simulation simulation = fleet.simulation;
     if (simulation.nowMs() >= randomToMs) {
       return;
     }
-    String[] parts = RANDOM_FAULTS.get(simulation.random.nextInt(RANDOM_FAULTS.size())).split(" / ");
+    boolean loses = losses && simulation.random.nextInt(3) == 0;
+    List<String> choice = loses ? RANDOM_LOSSES : RANDOM_FAULTS;
+    String[] parts = choice.get(simulation.random.nextInt(choice.size())).split(" / ");
     String fault = parts[0].replace(" N", " " + (parts[0].endsWith(" N") ? ++bundleNumber[0] : 0));
     last[0] = act(fleet, new Timed(0, fault.split(" "), 0, fault), last[0]);
     long mendedAfter = parts.length > 1 ? 300 + simulation.random.nextInt(6_700) : 0;
@@ -170,7 +179,7 @@
         last[0] = act(fleet, new Timed(0, parts[1].split(" "), 0, parts[1]), last[0]);
       });
     }
-    simulation.afterMs(mendedAfter + 500 + simulation.random.nextInt(3_500),
+    simulation.afterMs(mendedAfter + 500 + simulation.random.nextInt(3_500) + (loses ? REPAIR_MS : 0),
         () -> randomFault(fleet, last, bundleNumber));
   }
 
