Answer bad input with every fault named; CEL conditions, list version, plan, replay

A rule may carry a CEL condition, type-checked with the bundle and without loops; the worker list is taken by compare-and-set of its version; plan shows what emptying would move; replay judges a recorded history.

--- a/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
+++ b/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
@@ -14,6 +14,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import jakarta.validation.Valid;
+import jakarta.validation.constraints.Min;
 import jakarta.validation.constraints.NotNull;
 import java.util.Base64;
 import java.util.HashSet;
@@ -25,7 +26,8 @@
 
 /** What operators and the platform see of a core process; any of them will do. */
 final class CoreInterface {
-  record WorkerList(@NotNull List<@Valid @NotNull WorkerInput> workers) {}
+  /** version: the one the list was made from; left out, the list is taken whatever it is. */
+  record WorkerList(@Min(0) Long version, @NotNull List<@Valid @NotNull WorkerInput> workers) {}
 
   private final CoreNode core;
 
@@ -38,6 +40,8 @@
     http.get("/v1/bundles/current", call -> http.ask(then -> core.command("read", "bundle", new byte[] {'{', '}'},
         response -> then.accept(readBundle(response)))));
     http.get("/v1/storage", call -> http.ask(then -> then.accept(Response.of(200, core.storageNodes()))));
+    http.get("/v1/storage/{id}/plan", call -> http.ask(then ->
+        then.accept(Response.of(200, core.planEmptying(core.storageId(call.parts().get("id")))))));
     http.post("/v1/storage/{id}/empty", call -> http.ask(then -> storage(call, StorageState.EMPTYING, then)));
     http.post("/v1/storage/{id}/retire", call -> http.ask(then -> storage(call, StorageState.RETIRED, then)));
     http.get("/v1/workers", call -> http.ask(then -> then.accept(Response.of(200, core.workers()))));
@@ -112,26 +116,33 @@
     if (!input.good()) {
       return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
     }
-    return http.ask(then -> {
-      Set<String> listed = new HashSet<>();
-      input.value().workers().forEach(worker -> listed.add(worker.id()));
-      List<String> gone = core.workerIds().stream().filter(id -> !listed.contains(id)).toList();
-      int[] open = {listed.size() + gone.size()};
-      Response[] firstFault = new Response[1];
-      Consumer<Response> each = response -> {
-        if (!response.good() && firstFault[0] == null) {
-          firstFault[0] = response;
-        }
-        if (--open[0] == 0) {
-          then.accept(firstFault[0] != null ? firstFault[0]
-              : Response.of(200, JSON.createObjectNode().put("listed", listed.size()).put("gone", gone.size())));
-        }
-      };
-      if (open[0] == 0) {
-        then.accept(Response.of(200, JSON.createObjectNode().put("listed", 0).put("gone", 0)));
+    var check = JSON.createObjectNode().put("from", input.value().version());
+    return http.ask(then -> core.command("list-version", CoreNode.LIST_VERSION, check, response -> {
+      if (response.good()) {
+        putAll(input.value(), response.body().path("version").asLong(), then);
+      } else {
+        then.accept(response);
       }
-      input.value().workers().forEach(worker -> put(worker, each));
-      gone.forEach(id -> mark(id, false, each));
-    });
+    }));
+  }
+
+  private void putAll(WorkerList list, long version, Consumer<Response> then) {
+    Set<String> listed = new HashSet<>();
+    list.workers().forEach(worker -> listed.add(worker.id()));
+    List<String> gone = core.workerIds().stream().filter(id -> !listed.contains(id)).toList();
+    int[] open = {list.workers().size() + gone.size() + 1};
+    Response[] firstFault = new Response[1];
+    Consumer<Response> each = response -> {
+      if (!response.good() && firstFault[0] == null) {
+        firstFault[0] = response;
+      }
+      if (--open[0] == 0) {
+        then.accept(firstFault[0] != null ? firstFault[0] : Response.of(200, JSON.createObjectNode()
+            .put("version", version).put("listed", listed.size()).put("gone", gone.size())));
+      }
+    };
+    list.workers().forEach(worker -> put(worker, each));
+    gone.forEach(id -> mark(id, false, each));
+    each.accept(Response.of(200, JSON.nullNode()));
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Bundle.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Bundle.java
@@ -8,6 +8,7 @@
 import jakarta.validation.constraints.NotBlank;
 import jakarta.validation.constraints.NotEmpty;
 import jakarta.validation.constraints.NotNull;
+import jakarta.validation.constraints.Size;
 import java.security.GeneralSecurityException;
 import java.security.KeyFactory;
 import java.security.Signature;
@@ -30,9 +31,10 @@
       @Min(1) @Max(64) int prefixBlocks,
       @DecimalMin("1.0") @DecimalMax("10.0") double loadFactor) {}
 
-  public record Rule(@NotBlank String name, @Valid Match match, @NotNull @Valid Way way) {}
+  public record Rule(@NotBlank String name, @Valid Match match, @Size(max = WhenExpression.LENGTH_MOST) String when,
+      @NotNull @Valid Way way) {}
 
-  /** Every field given must fit; a rule without a match fits all. */
+  /** Every field given must fit; a rule without a match and without a when fits all. */
   public record Match(String model, String sender, String trafficClass, Map<String, String> headers,
       @Min(0) Integer promptCharsMost, @Min(0) Integer promptCharsLeast) {}
 
@@ -95,6 +97,10 @@
     List<Fault.Field> faults = new ArrayList<>();
     for (int index = 0; index < rules.size(); index++) {
       Way way = rules.get(index).way();
+      if (rules.get(index).when() != null) {
+        String path = "$.rules[" + index + "].when";
+        WhenExpression.faults(rules.get(index).when()).forEach(fault -> faults.add(new Fault.Field(path, fault)));
+      }
       if (!pools.containsKey(way.pool())) {
         faults.add(new Fault.Field("$.rules[" + index + "].way.pool", "names no pool of this bundle"));
       }
--- a/core-logic/src/main/java/applespindle/corelogic/CompiledRules.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CompiledRules.java
@@ -7,10 +7,11 @@
 
 /** A bundle's rules as a short program, and the small interpreter that runs it for each request. */
 final class CompiledRules {
-  enum Operation { MODEL_IS, SENDER_IS, CLASS_IS, HEADER_IS, PROMPT_AT_MOST, PROMPT_AT_LEAST, TAKE_WAY }
+  enum Operation { MODEL_IS, SENDER_IS, CLASS_IS, HEADER_IS, PROMPT_AT_MOST, PROMPT_AT_LEAST, WHEN_HOLDS, TAKE_WAY }
 
   /** Tests jump to elseGoTo when they do not fit; TAKE_WAY ends the program. */
-  record Instruction(Operation operation, String name, String text, int number, Bundle.Rule rule, int elseGoTo) {}
+  record Instruction(Operation operation, String name, String text, int number, WhenExpression when, Bundle.Rule rule,
+      int elseGoTo) {}
 
   record Subject(String model, String sender, String trafficClass, Map<String, String> headers, int promptChars) {}
 
@@ -22,14 +23,17 @@
       List<Instruction> tests = compiled.tests(rule);
       int nextRule = compiled.program.size() + tests.size() + 1;
       tests.forEach(test -> compiled.program.add(new Instruction(test.operation(), test.name(), test.text(),
-          test.number(), rule, nextRule)));
-      compiled.program.add(new Instruction(Operation.TAKE_WAY, "", "", 0, rule, nextRule));
+          test.number(), test.when(), rule, nextRule)));
+      compiled.program.add(new Instruction(Operation.TAKE_WAY, "", "", 0, null, rule, nextRule));
     }
     return compiled;
   }
 
   private List<Instruction> tests(Bundle.Rule rule) {
     List<Instruction> tests = new ArrayList<>();
+    if (rule.when() != null) {
+      tests.add(new Instruction(Operation.WHEN_HOLDS, "", "", 0, WhenExpression.compile(rule.when()), null, 0));
+    }
     Bundle.Match match = rule.match();
     if (match == null) {
       return tests;
@@ -47,13 +51,13 @@
 
   private static void text(List<Instruction> tests, Operation operation, String name, String text) {
     if (text != null) {
-      tests.add(new Instruction(operation, name, text, 0, null, 0));
+      tests.add(new Instruction(operation, name, text, 0, null, null, 0));
     }
   }
 
   private static void number(List<Instruction> tests, Operation operation, Integer number) {
     if (number != null) {
-      tests.add(new Instruction(operation, "", "", number, null, 0));
+      tests.add(new Instruction(operation, "", "", number, null, null, 0));
     }
   }
 
@@ -69,6 +73,7 @@
         case HEADER_IS -> Objects.equals(instruction.text(), subject.headers().get(instruction.name()));
         case PROMPT_AT_MOST -> subject.promptChars() <= instruction.number();
         case PROMPT_AT_LEAST -> subject.promptChars() >= instruction.number();
+        case WHEN_HOLDS -> instruction.when().holds(subject);
         case TAKE_WAY -> true;
       };
       if (instruction.operation() == Operation.TAKE_WAY) {
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -14,6 +14,7 @@
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.OwnedKey.Claim;
 import applespindle.corelogic.Records.CoreMember;
+import applespindle.corelogic.Records.ListVersion;
 import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.Records.Room;
 import applespindle.corelogic.Records.RoomChange;
@@ -50,6 +51,8 @@
   private static final String BUNDLE = "bundle";
   private static final String ROOM = "batch-room";
   private static final String ROSTER = "roster";
+  /** Apart from the keys of single workers, which begin with worker/. */
+  public static final String LIST_VERSION = "worker-list";
   /** The name under which all core keys change their replicas together. */
   private static final String CORE_SET = "core";
   private static final String PART = "core";
@@ -643,17 +646,10 @@
   /** The set that should be next, differing in one member, or null if the present one is right. */
   private List<StorageReplica> nextReplicas(String key, Shard shard, Map<String, Member> live, List<Member> spares,
       Map<String, Long> holding, long now) {
-    Set<String> present = new LinkedHashSet<>();
-    shard.replicas().forEach(each -> present.add(each.id()));
     List<StorageReplica> leaving = shard.replicas().stream().filter(each ->
         !storageState(each.id()).state().equals("active") || !live.containsKey(each.id())
             && now - storageSilentSince.getOrDefault(each.id(), now) >= Constants.STORAGE_SILENT_MS).toList();
-    Set<String> zones = new LinkedHashSet<>();
-    shard.replicas().stream().filter(each -> !leaving.contains(each)).forEach(each -> zones.add(each.zone()));
-    List<Member> candidates = spares.stream().filter(member -> !present.contains(member.id()))
-        .sorted(Comparator.comparing((Member member) -> zones.contains(member.zone()))
-            .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
-            .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id())))).toList();
+    List<Member> candidates = candidates(key, shard, leaving, spares, holding);
     if (!leaving.isEmpty()) {
       if (!candidates.isEmpty()) {
         return replaced(shard, leaving.get(0), candidates.get(0));
@@ -676,6 +672,23 @@
         .map(each -> replaced(shard, each, candidates.get(0))).orElse(null);
   }
 
+  /** Spares that are not in the set: those of a zone the rest does not cover first, then those that hold least. */
+  private static List<Member> candidates(String key, Shard shard, List<StorageReplica> leaving, List<Member> spares,
+      Map<String, Long> holding) {
+    Set<String> present = new LinkedHashSet<>();
+    Set<String> zones = new LinkedHashSet<>();
+    for (StorageReplica each : shard.replicas()) {
+      present.add(each.id());
+      if (!leaving.contains(each)) {
+        zones.add(each.zone());
+      }
+    }
+    return spares.stream().filter(member -> !present.contains(member.id()))
+        .sorted(Comparator.comparing((Member member) -> zones.contains(member.zone()))
+            .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
+            .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id())))).toList();
+  }
+
   private static long zonesWithout(Shard shard, StorageReplica leaver, Member newcomer) {
     Set<String> zones = new LinkedHashSet<>();
     shard.replicas().stream().filter(each -> !each.equals(leaver)).forEach(each -> zones.add(each.zone()));
@@ -723,6 +736,28 @@
     }
   }
 
+  /** What emptying a node would move where, by the same choice as the real one; nothing is changed. */
+  public ObjectNode planEmptying(String id) {
+    Map<String, Member> live = new TreeMap<>();
+    liveMembers().stream().filter(member -> member.role().equals("storage")).forEach(member -> live.put(member.id(), member));
+    Map<String, Long> holding = new HashMap<>();
+    allShards().forEach(shard -> shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
+    List<Member> spares = live.values().stream().filter(member -> !member.id().equals(id)
+        && storageState(member.id()).state().equals("active")).toList();
+    ObjectNode plan = JSON.createObjectNode().put("node", id).put("refused", spares.size() < Constants.SHARD_REPLICAS_LEAST);
+    ArrayNode moves = plan.putArray("moves");
+    table.values().stream().filter(item -> item.key().startsWith("shard/")).forEach(item -> {
+      Shard shard = Json.read(item.value(), Shard.class);
+      shard.replicas().stream().filter(each -> each.id().equals(id)).findFirst().ifPresent(leaver -> {
+        List<Member> candidates = candidates(item.key(), shard, List.of(leaver), spares, holding);
+        String to = candidates.isEmpty() ? "" : candidates.get(0).name();
+        candidates.stream().limit(1).forEach(chosen -> holding.merge(chosen.id(), 1L, Long::sum));
+        moves.addObject().put("shard", item.key()).put("to", to).put("reducedRedundancy", candidates.isEmpty());
+      });
+    });
+    return plan;
+  }
+
   private static boolean names(Shard shard, String id) {
     return shard.replicas().stream().anyMatch(each -> each.id().equals(id))
         || shard.next().stream().anyMatch(each -> each.id().equals(id));
@@ -808,6 +843,7 @@
       case "leave" -> leave(ask, state);
       case "bundle" -> bundle(ask, state, Json.read(ask.body(), SignedBundle.class));
       case "worker" -> worker(ask, state, Json.read(ask.body(), Worker.class));
+      case "list-version" -> listVersion(ask, state, Json.tree(ask.body()));
       case "room" -> room(ask, state, Json.tree(ask.body()));
       case "copied" -> copied(ask, state, Json.tree(ask.body()));
       case "storage" -> storage(ask, state, Json.read(ask.body(), StorageState.class));
@@ -900,6 +936,18 @@
     }
   }
 
+  /** Compare-and-set of the worker list's version: of two platforms that start from one version, one goes on. */
+  private void listVersion(Ask ask, Owned state, JsonNode body) {
+    long version = state.value.path("version").asLong(0);
+    JsonNode from = body.path("from");
+    if (from.isIntegralNumber() && from.asLong() != version) {
+      state.key.confirm(fault -> respond(ask, Response.of(fault == null ? new Fault.VersionConflict(version) : fault)));
+      return;
+    }
+    put(state, new ListVersion(version + 1), fault -> respond(ask, fault == null
+        ? Response.of(200, new ListVersion(version + 1)) : Response.of(fault)));
+  }
+
   // ---- room for waiting batch work
 
   /** Sets a batch's unfinished items. Only a first reservation can be refused, and then nothing is written. */
@@ -1012,6 +1060,8 @@
     ArrayNode workers = body.putArray("workers");
     table.values().stream().filter(item -> item.key().startsWith("worker/")).map(item -> Json.tree(item.value()))
         .filter(worker -> !worker.path("state").asText().equals(GONE)).forEach(workers::add);
+    FeedItem version = table.get(LIST_VERSION);
+    body.put("version", version == null ? 0 : Json.tree(version.value()).path("version").asLong());
     return body.put("ageMs", feedAge());
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -55,6 +55,10 @@
   @JsonIgnoreProperties(ignoreUnknown = true)
   record RoomChange(String batch, long items) {}
 
+  /** The version of the worker list; rises with each whole list that was taken. */
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record ListVersion(long version) {}
+
   /** What the platform hands in for one worker. */
   public record WorkerInput(@NotBlank @Pattern(regexp = "[A-Za-z0-9_.-]{1,100}") String id,
       @NotBlank @Pattern(regexp = "[0-9.]+:[0-9]{1,5}") String address, @NotBlank String pool,
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/BundleTest.java
@@ -0,0 +1,63 @@
+package applespindle.corelogic;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+class BundleTest {
+  private static final String GOOD = """
+      {"number": 3,
+       "pools": {"main": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5},
+                 "big": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5}},
+       "rules": [{"name": "long", "when": "promptChars > 100 && sender.startsWith('a')",
+                  "way": {"pool": "big", "trafficClass": "note", "expiryMs": 1000, "retries": 0}},
+                 {"name": "rest", "match": {"headers": {"X-Kind": "short"}},
+                  "way": {"pool": "main", "trafficClass": "note", "expiryMs": 1000, "retries": 0}}],
+       "limits": {"classes": {"note": {"rank": 0, "queueMost": 5}},
+                  "batch": {"pool": "main", "waitingItemsMost": 10, "perWorkerMost": 2, "liveReserve": 1,
+                            "cancelForLive": true, "itemExpiryMs": 1000}}}
+      """;
+
+  private static Bundle.Checked check(String text) {
+    return Bundle.check(text.getBytes(UTF_8));
+  }
+
+  private static void rejects(String text, String... paths) {
+    Fault fault = check(text).fault();
+    assertThat(fault).isInstanceOf(Fault.InvalidBundle.class);
+    assertThat(((Fault.InvalidBundle) fault).fields().stream().map(Fault.Field::path)).containsExactlyElementsIn(java.util.List.of(paths));
+  }
+
+  @Test void rulesRunInOrder() {
+    CompiledRules rules = CompiledRules.compile(check(GOOD).bundle());
+    var longOne = new CompiledRules.Subject(null, "authority", "", Map.of(), 101);
+    var shortOne = new CompiledRules.Subject(null, "authority", "", Map.of("x-kind", "short"), 100);
+    var neither = new CompiledRules.Subject(null, "other", "", Map.of(), 101);
+    assertThat(rules.run(longOne).pool()).isEqualTo("big");
+    assertThat(rules.run(shortOne).pool()).isEqualTo("main");
+    assertThat(rules.run(neither)).isNull();
+  }
+
+  @Test void namesEveryFaultAtOnce() {
+    rejects("{", "$");
+    rejects(GOOD.replace("\"number\": 3", "\"number\": 0, \"more\": 1").replace("\"retries\": 0}},", "\"retries\": \"x\"}},"),
+        "$.more", "$.number", "$.rules[0].way.retries");
+    rejects(GOOD.replace("\"pool\": \"big\"", "\"pool\": \"none\""), "$.rules[0].way.pool");
+  }
+
+  @Test void namesThePositionOfAFaultyExpression() {
+    Fault fault = check(GOOD.replace("promptChars > 100", "promptChars > 'x'")).fault();
+    Fault.Field field = ((Fault.InvalidBundle) fault).fields().get(0);
+    assertThat(field.path()).isEqualTo("$.rules[0].when");
+    assertThat(field.reason()).startsWith("line 1, column 13: ");
+    assertThat(check(GOOD.replace("promptChars > 100", "[1].exists(x, x > 0)")).fault().type())
+        .isEqualTo("InvalidBundle");
+  }
+
+  @Test void anUnknownSignerAndAWrongSignatureAreRefusedBeforeAnythingIsRead() {
+    byte[] bytes = "not json".getBytes(UTF_8);
+    assertThat(Bundle.check(bytes, "nobody", new byte[64], Map.of()).fault().type()).isEqualTo("SignatureRefused");
+  }
+}
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -57,6 +57,12 @@
     results.addArgument("batch");
     Subparser end = withAddress(commands.addParser("end").help("end a batch early"), "--edge");
     end.addArgument("batch");
+    for (String verb : new String[] {"empty", "retire", "plan"}) {
+      Subparser storage = withAddress(commands.addParser(verb + "-storage").help(verb.equals("plan")
+          ? "what emptying a storage node would move where" : verb + " a storage node"), "--core");
+      storage.addArgument("storage").help("id or name");
+    }
+    withAddress(commands.addParser("storage").help("list the storage nodes"), "--core");
     Subparser trace = commands.addParser("trace").help("follow one change through all nodes");
     trace.addArgument("--nodes").required(true).nargs("+").metavar("ADDRESS").help("HTTP addresses");
     trace.addArgument("--key").required(true).help("such as bundle, worker/w1, batch/b-…");
@@ -121,6 +127,16 @@
       case "workers" -> {
         return show(caller.get(address, "/v1/workers"));
       }
+      case "storage" -> {
+        return show(caller.get(address, "/v1/storage"));
+      }
+      case "plan-storage" -> {
+        return show(caller.get(address, "/v1/storage/" + flags.getString("storage") + "/plan"));
+      }
+      case "empty-storage", "retire-storage" -> {
+        String verb = flags.getString("command").replace("-storage", "");
+        return show(caller.post(address, "/v1/storage/" + flags.getString("storage") + "/" + verb, new byte[0], Map.of()));
+      }
       case "leaving" -> {
         return show(caller.call(HttpMethod.POST, address, "/v1/workers/" + flags.getString("worker") + "/leaving",
             new byte[0], Map.of()));
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
@@ -0,0 +1,37 @@
+package applespindle.testfleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Judges a recorded outside history by the never-rules. Exit status: 0 sound, 1 a rule was broken, 2 not readable. */
+public final class ReplayProgram {
+  public static void main(String[] arguments) {
+    System.exit(arguments.length == 1 ? replay(Path.of(arguments[0])) : wrongUse());
+  }
+
+  private static int wrongUse() {
+    System.err.println("give one history file");
+    return 2;
+  }
+
+  static int replay(Path file) {
+    try {
+      History history = History.fromLines(Files.readString(file));
+      List<Checker.Violation> violations = Checker.check(history);
+      violations.forEach(violation -> System.out.println(violation.rule() + " at " + violation.atMs() + " ms: "
+          + violation.what()));
+      System.out.println(history.all().size() + " observations, " + violations.size() + " rules broken");
+      return violations.isEmpty() ? 0 : 1;
+    } catch (History.BrokenLine broken) {
+      System.err.println(file + " " + broken.getMessage());
+      return 2;
+    } catch (IOException fault) {
+      System.err.println("can not read " + file);
+      return 2;
+    }
+  }
+
+  private ReplayProgram() {}
+}
