--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -269,6 +269,14 @@
     }
   }
 
+  long bytesLeft() {
+    try {
+      return Files.getFileStore(folder).getUsableSpace();
+    } catch (IOException unknown) {
+      return Long.MAX_VALUE;
+    }
+  }
+
   boolean wantsCheckpoint() {
     return segmentBytes >= Constants.SEGMENT_BYTES;
   }
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -59,6 +59,8 @@
   private Thread diskThread;
   private long planned;
   private volatile boolean ended;
+  private volatile boolean diskFull;
+  private long spaceReadAt;
 
   public NodeProcess(Startup startup, BiFunction<Surroundings, Node.Place, Node> maker) {
     this.startup = startup;
@@ -154,6 +156,14 @@
     }
   }
 
+  private void noteSpace(long bytesLeft) {
+    boolean full = bytesLeft < Constants.DISK_LEFT_BYTES;
+    if (full != diskFull) {
+      log("disk", full ? "The disk is full: nothing new is taken." : "The disk has room again.");
+    }
+    diskFull = full;
+  }
+
   private void runSafely(Runnable task) {
     try {
       task.run();
@@ -172,7 +182,6 @@
         diskRing.drainTo(jobs, 1024);
         if (jobs.isEmpty()) {
           LockSupport.parkNanos(200_000L);
-          continue;
         }
         for (DiskJob job : jobs) {
           if (job.checkpoint()) {
@@ -185,6 +194,10 @@
         }
         disk.append(records);
         jobs.forEach(job -> backToLogic(job.whenSynced()));
+        if (now() - spaceReadAt >= Constants.CORE_SILENT_MS) {
+          spaceReadAt = now();
+          noteSpace(disk.bytesLeft());
+        }
         if (disk.wantsCheckpoint()) {
           checkpointWanted.set(true);
         }
@@ -235,7 +248,12 @@
   }
 
   @Override public boolean takesWrites() {
-    return diskRing.size() < Constants.RING_SLOTS / 2;
+    return diskRing.size() < Constants.RING_SLOTS / 2 && !diskFull;
+  }
+
+  /** So little is left on the disk that nothing new is taken; what is there stays. */
+  boolean diskFull() {
+    return diskFull;
   }
 
   @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
--- a/core-logic/src/main/java/applespindle/corelogic/BatchEvent.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchEvent.java
@@ -25,6 +25,8 @@
   static final String ENDED = "ended";
   static final String FINISHED = "finished";
   static final String REFUSED = "refused";
+  /** Whole by itself: all that stood before it may go from the disks. */
+  static final String REMOVED = "removed";
 
   record Accepted(String sender, String digest, long dueInMs, long expiresInMs, List<JsonNode> items) {}
 
--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -108,7 +108,7 @@
 
   private void append(BatchEvent event, Consumer<Fault> then) {
     byte[] bytes = Json.bytes(event);
-    key.append(false, bytes, fault -> {
+    key.append(event.kind().equals(BatchEvent.REMOVED), bytes, fault -> {
       if (fault == null) {
         view.fold(bytes);
       }
@@ -163,6 +163,16 @@
     append(BatchEvent.plain(BatchEvent.REFUSED, 0), then);
   }
 
+  /** Takes a batch that is over and was kept long enough off the disks; its key may be used anew after that. */
+  void remove(Consumer<Response> then) {
+    if (view.accepted != null && !view.open()) {
+      append(BatchEvent.plain(BatchEvent.REMOVED, 0),
+          fault -> then.accept(fault == null ? Response.of(200, summary()) : unknown(fault)));
+    } else {
+      then.accept(Response.of(200, summary()));
+    }
+  }
+
   void end(Consumer<Response> then) {
     lastUsedAt = surroundings.now();
     if (view.accepted == null) {
--- a/core-logic/src/main/java/applespindle/corelogic/BatchView.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchView.java
@@ -68,6 +68,11 @@
       }
       case BatchEvent.ENDED -> ended = true;
       case BatchEvent.FINISHED -> finished = true;
+      case BatchEvent.REMOVED -> {
+        accepted = null;
+        results.clear();
+        ranges.clear();
+      }
       case BatchEvent.REFUSED -> refused = accepted == null;
       default -> { }
     }
@@ -75,6 +80,8 @@
 
   private void accept(Accepted event) {
     if (accepted == null) {
+      ended = false;
+      finished = false;
       accepted = event;
       refused = false;
       byItem = new Result[event.items().size()];
--- a/core-logic/src/main/java/applespindle/corelogic/Bundle.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Bundle.java
@@ -54,7 +54,12 @@
       @Min(0) @Max(10_000) int perWorkerMost,
       @Min(0) @Max(10_000) int liveReserve,
       boolean cancelForLive,
-      @Min(1) @Max(3_600_000) long itemExpiryMs) {}
+      @Min(1) @Max(3_600_000) long itemExpiryMs,
+      @Min(1_000) Long retentionMs) {
+    long keptMs() {
+      return retentionMs == null ? Constants.RETENTION_MS : retentionMs;
+    }
+  }
 
   /** What the checks in order came to: a bundle, or the one fault that ended them. */
   public record Checked(Bundle bundle, Fault fault) {}
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -94,6 +94,13 @@
   public static final long ITEM_EXPIRY_MS = 30_000;
   /** A finished batch stays at its leader's memory this long after its last use. */
   public static final long LEADER_IDLE_MS = 5_000;
+  /** How long a batch that is over stays readable unless the bundle says otherwise: a working day and a night. */
+  public static final long RETENTION_MS = 24 * 3_600_000L;
+  /** How often a storage node looks for batches kept long enough, and how many it has removed at a time. */
+  public static final long RETENTION_SCAN_MS = 5_000;
+  public static final int RETENTION_SCAN_MOST = 20;
+  /** A disk with less than this left takes nothing new: room for two segments and a checkpoint. */
+  public static final long DISK_LEFT_BYTES = 96L << 20;
   /** Page size of results when none is given, and the largest one: keeps a response within a few MB. */
   public static final int RESULTS_PAGE = 100;
   public static final int RESULTS_PAGE_MOST = 1_000;
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -168,6 +168,7 @@
       case "get" -> leader.read(response -> respond(ask, response));
       case "results" -> leader.results(body.path("after").asLong(), body.path("limit").asInt(),
           response -> respond(ask, response));
+      case "remove" -> leader.remove(response -> respond(ask, response));
       case "end" -> leader.end(response -> respond(ask, response));
       default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
     }
--- a/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 import static applespindle.corelogic.Json.JSON;
@@ -25,6 +26,9 @@
   private final ReplicaCopier copier;
   /** Batches accepted by a committed entry and not yet committed as finished, ended or refused. */
   private final Set<String> unfinished = new TreeSet<>();
+  /** Batches that are over, with since when this process has known so. */
+  private final Map<String, Long> overSince = new TreeMap<>();
+  private long removed;
   /** Once-id to the one token that claimed it here. Written once; taken back only by the token itself. */
   private final Map<String, String> claims = new LinkedHashMap<>();
 
@@ -64,6 +68,21 @@
     super.start();
     replicas.recovered();
     every(Constants.ORPHAN_SCAN_MS, this::reportOrphans);
+    every(Constants.RETENTION_SCAN_MS, this::removeOld);
+  }
+
+  /** The first replica of a batch has it removed by the batch's leader once it was kept long enough. */
+  private void removeOld() {
+    if (bundle == null) {
+      return;
+    }
+    long before = surroundings.now() - bundle.limits().batch().keptMs();
+    overSince.entrySet().stream().filter(entry -> entry.getValue() < before).map(Map.Entry::getKey)
+        .filter(key -> place.id().equals(Rendezvous.first(key, setsOf(key).present().stream()
+            .map(OwnedKey.Replica::id).toList())))
+        .limit(Constants.RETENTION_SCAN_MOST).toList()
+        .forEach(key -> ask(attempt -> firstEdge(key, attempt), "remove", key, JSON.createObjectNode(),
+            Constants.RETENTION_SCAN_MS, response -> { }));
   }
 
   private void committed(String key, Entry entry) {
@@ -73,8 +92,13 @@
     String kind = BatchEvent.kindOf(entry.event());
     if (kind.equals(BatchEvent.ACCEPTED)) {
       unfinished.add(key);
+      overSince.remove(key);
     } else if (kind.equals(BatchEvent.FINISHED) || kind.equals(BatchEvent.ENDED) || kind.equals(BatchEvent.REFUSED)) {
       unfinished.remove(key);
+      overSince.put(key, surroundings.now());
+    } else if (kind.equals(BatchEvent.REMOVED)) {
+      overSince.remove(key);
+      removed++;
     }
     journal.add("committed", key, "sequence " + entry.sequence() + " " + kind);
   }
@@ -210,7 +234,7 @@
 
   @Override public ObjectNode status() {
     return super.status().put("keys", replicas.copies().size()).put("unfinished", unfinished.size())
-        .put("onceClaims", claims.size());
+        .put("onceClaims", claims.size()).put("removed", removed);
   }
 
   @Override public void stop(Runnable whenDone) {
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -39,7 +39,7 @@
           "limits": {
             "classes": {"check": {"rank": 0, "queueMost": 200}, "note": {"rank": 1, "queueMost": 100}},
             "batch": {"pool": "main", "waitingItemsMost": 2000, "perWorkerMost": 12, "liveReserve": 2,
-                      "cancelForLive": true, "itemExpiryMs": 30000}
+                      "cancelForLive": true, "itemExpiryMs": 30000, "retentionMs": 86400000}
           }
         }
         """.formatted(number);
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -240,7 +240,7 @@
     String id = "l" + ++liveNumber;
     String once = trafficClass.equals("once") ? "once-" + id : "";
     int tokens = trafficClass.equals("note") ? 24 : 2;
-    String prompt = SHARED.substring(0, 200 + (int) (liveNumber % 4) * 20) + "Ruling " + id;
+    String prompt = SimulatedFleet.familyPrompt(random.nextInt(SimulatedFleet.FAMILIES), id);
     boolean stream = random.nextBoolean();
     see(Kind.LIVE_SENT, id, once, prompt, tokens);
     long sentAt = StandInWorkers.nowMs();
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -249,10 +249,19 @@
       case "leaving" -> fleet.markLeaving(words[1]);
       case "bundle" -> fleet.sendBundle(Long.parseLong(words[1]), fleet.deployment.bundle(Long.parseLong(words[1])),
           words.length > 2 ? words[2] : "core-1");
-      case "bundle-ceiling" -> {
-        String bundle = fleet.deployment.bundle(Long.parseLong(words[1]))
-            .replace("\"waitingItemsMost\": 2000", "\"waitingItemsMost\": " + words[2]);
-        simulation.history.add(simulation.nowMs(), Kind.CEILING, "", "", "", Long.parseLong(words[2]));
+      case "bundle-set" -> {
+        String bundle = fleet.deployment.bundle(Long.parseLong(words[1]));
+        for (int index = 2; index < words.length; index += 2) {
+          String changed = bundle.replaceAll("\"" + words[index] + "\": [^,}]*", "\"" + words[index] + "\": "
+              + words[index + 1]);
+          if (changed.equals(bundle)) {
+            throw new BrokenLine(timed.line(), timed.text());
+          }
+          bundle = changed;
+          if (words[index].equals("waitingItemsMost")) {
+            simulation.history.add(simulation.nowMs(), Kind.CEILING, "", "", "", Long.parseLong(words[index + 1]));
+          }
+        }
         fleet.sendBundle(Long.parseLong(words[1]), bundle, "core-1");
       }
       case "bundles-collide" -> {
@@ -301,6 +310,14 @@
           .filter(sender -> sender.acceptedAtMs < 0).count(), expected.number(), faults);
       case "ended-least" -> atLeast("ended batches", fleet.senders.stream().filter(sender -> sender.ended).count(),
           expected.number(), faults);
+      case "removed-least" -> atLeast("removed batches", fleet.removedBatches(), expected.number(), faults);
+      case "cache-hits-least" -> atLeast("percent of cache hits", fleet.cacheHitPercent(), expected.number(), faults);
+      case "checks-p99-ms" -> {
+        long p99 = SimulatedFleet.percentile(fleet.checkLatencies, 99);
+        if (p99 > expected.number()) {
+          faults.add("expected checks' p99 within " + expected.number() + " ms, was " + p99);
+        }
+      }
       case "reduced-shards" -> exactly("shards with reduced redundancy",
           fleet.coreStatus().path("shardsWithReducedRedundancy").asLong(-1), expected.number(), faults);
       case "storage-refused" -> exactly("refused storage marks", fleet.storageRefusals, expected.number(), faults);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -29,6 +29,9 @@
   private static final int SUBMIT_TRIES = 6;
   private static final long SENDER_PATIENCE_MS = 8_000;
   private static final long LIVE_PATIENCE_MS = 12_000;
+  /** More families than one worker's cache holds, fewer than all caches together. */
+  static final int FAMILIES = 200;
+  private static final int FAMILY_CHARS = 320;
   private static final long POLL_MS = 400;
   private static final long READY_MS = 500;
   private static final String SHARED = "In the usual form of the office, with greeting, place and hour of the event. "
@@ -374,7 +377,7 @@
     long number = ++liveNumber;
     String id = "l" + number;
     int tokens = trafficClass.equals("note") ? 24 : 2;
-    String prompt = SHARED.substring(0, 200 + (int) (number % 4) * 20) + "Ruling " + id;
+    String prompt = familyPrompt(simulation.random.nextInt(FAMILIES), id);
     boolean stream = simulation.random.nextBoolean();
     Process edge = anyEdge();
     long sentAt = simulation.nowMs();
@@ -421,6 +424,11 @@
     });
   }
 
+  /** Prompts come in families that share a long beginning, as the brief's do. */
+  static String familyPrompt(int family, String id) {
+    return ("Case file " + family + ". " + SHARED).substring(0, FAMILY_CHARS) + "Ruling " + id;
+  }
+
   private void liveAnswered(String id, String trafficClass, long sentAt, boolean[] done, int status, String detail,
       String text) {
     if (!done[0]) {
@@ -450,14 +458,24 @@
     List<Long> batches = senders.stream().filter(sender -> sender.finishedAtMs >= 0)
         .map(sender -> sender.finishedAtMs - sender.acceptedAtMs).toList();
     long accepted = senders.stream().filter(sender -> sender.acceptedAtMs >= 0).count();
-    int looks = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
-    int hits = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
     long received = simulation.history.of(Kind.WORKER_RECEIVED).stream().filter(seen -> !seen.detail().isEmpty()).count();
     return "batches " + senders.size() + ", accepted " + accepted + ", done median " + percentile(batches, 50) + " most "
         + percentile(batches, 100) + "; checks " + checkLatencies.size() + " median " + percentile(checkLatencies, 50)
         + " p99 " + percentile(checkLatencies, 99) + "; notes " + noteLatencies.size() + " p99 "
         + percentile(noteLatencies, 99) + "; item runs " + received + "; cache hits "
-        + (looks == 0 ? 0 : 100 * hits / looks) + "%";
+        + cacheHitPercent() + "%";
+  }
+
+  long cacheHitPercent() {
+    int looks = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
+    int hits = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
+    return looks == 0 ? 0 : 100 * hits / looks;
+  }
+
+  /** Batches of which a majority of the storage nodes knows that they were removed. */
+  long removedBatches() {
+    return simulation.processes.values().stream().filter(process -> process.role.equals("storage") && process.alive())
+        .mapToLong(process -> process.node().status().path("removed").asLong()).sorted().skip(1).findFirst().orElse(0);
   }
 
   static long percentile(List<Long> values, int percent) {
