--- /dev/null
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -0,0 +1,62 @@
+package applespindle.adapters;
+
+import applespindle.adapters.UnreadableFrame.Kind;
+import applespindle.adapters.sbe.MessageHeaderDecoder;
+import applespindle.corelogic.Envelope;
+import applespindle.corelogic.Epoch;
+import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.KeyPromise;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Two versions of the peer messages side by side; that every message survives its codec the simulator checks. */
+class PeerCodecTest {
+  private static final int HEAD = MessageHeaderDecoder.ENCODED_LENGTH;
+  private final PeerCodec codec = new PeerCodec();
+  private final Envelope envelope = new Envelope("a", "127.0.0.1:1", "b", new BundleConfirmed(7));
+
+  /** Where the message itself begins: behind the envelope's head, which has no fixed fields but three texts. */
+  private static int bodyAt(ByteBuffer frame) {
+    int at = HEAD;
+    for (int text = 0; text < 3; text++) {
+      at += 4 + frame.getInt(at);
+    }
+    return at;
+  }
+
+  private ByteBuffer frame() {
+    return ByteBuffer.wrap(codec.encode(envelope)).order(ByteOrder.LITTLE_ENDIAN);
+  }
+
+  @Test void understandsTheNextVersionWithAFieldMore() throws UnreadableFrame {
+    ByteBuffer old = frame();
+    int body = bodyAt(old);
+    ByteBuffer newer = ByteBuffer.allocate(old.limit() + 8).order(ByteOrder.LITTLE_ENDIAN);
+    newer.put(old.array()).putLong(99);
+    newer.putShort(body, (short) (old.getShort(body) + 8));
+    newer.putShort(body + 6, (short) (PeerCodec.VERSION + 1));
+    newer.putShort(6, (short) (PeerCodec.VERSION + 1));
+    assertThat(codec.decode(newer.array())).isEqualTo(envelope);
+  }
+
+  @Test void refusesAVersionTwoAwayAndWhatItDoesNotKnow() {
+    ByteBuffer far = frame();
+    far.putShort(6, (short) (PeerCodec.VERSION + 2));
+    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(far.array())).kind).isEqualTo(Kind.UNKNOWN_SCHEMA);
+    ByteBuffer unknown = frame();
+    unknown.putShort(bodyAt(unknown) + 2, (short) 999);
+    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(unknown.array())).kind)
+        .isEqualTo(Kind.UNKNOWN_MESSAGE);
+    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(new byte[] {1, 2, 3})).kind).isEqualTo(Kind.BROKEN);
+  }
+
+  @Test void keepsEpochsApart() throws UnreadableFrame {
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true);
+    Envelope sent = new Envelope("a", "127.0.0.1:1", "", promise);
+    assertThat(codec.decode(codec.encode(sent))).isEqualTo(sent);
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchFeeder.java
@@ -204,7 +204,8 @@
     if (bundle == null || !book.usable(worker) || !worker.worker.pool().equals(bundle.limits().batch().pool())) {
       return 0;
     }
-    int left = worker.load.capacity() - bundle.limits().batch().liveReserve() - worker.liveRunning();
+    int live = Math.max(worker.liveRunning(), (int) worker.livePeak);
+    int left = worker.load.capacity() - bundle.limits().batch().liveReserve() - live;
     return Math.min(bundle.limits().batch().perWorkerMost(), left) - worker.batch;
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -63,6 +63,8 @@
   public static final int SHARD_REPLICAS_LEAST = 2;
   /** Shards one core node has under change at once: keeps copying below live and batch writes. */
   public static final int SHARD_CHANGES_MOST = 2;
+  /** At how many of a core node's looks it balances at all, at random: so that two owners seldom do so at once. */
+  public static final int BALANCE_ONE_IN = 8;
   /** Size of a page of copied keys, and the pause between two: about 5 MB a second from each source at most. */
   public static final int COPY_PAGE_BYTES = 256 << 10;
   public static final long COPY_PAUSE_MS = 50;
@@ -110,6 +112,8 @@
   public static final long LOAD_POLL_MS = 200;
   /** A load report older than this leaves the worker out of selection. */
   public static final long LOAD_STALE_MS = 1_500;
+  /** A worker's remembered peak of live runs falls by one in this time (round 10). */
+  public static final long LIVE_PEAK_FALL_MS = 1_000;
   /** A worker that faulted rests this long, doubled with each further fault up to the limit below. */
   public static final long WORKER_REST_MS = 500;
   public static final long WORKER_REST_MOST_MS = 4_000;
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -620,12 +620,51 @@
       if (!shard.next().isEmpty()) {
         settleChange(state, shard, live);
       } else if (pending < Constants.SHARD_CHANGES_MOST) {
-        List<StorageReplica> next = nextReplicas(state.key.key, shard, live, spares, holding, now);
+        List<StorageReplica> next = repaired(state.key.key, shard, live, spares, holding, now);
         if (next != null) {
           pending++;
-          state.copied.clear();
-          journal.add("changing", state.key.key, "set " + (shard.number() + 1));
-          put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> { });
+          change(state, shard, next);
+        }
+      }
+    }
+    if (pending == 0 && surroundings.random().nextInt(Constants.BALANCE_ONE_IN) == 0) {
+      balance(live, spares, holding);
+    }
+  }
+
+  private void change(Owned state, Shard shard, List<StorageReplica> next) {
+    state.copied.clear();
+    journal.add("changing", state.key.key, "set " + (shard.number() + 1));
+    put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> { });
+  }
+
+  /**
+   * Moves one replica to a node that holds at least two fewer, and only while nothing else is to be changed anywhere:
+   * repairs come first, and owners that balance side by side would only pass shards to and fro.
+   */
+  private void balance(Map<String, Member> live, List<Member> spares, Map<String, Long> holding) {
+    boolean settled = allShards().stream().allMatch(shard -> shard.next().isEmpty()
+        && shard.replicas().size() == Constants.SHARD_REPLICAS
+        && shard.replicas().stream().allMatch(each -> live.containsKey(each.id())
+            && storageState(each.id()).state().equals("active")));
+    if (!settled) {
+      return;
+    }
+    for (Owned state : owned.values()) {
+      if (!state.key.key.startsWith("shard/") || state.value.isNull()) {
+        continue;
+      }
+      Shard shard = JSON.convertValue(state.value, Shard.class);
+      List<Member> candidates = candidates(state.key.key, shard, List.of(), spares, holding).stream()
+          .sorted(Comparator.comparingLong(member -> holding.getOrDefault(member.id(), 0L))).limit(1).toList();
+      for (Member candidate : candidates) {
+        Optional<StorageReplica> fullest = shard.replicas().stream()
+            .filter(each -> zonesWithout(shard, each, candidate) >= zonesWithout(shard, null, null)
+                && holding.getOrDefault(candidate.id(), 0L) + 2 <= holding.getOrDefault(each.id(), 0L))
+            .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)));
+        if (fullest.isPresent()) {
+          change(state, shard, replaced(shard, fullest.get(), candidate));
+          return;
         }
       }
     }
@@ -643,8 +682,8 @@
     }
   }
 
-  /** The set that should be next, differing in one member, or null if the present one is right. */
-  private List<StorageReplica> nextReplicas(String key, Shard shard, Map<String, Member> live, List<Member> spares,
+  /** The set that should be next, differing in one member, or null if nothing is dead, leaving or missing. */
+  private List<StorageReplica> repaired(String key, Shard shard, Map<String, Member> live, List<Member> spares,
       Map<String, Long> holding, long now) {
     List<StorageReplica> leaving = shard.replicas().stream().filter(each ->
         !storageState(each.id()).state().equals("active") || !live.containsKey(each.id())
@@ -659,17 +698,8 @@
           && shard.replicas().stream().filter(each -> !each.equals(leaving.get(0))).allMatch(each -> live.containsKey(each.id()))
           ? replaced(shard, leaving.get(0), null) : null;
     }
-    if (candidates.isEmpty()) {
-      return null;
-    }
-    if (shard.replicas().size() < Constants.SHARD_REPLICAS) {
-      return replaced(shard, null, candidates.get(0));
-    }
-    return shard.replicas().stream()
-        .filter(each -> zonesWithout(shard, each, candidates.get(0)) >= zonesWithout(shard, null, null)
-            && holding.getOrDefault(candidates.get(0).id(), 0L) + 2 <= holding.getOrDefault(each.id(), 0L))
-        .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)))
-        .map(each -> replaced(shard, each, candidates.get(0))).orElse(null);
+    return candidates.isEmpty() || shard.replicas().size() >= Constants.SHARD_REPLICAS ? null
+        : replaced(shard, null, candidates.get(0));
   }
 
   /** Spares that are not in the set: those of a zone the rest does not cover first, then those that hold least. */
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -18,6 +18,9 @@
     int batch;
     /** This edge's runs begun less those ended since the last report: what the report can not know yet. */
     int sinceReport;
+    /** Highest live running of late; falls slowly, so that batch work does not refill what live will want again. */
+    double livePeak;
+    long livePeakAt;
     int faultsInRow;
     int refusalsInRow;
     long restsUntil = Long.MIN_VALUE / 2;
@@ -91,11 +94,19 @@
       worker.load = load;
       worker.loadAt = surroundings.now();
       worker.sinceReport = 0;
+      notePeak(worker);
       surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker));
       whenChanged.run();
     }, fault -> surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker)));
   }
 
+  private void notePeak(Known worker) {
+    long now = surroundings.now();
+    double fallen = worker.livePeak - (now - worker.livePeakAt) / (double) Constants.LIVE_PEAK_FALL_MS;
+    worker.livePeak = Math.max(worker.liveRunning(), fallen);
+    worker.livePeakAt = now;
+  }
+
   /** Listed, heard of lately, not leaving, not at rest after a fault. */
   boolean usable(Known worker) {
     long now = surroundings.now();
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -318,6 +318,15 @@
           faults.add("expected checks' p99 within " + expected.number() + " ms, was " + p99);
         }
       }
+      case "shard-changes-most" -> {
+        long most = 0;
+        for (JsonNode shard : fleet.coreStatus().path("shards")) {
+          most += shard.path("number").asLong();
+        }
+        if (most > expected.number()) {
+          faults.add("expected set numbers to sum up to at most " + (long) expected.number() + ", were " + most);
+        }
+      }
       case "reduced-shards" -> exactly("shards with reduced redundancy",
           fleet.coreStatus().path("shardsWithReducedRedundancy").asLong(-1), expected.number(), faults);
       case "storage-refused" -> exactly("refused storage marks", fleet.storageRefusals, expected.number(), faults);
