--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -34,6 +35,7 @@
   private final PeerCodec codec = new PeerCodec();
   private String id;
   private long incarnation;
+  private FileChannel lock;
   private FileChannel channel;
   private long segment;
   private long segmentBytes;
@@ -49,6 +51,7 @@
   public static DiskLog open(Path folder, Consumer<DiskRecord> replay, Consumer<String> log) {
     try {
       Files.createDirectories(folder);
+      FileChannel lock = lock(folder);
       DiskLog opened = new DiskLog(folder);
       List<DiskRecord> records = new ArrayList<>();
       try {
@@ -64,6 +67,7 @@
         opened = new DiskLog(folder);
         opened.readIdentity();
       }
+      opened.lock = lock;
       opened.incarnation++;
       opened.writeIdentity();
       opened.openSegment(opened.segment + 1);
@@ -74,6 +78,22 @@
     }
   }
 
+  /** One process a folder: a second one would write a second truth. */
+  private static FileChannel lock(Path folder) throws IOException {
+    FileChannel channel = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    boolean free;
+    try {
+      free = channel.tryLock() != null;
+    } catch (OverlappingFileLockException heldHere) {
+      free = false;
+    }
+    if (!free) {
+      channel.close();
+      throw new DiskFault(DiskFault.Kind.IN_USE, folder.toString(), null);
+    }
+    return channel;
+  }
+
   public String id() {
     return id;
   }
@@ -89,6 +109,9 @@
     }
     Path aside = Files.createDirectory(folder.resolve("corrupt-" + number));
     for (Path file : files(folder, "")) {
+      if (file.getFileName().toString().equals("lock")) {
+        continue;
+      }
       Files.move(file, aside.resolve(file.getFileName()));
     }
     syncFolder(folder);
@@ -309,6 +332,7 @@
   @Override public void close() {
     try {
       channel.close();
+      lock.close();
     } catch (IOException ignored) {
       // Everything that was answered for is synced already.
     }
--- a/adapters/src/main/java/applespindle/adapters/Program.java
+++ b/adapters/src/main/java/applespindle/adapters/Program.java
@@ -32,6 +32,9 @@
     }
     try {
       new NodeProcess(read.startup(), maker.apply(read.startup())).start(openInterface);
+    } catch (DiskFault fault) {
+      System.err.println("startup: $.data: " + fault.getMessage());
+      System.exit(EXIT_STARTUP);
     } catch (IOException | UncheckedIOException fault) {
       System.err.println("startup: $.http or $.peer: can not listen: " + fault.getMessage());
       System.exit(EXIT_STARTUP);
--- a/adapters/src/test/java/applespindle/adapters/DiskLogTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskLogTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class DiskLogTest {
   @TempDir Path folder;
@@ -101,6 +102,14 @@
     }
   }
 
+  @Test void aFolderInUseIsRefused() {
+    try (DiskLog log = open().log()) {
+      DiskFault fault = assertThrows(DiskFault.class, this::open);
+      assertThat(fault.kind).isEqualTo(DiskFault.Kind.IN_USE);
+      assertThat(log.incarnation()).isEqualTo(1);
+    }
+  }
+
   @Test void anUnfinishedCheckpointIsNotUsed() throws IOException {
     writeTwo();
     Files.writeString(folder.resolve("new-checkpoint-000000000009.log"), "half", StandardOpenOption.CREATE);
