One piece of code for claims under way, and shard placement apart

CoreNode and EdgeNode each kept the same book of claims; KeyClaims serves both. Placement choices stand by themselves.

--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -3,7 +3,6 @@
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.Json;
-import applespindle.corelogic.Node;
 import applespindle.corelogic.Response;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -12,7 +12,6 @@
 import applespindle.corelogic.Message.KeyHandOver;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
-import applespindle.corelogic.OwnedKey.Claim;
 import applespindle.corelogic.Records.CoreMember;
 import applespindle.corelogic.Records.ListVersion;
 import applespindle.corelogic.Records.Member;
@@ -109,8 +108,7 @@
   private final KeyReplicas replicas;
   private final ReplicaCopier copier;
   private final Map<String, Owned> owned = new TreeMap<>();
-  private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
-  private final Map<String, OwnedKey> claiming = new HashMap<>();
+  private final KeyClaims claims;
   /** By peer address, as a founder's id is not known before it speaks. */
   private final Map<String, Peer> peers = new TreeMap<>();
   /** The newest committed value known for each key. Sequences never fall. */
@@ -131,6 +129,7 @@
     this.operatorKeys = operatorKeys;
     this.founders = founders;
     this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
+    this.claims = new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
   }
 
@@ -197,7 +196,7 @@
     surroundings.write(List.of(rosterRecord()), () -> { });
     replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
     owned.values().forEach(state -> state.key.changeSets(coreSets()));
-    List.copyOf(claiming.values()).forEach(claimed -> claimed.changeSets(coreSets()));
+    claims.changeSets();
   }
 
   private void copyIfNewcomer() {
@@ -317,7 +316,7 @@
       boolean first = place.id().equals(Rendezvous.first(ROSTER, liveCore()));
       KeyReplicas.Copy copy = replicas.copies().get(ROSTER);
       if (first && (copy == null || replicas.ownerSilent(copy))) {
-        claim(ROSTER, false, outcome -> { });
+        claims.claim(ROSTER, false, outcome -> { });
       }
       return;
     }
@@ -384,7 +383,7 @@
     replicas.copies().forEach((key, copy) -> {
       if (!owned.containsKey(key) && replicas.ownerSilent(copy) && worthOwning(key)
           && place.id().equals(Rendezvous.first(key, live))) {
-        claim(key, false, outcome -> { });
+        claims.claim(key, false, outcome -> { });
       }
     });
   }
@@ -398,27 +397,6 @@
     return item != null || key.equals(ROOM);
   }
 
-  private void claim(String key, boolean handedOver, Consumer<OwnedKey.ClaimOutcome> then) {
-    List<Consumer<OwnedKey.ClaimOutcome>> waiting = claims.get(key);
-    if (waiting != null) {
-      waiting.add(then);
-      return;
-    }
-    claims.put(key, new ArrayList<>(List.of(then)));
-    OwnedKey[] holder = new OwnedKey[1];
-    OwnedKey ownedKey = new OwnedKey(surroundings, place.id(), this::send, key, coreSets(), handedOver, outcome -> {
-      claiming.remove(key);
-      if (outcome.claim() == Claim.OWNED) {
-        begin(holder[0]);
-      }
-      claims.remove(key).forEach(each -> each.accept(outcome));
-    });
-    holder[0] = ownedKey;
-    if (ownedKey.state() == OwnedKey.State.CLAIMING) {
-      claiming.put(key, ownedKey);
-    }
-  }
-
   private void begin(OwnedKey ownedKey) {
     Owned state = new Owned(ownedKey);
     for (Entry entry : ownedKey.entries()) {
@@ -580,9 +558,9 @@
       }
       Owned state = owned.get(key);
       if (state == null) {
-        claim(key, false, outcome -> { });
+        claims.claim(key, false, outcome -> { });
       } else if (state.value.isNull()) {
-        put(state, new Shard(1, placeShard(key, storage), List.of()), fault -> { });
+        put(state, new Shard(1, ShardPlacement.placeShard(key, storage), List.of()), fault -> { });
       }
     }
   }
@@ -655,15 +633,15 @@
         continue;
       }
       Shard shard = JSON.convertValue(state.value, Shard.class);
-      List<Member> candidates = candidates(state.key.key, shard, List.of(), spares, holding).stream()
+      List<Member> candidates = ShardPlacement.candidates(state.key.key, shard, List.of(), spares, holding).stream()
           .sorted(Comparator.comparingLong(member -> holding.getOrDefault(member.id(), 0L))).limit(1).toList();
       for (Member candidate : candidates) {
         Optional<StorageReplica> fullest = shard.replicas().stream()
-            .filter(each -> zonesWithout(shard, each, candidate) >= zonesWithout(shard, null, null)
+            .filter(each -> ShardPlacement.zonesWithout(shard, each, candidate) >= ShardPlacement.zonesWithout(shard, null, null)
                 && holding.getOrDefault(candidate.id(), 0L) + 2 <= holding.getOrDefault(each.id(), 0L))
             .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)));
         if (fullest.isPresent()) {
-          change(state, shard, replaced(shard, fullest.get(), candidate));
+          change(state, shard, ShardPlacement.replaced(shard, fullest.get(), candidate));
           return;
         }
       }
@@ -688,54 +666,20 @@
     List<StorageReplica> leaving = shard.replicas().stream().filter(each ->
         !storageState(each.id()).state().equals("active") || !live.containsKey(each.id())
             && now - storageSilentSince.getOrDefault(each.id(), now) >= Constants.STORAGE_SILENT_MS).toList();
-    List<Member> candidates = candidates(key, shard, leaving, spares, holding);
+    List<Member> candidates = ShardPlacement.candidates(key, shard, leaving, spares, holding);
     if (!leaving.isEmpty()) {
       if (!candidates.isEmpty()) {
-        return replaced(shard, leaving.get(0), candidates.get(0));
+        return ShardPlacement.replaced(shard, leaving.get(0), candidates.get(0));
       }
       boolean byHand = !storageState(leaving.get(0).id()).state().equals("active");
       return byHand && shard.replicas().size() > Constants.SHARD_REPLICAS_LEAST
           && shard.replicas().stream().filter(each -> !each.equals(leaving.get(0))).allMatch(each -> live.containsKey(each.id()))
-          ? replaced(shard, leaving.get(0), null) : null;
+          ? ShardPlacement.replaced(shard, leaving.get(0), null) : null;
     }
     return candidates.isEmpty() || shard.replicas().size() >= Constants.SHARD_REPLICAS ? null
-        : replaced(shard, null, candidates.get(0));
-  }
-
-  /** Spares that are not in the set: those of a zone the rest does not cover first, then those that hold least. */
-  private static List<Member> candidates(String key, Shard shard, List<StorageReplica> leaving, List<Member> spares,
-      Map<String, Long> holding) {
-    Set<String> present = new LinkedHashSet<>();
-    Set<String> zones = new LinkedHashSet<>();
-    for (StorageReplica each : shard.replicas()) {
-      present.add(each.id());
-      if (!leaving.contains(each)) {
-        zones.add(each.zone());
-      }
-    }
-    return spares.stream().filter(member -> !present.contains(member.id()))
-        .sorted(Comparator.comparing((Member member) -> zones.contains(member.zone()))
-            .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
-            .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id())))).toList();
-  }
-
-  private static long zonesWithout(Shard shard, StorageReplica leaver, Member newcomer) {
-    Set<String> zones = new LinkedHashSet<>();
-    shard.replicas().stream().filter(each -> !each.equals(leaver)).forEach(each -> zones.add(each.zone()));
-    if (newcomer != null) {
-      zones.add(newcomer.zone());
-    }
-    return zones.size();
+        : ShardPlacement.replaced(shard, null, candidates.get(0));
   }
 
-  private static List<StorageReplica> replaced(Shard shard, StorageReplica leaver, Member newcomer) {
-    List<StorageReplica> next = new ArrayList<>(shard.replicas());
-    next.remove(leaver);
-    if (newcomer != null) {
-      next.add(new StorageReplica(newcomer.id(), newcomer.peerAddress(), newcomer.zone()));
-    }
-    return next;
-  }
 
   private void copied(Ask ask, Owned state, JsonNode body) {
     state.copied.put(body.path("id").asText(), body.path("number").asLong());
@@ -779,7 +723,7 @@
     table.values().stream().filter(item -> item.key().startsWith("shard/")).forEach(item -> {
       Shard shard = Json.read(item.value(), Shard.class);
       shard.replicas().stream().filter(each -> each.id().equals(id)).findFirst().ifPresent(leaver -> {
-        List<Member> candidates = candidates(item.key(), shard, List.of(leaver), spares, holding);
+        List<Member> candidates = ShardPlacement.candidates(item.key(), shard, List.of(leaver), spares, holding);
         String to = candidates.isEmpty() ? "" : candidates.get(0).name();
         candidates.stream().limit(1).forEach(chosen -> holding.merge(chosen.id(), 1L, Long::sum));
         moves.addObject().put("shard", item.key()).put("to", to).put("reducedRedundancy", candidates.isEmpty());
@@ -816,17 +760,6 @@
     return rows;
   }
 
-  private static List<StorageReplica> placeShard(String key, List<Member> storage) {
-    Map<String, Member> byId = new HashMap<>();
-    storage.forEach(member -> byId.put(member.id(), member));
-    List<Member> ordered = Rendezvous.order(key, byId.keySet()).stream().map(byId::get).toList();
-    List<Member> chosenMembers = new ArrayList<>();
-    Set<String> zones = new LinkedHashSet<>();
-    ordered.stream().filter(member -> zones.add(member.zone())).forEach(chosenMembers::add);
-    ordered.stream().filter(member -> !chosenMembers.contains(member)).forEach(chosenMembers::add);
-    return chosenMembers.stream().limit(Constants.SHARD_REPLICAS)
-        .map(member -> new StorageReplica(member.id(), member.peerAddress(), member.zone())).toList();
-  }
 
   // ---- asks
 
@@ -853,7 +786,7 @@
     } else if (stopping) {
       respond(ask, Response.of(new Fault.NodeStopping()));
     } else {
-      claim(ask.key(), false, outcome -> {
+      claims.claim(ask.key(), false, outcome -> {
         switch (outcome.claim()) {
           case OWNED -> run(ask, owned.get(ask.key()));
           case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
@@ -1043,13 +976,10 @@
         replicas.promise(promise, fromId, fromAddress);
       }
     } else if (message instanceof KeyPromised promised) {
-      OwnedKey claimedKey = claiming.get(promised.key());
-      if (claimedKey != null) {
-        claimedKey.promised(promised, fromId);
-      }
+      claims.promised(promised, fromId);
     } else if (message instanceof KeyAppended appended) {
       Owned state = owned.get(appended.key());
-      OwnedKey ownedKey = state != null ? state.key : claiming.get(appended.key());
+      OwnedKey ownedKey = state != null ? state.key : claims.claiming(appended.key());
       if (ownedKey != null) {
         ownedKey.appended(appended, fromId);
       }
@@ -1064,7 +994,7 @@
       confirmBundles();
     } else if (message instanceof KeyHandOver handedOver) {
       if (isMember() && !stopping && !owned.containsKey(handedOver.key())) {
-        claim(handedOver.key(), true, outcome -> { });
+        claims.claim(handedOver.key(), true, outcome -> { });
       }
     }
   }
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -17,8 +17,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
@@ -40,11 +38,11 @@
   private final BatchFeeder feeder;
   private boolean stopAnnounced;
   private final Map<String, BatchLeader> leaders = new TreeMap<>();
-  private final Map<String, OwnedKey> claiming = new HashMap<>();
-  private final Map<String, List<Consumer<OwnedKey.ClaimOutcome>>> claims = new HashMap<>();
+  private final KeyClaims claims;
 
   public EdgeNode(Surroundings surroundings, Place place) {
     super(surroundings, place);
+    claims = new KeyClaims(surroundings, place.id(), this::send, this::setsOf, this::begin);
     book = new WorkerBook(surroundings, this::pump);
     live = new LiveDesk(surroundings, place.id(), this, book);
     feeder = new BatchFeeder(surroundings, place.id(), this, book);
@@ -77,8 +75,7 @@
     } else if (key.startsWith("shard/")) {
       leaders.values().stream().map(leader -> leader.key).filter(owned -> shardOf(owned.key).equals(key)).toList()
           .forEach(owned -> owned.changeSets(setsOf(owned.key)));
-      List.copyOf(claiming.values()).stream().filter(owned -> shardOf(owned.key).equals(key))
-          .forEach(owned -> owned.changeSets(setsOf(owned.key)));
+      claims.changeSets();
     }
   }
 
@@ -222,26 +219,11 @@
       then.accept(new OwnedKey.ClaimOutcome(Claim.OWNED, place.id(), place.peerAddress()));
       return;
     }
-    List<Consumer<OwnedKey.ClaimOutcome>> waiting = claims.get(key);
-    if (waiting != null) {
-      waiting.add(then);
-      return;
-    }
-    claims.put(key, new ArrayList<>(List.of(then)));
-    OwnedKey[] holder = new OwnedKey[1];
-    holder[0] = new OwnedKey(surroundings, place.id(), this::send, key, setsOf(key), handedOver, outcome -> {
-      claiming.remove(key);
-      if (outcome.claim() == Claim.OWNED) {
-        begin(key, holder[0]);
-      }
-      claims.remove(key).forEach(each -> each.accept(outcome));
-    });
-    if (holder[0].state() == OwnedKey.State.CLAIMING) {
-      claiming.put(key, holder[0]);
-    }
+    claims.claim(key, handedOver, then);
   }
 
-  private void begin(String key, OwnedKey ownedKey) {
+  private void begin(OwnedKey ownedKey) {
+    String key = ownedKey.key;
     leaders.put(key, new BatchLeader(surroundings, this, batchOf(key), ownedKey));
     journal.add("leads", key, "epoch " + ownedKey.epoch().counter());
     ownedKey.whenLost(() -> {
@@ -376,13 +358,10 @@
 
   @Override protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyPromised promised) {
-      OwnedKey ownedKey = claiming.get(promised.key());
-      if (ownedKey != null) {
-        ownedKey.promised(promised, fromId);
-      }
+      claims.promised(promised, fromId);
     } else if (message instanceof KeyAppended appended) {
       BatchLeader leader = leaders.get(appended.key());
-      OwnedKey ownedKey = leader != null ? leader.key : claiming.get(appended.key());
+      OwnedKey ownedKey = leader != null ? leader.key : claims.claiming(appended.key());
       if (ownedKey != null) {
         ownedKey.appended(appended, fromId);
       }
--- a/core-logic/src/main/java/applespindle/corelogic/InputReader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/InputReader.java
@@ -16,7 +16,6 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
--- a/core-logic/src/test/java/applespindle/corelogic/BundleTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/BundleTest.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic;
 
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +28,7 @@
   private static void rejects(String text, String... paths) {
     Fault fault = check(text).fault();
     assertThat(fault).isInstanceOf(Fault.InvalidBundle.class);
-    assertThat(((Fault.InvalidBundle) fault).fields().stream().map(Fault.Field::path)).containsExactlyElementsIn(java.util.List.of(paths));
+    assertThat(((Fault.InvalidBundle) fault).fields().stream().map(Fault.Field::path)).containsExactlyElementsIn(List.of(paths));
   }
 
   @Test void rulesRunInOrder() {
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -16,7 +16,6 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-import static applespindle.corelogic.Json.JSON;
 
 /** The operators' command line. Exit status: 0 done, 1 refused or not found, 2 wrong use or input. */
 public final class OperatorTool {
