Keep what is sent while a peer connection is being made

Cause: a second message dropped all that waited for a connection in the making; an ask was lost and tried again after 1.2 s. Ruled out: late class loading; submissions that met no new peer were fast from the first. PeerTransportTest fails without the change.

--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -56,8 +56,10 @@
     }
 
     void connect() {
-      long now = eventloop.currentTimeMillis();
-      if (connecting || now < nextTryAt) {
+      if (connecting) {
+        return;
+      }
+      if (eventloop.currentTimeMillis() < nextTryAt) {
         dropWaiting();
         return;
       }
