--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -4,6 +4,7 @@
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.Json;
 import applespindle.corelogic.Response;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.http.HttpHeader;
@@ -14,6 +15,8 @@
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -70,16 +73,15 @@
 
   private Promise<HttpResponse> metrics() {
     return this.<String>onLogic(then -> {
-      StringBuilder text = new StringBuilder();
+      PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
       process.node().counters().forEach((name, value) ->
-          text.append("applespindle_").append(name.toLowerCase()).append("_total ").append(value).append('\n'));
+          registry.counter("applespindle." + name.toLowerCase()).increment(value));
       process.node().status().fields().forEachRemaining(field -> {
         if (field.getValue().isNumber()) {
-          text.append("applespindle_").append(field.getKey().replaceAll("([A-Z])", "_$1").toLowerCase()).append(' ')
-              .append(field.getValue().asLong()).append('\n');
+          registry.gauge("applespindle." + field.getKey(), field.getValue(), JsonNode::asDouble);
         }
       });
-      then.accept(text.toString());
+      then.accept(registry.scrape());
     }).map(text -> HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4")
         .withBody(text.getBytes(UTF_8)).build());
   }
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -195,7 +195,7 @@
     }
     surroundings.write(List.of(rosterRecord()), () -> { });
     replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
-    owned.values().forEach(state -> state.key.changeSets(coreSets()));
+    List.copyOf(owned.values()).forEach(state -> state.key.changeSets(coreSets()));
     claims.changeSets();
   }
 
--- a/test-fleet/src/test/java/applespindle/testfleet/BadInputTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/BadInputTest.java
@@ -83,6 +83,13 @@
         "InvalidInput", "$.max_tokens", "$.prompt");
   }
 
+  @Test void countsWhatItRefuses() {
+    fleet.caller.post(edge, "/v1/completions", "{\"prompt\": \"p\", \"max_tokens\": 1}".getBytes(UTF_8), Map.of());
+    String metrics = fleet.caller.get(edge, "/metrics").text();
+    assertThat(metrics).containsMatch("applespindle_live_served_total [1-9]");
+    assertThat(metrics).contains("applespindle_bundle 1.0");
+  }
+
   @Test void refusesBundlesByTheirFault() {
     refuses(fleet.caller.post(core, "/v1/bundles", "{}".getBytes(UTF_8), Map.of("Applespindle-Key-Id", "nobody",
         "Applespindle-Signature", "AAAA")), 403, "SignatureRefused");
