Take the fleet's free ports from below the outgoing range

Cause: a port was looked up, freed, and bound a moment later by a child; an outgoing connection could take it meanwhile and the child would end. Not seen yet; ruled out by choosing ports that outgoing connections never get.

--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -10,14 +10,19 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
@@ -28,6 +33,9 @@
 /** A whole fleet of real processes on loopback: three control planes, edges, three storage nodes, stand-in workers. */
 public final class Fleet implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
+  /** Below the range that outgoing connections take their ports from, so that none of these takes one meanwhile. */
+  private static final int FREE_PORTS_FROM = 20_000;
+  private static final int FREE_PORTS = 10_000;
   private static final int ZONES = 3;
   private static final List<String> JVM = List.of("-Xmx192m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
 
@@ -107,6 +115,7 @@
   private final Path folder;
   private final String classPath;
   private final List<String> corePeers = new ArrayList<>();
+  private final Set<Integer> taken = new HashSet<>();
   private int nextPort;
 
   /** firstPort 0 takes whatever ports are free. */
@@ -122,8 +131,16 @@
     if (nextPort > 0) {
       return HOST + ":" + nextPort++;
     }
-    try (ServerSocket free = new ServerSocket(0)) {
-      return HOST + ":" + free.getLocalPort();
+    while (true) {
+      int port = FREE_PORTS_FROM + ThreadLocalRandom.current().nextInt(FREE_PORTS);
+      if (!taken.add(port)) {
+        continue;
+      }
+      try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+        return HOST + ":" + free.getLocalPort();
+      } catch (BindException inUse) {
+        // The next one may be free.
+      }
     }
   }
 
