One resolver of IP numbers, one count of live storage and of shards held

Found on reading the change again: three copies of the numbers-only resolver, and the plan of an emptying counted live storage nodes and held shards beside the code that really moves them. Both now call one piece.

--- a/adapters/src/main/java/applespindle/adapters/WorkerClient.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerClient.java
@@ -10,13 +10,10 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.dns.IDnsClient;
-import io.activej.dns.protocol.DnsQuery;
-import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
-import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -43,16 +40,6 @@
         .withReadWriteTimeout(Duration.ofMillis(Constants.LOAD_STALE_MS)).build();
   }
 
-  /** Workers are named by IP number; nothing is ever looked up. */
-  private static final class NumbersOnly implements IDnsClient {
-    @Override public Promise<DnsResponse> resolve(DnsQuery query) {
-      DnsResponse response = IDnsClient.resolveFromQuery(query);
-      return response != null ? Promise.of(response) : Promise.ofException(new IOException("no IP number"));
-    }
-
-    @Override public void close() {}
-  }
-
   void readLoad(String address, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
     loads.request(HttpRequest.get("http://" + address + "/load").build())
         .then(response -> response.loadBody(LINE_BYTES_MOST).map(body -> {
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -546,7 +546,7 @@
 
   /** Gives every shard its first replica set once enough storage nodes are there. */
   private void makeShards() {
-    List<Member> storage = liveMembers().stream().filter(member -> member.role().equals("storage")).toList();
+    List<Member> storage = List.copyOf(liveStorage().values());
     if (storage.size() < Constants.SHARD_REPLICAS) {
       return;
     }
@@ -572,6 +572,20 @@
         .map(item -> Json.read(item.value(), Shard.class)).toList();
   }
 
+  /** Live storage nodes by id. */
+  private Map<String, Member> liveStorage() {
+    Map<String, Member> live = new TreeMap<>();
+    liveMembers().stream().filter(member -> member.role().equals("storage")).forEach(member -> live.put(member.id(), member));
+    return live;
+  }
+
+  /** How many shards name each storage node among their present replicas. */
+  private Map<String, Long> shardsHeld() {
+    Map<String, Long> holding = new HashMap<>();
+    allShards().forEach(shard -> shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
+    return holding;
+  }
+
   private StorageState storageState(String id) {
     FeedItem item = table.get("storage/" + id);
     return item == null ? new StorageState(id, "", "active") : Json.read(item.value(), StorageState.class);
@@ -579,11 +593,9 @@
 
   private void changeShards() {
     long now = surroundings.now();
-    Map<String, Member> live = new TreeMap<>();
-    liveMembers().stream().filter(member -> member.role().equals("storage")).forEach(member -> live.put(member.id(), member));
+    Map<String, Member> live = liveStorage();
     live.keySet().forEach(storageSilentSince::remove);
-    Map<String, Long> holding = new HashMap<>();
-    allShards().forEach(shard -> shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
+    Map<String, Long> holding = shardsHeld();
     holding.keySet().stream().filter(id -> !live.containsKey(id))
         .forEach(id -> storageSilentSince.putIfAbsent(id, now));
     List<Member> spares = live.values().stream()
@@ -680,7 +692,6 @@
         : ShardPlacement.replaced(shard, null, candidates.get(0));
   }
 
-
   private void copied(Ask ask, Owned state, JsonNode body) {
     state.copied.put(body.path("id").asText(), body.path("number").asLong());
     respond(ask, Response.of(200, body));
@@ -694,8 +705,8 @@
     if (known == null && !table.containsKey("member/" + sent.id())) {
       refusal = new Fault.NoSuchStorage(sent.id());
     } else if (sent.state().equals(StorageState.EMPTYING)) {
-      long others = liveMembers().stream().filter(member -> member.role().equals("storage")
-          && !member.id().equals(sent.id()) && storageState(member.id()).state().equals("active")).count();
+      long others = liveStorage().values().stream().filter(member -> !member.id().equals(sent.id())
+          && storageState(member.id()).state().equals("active")).count();
       refusal = known != null && known.state().equals(StorageState.RETIRED) ? new Fault.StorageRetired(sent.id())
           : known == null && others < Constants.SHARD_REPLICAS_LEAST ? new Fault.TooFewCopies((int) others) : null;
     } else if (shards > 0 || known == null) {
@@ -712,11 +723,8 @@
 
   /** What emptying a node would move where, by the same choice as the real one; nothing is changed. */
   public ObjectNode planEmptying(String id) {
-    Map<String, Member> live = new TreeMap<>();
-    liveMembers().stream().filter(member -> member.role().equals("storage")).forEach(member -> live.put(member.id(), member));
-    Map<String, Long> holding = new HashMap<>();
-    allShards().forEach(shard -> shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
-    List<Member> spares = live.values().stream().filter(member -> !member.id().equals(id)
+    Map<String, Long> holding = shardsHeld();
+    List<Member> spares = liveStorage().values().stream().filter(member -> !member.id().equals(id)
         && storageState(member.id()).state().equals("active")).toList();
     ObjectNode plan = JSON.createObjectNode().put("node", id).put("refused", spares.size() < Constants.SHARD_REPLICAS_LEAST);
     ArrayNode moves = plan.putArray("moves");
@@ -760,7 +768,6 @@
     return rows;
   }
 
-
   // ---- asks
 
   @Override protected void handleAsk(Ask ask) {
--- a/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
@@ -1,15 +1,12 @@
 package applespindle.operatortool;
 
+import applespindle.adapters.NumbersOnly;
 import com.fasterxml.jackson.databind.JsonNode;
-import io.activej.dns.IDnsClient;
-import io.activej.dns.protocol.DnsQuery;
-import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
-import io.activej.promise.Promise;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
@@ -35,14 +32,7 @@
   /** Status 0 means that no response came. */
   public Result call(HttpMethod method, String address, String path, byte[] body, Map<String, String> headers) {
     Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
-    HttpClient client = HttpClient.builder(eventloop, new IDnsClient() {
-      @Override public Promise<DnsResponse> resolve(DnsQuery query) {
-        DnsResponse response = IDnsClient.resolveFromQuery(query);
-        return response != null ? Promise.of(response) : Promise.ofException(new IOException("give an IP number"));
-      }
-
-      @Override public void close() {}
-    }).withNoKeepAlive().withConnectTimeout(timeout).withReadWriteTimeout(timeout).build();
+    HttpClient client = HttpClient.builder(eventloop, new NumbersOnly()).withNoKeepAlive().withConnectTimeout(timeout).withReadWriteTimeout(timeout).build();
     HttpRequest.Builder request = HttpRequest.builder(method, "http://" + address + path);
     headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
     if (body != null) {
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -1,5 +1,6 @@
 package applespindle.testfleet;
 
+import applespindle.adapters.NumbersOnly;
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.Json;
 import applespindle.testfleet.Fleet.Member;
@@ -7,9 +8,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.activej.dns.IDnsClient;
-import io.activej.dns.protocol.DnsQuery;
-import io.activej.dns.protocol.DnsResponse;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
@@ -119,13 +117,7 @@
   RealTraffic(Fleet fleet, Plan plan) {
     this.fleet = fleet;
     this.plan = plan;
-    client = HttpClient.builder(eventloop, new IDnsClient() {
-      @Override public Promise<DnsResponse> resolve(DnsQuery query) {
-        return Promise.of(IDnsClient.resolveFromQuery(query));
-      }
-
-      @Override public void close() {}
-    }).withNoKeepAlive().withReadWriteTimeout(PATIENCE).withConnectTimeout(Duration.ofSeconds(2)).build();
+    client = HttpClient.builder(eventloop, new NumbersOnly()).withNoKeepAlive().withReadWriteTimeout(PATIENCE).withConnectTimeout(Duration.ofSeconds(2)).build();
   }
 
   /** Runs the whole plan and waits until every accepted batch is over, or long enough. */
