--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -13,10 +13,12 @@
 import applespindle.corelogic.Message.Unfinished;
 import applespindle.corelogic.Message.WorkOffer;
 import applespindle.corelogic.OwnedKey.Claim;
+import applespindle.corelogic.Records.Member;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
@@ -39,6 +41,8 @@
   private boolean stopAnnounced;
   private final Map<String, BatchLeader> leaders = new TreeMap<>();
   private final KeyClaims claims;
+  /** By worker, the edge that feeds it; forgotten whenever the members change. */
+  private final Map<String, String> feederOfWorker = new HashMap<>();
 
   public EdgeNode(Surroundings surroundings, Place place) {
     super(surroundings, place);
@@ -72,6 +76,8 @@
   @Override protected void changed(String key) {
     if (key.startsWith("worker/")) {
       book.follow(workers);
+    } else if (key.startsWith("member/")) {
+      feederOfWorker.clear();
     } else if (key.startsWith("shard/")) {
       leaders.values().stream().map(leader -> leader.key).filter(owned -> shardOf(owned.key).equals(key)).toList()
           .forEach(owned -> owned.changeSets(setsOf(owned.key)));
@@ -290,8 +296,8 @@
   }
 
   @Override public boolean feeds(String worker) {
-    Target chosenFeeder = firstEdge("feeder/" + worker, 0);
-    return chosenFeeder != null && chosenFeeder.id().equals(place.id());
+    return place.id().equals(feederOfWorker.computeIfAbsent(worker, unseen ->
+        Rendezvous.first("feeder/" + worker, liveEdges().stream().map(Member::id).toList())));
   }
 
   @Override public Fault mayBegin() {
--- a/core-logic/src/main/java/applespindle/corelogic/Rendezvous.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Rendezvous.java
@@ -4,20 +4,26 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** The agreed order of nodes for a key: highest random weight first. */
 public final class Rendezvous {
   public static List<String> order(String key, Collection<String> nodes) {
-    long keyHash = hash(key);
-    return nodes.stream()
-        .sorted(Comparator.comparingLong((String node) -> mix(keyHash ^ mix(hash(node)))).reversed()
-            .thenComparing(Comparator.naturalOrder()))
-        .toList();
+    return weighted(key, nodes).sorted(HEAVIEST_FIRST).map(Weighted::node).toList();
   }
 
   public static String first(String key, Collection<String> nodes) {
-    List<String> orderedNodes = order(key, nodes);
-    return orderedNodes.isEmpty() ? null : orderedNodes.get(0);
+    return weighted(key, nodes).min(HEAVIEST_FIRST).map(Weighted::node).orElse(null);
+  }
+
+  private record Weighted(String node, long weight) {}
+
+  private static final Comparator<Weighted> HEAVIEST_FIRST =
+      Comparator.comparingLong(Weighted::weight).reversed().thenComparing(Weighted::node);
+
+  private static Stream<Weighted> weighted(String key, Collection<String> nodes) {
+    long keyHash = hash(key);
+    return nodes.stream().map(node -> new Weighted(node, mix(keyHash ^ mix(hash(node)))));
   }
 
   static long hash(String text) {
