Say yes to a bundle or a leaving mark only once it is in force

Cause: a bundle got 200 after 2 s whoever had confirmed it, and a leaving mark at commit; edges cut off from the core go on by older news. Ruled out: an edge that is alone begins nothing, before and after. Both sides count over one list of edges that changes by one (docs/design/in-force.md).

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -9,7 +9,9 @@
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Message.AskResponse;
 import applespindle.corelogic.Message.BatchEnded;
-import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.KeyPlace;
+import applespindle.corelogic.Message.KeysAsked;
+import applespindle.corelogic.Message.KeysKnown;
 import applespindle.corelogic.Message.CoreIs;
 import applespindle.corelogic.Message.CorePing;
 import applespindle.corelogic.Message.FeedFollow;
@@ -204,8 +206,14 @@
       }
       body.coreId(news.coreId());
       finish(body);
-    } else if (message instanceof BundleConfirmed confirmed) {
-      finish(begin(new BundleConfirmedBodyEncoder()).number(confirmed.number()));
+    } else if (message instanceof KeysKnown known) {
+      KeysKnownBodyEncoder body = begin(new KeysKnownBodyEncoder());
+      KeysKnownBodyEncoder.PlacesEncoder places = body.placesCount(known.places().size());
+      known.places().forEach(place -> places.next().sequence(place.sequence()).key(place.key()));
+      body.edgeAddress(known.edgeAddress());
+      finish(body);
+    } else if (message instanceof KeysAsked asked) {
+      finish(begin(new KeysAskedBodyEncoder()).sentAt(asked.sentAt()));
     } else if (message instanceof WorkOffer offer) {
       finish(begin(new WorkOfferBodyEncoder()).dueInMs(offer.dueInMs()).unassigned(offer.unassigned())
           .batch(offer.batch()));
@@ -329,8 +337,17 @@
         return new FeedNews(body.coreId(), body.incarnation(), body.fromNumber(), body.number(),
             body.checkpoint() == 1, body.relayed() == 1, body.ageMs(), body.echoedAt(), items);
       }
-      case BundleConfirmedBodyDecoder.TEMPLATE_ID -> {
-        return new BundleConfirmed(open(new BundleConfirmedBodyDecoder()).number());
+      case KeysKnownBodyDecoder.TEMPLATE_ID -> {
+        KeysKnownBodyDecoder body = open(new KeysKnownBodyDecoder());
+        List<KeyPlace> places = new ArrayList<>();
+        body.places().forEach(place -> {
+          long sequence = place.sequence();
+          places.add(new KeyPlace(place.key(), sequence));
+        });
+        return new KeysKnown(body.edgeAddress(), places);
+      }
+      case KeysAskedBodyDecoder.TEMPLATE_ID -> {
+        return new KeysAsked(open(new KeysAskedBodyDecoder()).sentAt());
       }
       case WorkOfferBodyDecoder.TEMPLATE_ID -> {
         WorkOfferBodyDecoder body = open(new WorkOfferBodyDecoder());
--- a/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -4,7 +4,7 @@
 import applespindle.adapters.sbe.MessageHeaderDecoder;
 import applespindle.corelogic.Envelope;
 import applespindle.corelogic.Epoch;
-import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.KeysAsked;
 import applespindle.corelogic.Message.KeyPromise;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
@@ -17,7 +17,7 @@
 class PeerCodecTest {
   private static final int HEAD = MessageHeaderDecoder.ENCODED_LENGTH;
   private final PeerCodec codec = new PeerCodec();
-  private final Envelope envelope = new Envelope("a", "127.0.0.1:1", "b", new BundleConfirmed(7));
+  private final Envelope envelope = new Envelope("a", "127.0.0.1:1", "b", new KeysAsked(7));
 
   /** Where the message itself begins: behind the envelope's head, which has no fixed fields but three texts. */
   private static int bodyAt(ByteBuffer frame) {
--- a/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
@@ -1,7 +1,7 @@
 package applespindle.adapters;
 
 import applespindle.corelogic.Envelope;
-import applespindle.corelogic.Message.BundleConfirmed;
+import applespindle.corelogic.Message.KeysAsked;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -29,11 +29,11 @@
     Eventloop loop = Eventloop.create();
     loop.keepAlive(true);
     PeerTransport receiver = new PeerTransport(loop,
-        envelope -> heard.add(((BundleConfirmed) envelope.message()).number()), sentence -> { });
+        envelope -> heard.add(((KeysAsked) envelope.message()).sentAt()), sentence -> { });
     PeerTransport sender = new PeerTransport(loop, envelope -> { }, sentence -> { });
     receiver.listen(address);
     for (long number = 0; number < MESSAGES; number++) {
-      sender.send(address, new Envelope("a", "127.0.0.1:1", "", new BundleConfirmed(number)));
+      sender.send(address, new Envelope("a", "127.0.0.1:1", "", new KeysAsked(number)));
     }
     Thread thread = new Thread(loop, "peer");
     thread.start();
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -50,8 +50,16 @@
   public static final long FEED_STALE_MS = 2_500;
   /** Changes a core node keeps for followers; older places get a checkpoint instead. */
   public static final int FEED_KEPT = 4_096;
-  /** How long a signed bundle's acknowledgement waits for confirmations: the brief's 2 s. */
-  public static final long BUNDLE_CONFIRM_MS = 2_000;
+  /** How long an acknowledgement waits for every edge before a majority of them is enough: the brief's 2 s. */
+  public static final long IN_FORCE_MS = 2_000;
+  /** A fellow edge counts as reached for this long after it was asked: two lost polls, and less than the brief's 2 s. */
+  public static final long FELLOW_HEARD_MS = 900;
+  /** The first list of edges is made once no new one has joined for this long: machines start within a second or so. */
+  public static final long EDGES_SETTLE_MS = 1_000;
+  /** Least time between two changes of the list of edges: longer than a core node may lag before it calls itself stale. */
+  public static final long EDGES_CHANGE_MS = 2_000;
+  /** An edge without a grant for this long is struck from the list: longer than a restart takes. */
+  public static final long EDGE_STRUCK_MS = 10_000;
   /** Shards of the batch records: enough to spread over some tens of storage nodes, few enough to follow. */
   public static final int SHARDS = 16;
   /** Replicas of a shard: survives the loss of any one disk. */
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -2,7 +2,6 @@
 
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.Ask;
-import applespindle.corelogic.Message.BundleConfirmed;
 import applespindle.corelogic.Message.CorePing;
 import applespindle.corelogic.Message.FeedFollow;
 import applespindle.corelogic.Message.FeedItem;
@@ -12,7 +11,10 @@
 import applespindle.corelogic.Message.KeyHandOver;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.Message.KeysAsked;
+import applespindle.corelogic.Message.KeysKnown;
 import applespindle.corelogic.Records.CoreMember;
+import applespindle.corelogic.Records.EdgeList;
 import applespindle.corelogic.Records.ListVersion;
 import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.Records.Room;
@@ -50,6 +52,7 @@
   private static final String BUNDLE = "bundle";
   private static final String ROOM = "batch-room";
   private static final String ROSTER = "roster";
+  private static final String EDGES = "edges";
   /** Apart from the keys of single workers, which begin with worker/. */
   public static final String LIST_VERSION = "worker-list";
   /** The name under which all core keys change their replicas together. */
@@ -64,6 +67,8 @@
     final Map<String, Long> room = new LinkedHashMap<>();
     /** When each ledger entry was last spoken of by its leader; only for the audit. */
     final Map<String, Long> roomTouchedAt = new HashMap<>();
+    /** Place of that value in the key's log; takeovers may stand behind it. */
+    long valueSequence;
     int eventsSinceWhole;
     long grantExpiresAt;
     /** For a shard under change: who said under which set number that it has copied. */
@@ -90,19 +95,6 @@
 
   private record Follower(String id, String address, long until) {}
 
-  /** A bundle committed here whose sender still waits for the members' confirmations. */
-  private static final class Confirming {
-    final Ask ask;
-    final long number;
-    final long expiresAt;
-
-    Confirming(Ask ask, long number, long expiresAt) {
-      this.ask = ask;
-      this.number = number;
-      this.expiresAt = expiresAt;
-    }
-  }
-
   private final Map<String, String> operatorKeys;
   private final List<String> founders;
   private final KeyReplicas replicas;
@@ -121,8 +113,12 @@
   private final Map<String, Long> storageSilentSince = new HashMap<>();
   private final Map<String, Long> coreSilentSince = new HashMap<>();
   private final Map<String, Follower> followers = new LinkedHashMap<>();
-  private final Map<String, Long> confirmedBundles = new HashMap<>();
-  private final List<Confirming> confirming = new ArrayList<>();
+  private final NewsInForce inForce;
+  /** Edges that joined and when the last of them did, until the first list is made; only known to this process. */
+  private Set<String> joiningEdges = Set.of();
+  private long lastEdgeJoinedAt;
+  private long edgesChangedAt;
+  private final Map<String, Long> edgeSilentSince = new HashMap<>();
 
   public CoreNode(Surroundings surroundings, Place place, Map<String, String> operatorKeys, List<String> founders) {
     super(surroundings, place);
@@ -131,6 +127,8 @@
     this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
     this.claims = new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
+    this.inForce = new NewsInForce(surroundings, this::edgesThatCount, () -> isMember() && feedAge() < Constants.CORE_SILENT_MS,
+        address -> send(address, "", new KeysAsked(surroundings.now())));
   }
 
   public KeyReplicas replicas() {
@@ -255,11 +253,12 @@
       claimOrphans();
       changeRoster();
       expireMembers();
+      listEdges();
       makeShards();
       changeShards();
       auditRoom();
     }
-    confirmBundles();
+    inForce.tick();
   }
 
   private CoreMember self() {
@@ -417,6 +416,7 @@
     }
     if (!state.key.key.equals(ROOM)) {
       state.value = Json.tree(entry.event());
+      state.valueSequence = entry.sequence();
     } else if (entry.whole()) {
       state.room.clear();
       state.room.putAll(Json.read(entry.event(), Room.class).items());
@@ -434,7 +434,7 @@
   private void put(Owned state, Object value, Consumer<Fault> then) {
     byte[] event = Json.bytes(value);
     state.value = Json.tree(event);
-    state.key.append(true, event, then);
+    state.valueSequence = state.key.append(true, event, then);
   }
 
   private void committed(String key, Entry entry) {
@@ -544,6 +544,61 @@
         member.peerAddress(), member.httpAddress(), live);
   }
 
+  // ---- the list of edges that count
+
+  private NewsInForce.Edges edgesThatCount() {
+    FeedItem item = table.get(EDGES);
+    Map<String, String> live = new TreeMap<>();
+    liveMembers().stream().filter(member -> member.role().equals("edge"))
+        .forEach(member -> live.put(member.peerAddress(), member.name()));
+    return new NewsInForce.Edges(item == null ? List.of() : Json.read(item.value(), EdgeList.class).addresses(), live);
+  }
+
+  /** One change at a time, and the next only when a majority of the edges is known to have the last. */
+  private void listEdges() {
+    Owned state = owned.get(EDGES);
+    NewsInForce.Edges edges = edgesThatCount();
+    Set<String> live = edges.live().keySet();
+    if (state == null) {
+      if (!table.containsKey(EDGES) && !live.isEmpty() && place.id().equals(Rendezvous.first(EDGES, liveCore()))) {
+        claims.claim(EDGES, false, outcome -> { });
+      }
+      return;
+    }
+    long now = surroundings.now();
+    if (state.value.isNull()) {
+      if (!live.equals(joiningEdges)) {
+        joiningEdges = Set.copyOf(live);
+        lastEdgeJoinedAt = now;
+      } else if (!live.isEmpty() && now - lastEdgeJoinedAt >= Constants.EDGES_SETTLE_MS) {
+        edgesChangedAt = now;
+        put(state, new EdgeList(1, List.copyOf(live)), fault -> { });
+      }
+      return;
+    }
+    EdgeList list = JSON.convertValue(state.value, EdgeList.class);
+    edgeSilentSince.keySet().removeAll(live);
+    list.addresses().stream().filter(address -> !live.contains(address))
+        .forEach(address -> edgeSilentSince.putIfAbsent(address, now));
+    if (now - edgesChangedAt < Constants.EDGES_CHANGE_MS || !inForce.knownToMost(EDGES, state.valueSequence)) {
+      return;
+    }
+    List<String> next = new ArrayList<>(list.addresses());
+    Optional<String> newcomer = live.stream().filter(address -> !next.contains(address)).findFirst();
+    Optional<String> struck = next.stream().filter(address -> !live.contains(address)
+        && now - edgeSilentSince.getOrDefault(address, now) >= Constants.EDGE_STRUCK_MS).findFirst();
+    if (newcomer.isPresent()) {
+      next.add(newcomer.get());
+    } else if (struck.isPresent()) {
+      next.remove(struck.get());
+      surroundings.log(PART, "Edge struck from the list: " + struck.get() + ".");
+    } else {
+      return;
+    }
+    edgesChangedAt = now;
+    put(state, new EdgeList(list.number() + 1, next), fault -> { });
+  }
+
   /** Gives every shard its first replica set once enough storage nodes are there. */
   private void makeShards() {
     List<Member> storage = List.copyOf(liveStorage().values());
@@ -852,41 +907,26 @@
     long number = checked.bundle().number();
     SignedBundle inForce = state.value.isNull() ? null : JSON.convertValue(state.value, SignedBundle.class);
     if (inForce != null && inForce.number() == number && Arrays.equals(inForce.bytes(), sent.bytes())) {
-      state.key.confirm(fault -> acknowledgeBundle(ask, number, fault));
+      state.key.confirm(fault -> acknowledge(ask, state, JSON.createObjectNode().put("number", number), fault));
     } else if (inForce != null && inForce.number() >= number) {
       state.key.confirm(fault ->
           respond(ask, Response.of(fault == null ? new Fault.BundleConflict(inForce.number()) : fault)));
     } else {
       put(state, new SignedBundle(number, sent.bytes(), sent.keyId(), sent.signature()),
-          fault -> acknowledgeBundle(ask, number, fault));
+          fault -> acknowledge(ask, state, JSON.createObjectNode().put("number", number), fault));
     }
   }
 
-  private void acknowledgeBundle(Ask ask, long number, Fault fault) {
+  /** What is committed is told only once it is in force: no edge can then still begin work by older news. */
+  private void acknowledge(Ask ask, Owned state, ObjectNode body, Fault fault) {
     if (fault != null) {
       respond(ask, Response.of(fault));
       return;
     }
-    confirming.add(new Confirming(ask, number, surroundings.now() + Constants.BUNDLE_CONFIRM_MS));
-    confirmBundles();
-  }
-
-  /** Acknowledges a bundle once each live data-plane member has it in force, or its time is over. */
-  private void confirmBundles() {
-    confirming.removeIf(each -> {
-      ObjectNode body = JSON.createObjectNode().put("number", each.number);
-      ArrayNode confirmedNames = body.putArray("confirmed");
-      ArrayNode missingNames = body.putArray("unconfirmed");
-      for (Member member : liveMembers()) {
-        boolean confirmed = confirmedBundles.getOrDefault(member.id(), 0L) >= each.number;
-        (confirmed ? confirmedNames : missingNames).add(member.name());
-      }
-      if (!missingNames.isEmpty() && surroundings.now() < each.expiresAt) {
-        return false;
-      }
-      journal.add("acknowledged", BUNDLE, "number " + each.number);
-      respond(each.ask, Response.of(200, body));
-      return true;
+    String key = state.key.key;
+    inForce.await(key, state.valueSequence, body, response -> {
+      journal.add(response.good() ? "acknowledged" : "not-acknowledged", key, "sequence " + state.valueSequence);
+      respond(ask, response);
     });
   }
 
@@ -900,9 +940,9 @@
     }
     Worker next = marksKnown ? new Worker(known.id(), known.address(), known.pool(), sent.state()) : sent;
     if (next.equals(known)) {
-      state.key.confirm(fault -> respond(ask, fault == null ? Response.of(200, next) : Response.of(fault)));
+      state.key.confirm(fault -> acknowledge(ask, state, JSON.valueToTree(next), fault));
     } else {
-      put(state, next, fault -> respond(ask, fault == null ? Response.of(200, next) : Response.of(fault)));
+      put(state, next, fault -> acknowledge(ask, state, JSON.valueToTree(next), fault));
     }
   }
 
@@ -996,9 +1036,8 @@
       followed(follow, fromId, fromAddress);
     } else if (message instanceof FeedNews news) {
       news(news, fromAddress);
-    } else if (message instanceof BundleConfirmed confirmed) {
-      confirmedBundles.merge(fromId, confirmed.number(), Math::max);
-      confirmBundles();
+    } else if (message instanceof KeysKnown known) {
+      inForce.known(known);
     } else if (message instanceof KeyHandOver handedOver) {
       if (isMember() && !stopping && !owned.containsKey(handedOver.key())) {
         claims.claim(handedOver.key(), true, outcome -> { });
@@ -1066,6 +1105,8 @@
     ArrayNode members = status.putArray("members");
     liveMembers().forEach(member -> members.add(JSON.<JsonNode>valueToTree(member)));
     status.set("workers", workers().get("workers"));
+    ArrayNode edges = status.putArray("edges");
+    edgesThatCount().listed().forEach(edges::add);
     FeedItem bundleItem = table.get(BUNDLE);
     status.put("bundle", bundleItem == null ? 0 : Json.read(bundleItem.value(), SignedBundle.class).number());
     ObjectNode shards = status.putObject("shards");
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -1,11 +1,14 @@
 package applespindle.corelogic;
 
-import applespindle.corelogic.Message.BundleConfirmed;
 import applespindle.corelogic.Message.FeedFollow;
 import applespindle.corelogic.Message.FeedItem;
 import applespindle.corelogic.Message.FeedNews;
+import applespindle.corelogic.Message.KeyPlace;
+import applespindle.corelogic.Message.KeysAsked;
+import applespindle.corelogic.Message.KeysKnown;
 import applespindle.corelogic.Message.WhereIsCore;
 import applespindle.corelogic.Records.CoreMember;
+import applespindle.corelogic.Records.EdgeList;
 import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.Records.Roster;
 import applespindle.corelogic.Records.Shard;
@@ -16,7 +19,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 import static applespindle.corelogic.Records.Worker.GONE;
@@ -40,8 +45,15 @@
   /** On our clock: at this moment everything the core had acknowledged was known here. */
   private long freshAt = Long.MIN_VALUE / 2;
   private long joinedUntil = Long.MIN_VALUE / 2;
-  /** When each fellow edge last answered, and how old its feed was then; only kept while our own is stale. */
-  private final Map<String, long[]> fellows = new HashMap<>();
+  /**
+   * This process has had the core's own news, not only a fellow's. Before that it neither goes on without the core nor
+   * counts for a fellow: an earlier process at its address may have confirmed news that this one has not seen.
+   */
+  private boolean heardCore;
+  private long coreHeardAt = Long.MIN_VALUE / 2;
+  private List<String> listedEdges = List.of();
+  /** By peer address of a fellow edge: when the question was sent that it last answered. */
+  private final Map<String, Long> fellows = new HashMap<>();
 
   protected DataNode(Surroundings surroundings, Place place) {
     super(surroundings, place);
@@ -71,13 +83,21 @@
     }
     CoreMember core = chosenCore();
     send(core.peerAddress(), core.id(), new FeedFollow(feedId, feedIncarnation, feedNumber, surroundings.now()));
-    if (feedAge() > Constants.FEED_SWITCH_MS) {
-      members.values().stream().filter(member -> member.role().equals("edge")
-          && !member.id().equals(place.id())).forEach(member ->
-          send(member.peerAddress(), member.id(), new FeedFollow("", 0, 0, surroundings.now())));
+    if (surroundings.now() - coreHeardAt > Constants.FEED_SWITCH_MS) {
+      fellowAddresses().forEach(address -> {
+        send(address, "", new FeedFollow("", 0, 0, surroundings.now()));
+        tellKnown(List.of(address));
+      });
     }
   }
 
+  private Set<String> fellowAddresses() {
+    Set<String> addresses = new TreeSet<>(listedEdges);
+    liveEdges().forEach(member -> addresses.add(member.peerAddress()));
+    addresses.remove(place.peerAddress());
+    return addresses;
+  }
+
   private CoreMember chosenCore() {
     List<CoreMember> ordered = Rendezvous.order(place.id(), roster.members().stream().map(CoreMember::id).toList())
         .stream().map(id -> roster.members().stream().filter(member -> member.id().equals(id)).findFirst().get())
@@ -134,33 +154,54 @@
   }
 
   /**
-   * Stale, and most of the other edges silent too: this node is alone and must not begin anything. If most edges
-   * answer and are as stale, it is the core that is cut off, and live traffic goes on.
+   * Stale, and most of the listed edges silent too: this node is alone and must not begin anything. If most of them,
+   * itself included, answer and are as stale, it is the core that is cut off, and live traffic goes on. What a majority
+   * of the edges has confirmed is then known to one of them, and with its answer here.
    */
   protected boolean isolated() {
     if (!feedStale()) {
       return false;
     }
     long now = surroundings.now();
-    long others = members.values().stream().filter(member -> member.role().equals("edge")
-        && !member.id().equals(place.id())).count();
-    long reached = fellows.values().stream().filter(heard -> now - heard[0] < Constants.FEED_STALE_MS).count();
-    return freshAt < 0 || reached * 2 <= others;
+    long reached = listedEdges.stream().filter(address -> address.equals(place.peerAddress())
+        || now - fellows.getOrDefault(address, Long.MIN_VALUE / 2) < Constants.FELLOW_HEARD_MS).count();
+    return !heardCore || reached * 2 <= listedEdges.size();
   }
 
   @Override protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof FeedNews news) {
-      news(news, fromId);
+      news(news, fromAddress);
     } else if (message instanceof FeedFollow follow) {
-      send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), 0, 0, true, true,
-          Math.max(0, feedAge()), follow.sentAt(), List.copyOf(table.values())));
+      if (heardCore) {
+        send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), 0, 0, true, true,
+            Math.max(0, feedAge()), follow.sentAt(), List.copyOf(table.values())));
+      }
+    } else if (message instanceof KeysAsked) {
+      tellKnown(List.of(fromAddress));
+    } else if (message instanceof KeysKnown known) {
+      roster.members().forEach(member -> send(member.peerAddress(), member.id(), known));
+    }
+  }
+
+  /** Keys whose news must be in force before somebody is told yes. */
+  static boolean mustBeInForce(String key) {
+    return key.equals("bundle") || key.equals("edges") || key.startsWith("worker/");
+  }
+
+  /** Says how far this edge knows what has to be in force. One that has not heard the core itself says nothing. */
+  private void tellKnown(List<String> addresses) {
+    if (!heardCore || !place.role().equals("edge")) {
+      return;
     }
+    List<KeyPlace> places = table.values().stream().filter(item -> mustBeInForce(item.key()))
+        .map(item -> new KeyPlace(item.key(), item.sequence())).toList();
+    addresses.forEach(address -> send(address, "", new KeysKnown(place.peerAddress(), places)));
   }
 
-  private void news(FeedNews news, String fromId) {
+  private void news(FeedNews news, String fromAddress) {
     long now = surroundings.now();
     if (news.relayed()) {
-      fellows.put(fromId, new long[] {news.echoedAt()});
+      fellows.put(fromAddress, news.echoedAt());
     } else {
       boolean follows = news.coreId().equals(feedId) && news.incarnation() == feedIncarnation;
       if (!news.checkpoint() && !(follows && news.fromNumber() <= feedNumber)) {
@@ -173,21 +214,24 @@
       feedId = news.coreId();
       feedIncarnation = news.incarnation();
     }
-    long numberBefore = bundle == null ? 0 : bundle.number();
+    boolean tellsMore = false;
     for (FeedItem item : news.items()) {
       FeedItem known = table.get(item.key());
       if (known == null || known.sequence() < item.sequence()) {
         table.put(item.key(), item);
         fold(item);
+        tellsMore |= mustBeInForce(item.key());
       }
     }
     if (news.echoedAt() > 0) {
       freshAt = Math.max(freshAt, news.echoedAt() - news.ageMs());
-      fellows.values().removeIf(heard -> now - heard[0] > 2 * Constants.FEED_STALE_MS);
+      if (!news.relayed() && news.ageMs() < Constants.CORE_SILENT_MS) {
+        heardCore = true;
+        coreHeardAt = Math.max(coreHeardAt, news.echoedAt());
+      }
     }
-    if (bundle != null && (bundle.number() > numberBefore || news.checkpoint() && !news.relayed())) {
-      long number = bundle.number();
-      roster.members().forEach(member -> send(member.peerAddress(), member.id(), new BundleConfirmed(number)));
+    if (tellsMore) {
+      tellKnown(roster.members().stream().map(CoreMember::peerAddress).toList());
     }
   }
 
@@ -208,6 +252,8 @@
       } else {
         workers.put(worker.id(), worker);
       }
+    } else if (key.equals("edges")) {
+      listedEdges = Json.read(item.value(), EdgeList.class).addresses();
     } else if (key.equals("roster")) {
       learnRoster(Json.read(item.value(), Roster.class));
     } else if (key.startsWith("shard/")) {
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -41,7 +41,17 @@
   record FeedNews(String coreId, long incarnation, long fromNumber, long number, boolean checkpoint, boolean relayed,
       long ageMs, long echoedAt, List<FeedItem> items) implements Message {}
 
-  record BundleConfirmed(long number) implements Message {}
+  /** How far a key is known. */
+  record KeyPlace(String key, long sequence) {}
+
+  /**
+   * The edge at this address works by these keys up to these places. A fellow that gets it hands it on to the core, for
+   * an edge that the core can not hear.
+   */
+  record KeysKnown(String edgeAddress, List<KeyPlace> places) implements Message {}
+
+  /** The core asks an edge how far it knows the keys whose news has to be in force before somebody is told yes. */
+  record KeysAsked(long sentAt) implements Message {}
 
   /** The sender leads the batch; with unassigned above 0 there are ranges to pull. */
   record WorkOffer(String batch, long dueInMs, int unassigned) implements Message {}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/NewsInForce.java
@@ -0,0 +1,120 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.KeysKnown;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Acknowledged means in force. Holds a yes back until every edge works by the news; after a wait, until a majority of the
+ * listed edges does: an edge that has not heard the core for longer than that wait goes on only beside a majority of the
+ * same list, and learns from one of them. What is not in force by then is told as an outcome not known.
+ */
+final class NewsInForce {
+  /** The listed edges by address, and the addresses of all that hold a grant, with their names. */
+  record Edges(List<String> listed, Map<String, String> live) {}
+
+  private record Waiting(String key, long sequence, long begunAt, ObjectNode body, Consumer<Response> then) {}
+
+  private final Surroundings surroundings;
+  private final Supplier<Edges> edges;
+  /** Whether this core node hears a majority of the core now; without that its list of edges may be an old one. */
+  private final BooleanSupplier hearsCore;
+  private final Consumer<String> askEdge;
+  /** By edge address and key, the highest place the edge said it works by. Never falls, as the edge's own does not. */
+  private final Map<String, Map<String, Long>> knownPlaces = new HashMap<>();
+  private final List<Waiting> waiting = new ArrayList<>();
+
+  NewsInForce(Surroundings surroundings, Supplier<Edges> edges, BooleanSupplier hearsCore, Consumer<String> askEdge) {
+    this.surroundings = surroundings;
+    this.edges = edges;
+    this.hearsCore = hearsCore;
+    this.askEdge = askEdge;
+  }
+
+  void known(KeysKnown known) {
+    Map<String, Long> places = knownPlaces.computeIfAbsent(known.edgeAddress(), unseen -> new HashMap<>());
+    known.places().forEach(place -> places.merge(place.key(), place.sequence(), Math::max));
+    settle();
+  }
+
+  private boolean knows(String address, String key, long sequence) {
+    return knownPlaces.getOrDefault(address, Map.of()).getOrDefault(key, 0L) >= sequence;
+  }
+
+  boolean knownToMost(String key, long sequence) {
+    return mostKnow(edges.get(), key, sequence);
+  }
+
+  private boolean mostKnow(Edges present, String key, long sequence) {
+    return present.listed().stream().filter(address -> knows(address, key, sequence)).count() * 2 > present.listed().size();
+  }
+
+  void await(String key, long sequence, ObjectNode body, Consumer<Response> then) {
+    waiting.add(new Waiting(key, sequence, surroundings.now(), body, then));
+    tick();
+  }
+
+  /** Asks the edges that are waited for again: a message may be lost, and this process may be new to its duty. */
+  void tick() {
+    settle();
+    Edges present = edges.get();
+    knownPlaces.keySet().removeIf(address -> !present.listed().contains(address) && !present.live().containsKey(address));
+    Set<String> asked = new TreeSet<>();
+    waiting.forEach(each -> asked.addAll(missing(present, each)));
+    if (asked.isEmpty() && !knowsAnything(present)) {
+      asked.addAll(present.listed());
+    }
+    asked.forEach(askEdge);
+  }
+
+  /** A process that just took its duty up has heard no edge yet, and the next change of the list needs them. */
+  private boolean knowsAnything(Edges present) {
+    return present.listed().stream().filter(knownPlaces::containsKey).count() * 2 > present.listed().size();
+  }
+
+  private Set<String> missing(Edges present, Waiting each) {
+    Set<String> missing = new TreeSet<>(present.listed());
+    missing.addAll(present.live().keySet());
+    missing.removeIf(address -> knows(address, each.key(), each.sequence()));
+    return missing;
+  }
+
+  private void settle() {
+    if (waiting.isEmpty()) {
+      return;
+    }
+    Edges present = edges.get();
+    List<Runnable> told = new ArrayList<>();
+    waiting.removeIf(each -> {
+      Set<String> missing = missing(present, each);
+      boolean waitedLong = surroundings.now() - each.begunAt() >= Constants.IN_FORCE_MS;
+      if (!missing.isEmpty() && !waitedLong) {
+        return false;
+      }
+      boolean inForce = hearsCore.getAsBoolean()
+          && (missing.isEmpty() || mostKnow(present, each.key(), each.sequence()));
+      if (missing.isEmpty() && !inForce && !waitedLong) {
+        return false;
+      }
+      ArrayNode confirmed = each.body().putArray("confirmed");
+      ArrayNode unconfirmed = each.body().putArray("unconfirmed");
+      Set<String> all = new TreeSet<>(present.listed());
+      all.addAll(present.live().keySet());
+      all.forEach(address -> (missing.contains(address) ? unconfirmed : confirmed)
+          .add(present.live().getOrDefault(address, address)));
+      told.add(() -> each.then().accept(inForce ? Response.of(200, each.body())
+          : Response.of(new Fault.OutcomeUnknown(each.key()))));
+      return true;
+    });
+    told.forEach(Runnable::run);
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -30,6 +30,14 @@
     static final String GONE = "gone";
   }
 
+  /**
+   * The edges that count, by peer address, when an acknowledgement asks for a majority of them and when an edge goes on
+   * without the core. Two lists in a row differ in one edge, and the next is not made before a majority of the edges
+   * knows the last: so any two majorities, also of different lists that are in use at once, share an edge.
+   */
+  @JsonIgnoreProperties(ignoreUnknown = true)
+  public record EdgeList(long number, List<String> addresses) {}
+
   /** A bundle as kept: the exact bytes that were signed. */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record SignedBundle(long number, byte[] bytes, String keyId, byte[] signature) {}
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -51,6 +51,7 @@
     checker.live();
     checker.leaving();
     checker.bundles();
+    checker.bundleEffects();
     checker.service(Kind.LIVE_ANSWERED, "live");
     checker.service(Kind.SUBMIT_ANSWERED, "submission");
     checker.ceiling();
@@ -248,6 +249,36 @@
     }
   }
 
+  /** What counts is where requests go: one sent late enough after an acknowledgement must not meet an older way. */
+  private void bundleEffects() {
+    TreeMap<Long, Long> acknowledgedAt = new TreeMap<>();
+    Map<String, TreeMap<Long, String>> poolsOfClass = new HashMap<>();
+    Map<String, String> poolOfWorker = new HashMap<>();
+    Map<String, Seen> classByPrompt = new HashMap<>();
+    for (Seen each : seen) {
+      switch (each.kind()) {
+        case BUNDLE_ANSWERED -> {
+          if (each.number() == 200) {
+            acknowledgedAt.putIfAbsent(Long.parseLong(each.subject()), each.atMs());
+          }
+        }
+        case BUNDLE_WAY -> poolsOfClass.computeIfAbsent(each.detail(), unseen -> new TreeMap<>())
+            .put(each.number(), each.text());
+        case WORKER_POOL -> poolOfWorker.put(each.subject(), each.detail());
+        case LIVE_CLASS -> classByPrompt.put(each.text(), each);
+        case WORKER_RECEIVED -> {
+          Seen request = each.detail().isEmpty() ? classByPrompt.get(each.text()) : null;
+          long inForce = request == null ? 0 : highestBefore(acknowledgedAt, request.atMs() - BUNDLE_MS).orElse(0L);
+          if (inForce > 0 && !poolsOfClass.get(request.detail()).tailMap(inForce).containsValue(poolOfWorker.get(each.subject()))) {
+            violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), request.subject() + " went to " + each.subject()
+                + " by a way older than bundle " + inForce);
+          }
+        }
+        default -> { }
+      }
+    }
+  }
+
   private static java.util.Optional<Long> highestBefore(TreeMap<Long, Long> acknowledgedAt, long time) {
     return acknowledgedAt.entrySet().stream().filter(entry -> entry.getValue() < time).map(Map.Entry::getKey)
         .max(Long::compare);
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -27,14 +27,19 @@
 
   /** Short checks before notes, one pool, and batch work in what live traffic leaves. */
   public String bundle(long number) {
+    return bundle(number, "", "");
+  }
+
+  /** The same with one class routed to another pool, so that a bundle's effect shows at the workers. */
+  public String bundle(long number, String trafficClass, String pool) {
     return """
         {
           "number": %d,
-          "pools": {"main": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5}},
+          "pools": {"main": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5}%s},
           "rules": [
             {"name": "notes", "match": {"trafficClass": "note"},
-             "way": {"pool": "main", "trafficClass": "note", "expiryMs": 10000, "retries": 2}},
-            {"name": "checks", "way": {"pool": "main", "trafficClass": "check", "expiryMs": 5000, "retries": 2}}
+             "way": {"pool": "%s", "trafficClass": "note", "expiryMs": 10000, "retries": 2}},
+            {"name": "checks", "way": {"pool": "%s", "trafficClass": "check", "expiryMs": 5000, "retries": 2}}
           ],
           "limits": {
             "classes": {"check": {"rank": 0, "queueMost": 200}, "note": {"rank": 1, "queueMost": 100}},
@@ -42,6 +47,16 @@
                       "cancelForLive": true, "itemExpiryMs": 30000, "retentionMs": 86400000}
           }
         }
-        """.formatted(number);
+        """.formatted(number, pool.isEmpty() || pool.equals("main") ? ""
+            : ", \"" + pool + "\": {\"prefixBlockChars\": 64, \"prefixBlocks\": 4, \"loadFactor\": 1.5}",
+        trafficClass.equals("note") ? pool : "main", trafficClass.equals("check") ? pool : "main");
+  }
+
+  /** By traffic class, the pool a bundle of this form routes it to. */
+  static java.util.Map<String, String> pools(String bundle) {
+    java.util.Map<String, String> pools = new java.util.TreeMap<>();
+    Simulation.tree(bundle.getBytes(java.nio.charset.StandardCharsets.UTF_8)).path("rules")
+        .forEach(rule -> pools.put(rule.at("/way/trafficClass").asText(), rule.at("/way/pool").asText()));
+    return pools;
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -40,6 +40,12 @@
     EDGE_BUNDLE,
     /** subject: worker; number: status. */
     LEAVING_ANSWERED,
+    /** subject: the bundle's number; detail: traffic class; text: the pool it routes the class to. */
+    BUNDLE_WAY,
+    /** subject: worker; detail: the pool it was listed in. */
+    WORKER_POOL,
+    /** subject: request; detail: its traffic class; text: its prompt. */
+    LIVE_CLASS,
     /** number: agreed ceiling of waiting items. */
     CEILING,
     /** subject: what was done to the fleet. */
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -14,7 +14,7 @@
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
  * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
- * random (from, to: one fault after the other, each mended before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
+ * spare (workers of a second pool), random (from, to: one fault after the other, each mended before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -42,6 +42,7 @@
   private double notes = 2;
   private double once = 2;
   private double batchEverySeconds = 2.5;
+  private List<String> spares = List.of();
   private boolean losses;
   private long randomFromMs;
   private long randomToMs;
@@ -78,6 +79,7 @@
       case "once" -> once = Double.parseDouble(words[1]);
       case "batches" -> batchEverySeconds = Double.parseDouble(words[1]);
       case "at" -> timed.add(new Timed(seconds(words[1]), Arrays.copyOfRange(words, 2, words.length), number, line));
+      case "spare" -> spares = Arrays.stream(words).skip(1).toList();
       case "losses" -> losses = true;
       case "random" -> {
         randomFromMs = seconds(words[1]);
@@ -104,6 +106,7 @@
     simulation.logging = logging;
     List<String> faults = new ArrayList<>();
     Process[] last = new Process[1];
+    fleet.spares = spares;
     fleet.start();
     fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
     fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
@@ -233,8 +236,12 @@
         simulation.processes.keySet().stream().filter(name -> !name.equals(target.name) && !kept.contains(name))
             .forEach(name -> simulation.cutLink(target.name, name));
       }
-      case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core"))
+      case "cut-off" -> simulation.processes.keySet().stream().filter(name -> !name.startsWith("core")
+          && (words.length == 1 || Arrays.asList(words).contains(name)))
           .forEach(name -> List.of("core-1", "core-2", "core-3").forEach(core -> simulation.cutLink(name, core)));
+      case "split" -> simulation.processes.keySet().stream().filter(name -> !Arrays.asList(words).contains(name))
+          .forEach(name -> Arrays.stream(words).skip(1).forEach(part -> simulation.cutLink(name, part)));
+      case "callers" -> fleet.callersAt = Arrays.stream(words).skip(1).map(simulation.processes::get).toList();
       case "heal" -> simulation.healLinks();
       case "add" -> fleet.add(words[1], words[2]);
       case "empty" -> fleet.markStorage(words[1], "emptying");
@@ -247,6 +254,8 @@
           .forEach(worker -> worker.become(Condition.valueOf(words[2].toUpperCase())));
       case "worker-says-leaving" -> simulation.workers.get(words[1]).leaving = true;
       case "leaving" -> fleet.markLeaving(words[1]);
+      case "bundle-way" -> fleet.sendBundle(Long.parseLong(words[1]),
+          fleet.deployment.bundle(Long.parseLong(words[1]), words[2], words[3]), words.length > 4 ? words[4] : "core-1");
       case "bundle" -> fleet.sendBundle(Long.parseLong(words[1]), fleet.deployment.bundle(Long.parseLong(words[1])),
           words.length > 2 ? words[2] : "core-1");
       case "bundle-set" -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -169,7 +169,11 @@
   private List<Process> readyEdges = List.of();
   /** Told the moment a sender hears yes: of an acceptance or an end (how many so far), or of a bundle (its number). */
   BiConsumer<String, Long> whenTold = (event, number) -> { };
+  /** When not empty, callers use these edges whether the platform finds them ready or not. */
+  List<Process> callersAt = List.of();
   long storageRefusals;
+  /** Workers listed in the pool "spare" instead of "main". */
+  List<String> spares = List.of();
   private long acceptances;
   private long ends;
   private long liveNumber;
@@ -209,7 +213,7 @@
 
   /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
   Process anyEdge() {
-    List<Process> choice = readyEdges.isEmpty() ? edges : readyEdges;
+    List<Process> choice = !callersAt.isEmpty() ? callersAt : readyEdges.isEmpty() ? edges : readyEdges;
     return choice.get(simulation.random.nextInt(choice.size()));
   }
 
@@ -267,7 +271,9 @@
   }
 
   private void listWorker(String id) {
-    var input = new WorkerInput(id, SimulatedWorkers.address(id), "main", null);
+    String pool = spares.contains(id) ? "spare" : "main";
+    simulation.history.add(simulation.nowMs(), Kind.WORKER_POOL, id, pool, "", 0);
+    var input = new WorkerInput(id, SimulatedWorkers.address(id), pool, null);
     command(liveCore(), "worker", "worker/" + id, CoreNode.workerListed(input), response -> {
       if (response == null || !response.good()) {
         simulation.afterMs(500, () -> listWorker(id));
@@ -290,6 +296,8 @@
     byte[] bytes = content.getBytes(UTF_8);
     byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
     simulation.history.add(simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    Deployment.pools(content).forEach((trafficClass, pool) -> simulation.history.add(simulation.nowMs(),
+        Kind.BUNDLE_WAY, Long.toString(number), trafficClass, pool, number));
     command(coreName, "bundle", "bundle", new SignedBundle(0, bytes, "operator", signature), response -> {
       int status = response == null ? 0 : response.status();
       simulation.history.add(simulation.nowMs(), Kind.BUNDLE_ANSWERED, Long.toString(number),
@@ -382,6 +390,7 @@
     Process edge = anyEdge();
     long sentAt = simulation.nowMs();
     simulation.history.add(sentAt, Kind.LIVE_SENT, id, once, prompt, tokens);
+    simulation.history.add(sentAt, Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
     StringBuilder streamed = new StringBuilder();
     LiveDesk.Handle[] handle = new LiveDesk.Handle[1];
     boolean[] done = new boolean[1];
