Show each never-rule to fail with its check taken out, and to hold with it

Cause: only four checks had been taken out by hand; nothing kept that true. Before: no record for eight rules.

--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -14,7 +14,7 @@
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
  * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
- * spare (workers of a second pool), beyond (from, to: more is broken than the brief asks to survive, so how soon service
+ * tries (of a submission), spare (workers of a second pool), beyond (from, to: more is broken than the brief asks to survive, so how soon service
  * is back is not judged), random (from, to: one fault after the other, each mended before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
@@ -44,6 +44,7 @@
   private double once = 2;
   private double batchEverySeconds = 2.5;
   private List<String> spares = List.of();
+  private int submitTries = SimulatedFleet.SUBMIT_TRIES;
   private boolean losses;
   private long randomFromMs;
   private long randomToMs;
@@ -85,6 +86,7 @@
         timed.add(new Timed(seconds(words[2]), new String[] {"beyond-ends"}, number, line));
       }
       case "spare" -> spares = Arrays.stream(words).skip(1).toList();
+      case "tries" -> submitTries = Integer.parseInt(words[1]);
       case "losses" -> losses = true;
       case "random" -> {
         randomFromMs = seconds(words[1]);
@@ -112,6 +114,7 @@
     List<String> faults = new ArrayList<>();
     Process[] last = new Process[1];
     fleet.spares = spares;
+    fleet.submitTries = submitTries;
     fleet.start();
     fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
     fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
@@ -294,7 +297,7 @@
       }
       case "crowd-batch" -> {
         for (int index = 0; index < Integer.parseInt(words[1]); index++) {
-          simulation.afterMs(simulation.random.nextInt(300), fleet::submitOne);
+          simulation.afterMs(simulation.random.nextInt(words.length > 2 ? Integer.parseInt(words[2]) : 300), fleet::submitOne);
         }
       }
       case "beyond-begins", "beyond-ends" -> { }
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
@@ -31,6 +31,10 @@
             (System.nanoTime() - begun) / 1_000_000);
         System.out.println("    " + outcome.fleet().summary());
         outcome.faults().stream().limit(10).forEach(fault -> System.out.println("    " + fault));
+        if (!outcome.faults().isEmpty()) {
+          System.out.println("    broken: " + outcome.faults().stream().map(ScenarioProgram::ruleOf).distinct().sorted()
+              .collect(java.util.stream.Collectors.joining(" ")));
+        }
         good &= outcome.faults().isEmpty();
         if (historyAt >= 0) {
           Files.writeString(Path.of(words.get(historyAt + 1)), outcome.history().toLines());
@@ -40,5 +44,9 @@
     System.exit(good ? 0 : 1);
   }
 
+  private static String ruleOf(String fault) {
+    return fault.startsWith("invariant") ? "INVARIANT" : fault.matches("[A-Z_]+ at .*") ? fault.split(" ")[0] : "EXPECTATION";
+  }
+
   private ScenarioProgram() {}
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -26,7 +26,7 @@
 /** One deployment in the simulator, with its senders, its operators and its platform. */
 final class SimulatedFleet {
   private static final List<String> CORE = List.of("core-1", "core-2", "core-3");
-  private static final int SUBMIT_TRIES = 6;
+  static final int SUBMIT_TRIES = 6;
   private static final long SENDER_PATIENCE_MS = 8_000;
   private static final long LIVE_PATIENCE_MS = 12_000;
   /** More families than one worker's cache holds, fewer than all caches together. */
@@ -89,7 +89,7 @@
         acceptedAtMs = simulation.nowMs();
         whenTold.accept("accepted", ++acceptances);
         poll();
-      } else if (tries < SUBMIT_TRIES) {
+      } else if (tries < submitTries) {
         simulation.afterMs(response == null ? 500 : 1000.0 * Math.max(1, response.comeBackSeconds()), this::submit);
       } else {
         over = true;
@@ -175,6 +175,7 @@
   BiConsumer<String, Long> whenTold = (event, number) -> { };
   /** When not empty, callers use these edges whether the platform finds them ready or not. */
   List<Process> callersAt = List.of();
+  int submitTries = SUBMIT_TRIES;
   long storageRefusals;
   /** Workers listed in the pool "spare" instead of "main". */
   List<String> spares = List.of();
--- /dev/null
+++ b/test-fleet/src/test/java/applespindle/testfleet/WeakeningTest.java
@@ -0,0 +1,65 @@
+package applespindle.testfleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/** Each weakening names a rule and a scenario that exist, still fits the code, and together they cover every rule. */
+class WeakeningTest {
+  private static final Path FOLDER = Path.of("weakenings");
+  private static final Path SCENARIOS = Path.of("src/test/resources/scenarios");
+
+  private static List<Path> patches() throws IOException {
+    try (Stream<Path> files = Files.list(FOLDER)) {
+      return files.filter(file -> file.toString().endsWith(".patch")).sorted().toList();
+    }
+  }
+
+  private static String field(List<String> lines, String name) {
+    return lines.stream().filter(line -> line.startsWith(name + ": ")).findFirst()
+        .map(line -> line.substring(name.length() + 2)).orElse("");
+  }
+
+  @Test void namesWhatExists() throws IOException {
+    Set<String> broken = new TreeSet<>();
+    for (Path patch : patches()) {
+      List<String> lines = Files.readAllLines(patch);
+      broken.add(field(lines, "breaks"));
+      assertWithMessage(patch + " names a scenario").that(Files.exists(SCENARIOS.resolve(field(lines, "scenario")))).isTrue();
+      assertWithMessage(patch + " names seeds").that(field(lines, "seeds")).matches("\\d+ \\d+");
+    }
+    for (Checker.Rule rule : Checker.Rule.values()) {
+      assertThat(broken).contains(rule.name());
+    }
+    broken.remove("INVARIANT");
+    assertThat(broken).hasSize(Checker.Rule.values().length);
+  }
+
+  @Test void stillFitsTheCode() throws IOException {
+    for (Path patch : patches()) {
+      String code = "";
+      StringBuilder before = new StringBuilder();
+      for (String line : Files.readAllLines(patch)) {
+        if (line.startsWith("+++ b/")) {
+          code = Files.readString(Path.of("..").resolve(line.substring(6)));
+        }
+        if (line.startsWith("@@") || line.startsWith("diff ")) {
+          assertWithMessage(patch.toString()).that(code).contains(before.toString());
+          before.setLength(0);
+        } else if (!code.isEmpty() && (line.startsWith(" ") || line.startsWith("-") && !line.startsWith("---"))) {
+          before.append(line.substring(1)).append('\n');
+        }
+      }
+      assertWithMessage(patch.toString()).that(code).contains(before.toString());
+      assertWithMessage(patch + " changes code").that(code).isNotEmpty();
+    }
+  }
+}
