Empty an isolated edge's queues at once; estimate Retry-After from what is known

Cause: queued requests heard of isolation only when a worker came free; Retry-After was always 1; a batch over the whole ceiling got 429 for ever. Ruled out: the other refusals, told in the step that decides them. Before: no scenario looked.

--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -125,6 +125,10 @@
   /** A worker that faulted rests this long, doubled with each further fault up to the limit below. */
   public static final long WORKER_REST_MS = 500;
   public static final long WORKER_REST_MOST_MS = 4_000;
+  /** Longest wait a sender is told of: what is known of the pace now says little of later. */
+  public static final int COME_BACK_MOST_S = 30;
+  /** Over how long the ledger's pace is measured: several ends of items fit in, and it follows a crowd. */
+  public static final long ROOM_PACE_MS = 10_000;
   /** Expiry of a live request whose rule names none. */
   public static final long LIVE_EXPIRY_MS = 10_000;
   /** Longest silence within a worker's stream before the run counts as cut. */
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -114,6 +114,7 @@
   private final Map<String, Long> coreSilentSince = new HashMap<>();
   private final Map<String, Follower> followers = new LinkedHashMap<>();
   private final NewsInForce inForce;
+  private final RoomPace roomPace;
   /** Edges that joined and when the last of them did, until the first list is made; only known to this process. */
   private Set<String> joiningEdges = Set.of();
   private long lastEdgeJoinedAt;
@@ -127,6 +128,7 @@
     this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
     this.claims = new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
+    this.roomPace = new RoomPace(surroundings);
     this.inForce = new NewsInForce(surroundings, this::edgesThatCount, () -> isMember() && feedAge() < Constants.CORE_SILENT_MS,
         address -> send(address, "", new KeysAsked(surroundings.now())));
   }
@@ -970,8 +972,12 @@
     state.roomTouchedAt.put(batch, surroundings.now());
     if (reserves && present == 0) {
       long waiting = state.room.values().stream().mapToLong(Long::longValue).sum();
+      if (items > ceiling) {
+        respond(ask, Response.of(new Fault.BatchOverCeiling((int) items, ceiling)));
+        return;
+      }
       if (waiting + items > ceiling) {
-        respond(ask, Response.of(new Fault.NoRoom(waiting, ceiling)));
+        respond(ask, Response.of(new Fault.NoRoom(waiting, ceiling), roomPace.secondsUntil(waiting + items - ceiling)));
         return;
       }
     }
@@ -979,6 +985,7 @@
       state.key.confirm(fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
       return;
     }
+    roomPace.freed(Math.max(0, present - items));
     if (items == 0) {
       state.room.remove(batch);
       state.roomTouchedAt.remove(batch);
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -186,7 +186,7 @@
     askCore("room", "batch-room", reservation, Constants.COMMAND_EXPIRY_MS, response -> {
       if (response.good()) {
         lead(ask);
-      } else if (response.faultType().equals("NoRoom")) {
+      } else if (response.faultType().equals("NoRoom") || response.faultType().equals("BatchOverCeiling")) {
         peek(ask.key(), present -> {
           if (present == null) {
             respond(ask, Response.of(new Fault.NoMajority(ask.key())));
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -26,6 +26,7 @@
   record NoMatchingRule() implements Fault {}
   record KeyContentConflict(String batch) implements Fault {}
   record BatchRefused(String batch) implements Fault {}
+  record BatchOverCeiling(int items, long ceiling) implements Fault {}
   record NoRoom(long waiting, long ceiling) implements Fault {}
   record QueueFull(String trafficClass) implements Fault {}
   record ExpiryPassed() implements Fault {}
@@ -53,8 +54,12 @@
   record Overloaded(String ring) implements Fault {}
   record InternalFault(String kind) implements Fault {}
 
-  /** Status, whether a repeat may succeed, and the sentence for a reader. */
-  record Row(int status, boolean retryable, String message) {}
+  /** Status, whether a repeat may succeed, the sentence for a reader, and when to come back where nothing tells better. */
+  record Row(int status, boolean retryable, String message, int comeBackSeconds) {
+    Row(int status, boolean retryable, String message) {
+      this(status, retryable, message, status == 429 || status == 503 ? 1 : 0);
+    }
+  }
 
   default String type() {
     return getClass().getSimpleName();
@@ -71,6 +76,11 @@
     return body;
   }
 
+  /** A dead owner is followed within this. */
+  int TAKEOVER_S = (int) ((Constants.TAKEOVER_MS + Constants.CLAIM_ROUND_MS + 999) / 1_000);
+  /** A node that is cut off has fresh news this long after it is heard again; others are open meanwhile. */
+  int STALE_S = (int) ((Constants.FEED_STALE_MS + 999) / 1_000);
+
   Map<Class<? extends Fault>, Row> TABLE = table();
 
   private static Map<Class<? extends Fault>, Row> table() {
@@ -85,20 +95,21 @@
     rows.put(VersionConflict.class, new Row(409, false, "The version is not the one in force."));
     rows.put(NoSuchWorker.class, new Row(404, false, "There is no such worker."));
     rows.put(NoSuchBatch.class, new Row(404, false, "A majority of replicas has no such batch."));
-    rows.put(NoBundle.class, new Row(503, true, "No bundle is in force."));
+    rows.put(NoBundle.class, new Row(503, true, "No bundle is in force.", TAKEOVER_S));
     rows.put(NoMatchingRule.class, new Row(404, false, "No rule of the bundle matches the request."));
     rows.put(KeyContentConflict.class, new Row(409, false, "The idempotency key was used with other content."));
     rows.put(BatchRefused.class, new Row(409, false, "The batch was refused; nothing of it runs."));
     rows.put(NoRoom.class, new Row(429, true, "Waiting batch work is at its ceiling; nothing was accepted."));
+    rows.put(BatchOverCeiling.class, new Row(413, false, "The batch alone is larger than the ceiling of waiting items."));
     rows.put(QueueFull.class, new Row(429, true, "The queue of this class is full; the request did not run."));
     rows.put(ExpiryPassed.class, new Row(503, true, "The request could not start within its expiry; it did not run."));
     rows.put(NoWorker.class, new Row(503, true, "No worker of the pool can take the request; it did not run."));
-    rows.put(NoMajority.class, new Row(503, true, "A majority of replicas can not be reached; nothing was done."));
-    rows.put(NotReady.class, new Row(503, true, "The node is not ready; nothing was done."));
-    rows.put(NodeIsolated.class, new Row(503, true, "The node is cut off from the others; nothing was done."));
+    rows.put(NoMajority.class, new Row(503, true, "A majority of replicas can not be reached; nothing was done.", TAKEOVER_S));
+    rows.put(NotReady.class, new Row(503, true, "The node is not ready; nothing was done.", TAKEOVER_S));
+    rows.put(NodeIsolated.class, new Row(503, true, "The node is cut off from the others; nothing was done.", STALE_S));
     rows.put(NodeStopping.class, new Row(503, true, "The node is stopping; nothing was done."));
-    rows.put(NotOwner.class, new Row(503, true, "The node does not own the key; nothing was done."));
-    rows.put(OldReplicaSet.class, new Row(503, true, "The replica set has changed; nothing was done."));
+    rows.put(NotOwner.class, new Row(503, true, "The node does not own the key; nothing was done.", TAKEOVER_S));
+    rows.put(OldReplicaSet.class, new Row(503, true, "The replica set has changed; nothing was done.", TAKEOVER_S));
     rows.put(NoSuchStorage.class, new Row(404, false, "There is no such storage node."));
     rows.put(TooFewCopies.class, new Row(409, false, "This would leave fewer than two copies."));
     rows.put(StorageRetired.class, new Row(409, false, "The storage node is retired already."));
--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -94,8 +94,10 @@
       }
       edge.count("live_refused_" + fault.type());
       boolean unknownOnce = !request.onceId().isEmpty() && handedOver;
+      int comeBack = comeBackSeconds(fault, this);
       finish();
-      listener.fault(Response.of(unknownOnce ? new Fault.OutcomeUnknown(request.onceId()) : fault), passedOn);
+      listener.fault(unknownOnce ? Response.of(new Fault.OutcomeUnknown(request.onceId()))
+          : Response.of(fault, comeBack), passedOn);
     }
 
     void finish() {
@@ -191,6 +193,21 @@
     return queue.size() * interval > taken.way.expiryMs() ? new Fault.ExpiryPassed() : null;
   }
 
+  /** From what is known now: the pace of the queue, or when the first worker's rest ends; else the fault's own. */
+  private int comeBackSeconds(Fault fault, Taken taken) {
+    long waitMs;
+    if (fault instanceof Fault.QueueFull || fault instanceof Fault.ExpiryPassed) {
+      waitMs = (long) (queue(taken).size() * startIntervals.getOrDefault(taken.way.trafficClass(), 0.0));
+    } else if (fault instanceof Fault.NoWorker || fault instanceof Fault.WorkerRefused
+        || fault instanceof Fault.WorkerUnreachable) {
+      waitMs = book.all().stream().filter(worker -> ofPool(worker, taken)).mapToLong(book::restMs).min()
+          .orElse(Constants.LOAD_STALE_MS);
+    } else {
+      return fault.row().comeBackSeconds();
+    }
+    return (int) Math.max(1, Math.min(Constants.COME_BACK_MOST_S, (waitMs + 999) / 1_000));
+  }
+
   private void claimThenEnqueue(Taken taken) {
     String token = nodeId + "-" + ++tokens;
     edge.claimOnce(taken.request.onceId(), token, fault -> {
@@ -305,8 +322,18 @@
     atWorkers.add(taken);
   }
 
+  /** Whoever waits in a queue of an edge that may begin nothing hears so now, not when a worker would have been free. */
+  private void refuseIfHindered() {
+    Fault hindrance = edge.mayGoOn();
+    if (hindrance != null) {
+      queues.values().stream().flatMap(queue -> List.copyOf(queue).stream()).toList()
+          .forEach(taken -> taken.refuse(hindrance));
+    }
+  }
+
   /** Ends runs at workers that have gone dark, long before their connections would. */
   void tick() {
+    refuseIfHindered();
     for (Taken taken : List.copyOf(atWorkers)) {
       if (taken.run != null && book.lost(taken.worker, taken.lastTextAt)) {
         taken.run.cancel();
--- a/core-logic/src/main/java/applespindle/corelogic/Response.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Response.java
@@ -11,7 +11,7 @@
   }
 
   public static Response of(Fault fault) {
-    return of(fault, fault.row().status() == 429 || fault.row().status() == 503 ? 1 : 0);
+    return of(fault, fault.row().comeBackSeconds());
   }
 
   public static Response of(Fault fault, int comeBackSeconds) {
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -126,6 +126,13 @@
         && worker.restsUntil < expiresAt;
   }
 
+  /** How long until the worker may be usable as far as is known: its rest, or the time its silence needs to show. */
+  long restMs(Known worker) {
+    long now = surroundings.now();
+    boolean silent = now - worker.loadAt >= Constants.LOAD_STALE_MS || worker.leaving();
+    return Math.max(worker.restsUntil - now, silent ? Constants.LOAD_STALE_MS : 0);
+  }
+
   void began(Known worker, boolean batch) {
     worker.sinceReport++;
     if (batch) {
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -14,7 +14,7 @@
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
  * run (seconds), checks, notes, once (requests a second), batches (one every so many seconds), at (second, verb, words),
  * on (accepted, ended or bundle, the how-manieth or which number, verb, words: the moment its sender is told),
- * tries (of a submission), spare (workers of a second pool), beyond (from, to: more is broken than the brief asks to survive, so how soon service
+ * tries (of a submission), obedient (refused senders of checks come back when told to), spare (workers of a second pool), beyond (from, to: more is broken than the brief asks to survive, so how soon service
  * is back is not judged), random (from, to: one fault after the other, each mended before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
@@ -46,6 +46,7 @@
   private List<String> spares = List.of();
   private int submitTries = SimulatedFleet.SUBMIT_TRIES;
   private boolean losses;
+  private boolean obedient;
   private long randomFromMs;
   private long randomToMs;
   private final List<Timed> timed = new ArrayList<>();
@@ -87,6 +88,7 @@
       }
       case "spare" -> spares = Arrays.stream(words).skip(1).toList();
       case "tries" -> submitTries = Integer.parseInt(words[1]);
+      case "obedient" -> obedient = true;
       case "losses" -> losses = true;
       case "random" -> {
         randomFromMs = seconds(words[1]);
@@ -115,6 +117,7 @@
     Process[] last = new Process[1];
     fleet.spares = spares;
     fleet.submitTries = submitTries;
+    fleet.obedient = obedient;
     fleet.start();
     fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
     fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
@@ -329,6 +332,24 @@
       case "ended-least" -> atLeast("ended batches", fleet.senders.stream().filter(sender -> sender.ended).count(),
           expected.number(), faults);
       case "removed-least" -> atLeast("removed batches", fleet.removedBatches(), expected.number(), faults);
+      case "came-back-served-least" -> atLeast("percent of senders served when they came back", fleet.cameBackPercent(),
+          expected.number(), faults);
+      default -> {
+        if (expected.what().startsWith("refused-within-ms:")) {
+          String type = expected.what().substring(18);
+          long most = fleet.refusedAfterMs.getOrDefault(type, -1L);
+          if (most < 0 || most > expected.number()) {
+            faults.add("expected each " + type + " told within " + expected.number() + " ms, seen " + most);
+          }
+          return;
+        }
+        expectOfFleet(fleet, expected, faults);
+      }
+    }
+  }
+
+  private static void expectOfFleet(SimulatedFleet fleet, Expected expected, List<String> faults) {
+    switch (expected.what()) {
       case "cache-hits-least" -> atLeast("percent of cache hits", fleet.cacheHitPercent(), expected.number(), faults);
       case "checks-p99-ms" -> {
         long p99 = SimulatedFleet.percentile(fleet.checkLatencies, 99);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -15,8 +15,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -175,6 +178,10 @@
   BiConsumer<String, Long> whenTold = (event, number) -> { };
   /** When not empty, callers use these edges whether the platform finds them ready or not. */
   List<Process> callersAt = List.of();
+  boolean obedient;
+  private final Set<String> cameBack = new HashSet<>();
+  /** By fault type, the longest time from sending a live request to its refusal. */
+  final Map<String, Long> refusedAfterMs = new TreeMap<>();
   int submitTries = SUBMIT_TRIES;
   long storageRefusals;
   /** Workers listed in the pool "spare" instead of "main". */
@@ -422,6 +429,10 @@
         }
 
         @Override public void fault(Response response, boolean cut) {
+          if (!cut && response.comeBackSeconds() > 0) {
+            refusedAfterMs.merge(response.faultType(), simulation.nowMs() - sentAt, Math::max);
+            comeBack(id, response.comeBackSeconds(), trafficClass);
+          }
           then.accept(() -> liveAnswered(id, trafficClass, once, repeats, sentAt, done, cut ? 200 : response.status(),
               cut ? "cut" : response.faultType(), streamed.toString()));
         }
@@ -447,6 +458,23 @@
     });
   }
 
+  /** A sender that was told when to come back does so then; how many such are served is expected of some scenarios. */
+  private void comeBack(String id, int seconds, String trafficClass) {
+    if (obedient && trafficClass.equals("check") && !cameBack.contains(id)) {
+      simulation.afterMs(1000.0 * seconds, () -> {
+        cameBack.add("l" + (liveNumber + 1));
+        sendLive(trafficClass, "", 0);
+      });
+    }
+  }
+
+  /** Percent of the senders that came back when told to and were served then; 100 if none had to. */
+  long cameBackPercent() {
+    long served = simulation.history.of(Kind.LIVE_ANSWERED).stream().filter(seen -> cameBack.contains(seen.subject())
+        && seen.detail().equals("complete")).count();
+    return cameBack.isEmpty() ? 100 : 100 * served / cameBack.size();
+  }
+
   /** Prompts come in families that share a long beginning, as the brief's do. */
   static String familyPrompt(int family, String id) {
     return ("Case file " + family + ". " + SHARED).substring(0, FAMILY_CHARS) + "Ruling " + id;
