--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -49,6 +49,9 @@
 
     void log(String sentence);
 
+    /** When a batch is due on our clock as an earlier leader told it, or null if none did. */
+    Long heardDueAt(String batch);
+
     /** A report moves the offset beyond what is recorded here yet; the results it carries must make up for it. */
     void offsetAhead(String batch);
   }
@@ -86,7 +89,9 @@
     }
     bornAt = surroundings.now();
     lastUsedAt = bornAt;
-    ageAtBirthMs = view.ageMs;
+    Long heardDueAt = edge.heardDueAt(batch);
+    ageAtBirthMs = heardDueAt == null || view.accepted == null ? view.ageMs
+        : Math.max(view.ageMs, view.accepted.dueInMs() - (heardDueAt - bornAt));
     highestRangeEpoch = view.highestRangeEpoch;
     for (int range = 0; range < view.ranges.size(); range++) {
       if (view.ranges.get(range).state == RangeState.ASSIGNED) {
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -90,6 +90,8 @@
   public static final long OFFER_MS = 300;
   /** An offer unheard for this long is forgotten by a feeder. */
   public static final long OFFER_LENGTH_MS = 1_000;
+  /** Batches whose due time an edge remembers: more than can be open under any ceiling in use. */
+  public static final int DUE_KEPT = 20_000;
   /** Ranges a feeder holds for one worker beyond its room: none, as a handout takes far less than an item (round 3). */
   public static final int PREFETCH_RANGES = 0;
   /** Runs of one item before its failure is recorded as its result. */
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -20,6 +20,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -41,6 +42,15 @@
   private boolean stopAnnounced;
   private final Map<String, BatchLeader> leaders = new TreeMap<>();
   private final KeyClaims claims;
+  /**
+   * When each batch is due on our clock, as its leader last offered it. The log knows a batch's age only up to its last
+   * event; a successor that lost the rest would hand out a batch that waited long after younger ones.
+   */
+  private final Map<String, Long> dueAtOfBatch = new LinkedHashMap<>() {
+    @Override protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+      return size() > Constants.DUE_KEPT;
+    }
+  };
   /** By worker, the edge that feeds it; forgotten whenever the members change. */
   private final Map<String, String> feederOfWorker = new HashMap<>();
 
@@ -295,6 +305,10 @@
     count("batch_offsets_ahead");
   }
 
+  @Override public Long heardDueAt(String batch) {
+    return dueAtOfBatch.get(batch);
+  }
+
   @Override public boolean feeds(String worker) {
     return place.id().equals(feederOfWorker.computeIfAbsent(worker, unseen ->
         Rendezvous.first("feeder/" + worker, liveEdges().stream().map(Member::id).toList())));
@@ -378,6 +392,7 @@
     } else if (message instanceof Unfinished unfinished) {
       unfinished.keys().forEach(this::takeOrphan);
     } else if (message instanceof WorkOffer offer) {
+      dueAtOfBatch.put(offer.batch(), surroundings.now() + offer.dueInMs());
       feeder.offered(offer, fromId, fromAddress);
     } else if (message instanceof RangePull pull) {
       BatchLeader leader = leaders.get("batch/" + pull.batch());
@@ -394,6 +409,7 @@
     } else if (message instanceof RangeReported answer) {
       feeder.answered(answer);
     } else if (message instanceof BatchEnded ended) {
+      dueAtOfBatch.remove(ended.batch());
       feeder.ended(ended.batch());
     } else {
       super.handle(message, fromId, fromAddress);
