Count the late answer of an earlier try; bring whole machines and zones down

Cause: an acknowledgement may take 2 s, a try of an ask was given up after 1.2 s and its answer thrown away, so commands failed while a zone was dead. Ruled out: the list of edges, the owners of the keys.

--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -7,6 +7,7 @@
 import applespindle.corelogic.Records.Roster;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +38,9 @@
     final long expiresAt;
     final Consumer<Response> then;
     int tries;
+    /** Of every try so far: an answer that comes after the next try has begun still counts. */
+    final List<Long> correlations = new ArrayList<>();
+    boolean over;
     /** Once a try went unanswered, no later refusal may be passed on as "nothing was done". */
     boolean unknown;
     Response lastResponse = Response.of(new Fault.NotReady("nobody to ask yet"));
@@ -51,6 +55,9 @@
     }
 
     void tryOnce() {
+      if (over) {
+        return;
+      }
       long left = expiresAt - surroundings.now();
       if (left <= 0) {
         finish(lastResponse);
@@ -62,27 +69,39 @@
         return;
       }
       long correlation = ++lastCorrelation;
-      open.put(correlation, response -> responded(response));
+      correlations.add(correlation);
+      open.put(correlation, response -> responded(correlation, response));
       send(target.address(), target.id(),
           new Ask(correlation, duty, key, place.id(), place.peerAddress(), Constants.ASK_HOPS, body));
       surroundings.after(Math.min(left, Constants.ASK_TRY_MS), () -> {
-        if (open.remove(correlation) != null) {
+        if (!over && isLatest(correlation) && open.containsKey(correlation)) {
           unknown = true;
           tryOnce();
         }
       });
     }
 
-    void responded(Response response) {
+    private boolean isLatest(long correlation) {
+      return correlations.get(correlations.size() - 1) == correlation;
+    }
+
+    void responded(long correlation, Response response) {
       if (NOTHING_DONE.contains(response.faultType())) {
-        lastResponse = response;
-        surroundings.after(Constants.ASK_PAUSE_MS, this::tryOnce);
+        if (isLatest(correlation)) {
+          lastResponse = response;
+          surroundings.after(Constants.ASK_PAUSE_MS, this::tryOnce);
+        }
       } else {
         finish(response);
       }
     }
 
     void finish(Response response) {
+      if (over) {
+        return;
+      }
+      over = true;
+      correlations.forEach(open::remove);
       boolean refusal = response.status() == 429 || response.status() == 503;
       then.accept(unknown && refusal ? Response.of(new Fault.OutcomeUnknown(key)) : response);
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -415,8 +415,10 @@
   /** Operators' and the platform's commands, each kind apart; not judged while links are cut on purpose. */
   private void commands() {
     long lastGoodAt = -1;
+    long lastAskedAt = Long.MIN_VALUE / 2;
     int attempts = 0;
     Set<String> openCuts = new HashSet<>();
+    Map<String, Long> firstSentAt = new HashMap<>();
     for (Seen each : seen) {
       if (each.kind() == Kind.FAULT) {
         String verb = each.subject().replaceFirst("^(at \\S+|on \\S+ \\S+) ", "").split(" ")[0];
@@ -427,13 +429,18 @@
           lastGoodAt = each.atMs();
         }
       }
+      if (each.kind() == Kind.BUNDLE_SENT) {
+        firstSentAt.putIfAbsent(each.subject(), each.atMs());
+      }
       if (each.kind() != Kind.BUNDLE_ANSWERED && each.kind() != Kind.LEAVING_ANSWERED) {
         continue;
       }
       boolean good = each.number() == 200 || each.number() == 409 || each.number() == 404;
-      if (good || lastGoodAt < 0 || !openCuts.isEmpty()) {
-        lastGoodAt = each.atMs();
-        attempts = 0;
+      boolean asksAgain = each.atMs() - lastAskedAt <= ASKED_WITHIN_MS;
+      lastAskedAt = each.atMs();
+      if (good || !asksAgain || !openCuts.isEmpty()) {
+        lastGoodAt = good || !openCuts.isEmpty() ? each.atMs() : firstSentAt.getOrDefault(each.subject(), each.atMs());
+        attempts = good ? 0 : 1;
       } else if (++attempts >= ATTEMPTS_LEAST && each.atMs() - lastGoodAt > BACK_MS) {
         notBack(lastGoodAt, each.atMs(), "no command succeeded");
         lastGoodAt = each.atMs();
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -165,9 +165,10 @@
       "jump-clock any-core 4", "worker w1 crashed / worker w1 well", "worker w2 dark / worker w2 well",
       "worker w3 vanished / worker w3 well", "worker w4 cuts / worker w4 well", "worker w5 garbage / worker w5 well",
       "worker w6 refuses / worker w6 well", "cut core-1 core-2 / heal", "cut core-2 core-3 / heal", "end-batch",
-      "leaving w7", "bundle N", "bundles-collide N", "cut-off / heal");
+      "leaving w7", "bundle N", "kill machine-1 / start machine-1",
+      "power-loss machine-2 / start machine-2", "freeze machine-3 / wake machine-3", "bundles-collide N", "cut-off / heal");
 
-  private static final List<String> RANDOM_LOSSES = List.of("lose-disk any-storage / start last",
+  private static final List<String> RANDOM_LOSSES = List.of("lose-disk any-storage / start last", "lose-disk core-2 / start last",
       "lose-disk any-core / start last");
   /** A second disk is not lost before the first loss can be repaired: that is what the fleet promises to survive. */
   private static final long REPAIR_MS = 28_000;
@@ -201,14 +202,15 @@
     Simulation simulation = fleet.simulation;
     String[] words = timed.words();
     simulation.history.add(simulation.nowMs(), Kind.FAULT, String.join(" ", words), "", "", 0);
-    if (words.length > 1 && words[1].startsWith("all-")) {
-      simulation.processes.keySet().stream().filter(name -> name.startsWith(words[1].substring(4))).toList()
-          .forEach(name -> {
-            String[] one = words.clone();
-            one[1] = name;
-            act(fleet, new Timed(timed.atMs(), one, timed.line(), timed.text()), last);
-          });
-      return last;
+    List<String> group = words.length < 2 ? List.of() : group(simulation, words[1]);
+    if (!group.isEmpty()) {
+      Process[] latest = {last};
+      group.stream().filter(name -> !words[0].equals("start") || !simulation.processes.get(name).alive()).forEach(name -> {
+        String[] one = words.clone();
+        one[1] = name;
+        latest[0] = act(fleet, new Timed(timed.atMs(), one, timed.line(), timed.text()), latest[0]);
+      });
+      return latest[0];
     }
     Process target = target(fleet, words, last);
     switch (words[0]) {
@@ -311,6 +313,14 @@
     return target == null || words[0].equals("leave") && last != null ? last : target;
   }
 
+  /** Processes that fail together: all of a kind, those of one machine with a disk, or those of a zone. */
+  private static List<String> group(Simulation simulation, String word) {
+    return simulation.processes.values().stream().filter(process -> word.startsWith("all-")
+        ? process.name.startsWith(word.substring(4))
+        : word.startsWith("machine-") ? List.of("core-" + word.substring(8), "edge-" + word.substring(8)).contains(process.name)
+        : word.startsWith("zone-") && process.zone.equals(word)).map(process -> process.name).toList();
+  }
+
   private static Process target(SimulatedFleet fleet, String[] words, Process last) {
     return words.length < 2 ? null : words[1].equals("last") ? last : fleet.target(words[1]);
   }
