--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -2,6 +2,8 @@
 
 /** All constants of the system, each with its unit and its reason. Times are monotonic milliseconds. */
 public final class Constants {
+  /** Of the programs, as the pom has it; operators compare it over the processes before they move traffic. */
+  public static final String VERSION = "0.1.0";
   // --- membership
   /** How often a node renews its grant: four tries fit in one grant, so one lost message costs nothing. */
   public static final long GRANT_RENEW_MS = 500;
@@ -133,6 +135,11 @@
   public static final long ROOM_PACE_MS = 10_000;
   /** Expiry of a live request whose rule names none. */
   public static final long LIVE_EXPIRY_MS = 10_000;
+  /**
+   * A whole response that takes longer than this begins with blanks, one in each such time: the HTTP library tells that a
+   * sender has gone only when something is written to it.
+   */
+  public static final long BLANK_MS = 500;
   /** Longest silence within a worker's stream before the run counts as cut. */
   public static final long STREAM_SILENCE_MS = 5_000;
   /** A stopping edge says so on /ready and goes on taking work this long, so that the platform can notice first. */
--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -24,6 +24,9 @@
   public interface Listener {
     void text(String text);
 
+    /** A worker has begun to answer a request that does not stream; may be told again after another worker was tried. */
+    default void running() {}
+
     void end(String wholeOutput, String finishReason);
 
     /** cut: texts were already passed on, so the output must be shown as incomplete. */
@@ -369,6 +372,9 @@
           taken.passedOn = true;
           taken.listener.text(text);
         } else {
+          if (taken.output.isEmpty()) {
+            taken.listener.running();
+          }
           taken.output.append(text);
         }
       }
--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -236,7 +236,7 @@
 
   protected ObjectNode commonStatus() {
     ObjectNode status = JSON.createObjectNode();
-    status.put("name", place.name()).put("id", place.id()).put("incarnation", place.incarnation())
+    status.put("version", Constants.VERSION).put("name", place.name()).put("id", place.id()).put("incarnation", place.incarnation())
         .put("zone", place.zone()).put("role", place.role()).put("peer", place.peerAddress()).put("stopping", stopping);
     status.set("roster", JSON.<JsonNode>valueToTree(roster));
     return status;
--- a/data-plane/src/main/java/applespindle/dataplane/EdgeInterface.java
+++ b/data-plane/src/main/java/applespindle/dataplane/EdgeInterface.java
@@ -110,10 +110,18 @@
     return exchange.begin();
   }
 
-  static HttpResponse whole(String output, String finishReason) {
+  static ObjectNode wholeBody(String output, String finishReason) {
     ObjectNode body = JSON.createObjectNode().put("object", "text_completion");
     body.putArray("choices").addObject().put("index", 0).put("text", output).put("finish_reason", finishReason);
-    return HttpInterface.render(Response.of(200, body));
+    return body;
+  }
+
+  static HttpResponse whole(String output, String finishReason) {
+    return HttpInterface.render(Response.of(200, wholeBody(output, finishReason)));
+  }
+
+  static HttpResponse wholeLater(EventStream events) {
+    return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "application/json").withBodyStream(events).build();
   }
 
   static HttpResponse streamed(EventStream events) {
--- a/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
@@ -2,6 +2,7 @@
 
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
+import applespindle.corelogic.Constants;
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.Json;
@@ -23,6 +24,8 @@
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
   /** On the http thread only. */
   private EventStream events;
+  private boolean blanksGo;
+  private boolean over;
   /** On the logic thread only. */
   private LiveDesk.Handle handle;
 
@@ -45,6 +48,7 @@
   }
 
   private void senderGone() {
+    over = true;
     process.toLogic(() -> handle.cancel());
   }
 
@@ -70,9 +74,42 @@
     onHttp(() -> events().push(piece(text, null)));
   }
 
+  @Override public void running() {
+    onHttp(() -> process.httpLoop().delay(Constants.BLANK_MS, this::blank));
+  }
+
+  /** White space before a JSON text means nothing; writing it shows whether the sender is still there. */
+  private void blank() {
+    if (over) {
+      return;
+    }
+    if (events == null) {
+      events = new EventStream(this::senderGone);
+      response.trySet(EdgeInterface.wholeLater(events));
+    }
+    events.push(new byte[] {' '});
+    if (!blanksGo) {
+      blanksGo = true;
+      nextBlank();
+    }
+  }
+
+  private void nextBlank() {
+    process.httpLoop().delay(Constants.BLANK_MS, () -> {
+      if (!over) {
+        events.push(new byte[] {' '});
+        nextBlank();
+      }
+    });
+  }
+
   @Override public void end(String wholeOutput, String finishReason) {
     onHttp(() -> {
-      if (request.stream()) {
+      over = true;
+      if (!request.stream() && events != null) {
+        events.push(Json.bytes(EdgeInterface.wholeBody(wholeOutput, finishReason)));
+        events.end();
+      } else if (request.stream()) {
         events().push(piece("", finishReason));
         events().push("data: [DONE]\n\n".getBytes(UTF_8));
         events().end();
@@ -84,8 +121,11 @@
 
   @Override public void fault(Response fault, boolean cut) {
     onHttp(() -> {
+      over = true;
       if (events == null) {
         response.trySet(HttpInterface.render(fault));
+      } else if (!request.stream()) {
+        events.cut();
       } else {
         ObjectNode data = JSON.createObjectNode();
         data.set("error", fault.body());
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -23,7 +23,12 @@
   private final HttpCaller caller = new HttpCaller(TIMEOUT);
 
   public static void main(String[] arguments) {
-    System.exit(new OperatorTool().run(arguments));
+    System.exit(execute(arguments));
+  }
+
+  /** One command; returns its exit status. */
+  public static int execute(String... arguments) {
+    return new OperatorTool().run(arguments);
   }
 
   private static ArgumentParser parser() {
@@ -62,6 +67,8 @@
       storage.addArgument("storage").help("id or name");
     }
     withAddress(commands.addParser("storage").help("list the storage nodes"), "--core");
+    Subparser preflight = commands.addParser("preflight").help("whether the tier may be given traffic; names each fault");
+    preflight.addArgument("--nodes").required(true).nargs("+").metavar("ADDRESS").help("HTTP addresses of all processes");
     Subparser trace = commands.addParser("trace").help("follow one change through all nodes");
     trace.addArgument("--nodes").required(true).nargs("+").metavar("ADDRESS").help("HTTP addresses");
     trace.addArgument("--key").required(true).help("such as bundle, worker/w1, batch/b-…");
@@ -151,6 +158,9 @@
       case "end" -> {
         return show(caller.post(address, "/v1/batches/" + flags.getString("batch") + "/end", new byte[0], Map.of()));
       }
+      case "preflight" -> {
+        return Preflight.run(caller, flags.getList("nodes"));
+      }
       default -> {
         return Tracer.trace(caller, flags.<String>getList("nodes"), flags.getString("key"));
       }
--- a/test-fleet/src/test/java/applespindle/testfleet/RealFleetTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/RealFleetTest.java
@@ -1,12 +1,16 @@
 package applespindle.testfleet;
 
 import applespindle.operatortool.HttpCaller.Result;
+import applespindle.operatortool.OperatorTool;
 import applespindle.testfleet.Fleet.Member;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -24,11 +28,35 @@
       fleet.open(GENEROUS_MS);
       Member edge = fleet.member("edge-1");
 
+      String[] nodes = fleet.members.values().stream().map(member -> member.http).toArray(String[]::new);
+      Fleet.awaitTrue("preflight", GENEROUS_MS, () -> preflight(nodes) == 0);
+      String[] andNobody = Arrays.copyOf(nodes, nodes.length + 1);
+      andNobody[nodes.length] = "127.0.0.1:1";
+      assertThat(preflight(andNobody)).isEqualTo(1);
+
       Result streamed = fleet.caller.post(edge.http, "/v1/completions",
           "{\"prompt\":\"is slip 9 ready?\",\"stream\":true,\"max_tokens\":3}".getBytes(UTF_8), Map.of());
       assertThat(streamed.text()).contains("\"finish_reason\":\"stop\"");
       assertThat(streamed.text()).endsWith("data: [DONE]\n\n");
 
+      assertThat(Long.parseLong(counter(fleet, edge, "live_cancelled"))).isEqualTo(0);
+      String[] place = edge.http.split(":");
+      byte[] slow = "{\"prompt\":\"a long note\",\"max_tokens\":4000}".getBytes(UTF_8);
+      try (Socket sender = new Socket(place[0], Integer.parseInt(place[1]))) {
+        sender.getOutputStream().write(("POST /v1/completions HTTP/1.1\r\nHost: " + edge.http + "\r\nContent-Length: "
+            + slow.length + "\r\n\r\n").getBytes(UTF_8));
+        sender.getOutputStream().write(slow);
+        Fleet.awaitTrue("its run", GENEROUS_MS, () -> running(fleet, edge) > 0);
+      }
+      Fleet.awaitTrue("the sender's leave to be noticed", GENEROUS_MS,
+          () -> !counter(fleet, edge, "live_cancelled").equals("0"));
+      assertThat(running(fleet, edge)).isEqualTo(0);
+
+      Result whole = fleet.caller.post(edge.http, "/v1/completions",
+          "{\"prompt\":\"a note\",\"max_tokens\":300}".getBytes(UTF_8), Map.of());
+      assertThat(whole.status()).isEqualTo(200);
+      assertThat(whole.body().at("/choices/0/finish_reason").asText()).isEqualTo("stop");
+
       Result submitted = fleet.submit(edge, "first", Fleet.letters("guest", 60, 120, 10_000));
       assertThat(submitted.status()).isEqualTo(201);
       String batch = submitted.body().get("batch").asText();
@@ -54,6 +82,21 @@
     }
   }
 
+  private static int preflight(String[] nodes) {
+    String[] words = Stream.concat(Stream.of("preflight", "--nodes"), Arrays.stream(nodes)).toArray(String[]::new);
+    return OperatorTool.execute(words);
+  }
+
+  private static long running(Fleet fleet, Member edge) {
+    return fleet.caller.get(edge.http, "/v1/status").body().path("liveRunning").asLong();
+  }
+
+  private static String counter(Fleet fleet, Member edge, String name) {
+    return fleet.caller.get(edge.http, "/metrics").text().lines()
+        .filter(line -> line.startsWith("applespindle_" + name + "_total"))
+        .map(line -> line.replaceFirst(".* ", "").replaceFirst("\\.0$", "")).findFirst().orElse("0");
+  }
+
   private static int recorded(Fleet fleet, Member edge, String batch) {
     return fleet.caller.get(edge.http, "/v1/batches/" + batch).body().path("recorded").asInt(-1);
   }
