--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -337,7 +337,8 @@
     int attempts = 0;
     for (Seen each : answers) {
       boolean good = each.kind() == Kind.LIVE_ANSWERED ? each.detail().equals("complete") || each.number() == 409
-          : each.number() == 200 || each.number() == 201 || each.number() == 404 || each.detail().equals("NoRoom");
+          : each.number() == 200 || each.number() == 201 || each.number() == 404 || each.detail().equals("NoRoom")
+              || each.detail().equals("BatchOverCeiling");
       if (lastGoodAt < 0 || each.atMs() - lastAskedAt > ASKED_WITHIN_MS) {
         lastGoodAt = each.atMs();
         attempts = 0;
@@ -478,6 +479,9 @@
               violated(Rule.SERVICE_NOT_BACK, each.atMs(), key + " was told of no room where " + (ceiling - most) + " was left");
             }
           }
+          if (each.detail().equals("BatchOverCeiling") && items <= ceiling) {
+            violated(Rule.SERVICE_NOT_BACK, each.atMs(), key + " was told to be over a ceiling of " + ceiling);
+          }
           if (openTries.merge(key, -1, Integer::sum) <= 0 && refused) {
             mayWait.remove(key);
           }
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * A scenario from a small text file: a fleet, its traffic, timed faults, expectations. Lines are: about, fleet, seeds,
@@ -110,8 +111,14 @@
   }
 
   public Outcome run(long seed, boolean logging) {
+    return run(seed, logging, fleet -> { });
+  }
+
+  /** prepare may set up more in the fleet before anything runs. */
+  Outcome run(long seed, boolean logging, Consumer<SimulatedFleet> prepare) {
     SimulatedFleet fleet = new SimulatedFleet(deployment, seed);
     Simulation simulation = fleet.simulation;
+    prepare.accept(fleet);
     simulation.logging = logging;
     List<String> faults = new ArrayList<>();
     Process[] last = new Process[1];
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -9,6 +9,7 @@
 import applespindle.corelogic.Epoch;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.KeyReplicas;
+import applespindle.corelogic.Message;
 import applespindle.corelogic.Node;
 import applespindle.corelogic.StorageNode;
 import applespindle.corelogic.Surroundings;
@@ -214,7 +215,14 @@
       if (target == null || cut(this, target) || !target.alive) {
         return;
       }
+      if (instant != null && target != this && instant.strikes(this, target, envelope.message())) {
+        return;
+      }
       Envelope carried = target == this ? envelope : throughCodec(envelope);
+      if (instant != null && instant.receiverNext) {
+        instant.receiverNext = false;
+        struckByReceiving = carried;
+      }
       int targetLife = target.life;
       String link = name + ">" + peerAddress;
       long arrives = Math.max(nowUs + latency(zone, target.zone, target == this), linkBusyUntil.getOrDefault(link, 0L) + 1);
@@ -223,6 +231,10 @@
       Runnable arrival = () -> {
         if (!cut(this, target)) {
           target.enter(targetLife, () -> target.node.receive(carried));
+          if (struckByReceiving == carried) {
+            struckByReceiving = null;
+            instant.fall(target);
+          }
         }
       };
       if (heldLinks.contains(link)) {
@@ -299,6 +311,63 @@
     }
   }
 
+  /** A process dies at one step of a protocol: before or after it sends, or receives, the n-th message of a kind. */
+  final class Instant {
+    enum Position { SENDER_BEFORE, SENDER_AFTER, RECEIVER_BEFORE, RECEIVER_AFTER }
+
+    private final String kind;
+    private final Position position;
+    private final boolean powerLoss;
+    private final long fromMs;
+    private final long backAfterMs;
+    private int left;
+    private boolean receiverNext;
+    Process fallen;
+
+    Instant(String kind, int number, Position position, boolean powerLoss, long fromMs, long backAfterMs) {
+      this.kind = kind;
+      this.left = number;
+      this.position = position;
+      this.powerLoss = powerLoss;
+      this.fromMs = fromMs;
+      this.backAfterMs = backAfterMs;
+    }
+
+    static String kindOf(Message message) {
+      return message instanceof Message.Ask ask ? "Ask:" + ask.duty() : message.getClass().getSimpleName();
+    }
+
+    /** True if the message must not go out. */
+    private boolean strikes(Process from, Process to, Message message) {
+      if (left == 0 || nowMs() < fromMs || !kindOf(message).equals(kind) || --left > 0) {
+        return false;
+      }
+      switch (position) {
+        case SENDER_BEFORE -> at(nowUs, () -> fall(from));
+        case SENDER_AFTER -> at(nowUs + 1, () -> fall(from));
+        case RECEIVER_BEFORE -> at(nowUs, () -> fall(to));
+        case RECEIVER_AFTER -> receiverNext = true;
+      }
+      return position == Position.SENDER_BEFORE;
+    }
+
+    private void fall(Process process) {
+      if (!process.alive) {
+        return;
+      }
+      fallen = process;
+      history.add(nowMs(), History.Kind.FAULT, (powerLoss ? "power-loss " : "kill ") + process.name, "", "", 0);
+      process.kill(powerLoss);
+      afterMs(backAfterMs, () -> {
+        if (!process.alive) {
+          process.start();
+        }
+      });
+    }
+  }
+
+  Instant instant;
+  private Envelope struckByReceiving;
   public final SplittableRandom random;
   public final Map<String, Process> processes = new LinkedHashMap<>();
   public final SimulatedWorkers workers;
