--- a/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
@@ -16,7 +16,17 @@
 
 /** One HTTP call at a time, waited for; for command lines and tests. */
 public final class HttpCaller {
-  public record Result(int status, JsonNode body, String text) {
+  /** comeBackSeconds: what Retry-After said, 0 if nothing. */
+  public record Result(int status, JsonNode body, String text, int comeBackSeconds) {
+    Result(int status, JsonNode body, String text) {
+      this(status, body, text, 0);
+    }
+
+    /** Nothing was done, or the same call again is safe and asks for the outcome; and a later try may do better. */
+    public boolean worthAnotherTry() {
+      return status == 429 || status == 503 || status == 504;
+    }
+
     public boolean good() {
       return status >= 200 && status < 300;
     }
@@ -48,7 +58,9 @@
           } catch (IOException notJson) {
             tree = JSON.nullNode();
           }
-          result[0] = new Result(response.getCode(), tree, text);
+          String comeBack = response.getHeader(HttpHeaders.RETRY_AFTER);
+          result[0] = new Result(response.getCode(), tree, text,
+              comeBack != null && comeBack.matches("[0-9]{1,6}") ? Integer.parseInt(comeBack) : 0);
         })).whenException(fault -> result[0] = new Result(0, JSON.nullNode(), String.valueOf(fault.getMessage())));
     eventloop.run();
     return result[0];
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -3,6 +3,9 @@
 import applespindle.corelogic.Bundle;
 import applespindle.corelogic.Fault;
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.failsafe.Failsafe;
+import dev.failsafe.RetryPolicy;
+import dev.failsafe.function.CheckedSupplier;
 import io.activej.http.HttpMethod;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -20,7 +23,17 @@
 /** The operators' command line. Exit status: 0 done, 1 refused or not found, 2 wrong use or input. */
 public final class OperatorTool {
   private static final Duration TIMEOUT = Duration.ofSeconds(15);
+  private static final int TRIES_MOST = 4;
   private final HttpCaller caller = new HttpCaller(TIMEOUT);
+  /** Commands are safe to send again: each has a number, a key, or a state that it sets. */
+  private final RetryPolicy<HttpCaller.Result> again = RetryPolicy.<HttpCaller.Result>builder()
+      .handleResultIf(HttpCaller.Result::worthAnotherTry).withMaxAttempts(TRIES_MOST)
+      .withDelayFn(tried -> Duration.ofSeconds(Math.max(1, tried.getLastResult().comeBackSeconds())))
+      .onRetry(tried -> System.err.println("status " + tried.getLastResult().status() + ", trying again")).build();
+
+  private HttpCaller.Result patiently(CheckedSupplier<HttpCaller.Result> command) {
+    return Failsafe.with(again).get(command);
+  }
 
   public static void main(String[] arguments) {
     System.exit(execute(arguments));
@@ -120,9 +133,9 @@
       }
       case "send-bundle" -> {
         byte[] bytes = Files.readAllBytes(Path.of(flags.getString("bundle")));
-        return show(caller.post(flags.getString("core"), "/v1/bundles", bytes, Map.of(
+        return show(patiently(() -> caller.post(flags.getString("core"), "/v1/bundles", bytes, Map.of(
             "Applespindle-Key-Id", flags.getString("key_id"),
-            "Applespindle-Signature", Signing.sign(bytes, Files.readString(Path.of(flags.getString("key")))))));
+            "Applespindle-Signature", Signing.sign(bytes, Files.readString(Path.of(flags.getString("key"))))))));
       }
       case "show-bundle" -> {
         return show(caller.get(address, "/v1/bundles/current"));
@@ -141,22 +154,22 @@
       }
       case "empty-storage", "retire-storage" -> {
         String verb = flags.getString("command").replace("-storage", "");
-        return show(caller.post(address, "/v1/storage/" + flags.getString("storage") + "/" + verb, new byte[0], Map.of()));
+        return show(patiently(() -> caller.post(address, "/v1/storage/" + flags.getString("storage") + "/" + verb, new byte[0], Map.of())));
       }
       case "leaving" -> {
-        return show(caller.call(HttpMethod.POST, address, "/v1/workers/" + flags.getString("worker") + "/leaving",
-            new byte[0], Map.of()));
+        return show(patiently(() -> caller.call(HttpMethod.POST, address, "/v1/workers/" + flags.getString("worker") + "/leaving",
+            new byte[0], Map.of())));
       }
       case "submit" -> {
-        return show(caller.post(address, "/v1/batches", Files.readAllBytes(Path.of(flags.getString("batch"))),
-            Map.of("Idempotency-Key", flags.getString("key"), "Applespindle-Sender", flags.getString("sender"))));
+        return show(patiently(() -> caller.post(address, "/v1/batches", Files.readAllBytes(Path.of(flags.getString("batch"))),
+            Map.of("Idempotency-Key", flags.getString("key"), "Applespindle-Sender", flags.getString("sender")))));
       }
       case "results" -> {
         return show(caller.get(address, "/v1/batches/" + flags.getString("batch") + "/results?after="
             + flags.getLong("after") + "&limit=" + flags.getInt("limit")));
       }
       case "end" -> {
-        return show(caller.post(address, "/v1/batches/" + flags.getString("batch") + "/end", new byte[0], Map.of()));
+        return show(patiently(() -> caller.post(address, "/v1/batches/" + flags.getString("batch") + "/end", new byte[0], Map.of())));
       }
       case "preflight" -> {
         return Preflight.run(caller, flags.getList("nodes"));
