--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -115,11 +115,7 @@
   private final Map<String, Follower> followers = new LinkedHashMap<>();
   private final NewsInForce inForce;
   private final RoomPace roomPace;
-  /** Edges that joined and when the last of them did, until the first list is made; only known to this process. */
-  private Set<String> joiningEdges = Set.of();
-  private long lastEdgeJoinedAt;
-  private long edgesChangedAt;
-  private final Map<String, Long> edgeSilentSince = new HashMap<>();
+  private final EdgeListing edgeListing;
 
   public CoreNode(Surroundings surroundings, Place place, Map<String, String> operatorKeys, List<String> founders) {
     super(surroundings, place);
@@ -128,6 +124,7 @@
     this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
     this.claims = new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
+    this.edgeListing = new EdgeListing(surroundings);
     this.roomPace = new RoomPace(surroundings);
     this.inForce = new NewsInForce(surroundings, this::edgesThatCount, () -> isMember() && feedAge() < Constants.CORE_SILENT_MS,
         address -> send(address, "", new KeysAsked(surroundings.now())));
@@ -556,49 +553,21 @@
     return new NewsInForce.Edges(item == null ? List.of() : Json.read(item.value(), EdgeList.class).addresses(), live);
   }
 
-  /** One change at a time, and the next only when a majority of the edges is known to have the last. */
   private void listEdges() {
     Owned state = owned.get(EDGES);
-    NewsInForce.Edges edges = edgesThatCount();
-    Set<String> live = edges.live().keySet();
+    Set<String> live = edgesThatCount().live().keySet();
     if (state == null) {
       if (!table.containsKey(EDGES) && !live.isEmpty() && place.id().equals(Rendezvous.first(EDGES, liveCore()))) {
         claims.claim(EDGES, false, outcome -> { });
       }
       return;
     }
-    long now = surroundings.now();
-    if (state.value.isNull()) {
-      if (!live.equals(joiningEdges)) {
-        joiningEdges = Set.copyOf(live);
-        lastEdgeJoinedAt = now;
-      } else if (!live.isEmpty() && now - lastEdgeJoinedAt >= Constants.EDGES_SETTLE_MS) {
-        edgesChangedAt = now;
-        put(state, new EdgeList(1, List.copyOf(live)), fault -> { });
-      }
-      return;
-    }
-    EdgeList list = JSON.convertValue(state.value, EdgeList.class);
-    edgeSilentSince.keySet().removeAll(live);
-    list.addresses().stream().filter(address -> !live.contains(address))
-        .forEach(address -> edgeSilentSince.putIfAbsent(address, now));
-    if (now - edgesChangedAt < Constants.EDGES_CHANGE_MS || !inForce.knownToMost(EDGES, state.valueSequence)) {
-      return;
-    }
-    List<String> next = new ArrayList<>(list.addresses());
-    Optional<String> newcomer = live.stream().filter(address -> !next.contains(address)).findFirst();
-    Optional<String> struck = next.stream().filter(address -> !live.contains(address)
-        && now - edgeSilentSince.getOrDefault(address, now) >= Constants.EDGE_STRUCK_MS).findFirst();
-    if (newcomer.isPresent()) {
-      next.add(newcomer.get());
-    } else if (struck.isPresent()) {
-      next.remove(struck.get());
-      surroundings.log(PART, "Edge struck from the list: " + struck.get() + ".");
-    } else {
-      return;
+    EdgeList list = state.value.isNull() ? null : JSON.convertValue(state.value, EdgeList.class);
+    EdgeList next = edgeListing.next(list, live, list != null && inForce.knownToMost(EDGES, state.valueSequence));
+    if (next != null) {
+      surroundings.log(PART, "Edges that count: list " + next.number() + " of " + next.addresses().size() + ".");
+      put(state, next, fault -> { });
     }
-    edgesChangedAt = now;
-    put(state, new EdgeList(list.number() + 1, next), fault -> { });
   }
 
   /** Gives every shard its first replica set once enough storage nodes are there. */
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeListing.java
@@ -0,0 +1,62 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Records.EdgeList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Decides what the list of edges that count becomes next; see {@link EdgeList} for what the steps must keep to. */
+final class EdgeListing {
+  private final Surroundings surroundings;
+  /** Edges that joined and when the last of them did, until the first list is made. */
+  private Set<String> joining = Set.of();
+  private long lastJoinedAt;
+  private long changedAt;
+  private final Map<String, Long> silentSince = new HashMap<>();
+
+  EdgeListing(Surroundings surroundings) {
+    this.surroundings = surroundings;
+  }
+
+  /** The next list, or null if there is nothing to change now; present is null before the first. */
+  EdgeList next(EdgeList present, Set<String> live, boolean presentKnownToMost) {
+    EdgeList next = present == null ? first(live) : changed(present, live, presentKnownToMost);
+    if (next != null) {
+      changedAt = surroundings.now();
+    }
+    return next;
+  }
+
+  private EdgeList first(Set<String> live) {
+    if (!live.equals(joining)) {
+      joining = Set.copyOf(live);
+      lastJoinedAt = surroundings.now();
+      return null;
+    }
+    boolean settled = surroundings.now() - lastJoinedAt >= Constants.EDGES_SETTLE_MS;
+    return live.isEmpty() || !settled ? null : new EdgeList(1, List.copyOf(live));
+  }
+
+  /** One address at a time, and only when a majority of the edges knows the present list. */
+  private EdgeList changed(EdgeList present, Set<String> live, boolean presentKnownToMost) {
+    long now = surroundings.now();
+    silentSince.keySet().removeAll(live);
+    present.addresses().stream().filter(address -> !live.contains(address))
+        .forEach(address -> silentSince.putIfAbsent(address, now));
+    if (now - changedAt < Constants.EDGES_CHANGE_MS || !presentKnownToMost) {
+      return null;
+    }
+    List<String> next = new ArrayList<>(present.addresses());
+    Optional<String> newcomer = live.stream().filter(address -> !next.contains(address)).findFirst();
+    if (newcomer.isPresent()) {
+      next.add(newcomer.get());
+      return new EdgeList(present.number() + 1, next);
+    }
+    boolean struck = next.stream().filter(address -> !live.contains(address)
+        && now - silentSince.getOrDefault(address, now) >= Constants.EDGE_STRUCK_MS).findFirst().map(next::remove).orElse(false);
+    return struck ? new EdgeList(present.number() + 1, next) : null;
+  }
+}
