--- a/adapters/src/test/java/applespindle/adapters/DiskCrashTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskCrashTest.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,17 +53,21 @@
     }
   }
 
-  @Test void keepsEveryAnsweredAppendOverKills(@TempDir Path folder) throws IOException, InterruptedException {
+  @Test void keepsEveryAnsweredAppendOverKills(@TempDir Path folder, @TempDir Path aside)
+      throws IOException, InterruptedException {
+    Path errors = aside.resolve("errors");
     Random random = new Random(20261202);
     long answered = 0;
     for (int round = 0; round < ROUNDS; round++) {
       Process writer = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
           System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
           Writer.class.getName(), folder.toString(), Integer.toString(round))
-          .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+          .redirectError(errors.toFile()).start();
       try (BufferedReader told = new BufferedReader(new InputStreamReader(writer.getInputStream(), UTF_8))) {
         for (int left = 1 + random.nextInt(ANSWERS_MOST); left > 0; left--) {
-          answered = Long.parseLong(told.readLine());
+          String line = told.readLine();
+          assertWithMessage(Files.readString(errors)).that(line).isNotNull();
+          answered = Long.parseLong(line);
         }
         writer.toHandle().destroyForcibly();
         for (String line = told.readLine(); line != null; line = told.readLine()) {
