--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -21,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -106,7 +107,10 @@
     }
   }
 
+  private static final int COMMAND_TRIES = 20;
   public final Deployment deployment;
+  /** Workers listed in the pool "spare", so that a bundle's effect shows at the workers. */
+  Set<String> spares = Set.of();
   public final History history = new History();
   public final StandInWorkers workers;
   public final Map<String, Member> members = new LinkedHashMap<>();
@@ -216,11 +220,38 @@
   private byte[] workerList() {
     ObjectNode list = JSON.createObjectNode();
     ArrayNode rows = list.putArray("workers");
-    workers.all().forEach(worker -> rows.addObject().put("id", worker.id).put("address", worker.address)
-        .put("pool", "main"));
+    workers.all().forEach(worker -> {
+      String pool = spares.contains(worker.id) ? "spare" : "main";
+      history.add(StandInWorkers.nowMs(), History.Kind.WORKER_POOL, worker.id, pool, "", 0);
+      rows.addObject().put("id", worker.id).put("address", worker.address).put("pool", pool);
+    });
     return Json.bytes(list);
   }
 
+  /** Sends a bundle as its operator does: again with the same bytes until something certain is said. */
+  void rollOut(long number, String bundle) {
+    history.add(StandInWorkers.nowMs(), History.Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    Deployment.pools(bundle).forEach((trafficClass, pool) -> history.add(StandInWorkers.nowMs(),
+        History.Kind.BUNDLE_WAY, Long.toString(number), trafficClass, pool, number));
+    untilCertain(History.Kind.BUNDLE_ANSWERED, Long.toString(number), core -> sendBundle(core, bundle));
+  }
+
+  void markLeaving(String worker) {
+    untilCertain(History.Kind.LEAVING_ANSWERED, worker,
+        core -> caller.post(core, "/v1/workers/" + worker + "/leaving", new byte[0], Map.of()));
+  }
+
+  private void untilCertain(History.Kind kind, String subject, Function<String, Result> command) {
+    for (int attempt = 0; attempt < COMMAND_TRIES; attempt++) {
+      List<Member> cores = ofRole("core");
+      Result result = command.apply(cores.get(attempt % cores.size()).http);
+      history.add(StandInWorkers.nowMs(), kind, subject, result.body().path("type").asText(""), "", result.status());
+      if (result.good() || result.status() == 409) {
+        return;
+      }
+    }
+  }
+
   public Result sendBundle(String core, String bundle) {
     byte[] bytes = bundle.getBytes(UTF_8);
     return caller.post(core, "/v1/bundles", bytes, Map.of("Applespindle-Key-Id", "operator",
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -27,7 +28,10 @@
     parser.addArgument("--first-port").type(Integer.class).setDefault(7100);
     parser.addArgument("--traffic").type(Integer.class).metavar("SECONDS").help("run the brief's traffic, then judge");
     parser.addArgument("--faults").nargs("*").metavar("SECOND:VERB:WHO").setDefault(List.of())
-        .help("such as 10:kill:leader 18:start:last; verbs kill start freeze wake stop lose-disk");
+        .help("such as 10:kill:leader 18:start:last; verbs kill start freeze wake stop lose-disk; "
+            + "or of outside: bundle:2:check:spare leaving:w3 dark:w1 cuts:w1 garbage:w1 refuses:w1 well:w1");
+    parser.addArgument("--spare").nargs("*").metavar("WORKER").setDefault(List.of())
+        .help("workers listed in a second pool, for bundles that route there");
     Namespace flags;
     try {
       flags = parser.parseArgs(arguments);
@@ -40,6 +44,7 @@
     Path folder = Path.of(flags.getString("folder"));
     empty(folder);
     Fleet fleet = new Fleet(deployment, folder, System.getProperty("java.class.path"), flags.getInt("first_port"));
+    fleet.spares = Set.copyOf(flags.<String>getList("spare"));
     Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
     long startedAt = StandInWorkers.nowMs();
     fleet.start();
@@ -96,6 +101,9 @@
       try {
         TimeUnit.MILLISECONDS.sleep(Math.max(0, begunAt + (long) (Double.parseDouble(words[0]) * 1_000)
             - StandInWorkers.nowMs()));
+        if (ofOutside(fleet, words)) {
+          continue;
+        }
         Member target = words[2].equals("last") ? last : target(fleet, words[2]);
         last = target;
         System.out.println(words[0] + " s: " + words[1] + " " + target.name);
@@ -118,6 +126,30 @@
     }
   }
 
+  /** What operators, the platform and workers do: bundle:N:CLASS:POOL, leaving:WORKER, or a worker's fault. */
+  private static boolean ofOutside(Fleet fleet, String[] words) {
+    switch (words[1]) {
+      case "bundle" -> fleet.rollOut(Long.parseLong(words[2]),
+          fleet.deployment.bundle(Long.parseLong(words[2]), words[3], words[4]));
+      case "leaving" -> fleet.markLeaving(words[2]);
+      case "dark", "cuts", "garbage", "refuses", "well" -> {
+        fleet.history.add(StandInWorkers.nowMs(), History.Kind.FAULT, "worker " + words[2] + " " + words[1], "", "", 0);
+        fleet.workers.all().stream().filter(worker -> worker.id.equals(words[2]))
+            .forEach(worker -> {
+              worker.dark = words[1].equals("dark");
+              worker.cutAfterTokens = words[1].equals("cuts") ? 1 : -1;
+              worker.garbage = words[1].equals("garbage");
+              worker.refuses = words[1].equals("refuses");
+            });
+      }
+      default -> {
+        return false;
+      }
+    }
+    System.out.println(String.join(" ", words));
+    return true;
+  }
+
   private static Member target(Fleet fleet, String who) {
     if (!who.equals("leader")) {
       return fleet.member(who);
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -241,7 +241,10 @@
     if (!once.isEmpty()) {
       headers.put("Applespindle-Once", once);
     }
-    call(HttpMethod.POST, anyEdge(), "/v1/completions", body, headers, (status, text) -> {
+    Member edge = anyEdge();
+    see(Kind.LIVE_AT, id, edge.name, "", 0);
+    see(Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
+    call(HttpMethod.POST, edge, "/v1/completions", body, headers, (status, text) -> {
       String output = stream ? streamed(text) : tree(text).at("/choices/0/text").asText("");
       boolean complete = status == 200 && (!stream || text.endsWith("data: [DONE]\n\n"));
       String detail = complete ? "complete" : Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
