Read whole responses that begin with blanks in the real traffic, and run it again

Cause: the test's sender took a response that begins with white space for no JSON. Ruled out: a lost end of the body; seven lengths tried by hand were whole.

--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -155,7 +155,7 @@
 
   private static JsonNode tree(String text) {
     try {
-      return text.startsWith("{") ? JSON.readTree(text) : JSON.nullNode();
+      return text.strip().startsWith("{") ? JSON.readTree(text) : JSON.nullNode();
     } catch (IOException cut) {
       return JSON.nullNode();
     }
