--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -102,7 +102,7 @@
       }
       over = true;
       correlations.forEach(open::remove);
-      boolean refusal = response.status() == 429 || response.status() == 503;
+      boolean refusal = response.status() == 429 || response.status() == 503 || response.status() == 413;
       then.accept(unknown && refusal ? Response.of(new Fault.OutcomeUnknown(key)) : response);
     }
   }
