One loop for the blanks of a whole response, one account of yeses and refusals

LiveExchange wrote blanks in two places and could begin twice when a second worker took a run over; the checker collected a bundle's acknowledgements twice and had the definition of a definite refusal twice.

--- a/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
@@ -75,31 +75,26 @@
   }
 
   @Override public void running() {
-    onHttp(() -> process.httpLoop().delay(Constants.BLANK_MS, this::blank));
+    onHttp(() -> {
+      if (!blanksGo) {
+        blanksGo = true;
+        nextBlank();
+      }
+    });
   }
 
   /** White space before a JSON text means nothing; writing it shows whether the sender is still there. */
-  private void blank() {
-    if (over) {
-      return;
-    }
-    if (events == null) {
-      events = new EventStream(this::senderGone);
-      response.trySet(EdgeInterface.wholeLater(events));
-    }
-    events.push(new byte[] {' '});
-    if (!blanksGo) {
-      blanksGo = true;
-      nextBlank();
-    }
-  }
-
   private void nextBlank() {
     process.httpLoop().delay(Constants.BLANK_MS, () -> {
-      if (!over) {
-        events.push(new byte[] {' '});
-        nextBlank();
+      if (over) {
+        return;
+      }
+      if (events == null) {
+        events = new EventStream(this::senderGone);
+        response.trySet(EdgeInterface.wholeLater(events));
       }
+      events.push(new byte[] {' '});
+      nextBlank();
     });
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -36,6 +36,8 @@
   private final List<Violation> violations = new ArrayList<>();
   private final Map<String, String> keyOfBatch = new HashMap<>();
   private final Map<String, Long> acceptedAt = new TreeMap<>();
+  /** By bundle number, when it was first told to be in force. */
+  private final Map<Long, Long> bundleAcknowledgedAt = new TreeMap<>();
   /** By batch key and item id. */
   private final Map<String, Seen> items = new HashMap<>();
   private final Map<String, Integer> itemCounts = new HashMap<>();
@@ -101,14 +103,21 @@
         if (each.number() == 200 || each.number() == 201) {
           acceptedAt.putIfAbsent(each.subject(), each.atMs());
         }
+      } else if (each.kind() == Kind.BUNDLE_ANSWERED && each.number() == 200) {
+        bundleAcknowledgedAt.putIfAbsent(Long.parseLong(each.subject()), each.atMs());
       }
     }
   }
 
+  /** Says for certain that nothing of the batch runs; an unknown outcome or silence does not. */
+  private static boolean definiteRefusal(Seen answer) {
+    return answer.number() >= 400 && answer.number() < 500 || answer.number() == 503;
+  }
+
   private void batches() {
     Map<String, Boolean> refusedAtEveryTry = new HashMap<>();
     for (Seen each : of(Kind.SUBMIT_ANSWERED)) {
-      boolean refused = each.number() >= 400 && each.number() < 500 || each.number() == 503;
+      boolean refused = definiteRefusal(each);
       refusedAtEveryTry.merge(each.subject(), refused, Boolean::logicalAnd);
     }
     Map<String, Long> firstRun = new HashMap<>();
@@ -270,20 +279,14 @@
   }
 
   private void bundles() {
-    TreeMap<Long, Long> acknowledgedAt = new TreeMap<>();
     for (Seen each : seen) {
       switch (each.kind()) {
-        case BUNDLE_ANSWERED -> {
-          if (each.number() == 200) {
-            acknowledgedAt.putIfAbsent(Long.parseLong(each.subject()), each.atMs());
-          }
-        }
         case BUNDLE_READ -> {
           long begunAt = Long.parseLong(each.text());
-          highestBefore(acknowledgedAt, begunAt).filter(number -> number > each.number()).ifPresent(number ->
+          highestAcknowledgedBefore(begunAt).filter(number -> number > each.number()).ifPresent(number ->
               violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "read " + each.number() + " after " + number));
         }
-        case EDGE_BUNDLE -> highestBefore(acknowledgedAt, each.atMs() - BUNDLE_MS)
+        case EDGE_BUNDLE -> highestAcknowledgedBefore(each.atMs() - BUNDLE_MS)
             .filter(number -> number > each.number()).ifPresent(number ->
                 violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), each.subject() + " has " + each.number()
                     + " after " + number));
@@ -294,24 +297,18 @@
 
   /** What counts is where requests go: one sent late enough after an acknowledgement must not meet an older way. */
   private void bundleEffects() {
-    TreeMap<Long, Long> acknowledgedAt = new TreeMap<>();
     Map<String, TreeMap<Long, String>> poolsOfClass = new HashMap<>();
     Map<String, String> poolOfWorker = new HashMap<>();
     Map<String, Seen> classByPrompt = new HashMap<>();
     for (Seen each : seen) {
       switch (each.kind()) {
-        case BUNDLE_ANSWERED -> {
-          if (each.number() == 200) {
-            acknowledgedAt.putIfAbsent(Long.parseLong(each.subject()), each.atMs());
-          }
-        }
         case BUNDLE_WAY -> poolsOfClass.computeIfAbsent(each.detail(), unseen -> new TreeMap<>())
             .put(each.number(), each.text());
         case WORKER_POOL -> poolOfWorker.put(each.subject(), each.detail());
         case LIVE_CLASS -> classByPrompt.put(each.text(), each);
         case WORKER_RECEIVED -> {
           Seen request = each.detail().isEmpty() ? classByPrompt.get(each.text()) : null;
-          long inForce = request == null ? 0 : highestBefore(acknowledgedAt, request.atMs() - BUNDLE_MS).orElse(0L);
+          long inForce = request == null ? 0 : highestAcknowledgedBefore(request.atMs() - BUNDLE_MS).orElse(0L);
           if (inForce > 0 && !poolsOfClass.get(request.detail()).tailMap(inForce).containsValue(poolOfWorker.get(each.subject()))) {
             violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), request.subject() + " went to " + each.subject()
                 + " by a way older than bundle " + inForce);
@@ -322,8 +319,8 @@
     }
   }
 
-  private static java.util.Optional<Long> highestBefore(TreeMap<Long, Long> acknowledgedAt, long time) {
-    return acknowledgedAt.entrySet().stream().filter(entry -> entry.getValue() < time).map(Map.Entry::getKey)
+  private java.util.Optional<Long> highestAcknowledgedBefore(long time) {
+    return bundleAcknowledgedAt.entrySet().stream().filter(entry -> entry.getValue() < time).map(Map.Entry::getKey)
         .max(Long::compare);
   }
 
@@ -470,7 +467,7 @@
         }
         case SUBMIT_ANSWERED -> {
           long items = itemsOf.getOrDefault(key, (long) itemCounts.getOrDefault(key, 0));
-          boolean refused = each.number() >= 400 && each.number() < 500 || each.number() == 503;
+          boolean refused = definiteRefusal(each);
           if (each.detail().equals("NoRoom")) {
             long others = mayWait.values().stream().mapToLong(Long::longValue).sum() - mayWait.getOrDefault(key, 0L);
             long most = Math.max(others, waitingAt.tailMap(each.atMs() - BACK_MS).values().stream()
