--- a/adapters/src/main/java/applespindle/adapters/DiskFault.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskFault.java
@@ -2,7 +2,12 @@
 
 /** A disk that can not be trusted or used. */
 public final class DiskFault extends RuntimeException {
-  public enum Kind { CORRUPT, UNREADABLE, IN_USE, SYNC_FAILED }
+  public enum Kind {
+    CORRUPT,
+    UNREADABLE,
+    IN_USE,
+    SYNC_FAILED
+  }
 
   public final Kind kind;
 
--- a/adapters/src/main/java/applespindle/adapters/DiskFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskFolder.java
@@ -6,8 +6,9 @@
 import java.util.List;
 
 /**
- * The files of one data folder, as the log uses them. After a loss of power a file holds what its last force covered, and
- * each later write is there, missing or torn; renames and removals last once the folder was synced.
+ * The files of one data folder, as the log uses them. After a loss of power a file holds what its
+ * last force covered, and each later write is there, missing or torn; renames and removals last
+ * once the folder was synced.
  */
 interface DiskFolder {
   /** Names of all plain files, sorted. */
@@ -41,6 +42,7 @@
 
     void force() throws IOException;
 
-    @Override void close() throws IOException;
+    @Override
+    void close() throws IOException;
   }
 }
--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -1,5 +1,7 @@
 package applespindle.adapters;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.adapters.DiskFolder.DiskFile;
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.DiskRecord;
@@ -17,17 +19,17 @@
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
-import static applespindle.corelogic.Json.JSON;
-
 /**
- * One process's log: segments, and checkpoints beside them. Checkpoint N stands for all segments up to N. Every
- * start and every checkpoint opens a new segment; an old file is never written to again, only cut or deleted.
- * Invariants: what was replayed at the start is synced, also what a killed process left unsynced; when a segment is
- * opened, all before it are synced whole, so that only the newest can end torn.
+ * One process's log: segments, and checkpoints beside them. Checkpoint N stands for all segments up
+ * to N. Every start and every checkpoint opens a new segment; an old file is never written to
+ * again, only cut or deleted. Invariants: what was replayed at the start is synced, also what a
+ * killed process left unsynced; when a segment is opened, all before it are synced whole, so that
+ * only the newest can end torn.
  */
 public final class DiskLog implements AutoCloseable {
   /** length, CRC32C of type and payload, type. */
   private static final int HEAD_BYTES = 4 + 4 + 1;
+
   private static final byte TYPE_RECORD = 1;
   private static final byte TYPE_END_OF_CHECKPOINT = 2;
 
@@ -35,18 +37,24 @@
   private final DiskSizes sizes;
   private final Consumer<String> log;
   private final PeerCodec codec = new PeerCodec();
+
   /** Whatever is written passes through here, so that no more than this lies outside the heap. */
   private final ByteBuffer buffer = ByteBuffer.allocateDirect(Constants.DISK_BUFFER_BYTES);
+
   private String id;
   private long incarnation;
   private DiskFile file;
   private long segment;
+
   /** The newest checkpoint stands for all segments up to this one. */
   private long covered;
+
   /** Of the present segment: all before this place is written and synced. */
   private long segmentBytes;
+
   private long bytesSinceCheckpoint;
   private long checkpointBytes;
+
   /** The disk refuses writes at present; what waits is tried again until it takes them. */
   private volatile boolean refusing;
 
@@ -61,7 +69,8 @@
   }
 
   /** Opens a folder that no other process may have open. */
-  static DiskLog open(Path path, DiskSizes sizes, Consumer<DiskRecord> replay, Consumer<String> log) {
+  static DiskLog open(
+      Path path, DiskSizes sizes, Consumer<DiskRecord> replay, Consumer<String> log) {
     try {
       return open(PlainFolder.open(path), sizes, replay, log);
     } catch (IOException fault) {
@@ -70,10 +79,11 @@
   }
 
   /**
-   * Replays what the folder holds. Corruption anywhere but in the newest segment's tail moves all of it aside: the node
-   * then starts as a new, empty one under a new id.
+   * Replays what the folder holds. Corruption anywhere but in the newest segment's tail moves all
+   * of it aside: the node then starts as a new, empty one under a new id.
    */
-  static DiskLog open(DiskFolder folder, DiskSizes sizes, Consumer<DiskRecord> replay, Consumer<String> log)
+  static DiskLog open(
+      DiskFolder folder, DiskSizes sizes, Consumer<DiskRecord> replay, Consumer<String> log)
       throws IOException {
     DiskLog opened = new DiskLog(folder, sizes, log);
     List<DiskRecord> records = new ArrayList<>();
@@ -133,7 +143,10 @@
     }
   }
 
-  /** What a start writes first. A disk may refuse writes for some seconds: starting anew for each would only cost more. */
+  /**
+   * What a start writes first. A disk may refuse writes for some seconds: starting anew for each
+   * would only cost more.
+   */
   private void begin() throws IOException {
     for (int tries = 1; ; tries++) {
       try {
@@ -153,7 +166,8 @@
 
   private void writeIdentity() throws IOException {
     dropUnfinished();
-    byte[] bytes = Json.bytes(JSON.createObjectNode().put("id", id).put("incarnation", incarnation));
+    byte[] bytes =
+        Json.bytes(JSON.createObjectNode().put("id", id).put("incarnation", incarnation));
     try (DiskFile written = folder.create("new-identity.json")) {
       written.write(ByteBuffer.wrap(bytes), 0);
       written.force();
@@ -193,18 +207,22 @@
   /** The newest checkpoint stands for these; its name is synced. */
   private void dropCovered() throws IOException {
     for (String old : folder.names()) {
-      if (old.startsWith("segment-") && number(old) <= covered || old.startsWith("checkpoint-") && number(old) < covered) {
+      if (old.startsWith("segment-") && number(old) <= covered
+          || old.startsWith("checkpoint-") && number(old) < covered) {
         folder.delete(old);
       }
     }
   }
 
-  private void readFile(String name, Consumer<DiskRecord> replay, boolean newestSegment, boolean checkpoint)
+  private void readFile(
+      String name, Consumer<DiskRecord> replay, boolean newestSegment, boolean checkpoint)
       throws IOException {
     long size = folder.size(name);
     long good = 0;
     boolean ended = false;
-    try (DataInputStream bytes = new DataInputStream(new BufferedInputStream(folder.read(name), Constants.DISK_BUFFER_BYTES))) {
+    try (DataInputStream bytes =
+        new DataInputStream(
+            new BufferedInputStream(folder.read(name), Constants.DISK_BUFFER_BYTES))) {
       while (good < size) {
         byte[] content = readRecord(bytes, size - good);
         if (content == null) {
@@ -213,7 +231,8 @@
         if (content[0] == TYPE_END_OF_CHECKPOINT) {
           ended = true;
         } else {
-          replay.accept(codec.decodeRecord(java.util.Arrays.copyOfRange(content, 1, content.length)));
+          replay.accept(
+              codec.decodeRecord(java.util.Arrays.copyOfRange(content, 1, content.length)));
         }
         good += HEAD_BYTES - 1 + content.length;
       }
@@ -227,7 +246,10 @@
     }
   }
 
-  /** The process before may have been killed between a write and its sync: what is taken from it must last. */
+  /**
+   * The process before may have been killed between a write and its sync: what is taken from it
+   * must last.
+   */
   private void sync(String name, long good, long size) throws IOException {
     try (DiskFile newest = folder.open(name)) {
       if (good < size) {
@@ -307,8 +329,8 @@
   }
 
   /**
-   * Appends and syncs. A refused write is tried again at the same place until it is taken: nothing of it was answered for.
-   * A failed sync is final: what a later one would say can not be trusted.
+   * Appends and syncs. A refused write is tried again at the same place until it is taken: nothing
+   * of it was answered for. A failed sync is final: what a later one would say can not be trusted.
    */
   void append(List<DiskRecord> records) {
     if (records.isEmpty()) {
@@ -343,7 +365,10 @@
 
   private void noteRefusing(boolean now, String why) {
     if (refusing != now) {
-      log.accept(now ? "The disk refuses writes and is tried again: " + why + "." : "The disk takes writes again.");
+      log.accept(
+          now
+              ? "The disk refuses writes and is tried again: " + why + "."
+              : "The disk takes writes again.");
     }
     refusing = now;
   }
@@ -358,14 +383,19 @@
     return folder.bytesLeft() < sizes.keptBytes() + checkpointBytes;
   }
 
-  /** Once as much again was written as the last checkpoint held, so that writing checkpoints at most doubles the work; sooner when room is short. */
+  /**
+   * Once as much again was written as the last checkpoint held, so that writing checkpoints at most
+   * doubles the work; sooner when room is short.
+   */
   boolean wantsCheckpoint(boolean full) {
-    return bytesSinceCheckpoint >= (full ? sizes.segmentBytes() : Math.max(sizes.segmentBytes(), checkpointBytes));
+    return bytesSinceCheckpoint
+        >= (full ? sizes.segmentBytes() : Math.max(sizes.segmentBytes(), checkpointBytes));
   }
 
   /**
-   * Writes a checkpoint that stands for all up to the present segment, goes on in a new one, drops the old. A disk that
-   * refuses it keeps the old segments, which say the same, and is asked again after as many bytes more.
+   * Writes a checkpoint that stands for all up to the present segment, goes on in a new one, drops
+   * the old. A disk that refuses it keeps the old segments, which say the same, and is asked again
+   * after as many bytes more.
    */
   void checkpoint(List<DiskRecord> records) {
     long last = segment;
@@ -418,7 +448,8 @@
     }
   }
 
-  @Override public void close() {
+  @Override
+  public void close() {
     try {
       file.close();
       if (folder instanceof PlainFolder plain) {
--- a/adapters/src/main/java/applespindle/adapters/EventSplitter.java
+++ b/adapters/src/main/java/applespindle/adapters/EventSplitter.java
@@ -1,12 +1,12 @@
 package applespindle.adapters;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.OpaqueRequest.Piece;
 import java.util.Arrays;
 import java.util.function.Consumer;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /** Splits an event stream into whole events, bytes unchanged; each ends with its blank line. */
 final class EventSplitter {
   private final Consumer<Piece> events;
--- a/adapters/src/main/java/applespindle/adapters/ExchangeClient.java
+++ b/adapters/src/main/java/applespindle/adapters/ExchangeClient.java
@@ -1,5 +1,7 @@
 package applespindle.adapters;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.OpaqueRequest;
@@ -28,23 +30,34 @@
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /**
- * Opaque requests at workers over HTTP/1.1 on kept connections; all on the http thread. It speaks over ActiveJ's sockets
- * and not through its HTTP client, which reads bytes behind a whole response as the next request's response, keeps idle
- * connections by one time for all workers, and finds the address by the Host header, which here is the client's.
+ * Opaque requests at workers over HTTP/1.1 on kept connections; all on the http thread. It speaks
+ * over ActiveJ's sockets and not through its HTTP client, which reads bytes behind a whole response
+ * as the next request's response, keeps idle connections by one time for all workers, and finds the
+ * address by the Host header, which here is the client's.
  */
 final class ExchangeClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(Constants.WORKER_CONNECT_MS);
-  private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-authenticate",
-      "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length", "proxy-connection");
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "proxy-connection");
 
   private final Eventloop eventloop;
   private final WorkerFormat format;
   private final Consumer<Runnable> toLogic;
+
   /** By address, the connection used last at the end. */
   private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+
   private boolean sweeping;
 
   ExchangeClient(Eventloop eventloop, WorkerFormat format, Consumer<Runnable> toLogic) {
@@ -57,15 +70,20 @@
     return new Exchange(call, listener);
   }
 
-  /** One request and its response. What it tells is gathered while bytes are read and handed to the logic in one go. */
+  /**
+   * One request and its response. What it tells is gathered while bytes are read and handed to the
+   * logic in one go.
+   */
   final class Exchange {
     private final WorkerExchange call;
     private final ExchangeListener listener;
     private final List<Runnable> told = new ArrayList<>(4);
     private Connection connection;
     private EventSplitter events;
+
     /** What is read now is a late response to an earlier request; its own is due behind it. */
     private boolean skipping;
+
     private boolean over;
 
     Exchange(WorkerExchange call, ExchangeListener listener) {
@@ -79,7 +97,9 @@
       }
       byte[] request = render(call);
       if (request == null) {
-        fail(new Fault.InvalidInput(List.of(new Fault.Field("headers", "hold a control character"))), false);
+        fail(
+            new Fault.InvalidInput(List.of(new Fault.Field("headers", "hold a control character"))),
+            false);
         return;
       }
       Connection kept = takeIdle(call.address());
@@ -87,19 +107,21 @@
         kept.send(this, request);
         return;
       }
-      TcpSocket.connect(eventloop, PeerTransport.socketAddress(call.address()), CONNECT_TIMEOUT, null)
-          .whenComplete((socket, fault) -> {
-            if (fault != null) {
-              fail(new Fault.WorkerUnreachable(call.workerId()), false);
-              return;
-            }
-            Connection made = new Connection(call.address(), socket);
-            if (over) {
-              made.close();
-            } else {
-              made.send(this, request);
-            }
-          });
+      TcpSocket.connect(
+              eventloop, PeerTransport.socketAddress(call.address()), CONNECT_TIMEOUT, null)
+          .whenComplete(
+              (socket, fault) -> {
+                if (fault != null) {
+                  fail(new Fault.WorkerUnreachable(call.workerId()), false);
+                  return;
+                }
+                Connection made = new Connection(call.address(), socket);
+                if (over) {
+                  made.close();
+                } else {
+                  made.send(this, request);
+                }
+              });
     }
 
     /** No callback comes after this, but for those already on their way to the logic. */
@@ -200,10 +222,14 @@
       }
     }
     Set<String> all = dropped;
-    return headers.stream().filter(header -> !all.contains(header.name().toLowerCase(Locale.ROOT))).toList();
+    return headers.stream()
+        .filter(header -> !all.contains(header.name().toLowerCase(Locale.ROOT)))
+        .toList();
   }
 
-  /** The whole request, or null if a control character in it would let one request look like two. */
+  /**
+   * The whole request, or null if a control character in it would let one request look like two.
+   */
   private byte[] render(WorkerExchange call) {
     OpaqueRequest request = call.request();
     StringBuilder head = new StringBuilder(512);
@@ -219,7 +245,9 @@
       clean &= clean(request.host(), false);
       head.append("Host: ").append(request.host()).append("\r\n");
     }
-    boolean bodiless = request.body().length == 0 && (request.method().equals("GET") || request.method().equals("HEAD"));
+    boolean bodiless =
+        request.body().length == 0
+            && (request.method().equals("GET") || request.method().equals("HEAD"));
     if (!bodiless) {
       head.append("Content-Length: ").append(request.body().length).append("\r\n");
     }
@@ -260,39 +288,52 @@
       return;
     }
     sweeping = true;
-    eventloop.delayBackground(Constants.IDLE_SWEEP_MS, () -> {
-      sweeping = false;
-      long now = eventloop.currentTimeMillis();
-      for (Iterator<ArrayDeque<Connection>> addresses = idle.values().iterator(); addresses.hasNext();) {
-        ArrayDeque<Connection> connections = addresses.next();
-        for (Connection connection : List.copyOf(connections)) {
-          if (now >= connection.idleUntil) {
-            connection.close();
+    eventloop.delayBackground(
+        Constants.IDLE_SWEEP_MS,
+        () -> {
+          sweeping = false;
+          long now = eventloop.currentTimeMillis();
+          for (Iterator<ArrayDeque<Connection>> addresses = idle.values().iterator();
+              addresses.hasNext(); ) {
+            ArrayDeque<Connection> connections = addresses.next();
+            for (Connection connection : List.copyOf(connections)) {
+              if (now >= connection.idleUntil) {
+                connection.close();
+              }
+            }
+            if (connections.isEmpty()) {
+              addresses.remove();
+            }
           }
-        }
-        if (connections.isEmpty()) {
-          addresses.remove();
-        }
-      }
-      if (!idle.isEmpty()) {
-        sweep();
-      }
-    });
+          if (!idle.isEmpty()) {
+            sweep();
+          }
+        });
   }
 
-  /** Invariant: a read is always pending, so that a close by the worker is noticed also while the connection is idle. */
+  /**
+   * Invariant: a read is always pending, so that a close by the worker is noticed also while the
+   * connection is idle.
+   */
   private final class Connection implements ResponseParser.Listener {
     private final String address;
     private final TcpSocket socket;
     private final ResponseParser parser = new ResponseParser(this);
+
     /** The exchange whose response is due; null while idle. */
     private Exchange exchange;
+
     private long idleUntil;
     private boolean written;
     private boolean closed;
     private int responses;
-    /** Bytes came here that nobody had asked for any more: it serves the present exchange and no other. */
+
+    /**
+     * Bytes came here that nobody had asked for any more: it serves the present exchange and no
+     * other.
+     */
     private boolean tainted;
+
     private boolean skipped;
 
     Connection(String address, TcpSocket socket) {
@@ -306,48 +347,59 @@
       exchange.connection = this;
       written = false;
       parser.expect(exchange.call.request().method());
-      socket.write(ByteBuf.wrapForReading(request)).whenComplete((done, fault) -> {
-        written = true;
-        if (fault != null) {
-          lose(new Fault.WorkerCut(exchange.call.workerId()));
-        } else if (this.exchange == null) {
-          rest();
-        }
-      });
+      socket
+          .write(ByteBuf.wrapForReading(request))
+          .whenComplete(
+              (done, fault) -> {
+                written = true;
+                if (fault != null) {
+                  lose(new Fault.WorkerCut(exchange.call.workerId()));
+                } else if (this.exchange == null) {
+                  rest();
+                }
+              });
     }
 
     private void readOn() {
       if (closed) {
         return;
       }
-      socket.read().whenComplete((chunk, fault) -> {
-        if (closed) {
-          if (chunk != null) {
-            chunk.recycle();
-          }
-          return;
-        }
-        Exchange present = exchange;
-        if (chunk == null) {
-          lose(present == null ? null : new Fault.WorkerCut(present.call.workerId()));
-          return;
-        }
-        boolean readable = present != null && parser.take(chunk.array(), chunk.head(), chunk.readRemaining());
-        chunk.recycle();
-        while (readable && skipped) {
-          skipped = false;
-          readable = parser.goOn();
-        }
-        if (!readable) {
-          lose(present == null ? null : new Fault.WorkerGarbage(present.call.workerId()));
-        } else if (!closed) {
-          present.flush();
-          readOn();
-        }
-      });
+      socket
+          .read()
+          .whenComplete(
+              (chunk, fault) -> {
+                if (closed) {
+                  if (chunk != null) {
+                    chunk.recycle();
+                  }
+                  return;
+                }
+                Exchange present = exchange;
+                if (chunk == null) {
+                  lose(present == null ? null : new Fault.WorkerCut(present.call.workerId()));
+                  return;
+                }
+                boolean readable =
+                    present != null
+                        && parser.take(chunk.array(), chunk.head(), chunk.readRemaining());
+                chunk.recycle();
+                while (readable && skipped) {
+                  skipped = false;
+                  readable = parser.goOn();
+                }
+                if (!readable) {
+                  lose(present == null ? null : new Fault.WorkerGarbage(present.call.workerId()));
+                } else if (!closed) {
+                  present.flush();
+                  readOn();
+                }
+              });
     }
 
-    /** Nothing has come and no end was read: looked for in the socket itself, as the loop may not have seen it yet. */
+    /**
+     * Nothing has come and no end was read: looked for in the socket itself, as the loop may not
+     * have seen it yet.
+     */
     boolean isAlive() {
       if (closed || socket.isClosed() || eventloop.currentTimeMillis() >= idleUntil) {
         return false;
@@ -359,22 +411,28 @@
       }
     }
 
-    @Override public boolean head(int status, List<Header> headers) {
+    @Override
+    public boolean head(int status, List<Header> headers) {
       return exchange.head(status, headers);
     }
 
-    @Override public boolean body(byte[] bytes, int offset, int size) {
+    @Override
+    public boolean body(byte[] bytes, int offset, int size) {
       return exchange.body(bytes, offset, size);
     }
 
-    /** A worker in trouble may answer a request twice; only a connection that has served one can bring that. */
+    /**
+     * A worker in trouble may answer a request twice; only a connection that has served one can
+     * bring that.
+     */
     boolean mayBringLateResponse() {
       boolean may = responses > 0 && !tainted;
       tainted = true;
       return may;
     }
 
-    @Override public boolean end() {
+    @Override
+    public boolean end() {
       Exchange ended = exchange;
       if (ended.skipping) {
         ended.skipping = false;
@@ -401,9 +459,13 @@
         return;
       }
       long told = parser.keepAliveMs();
-      long keptMs = told == 0 ? Constants.IDLE_UNTOLD_MS : Math.min(Constants.IDLE_MOST_MS, told - Constants.IDLE_MARGIN_MS);
+      long keptMs =
+          told == 0
+              ? Constants.IDLE_UNTOLD_MS
+              : Math.min(Constants.IDLE_MOST_MS, told - Constants.IDLE_MARGIN_MS);
       idleUntil = eventloop.currentTimeMillis() + keptMs;
-      ArrayDeque<Connection> connections = idle.computeIfAbsent(address, unseen -> new ArrayDeque<>());
+      ArrayDeque<Connection> connections =
+          idle.computeIfAbsent(address, unseen -> new ArrayDeque<>());
       connections.addLast(this);
       sweep();
       if (connections.size() > Constants.IDLE_CONNECTIONS_MOST) {
--- a/adapters/src/main/java/applespindle/adapters/FrameDeflation.java
+++ b/adapters/src/main/java/applespindle/adapters/FrameDeflation.java
@@ -7,13 +7,22 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
-/** Frames made smaller: the length of the whole frame, then its bytes deflated. Not shared between threads. */
+/**
+ * Frames made smaller: the length of the whole frame, then its bytes deflated. Not shared between
+ * threads.
+ */
 public final class FrameDeflation {
-  /** In a frame's head, beside the length: the frame is the length of the bytes it stands for, and these deflated. */
+  /**
+   * In a frame's head, beside the length: the frame is the length of the bytes it stands for, and
+   * these deflated.
+   */
   public static final int DEFLATED = 1 << 31;
+
   private static final int LENGTH_BYTES = 4;
+
   /** Made at the first large frame: a process that meets none keeps no memory for them. */
   private Deflater deflater;
+
   private Inflater inflater;
 
   /** At most as long as the frame; a frame that gets no shorter comes back as it is. */
@@ -27,7 +36,9 @@
     deflater.setInput(frame);
     deflater.finish();
     int length = deflater.deflate(out, LENGTH_BYTES, out.length - LENGTH_BYTES);
-    return deflater.finished() && LENGTH_BYTES + length < frame.length ? Arrays.copyOf(out, LENGTH_BYTES + length) : frame;
+    return deflater.finished() && LENGTH_BYTES + length < frame.length
+        ? Arrays.copyOf(out, LENGTH_BYTES + length)
+        : frame;
   }
 
   public byte[] inflate(byte[] bytes, int from, int size) throws UnreadableFrame {
@@ -35,7 +46,9 @@
       throw new UnreadableFrame(UnreadableFrame.Kind.BROKEN);
     }
     int length = ByteBuffer.wrap(bytes, from, LENGTH_BYTES).getInt();
-    if (length <= 0 || length > Math.min(Constants.FRAME_BYTES_MOST, (long) Constants.PEER_INFLATE_MOST * size)) {
+    if (length <= 0
+        || length
+            > Math.min(Constants.FRAME_BYTES_MOST, (long) Constants.PEER_INFLATE_MOST * size)) {
       throw new UnreadableFrame(UnreadableFrame.Kind.TOO_LARGE);
     }
     if (inflater == null) {
--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -1,5 +1,8 @@
 package applespindle.adapters;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.Json;
@@ -30,10 +33,10 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** The HTTP side of a process: a table of paths, and what every process answers. All on the http thread. */
+/**
+ * The HTTP side of a process: a table of paths, and what every process answers. All on the http
+ * thread.
+ */
 public final class HttpInterface {
   /** A request with its body, the named parts of its path, and what answers it. */
   public record Call(HttpRequest request, Map<String, String> parts, byte[] body) {
@@ -57,7 +60,9 @@
   private final NodeProcess process;
   private final List<Path> paths = new ArrayList<>();
 
-  /** A table without the paths that every process answers, for doors to others than the operators. */
+  /**
+   * A table without the paths that every process answers, for doors to others than the operators.
+   */
   public static HttpInterface bare(NodeProcess process) {
     return new HttpInterface(process, false);
   }
@@ -74,15 +79,28 @@
   }
 
   private void addStatus() {
-    get("/live", call -> Promise.of(render(Response.of(200, JSON.createObjectNode().put("live", true)))));
+    get(
+        "/live",
+        call -> Promise.of(render(Response.of(200, JSON.createObjectNode().put("live", true)))));
     get("/ready", this::answerReady);
     get("/metrics", call -> metrics());
     get("/v1/status", call -> ask(then -> then.accept(Response.of(200, process.node().status()))));
-    get("/v1/journal", call -> ask(then -> {
-      ObjectNode body = JSON.createObjectNode().put("node", process.node().place().name());
-      body.set("events", JSON.valueToTree(process.node().journal().about(call.query("key"), Constants.JOURNAL_KEPT)));
-      then.accept(Response.of(200, body));
-    }));
+    get(
+        "/v1/journal",
+        call ->
+            ask(
+                then -> {
+                  ObjectNode body =
+                      JSON.createObjectNode().put("node", process.node().place().name());
+                  body.set(
+                      "events",
+                      JSON.valueToTree(
+                          process
+                              .node()
+                              .journal()
+                              .about(call.query("key"), Constants.JOURNAL_KEPT)));
+                  then.accept(Response.of(200, body));
+                }));
   }
 
   public Promise<HttpResponse> answerReady(Call call) {
@@ -91,33 +109,67 @@
 
   private Response ready() {
     String reason = process.diskFull() ? "the disk is full" : process.node().notReadyBecause();
-    return reason.isEmpty() ? Response.of(200, JSON.createObjectNode().put("ready", true))
+    return reason.isEmpty()
+        ? Response.of(200, JSON.createObjectNode().put("ready", true))
         : Response.of(new Fault.NotReady(reason));
   }
 
   private Promise<HttpResponse> metrics() {
-    return this.<String>onLogic(then -> {
-      PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-      process.node().counters().forEach((name, value) ->
-          registry.counter("applespindle." + name.toLowerCase()).increment(value));
-      process.node().status().fields().forEachRemaining(field -> {
-        if (field.getValue().isNumber()) {
-          registry.gauge("applespindle." + field.getKey(), field.getValue(), JsonNode::asDouble);
-        }
-      });
-      process.peerBytesOfKind().forEach((kind, bytes) ->
-          registry.counter("applespindle.peer.sent.bytes", Tags.of("kind", kind)).increment(bytes));
-      process.cost(cost -> {
-        registry.gauge("applespindle.processor.seconds", cost.processSeconds());
-        registry.gauge("applespindle.start.processor.seconds", cost.startSeconds());
-        cost.threadSeconds().forEach((thread, seconds) ->
-            registry.gauge("applespindle.thread.processor.seconds", Tags.of("thread", thread), seconds));
-        cost.wakeUps().forEach((thread, wakeUps) ->
-            registry.gauge("applespindle.wakeups", Tags.of("thread", thread), wakeUps));
-        then.accept(registry.scrape());
-      });
-    }).map(text -> HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4")
-        .withBody(text.getBytes(UTF_8)).build());
+    return this.<String>onLogic(
+            then -> {
+              PrometheusMeterRegistry registry =
+                  new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+              process
+                  .node()
+                  .counters()
+                  .forEach(
+                      (name, value) ->
+                          registry.counter("applespindle." + name.toLowerCase()).increment(value));
+              process
+                  .node()
+                  .status()
+                  .fields()
+                  .forEachRemaining(
+                      field -> {
+                        if (field.getValue().isNumber()) {
+                          registry.gauge(
+                              "applespindle." + field.getKey(),
+                              field.getValue(),
+                              JsonNode::asDouble);
+                        }
+                      });
+              process
+                  .peerBytesOfKind()
+                  .forEach(
+                      (kind, bytes) ->
+                          registry
+                              .counter("applespindle.peer.sent.bytes", Tags.of("kind", kind))
+                              .increment(bytes));
+              process.cost(
+                  cost -> {
+                    registry.gauge("applespindle.processor.seconds", cost.processSeconds());
+                    registry.gauge("applespindle.start.processor.seconds", cost.startSeconds());
+                    cost.threadSeconds()
+                        .forEach(
+                            (thread, seconds) ->
+                                registry.gauge(
+                                    "applespindle.thread.processor.seconds",
+                                    Tags.of("thread", thread),
+                                    seconds));
+                    cost.wakeUps()
+                        .forEach(
+                            (thread, wakeUps) ->
+                                registry.gauge(
+                                    "applespindle.wakeups", Tags.of("thread", thread), wakeUps));
+                    then.accept(registry.scrape());
+                  });
+            })
+        .map(
+            text ->
+                HttpResponse.ok200()
+                    .withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4")
+                    .withBody(text.getBytes(UTF_8))
+                    .build());
   }
 
   public void get(String path, Handler handler) {
@@ -153,20 +205,32 @@
   }
 
   private HttpServer.Builder server() {
-    return HttpServer.builder(process.httpLoop(), this::serve).withHttpErrorFormatter(fault ->
-        Promise.of(render(Response.of(new Fault.InternalFault(fault.getClass().getSimpleName())))));
+    return HttpServer.builder(process.httpLoop(), this::serve)
+        .withHttpErrorFormatter(
+            fault ->
+                Promise.of(
+                    render(
+                        Response.of(new Fault.InternalFault(fault.getClass().getSimpleName())))));
   }
 
-  /** Answers what every process answers; nothing of HTTP is loaded or made before the first caller comes. */
+  /**
+   * Answers what every process answers; nothing of HTTP is loaded or made before the first caller
+   * comes.
+   */
   public static void listenForStatus(NodeProcess process, String address) {
     HttpServer[] server = new HttpServer[1];
     try {
-      SimpleServer.builder(process.httpLoop(), socket -> {
-        if (server[0] == null) {
-          server[0] = new HttpInterface(process).server().build();
-        }
-        ServedConnection.serve(server[0], socket, InetAddress.getLoopbackAddress());
-      }).withListenAddress(PeerTransport.socketAddress(address)).build().listen();
+      SimpleServer.builder(
+              process.httpLoop(),
+              socket -> {
+                if (server[0] == null) {
+                  server[0] = new HttpInterface(process).server().build();
+                }
+                ServedConnection.serve(server[0], socket, InetAddress.getLoopbackAddress());
+              })
+          .withListenAddress(PeerTransport.socketAddress(address))
+          .build()
+          .listen();
     } catch (IOException fault) {
       throw new UncheckedIOException(fault);
     }
@@ -188,8 +252,10 @@
     if (allowed.isEmpty()) {
       return Promise.of(render(Response.of(new Fault.NoSuchPath(request.getPath()))));
     }
-    return Promise.of(begin(Response.of(new Fault.MethodNotAllowed(request.getMethod().name())))
-        .withHeader(HttpHeaders.ALLOW, String.join(", ", allowed)).build());
+    return Promise.of(
+        begin(Response.of(new Fault.MethodNotAllowed(request.getMethod().name())))
+            .withHeader(HttpHeaders.ALLOW, String.join(", ", allowed))
+            .build());
   }
 
   private interface WithBody {
@@ -198,12 +264,13 @@
 
   private Promise<HttpResponse> load(HttpRequest request, WithBody handler) {
     String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
-    if (length != null && (length.length() > 9 || Long.parseLong(length) > Constants.BODY_BYTES_MOST)) {
+    if (length != null
+        && (length.length() > 9 || Long.parseLong(length) > Constants.BODY_BYTES_MOST)) {
       return Promise.of(tooLarge());
     }
-    return request.loadBody(Constants.BODY_BYTES_MOST).then(
-        body -> handler.handle(body.getArray()),
-        fault -> Promise.of(tooLarge()));
+    return request
+        .loadBody(Constants.BODY_BYTES_MOST)
+        .then(body -> handler.handle(body.getArray()), fault -> Promise.of(tooLarge()));
   }
 
   private static HttpResponse tooLarge() {
@@ -227,12 +294,15 @@
 
   /** Runs on the logic thread and comes back to the http thread with what the logic answers. */
   public Promise<HttpResponse> ask(Consumer<Consumer<Response>> question) {
-    return this.<Response>onLogic(question).map(HttpInterface::render, fault -> render(Response.of(new Fault.Overloaded("logic"))));
+    return this.<Response>onLogic(question)
+        .map(HttpInterface::render, fault -> render(Response.of(new Fault.Overloaded("logic"))));
   }
 
   private <T> Promise<T> onLogic(Consumer<Consumer<T>> question) {
     SettablePromise<T> promise = new SettablePromise<>();
-    boolean taken = process.toLogic(() -> question.accept(answer -> process.toHttp(() -> promise.trySet(answer))));
+    boolean taken =
+        process.toLogic(
+            () -> question.accept(answer -> process.toHttp(() -> promise.trySet(answer))));
     if (!taken) {
       promise.setException(new IOException("logic ring full"));
     }
@@ -252,9 +322,10 @@
   }
 
   public static HttpResponse.Builder begin(Response response) {
-    HttpResponse.Builder builder = HttpResponse.ofCode(response.status())
-        .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
-        .withBody(ByteBuf.wrapForReading(Json.bytes(response.body())));
+    HttpResponse.Builder builder =
+        HttpResponse.ofCode(response.status())
+            .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+            .withBody(ByteBuf.wrapForReading(Json.bytes(response.body())));
     if (response.comeBackSeconds() > 0) {
       builder.withHeader(HttpHeaders.RETRY_AFTER, Integer.toString(response.comeBackSeconds()));
     }
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -32,9 +32,9 @@
 import org.tinylog.Logger;
 
 /**
- * One process round one node of the logic. Duties of their own thread: logic, peer, http, disk. The logic alone
- * touches the node, and what comes from elsewhere waits for it in a bounded number. Where there is but one processor, the
- * first three share a thread.
+ * One process round one node of the logic. Duties of their own thread: logic, peer, http, disk. The
+ * logic alone touches the node, and what comes from elsewhere waits for it in a bounded number.
+ * Where there is but one processor, the first three share a thread.
  */
 public final class NodeProcess implements Surroundings {
   private static final String PART = "process";
@@ -46,7 +46,10 @@
     return System.nanoTime() / 1_000_000L;
   }
 
-  /** One thread with a loop that blocks until a socket is ready, a timer is due or a task is handed over. */
+  /**
+   * One thread with a loop that blocks until a socket is ready, a timer is due or a task is handed
+   * over.
+   */
   private static final class Duty {
     /** With nothing due a loop sleeps this long; all that matters wakes it. */
     private static final Duration IDLE = Duration.ofHours(1);
@@ -55,7 +58,12 @@
     final Thread thread;
 
     Duty(String name) {
-      loop = Eventloop.builder().withThreadName(name).withTimeProvider(NodeProcess::millis).withIdleInterval(IDLE).build();
+      loop =
+          Eventloop.builder()
+              .withThreadName(name)
+              .withTimeProvider(NodeProcess::millis)
+              .withIdleInterval(IDLE)
+              .build();
       loop.keepAlive(true);
       // Before any thread starts: a task handed over must find the selector that it is to wake.
       loop.ensureSelector();
@@ -77,7 +85,10 @@
 
   private record DiskJob(List<DiskRecord> records, Runnable whenSynced, boolean checkpoint) {}
 
-  /** The formats in which opaque requests and the outside list of workers are spoken; null where there are none. */
+  /**
+   * The formats in which opaque requests and the outside list of workers are spoken; null where
+   * there are none.
+   */
   public record Outside(WorkerFormat format, WorkerList list) {
     public static final Outside NONE = new Outside(null, null);
   }
@@ -87,9 +98,15 @@
   private final Duty logic = new Duty("logic");
   private final Duty http;
   private final Duty peer;
-  /** Tasks of other threads that the logic has not begun; what goes beyond the ring's slots is refused. */
+
+  /**
+   * Tasks of other threads that the logic has not begun; what goes beyond the ring's slots is
+   * refused.
+   */
   private final AtomicInteger waiting = new AtomicInteger();
-  private final OneToOneConcurrentArrayQueue<DiskJob> diskRing = new OneToOneConcurrentArrayQueue<>(Constants.RING_SLOTS);
+
+  private final OneToOneConcurrentArrayQueue<DiskJob> diskRing =
+      new OneToOneConcurrentArrayQueue<>(Constants.RING_SLOTS);
   private final RandomGenerator random;
   private final PeerTransport transport;
   private final WorkerClient workers;
@@ -108,32 +125,64 @@
     this(startup, Bounds.DEFAULT, maker, Outside.NONE);
   }
 
-  public NodeProcess(Startup startup, BiFunction<Surroundings, Node.Place, Node> maker, Outside outside) {
+  public NodeProcess(
+      Startup startup, BiFunction<Surroundings, Node.Place, Node> maker, Outside outside) {
     this(startup, Bounds.DEFAULT, maker, outside);
   }
 
-  public NodeProcess(Startup startup, Bounds bounds, BiFunction<Surroundings, Node.Place, Node> maker, Outside outside) {
+  public NodeProcess(
+      Startup startup,
+      Bounds bounds,
+      BiFunction<Surroundings, Node.Place, Node> maker,
+      Outside outside) {
     this(startup, bounds, maker, outside, Runtime.getRuntime().availableProcessors() == 1);
   }
 
-  /** sharedThread: where only one thread can run at a time, handing tasks from one to the other would only cost. */
-  NodeProcess(Startup startup, Bounds bounds, BiFunction<Surroundings, Node.Place, Node> maker, Outside outside,
+  /**
+   * sharedThread: where only one thread can run at a time, handing tasks from one to the other
+   * would only cost.
+   */
+  NodeProcess(
+      Startup startup,
+      Bounds bounds,
+      BiFunction<Surroundings, Node.Place, Node> maker,
+      Outside outside,
       boolean sharedThread) {
     this.startup = startup;
     this.outside = outside;
     http = sharedThread ? logic : new Duty("http");
     peer = sharedThread ? logic : new Duty("peer");
-    random = new SplittableRandom(System.nanoTime() ^ System.currentTimeMillis() << 20 ^ startup.peer().hashCode());
+    random =
+        new SplittableRandom(
+            System.nanoTime() ^ System.currentTimeMillis() << 20 ^ startup.peer().hashCode());
     List<DiskRecord> records = new ArrayList<>();
-    disk = startup.data() == null ? null : DiskLog.open(Path.of(startup.data()), DiskSizes.of(bounds.diskBytes()),
-        records::add, sentence -> log("disk", sentence));
-    String id = disk == null ? UUID.randomUUID().toString().replace("-", "").substring(0, 12) : disk.id();
+    disk =
+        startup.data() == null
+            ? null
+            : DiskLog.open(
+                Path.of(startup.data()),
+                DiskSizes.of(bounds.diskBytes()),
+                records::add,
+                sentence -> log("disk", sentence));
+    String id =
+        disk == null ? UUID.randomUUID().toString().replace("-", "").substring(0, 12) : disk.id();
     long incarnation = disk == null ? 1 : disk.incarnation();
-    var place = new Node.Place(id, incarnation, startup.name(), startup.zone(), startup.role(), startup.peer(),
-        startup.http(), startup.seeds());
+    var place =
+        new Node.Place(
+            id,
+            incarnation,
+            startup.name(),
+            startup.zone(),
+            startup.role(),
+            startup.peer(),
+            startup.http(),
+            startup.seeds());
     transport = new PeerTransport(peer.loop, this::received, sentence -> log("peer", sentence));
     workers = new WorkerClient(http.loop);
-    exchanges = outside.format() == null ? null : new ExchangeClient(http.loop, outside.format(), this::backToLogic);
+    exchanges =
+        outside.format() == null
+            ? null
+            : new ExchangeClient(http.loop, outside.format(), this::backToLogic);
     node = maker.apply(this, place);
     records.forEach(node::recover);
   }
@@ -162,25 +211,44 @@
     duties().forEach(Duty::start);
     toLogic(node::start);
     Runtime.getRuntime().addShutdownHook(new Thread(this::stopPolitely, "stop"));
-    log(PART, startup.role() + " " + startup.name() + " started, incarnation " + node.place().incarnation() + ".");
+    log(
+        PART,
+        startup.role()
+            + " "
+            + startup.name()
+            + " started, incarnation "
+            + node.place().incarnation()
+            + ".");
   }
 
   /** What the process has used so far; thread names are those of its duties. */
-  record Cost(double startSeconds, double processSeconds, Map<String, Double> threadSeconds, Map<String, Long> wakeUps) {}
+  record Cost(
+      double startSeconds,
+      double processSeconds,
+      Map<String, Double> threadSeconds,
+      Map<String, Long> wakeUps) {}
 
   /** Asks each duty in turn, as only its own thread knows how often it woke. */
   void cost(Consumer<Cost> then) {
     Map<String, Long> wakeUps = new LinkedHashMap<>();
-    ask(new ArrayDeque<>(duties()), wakeUps, () -> {
-      var threads = ManagementFactory.getThreadMXBean();
-      Map<String, Double> seconds = new LinkedHashMap<>();
-      duties().forEach(duty -> seconds.put(duty.thread.getName(), threads.getThreadCpuTime(duty.thread.getId()) / 1e9));
-      if (disk != null) {
-        seconds.put(diskThread.getName(), threads.getThreadCpuTime(diskThread.getId()) / 1e9);
-        wakeUps.put(diskThread.getName(), diskWakeUps);
-      }
-      then.accept(new Cost(startSeconds, processorSeconds(), seconds, wakeUps));
-    });
+    ask(
+        new ArrayDeque<>(duties()),
+        wakeUps,
+        () -> {
+          var threads = ManagementFactory.getThreadMXBean();
+          Map<String, Double> seconds = new LinkedHashMap<>();
+          duties()
+              .forEach(
+                  duty ->
+                      seconds.put(
+                          duty.thread.getName(),
+                          threads.getThreadCpuTime(duty.thread.getId()) / 1e9));
+          if (disk != null) {
+            seconds.put(diskThread.getName(), threads.getThreadCpuTime(diskThread.getId()) / 1e9);
+            wakeUps.put(diskThread.getName(), diskWakeUps);
+          }
+          then.accept(new Cost(startSeconds, processorSeconds(), seconds, wakeUps));
+        });
   }
 
   private void ask(ArrayDeque<Duty> left, Map<String, Long> wakeUps, Runnable then) {
@@ -189,10 +257,11 @@
       then.run();
       return;
     }
-    duty.hand(() -> {
-      wakeUps.put(duty.thread.getName(), duty.loop.tick() >>> Integer.SIZE);
-      ask(left, wakeUps, then);
-    });
+    duty.hand(
+        () -> {
+          wakeUps.put(duty.thread.getName(), duty.loop.tick() >>> Integer.SIZE);
+          ask(left, wakeUps, then);
+        });
   }
 
   private Set<Duty> duties() {
@@ -213,7 +282,10 @@
     toLogic(() -> node.stop(stopped::countDown));
     boolean done = false;
     try {
-      done = stopped.await(Constants.STOP_NOTICE_MS + Constants.DRAIN_MS + Constants.GRANT_LENGTH_MS, TimeUnit.MILLISECONDS);
+      done =
+          stopped.await(
+              Constants.STOP_NOTICE_MS + Constants.DRAIN_MS + Constants.GRANT_LENGTH_MS,
+              TimeUnit.MILLISECONDS);
     } catch (InterruptedException cutShort) {
       // It ends now.
     }
@@ -221,16 +293,19 @@
     Runtime.getRuntime().halt(done ? 0 : EXIT_UNFINISHED);
   }
 
-  /** Hands a task to the logic thread; false when too much waits for it, and then nothing was done. */
+  /**
+   * Hands a task to the logic thread; false when too much waits for it, and then nothing was done.
+   */
   public boolean toLogic(Runnable task) {
     if (waiting.incrementAndGet() > Constants.RING_SLOTS) {
       waiting.decrementAndGet();
       return false;
     }
-    backToLogic(() -> {
-      waiting.decrementAndGet();
-      runSafely(task);
-    });
+    backToLogic(
+        () -> {
+          waiting.decrementAndGet();
+          runSafely(task);
+        });
     return true;
   }
 
@@ -239,7 +314,10 @@
     http.hand(task);
   }
 
-  /** The same once the logic's present task is over, so that all it tells goes over at once; on the logic thread only. */
+  /**
+   * The same once the logic's present task is over, so that all it tells goes over at once; on the
+   * logic thread only.
+   */
   public void toHttpAfterThis(Runnable task) {
     if (http == logic) {
       http.hand(task);
@@ -248,7 +326,10 @@
     }
   }
 
-  /** What the logic itself has asked for must reach it: its own bounds on what it begins bound this too. */
+  /**
+   * What the logic itself has asked for must reach it: its own bounds on what it begins bound this
+   * too.
+   */
   private void backToLogic(Runnable task) {
     logic.hand(task);
   }
@@ -274,7 +355,10 @@
     }
   }
 
-  /** Sleeps until there is work. A job is offered before the thread is unparked, so that no wake-up is lost. */
+  /**
+   * Sleeps until there is work. A job is offered before the thread is unparked, so that no wake-up
+   * is lost.
+   */
   private void runDisk() {
     List<DiskJob> jobs = new ArrayList<>();
     boolean checkpointAsked = false;
@@ -304,7 +388,7 @@
         }
         if (!checkpointAsked && disk.wantsCheckpoint(diskFull)) {
           checkpointAsked = true;
-          backToLogic(() -> offerToDisk(new DiskJob(node.checkpoint(), () -> { }, true)));
+          backToLogic(() -> offerToDisk(new DiskJob(node.checkpoint(), () -> {}, true)));
         }
       }
     } catch (DiskFault fault) {
@@ -341,11 +425,13 @@
 
   // ---- ports
 
-  @Override public long now() {
+  @Override
+  public long now() {
     return millis();
   }
 
-  @Override public Schedule after(long millis, Runnable task) {
+  @Override
+  public Schedule after(long millis, Runnable task) {
     long due = now() + Math.max(0, millis);
     if (millis >= Constants.BEAT_LEAST_MS) {
       due = (due + Constants.BEAT_GRAIN_MS - 1) / Constants.BEAT_GRAIN_MS * Constants.BEAT_GRAIN_MS;
@@ -353,7 +439,8 @@
     return logic.loop.schedule(due, () -> runSafely(task))::cancel;
   }
 
-  @Override public void send(String peerAddress, Envelope envelope) {
+  @Override
+  public void send(String peerAddress, Envelope envelope) {
     if (peerAddress.equals(startup.peer())) {
       backToLogic(() -> runSafely(() -> node.receive(envelope)));
     } else {
@@ -361,14 +448,16 @@
     }
   }
 
-  @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+  @Override
+  public void write(List<DiskRecord> records, Runnable whenSynced) {
     if (disk == null) {
       throw new IllegalStateException("a node without a data folder keeps no records");
     }
     offerToDisk(new DiskJob(records, whenSynced, false));
   }
 
-  @Override public boolean takesWrites() {
+  @Override
+  public boolean takesWrites() {
     return diskRing.size() < Constants.RING_SLOTS / 2 && !diskFull && !disk.refusing();
   }
 
@@ -377,45 +466,71 @@
     return diskFull;
   }
 
-  @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+  @Override
+  public WorkerRun run(WorkerCall call, WorkerListener listener) {
     WorkerClient.Run[] run = new WorkerClient.Run[1];
-    toHttp(() -> run[0] = workers.run(call, new WorkerListener() {
-      @Override public void text(String text) {
-        backToLogic(() -> listener.text(text));
-      }
-
-      @Override public void end(String finishReason) {
-        backToLogic(() -> listener.end(finishReason));
-      }
-
-      @Override public void fault(Fault fault, boolean mayHaveRun) {
-        backToLogic(() -> listener.fault(fault, mayHaveRun));
-      }
-    }));
+    toHttp(
+        () ->
+            run[0] =
+                workers.run(
+                    call,
+                    new WorkerListener() {
+                      @Override
+                      public void text(String text) {
+                        backToLogic(() -> listener.text(text));
+                      }
+
+                      @Override
+                      public void end(String finishReason) {
+                        backToLogic(() -> listener.end(finishReason));
+                      }
+
+                      @Override
+                      public void fault(Fault fault, boolean mayHaveRun) {
+                        backToLogic(() -> listener.fault(fault, mayHaveRun));
+                      }
+                    }));
     return () -> toHttp(() -> run[0].cancel());
   }
 
-  @Override public WorkerRun exchange(WorkerExchange exchange, ExchangeListener listener) {
+  @Override
+  public WorkerRun exchange(WorkerExchange exchange, ExchangeListener listener) {
     ExchangeClient.Exchange begun = exchanges.prepare(exchange, listener);
     toHttp(begun::start);
     return () -> toHttp(begun::cancel);
   }
 
-  @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
-    toHttp(() -> workers.readLoad(workerAddress, load -> backToLogic(() -> whenRead.accept(load)),
-        fault -> backToLogic(() -> whenFaulty.accept(fault))));
-  }
-
-  @Override public void listWorkers(String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
-    toHttp(() -> outside.list().read(pageToken, page -> backToLogic(() -> whenRead.accept(page)),
-        fault -> backToLogic(() -> whenFaulty.accept(fault))));
-  }
-
-  @Override public RandomGenerator random() {
+  @Override
+  public void readLoad(
+      String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+    toHttp(
+        () ->
+            workers.readLoad(
+                workerAddress,
+                load -> backToLogic(() -> whenRead.accept(load)),
+                fault -> backToLogic(() -> whenFaulty.accept(fault))));
+  }
+
+  @Override
+  public void listWorkers(
+      String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
+    toHttp(
+        () ->
+            outside
+                .list()
+                .read(
+                    pageToken,
+                    page -> backToLogic(() -> whenRead.accept(page)),
+                    fault -> backToLogic(() -> whenFaulty.accept(fault))));
+  }
+
+  @Override
+  public RandomGenerator random() {
     return random;
   }
 
-  @Override public void log(String part, String sentence) {
+  @Override
+  public void log(String part, String sentence) {
     Logger.info("[" + part + "] " + sentence);
   }
 }
--- a/adapters/src/main/java/applespindle/adapters/NumbersOnly.java
+++ b/adapters/src/main/java/applespindle/adapters/NumbersOnly.java
@@ -8,10 +8,14 @@
 
 /** Everything here is named by IP number; nothing is ever looked up. */
 public final class NumbersOnly implements IDnsClient {
-  @Override public Promise<DnsResponse> resolve(DnsQuery query) {
+  @Override
+  public Promise<DnsResponse> resolve(DnsQuery query) {
     DnsResponse response = IDnsClient.resolveFromQuery(query);
-    return response != null ? Promise.of(response) : Promise.ofException(new IOException("give an IP number"));
+    return response != null
+        ? Promise.of(response)
+        : Promise.ofException(new IOException("give an IP number"));
   }
 
-  @Override public void close() {}
+  @Override
+  public void close() {}
 }
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -29,16 +29,17 @@
 import jdk.net.ExtendedSocketOptions;
 
 /**
- * Frames over TCP between our processes; all on the peer thread. Connections out to a peer, one for small frames and, once
- * there are any, one for large ones, so that none waits behind a large one on a slow link; many in. A frame of no bytes
- * asks the other side for a sign of life and is answered by the same. Messages may be lost, and a large one may be
- * overtaken.
+ * Frames over TCP between our processes; all on the peer thread. Connections out to a peer, one for
+ * small frames and, once there are any, one for large ones, so that none waits behind a large one
+ * on a slow link; many in. A frame of no bytes asks the other side for a sign of life and is
+ * answered by the same. Messages may be lost, and a large one may be overtaken.
  */
 final class PeerTransport {
   private static final int HEAD_BYTES = 4;
   private static final int DEFLATED = FrameDeflation.DEFLATED;
   private static final Frame SIGN_OF_LIFE = new Frame(0, new byte[0]);
-  private static final SocketSettings SOCKETS = SocketSettings.builder().withTcpNoDelay(true).withKeepAlive(true).build();
+  private static final SocketSettings SOCKETS =
+      SocketSettings.builder().withTcpNoDelay(true).withKeepAlive(true).build();
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(Constants.PEER_CONNECT_MS);
 
   /** As it is written: the head, which is its length and whether it is deflated, then the bytes. */
@@ -62,18 +63,23 @@
 
   private final class Lane {
     final String address;
+
     /** Invariant: one write at a time is on its way; the rest waits here in order. */
     final ArrayDeque<Frame> waiting = new ArrayDeque<>();
+
     /** How much of the first one waiting is written already. */
     int begun;
+
     int waitingBytes;
     ITcpSocket socket;
     boolean connecting;
     boolean writing;
     boolean flushPlanned;
     long nextTryAt;
+
     /** Since when something is written and nothing was heard; 0 if it was. */
     long unheardSince;
+
     /** When a sign of life was asked for; 0 if none is awaited. */
     long askedAt;
 
@@ -124,32 +130,37 @@
         return;
       }
       connecting = true;
-      TcpSocket.connect(eventloop, socketAddress(address), CONNECT_TIMEOUT, SOCKETS).whenComplete((connected, fault) -> {
-        connecting = false;
-        nextTryAt = eventloop.currentTimeMillis() + Constants.PEER_RECONNECT_MS;
-        if (fault != null) {
-          dropWaiting();
-          return;
-        }
-        probe(connected.getSocketChannel());
-        socket = connected;
-        heard();
-        watch(connected);
-        flush();
-      });
+      TcpSocket.connect(eventloop, socketAddress(address), CONNECT_TIMEOUT, SOCKETS)
+          .whenComplete(
+              (connected, fault) -> {
+                connecting = false;
+                nextTryAt = eventloop.currentTimeMillis() + Constants.PEER_RECONNECT_MS;
+                if (fault != null) {
+                  dropWaiting();
+                  return;
+                }
+                probe(connected.getSocketChannel());
+                socket = connected;
+                heard();
+                watch(connected);
+                flush();
+              });
     }
 
     /** Signs of life alone come back on this connection; its end says that the peer has gone. */
     void watch(ITcpSocket connected) {
-      connected.read().whenComplete((bytes, fault) -> {
-        if (bytes == null) {
-          lose(connected);
-          return;
-        }
-        bytes.recycle();
-        heard();
-        watch(connected);
-      });
+      connected
+          .read()
+          .whenComplete(
+              (bytes, fault) -> {
+                if (bytes == null) {
+                  lose(connected);
+                  return;
+                }
+                bytes.recycle();
+                heard();
+                watch(connected);
+              });
     }
 
     /** Writes what waits, as much as fits into one write, in as few calls as that. */
@@ -158,7 +169,9 @@
       if (writing || waiting.isEmpty() || socket == null) {
         return;
       }
-      ByteBuf some = ByteBufPool.allocate(Math.min(Constants.PEER_WRITE_BYTES, waitingBytes + HEAD_BYTES * waiting.size()));
+      ByteBuf some =
+          ByteBufPool.allocate(
+              Math.min(Constants.PEER_WRITE_BYTES, waitingBytes + HEAD_BYTES * waiting.size()));
       while (!waiting.isEmpty() && some.writeRemaining() > HEAD_BYTES) {
         Frame frame = waiting.peek();
         if (begun == 0) {
@@ -181,21 +194,22 @@
       ITcpSocket present = socket;
       var written = present.write(some);
       boolean atOnce = written.isComplete();
-      written.whenComplete((done, fault) -> {
-        if (fault != null) {
-          lose(present);
-        } else if (socket == present) {
-          writing = false;
-          if (!atOnce) {
-            // It had to wait for room, so the peer takes bytes.
-            heard();
-          }
-          if (!waiting.isEmpty() && !flushPlanned) {
-            flushPlanned = true;
-            eventloop.postLast(this::flush);
-          }
-        }
-      });
+      written.whenComplete(
+          (done, fault) -> {
+            if (fault != null) {
+              lose(present);
+            } else if (socket == present) {
+              writing = false;
+              if (!atOnce) {
+                // It had to wait for room, so the peer takes bytes.
+                heard();
+              }
+              if (!waiting.isEmpty() && !flushPlanned) {
+                flushPlanned = true;
+                eventloop.postLast(this::flush);
+              }
+            }
+          });
     }
 
     void dropWaiting() {
@@ -230,28 +244,32 @@
     }
 
     private void readOn() {
-      socket.read().whenComplete((chunk, fault) -> {
-        if (fault != null || chunk == null) {
-          socket.close();
-          return;
-        }
-        int size = chunk.readRemaining();
-        if (length + size > bytes.length) {
-          bytes = Arrays.copyOf(bytes, Math.max(bytes.length * 2, length + size));
-        }
-        System.arraycopy(chunk.array(), chunk.head(), bytes, length, size);
-        chunk.recycle();
-        length += size;
-        try {
-          takeFrames();
-          readOn();
-        } catch (UnreadableFrame garbage) {
-          if (garbageFrom.add(garbage.kind.name())) {
-            log.accept("Garbage on the peer port, connection closed: " + garbage.kind + ".");
-          }
-          socket.close();
-        }
-      });
+      socket
+          .read()
+          .whenComplete(
+              (chunk, fault) -> {
+                if (fault != null || chunk == null) {
+                  socket.close();
+                  return;
+                }
+                int size = chunk.readRemaining();
+                if (length + size > bytes.length) {
+                  bytes = Arrays.copyOf(bytes, Math.max(bytes.length * 2, length + size));
+                }
+                System.arraycopy(chunk.array(), chunk.head(), bytes, length, size);
+                chunk.recycle();
+                length += size;
+                try {
+                  takeFrames();
+                  readOn();
+                } catch (UnreadableFrame garbage) {
+                  if (garbageFrom.add(garbage.kind.name())) {
+                    log.accept(
+                        "Garbage on the peer port, connection closed: " + garbage.kind + ".");
+                  }
+                  socket.close();
+                }
+              });
     }
 
     private void takeFrames() throws UnreadableFrame {
@@ -268,8 +286,10 @@
         if (size == 0) {
           socket.write(ByteBuf.wrapForReading(new byte[HEAD_BYTES]));
         } else {
-          byte[] frame = head == size ? Arrays.copyOfRange(bytes, at + HEAD_BYTES, at + HEAD_BYTES + size)
-              : deflation.inflate(bytes, at + HEAD_BYTES, size);
+          byte[] frame =
+              head == size
+                  ? Arrays.copyOfRange(bytes, at + HEAD_BYTES, at + HEAD_BYTES + size)
+                  : deflation.inflate(bytes, at + HEAD_BYTES, size);
           Envelope envelope = codec.decode(frame);
           Neighbour from = neighbours.get(envelope.fromAddress());
           if (from != null) {
@@ -295,11 +315,16 @@
   private final Consumer<String> log;
   private final PeerCodec codec = new PeerCodec();
   private final FrameDeflation deflation = new FrameDeflation();
+
   /** By kind of message, the bytes of its frames as they were written. */
   private final Map<String, LongAdder> bytesOfKind = new ConcurrentHashMap<>();
+
   private final Map<String, Neighbour> neighbours = new HashMap<>();
   private final Set<String> garbageFrom = new HashSet<>();
-  /** Frames handed to the peer thread and not yet taken by it; bounds what the logic can pile up. */
+
+  /**
+   * Frames handed to the peer thread and not yet taken by it; bounds what the logic can pile up.
+   */
   private final AtomicInteger handed = new AtomicInteger();
 
   PeerTransport(Eventloop eventloop, Consumer<Envelope> receiver, Consumer<String> log) {
@@ -309,16 +334,23 @@
   }
 
   void listen(String address) throws IOException {
-    SimpleServer.builder(eventloop, Inbound::new).withSocketSettings(SOCKETS)
-        .withListenAddress(socketAddress(address)).build().listen();
+    SimpleServer.builder(eventloop, Inbound::new)
+        .withSocketSettings(SOCKETS)
+        .withListenAddress(socketAddress(address))
+        .build()
+        .listen();
   }
 
   static InetSocketAddress socketAddress(String address) {
     int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
-  /** The kernel asks after a peer that lost power or lies behind a cut, so that its connections do not stay for ever. */
+  /**
+   * The kernel asks after a peer that lost power or lies behind a cut, so that its connections do
+   * not stay for ever.
+   */
   private static void probe(SocketChannel channel) {
     try {
       if (channel.supportedOptions().contains(ExtendedSocketOptions.TCP_KEEPIDLE)) {
@@ -342,19 +374,24 @@
       handed.decrementAndGet();
       return;
     }
-    eventloop.execute(() -> {
-      handed.decrementAndGet();
-      take(toAddress, envelope);
-    });
+    eventloop.execute(
+        () -> {
+          handed.decrementAndGet();
+          take(toAddress, envelope);
+        });
   }
 
   private void take(String toAddress, Envelope envelope) {
     byte[] frame = codec.encode(envelope);
-    Neighbour neighbour = neighbours.computeIfAbsent(toAddress, address -> new Neighbour(new Lane(address), new Lane(address)));
-    byte[] deflated = frame.length < Constants.PEER_DEFLATE_BYTES ? frame : deflation.deflate(frame);
+    Neighbour neighbour =
+        neighbours.computeIfAbsent(
+            toAddress, address -> new Neighbour(new Lane(address), new Lane(address)));
+    byte[] deflated =
+        frame.length < Constants.PEER_DEFLATE_BYTES ? frame : deflation.deflate(frame);
     boolean smaller = deflated.length < frame.length;
     byte[] written = smaller ? deflated : frame;
-    bytesOfKind.computeIfAbsent(envelope.message().getClass().getSimpleName(), kind -> new LongAdder())
+    bytesOfKind
+        .computeIfAbsent(envelope.message().getClass().getSimpleName(), kind -> new LongAdder())
         .add(HEAD_BYTES + written.length);
     (written.length < Constants.PEER_LARGE_BYTES ? neighbour.small : neighbour.large)
         .add(new Frame(smaller ? written.length | DEFLATED : written.length, written));
--- a/adapters/src/main/java/applespindle/adapters/PlainFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/PlainFolder.java
@@ -32,7 +32,8 @@
   /** One process a folder: a second one would write a second truth. */
   static PlainFolder open(Path folder) throws IOException {
     Files.createDirectories(folder);
-    FileChannel channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    FileChannel channel =
+        FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     boolean free;
     try {
       free = channel.tryLock() != null;
@@ -46,7 +47,8 @@
     return new PlainFolder(folder, channel);
   }
 
-  @Override public List<String> names() throws IOException {
+  @Override
+  public List<String> names() throws IOException {
     List<String> names = new ArrayList<>();
     try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
       for (Path file : files) {
@@ -60,37 +62,51 @@
     return names;
   }
 
-  @Override public long size(String name) throws IOException {
+  @Override
+  public long size(String name) throws IOException {
     return Files.size(folder.resolve(name));
   }
 
-  @Override public InputStream read(String name) throws IOException {
+  @Override
+  public InputStream read(String name) throws IOException {
     return Files.newInputStream(folder.resolve(name));
   }
 
-  @Override public DiskFile create(String name) throws IOException {
-    return new PlainFile(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE));
+  @Override
+  public DiskFile create(String name) throws IOException {
+    return new PlainFile(
+        FileChannel.open(
+            folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE));
   }
 
-  @Override public DiskFile open(String name) throws IOException {
+  @Override
+  public DiskFile open(String name) throws IOException {
     return new PlainFile(FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE));
   }
 
-  @Override public void rename(String from, String to) throws IOException {
-    Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  @Override
+  public void rename(String from, String to) throws IOException {
+    Files.move(
+        folder.resolve(from),
+        folder.resolve(to),
+        StandardCopyOption.ATOMIC_MOVE,
+        StandardCopyOption.REPLACE_EXISTING);
   }
 
-  @Override public void delete(String name) throws IOException {
+  @Override
+  public void delete(String name) throws IOException {
     Files.delete(folder.resolve(name));
   }
 
-  @Override public void sync() throws IOException {
+  @Override
+  public void sync() throws IOException {
     try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
       directory.force(true);
     }
   }
 
-  @Override public void setAside() throws IOException {
+  @Override
+  public void setAside() throws IOException {
     int number = 1;
     while (Files.exists(folder.resolve("corrupt-" + number))) {
       number++;
@@ -102,7 +118,8 @@
     sync();
   }
 
-  @Override public long bytesLeft() {
+  @Override
+  public long bytesLeft() {
     try {
       return store.getUsableSpace();
     } catch (IOException unknown) {
@@ -110,27 +127,32 @@
     }
   }
 
-  @Override public void close() throws IOException {
+  @Override
+  public void close() throws IOException {
     lock.close();
   }
 
   private record PlainFile(FileChannel channel) implements DiskFile {
-    @Override public void write(ByteBuffer bytes, long at) throws IOException {
+    @Override
+    public void write(ByteBuffer bytes, long at) throws IOException {
       long place = at;
       while (bytes.hasRemaining()) {
         place += channel.write(bytes, place);
       }
     }
 
-    @Override public void truncate(long size) throws IOException {
+    @Override
+    public void truncate(long size) throws IOException {
       channel.truncate(size);
     }
 
-    @Override public void force() throws IOException {
+    @Override
+    public void force() throws IOException {
       channel.force(false);
     }
 
-    @Override public void close() throws IOException {
+    @Override
+    public void close() throws IOException {
       channel.close();
     }
   }
--- a/adapters/src/main/java/applespindle/adapters/Program.java
+++ b/adapters/src/main/java/applespindle/adapters/Program.java
@@ -13,8 +13,12 @@
 public final class Program {
   private static final int EXIT_STARTUP = 2;
 
-  public static void run(String name, String role, String[] arguments,
-      Function<Startup, BiFunction<Surroundings, Node.Place, Node>> maker, Consumer<NodeProcess> openInterface) {
+  public static void run(
+      String name,
+      String role,
+      String[] arguments,
+      Function<Startup, BiFunction<Surroundings, Node.Place, Node>> maker,
+      Consumer<NodeProcess> openInterface) {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     Startup.Read read = Startup.read(name, role, arguments);
     if (read == null) {
--- a/adapters/src/main/java/applespindle/adapters/ResponseParser.java
+++ b/adapters/src/main/java/applespindle/adapters/ResponseParser.java
@@ -1,5 +1,7 @@
 package applespindle.adapters;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.OpaqueRequest.Header;
 import java.util.ArrayList;
@@ -7,11 +9,10 @@
 import java.util.List;
 import java.util.Locale;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /**
- * Reads the responses of one HTTP/1.1 connection. A response whose length is not told can not be told from a cut one, so
- * it is as unreadable as bytes that are no response. What stands behind a whole response is left for its owner to judge.
+ * Reads the responses of one HTTP/1.1 connection. A response whose length is not told can not be
+ * told from a cut one, so it is as unreadable as bytes that are no response. What stands behind a
+ * whole response is left for its owner to judge.
  */
 final class ResponseParser {
   interface Listener {
@@ -23,19 +24,30 @@
     boolean end();
   }
 
-  private enum State { HEAD, LENGTH, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER }
+  private enum State {
+    HEAD,
+    LENGTH,
+    CHUNK_SIZE,
+    CHUNK,
+    CHUNK_END,
+    TRAILER
+  }
 
   private final Listener listener;
   private State state = State.HEAD;
   private byte[] bytes = new byte[1024];
   private int from;
   private int to;
+
   /** Where the search for the head's end goes on. */
   private int searched;
+
   private long left;
   private boolean withoutBody;
+
   /** The worker closes the connection after this response. */
   private boolean closes;
+
   private long keepAliveMs;
 
   ResponseParser(Listener listener) {
@@ -68,7 +80,8 @@
   boolean take(byte[] chunk, int offset, int size) {
     if (to + size > bytes.length) {
       int kept = to - from;
-      byte[] room = kept + size > bytes.length ? new byte[Math.max(2 * bytes.length, kept + size)] : bytes;
+      byte[] room =
+          kept + size > bytes.length ? new byte[Math.max(2 * bytes.length, kept + size)] : bytes;
       System.arraycopy(bytes, from, room, 0, kept);
       searched -= from;
       bytes = room;
@@ -181,7 +194,10 @@
   /** Index behind the blank line, or -1. */
   private int headEnd() {
     for (int at = Math.max(from, searched - 3); at + 3 < to; at++) {
-      if (bytes[at] == '\r' && bytes[at + 1] == '\n' && bytes[at + 2] == '\r' && bytes[at + 3] == '\n') {
+      if (bytes[at] == '\r'
+          && bytes[at + 1] == '\n'
+          && bytes[at + 2] == '\r'
+          && bytes[at + 3] == '\n') {
         return at + 4;
       }
     }
@@ -242,7 +258,9 @@
   private static long keepAliveMs(String value) {
     for (String part : value.split(",")) {
       String[] pair = part.strip().split("=", 2);
-      if (pair.length == 2 && pair[0].equalsIgnoreCase("timeout") && pair[1].matches("[0-9]{1,6}")) {
+      if (pair.length == 2
+          && pair[0].equalsIgnoreCase("timeout")
+          && pair[1].matches("[0-9]{1,6}")) {
         return Long.parseLong(pair[1]) * 1_000;
       }
     }
@@ -251,7 +269,10 @@
 
   /** Throws NumberFormatException for anything but plain digits of that radix. */
   private static long size(String digits, int radix) {
-    if (digits.isEmpty() || digits.length() > 15 || digits.charAt(0) == '+' || digits.charAt(0) == '-') {
+    if (digits.isEmpty()
+        || digits.length() > 15
+        || digits.charAt(0) == '+'
+        || digits.charAt(0) == '-') {
       throw new NumberFormatException(digits);
     }
     return Long.parseLong(digits, radix);
--- a/adapters/src/main/java/applespindle/adapters/Startup.java
+++ b/adapters/src/main/java/applespindle/adapters/Startup.java
@@ -1,7 +1,9 @@
 package applespindle.adapters;
 
-import applespindle.corelogic.InputReader;
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.Fault;
+import applespindle.corelogic.InputReader;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import jakarta.validation.constraints.NotBlank;
 import jakarta.validation.constraints.NotEmpty;
@@ -19,8 +21,6 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
-import static applespindle.corelogic.Json.JSON;
-
 /** What a process is told at its start, from a file and from flags; flags win. */
 public record Startup(
     @NotBlank String name,
@@ -33,15 +33,21 @@
     List<@NotNull @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String> founders,
     Map<String, String> operatorKeys) {
   private static final String ADDRESS = "([0-9]{1,3}\\.){3}[0-9]{1,3}:[0-9]{1,5}";
-  private static final String WANTED_ADDRESS = "must be an IP number and a port, such as 127.0.0.1:7000";
+  private static final String WANTED_ADDRESS =
+      "must be an IP number and a port, such as 127.0.0.1:7000";
 
   /** The startup, or the faults; checkOnly asks for no more than this. */
   public record Read(Startup startup, List<Fault.Field> faults, boolean checkOnly) {}
 
-  /** Reads flags and file; a call that can not be parsed at all, or asks for help, yields null after it was told. */
+  /**
+   * Reads flags and file; a call that can not be parsed at all, or asks for help, yields null after
+   * it was told.
+   */
   public static Read read(String program, String role, String[] arguments) {
-    ArgumentParser parser = ArgumentParsers.newFor(program).build()
-        .description("One process of applespindle. Flags win over the file.");
+    ArgumentParser parser =
+        ArgumentParsers.newFor(program)
+            .build()
+            .description("One process of applespindle. Flags win over the file.");
     parser.addArgument("--startup").metavar("FILE").help("startup file, JSON");
     parser.addArgument("--check").action(Arguments.storeTrue()).help("check the startup and exit");
     for (String field : List.of("name", "zone", "http", "peer", "data")) {
@@ -51,7 +57,10 @@
       parser.addArgument("--role").help("edge or storage");
     }
     parser.addArgument("--seeds").nargs("+").help("peer addresses of other processes");
-    parser.addArgument("--founders").nargs("+").help("peer addresses of the first core; default: the seeds");
+    parser
+        .addArgument("--founders")
+        .nargs("+")
+        .help("peer addresses of the first core; default: the seeds");
     Namespace flags;
     try {
       flags = parser.parseArgs(arguments);
@@ -62,13 +71,15 @@
     ObjectNode tree = JSON.createObjectNode();
     if (flags.getString("startup") != null) {
       try {
-        if (JSON.readTree(Files.readAllBytes(Path.of(flags.getString("startup")))) instanceof ObjectNode read) {
+        if (JSON.readTree(Files.readAllBytes(Path.of(flags.getString("startup"))))
+            instanceof ObjectNode read) {
           tree = read;
         } else {
           return new Read(null, List.of(new Fault.Field("$", "must be an object")), false);
         }
       } catch (IOException fault) {
-        return new Read(null, List.of(new Fault.Field("$", "the startup file can not be read as JSON")), false);
+        return new Read(
+            null, List.of(new Fault.Field("$", "the startup file can not be read as JSON")), false);
       }
     }
     for (String field : List.of("name", "zone", "http", "peer", "data")) {
--- a/adapters/src/main/java/applespindle/adapters/UnreadableFrame.java
+++ b/adapters/src/main/java/applespindle/adapters/UnreadableFrame.java
@@ -2,7 +2,13 @@
 
 /** Bytes that are no message of ours. */
 public final class UnreadableFrame extends Exception {
-  public enum Kind { TOO_LARGE, TOO_SHORT, UNKNOWN_SCHEMA, UNKNOWN_MESSAGE, BROKEN }
+  public enum Kind {
+    TOO_LARGE,
+    TOO_SHORT,
+    UNKNOWN_SCHEMA,
+    UNKNOWN_MESSAGE,
+    BROKEN
+  }
 
   public final Kind kind;
 
--- a/adapters/src/main/java/applespindle/adapters/WorkerClient.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerClient.java
@@ -1,5 +1,8 @@
 package applespindle.adapters;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.Surroundings.WorkerCall;
@@ -20,9 +23,6 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** Runs at workers over HTTP, by the published format of streaming completions; and their load. */
 final class WorkerClient {
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(Constants.CORE_SILENT_MS);
@@ -35,29 +35,49 @@
   WorkerClient(Eventloop eventloop) {
     this.eventloop = eventloop;
     IDnsClient numbersOnly = new NumbersOnly();
-    runs = HttpClient.builder(eventloop, numbersOnly).withNoKeepAlive().withConnectTimeout(CONNECT_TIMEOUT).build();
-    loads = HttpClient.builder(eventloop, numbersOnly).withNoKeepAlive().withConnectTimeout(CONNECT_TIMEOUT)
-        .withReadWriteTimeout(Duration.ofMillis(Constants.LOAD_STALE_MS)).build();
+    runs =
+        HttpClient.builder(eventloop, numbersOnly)
+            .withNoKeepAlive()
+            .withConnectTimeout(CONNECT_TIMEOUT)
+            .build();
+    loads =
+        HttpClient.builder(eventloop, numbersOnly)
+            .withNoKeepAlive()
+            .withConnectTimeout(CONNECT_TIMEOUT)
+            .withReadWriteTimeout(Duration.ofMillis(Constants.LOAD_STALE_MS))
+            .build();
   }
 
   void readLoad(String address, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
-    loads.request(HttpRequest.get("http://" + address + "/load").build())
-        .then(response -> response.loadBody(LINE_BYTES_MOST).map(body -> {
-          JsonNode load = JSON.readTree(body.asString(UTF_8));
-          int capacity = load.path("capacity").asInt(-1);
-          int running = load.path("running").asInt(-1);
-          int queued = load.path("queued").asInt(0);
-          if (response.getCode() != 200 || capacity < 0 || running < 0 || queued < 0) {
-            throw new IOException("no load");
-          }
-          return new WorkerLoad(running, queued, capacity, load.path("leaving").asBoolean(false));
-        })).whenComplete((load, fault) -> {
-          if (fault == null) {
-            whenRead.accept(load);
-          } else {
-            whenFaulty.accept(new Fault.WorkerUnreachable(address));
-          }
-        });
+    loads
+        .request(HttpRequest.get("http://" + address + "/load").build())
+        .then(
+            response ->
+                response
+                    .loadBody(LINE_BYTES_MOST)
+                    .map(
+                        body -> {
+                          JsonNode load = JSON.readTree(body.asString(UTF_8));
+                          int capacity = load.path("capacity").asInt(-1);
+                          int running = load.path("running").asInt(-1);
+                          int queued = load.path("queued").asInt(0);
+                          if (response.getCode() != 200
+                              || capacity < 0
+                              || running < 0
+                              || queued < 0) {
+                            throw new IOException("no load");
+                          }
+                          return new WorkerLoad(
+                              running, queued, capacity, load.path("leaving").asBoolean(false));
+                        }))
+        .whenComplete(
+            (load, fault) -> {
+              if (fault == null) {
+                whenRead.accept(load);
+              } else {
+                whenFaulty.accept(new Fault.WorkerUnreachable(address));
+              }
+            });
   }
 
   Run run(WorkerCall call, WorkerListener listener) {
@@ -84,25 +104,38 @@
 
     void start() {
       watch();
-      HttpRequest request = HttpRequest.post("http://" + call.workerAddress() + "/v1/completions")
-          .withHeader(HttpHeaders.CONTENT_TYPE, "application/json").withBody(call.body()).build();
-      runs.request(request).whenComplete((response, fault) -> {
-        if (over) {
-          if (response != null && response.getCode() == 200) {
-            response.takeBodyStream().closeEx(new AsyncCloseException());
-          }
-        } else if (fault != null) {
-          boolean unconnected = hasCause(fault, ConnectException.class) || hasCause(fault, "AsyncTimeoutException");
-          fail(unconnected ? new Fault.WorkerUnreachable(call.workerAddress())
-              : new Fault.WorkerCut(call.workerAddress()), !unconnected);
-        } else if (response.getCode() != 200) {
-          boolean refused = response.getCode() == 429 || response.getCode() == 503 || response.getCode() == 400;
-          fail(new Fault.WorkerRefused(response.getCode()), !refused);
-        } else {
-          body = response.takeBodyStream();
-          readOn();
-        }
-      });
+      HttpRequest request =
+          HttpRequest.post("http://" + call.workerAddress() + "/v1/completions")
+              .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+              .withBody(call.body())
+              .build();
+      runs.request(request)
+          .whenComplete(
+              (response, fault) -> {
+                if (over) {
+                  if (response != null && response.getCode() == 200) {
+                    response.takeBodyStream().closeEx(new AsyncCloseException());
+                  }
+                } else if (fault != null) {
+                  boolean unconnected =
+                      hasCause(fault, ConnectException.class)
+                          || hasCause(fault, "AsyncTimeoutException");
+                  fail(
+                      unconnected
+                          ? new Fault.WorkerUnreachable(call.workerAddress())
+                          : new Fault.WorkerCut(call.workerAddress()),
+                      !unconnected);
+                } else if (response.getCode() != 200) {
+                  boolean refused =
+                      response.getCode() == 429
+                          || response.getCode() == 503
+                          || response.getCode() == 400;
+                  fail(new Fault.WorkerRefused(response.getCode()), !refused);
+                } else {
+                  body = response.takeBodyStream();
+                  readOn();
+                }
+              });
     }
 
     private static boolean hasCause(Throwable fault, Class<?> type) {
@@ -110,55 +143,60 @@
     }
 
     private static boolean hasCause(Throwable fault, String simpleName) {
-      return fault != null && (fault.getClass().getSimpleName().equals(simpleName)
-          || hasCause(fault.getCause(), simpleName));
+      return fault != null
+          && (fault.getClass().getSimpleName().equals(simpleName)
+              || hasCause(fault.getCause(), simpleName));
     }
 
     private void watch() {
-      eventloop.delayBackground(Constants.LOAD_POLL_MS, () -> {
-        long now = eventloop.currentTimeMillis();
-        if (over) {
-          return;
-        }
-        if (now - heardAt > Constants.STREAM_SILENCE_MS || now - startedAt > call.expiryMs()) {
-          fail(new Fault.WorkerSilent(call.workerAddress()), true);
-        } else {
-          watch();
-        }
-      });
+      eventloop.delayBackground(
+          Constants.LOAD_POLL_MS,
+          () -> {
+            long now = eventloop.currentTimeMillis();
+            if (over) {
+              return;
+            }
+            if (now - heardAt > Constants.STREAM_SILENCE_MS || now - startedAt > call.expiryMs()) {
+              fail(new Fault.WorkerSilent(call.workerAddress()), true);
+            } else {
+              watch();
+            }
+          });
     }
 
     private void readOn() {
-      body.get().whenComplete((chunk, fault) -> {
-        if (over) {
-          if (chunk != null) {
-            chunk.recycle();
-          }
-          return;
-        }
-        if (fault != null || chunk == null) {
-          fail(new Fault.WorkerCut(call.workerAddress()), true);
-          return;
-        }
-        heardAt = eventloop.currentTimeMillis();
-        byte[] bytes = chunk.asArray();
-        for (byte each : bytes) {
-          if (each == '\n') {
-            takeLine(line.toString(UTF_8));
-            line.reset();
-          } else {
-            line.write(each);
-          }
-          if (over) {
-            return;
-          }
-          if (line.size() > LINE_BYTES_MOST) {
-            fail(new Fault.WorkerGarbage(call.workerAddress()), true);
-            return;
-          }
-        }
-        readOn();
-      });
+      body.get()
+          .whenComplete(
+              (chunk, fault) -> {
+                if (over) {
+                  if (chunk != null) {
+                    chunk.recycle();
+                  }
+                  return;
+                }
+                if (fault != null || chunk == null) {
+                  fail(new Fault.WorkerCut(call.workerAddress()), true);
+                  return;
+                }
+                heardAt = eventloop.currentTimeMillis();
+                byte[] bytes = chunk.asArray();
+                for (byte each : bytes) {
+                  if (each == '\n') {
+                    takeLine(line.toString(UTF_8));
+                    line.reset();
+                  } else {
+                    line.write(each);
+                  }
+                  if (over) {
+                    return;
+                  }
+                  if (line.size() > LINE_BYTES_MOST) {
+                    fail(new Fault.WorkerGarbage(call.workerAddress()), true);
+                    return;
+                  }
+                }
+                readOn();
+              });
     }
 
     private void takeLine(String raw) {
--- a/adapters/src/main/java/applespindle/adapters/WorkerFormat.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerFormat.java
@@ -6,9 +6,15 @@
 import java.util.List;
 import java.util.function.UnaryOperator;
 
-/** How workers of opaque requests are spoken to; response headers are looked up by name, null where absent. */
+/**
+ * How workers of opaque requests are spoken to; response headers are looked up by name, null where
+ * absent.
+ */
 public interface WorkerFormat {
-  /** All end-to-end headers of the request as sent to the worker, the client's and our own; without Content-Length. */
+  /**
+   * All end-to-end headers of the request as sent to the worker, the client's and our own; without
+   * Content-Length.
+   */
   List<Header> requestHeaders(WorkerExchange exchange);
 
   /** Whether a response is the one to this exchange and not a late one to another. */
@@ -17,7 +23,9 @@
   /** The worker itself says that it has not run the request and never will. */
   boolean saysNotRun(int status, UnaryOperator<String> responseHeaders);
 
-  /** Whether a response of this status counts as the worker's own and may be shown to the client. */
+  /**
+   * Whether a response of this status counts as the worker's own and may be shown to the client.
+   */
   boolean isWhole(int status, UnaryOperator<String> responseHeaders);
 
   /** The load told with a response, or null. */
--- a/adapters/src/main/java/applespindle/adapters/WorkerList.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerList.java
@@ -6,6 +6,8 @@
 
 /** Reads the list of workers that is kept outside. On the http thread. */
 public interface WorkerList {
-  /** An empty token asks for the first page. A refusal for calling too often is Fault.Overloaded. */
+  /**
+   * An empty token asks for the first page. A refusal for calling too often is Fault.Overloaded.
+   */
   void read(String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty);
 }
--- a/adapters/src/test/java/applespindle/adapters/DiskCrashTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskCrashTest.java
@@ -1,5 +1,9 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Epoch;
@@ -14,13 +18,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /**
- * Kills a process that writes a log, at random counts of answered appends, again and again over one folder. A few rounds
- * in CI; -Dapplespindle.crashRounds=300 for the long run. What a power loss takes beyond that is the simulator's matter.
+ * Kills a process that writes a log, at random counts of answered appends, again and again over one
+ * folder. A few rounds in CI; -Dapplespindle.crashRounds=300 for the long run. What a power loss
+ * takes beyond that is the simulator's matter.
  */
 class DiskCrashTest {
   private static final int ROUNDS = Integer.getInteger("applespindle.crashRounds", 4);
@@ -31,7 +32,9 @@
   static final class Writer {
     public static void main(String[] arguments) {
       List<Long> known = new ArrayList<>();
-      DiskLog log = DiskLog.open(Path.of(arguments[0]), record -> known.add(record.sequence()), System.err::println);
+      DiskLog log =
+          DiskLog.open(
+              Path.of(arguments[0]), record -> known.add(record.sequence()), System.err::println);
       long last = known.isEmpty() ? 0 : known.get(known.size() - 1);
       Random random = new Random(Long.parseLong(arguments[1]));
       for (int appends = 1; ; appends++) {
@@ -49,21 +52,31 @@
     }
 
     private static DiskRecord record(long sequence, int bytes) {
-      return new DiskRecord(Kind.ENTRY, "key", new Epoch(1, "node"), sequence, false, new byte[bytes]);
+      return new DiskRecord(
+          Kind.ENTRY, "key", new Epoch(1, "node"), sequence, false, new byte[bytes]);
     }
   }
 
-  @Test void keepsEveryAnsweredAppendOverKills(@TempDir Path folder, @TempDir Path aside)
+  @Test
+  void keepsEveryAnsweredAppendOverKills(@TempDir Path folder, @TempDir Path aside)
       throws IOException, InterruptedException {
     Path errors = aside.resolve("errors");
     Random random = new Random(20261202);
     long answered = 0;
     for (int round = 0; round < ROUNDS; round++) {
-      Process writer = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-          System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-          Writer.class.getName(), folder.toString(), Integer.toString(round))
-          .redirectError(errors.toFile()).start();
-      try (BufferedReader told = new BufferedReader(new InputStreamReader(writer.getInputStream(), UTF_8))) {
+      Process writer =
+          new ProcessBuilder(
+                  Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                  "-cp",
+                  System.getProperty(
+                      "surefire.test.class.path", System.getProperty("java.class.path")),
+                  Writer.class.getName(),
+                  folder.toString(),
+                  Integer.toString(round))
+              .redirectError(errors.toFile())
+              .start();
+      try (BufferedReader told =
+          new BufferedReader(new InputStreamReader(writer.getInputStream(), UTF_8))) {
         for (int left = 1 + random.nextInt(ANSWERS_MOST); left > 0; left--) {
           String line = told.readLine();
           assertWithMessage(Files.readString(errors)).that(line).isNotNull();
@@ -71,7 +84,8 @@
         }
         writer.toHandle().destroyForcibly();
         for (String line = told.readLine(); line != null; line = told.readLine()) {
-          answered = line.matches("[0-9]+") ? Math.max(answered, wholeLine(line, answered)) : answered;
+          answered =
+              line.matches("[0-9]+") ? Math.max(answered, wholeLine(line, answered)) : answered;
         }
       }
       writer.waitFor();
@@ -80,11 +94,15 @@
       DiskLog.open(folder, record -> sequences.add(record.sequence()), said::add).close();
       assertWithMessage("round " + round + ": " + said).that(sequences).isInStrictOrder();
       assertThat(sequences.get(sequences.size() - 1)).isAtLeast(answered);
-      assertThat(sequences.get(sequences.size() - 1) - sequences.get(0)).isEqualTo((long) sequences.size() - 1);
+      assertThat(sequences.get(sequences.size() - 1) - sequences.get(0))
+          .isEqualTo((long) sequences.size() - 1);
     }
   }
 
-  /** The last line may have been cut off in the pipe; a cut number is shorter than the ones before it. */
+  /**
+   * The last line may have been cut off in the pipe; a cut number is shorter than the ones before
+   * it.
+   */
   private static long wholeLine(String line, long before) {
     return line.length() < Long.toString(before).length() ? before : Long.parseLong(line);
   }
--- a/adapters/src/test/java/applespindle/adapters/DiskLogTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskLogTest.java
@@ -1,5 +1,8 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Epoch;
@@ -13,14 +16,17 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import static com.google.common.truth.Truth.assertThat;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-
 class DiskLogTest {
   @TempDir Path folder;
 
   private static DiskRecord record(long sequence) {
-    return new DiskRecord(Kind.ENTRY, "key", new Epoch(1, "node"), sequence, false, new byte[] {(byte) sequence, 2, 3});
+    return new DiskRecord(
+        Kind.ENTRY,
+        "key",
+        new Epoch(1, "node"),
+        sequence,
+        false,
+        new byte[] {(byte) sequence, 2, 3});
   }
 
   private record Opened(DiskLog log, List<Long> sequences, List<String> said) {}
@@ -28,13 +34,19 @@
   private Opened open() {
     List<Long> sequences = new ArrayList<>();
     List<String> said = new ArrayList<>();
-    return new Opened(DiskLog.open(folder, record -> sequences.add(record.sequence()), said::add), sequences, said);
+    return new Opened(
+        DiskLog.open(folder, record -> sequences.add(record.sequence()), said::add),
+        sequences,
+        said);
   }
 
   private Path newest(String prefix) throws IOException {
     try (Stream<Path> files = Files.list(folder)) {
-      return files.filter(file -> file.getFileName().toString().startsWith(prefix)).sorted()
-          .reduce((one, other) -> other).orElseThrow();
+      return files
+          .filter(file -> file.getFileName().toString().startsWith(prefix))
+          .sorted()
+          .reduce((one, other) -> other)
+          .orElseThrow();
     }
   }
 
@@ -44,7 +56,8 @@
     }
   }
 
-  @Test void comesBackWithItsIdentityAndARisenIncarnation() {
+  @Test
+  void comesBackWithItsIdentityAndARisenIncarnation() {
     DiskLog first = open().log();
     first.append(List.of(record(1), record(2)));
     first.close();
@@ -55,7 +68,8 @@
     second.log().close();
   }
 
-  @Test void cutsATornTailAtTheLastGoodRecord() throws IOException {
+  @Test
+  void cutsATornTailAtTheLastGoodRecord() throws IOException {
     writeTwo();
     Path segment = newest("segment-");
     byte[] bytes = Files.readAllBytes(segment);
@@ -69,7 +83,8 @@
     third.log().close();
   }
 
-  @Test void startsAsANewNodeAfterCorruptionInsideTheLog() throws IOException {
+  @Test
+  void startsAsANewNodeAfterCorruptionInsideTheLog() throws IOException {
     writeTwo();
     Path damaged = newest("segment-");
     String idBefore;
@@ -88,7 +103,8 @@
     after.log().close();
   }
 
-  @Test void aCheckpointStandsForTheSegmentsBeforeIt() throws IOException {
+  @Test
+  void aCheckpointStandsForTheSegmentsBeforeIt() throws IOException {
     try (DiskLog log = open().log()) {
       log.append(List.of(record(1), record(2)));
       log.checkpoint(List.of(record(2)));
@@ -98,11 +114,14 @@
     assertThat(after.sequences()).containsExactly(2L, 3L).inOrder();
     after.log().close();
     try (Stream<Path> files = Files.list(folder)) {
-      assertThat(files.filter(file -> file.getFileName().toString().startsWith("checkpoint-")).count()).isEqualTo(1);
+      assertThat(
+              files.filter(file -> file.getFileName().toString().startsWith("checkpoint-")).count())
+          .isEqualTo(1);
     }
   }
 
-  @Test void aFolderInUseIsRefused() {
+  @Test
+  void aFolderInUseIsRefused() {
     try (DiskLog log = open().log()) {
       DiskFault fault = assertThrows(DiskFault.class, this::open);
       assertThat(fault.kind).isEqualTo(DiskFault.Kind.IN_USE);
@@ -110,9 +129,11 @@
     }
   }
 
-  @Test void anUnfinishedCheckpointIsNotUsed() throws IOException {
+  @Test
+  void anUnfinishedCheckpointIsNotUsed() throws IOException {
     writeTwo();
-    Files.writeString(folder.resolve("new-checkpoint-000000000009.log"), "half", StandardOpenOption.CREATE);
+    Files.writeString(
+        folder.resolve("new-checkpoint-000000000009.log"), "half", StandardOpenOption.CREATE);
     Opened after = open();
     assertThat(after.sequences()).containsExactly(1L, 2L).inOrder();
     after.log().close();
--- a/adapters/src/test/java/applespindle/adapters/DiskPowerLossTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskPowerLossTest.java
@@ -1,5 +1,8 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Epoch;
@@ -9,10 +12,10 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-
-/** Power is lost at every kind of step, again and again over one folder; what was answered for must be there. */
+/**
+ * Power is lost at every kind of step, again and again over one folder; what was answered for must
+ * be there.
+ */
 class DiskPowerLossTest {
   private static final int SEEDS = 300;
   private static final int LOSSES = 12;
@@ -20,23 +23,27 @@
   private static final DiskSizes SIZES = new DiskSizes(2_000, 0);
 
   private static DiskRecord record(long sequence, int bytes) {
-    return new DiskRecord(Kind.ENTRY, "key", new Epoch(1, "node"), sequence, false, new byte[bytes]);
+    return new DiskRecord(
+        Kind.ENTRY, "key", new Epoch(1, "node"), sequence, false, new byte[bytes]);
   }
 
   private static List<Long> replay(VolatileFolder folder, List<DiskLog> opened) throws IOException {
     List<Long> sequences = new ArrayList<>();
-    opened.add(DiskLog.open(folder, SIZES, record -> sequences.add(record.sequence()), sentence -> { }));
+    opened.add(
+        DiskLog.open(folder, SIZES, record -> sequences.add(record.sequence()), sentence -> {}));
     return sequences;
   }
 
-  @Test void keepsWhatWasAnsweredForOverLossesOfPower() throws IOException {
+  @Test
+  void keepsWhatWasAnsweredForOverLossesOfPower() throws IOException {
     for (int seed = 0; seed < SEEDS; seed++) {
       Random random = new Random(seed);
       VolatileFolder folder = new VolatileFolder(random);
       long answered = 0;
       long incarnation = 0;
       for (int loss = 0; loss < LOSSES; loss++) {
-        // Half of the ends are kills: the next process finds all writes, also those that were never synced.
+        // Half of the ends are kills: the next process finds all writes, also those that were never
+        // synced.
         boolean kill = random.nextBoolean();
         folder.stepsLeft = 1 + random.nextInt(STEPS_MOST);
         try {
@@ -70,7 +77,8 @@
     }
   }
 
-  @Test void triesARefusedWriteAgainUntilItIsTaken() throws IOException {
+  @Test
+  void triesARefusedWriteAgainUntilItIsTaken() throws IOException {
     VolatileFolder folder = new VolatileFolder(new Random(1));
     List<DiskLog> opened = new ArrayList<>();
     replay(folder, opened);
@@ -82,7 +90,8 @@
     assertThat(replay(folder, opened)).containsExactly(1L, 2L, 3L).inOrder();
   }
 
-  @Test void aStartWaitsForADiskThatRefusesWritesForAWhile() throws IOException {
+  @Test
+  void aStartWaitsForADiskThatRefusesWritesForAWhile() throws IOException {
     VolatileFolder folder = new VolatileFolder(new Random(1));
     folder.refusals = 2;
     List<DiskLog> opened = new ArrayList<>();
@@ -90,7 +99,8 @@
     assertThat(opened.get(0).incarnation()).isEqualTo(1);
   }
 
-  @Test void checkpointsDoNotOutweighWhatIsWritten() throws IOException {
+  @Test
+  void checkpointsDoNotOutweighWhatIsWritten() throws IOException {
     VolatileFolder folder = new VolatileFolder(new Random(1));
     List<DiskLog> opened = new ArrayList<>();
     replay(folder, opened);
@@ -111,7 +121,8 @@
     assertThat(checkpoints).isAtLeast(5);
   }
 
-  @Test void sizesFollowTheDisk() {
+  @Test
+  void sizesFollowTheDisk() {
     assertThat(DiskSizes.of(0)).isEqualTo(new DiskSizes(32L << 20, 96L << 20));
     assertThat(DiskSizes.of(64L << 20)).isEqualTo(new DiskSizes(2L << 20, 8L << 20));
     assertThat(DiskSizes.of(1L << 40)).isEqualTo(DiskSizes.of(0));
--- a/adapters/src/test/java/applespindle/adapters/ExchangeClientTest.java
+++ b/adapters/src/test/java/applespindle/adapters/ExchangeClientTest.java
@@ -1,5 +1,8 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.OpaqueRequest;
 import applespindle.corelogic.OpaqueRequest.Head;
@@ -24,61 +27,72 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /** The client against workers played on plain sockets, which say exactly the bytes a test wants. */
 final class ExchangeClientTest {
   private static final long LIMIT_S = 20;
 
-  /** A format in the style of the real ones: an id echoed, a mark for "not run", a stamp on what is good. */
-  private static final WorkerFormat FORMAT = new WorkerFormat() {
-    @Override public List<Header> requestHeaders(WorkerExchange exchange) {
-      List<Header> headers = new ArrayList<>(exchange.request().headers());
-      headers.add(new Header("Host", exchange.request().host()));
-      headers.add(new Header("X-Id", exchange.request().id()));
-      return headers;
-    }
+  /**
+   * A format in the style of the real ones: an id echoed, a mark for "not run", a stamp on what is
+   * good.
+   */
+  private static final WorkerFormat FORMAT =
+      new WorkerFormat() {
+        @Override
+        public List<Header> requestHeaders(WorkerExchange exchange) {
+          List<Header> headers = new ArrayList<>(exchange.request().headers());
+          headers.add(new Header("Host", exchange.request().host()));
+          headers.add(new Header("X-Id", exchange.request().id()));
+          return headers;
+        }
 
-    @Override public boolean belongs(WorkerExchange exchange, UnaryOperator<String> headers) {
-      return exchange.request().id().equals(headers.apply("x-id"));
-    }
+        @Override
+        public boolean belongs(WorkerExchange exchange, UnaryOperator<String> headers) {
+          return exchange.request().id().equals(headers.apply("x-id"));
+        }
 
-    @Override public boolean saysNotRun(int status, UnaryOperator<String> headers) {
-      return headers.apply("X-Not-Run") != null;
-    }
+        @Override
+        public boolean saysNotRun(int status, UnaryOperator<String> headers) {
+          return headers.apply("X-Not-Run") != null;
+        }
 
-    @Override public boolean isWhole(int status, UnaryOperator<String> headers) {
-      return headers.apply("X-Stamp") != null;
-    }
+        @Override
+        public boolean isWhole(int status, UnaryOperator<String> headers) {
+          return headers.apply("X-Stamp") != null;
+        }
 
-    @Override public WorkerLoad load(UnaryOperator<String> headers) {
-      String load = headers.apply("X-Load");
-      return load == null ? null : new WorkerLoad(Integer.parseInt(load), 0, 8, false);
-    }
-  };
+        @Override
+        public WorkerLoad load(UnaryOperator<String> headers) {
+          String load = headers.apply("X-Load");
+          return load == null ? null : new WorkerLoad(Integer.parseInt(load), 0, 8, false);
+        }
+      };
 
   /** What an exchange told, in order; waits for the next line. */
   private static final class Heard implements ExchangeListener {
     final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
 
-    @Override public void head(Head head) {
+    @Override
+    public void head(Head head) {
       lines.add("head " + head.status() + " " + head.headers().stream().map(Header::name).toList());
     }
 
-    @Override public void piece(Piece piece) {
+    @Override
+    public void piece(Piece piece) {
       lines.add("piece " + piece.eventId() + "|" + new String(piece.bytes(), ISO_8859_1));
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
       lines.add("end");
     }
 
-    @Override public void load(WorkerLoad load) {
+    @Override
+    public void load(WorkerLoad load) {
       lines.add("load " + load.running());
     }
 
-    @Override public void fault(Fault fault, boolean mayHaveRun) {
+    @Override
+    public void fault(Fault fault, boolean mayHaveRun) {
       lines.add(fault.type() + " " + mayHaveRun);
     }
 
@@ -90,7 +104,8 @@
       List<String> all = new ArrayList<>();
       do {
         all.add(next());
-      } while (all.get(all.size() - 1) != null && all.get(all.size() - 1).matches("(?s)(head|piece|load).*"));
+      } while (all.get(all.size() - 1) != null
+          && all.get(all.size() - 1).matches("(?s)(head|piece|load).*"));
       return all;
     }
   }
@@ -100,7 +115,8 @@
   private ServerSocket worker;
   private Thread loop;
 
-  @BeforeEach void start() throws IOException {
+  @BeforeEach
+  void start() throws IOException {
     worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     worker.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
     eventloop.keepAlive(true);
@@ -108,15 +124,27 @@
     loop.start();
   }
 
-  @AfterEach void stop() throws IOException {
+  @AfterEach
+  void stop() throws IOException {
     eventloop.keepAlive(false);
     eventloop.execute(eventloop::breakEventloop);
     worker.close();
   }
 
   private static OpaqueRequest request(String id) {
-    return new OpaqueRequest(id, "POST", "/a/b?c=%20d", "client.example", List.of(new Header("X-Own", "1")),
-        "body".getBytes(ISO_8859_1), 1_000, "", 0, 0, List.of(), "");
+    return new OpaqueRequest(
+        id,
+        "POST",
+        "/a/b?c=%20d",
+        "client.example",
+        List.of(new Header("X-Own", "1")),
+        "body".getBytes(ISO_8859_1),
+        1_000,
+        "",
+        0,
+        0,
+        List.of(),
+        "");
   }
 
   private Heard send(OpaqueRequest request) {
@@ -126,7 +154,8 @@
   }
 
   private ExchangeClient.Exchange begin(OpaqueRequest request, Heard heard) {
-    var call = new WorkerExchange("127.0.0.1:" + worker.getLocalPort(), "w1", request, 0, 1_000, "");
+    var call =
+        new WorkerExchange("127.0.0.1:" + worker.getLocalPort(), "w1", request, 0, 1_000, "");
     ExchangeClient.Exchange exchange = client.prepare(call, heard);
     eventloop.execute(exchange::start);
     return exchange;
@@ -162,7 +191,8 @@
   }
 
   private static String plain(String id, String body) {
-    return response(id, "Content-Length: " + body.length() + "\r\nKeep-Alive: timeout=30\r\n", body);
+    return response(
+        id, "Content-Length: " + body.length() + "\r\nKeep-Alive: timeout=30\r\n", body);
   }
 
   private static String chunk(String text) {
@@ -170,7 +200,10 @@
   }
 
   private static String events(String id, String... chunks) {
-    return response(id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", String.join("", chunks));
+    return response(
+        id,
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
+        String.join("", chunks));
   }
 
   private List<String> answered(String response) throws Exception {
@@ -182,18 +215,26 @@
     return heard.toTheEnd();
   }
 
-  @Test void sendsTheRequestAsItIsAndHandsTheWholeResponseBack() throws Exception {
+  @Test
+  void sendsTheRequestAsItIsAndHandsTheWholeResponseBack() throws Exception {
     Heard heard = send(request("1"));
     try (Socket socket = accept()) {
-      assertThat(read(socket)).isEqualTo("POST /a/b?c=%20d HTTP/1.1\r\nX-Own: 1\r\nHost: client.example\r\nX-Id: 1\r\n"
-          + "Content-Length: 4\r\n\r\nbody");
-      write(socket, response("1", "X-Load: 3\r\nContent-Length: 5\r\nConnection: X-Hop\r\nX-Hop: 1\r\n", "whole"));
-      assertThat(heard.toTheEnd()).containsExactly("load 3", "head 200 [X-Id, X-Stamp, X-Load]", "piece |whole", "end")
+      assertThat(read(socket))
+          .isEqualTo(
+              "POST /a/b?c=%20d HTTP/1.1\r\nX-Own: 1\r\nHost: client.example\r\nX-Id: 1\r\n"
+                  + "Content-Length: 4\r\n\r\nbody");
+      write(
+          socket,
+          response(
+              "1", "X-Load: 3\r\nContent-Length: 5\r\nConnection: X-Hop\r\nX-Hop: 1\r\n", "whole"));
+      assertThat(heard.toTheEnd())
+          .containsExactly("load 3", "head 200 [X-Id, X-Stamp, X-Load]", "piece |whole", "end")
           .inOrder();
     }
   }
 
-  @Test void keepsTheConnectionForTheNextRequest() throws Exception {
+  @Test
+  void keepsTheConnectionForTheNextRequest() throws Exception {
     Heard first = send(request("1"));
     try (Socket socket = accept()) {
       read(socket);
@@ -222,16 +263,20 @@
     }
   }
 
-  @Test void leavesAConnectionThatSaysClose() throws Exception {
-    assertANewConnectionIsMadeAfter(response("1", "Content-Length: 1\r\nConnection: close\r\n", "a"));
+  @Test
+  void leavesAConnectionThatSaysClose() throws Exception {
+    assertANewConnectionIsMadeAfter(
+        response("1", "Content-Length: 1\r\nConnection: close\r\n", "a"));
   }
 
-  @Test void leavesAConnectionWithBytesBehindAWholeResponse() throws Exception {
+  @Test
+  void leavesAConnectionWithBytesBehindAWholeResponse() throws Exception {
     assertANewConnectionIsMadeAfter(plain("1", "a") + plain("late", "b"));
     assertANewConnectionIsMadeAfter(plain("1", "a") + "junk");
   }
 
-  @Test void leavesAConnectionOnWhichBytesComeWhileItIsIdle() throws Exception {
+  @Test
+  void leavesAConnectionOnWhichBytesComeWhileItIsIdle() throws Exception {
     Heard first = send(request("1"));
     try (Socket socket = accept()) {
       read(socket);
@@ -242,7 +287,8 @@
     }
   }
 
-  @Test void skipsALateResponseInThePlaceOfItsOwn() throws Exception {
+  @Test
+  void skipsALateResponseInThePlaceOfItsOwn() throws Exception {
     for (boolean atOnce : new boolean[] {true, false}) {
       Heard first = send(request("1"));
       try (Socket socket = accept()) {
@@ -257,13 +303,16 @@
           write(socket, plain("1", "late"));
           write(socket, plain("2", "b"));
         }
-        assertThat(second.toTheEnd()).containsExactly("head 200 [X-Id, X-Stamp]", "piece |b", "end").inOrder();
+        assertThat(second.toTheEnd())
+            .containsExactly("head 200 [X-Id, X-Stamp]", "piece |b", "end")
+            .inOrder();
         assertThat(socket.getInputStream().read()).isEqualTo(-1);
       }
     }
   }
 
-  @Test void skipsOneLateResponseAndNoMore() throws Exception {
+  @Test
+  void skipsOneLateResponseAndNoMore() throws Exception {
     Heard first = send(request("1"));
     try (Socket socket = accept()) {
       read(socket);
@@ -276,7 +325,8 @@
     }
   }
 
-  @Test void noticesThatTheWorkerClosedAnIdleConnection() throws Exception {
+  @Test
+  void noticesThatTheWorkerClosedAnIdleConnection() throws Exception {
     Heard first = send(request("1"));
     Socket socket = accept();
     read(socket);
@@ -291,21 +341,26 @@
     }
   }
 
-  @Test void closesAnIdleConnectionWhoseTimeTheWorkerDidNotTell() throws Exception {
+  @Test
+  void closesAnIdleConnectionWhoseTimeTheWorkerDidNotTell() throws Exception {
     assertANewConnectionIsMadeAfter(response("1", "Content-Length: 1\r\n", "a"));
   }
 
-  @Test void saysThatNothingWasSentWhenTheConnectionIsRefused() throws Exception {
+  @Test
+  void saysThatNothingWasSentWhenTheConnectionIsRefused() throws Exception {
     worker.close();
     assertThat(send(request("1")).toTheEnd()).containsExactly("WorkerUnreachable false");
   }
 
-  @Test void takesAWorkersWordThatItHasNotRunAndKeepsTheConnection() throws Exception {
+  @Test
+  void takesAWorkersWordThatItHasNotRunAndKeepsTheConnection() throws Exception {
     Heard first = send(request("1"));
     try (Socket socket = accept()) {
       read(socket);
-      write(socket, "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX-Load: 9\r\nKeep-Alive: timeout=30\r\n"
-          + "Content-Length: 4\r\n\r\nfull");
+      write(
+          socket,
+          "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nX-Load: 9\r\nKeep-Alive: timeout=30\r\n"
+              + "Content-Length: 4\r\n\r\nfull");
       assertThat(first.toTheEnd()).containsExactly("load 9", "WorkerRefused false").inOrder();
       Heard second = send(request("2"));
       assertThat(read(socket)).contains("X-Id: 2");
@@ -314,50 +369,76 @@
     }
   }
 
-  @Test void passesAFailureOfTheWorkersOwnOn() throws Exception {
+  @Test
+  void passesAFailureOfTheWorkersOwnOn() throws Exception {
     assertThat(answered("HTTP/1.1 500 Sorry\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nno"))
-        .containsExactly("head 500 [X-Id]", "piece |no", "end").inOrder();
+        .containsExactly("head 500 [X-Id]", "piece |no", "end")
+        .inOrder();
   }
 
-  @Test void doesNotTakeAnotherRequestsResponse() throws Exception {
+  @Test
+  void doesNotTakeAnotherRequestsResponse() throws Exception {
     assertThat(answered(plain("0", "a"))).containsExactly("WorkerGarbage true");
   }
 
-  @Test void doesNotTakeASuccessWithoutItsStamp() throws Exception {
-    assertThat(answered("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\na")).containsExactly("WorkerGarbage true");
+  @Test
+  void doesNotTakeASuccessWithoutItsStamp() throws Exception {
+    assertThat(answered("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 1\r\n\r\na"))
+        .containsExactly("WorkerGarbage true");
   }
 
-  @Test void tellsBytesThatAreNoResponse() throws Exception {
+  @Test
+  void tellsBytesThatAreNoResponse() throws Exception {
     assertThat(answered("\u0000\u0001\u0002 junk")).containsExactly("WorkerGarbage true");
     assertThat(answered("HTTP/1.1 2x0 OK\r\n\r\n")).containsExactly("WorkerGarbage true");
-    assertThat(answered(response("1", "Content-Length: -1\r\n", ""))).containsExactly("WorkerGarbage true");
+    assertThat(answered(response("1", "Content-Length: -1\r\n", "")))
+        .containsExactly("WorkerGarbage true");
     assertThat(answered(response("1", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "")))
         .containsExactly("WorkerGarbage true");
-    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", "zz\r\n"))).contains("WorkerGarbage true");
+    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", "zz\r\n")))
+        .contains("WorkerGarbage true");
   }
 
-  @Test void doesNotTakeABodyWhoseLengthIsNotTold() throws Exception {
+  @Test
+  void doesNotTakeABodyWhoseLengthIsNotTold() throws Exception {
     assertThat(answered(response("1", "", "who knows"))).containsExactly("WorkerGarbage true");
   }
 
-  @Test void tellsACutBeforeTheHeadWithinABodyAndWithinChunks() throws Exception {
+  @Test
+  void tellsACutBeforeTheHeadWithinABodyAndWithinChunks() throws Exception {
     assertThat(answered("")).containsExactly("WorkerCut true");
     assertThat(answered("HTTP/1.1 200 OK\r\nX-Id")).containsExactly("WorkerCut true");
-    assertThat(answered(response("1", "Content-Length: 9\r\n", "half"))).containsExactly("head 200 [X-Id, X-Stamp]",
-        "piece |half", "WorkerCut true").inOrder();
-    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", chunk("half")))).containsExactly(
-        "head 200 [X-Id, X-Stamp]", "piece |half", "WorkerCut true").inOrder();
-    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", chunk("half") + "0\r\n"))).containsExactly(
-        "head 200 [X-Id, X-Stamp]", "piece |half", "WorkerCut true").inOrder();
-  }
-
-  @Test void splitsEventsAndLeavesTheirBytesAsTheyAre() throws Exception {
-    assertThat(answered(events("1", chunk("id: 1\ndata: a\n\nid: 2\r\nda"), chunk("ta: b\r\n\r\n: no id\n\n"), "0\r\n\r\n")))
-        .containsExactly("head 200 [X-Id, X-Stamp, Content-Type]", "piece 1|id: 1\ndata: a\n\n",
-            "piece 2|id: 2\r\ndata: b\r\n\r\n", "piece |: no id\n\n", "end").inOrder();
-  }
-
-  @Test void handsEachEventOnAsItComes() throws Exception {
+    assertThat(answered(response("1", "Content-Length: 9\r\n", "half")))
+        .containsExactly("head 200 [X-Id, X-Stamp]", "piece |half", "WorkerCut true")
+        .inOrder();
+    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", chunk("half"))))
+        .containsExactly("head 200 [X-Id, X-Stamp]", "piece |half", "WorkerCut true")
+        .inOrder();
+    assertThat(answered(response("1", "Transfer-Encoding: chunked\r\n", chunk("half") + "0\r\n")))
+        .containsExactly("head 200 [X-Id, X-Stamp]", "piece |half", "WorkerCut true")
+        .inOrder();
+  }
+
+  @Test
+  void splitsEventsAndLeavesTheirBytesAsTheyAre() throws Exception {
+    assertThat(
+            answered(
+                events(
+                    "1",
+                    chunk("id: 1\ndata: a\n\nid: 2\r\nda"),
+                    chunk("ta: b\r\n\r\n: no id\n\n"),
+                    "0\r\n\r\n")))
+        .containsExactly(
+            "head 200 [X-Id, X-Stamp, Content-Type]",
+            "piece 1|id: 1\ndata: a\n\n",
+            "piece 2|id: 2\r\ndata: b\r\n\r\n",
+            "piece |: no id\n\n",
+            "end")
+        .inOrder();
+  }
+
+  @Test
+  void handsEachEventOnAsItComes() throws Exception {
     Heard heard = send(request("1"));
     try (Socket socket = accept()) {
       read(socket);
@@ -372,12 +453,16 @@
     }
   }
 
-  @Test void takesABodyThatEndsWithinAnEventForNoWholeOne() throws Exception {
-    assertThat(answered(events("1", chunk("id: 1\n\nid: 2\nda"), "0\r\n\r\n"))).containsExactly(
-        "head 200 [X-Id, X-Stamp, Content-Type]", "piece 1|id: 1\n\n", "WorkerGarbage true").inOrder();
+  @Test
+  void takesABodyThatEndsWithinAnEventForNoWholeOne() throws Exception {
+    assertThat(answered(events("1", chunk("id: 1\n\nid: 2\nda"), "0\r\n\r\n")))
+        .containsExactly(
+            "head 200 [X-Id, X-Stamp, Content-Type]", "piece 1|id: 1\n\n", "WorkerGarbage true")
+        .inOrder();
   }
 
-  @Test void cancelClosesTheConnection() throws Exception {
+  @Test
+  void cancelClosesTheConnection() throws Exception {
     Heard heard = new Heard();
     ExchangeClient.Exchange exchange = begin(request("1"), heard);
     try (Socket socket = accept()) {
@@ -388,12 +473,37 @@
     }
   }
 
-  @Test void sendsNothingThatCouldLookLikeTwoRequests() throws Exception {
-    OpaqueRequest smuggling = new OpaqueRequest("1", "POST", "/a HTTP/1.1\r\nX: y", "client.example", List.of(), new byte[0],
-        1_000, "", 0, 0, List.of(), "");
+  @Test
+  void sendsNothingThatCouldLookLikeTwoRequests() throws Exception {
+    OpaqueRequest smuggling =
+        new OpaqueRequest(
+            "1",
+            "POST",
+            "/a HTTP/1.1\r\nX: y",
+            "client.example",
+            List.of(),
+            new byte[0],
+            1_000,
+            "",
+            0,
+            0,
+            List.of(),
+            "");
     assertThat(send(smuggling).toTheEnd()).containsExactly("InvalidInput false");
-    OpaqueRequest inHeader = new OpaqueRequest("1", "POST", "/a", "client.example", List.of(new Header("X", "y\nZ: 1")),
-        new byte[0], 1_000, "", 0, 0, List.of(), "");
+    OpaqueRequest inHeader =
+        new OpaqueRequest(
+            "1",
+            "POST",
+            "/a",
+            "client.example",
+            List.of(new Header("X", "y\nZ: 1")),
+            new byte[0],
+            1_000,
+            "",
+            0,
+            0,
+            List.of(),
+            "");
     assertThat(send(inHeader).toTheEnd()).containsExactly("InvalidInput false");
   }
 }
--- a/adapters/src/test/java/applespindle/adapters/FrameDeflationTest.java
+++ b/adapters/src/test/java/applespindle/adapters/FrameDeflationTest.java
@@ -1,20 +1,21 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
 import applespindle.corelogic.Constants;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-
 final class FrameDeflationTest {
   private final FrameDeflation deflation = new FrameDeflation();
   private final byte[] frame = "{\"id\":\"a\",\"body\":\"x\"}".repeat(1_000).getBytes(UTF_8);
 
-  @Test void comesBackAsItWas() throws UnreadableFrame {
+  @Test
+  void comesBackAsItWas() throws UnreadableFrame {
     for (int round = 0; round < 3; round++) {
       byte[] deflated = deflation.deflate(frame);
       assertThat(deflated.length).isLessThan(frame.length / 4);
@@ -24,13 +25,15 @@
     }
   }
 
-  @Test void whatGetsNoShorterStaysAsItIs() {
+  @Test
+  void whatGetsNoShorterStaysAsItIs() {
     byte[] random = new byte[5_000];
     new Random(7).nextBytes(random);
     assertThat(deflation.deflate(random)).isSameInstanceAs(random);
   }
 
-  @Test void garbageIsUnreadable() {
+  @Test
+  void garbageIsUnreadable() {
     byte[] deflated = deflation.deflate(frame);
     byte[] damaged = deflated.clone();
     damaged[damaged.length / 2] ^= 0x55;
@@ -40,14 +43,19 @@
     ByteBuffer.wrap(otherLength).putInt(frame.length + 1);
     byte[] lessLength = deflated.clone();
     ByteBuffer.wrap(lessLength).putInt(frame.length - 1);
-    for (byte[] garbage : new byte[][] {damaged, longer, shorter, otherLength, lessLength, new byte[4], new byte[0]}) {
+    for (byte[] garbage :
+        new byte[][] {
+          damaged, longer, shorter, otherLength, lessLength, new byte[4], new byte[0]
+        }) {
       assertThrows(UnreadableFrame.class, () -> deflation.inflate(garbage, 0, garbage.length));
     }
   }
 
-  @Test void aLengthThatTheBytesCannotStandForTakesNoMemory() {
+  @Test
+  void aLengthThatTheBytesCannotStandForTakesNoMemory() {
     byte[] claims = new byte[100];
-    for (int length : new int[] {-1, 0, Constants.FRAME_BYTES_MOST, Constants.PEER_INFLATE_MOST * 100 + 1}) {
+    for (int length :
+        new int[] {-1, 0, Constants.FRAME_BYTES_MOST, Constants.PEER_INFLATE_MOST * 100 + 1}) {
       ByteBuffer.wrap(claims).putInt(length);
       assertThrows(UnreadableFrame.class, () -> deflation.inflate(claims, 0, claims.length));
     }
--- a/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -1,25 +1,31 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
 import applespindle.adapters.UnreadableFrame.Kind;
 import applespindle.adapters.sbe.MessageHeaderDecoder;
 import applespindle.corelogic.Envelope;
 import applespindle.corelogic.Epoch;
-import applespindle.corelogic.Message.KeysAsked;
 import applespindle.corelogic.Message.KeyPromise;
+import applespindle.corelogic.Message.KeysAsked;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-
-/** Two versions of the peer messages side by side; that every message survives its codec the simulator checks. */
+/**
+ * Two versions of the peer messages side by side; that every message survives its codec the
+ * simulator checks.
+ */
 class PeerCodecTest {
   private static final int HEAD = MessageHeaderDecoder.ENCODED_LENGTH;
   private final PeerCodec codec = new PeerCodec();
   private final Envelope envelope = new Envelope("a", "127.0.0.1:1", "b", new KeysAsked(7));
 
-  /** Where the message itself begins: behind the envelope's head, which has no fixed fields but three texts. */
+  /**
+   * Where the message itself begins: behind the envelope's head, which has no fixed fields but
+   * three texts.
+   */
   private static int bodyAt(ByteBuffer frame) {
     int at = HEAD;
     for (int text = 0; text < 3; text++) {
@@ -32,7 +38,8 @@
     return ByteBuffer.wrap(codec.encode(envelope)).order(ByteOrder.LITTLE_ENDIAN);
   }
 
-  @Test void understandsTheNextVersionWithAFieldMore() throws UnreadableFrame {
+  @Test
+  void understandsTheNextVersionWithAFieldMore() throws UnreadableFrame {
     ByteBuffer old = frame();
     int body = bodyAt(old);
     ByteBuffer newer = ByteBuffer.allocate(old.limit() + 8).order(ByteOrder.LITTLE_ENDIAN);
@@ -43,18 +50,22 @@
     assertThat(codec.decode(newer.array())).isEqualTo(envelope);
   }
 
-  @Test void refusesAVersionTwoAwayAndWhatItDoesNotKnow() {
+  @Test
+  void refusesAVersionTwoAwayAndWhatItDoesNotKnow() {
     ByteBuffer far = frame();
     far.putShort(6, (short) (PeerCodec.VERSION + 2));
-    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(far.array())).kind).isEqualTo(Kind.UNKNOWN_SCHEMA);
+    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(far.array())).kind)
+        .isEqualTo(Kind.UNKNOWN_SCHEMA);
     ByteBuffer unknown = frame();
     unknown.putShort(bodyAt(unknown) + 2, (short) 999);
     assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(unknown.array())).kind)
         .isEqualTo(Kind.UNKNOWN_MESSAGE);
-    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(new byte[] {1, 2, 3})).kind).isEqualTo(Kind.BROKEN);
+    assertThat(assertThrows(UnreadableFrame.class, () -> codec.decode(new byte[] {1, 2, 3})).kind)
+        .isEqualTo(Kind.BROKEN);
   }
 
-  @Test void keepsEpochsApart() throws UnreadableFrame {
+  @Test
+  void keepsEpochsApart() throws UnreadableFrame {
     var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true);
     Envelope sent = new Envelope("a", "127.0.0.1:1", "", promise);
     assertThat(codec.decode(codec.encode(sent))).isEqualTo(sent);
--- a/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
@@ -1,5 +1,7 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Envelope;
 import applespindle.corelogic.Message;
@@ -22,14 +24,13 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-
 class PeerTransportTest {
   private static final long GENEROUS_S = 60;
   private static final int MESSAGES = 50;
 
   /** All of it is handed over before the first connection can stand. */
-  @Test void whatIsSentWhileTheConnectionIsMadeArrivesInOrder() throws IOException, InterruptedException {
+  @Test
+  void whatIsSentWhileTheConnectionIsMadeArrivesInOrder() throws IOException, InterruptedException {
     String address;
     try (ServerSocket free = new ServerSocket(0)) {
       address = "127.0.0.1:" + free.getLocalPort();
@@ -37,9 +38,10 @@
     BlockingQueue<Long> heard = new LinkedBlockingQueue<>();
     Eventloop loop = Eventloop.create();
     loop.keepAlive(true);
-    PeerTransport receiver = new PeerTransport(loop,
-        envelope -> heard.add(((KeysAsked) envelope.message()).sentAt()), sentence -> { });
-    PeerTransport sender = new PeerTransport(loop, envelope -> { }, sentence -> { });
+    PeerTransport receiver =
+        new PeerTransport(
+            loop, envelope -> heard.add(((KeysAsked) envelope.message()).sentAt()), sentence -> {});
+    PeerTransport sender = new PeerTransport(loop, envelope -> {}, sentence -> {});
     receiver.listen(address);
     for (long number = 0; number < MESSAGES; number++) {
       sender.send(address, new Envelope("a", "127.0.0.1:1", "", new KeysAsked(number)));
@@ -50,13 +52,19 @@
     for (int index = 0; index < MESSAGES; index++) {
       arrived.add(heard.poll(GENEROUS_S, TimeUnit.SECONDS));
     }
-    assertThat(arrived).containsExactlyElementsIn(LongStream.range(0, MESSAGES).boxed().toList()).inOrder();
+    assertThat(arrived)
+        .containsExactlyElementsIn(LongStream.range(0, MESSAGES).boxed().toList())
+        .inOrder();
     loop.execute(loop::breakEventloop);
     thread.join();
   }
 
-  /** Around the size from which frames are deflated, with bytes that get shorter by it and bytes that don't. */
-  @Test void framesArriveWhole() throws IOException, InterruptedException {
+  /**
+   * Around the size from which frames are deflated, with bytes that get shorter by it and bytes
+   * that don't.
+   */
+  @Test
+  void framesArriveWhole() throws IOException, InterruptedException {
     String address;
     try (ServerSocket free = new ServerSocket(0)) {
       address = "127.0.0.1:" + free.getLocalPort();
@@ -64,14 +72,18 @@
     BlockingQueue<byte[]> heard = new LinkedBlockingQueue<>();
     Eventloop loop = Eventloop.create();
     loop.keepAlive(true);
-    PeerTransport receiver = new PeerTransport(loop,
-        envelope -> heard.add(((CorePing) envelope.message()).body()), sentence -> { });
-    PeerTransport sender = new PeerTransport(loop, envelope -> { }, sentence -> { });
+    PeerTransport receiver =
+        new PeerTransport(
+            loop, envelope -> heard.add(((CorePing) envelope.message()).body()), sentence -> {});
+    PeerTransport sender = new PeerTransport(loop, envelope -> {}, sentence -> {});
     receiver.listen(address);
     Thread thread = new Thread(loop, "peer");
     thread.start();
     Random random = new Random(7);
-    for (int size : new int[] {1, Constants.PEER_DEFLATE_BYTES - 1, Constants.PEER_DEFLATE_BYTES, 20_000, 3_000_000}) {
+    for (int size :
+        new int[] {
+          1, Constants.PEER_DEFLATE_BYTES - 1, Constants.PEER_DEFLATE_BYTES, 20_000, 3_000_000
+        }) {
       byte[] varied = new byte[size];
       random.nextBytes(varied);
       for (byte[] body : List.of(new byte[size], varied)) {
@@ -90,7 +102,7 @@
   private static final class Side implements AutoCloseable {
     final AtomicLong now = new AtomicLong(1_000);
     final Eventloop loop = Eventloop.builder().withTimeProvider(now::get).build();
-    final PeerTransport transport = new PeerTransport(loop, envelope -> { }, sentence -> { });
+    final PeerTransport transport = new PeerTransport(loop, envelope -> {}, sentence -> {});
     final Thread thread = new Thread(loop, "peer");
     final ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     final String address = "127.0.0.1:" + other.getLocalPort();
@@ -115,7 +127,8 @@
       return accepted;
     }
 
-    @Override public void close() throws IOException {
+    @Override
+    public void close() throws IOException {
       loop.execute(loop::breakEventloop);
       other.close();
     }
@@ -128,7 +141,8 @@
     return frame;
   }
 
-  @Test void asksASilentPeerForASignOfLifeAndConnectsAnewWithoutOne() throws IOException {
+  @Test
+  void asksASilentPeerForASignOfLifeAndConnectsAnewWithoutOne() throws IOException {
     try (Side side = new Side()) {
       side.start();
       side.send(new KeysAsked(1));
@@ -146,7 +160,8 @@
     }
   }
 
-  @Test void keepsTheConnectionToAPeerThatGivesASignOfLife() throws IOException {
+  @Test
+  void keepsTheConnectionToAPeerThatGivesASignOfLife() throws IOException {
     try (Side side = new Side()) {
       side.start();
       side.send(new KeysAsked(1));
@@ -171,11 +186,12 @@
   /** The loop has read what lay in its sockets once it has gone round twice more. */
   private static void awaitHeard(Side side) {
     for (int round = 0; round < 20; round++) {
-      side.loop.submit(() -> { }).join();
+      side.loop.submit(() -> {}).join();
     }
   }
 
-  @Test void givesASignOfLifeWhenAsked() throws IOException {
+  @Test
+  void givesASignOfLifeWhenAsked() throws IOException {
     try (Side side = new Side()) {
       String address;
       try (ServerSocket free = new ServerSocket(0)) {
@@ -183,7 +199,9 @@
       }
       side.transport.listen(address);
       side.start();
-      try (Socket asker = new Socket(InetAddress.getLoopbackAddress(), PeerTransport.socketAddress(address).getPort())) {
+      try (Socket asker =
+          new Socket(
+              InetAddress.getLoopbackAddress(), PeerTransport.socketAddress(address).getPort())) {
         asker.setSoTimeout((int) GENEROUS_S * 1_000);
         asker.getOutputStream().write(new byte[4]);
         assertThat(new DataInputStream(asker.getInputStream()).readInt()).isEqualTo(0);
@@ -191,9 +209,14 @@
     }
   }
 
-  /** Nothing reads the large frame, which is far larger than the buffers between; small ones pass it. */
-  @Test void aLargeFrameAndAPeerThatDoesNotReadHoldNothingElseUp() throws IOException {
-    try (Side side = new Side(); Side elsewhere = new Side()) {
+  /**
+   * Nothing reads the large frame, which is far larger than the buffers between; small ones pass
+   * it.
+   */
+  @Test
+  void aLargeFrameAndAPeerThatDoesNotReadHoldNothingElseUp() throws IOException {
+    try (Side side = new Side();
+        Side elsewhere = new Side()) {
       side.start();
       byte[] noShorterDeflated = new byte[32 << 20];
       new Random(7).nextBytes(noShorterDeflated);
@@ -202,7 +225,8 @@
       side.send(new KeysAsked(7));
       Socket small = side.accept();
       assertThat(frame(small).length).isLessThan(Constants.PEER_LARGE_BYTES);
-      side.transport.send(elsewhere.address, new Envelope("a", "127.0.0.1:1", "", new KeysAsked(8)));
+      side.transport.send(
+          elsewhere.address, new Envelope("a", "127.0.0.1:1", "", new KeysAsked(8)));
       try (Socket other = elsewhere.accept()) {
         assertThat(frame(other)).isNotEmpty();
       }
--- a/adapters/src/test/java/applespindle/adapters/StartupTest.java
+++ b/adapters/src/test/java/applespindle/adapters/StartupTest.java
@@ -1,28 +1,71 @@
 package applespindle.adapters;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.corelogic.Fault;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-
 class StartupTest {
-  private static final String[] GOOD = {"--name", "core-1", "--zone", "a", "--http", "127.0.0.1:7106", "--peer",
-      "127.0.0.1:7103", "--data", "folder", "--seeds", "127.0.0.1:7103", "127.0.0.1:7104"};
+  private static final String[] GOOD = {
+    "--name",
+    "core-1",
+    "--zone",
+    "a",
+    "--http",
+    "127.0.0.1:7106",
+    "--peer",
+    "127.0.0.1:7103",
+    "--data",
+    "folder",
+    "--seeds",
+    "127.0.0.1:7103",
+    "127.0.0.1:7104"
+  };
 
-  @Test void takesFlags() {
+  @Test
+  void takesFlags() {
     Startup.Read read = Startup.read("control-plane", "core", GOOD);
     assertThat(read.faults()).isEmpty();
-    assertThat(read.startup().coreFounders()).containsExactly("127.0.0.1:7103", "127.0.0.1:7104").inOrder();
+    assertThat(read.startup().coreFounders())
+        .containsExactly("127.0.0.1:7103", "127.0.0.1:7104")
+        .inOrder();
   }
 
-  @Test void namesEveryFaultWithItsField() {
-    String[] flags = {"--name", " ", "--http", "localhost:1", "--peer", "127.0.0.1:7103", "--seeds", "x",
-        "--role", "storage"};
+  @Test
+  void namesEveryFaultWithItsField() {
+    String[] flags = {
+      "--name",
+      " ",
+      "--http",
+      "localhost:1",
+      "--peer",
+      "127.0.0.1:7103",
+      "--seeds",
+      "x",
+      "--role",
+      "storage"
+    };
     Startup.Read read = Startup.read("data-plane", null, flags);
     assertThat(read.faults().stream().map(Fault.Field::path))
         .containsExactly("$.http", "$.name", "$.seeds[0].<list element>", "$.zone");
-    Startup.Read noData = Startup.read("data-plane", null, new String[] {"--name", "s", "--zone", "a", "--http",
-        "127.0.0.1:1", "--peer", "127.0.0.1:2", "--seeds", "127.0.0.1:3", "--role", "storage"});
+    Startup.Read noData =
+        Startup.read(
+            "data-plane",
+            null,
+            new String[] {
+              "--name",
+              "s",
+              "--zone",
+              "a",
+              "--http",
+              "127.0.0.1:1",
+              "--peer",
+              "127.0.0.1:2",
+              "--seeds",
+              "127.0.0.1:3",
+              "--role",
+              "storage"
+            });
     assertThat(noData.faults().stream().map(Fault.Field::path)).containsExactly("$.data");
   }
 }
--- a/adapters/src/test/java/applespindle/adapters/VolatileFolder.java
+++ b/adapters/src/test/java/applespindle/adapters/VolatileFolder.java
@@ -12,9 +12,9 @@
 import java.util.TreeMap;
 
 /**
- * A folder on a disk that loses power: a file keeps what its last force covered, each later write is there, missing or
- * torn, or all of them are gone; a new file lasts once it was forced itself, renames and removals once the folder was
- * synced, and before that each may have lasted or not.
+ * A folder on a disk that loses power: a file keeps what its last force covered, each later write
+ * is there, missing or torn, or all of them are gone; a new file lasts once it was forced itself,
+ * renames and removals once the folder was synced, and before that each may have lasted or not.
  */
 final class VolatileFolder implements DiskFolder {
   private record Write(long at, byte[] bytes) {}
@@ -35,11 +35,15 @@
 
   private final Random random;
   private Map<String, Content> files = new TreeMap<>();
+
   /** The names as they stood at the last sync; files forced since are added to it. */
   private Map<String, Content> lasting = new TreeMap<>();
+
   int asides;
+
   /** Writes still refused. */
   int refusals;
+
   /** Steps until power is lost, in the midst of whatever is done; negative: never. */
   int stepsLeft = -1;
 
@@ -79,7 +83,9 @@
         if (kept == 2) {
           content.apply(write);
         } else if (kept == 1) {
-          content.apply(new Write(write.at, Arrays.copyOf(write.bytes, random.nextInt(write.bytes.length + 1))));
+          content.apply(
+              new Write(
+                  write.at, Arrays.copyOf(write.bytes, random.nextInt(write.bytes.length + 1))));
         }
       }
       content.forced = content.bytes.clone();
@@ -88,19 +94,23 @@
     lasting = new TreeMap<>(left);
   }
 
-  @Override public List<String> names() {
+  @Override
+  public List<String> names() {
     return List.copyOf(files.keySet());
   }
 
-  @Override public long size(String name) {
+  @Override
+  public long size(String name) {
     return files.get(name).bytes.length;
   }
 
-  @Override public InputStream read(String name) {
+  @Override
+  public InputStream read(String name) {
     return new ByteArrayInputStream(files.get(name).bytes);
   }
 
-  @Override public DiskFile create(String name) throws IOException {
+  @Override
+  public DiskFile create(String name) throws IOException {
     step();
     if (files.containsKey(name)) {
       throw new IOException("is there: " + name);
@@ -109,10 +119,12 @@
     return open(name);
   }
 
-  @Override public DiskFile open(String name) {
+  @Override
+  public DiskFile open(String name) {
     Content content = files.get(name);
     return new DiskFile() {
-      @Override public void write(ByteBuffer bytes, long at) throws IOException {
+      @Override
+      public void write(ByteBuffer bytes, long at) throws IOException {
         byte[] taken = new byte[bytes.remaining()];
         bytes.get(taken);
         if (refusals > 0) {
@@ -128,12 +140,14 @@
         step();
       }
 
-      @Override public void truncate(long size) {
+      @Override
+      public void truncate(long size) {
         content.bytes = Arrays.copyOf(content.bytes, (int) size);
         step();
       }
 
-      @Override public void force() {
+      @Override
+      public void force() {
         step();
         content.forced = content.bytes.clone();
         content.later.clear();
@@ -143,35 +157,41 @@
         step();
       }
 
-      @Override public void close() {}
+      @Override
+      public void close() {}
     };
   }
 
-  @Override public void rename(String from, String to) {
+  @Override
+  public void rename(String from, String to) {
     step();
     files.put(to, files.remove(from));
     step();
   }
 
-  @Override public void delete(String name) {
+  @Override
+  public void delete(String name) {
     step();
     files.remove(name);
     step();
   }
 
-  @Override public void sync() {
+  @Override
+  public void sync() {
     step();
     lasting = new TreeMap<>(files);
     step();
   }
 
-  @Override public void setAside() {
+  @Override
+  public void setAside() {
     asides++;
     files.clear();
     sync();
   }
 
-  @Override public long bytesLeft() {
+  @Override
+  public long bytesLeft() {
     return Long.MAX_VALUE;
   }
 }
--- a/control-plane/src/main/java/applespindle/controlplane/ControlPlane.java
+++ b/control-plane/src/main/java/applespindle/controlplane/ControlPlane.java
@@ -8,8 +8,14 @@
 /** The control plane's program: one process in each zone. */
 public final class ControlPlane {
   public static void main(String[] arguments) {
-    Program.run("control-plane", "core", arguments, startup -> (surroundings, place) ->
-        new CoreNode(surroundings, place, startup.keys(), startup.coreFounders()), ControlPlane::open);
+    Program.run(
+        "control-plane",
+        "core",
+        arguments,
+        startup ->
+            (surroundings, place) ->
+                new CoreNode(surroundings, place, startup.keys(), startup.coreFounders()),
+        ControlPlane::open);
   }
 
   private static void open(NodeProcess process) {
--- a/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
+++ b/control-plane/src/main/java/applespindle/controlplane/CoreInterface.java
@@ -1,5 +1,7 @@
 package applespindle.controlplane;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.HttpInterface.Call;
 import applespindle.corelogic.CoreNode;
@@ -22,8 +24,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-
 /** What operators and the platform see of a core process; any of them will do. */
 final class CoreInterface {
   /** version: the one the list was made from; left out, the list is taken whatever it is. */
@@ -37,18 +37,42 @@
 
   void addTo(HttpInterface http) {
     http.post("/v1/bundles", call -> sendBundle(http, call));
-    http.get("/v1/bundles/current", call -> http.ask(then -> core.command("read", "bundle", new byte[] {'{', '}'},
-        response -> then.accept(readBundle(response)))));
-    http.get("/v1/storage", call -> http.ask(then -> then.accept(Response.of(200, core.storageNodes()))));
-    http.get("/v1/storage/{id}/plan", call -> http.ask(then ->
-        then.accept(Response.of(200, core.planEmptying(core.storageId(call.parts().get("id")))))));
-    http.post("/v1/storage/{id}/empty", call -> http.ask(then -> storage(call, StorageState.EMPTYING, then)));
-    http.post("/v1/storage/{id}/retire", call -> http.ask(then -> storage(call, StorageState.RETIRED, then)));
-    http.get("/v1/workers", call -> http.ask(then -> then.accept(Response.of(200, core.workers()))));
+    http.get(
+        "/v1/bundles/current",
+        call ->
+            http.ask(
+                then ->
+                    core.command(
+                        "read",
+                        "bundle",
+                        new byte[] {'{', '}'},
+                        response -> then.accept(readBundle(response)))));
+    http.get(
+        "/v1/storage",
+        call -> http.ask(then -> then.accept(Response.of(200, core.storageNodes()))));
+    http.get(
+        "/v1/storage/{id}/plan",
+        call ->
+            http.ask(
+                then ->
+                    then.accept(
+                        Response.of(
+                            200, core.planEmptying(core.storageId(call.parts().get("id")))))));
+    http.post(
+        "/v1/storage/{id}/empty",
+        call -> http.ask(then -> storage(call, StorageState.EMPTYING, then)));
+    http.post(
+        "/v1/storage/{id}/retire",
+        call -> http.ask(then -> storage(call, StorageState.RETIRED, then)));
+    http.get(
+        "/v1/workers", call -> http.ask(then -> then.accept(Response.of(200, core.workers()))));
     http.put("/v1/workers", call -> putAll(http, call));
     http.put("/v1/workers/{id}", call -> putWorker(http, call));
-    http.post("/v1/workers/{id}/leaving", call -> http.ask(then -> mark(call.parts().get("id"), true, then)));
-    http.delete("/v1/workers/{id}", call -> http.ask(then -> mark(call.parts().get("id"), false, then)));
+    http.post(
+        "/v1/workers/{id}/leaving",
+        call -> http.ask(then -> mark(call.parts().get("id"), true, then)));
+    http.delete(
+        "/v1/workers/{id}", call -> http.ask(then -> mark(call.parts().get("id"), false, then)));
   }
 
   private Promise<HttpResponse> sendBundle(HttpInterface http, Call call) {
@@ -70,9 +94,12 @@
       return Response.of(new Fault.NoBundle());
     }
     SignedBundle inForce = JSON.convertValue(response.body(), SignedBundle.class);
-    ObjectNode body = JSON.createObjectNode().put("number", inForce.number()).put("keyId", inForce.keyId())
-        .put("signature", Base64.getEncoder().encodeToString(inForce.signature()))
-        .put("bytes", Base64.getEncoder().encodeToString(inForce.bytes()));
+    ObjectNode body =
+        JSON.createObjectNode()
+            .put("number", inForce.number())
+            .put("keyId", inForce.keyId())
+            .put("signature", Base64.getEncoder().encodeToString(inForce.signature()))
+            .put("bytes", Base64.getEncoder().encodeToString(inForce.bytes()));
     body.set("bundle", applespindle.corelogic.Json.tree(inForce.bytes()));
     return Response.of(200, body);
   }
@@ -82,7 +109,8 @@
     try {
       tree = JSON.readTree(call.body());
     } catch (java.io.IOException fault) {
-      return HttpInterface.refuse(new Fault.InvalidInput(List.of(new Fault.Field("$", "not well-formed JSON"))));
+      return HttpInterface.refuse(
+          new Fault.InvalidInput(List.of(new Fault.Field("$", "not well-formed JSON"))));
     }
     if (tree instanceof ObjectNode object && !object.has("id")) {
       object.put("id", call.parts().get("id"));
@@ -92,14 +120,16 @@
       return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
     }
     if (!input.value().id().equals(call.parts().get("id"))) {
-      return HttpInterface.refuse(new Fault.InvalidInput(List.of(new Fault.Field("$.id", "differs from the path"))));
+      return HttpInterface.refuse(
+          new Fault.InvalidInput(List.of(new Fault.Field("$.id", "differs from the path"))));
     }
     return http.ask(then -> put(input.value(), then));
   }
 
   private void storage(Call call, String state, Consumer<Response> then) {
     String id = core.storageId(call.parts().get("id"));
-    core.command("storage", "storage/" + id, new StorageState(id, call.parts().get("id"), state), then);
+    core.command(
+        "storage", "storage/" + id, new StorageState(id, call.parts().get("id"), state), then);
   }
 
   private void put(WorkerInput input, Consumer<Response> then) {
@@ -110,20 +140,29 @@
     core.command("worker", "worker/" + id, CoreNode.workerMarked(id, leaving), then);
   }
 
-  /** The whole list: puts each listed worker, takes out each other; answers once all of it is committed. */
+  /**
+   * The whole list: puts each listed worker, takes out each other; answers once all of it is
+   * committed.
+   */
   private Promise<HttpResponse> putAll(HttpInterface http, Call call) {
     InputReader.Input<WorkerList> input = InputReader.read(call.body(), WorkerList.class);
     if (!input.good()) {
       return HttpInterface.refuse(new Fault.InvalidInput(input.faults()));
     }
     var check = JSON.createObjectNode().put("from", input.value().version());
-    return http.ask(then -> core.command("list-version", CoreNode.LIST_VERSION, check, response -> {
-      if (response.good()) {
-        putAll(input.value(), response.body().path("version").asLong(), then);
-      } else {
-        then.accept(response);
-      }
-    }));
+    return http.ask(
+        then ->
+            core.command(
+                "list-version",
+                CoreNode.LIST_VERSION,
+                check,
+                response -> {
+                  if (response.good()) {
+                    putAll(input.value(), response.body().path("version").asLong(), then);
+                  } else {
+                    then.accept(response);
+                  }
+                }));
   }
 
   private void putAll(WorkerList list, long version, Consumer<Response> then) {
@@ -132,15 +171,23 @@
     List<String> gone = core.workerIds().stream().filter(id -> !listed.contains(id)).toList();
     int[] open = {list.workers().size() + gone.size() + 1};
     Response[] firstFault = new Response[1];
-    Consumer<Response> each = response -> {
-      if (!response.good() && firstFault[0] == null) {
-        firstFault[0] = response;
-      }
-      if (--open[0] == 0) {
-        then.accept(firstFault[0] != null ? firstFault[0] : Response.of(200, JSON.createObjectNode()
-            .put("version", version).put("listed", listed.size()).put("gone", gone.size())));
-      }
-    };
+    Consumer<Response> each =
+        response -> {
+          if (!response.good() && firstFault[0] == null) {
+            firstFault[0] = response;
+          }
+          if (--open[0] == 0) {
+            then.accept(
+                firstFault[0] != null
+                    ? firstFault[0]
+                    : Response.of(
+                        200,
+                        JSON.createObjectNode()
+                            .put("version", version)
+                            .put("listed", listed.size())
+                            .put("gone", gone.size())));
+          }
+        };
     list.workers().forEach(worker -> put(worker, each));
     gone.forEach(id -> mark(id, false, each));
     each.accept(Response.of(200, JSON.nullNode()));
--- a/core-logic/src/main/java/applespindle/corelogic/BatchEvent.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchEvent.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonParser;
@@ -9,14 +11,21 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 
-import static applespindle.corelogic.Json.JSON;
-
-/** One event of a batch's log. The kind comes first, so that a reader can tell it without the rest. */
+/**
+ * One event of a batch's log. The kind comes first, so that a reader can tell it without the rest.
+ */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 @JsonIgnoreProperties(ignoreUnknown = true)
 @com.fasterxml.jackson.annotation.JsonPropertyOrder({"kind"})
-record BatchEvent(String kind, Long ageMs, Accepted accepted, List<Integer> order, Integer rangeItems, Assigned assigned,
-    Recorded recorded, Returned returned) {
+record BatchEvent(
+    String kind,
+    Long ageMs,
+    Accepted accepted,
+    List<Integer> order,
+    Integer rangeItems,
+    Assigned assigned,
+    Recorded recorded,
+    Returned returned) {
   static final String ACCEPTED = "accepted";
   static final String ORDERED = "ordered";
   static final String ASSIGNED = "assigned";
@@ -25,15 +34,26 @@
   static final String ENDED = "ended";
   static final String FINISHED = "finished";
   static final String REFUSED = "refused";
+
   /** Whole by itself: all that stood before it may go from the disks. */
   static final String REMOVED = "removed";
 
   /** opaque is null for a batch of prompts. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
-  record Accepted(String sender, String digest, long dueInMs, long expiresInMs, List<JsonNode> items, Opaque opaque) {}
-
-  /** Where the items of an opaque batch go, with what the route of the bundle of that number said at the acceptance. */
-  record Opaque(String host, String path, String route, long bundleNumber, int attempts, long ceiling) {}
+  record Accepted(
+      String sender,
+      String digest,
+      long dueInMs,
+      long expiresInMs,
+      List<JsonNode> items,
+      Opaque opaque) {}
+
+  /**
+   * Where the items of an opaque batch go, with what the route of the bundle of that number said at
+   * the acceptance.
+   */
+  record Opaque(
+      String host, String path, String route, long bundleNumber, int attempts, long ceiling) {}
 
   record Assigned(int range, long rangeEpoch, String feeder, String worker) {}
 
@@ -44,9 +64,13 @@
 
   /** One item's lasting result; an empty fault means that output is whole. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
-  record Result(int index, String run, String worker, String finishReason, String fault, String output) {}
+  record Result(
+      int index, String run, String worker, String finishReason, String fault, String output) {}
 
-  /** A run of an item that failed in a way that another run may mend; fault is the name of a fault type. */
+  /**
+   * A run of an item that failed in a way that another run may mend; fault is the name of a fault
+   * type.
+   */
   record Attempt(int index, String run, String fault) {}
 
   static BatchEvent accepted(Accepted accepted) {
@@ -75,7 +99,8 @@
 
   static String kindOf(byte[] event) {
     try (JsonParser parser = JSON.createParser(event)) {
-      boolean kindFirst = parser.nextToken() == JsonToken.START_OBJECT && "kind".equals(parser.nextFieldName());
+      boolean kindFirst =
+          parser.nextToken() == JsonToken.START_OBJECT && "kind".equals(parser.nextFieldName());
       return kindFirst ? parser.nextTextValue() : "";
     } catch (IOException fault) {
       throw new UncheckedIOException(fault);
--- a/core-logic/src/main/java/applespindle/corelogic/BatchInput.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchInput.java
@@ -50,7 +50,8 @@
     List<Item> items = input.value().items();
     for (int index = 0; index < items.size(); index++) {
       if (!ids.add(items.get(index).id())) {
-        faults.add(new Fault.Field("$.items[" + index + "].id", "is the id of an earlier item too"));
+        faults.add(
+            new Fault.Field("$.items[" + index + "].id", "is the id of an earlier item too"));
       }
     }
     return faults.isEmpty() ? input : new InputReader.Input<>(null, faults);
--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.BatchEvent.Accepted;
 import applespindle.corelogic.BatchEvent.Assigned;
 import applespindle.corelogic.BatchEvent.Attempt;
@@ -33,11 +35,10 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-import static applespindle.corelogic.Json.JSON;
-
 /**
- * The leader of one batch: holds the order of its ranges and the progress of each, hands the next range to whoever
- * pulls, and takes reports. All it holds comes from the batch's log, except the grants.
+ * The leader of one batch: holds the order of its ranges and the progress of each, hands the next
+ * range to whoever pulls, and takes reports. All it holds comes from the batch's log, except the
+ * grants.
  */
 final class BatchLeader {
   /** What the leader needs of the edge it lives on. */
@@ -47,7 +48,10 @@
     /** To every live edge, this one included. */
     void toAllEdges(Message message);
 
-    /** Tells the ledger what the batch still takes; then gets how much waits there in all, if it answered. */
+    /**
+     * Tells the ledger what the batch still takes; then gets how much waits there in all, if it
+     * answered.
+     */
     void reportRoom(String batch, long room, LongConsumer then);
 
     /** The bundle this edge works by, or null. */
@@ -64,12 +68,19 @@
     /** When a batch is due on our clock as an earlier leader told it, or null if none did. */
     Long heardDueAt(String batch);
 
-    /** A report moves the offset beyond what is recorded here yet; the results it carries must make up for it. */
+    /**
+     * A report moves the offset beyond what is recorded here yet; the results it carries must make
+     * up for it.
+     */
     void offsetAhead(String batch);
   }
 
-  /** What a feeder gives back of a stream that was cut: no outcome, only where the next run may go on. */
+  /**
+   * What a feeder gives back of a stream that was cut: no outcome, only where the next run may go
+   * on.
+   */
   static final String PART = new Fault.WorkerCut("").type();
+
   private static final String IMPOSSIBLE = new Fault.ItemImpossible().type();
 
   private final Surroundings surroundings;
@@ -79,25 +90,46 @@
   final BatchView view = new BatchView();
   private final long bornAt;
   private final long ageAtBirthMs;
-  /** Range to when its grant ends on our clock; in memory only: a new leader gives each range a full one. */
+
+  /**
+   * Range to when its grant ends on our clock; in memory only: a new leader gives each range a full
+   * one.
+   */
   private final Map<Integer, Long> grants = new HashMap<>();
+
   /** Ranges with an event on its way to the disks. */
   private final Set<Integer> busyRanges = new HashSet<>();
+
   private final Set<Integer> itemsBeingRecorded = new HashSet<>();
-  /** By item, the longest part of its stream that a feeder gave back; in memory only, a new leader begins such items anew. */
+
+  /**
+   * By item, the longest part of its stream that a feeder gave back; in memory only, a new leader
+   * begins such items anew.
+   */
   private final Map<Integer, ReportedItem> partsOfStreams = new HashMap<>();
+
   private long lastOfferAt = Long.MIN_VALUE / 2;
   private long lastRoomReportAt = Long.MIN_VALUE / 2;
   private long lastReportedRoom = -1;
-  /** Of the route's ceiling, what all batches together took when the ledger last told; more than all of it at first. */
+
+  /**
+   * Of the route's ceiling, what all batches together took when the ledger last told; more than all
+   * of it at first.
+   */
   private double roomTaken = Double.MAX_VALUE;
+
   private long lastUsedAt;
   private long highestRangeEpoch;
   private boolean accepting;
   private boolean finishing;
   private boolean ending;
-  /** Since when, on our clock, the bundle has had no route for the items; MAX_VALUE while it has one. */
+
+  /**
+   * Since when, on our clock, the bundle has had no route for the items; MAX_VALUE while it has
+   * one.
+   */
   private long routelessSince = Long.MAX_VALUE;
+
   private final List<WaitingRead> waitingReads = new ArrayList<>();
 
   /** A read of results that came before there was one at its place. */
@@ -116,8 +148,10 @@
     bornAt = surroundings.now();
     lastUsedAt = bornAt;
     Long heardDueAt = edge.heardDueAt(batch);
-    ageAtBirthMs = heardDueAt == null || view.accepted == null ? view.ageMs
-        : Math.max(view.ageMs, view.accepted.dueInMs() - (heardDueAt - bornAt));
+    ageAtBirthMs =
+        heardDueAt == null || view.accepted == null
+            ? view.ageMs
+            : Math.max(view.ageMs, view.accepted.dueInMs() - (heardDueAt - bornAt));
     highestRangeEpoch = view.highestRangeEpoch;
     for (int range = 0; range < view.ranges.size(); range++) {
       if (view.ranges.get(range).state == RangeState.ASSIGNED) {
@@ -139,12 +173,15 @@
 
   private void append(BatchEvent event, Consumer<Fault> then) {
     byte[] bytes = Json.bytes(event);
-    key.append(event.kind().equals(BatchEvent.REMOVED), bytes, fault -> {
-      if (fault == null) {
-        view.fold(bytes);
-      }
-      then.accept(fault);
-    });
+    key.append(
+        event.kind().equals(BatchEvent.REMOVED),
+        bytes,
+        fault -> {
+          if (fault == null) {
+            view.fold(bytes);
+          }
+          then.accept(fault);
+        });
   }
 
   // ---- acceptance and end
@@ -152,20 +189,28 @@
   void submit(Accepted accepted, Consumer<Response> then) {
     lastUsedAt = surroundings.now();
     if (view.accepted != null || accepting) {
-      key.confirm(fault -> then.accept(fault != null ? unknown(fault)
-          : view.accepted == null ? Response.of(new Fault.OutcomeUnknown(batch))
-          : view.accepted.digest().equals(accepted.digest()) ? Response.of(201, summary())
-          : Response.of(new Fault.KeyContentConflict(batch))));
+      key.confirm(
+          fault ->
+              then.accept(
+                  fault != null
+                      ? unknown(fault)
+                      : view.accepted == null
+                          ? Response.of(new Fault.OutcomeUnknown(batch))
+                          : view.accepted.digest().equals(accepted.digest())
+                              ? Response.of(201, summary())
+                              : Response.of(new Fault.KeyContentConflict(batch))));
       return;
     }
     accepting = true;
-    append(BatchEvent.accepted(accepted), fault -> {
-      accepting = false;
-      if (fault == null) {
-        edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
-      }
-      then.accept(fault == null ? Response.of(201, summary()) : unknown(fault));
-    });
+    append(
+        BatchEvent.accepted(accepted),
+        fault -> {
+          accepting = false;
+          if (fault == null) {
+            edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
+          }
+          then.accept(fault == null ? Response.of(201, summary()) : unknown(fault));
+        });
     layOut(accepted.items().size());
   }
 
@@ -177,7 +222,10 @@
     layOut(view.accepted.items().size());
   }
 
-  /** Splits by position only; the items stay where they are recorded. The order is a random permutation. */
+  /**
+   * Splits by position only; the items stay where they are recorded. The order is a random
+   * permutation.
+   */
   private void layOut(int items) {
     int ranges = (items + Constants.RANGE_ITEMS - 1) / Constants.RANGE_ITEMS;
     List<Integer> order = IntStream.range(0, ranges).boxed().collect(Collectors.toList());
@@ -185,7 +233,10 @@
     append(BatchEvent.ordered(order, Constants.RANGE_ITEMS), fault -> offer());
   }
 
-  /** Makes sure that nothing of this batch can be accepted by an older owner, and says so in the record. */
+  /**
+   * Makes sure that nothing of this batch can be accepted by an older owner, and says so in the
+   * record.
+   */
   void refuse(Consumer<Fault> then) {
     if (view.accepted != null || view.refused || accepting) {
       then.accept(null);
@@ -194,10 +245,14 @@
     append(BatchEvent.plain(BatchEvent.REFUSED, 0), then);
   }
 
-  /** Takes a batch that is over and was kept long enough off the disks; its key may be used anew after that. */
+  /**
+   * Takes a batch that is over and was kept long enough off the disks; its key may be used anew
+   * after that.
+   */
   void remove(Consumer<Response> then) {
     if (view.accepted != null && !view.open()) {
-      append(BatchEvent.plain(BatchEvent.REMOVED, 0),
+      append(
+          BatchEvent.plain(BatchEvent.REMOVED, 0),
           fault -> then.accept(fault == null ? Response.of(200, summary()) : unknown(fault)));
     } else {
       then.accept(Response.of(200, summary()));
@@ -207,65 +262,86 @@
   void end(Consumer<Response> then) {
     lastUsedAt = surroundings.now();
     if (view.accepted == null) {
-      key.confirm(fault -> then.accept(Response.of(fault != null ? fault : new Fault.NoSuchBatch(batch))));
+      key.confirm(
+          fault -> then.accept(Response.of(fault != null ? fault : new Fault.NoSuchBatch(batch))));
       return;
     }
     if (view.ended || view.finished || ending || view.unfinishedItems() == 0) {
-      key.confirm(fault -> then.accept(fault != null ? unknown(fault) : Response.of(200, summary())));
+      key.confirm(
+          fault -> then.accept(fault != null ? unknown(fault) : Response.of(200, summary())));
       return;
     }
     ending = true;
-    append(BatchEvent.plain(BatchEvent.ENDED, ageMs()), fault -> {
-      ending = false;
-      if (fault == null) {
-        grants.clear();
-        edge.toAllEdges(new Message.BatchEnded(batch));
-        edge.log("Batch ended: " + batch + ".");
-        reportRoom(true);
-        answerReads();
-      }
-      then.accept(fault == null ? Response.of(200, summary()) : unknown(fault));
-    });
+    append(
+        BatchEvent.plain(BatchEvent.ENDED, ageMs()),
+        fault -> {
+          ending = false;
+          if (fault == null) {
+            grants.clear();
+            edge.toAllEdges(new Message.BatchEnded(batch));
+            edge.log("Batch ended: " + batch + ".");
+            reportRoom(true);
+            answerReads();
+          }
+          then.accept(fault == null ? Response.of(200, summary()) : unknown(fault));
+        });
   }
 
   // ---- reading
 
   void read(Consumer<Response> then) {
     lastUsedAt = surroundings.now();
-    key.confirm(fault -> then.accept(fault != null ? Response.of(fault)
-        : view.accepted == null ? Response.of(new Fault.NoSuchBatch(batch)) : Response.of(200, summary())));
+    key.confirm(
+        fault ->
+            then.accept(
+                fault != null
+                    ? Response.of(fault)
+                    : view.accepted == null
+                        ? Response.of(new Fault.NoSuchBatch(batch))
+                        : Response.of(200, summary())));
   }
 
   void results(long after, int limit, Consumer<Response> then) {
     lastUsedAt = surroundings.now();
-    key.confirm(fault -> then.accept(fault != null ? Response.of(fault)
-        : view.accepted == null ? Response.of(new Fault.NoSuchBatch(batch))
-        : Response.of(200, page(after, limit))));
+    key.confirm(
+        fault ->
+            then.accept(
+                fault != null
+                    ? Response.of(fault)
+                    : view.accepted == null
+                        ? Response.of(new Fault.NoSuchBatch(batch))
+                        : Response.of(200, page(after, limit))));
   }
 
   /** Held until there is a result at that place, no more can come, or holdMs have passed. */
   void opaqueResults(long from, long holdMs, Consumer<Response> then) {
     lastUsedAt = surroundings.now();
-    key.confirm(fault -> {
-      if (fault != null) {
-        then.accept(Response.of(fault));
-      } else if (view.accepted == null) {
-        then.accept(Response.of(new Fault.NoSuchBatch(batch)));
-      } else if (from < view.results.size() || !view.open() || holdMs <= 0) {
-        then.accept(Response.of(200, opaquePage(from)));
-      } else {
-        WaitingRead read = new WaitingRead(from, then);
-        waitingReads.add(read);
-        surroundings.after(holdMs, () -> {
-          if (waitingReads.remove(read)) {
-            opaqueResults(from, 0, then);
+    key.confirm(
+        fault -> {
+          if (fault != null) {
+            then.accept(Response.of(fault));
+          } else if (view.accepted == null) {
+            then.accept(Response.of(new Fault.NoSuchBatch(batch)));
+          } else if (from < view.results.size() || !view.open() || holdMs <= 0) {
+            then.accept(Response.of(200, opaquePage(from)));
+          } else {
+            WaitingRead read = new WaitingRead(from, then);
+            waitingReads.add(read);
+            surroundings.after(
+                holdMs,
+                () -> {
+                  if (waitingReads.remove(read)) {
+                    opaqueResults(from, 0, then);
+                  }
+                });
           }
         });
-      }
-    });
   }
 
-  /** Only what is committed in our own epoch is in the view, so that a read held until now may be answered from it. */
+  /**
+   * Only what is committed in our own epoch is in the view, so that a read held until now may be
+   * answered from it.
+   */
   private void answerReads() {
     for (WaitingRead read : List.copyOf(waitingReads)) {
       if (read.from() < view.results.size() || !view.open()) {
@@ -280,34 +356,54 @@
     ObjectNode page = JSON.createObjectNode().put("total", view.items());
     ArrayNode rows = page.putArray("results");
     int number = (int) Math.min(from, Integer.MAX_VALUE);
-    for (long bytes = 0; number < view.results.size() && bytes < Constants.RESULTS_PAGE_BYTES; number++) {
+    for (long bytes = 0;
+        number < view.results.size() && bytes < Constants.RESULTS_PAGE_BYTES;
+        number++) {
       Result result = view.results.get(number);
       String output = result.output() == null ? "" : result.output();
       bytes += Json.bytes(output).length + 200;
       if (!rows.isEmpty() && bytes > Constants.RESULTS_PAGE_BYTES) {
         break;
       }
-      rows.addObject().put("id", view.accepted.items().get(result.index()).path("id").asText())
-          .put("state", result.fault() == null ? "complete" : "expired").put("output", output);
+      rows.addObject()
+          .put("id", view.accepted.items().get(result.index()).path("id").asText())
+          .put("state", result.fault() == null ? "complete" : "expired")
+          .put("output", output);
     }
     return page.put("next", number);
   }
 
   void opaqueItem(String item, Consumer<Response> then) {
     lastUsedAt = surroundings.now();
-    key.confirm(fault -> {
-      JsonNode body = fault != null || view.accepted == null ? null : view.accepted.items().stream()
-          .filter(each -> each.path("id").asText().equals(item)).map(each -> each.path("body")).findFirst().orElse(null);
-      then.accept(fault != null ? Response.of(fault) : body == null ? Response.of(new Fault.NoSuchBatch(batch))
-          : Response.of(200, JSON.createObjectNode().set("body", body)));
-    });
+    key.confirm(
+        fault -> {
+          JsonNode body =
+              fault != null || view.accepted == null
+                  ? null
+                  : view.accepted.items().stream()
+                      .filter(each -> each.path("id").asText().equals(item))
+                      .map(each -> each.path("body"))
+                      .findFirst()
+                      .orElse(null);
+          then.accept(
+              fault != null
+                  ? Response.of(fault)
+                  : body == null
+                      ? Response.of(new Fault.NoSuchBatch(batch))
+                      : Response.of(200, JSON.createObjectNode().set("body", body)));
+        });
   }
 
   private ObjectNode summary() {
     ObjectNode summary = JSON.createObjectNode();
     long failed = view.results.stream().filter(result -> result.fault() != null).count();
-    return summary.put("batch", batch).put("state", view.state()).put("items", view.items())
-        .put("recorded", view.results.size()).put("failed", failed).put("ageMs", ageMs());
+    return summary
+        .put("batch", batch)
+        .put("state", view.state())
+        .put("items", view.items())
+        .put("recorded", view.results.size())
+        .put("failed", failed)
+        .put("ageMs", ageMs());
   }
 
   private ObjectNode page(long after, int limit) {
@@ -317,8 +413,11 @@
     for (int number = (int) Math.min(after, last); number < last; number++) {
       Result result = view.results.get(number);
       JsonNode item = view.accepted.items().get(result.index());
-      ObjectNode row = rows.addObject().put("n", number + 1).put("id", item.path("id").asText())
-          .put("type", result.fault() == null ? "succeeded" : "failed");
+      ObjectNode row =
+          rows.addObject()
+              .put("n", number + 1)
+              .put("id", item.path("id").asText())
+              .put("type", result.fault() == null ? "succeeded" : "failed");
       if (result.fault() == null) {
         row.put("output", result.output()).put("finish_reason", result.finishReason());
       } else {
@@ -331,7 +430,10 @@
 
   // ---- ranges
 
-  /** Next range in the batch's order for whoever pulls; the pull itself says that a buffer ran empty. */
+  /**
+   * Next range in the batch's order for whoever pulls; the pull itself says that a buffer ran
+   * empty.
+   */
   void pulled(RangePull pull, String fromId, String fromAddress) {
     int chosenRange = -1;
     if (view.open() && !ending) {
@@ -343,21 +445,26 @@
       }
     }
     if (chosenRange < 0) {
-      edge.send(fromAddress, fromId, new RangeHandout(batch, pull.worker(), 0, 0, true, 0, pull.sentAt(), List.of()));
+      edge.send(
+          fromAddress,
+          fromId,
+          new RangeHandout(batch, pull.worker(), 0, 0, true, 0, pull.sentAt(), List.of()));
       return;
     }
     int range = chosenRange;
     long rangeEpoch = ++highestRangeEpoch;
     busyRanges.add(range);
     grants.put(range, surroundings.now() + Constants.COMMAND_EXPIRY_MS + Constants.RANGE_GRANT_MS);
-    append(BatchEvent.assigned(ageMs(), new Assigned(range, rangeEpoch, fromId, pull.worker())), fault -> {
-      busyRanges.remove(range);
-      if (fault != null || !view.open()) {
-        return;
-      }
-      grants.put(range, surroundings.now() + Constants.RANGE_GRANT_MS);
-      edge.send(fromAddress, fromId, handout(pull, range, rangeEpoch));
-    });
+    append(
+        BatchEvent.assigned(ageMs(), new Assigned(range, rangeEpoch, fromId, pull.worker())),
+        fault -> {
+          busyRanges.remove(range);
+          if (fault != null || !view.open()) {
+            return;
+          }
+          grants.put(range, surroundings.now() + Constants.RANGE_GRANT_MS);
+          edge.send(fromAddress, fromId, handout(pull, range, rangeEpoch));
+        });
   }
 
   private RangeHandout handout(RangePull pull, int range, long rangeEpoch) {
@@ -368,23 +475,34 @@
         items.add(new HandoutItem(index, handedItem(index)));
       }
     }
-    return new RangeHandout(batch, pull.worker(), range, rangeEpoch, false, dueInMs(), pull.sentAt(), items);
+    return new RangeHandout(
+        batch, pull.worker(), range, rangeEpoch, false, dueInMs(), pull.sentAt(), items);
   }
 
   private byte[] handedItem(int index) {
     JsonNode item = view.accepted.items().get(index);
     Opaque opaque = view.accepted.opaque();
     ReportedItem part = partsOfStreams.get(index);
-    return Json.bytes(opaque == null ? item : new OpaqueHandout(opaque.host(), opaque.path(),
-        view.accepted.expiresInMs() - ageMs(), JSON.convertValue(item, OpaqueBatch.Item.class),
-        part == null ? "" : part.finishReason(), part == null ? "" : new String(part.output(), StandardCharsets.UTF_8)));
+    return Json.bytes(
+        opaque == null
+            ? item
+            : new OpaqueHandout(
+                opaque.host(),
+                opaque.path(),
+                view.accepted.expiresInMs() - ageMs(),
+                JSON.convertValue(item, OpaqueBatch.Item.class),
+                part == null ? "" : part.finishReason(),
+                part == null ? "" : new String(part.output(), StandardCharsets.UTF_8)));
   }
 
   private long dueInMs() {
     return view.accepted.dueInMs() - ageMs();
   }
 
-  /** Results first to the disks, then the answer; only then may the feeder move its offset and forget. */
+  /**
+   * Results first to the disks, then the answer; only then may the feeder move its offset and
+   * forget.
+   */
   void reported(RangeReport report, String fromId, String fromAddress) {
     if (!view.open() || ending || report.range() >= view.ranges.size()) {
       key.confirm(fault -> answer(report, fromId, fromAddress, false));
@@ -403,7 +521,9 @@
     sort(report, results, attempts);
     if (!results.isEmpty() || !attempts.isEmpty()) {
       results.forEach(result -> itemsBeingRecorded.add(result.index()));
-      append(BatchEvent.recorded(ageMs(), new Recorded(report.range(), report.rangeEpoch(), results, attempts)),
+      append(
+          BatchEvent.recorded(
+              ageMs(), new Recorded(report.range(), report.rangeEpoch(), results, attempts)),
           fault -> {
             results.forEach(result -> itemsBeingRecorded.remove(result.index()));
             if (fault == null) {
@@ -413,19 +533,25 @@
           });
     }
     if (report.giveBack() && current) {
-      append(BatchEvent.returned(ageMs(), new Returned(report.range(), report.rangeEpoch())), fault -> {
-        grants.remove(report.range());
-        offer();
-      });
+      append(
+          BatchEvent.returned(ageMs(), new Returned(report.range(), report.rangeEpoch())),
+          fault -> {
+            grants.remove(report.range());
+            offer();
+          });
     }
     boolean onlyRenews = results.isEmpty() && attempts.isEmpty() && !report.giveBack();
-    Consumer<Fault> answering = fault -> {
-      if (fault == null) {
-        boolean keep = view.open() && !report.giveBack() && range.epoch == report.rangeEpoch()
-            && range.state == RangeState.ASSIGNED;
-        answer(report, fromId, fromAddress, keep);
-      }
-    };
+    Consumer<Fault> answering =
+        fault -> {
+          if (fault == null) {
+            boolean keep =
+                view.open()
+                    && !report.giveBack()
+                    && range.epoch == report.rangeEpoch()
+                    && range.state == RangeState.ASSIGNED;
+            answer(report, fromId, fromAddress, keep);
+          }
+        };
     if (onlyRenews) {
       key.confirmAtBeat(answering);
     } else {
@@ -434,34 +560,58 @@
   }
 
   private void answer(RangeReport report, String fromId, String fromAddress, boolean keep) {
-    edge.send(fromAddress, fromId, new RangeReported(batch, report.range(), report.rangeEpoch(), report.worker(),
-        report.reportNumber(), keep));
+    edge.send(
+        fromAddress,
+        fromId,
+        new RangeReported(
+            batch,
+            report.range(),
+            report.rangeEpoch(),
+            report.worker(),
+            report.reportNumber(),
+            keep));
   }
 
   private void sort(RangeReport report, List<Result> results, List<Attempt> attempts) {
     for (ReportedItem item : report.results()) {
-      if (item.index() < 0 || item.index() >= view.items() || view.has(item.index())
+      if (item.index() < 0
+          || item.index() >= view.items()
+          || view.has(item.index())
           || itemsBeingRecorded.contains(item.index())) {
         continue;
       }
       if (view.accepted.opaque() != null && item.faultType().equals(PART)) {
-        partsOfStreams.merge(item.index(), item, (one, other) -> one.output().length > other.output().length ? one : other);
+        partsOfStreams.merge(
+            item.index(),
+            item,
+            (one, other) -> one.output().length > other.output().length ? one : other);
       } else if (item.faultType().isEmpty()) {
         partsOfStreams.remove(item.index());
-        results.add(new Result(item.index(), item.run(), item.worker(), item.finishReason(), null,
-            new String(item.output(), StandardCharsets.UTF_8)));
+        results.add(
+            new Result(
+                item.index(),
+                item.run(),
+                item.worker(),
+                item.finishReason(),
+                null,
+                new String(item.output(), StandardCharsets.UTF_8)));
       } else if (item.faultType().equals(IMPOSSIBLE)) {
-        results.add(new Result(item.index(), item.run(), item.worker(), null, item.faultType(), null));
+        results.add(
+            new Result(item.index(), item.run(), item.worker(), null, item.faultType(), null));
       } else if (!view.hasFailed(item.run())) {
         attempts.add(new Attempt(item.index(), item.run(), item.faultType()));
         if (view.attempts(item.index()) + 1 >= attemptsMost()) {
-          results.add(new Result(item.index(), item.run(), item.worker(), null, item.faultType(), null));
+          results.add(
+              new Result(item.index(), item.run(), item.worker(), null, item.faultType(), null));
         }
       }
     }
   }
 
-  /** A route that allows more by now is obeyed; one that allows less would break what the batch was taken with. */
+  /**
+   * A route that allows more by now is obeyed; one that allows less would break what the batch was
+   * taken with.
+   */
   private int attemptsMost() {
     Opaque opaque = view.accepted.opaque();
     if (opaque == null) {
@@ -476,36 +626,48 @@
   }
 
   /**
-   * True once a bundle not older than the one the batch was taken under has had no route for it for a while. Older news,
-   * as an edge may have that takes the batch over, proves nothing.
+   * True once a bundle not older than the one the batch was taken under has had no route for it for
+   * a while. Older news, as an edge may have that takes the batch over, proves nothing.
    */
   private boolean routeless() {
     Opaque opaque = view.accepted.opaque();
     Bundle bundle = edge.bundle();
-    boolean gone = opaque != null && bundle != null && bundle.number() >= opaque.bundleNumber() && edge.newsFresh()
-        && route() == null;
+    boolean gone =
+        opaque != null
+            && bundle != null
+            && bundle.number() >= opaque.bundleNumber()
+            && edge.newsFresh()
+            && route() == null;
     routelessSince = gone ? Math.min(routelessSince, surroundings.now()) : Long.MAX_VALUE;
     return gone && surroundings.now() - routelessSince >= Constants.ROUTE_GONE_MS;
   }
 
   private void finishIfDone() {
-    if (view.accepted == null || view.ended || view.finished || finishing || view.unfinishedItems() > 0) {
+    if (view.accepted == null
+        || view.ended
+        || view.finished
+        || finishing
+        || view.unfinishedItems() > 0) {
       return;
     }
     finishing = true;
-    append(BatchEvent.plain(BatchEvent.FINISHED, ageMs()), fault -> {
-      finishing = false;
-      if (fault == null) {
-        edge.log("Batch finished: " + batch + ", after " + ageMs() + " ms.");
-        reportRoom(true);
-        answerReads();
-      }
-    });
+    append(
+        BatchEvent.plain(BatchEvent.FINISHED, ageMs()),
+        fault -> {
+          finishing = false;
+          if (fault == null) {
+            edge.log("Batch finished: " + batch + ", after " + ageMs() + " ms.");
+            reportRoom(true);
+            answerReads();
+          }
+        });
   }
 
   // ---- time
 
-  /** True once nothing is left to do here and nobody has asked for a while: the key may be let go. */
+  /**
+   * True once nothing is left to do here and nobody has asked for a while: the key may be let go.
+   */
   boolean tick() {
     long now = surroundings.now();
     if (!key.owned()) {
@@ -530,14 +692,17 @@
   private void takeBackSilentRanges(long now) {
     for (int range = 0; range < view.ranges.size(); range++) {
       Range each = view.ranges.get(range);
-      if (each.state == RangeState.ASSIGNED && !busyRanges.contains(range)
+      if (each.state == RangeState.ASSIGNED
+          && !busyRanges.contains(range)
           && now >= grants.getOrDefault(range, Long.MIN_VALUE)) {
         int silentRange = range;
         busyRanges.add(range);
-        append(BatchEvent.returned(ageMs(), new Returned(range, each.epoch)), fault -> {
-          busyRanges.remove(silentRange);
-          offer();
-        });
+        append(
+            BatchEvent.returned(ageMs(), new Returned(range, each.epoch)),
+            fault -> {
+              busyRanges.remove(silentRange);
+              offer();
+            });
       }
     }
   }
@@ -550,20 +715,26 @@
       }
     }
     if (!results.isEmpty()) {
-      append(BatchEvent.recorded(ageMs(), new Recorded(-1, 0, results, List.of())), fault -> {
-        results.forEach(result -> itemsBeingRecorded.remove(result.index()));
-        if (fault == null) {
-          edge.toAllEdges(new Message.BatchEnded(batch));
-          answerReads();
-        }
-        finishIfDone();
-      });
+      append(
+          BatchEvent.recorded(ageMs(), new Recorded(-1, 0, results, List.of())),
+          fault -> {
+            results.forEach(result -> itemsBeingRecorded.remove(result.index()));
+            if (fault == null) {
+              edge.toAllEdges(new Message.BatchEnded(batch));
+              answerReads();
+            }
+            finishIfDone();
+          });
     }
   }
 
   private WorkOffer workOffer(int unassigned) {
     Opaque opaque = view.accepted.opaque();
-    return new WorkOffer(batch, dueInMs(), unassigned, opaque == null ? "" : opaque.host(),
+    return new WorkOffer(
+        batch,
+        dueInMs(),
+        unassigned,
+        opaque == null ? "" : opaque.host(),
         opaque == null ? "" : opaque.path());
   }
 
@@ -572,7 +743,8 @@
     if (!view.open() || ending) {
       return;
     }
-    int unassigned = (int) view.ranges.stream().filter(range -> range.state == RangeState.UNASSIGNED).count();
+    int unassigned =
+        (int) view.ranges.stream().filter(range -> range.state == RangeState.UNASSIGNED).count();
     if (unassigned > 0) {
       edge.toAllEdges(workOffer(unassigned));
     }
@@ -581,9 +753,15 @@
   private void reportRoom(boolean atOnce) {
     long now = surroundings.now();
     long waiting = view.waitingRoom();
-    boolean scarce = view.accepted == null || view.accepted.opaque() == null || roomTaken > Constants.ROOM_SCARCE;
-    if ((waiting != lastReportedRoom || waiting == 0) && view.accepted != null
-        && (atOnce || now - lastRoomReportAt >= (scarce ? Constants.ROOM_REPORT_MS : Constants.ROOM_REPORT_SLOW_MS))) {
+    boolean scarce =
+        view.accepted == null
+            || view.accepted.opaque() == null
+            || roomTaken > Constants.ROOM_SCARCE;
+    if ((waiting != lastReportedRoom || waiting == 0)
+        && view.accepted != null
+        && (atOnce
+            || now - lastRoomReportAt
+                >= (scarce ? Constants.ROOM_REPORT_MS : Constants.ROOM_REPORT_SLOW_MS))) {
       lastRoomReportAt = now;
       lastReportedRoom = waiting;
       edge.reportRoom(batch, waiting, this::roomToldOf);
--- a/core-logic/src/main/java/applespindle/corelogic/BatchView.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchView.java
@@ -9,17 +9,30 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 
-/** A batch as folded from the committed entries of its log; every leader that folds the same log sees the same. */
+/**
+ * A batch as folded from the committed entries of its log; every leader that folds the same log
+ * sees the same.
+ */
 final class BatchView {
-  enum RangeState { UNASSIGNED, ASSIGNED, DONE }
+  enum RangeState {
+    UNASSIGNED,
+    ASSIGNED,
+    DONE
+  }
 
   static final class Range {
     final int first;
     final int length;
     RangeState state = RangeState.UNASSIGNED;
-    /** Of the newest assignment. Rises with each; a report with an older one no longer moves the range. */
+
+    /**
+     * Of the newest assignment. Rises with each; a report with an older one no longer moves the
+     * range.
+     */
     long epoch;
+
     String feeder = "";
+
     /** Items from first up to here all have results. Never falls. */
     int offset;
 
@@ -33,21 +46,34 @@
   boolean refused;
   boolean ended;
   boolean finished;
-  /** Highest age any leader knew of; carried on by the next, so that no wall clock is needed for the expiry. */
+
+  /**
+   * Highest age any leader knew of; carried on by the next, so that no wall clock is needed for the
+   * expiry.
+   */
   long ageMs;
+
   /** In the order of handing out: a random permutation of range numbers, fixed at acceptance. */
   List<Integer> order = List.of();
+
   final List<Range> ranges = new ArrayList<>();
+
   /** In order of recording. Only ever grows, and an entry never changes once it is in. */
   final List<Result> results = new ArrayList<>();
+
   /** By item: the first committed result, later ones are dropped. */
   private Result[] byItem = new Result[0];
+
   private int[] attempts = new int[0];
+
   /** What each item takes of the room for waiting work: its tokens if it is opaque, else one. */
   private long[] shares = new long[0];
+
   private long waitingRoom;
+
   /** Each failed run counts once, however often it is reported. */
   private final Set<String> failedRuns = new HashSet<>();
+
   long highestRangeEpoch;
 
   void fold(byte[] bytes) {
@@ -78,7 +104,7 @@
         ranges.clear();
       }
       case BatchEvent.REFUSED -> refused = accepted == null;
-      default -> { }
+      default -> {}
     }
   }
 
@@ -90,8 +116,11 @@
       refused = false;
       byItem = new Result[event.items().size()];
       attempts = new int[event.items().size()];
-      shares = event.items().stream()
-          .mapToLong(item -> event.opaque() == null ? 1 : Math.max(1, item.path("tokens").asLong())).toArray();
+      shares =
+          event.items().stream()
+              .mapToLong(
+                  item -> event.opaque() == null ? 1 : Math.max(1, item.path("tokens").asLong()))
+              .toArray();
       waitingRoom = LongStream.of(shares).sum();
     }
   }
@@ -166,7 +195,10 @@
     if (accepted == null) {
       return refused ? "refused" : "unknown";
     }
-    return ended ? "ended" : unfinishedItems() == 0 ? "finished" : results.isEmpty() && highestRangeEpoch == 0
-        ? "accepted" : "running";
+    return ended
+        ? "ended"
+        : unfinishedItems() == 0
+            ? "finished"
+            : results.isEmpty() && highestRangeEpoch == 0 ? "accepted" : "running";
   }
 }
