--- a/core-logic/src/main/java/applespindle/corelogic/Bounds.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Bounds.java
@@ -1,42 +1,134 @@
 package applespindle.corelogic;
 
 /**
- * What a process is told of the deployment's bounds at its start; times in milliseconds. lossesToBear: nodes with a disk
- * that may be lost at once while every rule holds. bootstrap: this is the first start ever of the whole fleet, with empty
- * disks. voter: this node's disk counts. signedBundles: operators' bundles need a signature. listCallsPerS: the most calls
- * to the outside list of workers from all nodes together; 0 where there is no such list. drainMs: after a worker was seen
- * as leaving, how long requests may still reach it. cancelMs: after a batch's end was acknowledged, how long its items may.
- * graceMs: from the request to stop to the kill. waitingOvershoot: part of a batch route's ceiling that may be passed.
- * keepBatchesMs: how long a batch stays readable. applyMs: how long after an acknowledgement old news may still be used.
- * edgesConfirm: a yes also binds edges that are cut off from the core, so most edges must have confirmed it; else it binds
- * only those that hear the core, which have the news within applyMs of the commit.
+ * What a process is told of the deployment's bounds at its start; times in milliseconds.
+ * lossesToBear: nodes with a disk that may be lost at once while every rule holds. bootstrap: this
+ * is the first start ever of the whole fleet, with empty disks. voter: this node's disk counts.
+ * signedBundles: operators' bundles need a signature. listCallsPerS: the most calls to the outside
+ * list of workers from all nodes together; 0 where there is no such list. drainMs: after a worker
+ * was seen as leaving, how long requests may still reach it. cancelMs: after a batch's end was
+ * acknowledged, how long its items may. graceMs: from the request to stop to the kill.
+ * waitingOvershoot: part of a batch route's ceiling that may be passed. keepBatchesMs: how long a
+ * batch stays readable. applyMs: how long after an acknowledgement old news may still be used.
+ * edgesConfirm: a yes also binds edges that are cut off from the core, so most edges must have
+ * confirmed it; else it binds only those that hear the core, which have the news within applyMs of
+ * the commit.
  */
-public record Bounds(int lossesToBear, boolean bootstrap, boolean voter, boolean signedBundles, double listCallsPerS,
-    long listLagMs, long drainMs, long cancelMs, long graceMs, long applyMs, long keepBatchesMs, double waitingOvershoot,
-    long diskBytes, double linkMegabits, boolean edgesConfirm) {
-  /** The product's own way of running: one loss, signed bundles, workers told by the platform's own calls. */
-  public static final Bounds DEFAULT = new Bounds(1, true, true, true, 0, 0, 3_000, 3_000,
-      Constants.STOP_NOTICE_MS + Constants.DRAIN_MS + Constants.STOP_MARGIN_MS, 2_000,
-      Constants.RETENTION_MS, 0, 0, 0, true);
+public record Bounds(
+    int lossesToBear,
+    boolean bootstrap,
+    boolean voter,
+    boolean signedBundles,
+    double listCallsPerS,
+    long listLagMs,
+    long drainMs,
+    long cancelMs,
+    long graceMs,
+    long applyMs,
+    long keepBatchesMs,
+    double waitingOvershoot,
+    long diskBytes,
+    double linkMegabits,
+    boolean edgesConfirm) {
+  /**
+   * The product's own way of running: one loss, signed bundles, workers told by the platform's own
+   * calls.
+   */
+  public static final Bounds DEFAULT =
+      new Bounds(
+          1,
+          true,
+          true,
+          true,
+          0,
+          0,
+          3_000,
+          3_000,
+          Constants.STOP_NOTICE_MS + Constants.DRAIN_MS + Constants.STOP_MARGIN_MS,
+          2_000,
+          Constants.RETENTION_MS,
+          0,
+          0,
+          0,
+          true);
 
-  public Bounds(int lossesToBear, boolean bootstrap, boolean voter, boolean signedBundles, double listCallsPerS,
-      long listLagMs, long drainMs, long cancelMs, long graceMs, long applyMs, long keepBatchesMs, double waitingOvershoot,
-      long diskBytes, double linkMegabits) {
-    this(lossesToBear, bootstrap, voter, signedBundles, listCallsPerS, listLagMs, drainMs, cancelMs, graceMs, applyMs,
-        keepBatchesMs, waitingOvershoot, diskBytes, linkMegabits, false);
+  public Bounds(
+      int lossesToBear,
+      boolean bootstrap,
+      boolean voter,
+      boolean signedBundles,
+      double listCallsPerS,
+      long listLagMs,
+      long drainMs,
+      long cancelMs,
+      long graceMs,
+      long applyMs,
+      long keepBatchesMs,
+      double waitingOvershoot,
+      long diskBytes,
+      double linkMegabits) {
+    this(
+        lossesToBear,
+        bootstrap,
+        voter,
+        signedBundles,
+        listCallsPerS,
+        listLagMs,
+        drainMs,
+        cancelMs,
+        graceMs,
+        applyMs,
+        keepBatchesMs,
+        waitingOvershoot,
+        diskBytes,
+        linkMegabits,
+        false);
   }
 
-  /** The same for a process at its own place: whether its disk counts, and whether this is the first start of all. */
+  /**
+   * The same for a process at its own place: whether its disk counts, and whether this is the first
+   * start of all.
+   */
   public Bounds at(boolean votes, boolean firstStart) {
-    return new Bounds(lossesToBear, firstStart, votes, signedBundles, listCallsPerS, listLagMs, drainMs, cancelMs, graceMs,
-        applyMs, keepBatchesMs, waitingOvershoot, diskBytes, linkMegabits, edgesConfirm);
+    return new Bounds(
+        lossesToBear,
+        firstStart,
+        votes,
+        signedBundles,
+        listCallsPerS,
+        listLagMs,
+        drainMs,
+        cancelMs,
+        graceMs,
+        applyMs,
+        keepBatchesMs,
+        waitingOvershoot,
+        diskBytes,
+        linkMegabits,
+        edgesConfirm);
   }
 
-  /** These, with what may change while a process runs as the newer ones have it; the rest holds until its next start. */
+  /**
+   * These, with what may change while a process runs as the newer ones have it; the rest holds
+   * until its next start.
+   */
   public Bounds taking(Bounds newer) {
-    return new Bounds(lossesToBear, bootstrap, voter, signedBundles, newer.listCallsPerS, newer.listLagMs, newer.drainMs,
-        newer.cancelMs, newer.graceMs, newer.applyMs, newer.keepBatchesMs, newer.waitingOvershoot, diskBytes,
-        newer.linkMegabits, edgesConfirm);
+    return new Bounds(
+        lossesToBear,
+        bootstrap,
+        voter,
+        signedBundles,
+        newer.listCallsPerS,
+        newer.listLagMs,
+        newer.drainMs,
+        newer.cancelMs,
+        newer.graceMs,
+        newer.applyMs,
+        newer.keepBatchesMs,
+        newer.waitingOvershoot,
+        diskBytes,
+        newer.linkMegabits,
+        edgesConfirm);
   }
 
   /** Replicas of whatever must survive lossesToBear: a majority is left when that many are gone. */
--- a/core-logic/src/main/java/applespindle/corelogic/Bundle.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Bundle.java
@@ -34,19 +34,39 @@
     @Valid ClientLimits clients,
     String origin) {
 
-  /** How opaque requests of a route may be run: again after any failure; at most once; as an event stream; as batch items. */
-  public enum RouteType { REPEATABLE, ONCE, STREAM, BATCH }
+  /**
+   * How opaque requests of a route may be run: again after any failure; at most once; as an event
+   * stream; as batch items.
+   */
+  public enum RouteType {
+    REPEATABLE,
+    ONCE,
+    STREAM,
+    BATCH
+  }
 
   /**
-   * Where opaque requests of a host and path prefix go. targetMs: the time a response (a stream's first event; a batch's
-   * yes) is in time; gapTargetMs: the longest pause between events; attempts: the most workers one try goes to (for batch
-   * items: runs that may fail); rank: 0 is served first. For batches: completionTargetMs until results are due, retentionMs
-   * until items may be given up, waitingTokensMost over the fleet (0: no limit).
+   * Where opaque requests of a host and path prefix go. targetMs: the time a response (a stream's
+   * first event; a batch's yes) is in time; gapTargetMs: the longest pause between events;
+   * attempts: the most workers one try goes to (for batch items: runs that may fail); rank: 0 is
+   * served first. For batches: completionTargetMs until results are due, retentionMs until items
+   * may be given up, waitingTokensMost over the fleet (0: no limit).
    */
-  public record Route(@NotBlank String name, @NotBlank String host, @NotBlank @Pattern(regexp = "/.*") String pathPrefix,
-      @NotNull RouteType type, @Min(1) long timeoutMs, @Min(0) long targetMs, @Min(0) long gapTargetMs,
-      @Min(0) @Max(100) int attempts, @Min(0) @Max(100) int rank, boolean sticky, boolean resumable,
-      @NotEmpty List<@Valid @NotNull Share> split, @Min(0) long completionTargetMs, @Min(0) long retentionMs,
+  public record Route(
+      @NotBlank String name,
+      @NotBlank String host,
+      @NotBlank @Pattern(regexp = "/.*") String pathPrefix,
+      @NotNull RouteType type,
+      @Min(1) long timeoutMs,
+      @Min(0) long targetMs,
+      @Min(0) long gapTargetMs,
+      @Min(0) @Max(100) int attempts,
+      @Min(0) @Max(100) int rank,
+      boolean sticky,
+      boolean resumable,
+      @NotEmpty List<@Valid @NotNull Share> split,
+      @Min(0) long completionTargetMs,
+      @Min(0) long retentionMs,
       @Min(0) long waitingTokensMost) {
     boolean sendsTo(String pool) {
       return split.stream().anyMatch(share -> share.pool().equals(pool) && share.weight() > 0);
@@ -57,7 +77,10 @@
   public record Share(@NotBlank String pool, @Min(0) @Max(1_000_000) int weight) {}
 
   /** What a client may send and how long it may take; 0 means the program's own limit. */
-  public record ClientLimits(@Min(0) int headBytesMost, @Min(0) int bodyBytesMost, @Min(0) long headTimeoutMs,
+  public record ClientLimits(
+      @Min(0) int headBytesMost,
+      @Min(0) int bodyBytesMost,
+      @Min(0) long headTimeoutMs,
       @Min(0) long idleTimeoutMs) {}
 
   /** A bundle of rules alone. */
@@ -70,8 +93,9 @@
   }
 
   /**
-   * A named set of workers; each worker names its pool when it is listed. Where known: slots, how many requests a worker
-   * works on at once; connectionsMost, from all callers together; keptTokensMost, its memory for prompts.
+   * A named set of workers; each worker names its pool when it is listed. Where known: slots, how
+   * many requests a worker works on at once; connectionsMost, from all callers together;
+   * keptTokensMost, its memory for prompts.
    */
   public record Pool(
       @Min(16) @Max(100_000) int prefixBlockChars,
@@ -85,14 +109,25 @@
     }
   }
 
-  public record Rule(@NotBlank String name, @Valid Match match, @Size(max = WhenExpression.LENGTH_MOST) String when,
+  public record Rule(
+      @NotBlank String name,
+      @Valid Match match,
+      @Size(max = WhenExpression.LENGTH_MOST) String when,
       @NotNull @Valid Way way) {}
 
   /** Every field given must fit; a rule without a match and without a when fits all. */
-  public record Match(String model, String sender, String trafficClass, Map<String, String> headers,
-      @Min(0) Integer promptCharsMost, @Min(0) Integer promptCharsLeast) {}
+  public record Match(
+      String model,
+      String sender,
+      String trafficClass,
+      Map<String, String> headers,
+      @Min(0) Integer promptCharsMost,
+      @Min(0) Integer promptCharsLeast) {}
 
-  public record Way(@NotBlank String pool, @NotBlank String trafficClass, @Min(1) @Max(600_000) long expiryMs,
+  public record Way(
+      @NotBlank String pool,
+      @NotBlank String trafficClass,
+      @Min(1) @Max(600_000) long expiryMs,
       @Min(0) @Max(10) int retries) {}
 
   public record Limits(
@@ -121,7 +156,8 @@
   /** What the checks in order came to: a bundle, or the one fault that ended them. */
   public record Checked(Bundle bundle, Fault fault) {}
 
-  public static Checked check(byte[] bytes, String signerKeyId, byte[] signature, Map<String, String> operatorKeys) {
+  public static Checked check(
+      byte[] bytes, String signerKeyId, byte[] signature, Map<String, String> operatorKeys) {
     if (bytes.length > Constants.BODY_BYTES_MOST) {
       return new Checked(null, new Fault.InputTooLarge(Constants.BODY_BYTES_MOST));
     }
@@ -146,30 +182,41 @@
     return new Checked(null, new Fault.InvalidBundle(faults));
   }
 
-  /** An empty list of rules and no routes; told beside the faults of single fields, so that all are named at once. */
+  /**
+   * An empty list of rules and no routes; told beside the faults of single fields, so that all are
+   * named at once.
+   */
   private static boolean leadsNowhere(byte[] bytes) {
     try {
       JsonNode tree = Json.JSON.readTree(bytes);
-      return tree.path("rules").isArray() && tree.path("rules").isEmpty() && tree.path("routes").isEmpty();
+      return tree.path("rules").isArray()
+          && tree.path("rules").isEmpty()
+          && tree.path("routes").isEmpty();
     } catch (IOException unreadable) {
       return false;
     }
   }
 
-  /** Of a bundle that the owner of its key has checked and committed: what another version of this program may not know. */
+  /**
+   * Of a bundle that the owner of its key has checked and committed: what another version of this
+   * program may not know.
+   */
   static Checked kept(byte[] bytes) {
     return whole(InputReader.readKept(bytes, Bundle.class));
   }
 
   private static Checked whole(InputReader.Input<Bundle> input) {
     List<Fault.Field> faults = input.good() ? input.value().wholeFaults() : input.faults();
-    return faults.isEmpty() ? new Checked(input.value(), null) : new Checked(null, new Fault.InvalidBundle(faults));
+    return faults.isEmpty()
+        ? new Checked(input.value(), null)
+        : new Checked(null, new Fault.InvalidBundle(faults));
   }
 
   private static boolean signatureFits(byte[] bytes, byte[] signature, String operatorKey) {
     try {
-      var publicKey = KeyFactory.getInstance("Ed25519")
-          .generatePublic(new X509EncodedKeySpec(Base64.getDecoder().decode(operatorKey)));
+      var publicKey =
+          KeyFactory.getInstance("Ed25519")
+              .generatePublic(new X509EncodedKeySpec(Base64.getDecoder().decode(operatorKey)));
       Signature verifier = Signature.getInstance("Ed25519");
       verifier.initVerify(publicKey);
       verifier.update(bytes);
@@ -189,14 +236,17 @@
       Route route = routes().get(index);
       String path = "$.routes[" + index + "]";
       if (!places.add(route.host().toLowerCase(Locale.ROOT) + " " + route.pathPrefix())) {
-        faults.add(new Fault.Field(path + ".pathPrefix", "is the host and prefix of an earlier route too"));
+        faults.add(
+            new Fault.Field(
+                path + ".pathPrefix", "is the host and prefix of an earlier route too"));
       }
       if (route.split().stream().mapToLong(Share::weight).sum() == 0) {
         faults.add(new Fault.Field(path + ".split", "has no weight"));
       }
       for (Share share : route.split()) {
         if (!pools.containsKey(share.pool())) {
-          faults.add(new Fault.Field(path + ".split", "names no pool of this bundle: " + share.pool()));
+          faults.add(
+              new Fault.Field(path + ".split", "names no pool of this bundle: " + share.pool()));
         }
       }
     }
@@ -204,13 +254,17 @@
       Way way = rules.get(index).way();
       if (rules.get(index).when() != null) {
         String path = "$.rules[" + index + "].when";
-        WhenExpression.faults(rules.get(index).when()).forEach(fault -> faults.add(new Fault.Field(path, fault)));
+        WhenExpression.faults(rules.get(index).when())
+            .forEach(fault -> faults.add(new Fault.Field(path, fault)));
       }
       if (!pools.containsKey(way.pool())) {
-        faults.add(new Fault.Field("$.rules[" + index + "].way.pool", "names no pool of this bundle"));
+        faults.add(
+            new Fault.Field("$.rules[" + index + "].way.pool", "names no pool of this bundle"));
       }
       if (!limits.classes().containsKey(way.trafficClass())) {
-        faults.add(new Fault.Field("$.rules[" + index + "].way.trafficClass", "names no class of this bundle"));
+        faults.add(
+            new Fault.Field(
+                "$.rules[" + index + "].way.trafficClass", "names no class of this bundle"));
       }
     }
     if (!pools.containsKey(limits.batch().pool())) {
--- a/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
@@ -1,24 +1,24 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.SignedBundle;
 import applespindle.corelogic.Records.TakenBundle;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-
 /** What the owner of the bundle's key does with a bundle that is sent. */
 final class BundleDuty {
-  /** What a sent bundle came to: a fault, or a yes that is told once the key's news are in force. */
+  /**
+   * What a sent bundle came to: a fault, or a yes that is told once the key's news are in force.
+   */
   interface Outcome {
     void refuse(Fault fault);
 
@@ -34,30 +34,39 @@
   }
 
   void take(Owned state, SignedBundle sent, PutValue put, Outcome outcome) {
-    Bundle.Checked checked = bounds.signedBundles()
-        ? Bundle.check(sent.bytes(), sent.keyId(), sent.signature(), operatorKeys) : Bundle.check(sent.bytes());
+    Bundle.Checked checked =
+        bounds.signedBundles()
+            ? Bundle.check(sent.bytes(), sent.keyId(), sent.signature(), operatorKeys)
+            : Bundle.check(sent.bytes());
     if (checked.fault() != null) {
       outcome.refuse(checked.fault());
       return;
     }
     long number = checked.bundle().number();
-    SignedBundle inForce = state.value.isNull() ? null : JSON.convertValue(state.value, SignedBundle.class);
+    SignedBundle inForce =
+        state.value.isNull() ? null : JSON.convertValue(state.value, SignedBundle.class);
     long present = inForce == null ? 0 : inForce.number();
     TakenBundle taken = new TakenBundle(number, digest(sent.bytes()));
     if (inForce != null && inForce.taken().contains(taken)) {
       state.key.confirm(fault -> outcome.accept(number, fault));
       return;
     }
-    Fault conflict = sent.buildsOn() != null && sent.buildsOn() != present ? new Fault.VersionConflict(present)
-        : present >= number ? new Fault.BundleConflict(present) : null;
+    Fault conflict =
+        sent.buildsOn() != null && sent.buildsOn() != present
+            ? new Fault.VersionConflict(present)
+            : present >= number ? new Fault.BundleConflict(present) : null;
     if (conflict != null) {
       state.key.confirm(fault -> outcome.refuse(fault == null ? conflict : fault));
       return;
     }
     List<TakenBundle> all = new ArrayList<>(inForce == null ? List.of() : inForce.taken());
     all.add(taken);
-    List<TakenBundle> kept = all.subList(Math.max(0, all.size() - Constants.BUNDLES_REMEMBERED), all.size());
-    put.put(state, new SignedBundle(number, sent.bytes(), sent.keyId(), sent.signature(), sent.buildsOn(), kept),
+    List<TakenBundle> kept =
+        all.subList(Math.max(0, all.size() - Constants.BUNDLES_REMEMBERED), all.size());
+    put.put(
+        state,
+        new SignedBundle(
+            number, sent.bytes(), sent.keyId(), sent.signature(), sent.buildsOn(), kept),
         fault -> outcome.accept(number, fault));
   }
 
@@ -74,10 +83,13 @@
     }
   }
 
-  /** What the feed carries: only the bundle itself, not what the owner remembers of earlier ones. */
+  /**
+   * What the feed carries: only the bundle itself, not what the owner remembers of earlier ones.
+   */
   static byte[] forFeed(byte[] event) {
     JsonNode value = Json.tree(event);
-    if (value instanceof com.fasterxml.jackson.databind.node.ObjectNode object && object.remove("taken") != null) {
+    if (value instanceof com.fasterxml.jackson.databind.node.ObjectNode object
+        && object.remove("taken") != null) {
       return Json.bytes(object);
     }
     return event;
--- a/core-logic/src/main/java/applespindle/corelogic/CompiledRules.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CompiledRules.java
@@ -7,13 +7,33 @@
 
 /** A bundle's rules as a short program, and the small interpreter that runs it for each request. */
 final class CompiledRules {
-  enum Operation { MODEL_IS, SENDER_IS, CLASS_IS, HEADER_IS, PROMPT_AT_MOST, PROMPT_AT_LEAST, WHEN_HOLDS, TAKE_WAY }
+  enum Operation {
+    MODEL_IS,
+    SENDER_IS,
+    CLASS_IS,
+    HEADER_IS,
+    PROMPT_AT_MOST,
+    PROMPT_AT_LEAST,
+    WHEN_HOLDS,
+    TAKE_WAY
+  }
 
   /** Tests jump to elseGoTo when they do not fit; TAKE_WAY ends the program. */
-  record Instruction(Operation operation, String name, String text, int number, WhenExpression when, Bundle.Rule rule,
+  record Instruction(
+      Operation operation,
+      String name,
+      String text,
+      int number,
+      WhenExpression when,
+      Bundle.Rule rule,
       int elseGoTo) {}
 
-  record Subject(String model, String sender, String trafficClass, Map<String, String> headers, int promptChars) {}
+  record Subject(
+      String model,
+      String sender,
+      String trafficClass,
+      Map<String, String> headers,
+      int promptChars) {}
 
   private final List<Instruction> program = new ArrayList<>();
 
@@ -22,8 +42,17 @@
     for (Bundle.Rule rule : bundle.rules()) {
       List<Instruction> tests = compiled.tests(rule);
       int nextRule = compiled.program.size() + tests.size() + 1;
-      tests.forEach(test -> compiled.program.add(new Instruction(test.operation(), test.name(), test.text(),
-          test.number(), test.when(), rule, nextRule)));
+      tests.forEach(
+          test ->
+              compiled.program.add(
+                  new Instruction(
+                      test.operation(),
+                      test.name(),
+                      test.text(),
+                      test.number(),
+                      test.when(),
+                      rule,
+                      nextRule)));
       compiled.program.add(new Instruction(Operation.TAKE_WAY, "", "", 0, null, rule, nextRule));
     }
     return compiled;
@@ -32,7 +61,9 @@
   private List<Instruction> tests(Bundle.Rule rule) {
     List<Instruction> tests = new ArrayList<>();
     if (rule.when() != null) {
-      tests.add(new Instruction(Operation.WHEN_HOLDS, "", "", 0, WhenExpression.compile(rule.when()), null, 0));
+      tests.add(
+          new Instruction(
+              Operation.WHEN_HOLDS, "", "", 0, WhenExpression.compile(rule.when()), null, 0));
     }
     Bundle.Match match = rule.match();
     if (match == null) {
@@ -42,7 +73,9 @@
     text(tests, Operation.SENDER_IS, "", match.sender());
     text(tests, Operation.CLASS_IS, "", match.trafficClass());
     if (match.headers() != null) {
-      match.headers().forEach((name, value) -> text(tests, Operation.HEADER_IS, name.toLowerCase(), value));
+      match
+          .headers()
+          .forEach((name, value) -> text(tests, Operation.HEADER_IS, name.toLowerCase(), value));
     }
     number(tests, Operation.PROMPT_AT_MOST, match.promptCharsMost());
     number(tests, Operation.PROMPT_AT_LEAST, match.promptCharsLeast());
@@ -66,16 +99,18 @@
     int at = 0;
     while (at < program.size()) {
       Instruction instruction = program.get(at);
-      boolean fits = switch (instruction.operation()) {
-        case MODEL_IS -> Objects.equals(instruction.text(), subject.model());
-        case SENDER_IS -> Objects.equals(instruction.text(), subject.sender());
-        case CLASS_IS -> Objects.equals(instruction.text(), subject.trafficClass());
-        case HEADER_IS -> Objects.equals(instruction.text(), subject.headers().get(instruction.name()));
-        case PROMPT_AT_MOST -> subject.promptChars() <= instruction.number();
-        case PROMPT_AT_LEAST -> subject.promptChars() >= instruction.number();
-        case WHEN_HOLDS -> instruction.when().holds(subject);
-        case TAKE_WAY -> true;
-      };
+      boolean fits =
+          switch (instruction.operation()) {
+            case MODEL_IS -> Objects.equals(instruction.text(), subject.model());
+            case SENDER_IS -> Objects.equals(instruction.text(), subject.sender());
+            case CLASS_IS -> Objects.equals(instruction.text(), subject.trafficClass());
+            case HEADER_IS ->
+                Objects.equals(instruction.text(), subject.headers().get(instruction.name()));
+            case PROMPT_AT_MOST -> subject.promptChars() <= instruction.number();
+            case PROMPT_AT_LEAST -> subject.promptChars() >= instruction.number();
+            case WHEN_HOLDS -> instruction.when().holds(subject);
+            case TAKE_WAY -> true;
+          };
       if (instruction.operation() == Operation.TAKE_WAY) {
         return instruction.rule().way();
       }
--- a/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
@@ -16,13 +16,15 @@
 import java.util.stream.Collectors;
 
 /**
- * Forms roster 1 where nobody is told who the first members are. The first seed proposes members among the blank voters it
- * hears; each of them accepts one proposal ever, on its synced disk; roster 1 is formed by whoever hears that all of its
- * members accepted it. So two rosters with a member in common can't both be formed.
+ * Forms roster 1 where nobody is told who the first members are. The first seed proposes members
+ * among the blank voters it hears; each of them accepts one proposal ever, on its synced disk;
+ * roster 1 is formed by whoever hears that all of its members accepted it. So two rosters with a
+ * member in common can't both be formed.
  */
 final class CoreFounding {
   /** The key of the record of an accepted proposal; the roster in use has its own. */
   static final String RECORD = "founding";
+
   private static final String PART = "core";
 
   private final Surroundings surroundings;
@@ -32,17 +34,26 @@
   private final Predicate<Peer> alive;
   private final CoreMember self;
   private final Consumer<Roster> whenFormed;
+
   /** What this process proposes or passes on; only a member of it accepts it. */
   private Roster proposal;
+
   /** Synced on this disk; never replaced by another. */
   private Roster accepted;
+
   private boolean accepting;
   private Set<String> heard = Set.of();
   private long heardChangedAt;
   private long startedAt;
 
-  CoreFounding(Surroundings surroundings, Node.Place place, Bounds bounds, CoreMember self, Map<String, Peer> peers,
-      Predicate<Peer> alive, Consumer<Roster> whenFormed) {
+  CoreFounding(
+      Surroundings surroundings,
+      Node.Place place,
+      Bounds bounds,
+      CoreMember self,
+      Map<String, Peer> peers,
+      Predicate<Peer> alive,
+      Consumer<Roster> whenFormed) {
     this.surroundings = surroundings;
     this.place = place;
     this.bounds = bounds;
@@ -63,12 +74,15 @@
   }
 
   private static DiskRecord record(Roster roster) {
-    return new DiskRecord(Kind.ROSTER, RECORD, Epoch.NONE, roster.number(), true, Json.bytes(roster));
+    return new DiskRecord(
+        Kind.ROSTER, RECORD, Epoch.NONE, roster.number(), true, Json.bytes(roster));
   }
 
   /** Only this process ever proposes; it needs no disk for that. */
   boolean coordinates() {
-    return bounds.bootstrap() && !place.seeds().isEmpty() && place.seeds().get(0).equals(place.peerAddress());
+    return bounds.bootstrap()
+        && !place.seeds().isEmpty()
+        && place.seeds().get(0).equals(place.peerAddress());
   }
 
   Roster proposal() {
@@ -94,7 +108,8 @@
     if (proposal == null) {
       return;
     }
-    proposal.members().stream().filter(member -> !member.id().equals(place.id()))
+    proposal.members().stream()
+        .filter(member -> !member.id().equals(place.id()))
         .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
     accept();
     if (proposal.members().stream().allMatch(this::hasAccepted)) {
@@ -121,7 +136,11 @@
       return proposal.equals(accepted);
     }
     Peer peer = peers.get(member.peerAddress());
-    return peer != null && alive.test(peer) && member.equals(peer.member) && peer.accepted && proposal.equals(peer.proposal);
+    return peer != null
+        && alive.test(peer)
+        && member.equals(peer.member)
+        && peer.accepted
+        && proposal.equals(peer.proposal);
   }
 
   private void propose() {
@@ -135,9 +154,11 @@
     if (bounds.voter()) {
       blanks.add(self);
     }
-    peers.values().stream().filter(peer -> alive.test(peer) && peer.blank && peer.voter && peer.hearsUs)
+    peers.values().stream()
+        .filter(peer -> alive.test(peer) && peer.blank && peer.voter && peer.hearsUs)
         .forEach(peer -> blanks.add(peer.member));
-    Set<String> ids = blanks.stream().map(CoreMember::id).collect(Collectors.toCollection(TreeSet::new));
+    Set<String> ids =
+        blanks.stream().map(CoreMember::id).collect(Collectors.toCollection(TreeSet::new));
     long now = surroundings.now();
     if (!ids.equals(heard)) {
       heard = ids;
@@ -145,19 +166,26 @@
     }
     boolean enough = blanks.size() >= bounds.replicas();
     boolean fewForLong = now - startedAt >= Constants.FOUNDING_FEW_MS;
-    if (blanks.isEmpty() || now - heardChangedAt < Constants.FOUNDING_SETTLE_MS || !enough && !fewForLong) {
+    if (blanks.isEmpty()
+        || now - heardChangedAt < Constants.FOUNDING_SETTLE_MS
+        || !enough && !fewForLong) {
       return;
     }
     int most = Math.min(blanks.size(), bounds.replicas());
     proposal = new Roster(1, spread(blanks, most % 2 == 0 ? most - 1 : most), List.of());
-    surroundings.log(PART, "Roster 1 proposed: " + proposal.members().stream().map(CoreMember::name).toList() + ".");
+    surroundings.log(
+        PART,
+        "Roster 1 proposed: " + proposal.members().stream().map(CoreMember::name).toList() + ".");
   }
 
   /** As many zones as can be: one of each zone in turn, by name. */
   private static List<CoreMember> spread(List<CoreMember> blanks, int count) {
     Map<String, List<CoreMember>> byZone = new TreeMap<>();
-    blanks.stream().sorted(Comparator.comparing(CoreMember::name).thenComparing(CoreMember::id))
-        .forEach(member -> byZone.computeIfAbsent(member.zone(), unseen -> new ArrayList<>()).add(member));
+    blanks.stream()
+        .sorted(Comparator.comparing(CoreMember::name).thenComparing(CoreMember::id))
+        .forEach(
+            member ->
+                byZone.computeIfAbsent(member.zone(), unseen -> new ArrayList<>()).add(member));
     List<CoreMember> chosen = new ArrayList<>();
     while (chosen.size() < count) {
       for (List<CoreMember> ofZone : byZone.values()) {
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -1,5 +1,10 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+import static applespindle.corelogic.Records.Worker.GONE;
+import static applespindle.corelogic.Records.Worker.LEAVING;
+import static applespindle.corelogic.Records.Worker.READY;
+
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Message.CorePing;
@@ -20,9 +25,7 @@
 import applespindle.corelogic.Records.Room;
 import applespindle.corelogic.Records.RoomChange;
 import applespindle.corelogic.Records.Roster;
-import applespindle.corelogic.Records.Shard;
 import applespindle.corelogic.Records.SignedBundle;
-import applespindle.corelogic.Records.StorageReplica;
 import applespindle.corelogic.Records.StorageState;
 import applespindle.corelogic.Records.Worker;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -41,40 +44,48 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static applespindle.corelogic.Records.Worker.GONE;
-import static applespindle.corelogic.Records.Worker.LEAVING;
-import static applespindle.corelogic.Records.Worker.READY;
-
-/** The control plane's process: replicas and owners of the core keys, grants of members, the feed. */
+/**
+ * The control plane's process: replicas and owners of the core keys, grants of members, the feed.
+ */
 public final class CoreNode extends Node {
   private static final String BUNDLE = "bundle";
   private static final String ROOM = "batch-room";
   private static final String ROSTER = "roster";
   private static final String EDGES = "edges";
+
   /** The outside list of workers as one value; workers told one by one have keys of their own. */
   static final String WORKERS = "workers";
+
   /** Apart from the keys of single workers, which begin with worker/. */
   public static final String LIST_VERSION = "worker-list";
+
   /** The name under which all core keys change their replicas together. */
   private static final String CORE_SET = "core";
+
   private static final byte[] EMPTY = {'{', '}'};
   private static final String PART = "core";
 
   /** A core key this node owns: the state after every event it appended, answered or not. */
   static final class Owned {
     final OwnedKey key;
+
     /** What the last appended event made of the key; lost with the ownership. */
     JsonNode value = JSON.nullNode();
+
     final Map<String, Long> room = new LinkedHashMap<>();
+
     /** By batch, the group whose ceiling it counts against; absent for batches of prompts. */
     final Map<String, String> roomGroups = new HashMap<>();
+
     /** When each ledger entry was last spoken of by its leader; only for the audit. */
     final Map<String, Long> roomTouchedAt = new HashMap<>();
+
     /** Place of that value in the key's log; takeovers may stand behind it. */
     long valueSequence;
+
     int eventsSinceWhole;
     long grantExpiresAt;
+
     /** For a shard under change: who said under which set number that it has copied. */
     final Map<String, Long> copied = new HashMap<>();
 
@@ -99,13 +110,20 @@
     long heardAt = Long.MIN_VALUE / 2;
     long newsAt = Long.MIN_VALUE / 2;
     CoreMember member;
+
     /** Knows of no roster at all. */
     boolean blank;
+
     /** Knows the roster, is not in it, and could be. */
     boolean candidate;
+
     boolean voter;
-    /** The roster it proposes or passes on while it knows of none, and whether it has accepted it. */
+
+    /**
+     * The roster it proposes or passes on while it knows of none, and whether it has accepted it.
+     */
     Roster proposal;
+
     boolean accepted;
     long rosterNumber;
     boolean hearsUs;
@@ -118,14 +136,17 @@
 
   /** Asked while no majority of the core was heard: its answer could not say that it is fresh. */
   private long lastLookAt = Long.MIN_VALUE / 2;
+
   /** By follower, when it was last sent the whole table. */
   private final Map<String, Long> checkpointSentAt = new HashMap<>();
 
   private record Unsure(FeedFollow follow, String fromId) {}
 
   private final Bounds bounds;
+
   /** Peer addresses of the first members; empty where these are found by the seeds. */
   private final List<String> founders;
+
   private final CoreFounding founding;
   private final BundleDuty bundles;
   private final WorkerListDuty workerList;
@@ -134,11 +155,15 @@
   private final ReplicaCopier copier;
   final Map<String, Owned> owned = new TreeMap<>();
   private final KeyClaims claims;
+
   /** By peer address, as a founder's id is not known before it speaks. */
   private final Map<String, Peer> peers = new TreeMap<>();
+
   final CoreTable table = new CoreTable();
+
   /** Invariant: feed holds the last changes, numbered up to feedNumber without a gap. */
   private final ArrayDeque<FeedItem> feed = new ArrayDeque<>();
+
   private long feedNumber;
   private boolean started;
   private long searches;
@@ -149,30 +174,52 @@
   private final RoomPace roomPace;
   private final EdgeListing edgeListing;
 
-  public CoreNode(Surroundings surroundings, Place place, Map<String, String> operatorKeys, List<String> founders) {
+  public CoreNode(
+      Surroundings surroundings,
+      Place place,
+      Map<String, String> operatorKeys,
+      List<String> founders) {
     this(surroundings, place, operatorKeys, founders, Bounds.DEFAULT);
   }
 
-  public CoreNode(Surroundings surroundings, Place place, Map<String, String> operatorKeys, List<String> founders,
+  public CoreNode(
+      Surroundings surroundings,
+      Place place,
+      Map<String, String> operatorKeys,
+      List<String> founders,
       Bounds bounds) {
     super(surroundings, place);
     this.bounds = bounds;
     this.founders = founders;
-    this.founding = new CoreFounding(surroundings, place, bounds, self(), peers, this::alive, this::learnRoster);
+    this.founding =
+        new CoreFounding(
+            surroundings, place, bounds, self(), peers, this::alive, this::learnRoster);
     this.bundles = new BundleDuty(bounds, operatorKeys);
-    this.workerList = new WorkerListDuty(surroundings, bounds, state -> owned.get(WORKERS) == state, this::put,
-        () -> passOn(WORKERS));
+    this.workerList =
+        new WorkerListDuty(
+            surroundings,
+            bounds,
+            state -> owned.get(WORKERS) == state,
+            this::put,
+            () -> passOn(WORKERS));
     this.storage = new StorageSets(surroundings, this, bounds);
     this.replicas = new KeyReplicas(surroundings, this::send, this::committed, key -> CORE_SET);
-    this.claims = new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin, true);
+    this.claims =
+        new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin, true);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
     this.edgeListing = new EdgeListing(surroundings);
     this.roomPace = new RoomPace(surroundings);
-    this.inForce = new NewsInForce(surroundings, bounds.edgesConfirm(), this::edgesThatCount, () -> isMember() && feedAge() < Constants.CORE_SILENT_MS,
-        address -> send(address, "", new KeysAsked(surroundings.now())));
+    this.inForce =
+        new NewsInForce(
+            surroundings,
+            bounds.edgesConfirm(),
+            this::edgesThatCount,
+            () -> isMember() && feedAge() < Constants.CORE_SILENT_MS,
+            address -> send(address, "", new KeysAsked(surroundings.now())));
   }
 
-  @Override protected void boundsChanged(Bounds newer) {
+  @Override
+  protected void boundsChanged(Bounds newer) {
     workerList.boundsChanged(newer);
   }
 
@@ -180,7 +227,8 @@
     return replicas;
   }
 
-  @Override public void recover(DiskRecord record) {
+  @Override
+  public void recover(DiskRecord record) {
     if (record.kind() == Kind.ROSTER && record.key().equals(CoreFounding.RECORD)) {
       founding.recover(record);
     } else if (record.kind() == Kind.ROSTER) {
@@ -190,7 +238,8 @@
     }
   }
 
-  @Override public List<DiskRecord> checkpoint() {
+  @Override
+  public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
     if (isReplica()) {
       records.add(rosterRecord());
@@ -202,7 +251,8 @@
   }
 
   private DiskRecord rosterRecord() {
-    return new DiskRecord(Kind.ROSTER, ROSTER, Epoch.NONE, roster.number(), true, Json.bytes(roster));
+    return new DiskRecord(
+        Kind.ROSTER, ROSTER, Epoch.NONE, roster.number(), true, Json.bytes(roster));
   }
 
   private boolean isMember() {
@@ -219,21 +269,29 @@
   }
 
   private ReplicaSets coreSets() {
-    return new ReplicaSets(roster.number(), coreReplicas(roster.members()), coreReplicas(roster.next()));
+    return new ReplicaSets(
+        roster.number(), coreReplicas(roster.members()), coreReplicas(roster.next()));
   }
 
   private static List<OwnedKey.Replica> coreReplicas(List<CoreMember> members) {
-    return members.stream().map(member -> new OwnedKey.Replica(member.id(), member.peerAddress())).toList();
+    return members.stream()
+        .map(member -> new OwnedKey.Replica(member.id(), member.peerAddress()))
+        .toList();
   }
 
-  @Override protected void learnRoster(Roster told) {
+  @Override
+  protected void learnRoster(Roster told) {
     long before = roster.number();
     super.learnRoster(told);
     if (roster.number() == before || !started) {
       return;
     }
-    roster.members().forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
-    roster.next().forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    roster
+        .members()
+        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    roster
+        .next()
+        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
     peers.remove(place.peerAddress());
     peers.entrySet().removeIf(each -> !inRoster(each.getKey()) && !alive(each.getValue()));
     if (!isReplica()) {
@@ -241,7 +299,7 @@
       owned.clear();
       return;
     }
-    surroundings.write(List.of(rosterRecord()), () -> { });
+    surroundings.write(List.of(rosterRecord()), () -> {});
     replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
     List.copyOf(owned.values()).forEach(state -> state.key.changeSets(coreSets()));
     claims.changeSets();
@@ -258,7 +316,11 @@
       return;
     }
     journal.add("copying", CORE_SET, "set " + number);
-    copier.copyIn(CORE_SET, number, coreReplicas(roster.members()), () -> roster.number() == number && !stopped(),
+    copier.copyIn(
+        CORE_SET,
+        number,
+        coreReplicas(roster.members()),
+        () -> roster.number() == number && !stopped(),
         () -> sayCopied(number));
   }
 
@@ -266,15 +328,21 @@
     if (roster.number() != number || stopped()) {
       return;
     }
-    ask(attempt -> {
-      CoreMember member = roster.members().get(attempt % roster.members().size());
-      return new Target(member.id(), member.peerAddress());
-    }, "copied", ROSTER, JSON.createObjectNode().put("id", place.id()).put("number", number), Constants.ASK_EXPIRY_MS,
-        response -> { });
+    ask(
+        attempt -> {
+          CoreMember member = roster.members().get(attempt % roster.members().size());
+          return new Target(member.id(), member.peerAddress());
+        },
+        "copied",
+        ROSTER,
+        JSON.createObjectNode().put("id", place.id()).put("number", number),
+        Constants.ASK_EXPIRY_MS,
+        response -> {});
     surroundings.after(Constants.COPIED_REPEAT_MS, () -> sayCopied(number));
   }
 
-  @Override public void start() {
+  @Override
+  public void start() {
     started = true;
     replicas.recovered();
     copyIfNewcomer();
@@ -324,7 +392,8 @@
   private void ping(List<String> addresses) {
     ObjectNode ping = JSON.createObjectNode();
     ping.set("member", JSON.valueToTree(self()));
-    ping.put("blank", roster.number() == 0).put("candidate", roster.number() > 0 && !isReplica() && bounds.voter())
+    ping.put("blank", roster.number() == 0)
+        .put("candidate", roster.number() > 0 && !isReplica() && bounds.voter())
         .put("voter", bounds.voter());
     if (roster.number() == 0 && founding.proposal() != null) {
       ping.set("proposal", JSON.valueToTree(founding.proposal()));
@@ -336,7 +405,8 @@
     ArrayNode owns = ping.putArray("owns");
     owned.keySet().forEach(owns::add);
     byte[] body = Json.bytes(ping);
-    byte[] withRoster = roster.number() == 0 ? body : Json.bytes(ping.set("roster", JSON.valueToTree(roster)));
+    byte[] withRoster =
+        roster.number() == 0 ? body : Json.bytes(ping.set("roster", JSON.valueToTree(roster)));
     for (String address : addresses) {
       Peer peer = peers.get(address);
       boolean knowsRoster = peer != null && alive(peer) && peer.rosterNumber >= roster.number();
@@ -347,13 +417,15 @@
   }
 
   /**
-   * Seeds may be stale, down, or as new as this process: whoever is known is asked. A seed that is no member may have
-   * forgotten the core, and others that know only this seed rely on it: it is told now and then.
+   * Seeds may be stale, down, or as new as this process: whoever is known is asked. A seed that is
+   * no member may have forgotten the core, and others that know only this seed rely on it: it is
+   * told now and then.
    */
   private void searchCore() {
     boolean oneInSome = ++searches % Constants.CORE_TELL_ONE_IN == 0;
     if (isMember() && oneInSome) {
-      seeds.stream().filter(seed -> !inRoster(seed) && !seed.equals(place.peerAddress()))
+      seeds.stream()
+          .filter(seed -> !inRoster(seed) && !seed.equals(place.peerAddress()))
           .forEach(seed -> send(seed, "", new Message.CoreIs(roster.number(), Json.bytes(roster))));
     }
     boolean lost = roster.number() == 0 || isMember() && feedAge() > Constants.CORE_SILENT_MS;
@@ -366,7 +438,8 @@
   }
 
   private CoreMember self() {
-    return new CoreMember(place.id(), place.peerAddress(), place.httpAddress(), place.zone(), place.name());
+    return new CoreMember(
+        place.id(), place.peerAddress(), place.httpAddress(), place.zone(), place.name());
   }
 
   private boolean alive(Peer peer) {
@@ -382,12 +455,14 @@
     peer.blank = body.path("blank").asBoolean();
     peer.candidate = body.path("candidate").asBoolean();
     peer.voter = body.path("voter").asBoolean();
-    peer.proposal = body.has("proposal") ? JSON.convertValue(body.get("proposal"), Roster.class) : null;
+    peer.proposal =
+        body.has("proposal") ? JSON.convertValue(body.get("proposal"), Roster.class) : null;
     peer.accepted = body.path("accepted").asBoolean();
     peer.rosterNumber = body.path("number").asLong();
     peer.hearsUs = false;
     body.path("heard").forEach(id -> peer.hearsUs |= id.asText().equals(place.id()));
-    body.path("owns").forEach(key -> replicas.ownerLives(key.asText(), peer.member.id(), fromAddress));
+    body.path("owns")
+        .forEach(key -> replicas.ownerLives(key.asText(), peer.member.id(), fromAddress));
     if (body.has("roster")) {
       learnRoster(JSON.convertValue(body.get("roster"), Roster.class));
     }
@@ -396,7 +471,10 @@
     }
   }
 
-  /** After a start or a cut a member is answered at once: what the rest of the fleet waits for is that members hear each other. */
+  /**
+   * After a start or a cut a member is answered at once: what the rest of the fleet waits for is
+   * that members hear each other.
+   */
   private void heardAgain(String address) {
     ping(List.of(address));
     followPeer(address);
@@ -406,8 +484,8 @@
   }
 
   /**
-   * Only the first founder forms roster 1, and only while each other founder, hearing this very process, says that
-   * it is blank: so none of them is in a roster already.
+   * Only the first founder forms roster 1, and only while each other founder, hearing this very
+   * process, says that it is blank: so none of them is in a roster already.
    */
   private void formRoster() {
     if (founders.isEmpty() || !founders.get(0).equals(place.peerAddress())) {
@@ -427,9 +505,9 @@
   }
 
   /**
-   * The owner of the roster replaces a member that has been silent for long by a candidate, one at a time: first both
-   * sets, then, once the newcomer has copied, the new one. Each step is taken only when the one before is committed
-   * and in use here.
+   * The owner of the roster replaces a member that has been silent for long by a candidate, one at
+   * a time: first both sets, then, once the newcomer has copied, the new one. Each step is taken
+   * only when the one before is committed and in use here.
    */
   private void changeRoster() {
     Owned state = owned.get(ROSTER);
@@ -437,7 +515,7 @@
       boolean first = place.id().equals(Rendezvous.first(ROSTER, liveCore()));
       KeyReplicas.Copy copy = replicas.copies().get(ROSTER);
       if (first && (copy == null || replicas.ownerSilent(copy))) {
-        claims.claim(ROSTER, false, outcome -> { });
+        claims.claim(ROSTER, false, outcome -> {});
       }
       return;
     }
@@ -446,64 +524,93 @@
       return;
     }
     if (!inForce.next().isEmpty()) {
-      CoreMember newcomer = inForce.next().stream().filter(member -> !inForce.members().contains(member)).findFirst().get();
+      CoreMember newcomer =
+          inForce.next().stream()
+              .filter(member -> !inForce.members().contains(member))
+              .findFirst()
+              .get();
       Peer peer = peers.get(newcomer.peerAddress());
       boolean present = peer != null && alive(peer) && peer.member.id().equals(newcomer.id());
       if (state.copied.getOrDefault(newcomer.id(), 0L) == inForce.number()) {
         surroundings.log(PART, "Core member taken in: " + newcomer.name() + ".");
-        put(state, new Roster(inForce.number() + 1, inForce.next(), List.of()), fault -> { });
+        put(state, new Roster(inForce.number() + 1, inForce.next(), List.of()), fault -> {});
       } else if (!present) {
-        put(state, new Roster(inForce.number() + 1, inForce.members(), List.of()), fault -> { });
+        put(state, new Roster(inForce.number() + 1, inForce.members(), List.of()), fault -> {});
       }
       return;
     }
     long now = surroundings.now();
     for (CoreMember member : inForce.members()) {
       Peer peer = peers.get(member.peerAddress());
-      boolean sameProcess = peer != null && peer.member != null && peer.member.id().equals(member.id());
+      boolean sameProcess =
+          peer != null && peer.member != null && peer.member.id().equals(member.id());
       if (member.id().equals(place.id()) || sameProcess && alive(peer)) {
         coreSilentSince.remove(member.id());
         continue;
       }
-      boolean silentForLong = now - coreSilentSince.computeIfAbsent(member.id(), unseen -> now) >= Constants.CORE_REPLACE_MS;
-      // Another process at the address says that the member's disk is gone: it never comes back, so nothing is waited for.
-      Optional<CoreMember> candidate = peer != null && !sameProcess && alive(peer) && peer.candidate
-          ? Optional.of(peer.member) : silentForLong ? candidateFor(member) : Optional.empty();
+      boolean silentForLong =
+          now - coreSilentSince.computeIfAbsent(member.id(), unseen -> now)
+              >= Constants.CORE_REPLACE_MS;
+      // Another process at the address says that the member's disk is gone: it never comes back, so
+      // nothing is waited for.
+      Optional<CoreMember> candidate =
+          peer != null && !sameProcess && alive(peer) && peer.candidate
+              ? Optional.of(peer.member)
+              : silentForLong ? candidateFor(member) : Optional.empty();
       if (candidate.isPresent()) {
         List<CoreMember> next = new ArrayList<>(inForce.members());
         next.set(next.indexOf(member), candidate.get());
-        changeRosterTo(state, inForce, next, "Core member " + member.name() + " is being replaced by " + candidate.get().name() + ".");
+        changeRosterTo(
+            state,
+            inForce,
+            next,
+            "Core member "
+                + member.name()
+                + " is being replaced by "
+                + candidate.get().name()
+                + ".");
         return;
       }
     }
     if (founders.isEmpty() && inForce.members().size() < bounds.replicas()) {
-      candidateFor(null).ifPresent(candidate -> {
-        List<CoreMember> next = new ArrayList<>(inForce.members());
-        next.add(candidate);
-        changeRosterTo(state, inForce, next, "The core takes " + candidate.name() + " in.");
-      });
+      candidateFor(null)
+          .ifPresent(
+              candidate -> {
+                List<CoreMember> next = new ArrayList<>(inForce.members());
+                next.add(candidate);
+                changeRosterTo(state, inForce, next, "The core takes " + candidate.name() + " in.");
+              });
     }
   }
 
   /** One that is in the place's zone first; with no place, one of a zone with fewest members. */
   private Optional<CoreMember> candidateFor(CoreMember leaver) {
-    return peers.values().stream().filter(each -> alive(each) && each.candidate).map(each -> each.member)
-        .min(Comparator.comparing((CoreMember each) -> leaver != null && !each.zone().equals(leaver.zone()))
-            .thenComparing(each -> roster.members().stream().filter(member -> member.zone().equals(each.zone())).count())
-            .thenComparing(CoreMember::id));
+    return peers.values().stream()
+        .filter(each -> alive(each) && each.candidate)
+        .map(each -> each.member)
+        .min(
+            Comparator.comparing(
+                    (CoreMember each) -> leaver != null && !each.zone().equals(leaver.zone()))
+                .thenComparing(
+                    each ->
+                        roster.members().stream()
+                            .filter(member -> member.zone().equals(each.zone()))
+                            .count())
+                .thenComparing(CoreMember::id));
   }
 
   private void changeRosterTo(Owned state, Roster inForce, List<CoreMember> next, String sentence) {
     surroundings.log(PART, sentence);
     state.copied.clear();
-    put(state, new Roster(inForce.number() + 1, inForce.members(), next), fault -> { });
+    put(state, new Roster(inForce.number() + 1, inForce.members(), next), fault -> {});
   }
 
   List<String> liveCore() {
     Set<String> live = new LinkedHashSet<>();
     for (CoreMember member : roster.members()) {
       Peer peer = peers.get(member.peerAddress());
-      if (member.id().equals(place.id()) || peer != null && alive(peer) && peer.member.id().equals(member.id())) {
+      if (member.id().equals(place.id())
+          || peer != null && alive(peer) && peer.member.id().equals(member.id())) {
         live.add(member.id());
       }
     }
@@ -511,23 +618,34 @@
   }
 
   private String addressOf(String coreId) {
-    return roster.members().stream().filter(member -> member.id().equals(coreId)).map(CoreMember::peerAddress)
-        .findFirst().orElse("");
+    return roster.members().stream()
+        .filter(member -> member.id().equals(coreId))
+        .map(CoreMember::peerAddress)
+        .findFirst()
+        .orElse("");
   }
 
   // ---- owning keys
 
   private void claimOrphans() {
     List<String> live = liveCore();
-    replicas.copies().forEach((key, copy) -> {
-      if (!owned.containsKey(key) && replicas.ownerSilent(copy) && (worthOwning(key) || replicas.undecided(key))
-          && place.id().equals(Rendezvous.first(key, live))) {
-        claims.claim(key, false, outcome -> { });
-      }
-    });
+    replicas
+        .copies()
+        .forEach(
+            (key, copy) -> {
+              if (!owned.containsKey(key)
+                  && replicas.ownerSilent(copy)
+                  && (worthOwning(key) || replicas.undecided(key))
+                  && place.id().equals(Rendezvous.first(key, live))) {
+                claims.claim(key, false, outcome -> {});
+              }
+            });
   }
 
-  /** Keys of members that have gone and workers that were taken out rest until somebody asks for them. */
+  /**
+   * Keys of members that have gone and workers that were taken out rest until somebody asks for
+   * them.
+   */
   private boolean worthOwning(String key) {
     FeedItem item = table.get(key);
     if (item != null && key.startsWith("member/")) {
@@ -537,7 +655,7 @@
   }
 
   void claim(String key) {
-    claims.claim(key, false, outcome -> { });
+    claims.claim(key, false, outcome -> {});
   }
 
   private void begin(OwnedKey ownedKey) {
@@ -547,10 +665,11 @@
     }
     state.grantExpiresAt = surroundings.now() + Constants.GRANT_LENGTH_MS;
     owned.put(ownedKey.key, state);
-    ownedKey.whenLost(() -> {
-      owned.remove(ownedKey.key);
-      journal.add("lost", ownedKey.key, "");
-    });
+    ownedKey.whenLost(
+        () -> {
+          owned.remove(ownedKey.key);
+          journal.add("lost", ownedKey.key, "");
+        });
     journal.add("owned", ownedKey.key, "epoch " + ownedKey.epoch().counter());
     if (ownedKey.key.equals(WORKERS) && bounds.listCallsPerS() > 0) {
       workerList.begin(state);
@@ -608,7 +727,8 @@
     if (item.key().equals(ROSTER)) {
       learnRoster(Json.read(item.value(), Roster.class));
     }
-    if (isMember() && (item.key().startsWith(CoreTable.MEMBER) || item.key().startsWith(CoreTable.STORAGE))) {
+    if (isMember()
+        && (item.key().startsWith(CoreTable.MEMBER) || item.key().startsWith(CoreTable.STORAGE))) {
       storage.lookSoon();
     }
     if (feed.size() == Constants.FEED_KEPT) {
@@ -620,63 +740,106 @@
     long now = surroundings.now();
     followers.values().removeIf(follower -> follower.until() < now);
     for (Follower follower : followers.values()) {
-      send(follower.address(), follower.id(), new FeedNews(place.id(), place.incarnation(), feedNumber - 1, feedNumber,
-          false, false, feedAge(), 0, List.of(item)));
+      send(
+          follower.address(),
+          follower.id(),
+          new FeedNews(
+              place.id(),
+              place.incarnation(),
+              feedNumber - 1,
+              feedNumber,
+              false,
+              false,
+              feedAge(),
+              0,
+              List.of(item)));
     }
   }
 
-  /** Something that edges work by was on this disk at the start and is not yet known to be committed or not. */
+  /**
+   * Something that edges work by was on this disk at the start and is not yet known to be committed
+   * or not.
+   */
   private boolean lacksDecision() {
     return replicas.anyUndecided(key -> !key.equals(ROOM) && !key.startsWith(CoreTable.MEMBER));
   }
 
   /**
-   * How old this node's view may be: the time since it last had news from a majority of the core, itself included. Nodes
-   * that lack a decision do not count: what they are not sure of may have been acknowledged.
+   * How old this node's view may be: the time since it last had news from a majority of the core,
+   * itself included. Nodes that lack a decision do not count: what they are not sure of may have
+   * been acknowledged.
    */
   private long feedAge() {
     if (!isMember()) {
       return Long.MAX_VALUE / 4;
     }
     long now = surroundings.now();
-    long[] ages = roster.members().stream().mapToLong(member -> {
-      Peer peer = peers.get(member.peerAddress());
-      return member.id().equals(place.id()) ? lacksDecision() ? Long.MAX_VALUE / 4 : 0
-          : peer == null ? Long.MAX_VALUE / 4 : Math.min(now - peer.newsAt, Long.MAX_VALUE / 4);
-    }).sorted().toArray();
+    long[] ages =
+        roster.members().stream()
+            .mapToLong(
+                member -> {
+                  Peer peer = peers.get(member.peerAddress());
+                  return member.id().equals(place.id())
+                      ? lacksDecision() ? Long.MAX_VALUE / 4 : 0
+                      : peer == null
+                          ? Long.MAX_VALUE / 4
+                          : Math.min(now - peer.newsAt, Long.MAX_VALUE / 4);
+                })
+            .sorted()
+            .toArray();
     return ages[ages.length / 2];
   }
 
   private void followed(FeedFollow follow, String fromId, String fromAddress) {
-    followers.put(fromAddress, new Follower(fromId, fromAddress, surroundings.now() + 3 * Constants.FEED_POLL_MS));
+    followers.put(
+        fromAddress,
+        new Follower(fromId, fromAddress, surroundings.now() + 3 * Constants.FEED_POLL_MS));
     if (feedAge() < Constants.CORE_SILENT_MS) {
       unsure.remove(fromAddress);
     } else {
       unsure.put(fromAddress, new Unsure(follow, fromId));
     }
-    boolean known = follow.coreId().equals(place.id()) && follow.incarnation() == place.incarnation()
-        && follow.number() <= feedNumber && follow.number() >= feedNumber - feed.size();
-    List<FeedItem> news = known
-        ? feed.stream().skip(feed.size() - (feedNumber - follow.number())).toList()
-        : List.copyOf(table.all());
+    boolean known =
+        follow.coreId().equals(place.id())
+            && follow.incarnation() == place.incarnation()
+            && follow.number() <= feedNumber
+            && follow.number() >= feedNumber - feed.size();
+    List<FeedItem> news =
+        known
+            ? feed.stream().skip(feed.size() - (feedNumber - follow.number())).toList()
+            : List.copyOf(table.all());
     if (!known && sentOfLate(fromId)) {
       return;
     }
     boolean silent = inRoster(fromAddress) && lacksDecision();
-    send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), known ? follow.number() : 0, feedNumber,
-        !known, false, feedAge(), silent ? 0 : follow.sentAt(), news));
+    send(
+        fromAddress,
+        fromId,
+        new FeedNews(
+            place.id(),
+            place.incarnation(),
+            known ? follow.number() : 0,
+            feedNumber,
+            !known,
+            false,
+            feedAge(),
+            silent ? 0 : follow.sentAt(),
+            news));
   }
 
   /**
-   * Whether a whole table is on its way to this follower already: one that asks again before a large one has arrived over a
-   * slow link would be sent it over and over. Small ones are always sent.
+   * Whether a whole table is on its way to this follower already: one that asks again before a
+   * large one has arrived over a slow link would be sent it over and over. Small ones are always
+   * sent.
    */
   private boolean sentOfLate(String followerId) {
     long now = surroundings.now();
     long bytes = table.all().stream().mapToLong(item -> item.value().length).sum();
     checkpointSentAt.values().removeIf(sentAt -> now - sentAt > Constants.CHECKPOINT_KEPT_MS);
     Long sentAt = checkpointSentAt.get(followerId);
-    if (sentAt != null && now - sentAt < Math.min(Constants.CHECKPOINT_KEPT_MS, bytes / Constants.CHECKPOINT_BYTES_A_MS)) {
+    if (sentAt != null
+        && now - sentAt
+            < Math.min(Constants.CHECKPOINT_KEPT_MS, bytes / Constants.CHECKPOINT_BYTES_A_MS)) {
       return true;
     }
     checkpointSentAt.put(followerId, now);
@@ -700,7 +863,10 @@
     for (CoreMember member : roster.members()) {
       if (member.peerAddress().equals(address) && !member.id().equals(place.id())) {
         Peer peer = peers.computeIfAbsent(address, unseen -> new Peer());
-        send(address, member.id(), new FeedFollow(peer.feedId, peer.feedIncarnation, peer.feedNumber, surroundings.now()));
+        send(
+            address,
+            member.id(),
+            new FeedFollow(peer.feedId, peer.feedIncarnation, peer.feedNumber, surroundings.now()));
       }
     }
   }
@@ -710,8 +876,11 @@
     if (peer == null) {
       return;
     }
-    boolean fits = news.checkpoint() || news.coreId().equals(peer.feedId)
-        && news.incarnation() == peer.feedIncarnation && news.fromNumber() <= peer.feedNumber;
+    boolean fits =
+        news.checkpoint()
+            || news.coreId().equals(peer.feedId)
+                && news.incarnation() == peer.feedIncarnation
+                && news.fromNumber() <= peer.feedNumber;
     if (!fits) {
       return;
     }
@@ -726,8 +895,8 @@
   // ---- members and shards
 
   /**
-   * Renewals that came while this process stood still wait behind this very look: what it missed itself is no silence of
-   * the members. A grant that ends later than it might is always safe.
+   * Renewals that came while this process stood still wait behind this very look: what it missed
+   * itself is no silence of the members. A grant that ends later than it might is always safe.
    */
   private void expireMembers() {
     long now = surroundings.now();
@@ -738,17 +907,26 @@
       return;
     }
     for (Owned state : List.copyOf(owned.values())) {
-      if (state.key.key.startsWith("member/") && state.value.path("live").asBoolean() && now >= state.grantExpiresAt) {
+      if (state.key.key.startsWith("member/")
+          && state.value.path("live").asBoolean()
+          && now >= state.grantExpiresAt) {
         Member member = JSON.convertValue(state.value, Member.class);
         surroundings.log(PART, "Member expired: " + member.name() + ".");
-        put(state, withLive(member, false), fault -> { });
+        put(state, withLive(member, false), fault -> {});
       }
     }
   }
 
   private static Member withLive(Member member, boolean live) {
-    return new Member(member.id(), member.incarnation(), member.name(), member.zone(), member.role(),
-        member.peerAddress(), member.httpAddress(), live);
+    return new Member(
+        member.id(),
+        member.incarnation(),
+        member.name(),
+        member.zone(),
+        member.role(),
+        member.peerAddress(),
+        member.httpAddress(),
+        live);
   }
 
   // ---- the list of edges that count
@@ -756,38 +934,47 @@
   private NewsInForce.Edges edgesThatCount() {
     Map<String, String> live = new TreeMap<>();
     table.live("edge").forEach(member -> live.put(member.peerAddress(), member.name()));
-    return new NewsInForce.Edges(table.edges() == null ? List.of() : table.edges().addresses(), live);
+    return new NewsInForce.Edges(
+        table.edges() == null ? List.of() : table.edges().addresses(), live);
   }
 
   private void listEdges() {
     Owned state = owned.get(EDGES);
     Set<String> live = edgesThatCount().live().keySet();
     if (state == null) {
-      if (!table.has(EDGES) && !live.isEmpty() && place.id().equals(Rendezvous.first(EDGES, liveCore()))) {
-        claims.claim(EDGES, false, outcome -> { });
+      if (!table.has(EDGES)
+          && !live.isEmpty()
+          && place.id().equals(Rendezvous.first(EDGES, liveCore()))) {
+        claims.claim(EDGES, false, outcome -> {});
       }
       return;
     }
     EdgeList list = state.as(EdgeList.class);
-    EdgeList next = edgeListing.next(list, live, list != null && inForce.knownToMost(EDGES, state.valueSequence));
+    EdgeList next =
+        edgeListing.next(
+            list, live, list != null && inForce.knownToMost(EDGES, state.valueSequence));
     if (next != null) {
-      surroundings.log(PART, "Edges that count: list " + next.number() + " of " + next.addresses().size() + ".");
-      put(state, next, fault -> { });
+      surroundings.log(
+          PART, "Edges that count: list " + next.number() + " of " + next.addresses().size() + ".");
+      put(state, next, fault -> {});
     }
   }
 
   /** Somebody is always on the duty, also before the first value is there. */
   private void listWorkers() {
     KeyReplicas.Copy copy = replicas.copies().get(WORKERS);
-    if (bounds.listCallsPerS() > 0 && !owned.containsKey(WORKERS) && (copy == null || replicas.ownerSilent(copy))
+    if (bounds.listCallsPerS() > 0
+        && !owned.containsKey(WORKERS)
+        && (copy == null || replicas.ownerSilent(copy))
         && place.id().equals(Rendezvous.first(WORKERS, liveCore()))) {
-      claims.claim(WORKERS, false, outcome -> { });
+      claims.claim(WORKERS, false, outcome -> {});
     }
   }
 
   // ---- asks
 
-  @Override protected void handleAsk(Ask ask) {
+  @Override
+  protected void handleAsk(Ask ask) {
     if (ask.duty().equals("copy")) {
       copier.copyOut(ask);
       return;
@@ -814,13 +1001,16 @@
     } else if (stopping) {
       respond(ask, Response.of(new Fault.NodeStopping()));
     } else {
-      claims.claim(ask.key(), false, outcome -> {
-        switch (outcome.claim()) {
-          case OWNED -> run(ask, owned.get(ask.key()));
-          case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
-          case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-        }
-      });
+      claims.claim(
+          ask.key(),
+          false,
+          outcome -> {
+            switch (outcome.claim()) {
+              case OWNED -> run(ask, owned.get(ask.key()));
+              case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
+              case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+            }
+          });
     }
   }
 
@@ -839,8 +1029,10 @@
       case "copied" -> copied(ask, state, Json.tree(ask.body()));
       case "storage" -> storage.mark(ask, state, Json.read(ask.body(), StorageState.class));
       case "storage-place" -> storage.place(ask, state);
-      case "read" -> state.key.confirm(fault -> respond(ask,
-          fault == null ? Response.of(200, state.value) : Response.of(fault)));
+      case "read" ->
+          state.key.confirm(
+              fault ->
+                  respond(ask, fault == null ? Response.of(200, state.value) : Response.of(fault)));
       default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
     }
   }
@@ -864,48 +1056,78 @@
     }
     surroundings.log(PART, "Member joined: " + member.name() + ".");
     strikeFormer(member);
-    put(state, member, fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
+    put(
+        state,
+        member,
+        fault -> respond(ask, fault == null ? Response.of(200, body) : Response.of(fault)));
   }
 
-  /** An edge keeps no id over a restart: whoever was at its address has ended, and its duties need not wait for its grant. */
+  /**
+   * An edge keeps no id over a restart: whoever was at its address has ended, and its duties need
+   * not wait for its grant.
+   */
   private void strikeFormer(Member joined) {
     table.live("edge").stream()
-        .filter(member -> member.peerAddress().equals(joined.peerAddress()) && !member.id().equals(joined.id()))
-        .forEach(former -> command("leave", CoreTable.MEMBER + former.id(), EMPTY, response -> { }));
+        .filter(
+            member ->
+                member.peerAddress().equals(joined.peerAddress())
+                    && !member.id().equals(joined.id()))
+        .forEach(former -> command("leave", CoreTable.MEMBER + former.id(), EMPTY, response -> {}));
   }
 
   private void leave(Ask ask, Owned state) {
     if (state.value.path("live").asBoolean()) {
-      put(state, withLive(JSON.convertValue(state.value, Member.class), false),
-          fault -> respond(ask, fault == null ? Response.of(200, JSON.createObjectNode()) : Response.of(fault)));
+      put(
+          state,
+          withLive(JSON.convertValue(state.value, Member.class), false),
+          fault ->
+              respond(
+                  ask,
+                  fault == null ? Response.of(200, JSON.createObjectNode()) : Response.of(fault)));
     } else {
       respond(ask, Response.of(200, JSON.createObjectNode()));
     }
   }
 
   private void bundle(Ask ask, Owned state, SignedBundle sent) {
-    bundles.take(state, sent, this::put, new BundleDuty.Outcome() {
-      @Override public void refuse(Fault fault) {
-        respond(ask, Response.of(fault));
-      }
-
-      @Override public void accept(long number, Fault fault) {
-        acknowledge(ask, state, JSON.createObjectNode().put("number", number), fault);
-      }
-    });
+    bundles.take(
+        state,
+        sent,
+        this::put,
+        new BundleDuty.Outcome() {
+          @Override
+          public void refuse(Fault fault) {
+            respond(ask, Response.of(fault));
+          }
+
+          @Override
+          public void accept(long number, Fault fault) {
+            acknowledge(ask, state, JSON.createObjectNode().put("number", number), fault);
+          }
+        });
   }
 
-  /** What is committed is told only once it is in force: no edge can then still begin work by older news. */
+  /**
+   * What is committed is told only once it is in force: no edge can then still begin work by older
+   * news.
+   */
   private void acknowledge(Ask ask, Owned state, ObjectNode body, Fault fault) {
     if (fault != null) {
       respond(ask, Response.of(fault));
       return;
     }
     String key = state.key.key;
-    inForce.await(key, state.valueSequence, body, response -> {
-      journal.add(response.good() ? "acknowledged" : "not-acknowledged", key, "sequence " + state.valueSequence);
-      respond(ask, response);
-    });
+    inForce.await(
+        key,
+        state.valueSequence,
+        body,
+        response -> {
+          journal.add(
+              response.good() ? "acknowledged" : "not-acknowledged",
+              key,
+              "sequence " + state.valueSequence);
+          respond(ask, response);
+        });
   }
 
   private void worker(Ask ask, Owned state, Worker sent) {
@@ -913,10 +1135,21 @@
     boolean absent = known == null || known.state().equals(GONE);
     boolean marksKnown = sent.address().isEmpty();
     if (marksKnown && absent) {
-      state.key.confirm(fault -> respond(ask, Response.of(fault == null ? new Fault.NoSuchWorker(sent.id()) : fault)));
+      state.key.confirm(
+          fault ->
+              respond(ask, Response.of(fault == null ? new Fault.NoSuchWorker(sent.id()) : fault)));
       return;
     }
-    Worker next = marksKnown ? new Worker(known.id(), known.address(), known.pool(), sent.state(), known.zone(), known.slots()) : sent;
+    Worker next =
+        marksKnown
+            ? new Worker(
+                known.id(),
+                known.address(),
+                known.pool(),
+                sent.state(),
+                known.zone(),
+                known.slots())
+            : sent;
     if (next.equals(known)) {
       state.key.confirm(fault -> acknowledge(ask, state, JSON.valueToTree(next), fault));
     } else {
@@ -924,21 +1157,37 @@
     }
   }
 
-  /** Compare-and-set of the worker list's version: of two platforms that start from one version, one goes on. */
+  /**
+   * Compare-and-set of the worker list's version: of two platforms that start from one version, one
+   * goes on.
+   */
   private void listVersion(Ask ask, Owned state, JsonNode body) {
     long version = state.value.path("version").asLong(0);
     JsonNode from = body.path("from");
     if (from.isIntegralNumber() && from.asLong() != version) {
-      state.key.confirm(fault -> respond(ask, Response.of(fault == null ? new Fault.VersionConflict(version) : fault)));
+      state.key.confirm(
+          fault ->
+              respond(
+                  ask, Response.of(fault == null ? new Fault.VersionConflict(version) : fault)));
       return;
     }
-    put(state, new ListVersion(version + 1), fault -> respond(ask, fault == null
-        ? Response.of(200, new ListVersion(version + 1)) : Response.of(fault)));
+    put(
+        state,
+        new ListVersion(version + 1),
+        fault ->
+            respond(
+                ask,
+                fault == null
+                    ? Response.of(200, new ListVersion(version + 1))
+                    : Response.of(fault)));
   }
 
   // ---- room for waiting batch work
 
-  /** Sets a batch's unfinished items. Only a first reservation can be refused, and then nothing is written. */
+  /**
+   * Sets a batch's unfinished items. Only a first reservation can be refused, and then nothing is
+   * written.
+   */
   private void room(Ask ask, Owned state, JsonNode body) {
     String batch = body.get("batch").asText();
     long items = body.get("items").asLong();
@@ -955,14 +1204,23 @@
         return;
       }
       if (waiting + items > ceiling) {
-        respond(ask, Response.of(new Fault.NoRoom(waiting, ceiling), roomPace.secondsUntil(waiting + items - ceiling)));
+        respond(
+            ask,
+            Response.of(
+                new Fault.NoRoom(waiting, ceiling),
+                roomPace.secondsUntil(waiting + items - ceiling)));
         return;
       }
     }
     ObjectNode told = JSON.createObjectNode();
     if (reserves && present > 0 || !reserves && (present == 0 || present == items)) {
-      state.key.confirm(fault -> respond(ask,
-          fault == null ? Response.of(200, told.put("waiting", waitingRoom(state, group))) : Response.of(fault)));
+      state.key.confirm(
+          fault ->
+              respond(
+                  ask,
+                  fault == null
+                      ? Response.of(200, told.put("waiting", waitingRoom(state, group)))
+                      : Response.of(fault)));
       return;
     }
     roomPace.freed(Math.max(0, present - items));
@@ -977,17 +1235,25 @@
       }
     }
     boolean whole = ++state.eventsSinceWhole >= Constants.WHOLE_STATE_EVERY;
-    Object event = whole ? new Room(state.room, state.roomGroups) : new RoomChange(batch, items, group);
+    Object event =
+        whole ? new Room(state.room, state.roomGroups) : new RoomChange(batch, items, group);
     state.eventsSinceWhole = whole ? 0 : state.eventsSinceWhole;
-    state.key.append(whole, Json.bytes(event),
-        fault -> respond(ask, fault == null ? Response.of(200, told.put("waiting", waitingRoom(state, group)))
-            : Response.of(fault)));
+    state.key.append(
+        whole,
+        Json.bytes(event),
+        fault ->
+            respond(
+                ask,
+                fault == null
+                    ? Response.of(200, told.put("waiting", waitingRoom(state, group)))
+                    : Response.of(fault)));
   }
 
   private static long waitingRoom(Owned state, String group) {
     return state.room.entrySet().stream()
         .filter(entry -> state.roomGroups.getOrDefault(entry.getKey(), "").equals(group))
-        .mapToLong(Map.Entry::getValue).sum();
+        .mapToLong(Map.Entry::getValue)
+        .sum();
   }
 
   /** A ledger entry nobody spoke of for long: some edge looks whether its batch exists at all. */
@@ -1003,15 +1269,23 @@
       if (now - touchedAt >= Constants.ROOM_AUDIT_MS && !edges.isEmpty()) {
         state.roomTouchedAt.put(batch, now);
         String chosenEdge = Rendezvous.first(batch, edges.stream().map(Member::id).toList());
-        edges.stream().filter(member -> member.id().equals(chosenEdge)).findFirst().ifPresent(member ->
-            send(member.peerAddress(), member.id(), new Message.Unfinished(List.of("batch/" + batch))));
+        edges.stream()
+            .filter(member -> member.id().equals(chosenEdge))
+            .findFirst()
+            .ifPresent(
+                member ->
+                    send(
+                        member.peerAddress(),
+                        member.id(),
+                        new Message.Unfinished(List.of("batch/" + batch))));
       }
     }
   }
 
   // ---- messages, interface, end
 
-  @Override protected void handle(Message message, String fromId, String fromAddress) {
+  @Override
+  protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyAppend append) {
       if (isReplica()) {
         replicas.append(append, fromId, fromAddress);
@@ -1039,7 +1313,7 @@
       inForce.known(known);
     } else if (message instanceof KeyHandOver handedOver) {
       if (isMember() && !stopping && !owned.containsKey(handedOver.key())) {
-        claims.claim(handedOver.key(), true, outcome -> { });
+        claims.claim(handedOver.key(), true, outcome -> {});
       }
     }
   }
@@ -1060,27 +1334,42 @@
   }
 
   /**
-   * Has a storage node emptied by its name: all shards keep all of their replicas, so it is refused unless enough others
-   * remain. durationMs is how long the caller expects it to take; moving begins at once whatever it says.
+   * Has a storage node emptied by its name: all shards keep all of their replicas, so it is refused
+   * unless enough others remain. durationMs is how long the caller expects it to take; moving
+   * begins at once whatever it says.
    */
   public void emptyStorage(String name, long durationMs, Consumer<Response> then) {
-    withStorageId(name, then, id -> command("storage", CoreTable.STORAGE + id,
-        new StorageState(id, name, StorageState.EMPTYING, true), then));
+    withStorageId(
+        name,
+        then,
+        id ->
+            command(
+                "storage",
+                CoreTable.STORAGE + id,
+                new StorageState(id, name, StorageState.EMPTYING, true),
+                then));
   }
 
-  /** Whether a storage node may be taken away: complete is true once nothing is on it and nothing lacks a replica. */
+  /**
+   * Whether a storage node may be taken away: complete is true once nothing is on it and nothing
+   * lacks a replica.
+   */
   public void storagePlace(String name, Consumer<Response> then) {
     withStorageId(name, then, id -> command("storage-place", CoreTable.STORAGE + id, EMPTY, then));
   }
 
   private void withStorageId(String name, Consumer<Response> then, Consumer<String> next) {
-    command("storage-id", name, EMPTY, response -> {
-      if (response.good()) {
-        next.accept(response.body().path("id").asText());
-      } else {
-        then.accept(response);
-      }
-    });
+    command(
+        "storage-id",
+        name,
+        EMPTY,
+        response -> {
+          if (response.good()) {
+            next.accept(response.body().path("id").asText());
+          } else {
+            then.accept(response);
+          }
+        });
   }
 
   /** An operator's or the platform's ask that came in over HTTP here. */
@@ -1089,21 +1378,30 @@
       then.accept(Response.of(new Fault.NodeStopping()));
       return;
     }
-    ask(attempt -> {
-      if (isMember() || roster.members().isEmpty()) {
-        return new Target(place.id(), place.peerAddress());
-      }
-      CoreMember member = roster.members().get(attempt % roster.members().size());
-      return new Target(member.id(), member.peerAddress());
-    }, duty, key, body, Constants.ASK_EXPIRY_MS, then);
+    ask(
+        attempt -> {
+          if (isMember() || roster.members().isEmpty()) {
+            return new Target(place.id(), place.peerAddress());
+          }
+          CoreMember member = roster.members().get(attempt % roster.members().size());
+          return new Target(member.id(), member.peerAddress());
+        },
+        duty,
+        key,
+        body,
+        Constants.ASK_EXPIRY_MS,
+        then);
   }
 
   /** The workers as committed and known here, with the age of this knowledge. */
   public ObjectNode workers() {
     ObjectNode body = JSON.createObjectNode();
     ArrayNode workers = body.putArray("workers");
-    table.under("worker/").map(item -> Json.tree(item.value()))
-        .filter(worker -> !worker.path("state").asText().equals(GONE)).forEach(workers::add);
+    table
+        .under("worker/")
+        .map(item -> Json.tree(item.value()))
+        .filter(worker -> !worker.path("state").asText().equals(GONE))
+        .forEach(workers::add);
     if (table.has(WORKERS)) {
       Json.tree(table.get(WORKERS).value()).path("workers").forEach(workers::add);
     }
@@ -1115,8 +1413,11 @@
   /** Those that were told one by one. */
   public List<String> workerIds() {
     List<String> ids = new ArrayList<>();
-    table.under("worker/").map(item -> Json.read(item.value(), Worker.class))
-        .filter(worker -> !worker.state().equals(GONE)).forEach(worker -> ids.add(worker.id()));
+    table
+        .under("worker/")
+        .map(item -> Json.read(item.value(), Worker.class))
+        .filter(worker -> !worker.state().equals(GONE))
+        .forEach(worker -> ids.add(worker.id()));
     return ids;
   }
 
@@ -1125,10 +1426,12 @@
   }
 
   public static Worker workerListed(Records.WorkerInput input) {
-    return new Worker(input.id(), input.address(), input.pool(), input.state() == null ? READY : input.state());
+    return new Worker(
+        input.id(), input.address(), input.pool(), input.state() == null ? READY : input.state());
   }
 
-  @Override public String notReadyBecause() {
+  @Override
+  public String notReadyBecause() {
     if (stopping) {
       return "stopping";
     }
@@ -1138,7 +1441,8 @@
     return feedAge() > Constants.CORE_SILENT_MS ? "no majority of the core heard" : "";
   }
 
-  @Override public ObjectNode status() {
+  @Override
+  public ObjectNode status() {
     ObjectNode status = commonStatus();
     status.put("feedNumber", feedNumber).put("feedAgeMs", feedAge());
     ArrayNode live = status.putArray("liveCore");
@@ -1151,9 +1455,13 @@
     ArrayNode edges = status.putArray("edges");
     edgesThatCount().listed().forEach(edges::add);
     FeedItem bundleItem = table.get(BUNDLE);
-    status.put("bundle", bundleItem == null ? 0 : Json.read(bundleItem.value(), SignedBundle.class).number());
+    status.put(
+        "bundle",
+        bundleItem == null ? 0 : Json.read(bundleItem.value(), SignedBundle.class).number());
     ObjectNode shards = status.putObject("shards");
-    table.under("shard/").forEach(item -> shards.set(item.key().substring(6), Json.tree(item.value())));
+    table
+        .under("shard/")
+        .forEach(item -> shards.set(item.key().substring(6), Json.tree(item.value())));
     status.set("storage", storageNodes());
     status.put("replicas", bounds.replicas());
     status.put("shardsWithReducedRedundancy", storage.reduced());
@@ -1166,23 +1474,33 @@
 
   /** Gives a key up and tells the next live core node to take it. */
   private void passOn(String key) {
-    String successor = Rendezvous.order(key, liveCore()).stream().filter(id -> !id.equals(place.id())).findFirst().orElse("");
+    String successor =
+        Rendezvous.order(key, liveCore()).stream()
+            .filter(id -> !id.equals(place.id()))
+            .findFirst()
+            .orElse("");
     if (successor.isEmpty() && !stopping) {
       return;
     }
     OwnedKey ownedKey = owned.remove(key).key;
     ownedKey.stop();
     if (!successor.isEmpty()) {
-      send(addressOf(successor), successor, new KeyHandOver(key, ownedKey.epoch(), ownedKey.lastSequence()));
+      send(
+          addressOf(successor),
+          successor,
+          new KeyHandOver(key, ownedKey.epoch(), ownedKey.lastSequence()));
     }
   }
 
-  @Override public void stop(Runnable whenDone) {
+  @Override
+  public void stop(Runnable whenDone) {
     stopping = true;
     List.copyOf(owned.keySet()).forEach(this::passOn);
-    surroundings.after(Constants.CORE_PING_MS, () -> {
-      end();
-      whenDone.run();
-    });
+    surroundings.after(
+        Constants.CORE_PING_MS,
+        () -> {
+          end();
+          whenDone.run();
+        });
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/CoreTable.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreTable.java
@@ -13,7 +13,10 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
-/** The newest committed value known of each core key; sequences never fall. What is looked at often is folded once, at its change. */
+/**
+ * The newest committed value known of each core key; sequences never fall. What is looked at often
+ * is folded once, at its change.
+ */
 final class CoreTable {
   static final String MEMBER = "member/";
   static final String SHARD = "shard/";
@@ -25,8 +28,13 @@
   private final Map<String, Shard> shards = new TreeMap<>();
   private final Map<String, StorageState> storageStates = new HashMap<>();
   private EdgeList edges;
-  /** By peer address, the member that joined there last. One before it is gone for good: its disk was lost or replaced. */
+
+  /**
+   * By peer address, the member that joined there last. One before it is gone for good: its disk
+   * was lost or replaced.
+   */
   private final Map<String, String> newestAt = new HashMap<>();
+
   private List<Member> live;
 
   /** False if this or a newer value is known. */
@@ -42,7 +50,8 @@
     } else if (key.startsWith(SHARD)) {
       shards.put(key, Json.read(item.value(), Shard.class));
     } else if (key.startsWith(STORAGE)) {
-      storageStates.put(key.substring(STORAGE.length()), Json.read(item.value(), StorageState.class));
+      storageStates.put(
+          key.substring(STORAGE.length()), Json.read(item.value(), StorageState.class));
     } else if (key.equals(EDGES)) {
       edges = Json.read(item.value(), EdgeList.class);
     }
@@ -55,7 +64,9 @@
     if (member.live() && before == null) {
       newestAt.put(member.peerAddress(), member.id());
     } else if (!member.live() && member.id().equals(newestAt.get(member.peerAddress()))) {
-      members.values().stream().filter(each -> each.live() && each.peerAddress().equals(member.peerAddress())).findFirst()
+      members.values().stream()
+          .filter(each -> each.live() && each.peerAddress().equals(member.peerAddress()))
+          .findFirst()
           .ifPresent(each -> newestAt.put(member.peerAddress(), each.id()));
     }
   }
@@ -86,7 +97,10 @@
 
   List<Member> live() {
     if (live == null) {
-      live = members.values().stream().filter(member -> member.live() && !displaced(member.id())).toList();
+      live =
+          members.values().stream()
+              .filter(member -> member.live() && !displaced(member.id()))
+              .toList();
     }
     return live;
   }
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Records.Worker.GONE;
+
 import applespindle.corelogic.Message.FeedFollow;
 import applespindle.corelogic.Message.FeedItem;
 import applespindle.corelogic.Message.FeedNews;
@@ -26,24 +28,34 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Records.Worker.GONE;
-
-/** A data-plane process: finds the core by its seeds, holds a grant there, and follows the feed from a place on. */
+/**
+ * A data-plane process: finds the core by its seeds, holds a grant there, and follows the feed from
+ * a place on.
+ */
 public abstract class DataNode extends Node {
   private static final String PART = "feed";
 
-  /** Newest value known for each key. Sequences never fall, so repeats, switches and reordering are harmless. */
+  /**
+   * Newest value known for each key. Sequences never fall, so repeats, switches and reordering are
+   * harmless.
+   */
   private final Map<String, FeedItem> table = new TreeMap<>();
+
   /**
-   * Sum over the table's keys of a mix of key and sequence: fellows with equal ones know the same, and need not send each
-   * other the whole of it, which with hundreds of routes and dozens of fellows is megabytes each third of a second.
+   * Sum over the table's keys of a mix of key and sequence: fellows with equal ones know the same,
+   * and need not send each other the whole of it, which with hundreds of routes and dozens of
+   * fellows is megabytes each third of a second.
    */
   private long tableDigest;
+
   /** Views folded from the table. */
   protected final Map<String, Member> members = new TreeMap<>();
+
   protected final Map<String, Worker> workers = new TreeMap<>();
+
   /** Those of them that are on the outside list. */
   private List<String> outsideWorkers = List.of();
+
   private final Map<String, Shard> shards = new HashMap<>();
   protected Bundle bundle;
   private String feedId = "";
@@ -51,21 +63,28 @@
   private long feedNumber;
   private int chosenCore;
   private long lastHeardAt;
+
   /** On our clock: at this moment everything the core had acknowledged was known here. */
   private long freshAt = Long.MIN_VALUE / 2;
+
   private long joinedUntil = Long.MIN_VALUE / 2;
+
   /**
-   * This process has had the core's own news, not only a fellow's. Before that it neither goes on without the core nor
-   * counts for a fellow: an earlier process at its address may have confirmed news that this one has not seen.
+   * This process has had the core's own news, not only a fellow's. Before that it neither goes on
+   * without the core nor counts for a fellow: an earlier process at its address may have confirmed
+   * news that this one has not seen.
    */
   private boolean heardCore;
+
   private long coreHeardAt = Long.MIN_VALUE / 2;
   private List<String> listedEdges = List.of();
+
   /** By peer address of a fellow edge: when the question was sent that it last answered. */
   private final Map<String, Long> fellows = new HashMap<>();
 
   private boolean started;
   private long startedAt;
+
   /** A stopping node has given its grant up and must not ask for it again. */
   private boolean leaving;
 
@@ -73,7 +92,8 @@
     super(surroundings, place);
   }
 
-  @Override public void start() {
+  @Override
+  public void start() {
     started = true;
     startedAt = surroundings.now();
     lastHeardAt = startedAt;
@@ -81,29 +101,38 @@
     lookForCore();
     every(Constants.FEED_POLL_MS, this::followFeed);
     every(Constants.GRANT_RENEW_MS, this::renewGrant);
-    every(Constants.GRANT_LENGTH_MS, () -> {
-      if (surroundings.now() - coreHeardAt > Constants.FEED_SWITCH_MS) {
-        findCore();
-      }
-    });
+    every(
+        Constants.GRANT_LENGTH_MS,
+        () -> {
+          if (surroundings.now() - coreHeardAt > Constants.FEED_SWITCH_MS) {
+            findCore();
+          }
+        });
   }
 
-  /** A node that has not heard the core can do nothing for anybody: it asks often, and a silent core node not for long. */
+  /**
+   * A node that has not heard the core can do nothing for anybody: it asks often, and a silent core
+   * node not for long.
+   */
   private void lookForCore() {
-    surroundings.after(Constants.FEED_FIRST_MS, () -> {
-      if (!heardCore && !stopped()) {
-        if (surroundings.now() - lastHeardAt > Constants.FEED_FIRST_SWITCH_MS && !roster.members().isEmpty()) {
-          chosenCore++;
-          lastHeardAt = surroundings.now();
-        }
-        followFeed();
-        lookForCore();
-      }
-    });
+    surroundings.after(
+        Constants.FEED_FIRST_MS,
+        () -> {
+          if (!heardCore && !stopped()) {
+            if (surroundings.now() - lastHeardAt > Constants.FEED_FIRST_SWITCH_MS
+                && !roster.members().isEmpty()) {
+              chosenCore++;
+              lastHeardAt = surroundings.now();
+            }
+            followFeed();
+            lookForCore();
+          }
+        });
   }
 
   /** The first roster: the feed and the grant are asked for at once. */
-  @Override protected void learnRoster(Roster told) {
+  @Override
+  protected void learnRoster(Roster told) {
     boolean first = roster.members().isEmpty();
     super.learnRoster(told);
     if (started && first && !roster.members().isEmpty()) {
@@ -130,12 +159,17 @@
       lastHeardAt = surroundings.now();
     }
     CoreMember core = chosenCore();
-    send(core.peerAddress(), core.id(), new FeedFollow(feedId, feedIncarnation, feedNumber, surroundings.now()));
+    send(
+        core.peerAddress(),
+        core.id(),
+        new FeedFollow(feedId, feedIncarnation, feedNumber, surroundings.now()));
     if (surroundings.now() - coreHeardAt > Constants.FEED_SWITCH_MS) {
-      fellowAddresses().forEach(address -> {
-        send(address, "", new FeedFollow("", 0, tableDigest, surroundings.now()));
-        tellKnown(List.of(address));
-      });
+      fellowAddresses()
+          .forEach(
+              address -> {
+                send(address, "", new FeedFollow("", 0, tableDigest, surroundings.now()));
+                tellKnown(List.of(address));
+              });
     }
   }
 
@@ -147,22 +181,36 @@
   }
 
   private CoreMember chosenCore() {
-    List<CoreMember> ordered = Rendezvous.order(place.id(), roster.members().stream().map(CoreMember::id).toList())
-        .stream().map(id -> roster.members().stream().filter(member -> member.id().equals(id)).findFirst().get())
-        .toList();
+    List<CoreMember> ordered =
+        Rendezvous.order(place.id(), roster.members().stream().map(CoreMember::id).toList())
+            .stream()
+            .map(
+                id ->
+                    roster.members().stream()
+                        .filter(member -> member.id().equals(id))
+                        .findFirst()
+                        .get())
+            .toList();
     return ordered.get(Math.floorMod(chosenCore, ordered.size()));
   }
 
   /** Tries the followed core node first, then the others in turn. */
-  protected void askCore(String duty, String key, Object body, long expiryMs, Consumer<Response> then) {
-    ask(attempt -> {
-      if (roster.members().isEmpty()) {
-        return null;
-      }
-      int chosen = Math.max(0, roster.members().indexOf(chosenCore()));
-      CoreMember member = roster.members().get((chosen + attempt) % roster.members().size());
-      return new Target(member.id(), member.peerAddress());
-    }, duty, key, body, expiryMs, then);
+  protected void askCore(
+      String duty, String key, Object body, long expiryMs, Consumer<Response> then) {
+    ask(
+        attempt -> {
+          if (roster.members().isEmpty()) {
+            return null;
+          }
+          int chosen = Math.max(0, roster.members().indexOf(chosenCore()));
+          CoreMember member = roster.members().get((chosen + attempt) % roster.members().size());
+          return new Target(member.id(), member.peerAddress());
+        },
+        duty,
+        key,
+        body,
+        expiryMs,
+        then);
   }
 
   private void renewGrant() {
@@ -170,13 +218,26 @@
       return;
     }
     long sentAt = surroundings.now();
-    var self = new Member(place.id(), place.incarnation(), place.name(), place.zone(), place.role(),
-        place.peerAddress(), place.httpAddress(), true);
-    askCore("grant", "member/" + place.id(), self, Constants.GRANT_LENGTH_MS, response -> {
-      if (response.good()) {
-        joinedUntil = Math.max(joinedUntil, sentAt + Constants.GRANT_LENGTH_MS);
-      }
-    });
+    var self =
+        new Member(
+            place.id(),
+            place.incarnation(),
+            place.name(),
+            place.zone(),
+            place.role(),
+            place.peerAddress(),
+            place.httpAddress(),
+            true);
+    askCore(
+        "grant",
+        "member/" + place.id(),
+        self,
+        Constants.GRANT_LENGTH_MS,
+        response -> {
+          if (response.good()) {
+            joinedUntil = Math.max(joinedUntil, sentAt + Constants.GRANT_LENGTH_MS);
+          }
+        });
   }
 
   protected boolean joined() {
@@ -190,7 +251,12 @@
       whenDone.run();
       return;
     }
-    askCore("leave", "member/" + place.id(), new byte[] {'{', '}'}, Constants.GRANT_LENGTH_MS, response -> whenDone.run());
+    askCore(
+        "leave",
+        "member/" + place.id(),
+        new byte[] {'{', '}'},
+        Constants.GRANT_LENGTH_MS,
+        response -> whenDone.run());
   }
 
   /** How long ago, at most, all that the core acknowledged was known here. */
@@ -203,28 +269,47 @@
   }
 
   /**
-   * Stale, and most of the listed edges silent too: this node is alone and must not begin anything. If most of them,
-   * itself included, answer and are as stale, it is the core that is cut off, and live traffic goes on. What a majority
-   * of the edges has confirmed is then known to one of them, and with its answer here.
+   * Stale, and most of the listed edges silent too: this node is alone and must not begin anything.
+   * If most of them, itself included, answer and are as stale, it is the core that is cut off, and
+   * live traffic goes on. What a majority of the edges has confirmed is then known to one of them,
+   * and with its answer here.
    */
   protected boolean isolated() {
     if (!feedStale()) {
       return false;
     }
     long now = surroundings.now();
-    long reached = listedEdges.stream().filter(address -> address.equals(place.peerAddress())
-        || now - fellows.getOrDefault(address, Long.MIN_VALUE / 2) < Constants.FELLOW_HEARD_MS).count();
+    long reached =
+        listedEdges.stream()
+            .filter(
+                address ->
+                    address.equals(place.peerAddress())
+                        || now - fellows.getOrDefault(address, Long.MIN_VALUE / 2)
+                            < Constants.FELLOW_HEARD_MS)
+            .count();
     return !heardCore || reached * 2 <= listedEdges.size();
   }
 
-  @Override protected void handle(Message message, String fromId, String fromAddress) {
+  @Override
+  protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof FeedNews news) {
       news(news, fromAddress);
     } else if (message instanceof FeedFollow follow) {
       if (heardCore) {
         boolean same = follow.number() == tableDigest;
-        send(fromAddress, fromId, new FeedNews(place.id(), place.incarnation(), 0, 0, true, true,
-            Math.max(0, feedAge()), follow.sentAt(), same ? List.of() : List.copyOf(table.values())));
+        send(
+            fromAddress,
+            fromId,
+            new FeedNews(
+                place.id(),
+                place.incarnation(),
+                0,
+                0,
+                true,
+                true,
+                Math.max(0, feedAge()),
+                follow.sentAt(),
+                same ? List.of() : List.copyOf(table.values())));
       }
     } else if (message instanceof KeysAsked) {
       tellKnown(List.of(fromAddress));
@@ -242,10 +327,17 @@
     return key.equals("bundle") || key.equals("edges") || key.startsWith("worker/");
   }
 
-  /** Says how far this edge knows what has to be in force. One that has not heard the core itself says nothing. */
+  /**
+   * Says how far this edge knows what has to be in force. One that has not heard the core itself
+   * says nothing.
+   */
   private void tellKnown(List<String> addresses) {
-    tellKnown(addresses, table.values().stream().filter(item -> mustBeInForce(item.key()))
-        .map(item -> new KeyPlace(item.key(), item.sequence())).toList());
+    tellKnown(
+        addresses,
+        table.values().stream()
+            .filter(item -> mustBeInForce(item.key()))
+            .map(item -> new KeyPlace(item.key(), item.sequence()))
+            .toList());
   }
 
   private void tellKnown(List<String> addresses, List<KeyPlace> places) {
@@ -289,7 +381,8 @@
       if (!news.relayed() && news.ageMs() < Constants.CORE_SILENT_MS) {
         if (!heardCore) {
           heardCore = true;
-          surroundings.log(PART, "The core's news is here, " + (now - startedAt) + " ms after the start.");
+          surroundings.log(
+              PART, "The core's news is here, " + (now - startedAt) + " ms after the start.");
         }
         coreHeardAt = Math.max(coreHeardAt, news.echoedAt());
       }
@@ -341,7 +434,9 @@
         surroundings.log(PART, "Bundle " + bundle.number() + " is in force.");
         journal.add("in-force", "bundle", "number " + bundle.number());
       } else {
-        surroundings.log(PART, "Bundle " + signed.number() + " was passed over: " + checked.fault().type() + ".");
+        surroundings.log(
+            PART,
+            "Bundle " + signed.number() + " was passed over: " + checked.fault().type() + ".");
       }
     }
     changed(key);
@@ -369,8 +464,11 @@
       return null;
     }
     String chosenId = order.get(attempt % order.size());
-    return edges.stream().filter(member -> member.id().equals(chosenId))
-        .map(member -> new Target(member.id(), member.peerAddress())).findFirst().get();
+    return edges.stream()
+        .filter(member -> member.id().equals(chosenId))
+        .map(member -> new Target(member.id(), member.peerAddress()))
+        .findFirst()
+        .get();
   }
 
   static String shardOf(String key) {
@@ -380,7 +478,8 @@
   /** The replica sets of the shard a key belongs to; none while the shard has none. */
   ReplicaSets setsOf(String key) {
     Shard shard = shards.get(shardOf(key));
-    return shard == null ? ReplicaSets.NONE
+    return shard == null
+        ? ReplicaSets.NONE
         : new ReplicaSets(shard.number(), replicas(shard.replicas()), replicas(shard.next()));
   }
 
@@ -392,7 +491,8 @@
     return shards;
   }
 
-  @Override public String notReadyBecause() {
+  @Override
+  public String notReadyBecause() {
     if (stopping) {
       return "stopping";
     }
@@ -407,10 +507,16 @@
     return bundle == null ? "no bundle in force" : shards.isEmpty() ? "no shards placed" : "";
   }
 
-  @Override public ObjectNode status() {
+  @Override
+  public ObjectNode status() {
     ObjectNode status = commonStatus();
-    status.put("feedCore", feedId).put("feedNumber", feedNumber).put("feedAgeMs", Math.min(feedAge(), Integer.MAX_VALUE))
-        .put("bundle", bundle == null ? 0 : bundle.number()).put("joined", joined()).put("isolated", isolated());
+    status
+        .put("feedCore", feedId)
+        .put("feedNumber", feedNumber)
+        .put("feedAgeMs", Math.min(feedAge(), Integer.MAX_VALUE))
+        .put("bundle", bundle == null ? 0 : bundle.number())
+        .put("joined", joined())
+        .put("isolated", isolated());
     return status;
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/DiskRecord.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DiskRecord.java
@@ -1,6 +1,14 @@
 package applespindle.corelogic;
 
 /** One record of a process's log on disk. */
-public record DiskRecord(Kind kind, String key, Epoch epoch, long sequence, boolean whole, byte[] payload) {
-  public enum Kind { PROMISE, ENTRY, COMMITTED, ONCE, ROSTER, SET }
+public record DiskRecord(
+    Kind kind, String key, Epoch epoch, long sequence, boolean whole, byte[] payload) {
+  public enum Kind {
+    PROMISE,
+    ENTRY,
+    COMMITTED,
+    ONCE,
+    ROSTER,
+    SET
+  }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeListing.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeListing.java
@@ -8,11 +8,16 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** Decides what the list of edges that count becomes next; see {@link EdgeList} for what the steps must keep to. */
+/**
+ * Decides what the list of edges that count becomes next; see {@link EdgeList} for what the steps
+ * must keep to.
+ */
 final class EdgeListing {
   private final Surroundings surroundings;
+
   /** Edges that joined and when the last of them did, until the first list is made. */
   private Set<String> joining = Set.of();
+
   private long lastJoinedAt;
   private long changedAt;
   private final Map<String, Long> silentSince = new HashMap<>();
@@ -44,19 +49,28 @@
   private EdgeList changed(EdgeList present, Set<String> live, boolean presentKnownToMost) {
     long now = surroundings.now();
     silentSince.keySet().removeAll(live);
-    present.addresses().stream().filter(address -> !live.contains(address))
+    present.addresses().stream()
+        .filter(address -> !live.contains(address))
         .forEach(address -> silentSince.putIfAbsent(address, now));
     if (now - changedAt < Constants.EDGES_CHANGE_MS || !presentKnownToMost) {
       return null;
     }
     List<String> next = new ArrayList<>(present.addresses());
-    Optional<String> newcomer = live.stream().filter(address -> !next.contains(address)).findFirst();
+    Optional<String> newcomer =
+        live.stream().filter(address -> !next.contains(address)).findFirst();
     if (newcomer.isPresent()) {
       next.add(newcomer.get());
       return new EdgeList(present.number() + 1, next);
     }
-    boolean struck = next.stream().filter(address -> !live.contains(address)
-        && now - silentSince.getOrDefault(address, now) >= Constants.EDGE_STRUCK_MS).findFirst().map(next::remove).orElse(false);
+    boolean struck =
+        next.stream()
+            .filter(
+                address ->
+                    !live.contains(address)
+                        && now - silentSince.getOrDefault(address, now) >= Constants.EDGE_STRUCK_MS)
+            .findFirst()
+            .map(next::remove)
+            .orElse(false);
     return struck ? new EdgeList(present.number() + 1, next) : null;
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -1,5 +1,8 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.BatchEvent.Accepted;
 import applespindle.corelogic.Bundle.Route;
 import applespindle.corelogic.Message.Ask;
@@ -24,8 +27,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.HexFormat;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,11 +37,12 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** The data plane's edge role: live requests, the batch interface, and the leader's and feeder's duties. */
-public final class EdgeNode extends DataNode implements BatchLeader.Edge, BatchFeeder.Edge, LiveDesk.Edge, OpaqueGateway {
+/**
+ * The data plane's edge role: live requests, the batch interface, and the leader's and feeder's
+ * duties.
+ */
+public final class EdgeNode extends DataNode
+    implements BatchLeader.Edge, BatchFeeder.Edge, LiveDesk.Edge, OpaqueGateway {
   private static final String PART = "edge";
 
   private Bounds bounds;
@@ -47,28 +51,42 @@
   private final OpaqueDesk opaque;
   private final BatchFeeder feeder;
   private boolean stopAnnounced;
+
   /** Of the bundle in force. */
   private RouteTable routes = RouteTable.EMPTY;
+
   /** Requests that came before the core's first news; in their order. */
   private final List<Early> early = new ArrayList<>();
-  private Consumer<Bundle> whenBundleChanges = unheard -> { };
+
+  private Consumer<Bundle> whenBundleChanges = unheard -> {};
   private final Map<String, BatchLeader> leaders = new TreeMap<>();
   private final KeyClaims claims;
+
   /**
-   * When each batch is due on our clock, as its leader last offered it. The log knows a batch's age only up to its last
-   * event; a successor that lost the rest would hand out a batch that waited long after younger ones.
+   * When each batch is due on our clock, as its leader last offered it. The log knows a batch's age
+   * only up to its last event; a successor that lost the rest would hand out a batch that waited
+   * long after younger ones.
    */
-  private final Map<String, Long> dueAtOfBatch = new LinkedHashMap<>() {
-    @Override protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-      return size() > Constants.DUE_KEPT;
-    }
-  };
-  /** Who said last that it leads a batch. Only a hint: whoever is asked finds the true leader by the replicas. */
-  private final Map<String, Target> leaderOfBatch = new LinkedHashMap<>() {
-    @Override protected boolean removeEldestEntry(Map.Entry<String, Target> eldest) {
-      return size() > Constants.DUE_KEPT;
-    }
-  };
+  private final Map<String, Long> dueAtOfBatch =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > Constants.DUE_KEPT;
+        }
+      };
+
+  /**
+   * Who said last that it leads a batch. Only a hint: whoever is asked finds the true leader by the
+   * replicas.
+   */
+  private final Map<String, Target> leaderOfBatch =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Target> eldest) {
+          return size() > Constants.DUE_KEPT;
+        }
+      };
+
   /** By worker, the edge that feeds it; forgotten whenever the members or the workers change. */
   private final Map<String, String> feederOfWorker = new HashMap<>();
 
@@ -87,14 +105,17 @@
     feeder = new BatchFeeder(surroundings, place.id(), this, book);
   }
 
-  @Override public void start() {
+  @Override
+  public void start() {
     super.start();
     every(Constants.LOAD_POLL_MS, this::tick);
   }
 
   /** The other live edges of this one's zone, which mostly send to the same workers. */
   private List<Member> zoneFellows() {
-    return liveEdges().stream().filter(member -> member.zone().equals(place.zone()) && !member.id().equals(place.id())).toList();
+    return liveEdges().stream()
+        .filter(member -> member.zone().equals(place.zone()) && !member.id().equals(place.id()))
+        .toList();
   }
 
   private void pump() {
@@ -114,11 +135,13 @@
     live.tick();
   }
 
-  @Override protected void boundsChanged(Bounds newer) {
+  @Override
+  protected void boundsChanged(Bounds newer) {
     bounds = bounds.taking(newer);
   }
 
-  @Override protected void changed(String key) {
+  @Override
+  protected void changed(String key) {
     if (key.startsWith("worker/") || key.equals(CoreNode.WORKERS)) {
       feederOfWorker.clear();
       book.follow(workers);
@@ -128,7 +151,10 @@
     } else if (key.startsWith("member/")) {
       feederOfWorker.clear();
     } else if (key.startsWith("shard/")) {
-      leaders.values().stream().map(leader -> leader.key).filter(owned -> shardOf(owned.key).equals(key)).toList()
+      leaders.values().stream()
+          .map(leader -> leader.key)
+          .filter(owned -> shardOf(owned.key).equals(key))
+          .toList()
           .forEach(owned -> owned.changeSets(setsOf(owned.key)));
       claims.changeSets();
     }
@@ -136,7 +162,8 @@
 
   // ---- what the interface calls
 
-  @Override public void whenBundleChanges(Consumer<Bundle> then) {
+  @Override
+  public void whenBundleChanges(Consumer<Bundle> then) {
     whenBundleChanges = then;
   }
 
@@ -145,7 +172,8 @@
   }
 
   /** Passes an opaque request on to a worker by the bundle's routes. */
-  @Override public LiveDesk.Handle pass(OpaqueRequest request, OpaqueListener listener) {
+  @Override
+  public LiveDesk.Handle pass(OpaqueRequest request, OpaqueListener listener) {
     if (!starting() || early.size() >= Constants.START_HELD_MOST) {
       return opaque.take(request, listener);
     }
@@ -182,7 +210,8 @@
       }
     }
 
-    @Override public void cancel() {
+    @Override
+    public void cancel() {
       gone = true;
       if (taken != null) {
         taken.cancel();
@@ -190,15 +219,18 @@
     }
   }
 
-  @Override protected void firstNews() {
+  @Override
+  protected void firstNews() {
     List.copyOf(early).forEach(Early::goOn);
   }
 
-  @Override public Bundle.Route route(String host, String path) {
+  @Override
+  public Bundle.Route route(String host, String path) {
     return routes.find(host, path);
   }
 
-  @Override public void submitOpaque(OpaqueBatch batch, Consumer<Response> then) {
+  @Override
+  public void submitOpaque(OpaqueBatch batch, Consumer<Response> then) {
     Fault hindrance = mayBegin();
     if (hindrance == null && bundle == null) {
       hindrance = new Fault.NoBundle();
@@ -211,16 +243,37 @@
       then.accept(Response.of(hindrance));
       return;
     }
-    List<JsonNode> items = batch.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
-    var opaque = new BatchEvent.Opaque(batch.host(), batch.path(), route.name(), bundle.number(), route.attempts(),
-        route.waitingTokensMost());
-    var accepted = new Accepted("", digest(Json.bytes(batch)), route.completionTargetMs(),
-        route.retentionMs() == 0 ? Constants.RETENTION_MS : route.retentionMs(), items,
-        opaque);
-    askLeader("submit", opaqueId(batch.id()), accepted, Constants.ASK_TRY_MS, Constants.ASK_EXPIRY_MS, then);
+    List<JsonNode> items =
+        batch.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
+    var opaque =
+        new BatchEvent.Opaque(
+            batch.host(),
+            batch.path(),
+            route.name(),
+            bundle.number(),
+            route.attempts(),
+            route.waitingTokensMost());
+    var accepted =
+        new Accepted(
+            "",
+            digest(Json.bytes(batch)),
+            route.completionTargetMs(),
+            route.retentionMs() == 0 ? Constants.RETENTION_MS : route.retentionMs(),
+            items,
+            opaque);
+    askLeader(
+        "submit",
+        opaqueId(batch.id()),
+        accepted,
+        Constants.ASK_TRY_MS,
+        Constants.ASK_EXPIRY_MS,
+        then);
   }
 
-  /** Of an opaque batch by the client's id for it: the same at every edge, and apart from ids of batches of prompts. */
+  /**
+   * Of an opaque batch by the client's id for it: the same at every edge, and apart from ids of
+   * batches of prompts.
+   */
   static String opaqueId(String clientId) {
     return "o-" + digest(clientId.getBytes(UTF_8)).substring(0, 32);
   }
@@ -230,27 +283,48 @@
     return key.startsWith("batch/o-");
   }
 
-  @Override public void opaqueResults(String batch, long from, long wantedHoldMs, Consumer<Response> then) {
+  @Override
+  public void opaqueResults(String batch, long from, long wantedHoldMs, Consumer<Response> then) {
     long holdMs = Math.min(wantedHoldMs, Constants.HOLD_MOST_MS);
-    readOpaque("opaque-results", batch, JSON.createObjectNode().put("from", from).put("holdMs", holdMs), holdMs, then);
+    readOpaque(
+        "opaque-results",
+        batch,
+        JSON.createObjectNode().put("from", from).put("holdMs", holdMs),
+        holdMs,
+        then);
   }
 
-  /** A read has no effect: whatever hinders it, the reader is told that nothing is certain and asks again. */
-  private void readOpaque(String duty, String batch, ObjectNode body, long holdMs, Consumer<Response> then) {
-    askLeader(duty, opaqueId(batch), body, holdMs + Constants.READ_TRY_MS, holdMs + Constants.READ_EXPIRY_MS,
-        response -> then.accept(response.status() >= 500 ? Response.of(new Fault.NoMajority(batch)) : response));
-  }
-
-  @Override public void opaqueItem(String batch, String item, Consumer<Response> then) {
+  /**
+   * A read has no effect: whatever hinders it, the reader is told that nothing is certain and asks
+   * again.
+   */
+  private void readOpaque(
+      String duty, String batch, ObjectNode body, long holdMs, Consumer<Response> then) {
+    askLeader(
+        duty,
+        opaqueId(batch),
+        body,
+        holdMs + Constants.READ_TRY_MS,
+        holdMs + Constants.READ_EXPIRY_MS,
+        response ->
+            then.accept(
+                response.status() >= 500 ? Response.of(new Fault.NoMajority(batch)) : response));
+  }
+
+  @Override
+  public void opaqueItem(String batch, String item, Consumer<Response> then) {
     readOpaque("opaque-item", batch, JSON.createObjectNode().put("item", item), 0, then);
   }
 
-  @Override public void endOpaque(String batch, Consumer<Response> then) {
+  @Override
+  public void endOpaque(String batch, Consumer<Response> then) {
     endBatch(opaqueId(batch), then);
   }
 
   public static String batchId(String sender, String idempotencyKey) {
-    return "b-" + digest((sender.length() + ":" + sender + idempotencyKey).getBytes(UTF_8)).substring(0, 32);
+    return "b-"
+        + digest((sender.length() + ":" + sender + idempotencyKey).getBytes(UTF_8))
+            .substring(0, 32);
   }
 
   static String digest(byte[] bytes) {
@@ -261,7 +335,8 @@
     }
   }
 
-  public void submit(String sender, String idempotencyKey, BatchInput input, Consumer<Response> then) {
+  public void submit(
+      String sender, String idempotencyKey, BatchInput input, Consumer<Response> then) {
     Fault hindrance = mayBegin();
     if (hindrance == null && bundle == null) {
       hindrance = new Fault.NoBundle();
@@ -270,9 +345,11 @@
       then.accept(Response.of(hindrance));
       return;
     }
-    List<JsonNode> items = input.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
-    var accepted = new Accepted(sender, digest(Json.bytes(input)), input.dueInMs(), input.expiresInMs(), items,
-        null);
+    List<JsonNode> items =
+        input.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
+    var accepted =
+        new Accepted(
+            sender, digest(Json.bytes(input)), input.dueInMs(), input.expiresInMs(), items, null);
     askLeader("submit", batchId(sender, idempotencyKey), accepted, then);
   }
 
@@ -281,7 +358,8 @@
   }
 
   public void readResults(String batch, long after, int limit, Consumer<Response> then) {
-    askLeader("results", batch, JSON.createObjectNode().put("after", after).put("limit", limit), then);
+    askLeader(
+        "results", batch, JSON.createObjectNode().put("after", after).put("limit", limit), then);
   }
 
   public void endBatch(String batch, Consumer<Response> then) {
@@ -292,14 +370,16 @@
     askLeader(duty, batch, body, Constants.ASK_TRY_MS, Constants.ASK_EXPIRY_MS, then);
   }
 
-  private void askLeader(String duty, String batch, Object body, long tryMs, long expiryMs, Consumer<Response> then) {
+  private void askLeader(
+      String duty, String batch, Object body, long tryMs, long expiryMs, Consumer<Response> then) {
     String key = "batch/" + batch;
     ask(attempt -> leaderOf(key, duty, attempt), duty, key, body, tryMs, expiryMs, then);
   }
 
   /**
-   * Whom to ask: the edge that leads the batch as far as is known; else, for an opaque batch that is handed in, this edge,
-   * so that its items need not cross to another first; else the first edge for it. Whoever is asked finds the true leader.
+   * Whom to ask: the edge that leads the batch as far as is known; else, for an opaque batch that
+   * is handed in, this edge, so that its items need not cross to another first; else the first edge
+   * for it. Whoever is asked finds the true leader.
    */
   private Target leaderOf(String key, String duty, int attempt) {
     Target self = new Target(place.id(), place.peerAddress());
@@ -307,16 +387,22 @@
       return self;
     }
     Target known = leaderOfBatch.get(batchOf(key));
-    if (known != null && attempt == 0 && members.containsKey(known.id()) && !known.id().equals(place.id())) {
+    if (known != null
+        && attempt == 0
+        && members.containsKey(known.id())
+        && !known.id().equals(place.id())) {
       return known;
     }
     boolean handedIn = duty.equals("submit") && isOpaque(key);
-    return handedIn && attempt == 0 ? self : firstEdge(key, handedIn || known != null ? Math.max(0, attempt - 1) : attempt);
+    return handedIn && attempt == 0
+        ? self
+        : firstEdge(key, handedIn || known != null ? Math.max(0, attempt - 1) : attempt);
   }
 
   // ---- asks to the leader of a batch
 
-  @Override protected void handleAsk(Ask ask) {
+  @Override
+  protected void handleAsk(Ask ask) {
     BatchLeader leader = leaders.get(ask.key());
     if (leader != null && leader.key.owned()) {
       serve(ask, leader);
@@ -327,15 +413,17 @@
     } else if (ask.duty().equals("submit")) {
       reserveThenLead(ask);
     } else {
-      peek(ask.key(), present -> {
-        if (present == null) {
-          respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-        } else if (present) {
-          lead(ask);
-        } else {
-          respond(ask, Response.of(new Fault.NoSuchBatch(batchOf(ask.key()))));
-        }
-      });
+      peek(
+          ask.key(),
+          present -> {
+            if (present == null) {
+              respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+            } else if (present) {
+              lead(ask);
+            } else {
+              respond(ask, Response.of(new Fault.NoSuchBatch(batchOf(ask.key()))));
+            }
+          });
     }
   }
 
@@ -346,66 +434,95 @@
   private void serve(Ask ask, BatchLeader leader) {
     JsonNode body = ask.duty().equals("submit") ? null : Json.tree(ask.body());
     switch (ask.duty()) {
-      case "submit" -> leader.submit(Json.read(ask.body(), Accepted.class), response -> respond(ask, response));
+      case "submit" ->
+          leader.submit(Json.read(ask.body(), Accepted.class), response -> respond(ask, response));
       case "get" -> leader.read(response -> respond(ask, response));
-      case "results" -> leader.results(body.path("after").asLong(), body.path("limit").asInt(),
-          response -> respond(ask, response));
+      case "results" ->
+          leader.results(
+              body.path("after").asLong(),
+              body.path("limit").asInt(),
+              response -> respond(ask, response));
       case "remove" -> leader.remove(response -> respond(ask, response));
       case "end" -> leader.end(response -> respond(ask, response));
-      case "opaque-results" -> leader.opaqueResults(body.path("from").asLong(), body.path("holdMs").asLong(),
-          response -> respond(ask, response));
-      case "opaque-item" -> leader.opaqueItem(body.path("item").asText(), response -> respond(ask, response));
+      case "opaque-results" ->
+          leader.opaqueResults(
+              body.path("from").asLong(),
+              body.path("holdMs").asLong(),
+              response -> respond(ask, response));
+      case "opaque-item" ->
+          leader.opaqueItem(body.path("item").asText(), response -> respond(ask, response));
       default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
     }
   }
 
-  /** Room first, then the record: a refusal for want of room is said before anything of the batch is written. */
+  /**
+   * Room first, then the record: a refusal for want of room is said before anything of the batch is
+   * written.
+   */
   private void reserveThenLead(Ask ask) {
     Accepted accepted = Json.read(ask.body(), Accepted.class);
     String batch = batchOf(ask.key());
     BatchEvent.Opaque opaque = accepted.opaque();
     ObjectNode reservation = JSON.createObjectNode().put("batch", batch).put("reserve", true);
     if (opaque == null) {
-      reservation.put("items", accepted.items().size())
+      reservation
+          .put("items", accepted.items().size())
           .put("ceiling", bundle == null ? 0 : bundle.limits().batch().waitingItemsMost());
     } else {
-      long tokens = accepted.items().stream().mapToLong(item -> Math.max(1, item.path("tokens").asLong())).sum();
-      reservation.put("items", tokens).put("ceiling", opaque.ceiling()).put("group", opaque.route());
+      long tokens =
+          accepted.items().stream()
+              .mapToLong(item -> Math.max(1, item.path("tokens").asLong()))
+              .sum();
+      reservation
+          .put("items", tokens)
+          .put("ceiling", opaque.ceiling())
+          .put("group", opaque.route());
     }
-    askCore("room", "batch-room", reservation, Constants.COMMAND_EXPIRY_MS, response -> {
-      if (response.good()) {
-        lead(ask);
-      } else if (response.faultType().equals("NoRoom") || response.faultType().equals("BatchOverCeiling")) {
-        peek(ask.key(), present -> {
-          if (present == null) {
-            respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-          } else if (present) {
+    askCore(
+        "room",
+        "batch-room",
+        reservation,
+        Constants.COMMAND_EXPIRY_MS,
+        response -> {
+          if (response.good()) {
             lead(ask);
+          } else if (response.faultType().equals("NoRoom")
+              || response.faultType().equals("BatchOverCeiling")) {
+            peek(
+                ask.key(),
+                present -> {
+                  if (present == null) {
+                    respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+                  } else if (present) {
+                    lead(ask);
+                  } else {
+                    respond(ask, response);
+                  }
+                });
           } else {
-            respond(ask, response);
+            respond(ask, Response.of(new Fault.NoMajority("batch-room")));
           }
         });
-      } else {
-        respond(ask, Response.of(new Fault.NoMajority("batch-room")));
-      }
-    });
   }
 
   private void lead(Ask ask) {
-    claim(ask.key(), false, outcome -> {
-      switch (outcome.claim()) {
-        case OWNED -> {
-          BatchLeader leader = leaders.get(ask.key());
-          if (leader == null) {
-            respond(ask, Response.of(new Fault.NotOwner(ask.key())));
-          } else {
-            serve(ask, leader);
+    claim(
+        ask.key(),
+        false,
+        outcome -> {
+          switch (outcome.claim()) {
+            case OWNED -> {
+              BatchLeader leader = leaders.get(ask.key());
+              if (leader == null) {
+                respond(ask, Response.of(new Fault.NotOwner(ask.key())));
+              } else {
+                serve(ask, leader);
+              }
+            }
+            case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
+            case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
           }
-        }
-        case BUSY -> handOver(ask, outcome.ownerId(), outcome.ownerAddress());
-        case NO_MAJORITY -> respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-      }
-    });
+        });
   }
 
   private void claim(String key, boolean handedOver, Consumer<OwnedKey.ClaimOutcome> then) {
@@ -421,22 +538,36 @@
     String key = ownedKey.key;
     leaders.put(key, new BatchLeader(surroundings, this, batchOf(key), ownedKey));
     journal.add("leads", key, "epoch " + ownedKey.epoch().counter());
-    ownedKey.whenLost(() -> {
-      BatchLeader lost = leaders.remove(key);
-      if (lost != null) {
-        lost.lost();
-      }
-      journal.add("lost", key, "");
-      surroundings.log(PART, "Leadership lost: " + key + ".");
-    });
+    ownedKey.whenLost(
+        () -> {
+          BatchLeader lost = leaders.remove(key);
+          if (lost != null) {
+            lost.lost();
+          }
+          journal.add("lost", key, "");
+          surroundings.log(PART, "Leadership lost: " + key + ".");
+        });
   }
 
-  /** Asks each replica of a key's shard once; the callback hears of each answer, and whether it was the last. */
-  private void askReplicas(ReplicaSets sets, String duty, String key, ObjectNode body, BiConsumer<String, Response> then) {
+  /**
+   * Asks each replica of a key's shard once; the callback hears of each answer, and whether it was
+   * the last.
+   */
+  private void askReplicas(
+      ReplicaSets sets,
+      String duty,
+      String key,
+      ObjectNode body,
+      BiConsumer<String, Response> then) {
     body.put("setNumber", sets.number());
     for (OwnedKey.Replica replica : sets.all()) {
-      ask(attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null, duty, key, body,
-          Constants.ASK_TRY_MS, response -> then.accept(replica.id(), response));
+      ask(
+          attempt -> attempt == 0 ? new Target(replica.id(), replica.address()) : null,
+          duty,
+          key,
+          body,
+          Constants.ASK_TRY_MS,
+          response -> then.accept(replica.id(), response));
     }
   }
 
@@ -450,101 +581,136 @@
     Set<String> absent = new HashSet<>();
     int[] heard = new int[1];
     boolean[] told = new boolean[1];
-    askReplicas(sets, "peek", key, JSON.createObjectNode(), (replica, response) -> {
-      heard[0]++;
-      boolean present = response.good() && response.body().path("present").asBoolean();
-      if (response.good() && !present) {
-        absent.add(replica);
-      }
-      boolean certain = present || sets.quorum(absent);
-      if (!told[0] && (certain || heard[0] == sets.all().size())) {
-        told[0] = true;
-        then.accept(certain ? (Boolean) present : null);
-      }
-    });
+    askReplicas(
+        sets,
+        "peek",
+        key,
+        JSON.createObjectNode(),
+        (replica, response) -> {
+          heard[0]++;
+          boolean present = response.good() && response.body().path("present").asBoolean();
+          if (response.good() && !present) {
+            absent.add(replica);
+          }
+          boolean certain = present || sets.quorum(absent);
+          if (!told[0] && (certain || heard[0] == sets.all().size())) {
+            told[0] = true;
+            then.accept(certain ? (Boolean) present : null);
+          }
+        });
   }
 
   // ---- what leaders, feeder and live desk need
 
-  @Override public void send(String toAddress, String toId, Message message) {
+  @Override
+  public void send(String toAddress, String toId, Message message) {
     super.send(toAddress, toId, message);
   }
 
-  @Override public void toAllEdges(Message message) {
+  @Override
+  public void toAllEdges(Message message) {
     liveEdges().forEach(member -> send(member.peerAddress(), member.id(), message));
   }
 
   private void freeRoom(String batch) {
-    reportRoom(batch, 0, waiting -> { });
+    reportRoom(batch, 0, waiting -> {});
   }
 
-  @Override public void reportRoom(String batch, long room, LongConsumer then) {
-    askCore("room", "batch-room", JSON.createObjectNode().put("batch", batch).put("items", room),
-        Constants.COMMAND_EXPIRY_MS, response -> {
+  @Override
+  public void reportRoom(String batch, long room, LongConsumer then) {
+    askCore(
+        "room",
+        "batch-room",
+        JSON.createObjectNode().put("batch", batch).put("items", room),
+        Constants.COMMAND_EXPIRY_MS,
+        response -> {
           if (response.good()) {
             then.accept(response.body().path("waiting").asLong());
           }
         });
   }
 
-  @Override public boolean newsFresh() {
+  @Override
+  public boolean newsFresh() {
     return !feedStale();
   }
 
-  @Override public void log(String sentence) {
+  @Override
+  public void log(String sentence) {
     surroundings.log("batch", sentence);
   }
 
-  @Override public void offsetAhead(String batch) {
+  @Override
+  public void offsetAhead(String batch) {
     count("batch_offsets_ahead");
   }
 
-  @Override public Long heardDueAt(String batch) {
+  @Override
+  public Long heardDueAt(String batch) {
     return dueAtOfBatch.get(batch);
   }
 
-  @Override public boolean feeds(String worker) {
-    return place.id().equals(feederOfWorker.computeIfAbsent(worker, unseen ->
-        Rendezvous.first("feeder/" + worker, feederCandidates(worker))));
+  @Override
+  public boolean feeds(String worker) {
+    return place
+        .id()
+        .equals(
+            feederOfWorker.computeIfAbsent(
+                worker, unseen -> Rendezvous.first("feeder/" + worker, feederCandidates(worker))));
   }
 
-  /** The live edges of the worker's zone, so that its items and their streams stay there; all where it has none. */
+  /**
+   * The live edges of the worker's zone, so that its items and their streams stay there; all where
+   * it has none.
+   */
   private List<String> feederCandidates(String workerId) {
     List<Member> edges = liveEdges();
     Worker worker = workers.get(workerId);
-    List<String> near = worker == null || worker.zone() == null || worker.zone().isEmpty() ? List.of()
-        : edges.stream().filter(member -> member.zone().equals(worker.zone())).map(Member::id).toList();
+    List<String> near =
+        worker == null || worker.zone() == null || worker.zone().isEmpty()
+            ? List.of()
+            : edges.stream()
+                .filter(member -> member.zone().equals(worker.zone()))
+                .map(Member::id)
+                .toList();
     return near.isEmpty() ? edges.stream().map(Member::id).toList() : near;
   }
 
-  @Override public Fault mayBegin() {
+  @Override
+  public Fault mayBegin() {
     if (stopping) {
       return new Fault.NodeStopping();
     }
     return mayGoOn();
   }
 
-  @Override public Fault mayGoOn() {
+  @Override
+  public Fault mayGoOn() {
     return isolated() ? new Fault.NodeIsolated(feedAge()) : null;
   }
 
-  @Override public Bundle bundle() {
+  @Override
+  public Bundle bundle() {
     return bundle;
   }
 
-  @Override public RouteTable routes() {
+  @Override
+  public RouteTable routes() {
     return routes;
   }
 
-  @Override public boolean stopping() {
+  @Override
+  public boolean stopping() {
     return stopping;
   }
 
-  @Override public void count(String counter) {
+  @Override
+  public void count(String counter) {
     super.count(counter);
   }
 
-  @Override public void claimOnce(String id, String token, Consumer<Fault> then) {
+  @Override
+  public void claimOnce(String id, String token, Consumer<Fault> then) {
     String key = "once/" + id;
     ReplicaSets sets = setsOf(key);
     if (sets.isEmpty()) {
@@ -556,34 +722,53 @@
     sets.all().forEach(replica -> open.add(replica.id()));
     boolean[] claimedByOther = new boolean[1];
     boolean[] told = new boolean[1];
-    askReplicas(sets, "claim", key, JSON.createObjectNode().put("token", token), (replica, response) -> {
-      if (response.good()) {
-        won.add(replica);
-      } else {
-        open.remove(replica);
-        claimedByOther[0] |= response.faultType().equals("AlreadyClaimed");
-      }
-      boolean lost = !sets.quorum(open);
-      if (told[0] || !lost && !sets.quorum(won)) {
-        return;
-      }
-      told[0] = true;
-      if (lost) {
-        unclaimOnce(id, token);
-      }
-      then.accept(!lost ? null : claimedByOther[0] ? new Fault.AlreadyClaimed(id) : new Fault.NoMajority(key));
-    });
+    askReplicas(
+        sets,
+        "claim",
+        key,
+        JSON.createObjectNode().put("token", token),
+        (replica, response) -> {
+          if (response.good()) {
+            won.add(replica);
+          } else {
+            open.remove(replica);
+            claimedByOther[0] |= response.faultType().equals("AlreadyClaimed");
+          }
+          boolean lost = !sets.quorum(open);
+          if (told[0] || !lost && !sets.quorum(won)) {
+            return;
+          }
+          told[0] = true;
+          if (lost) {
+            unclaimOnce(id, token);
+          }
+          then.accept(
+              !lost
+                  ? null
+                  : claimedByOther[0] ? new Fault.AlreadyClaimed(id) : new Fault.NoMajority(key));
+        });
   }
 
-  @Override public void unclaimOnce(String id, String token) {
+  @Override
+  public void unclaimOnce(String id, String token) {
     String key = "once/" + id;
-    setsOf(key).all().forEach(replica -> ask(attempt -> new Target(replica.id(), replica.address()), "unclaim", key,
-        JSON.createObjectNode().put("token", token), Constants.COMMAND_EXPIRY_MS, response -> { }));
+    setsOf(key)
+        .all()
+        .forEach(
+            replica ->
+                ask(
+                    attempt -> new Target(replica.id(), replica.address()),
+                    "unclaim",
+                    key,
+                    JSON.createObjectNode().put("token", token),
+                    Constants.COMMAND_EXPIRY_MS,
+                    response -> {}));
   }
 
   // ---- messages
 
-  @Override protected void handle(Message message, String fromId, String fromAddress) {
+  @Override
+  protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyPromised promised) {
       claims.promised(promised, fromId);
     } else if (message instanceof KeyAppended appended) {
@@ -594,7 +779,7 @@
       }
     } else if (message instanceof KeyHandOver handedOver) {
       if (!stopping && !leaders.containsKey(handedOver.key())) {
-        claim(handedOver.key(), true, outcome -> { });
+        claim(handedOver.key(), true, outcome -> {});
       }
     } else if (message instanceof Unfinished unfinished) {
       unfinished.keys().forEach(this::takeOrphan);
@@ -626,57 +811,82 @@
     }
   }
 
-  /** A batch without a leader, or a ledger entry nobody spoke of: looks, leads it on, or makes its absence lasting. */
+  /**
+   * A batch without a leader, or a ledger entry nobody spoke of: looks, leads it on, or makes its
+   * absence lasting.
+   */
   private void takeOrphan(String key) {
     if (stopping || isolated()) {
       return;
     }
-    claim(key, false, outcome -> {
-      BatchLeader leader = leaders.get(key);
-      if (outcome.claim() != Claim.OWNED || leader == null) {
-        return;
-      }
-      if (leader.view.accepted == null) {
-        leader.refuse(fault -> {
-          if (fault == null) {
+    claim(
+        key,
+        false,
+        outcome -> {
+          BatchLeader leader = leaders.get(key);
+          if (outcome.claim() != Claim.OWNED || leader == null) {
+            return;
+          }
+          if (leader.view.accepted == null) {
+            leader.refuse(
+                fault -> {
+                  if (fault == null) {
+                    freeRoom(leader.batch);
+                  }
+                });
+          } else if (!leader.view.open()) {
             freeRoom(leader.batch);
           }
         });
-      } else if (!leader.view.open()) {
-        freeRoom(leader.batch);
-      }
-    });
   }
 
   // ---- readiness and end
 
-  @Override public ObjectNode status() {
+  @Override
+  public ObjectNode status() {
     ObjectNode status = super.status();
-    status.put("opaqueOpen", opaque.openRequests()).put("liveRunning", live.runningRequests()).put("liveQueued", live.queuedRequests())
-        .put("heldRanges", feeder.heldRanges()).put("batchRunning", feeder.runningItems());
+    status
+        .put("opaqueOpen", opaque.openRequests())
+        .put("liveRunning", live.runningRequests())
+        .put("liveQueued", live.queuedRequests())
+        .put("heldRanges", feeder.heldRanges())
+        .put("batchRunning", feeder.runningItems());
     ObjectNode leading = status.putObject("leads");
-    leaders.forEach((key, leader) -> leading.put(leader.batch, leader.view.state() + ", epoch "
-        + leader.key.epoch().counter() + ", recorded " + leader.view.results.size() + " of " + leader.view.items()));
+    leaders.forEach(
+        (key, leader) ->
+            leading.put(
+                leader.batch,
+                leader.view.state()
+                    + ", epoch "
+                    + leader.key.epoch().counter()
+                    + ", recorded "
+                    + leader.view.results.size()
+                    + " of "
+                    + leader.view.items()));
     book.describe(status.putArray("workers"));
     return status;
   }
 
   /** A grant is needed for duties, not for live requests, so an edge is ready without. */
-  @Override public String notReadyBecause() {
+  @Override
+  public String notReadyBecause() {
     return stopAnnounced ? "stopping" : super.notServingBecause();
   }
 
   /**
-   * Polite end: announces itself and still takes work until the platform has had time to notice, then gives up its
-   * place, hands each batch to its successor, and waits for what still runs.
+   * Polite end: announces itself and still takes work until the platform has had time to notice,
+   * then gives up its place, hands each batch to its successor, and waits for what still runs.
    */
-  @Override public void stop(Runnable whenDone) {
+  @Override
+  public void stop(Runnable whenDone) {
     stopAnnounced = true;
     surroundings.after(Constants.STOP_FEEDING_MS, this::stopFeeding);
     surroundings.after(Constants.STOP_NOTICE_MS, () -> stopTaking(whenDone));
   }
 
-  /** Items take longer than live requests: with none begun from here on, few are left to wait for. */
+  /**
+   * Items take longer than live requests: with none begun from here on, few are left to wait for.
+   */
   private void stopFeeding() {
     if (!stopping) {
       feeder.drain();
@@ -689,12 +899,19 @@
     long left = bounds.graceMs() - Constants.STOP_NOTICE_MS - Constants.STOP_MARGIN_MS;
     long drainEndsAt = surroundings.now() + Math.max(0, Math.min(Constants.DRAIN_MS, left));
     long itemsEndAt = Math.min(drainEndsAt, surroundings.now() + Constants.STOP_ITEMS_MS);
-    surroundings.log(PART, "Takes nothing new: " + opaque.openRequests() + " requests and " + feeder.runningItems()
-        + " batch items still run.");
+    surroundings.log(
+        PART,
+        "Takes nothing new: "
+            + opaque.openRequests()
+            + " requests and "
+            + feeder.runningItems()
+            + " batch items still run.");
     feeder.drain();
-    leaveCore(() -> { });
+    leaveCore(() -> {});
     surroundings.after(Constants.CLAIM_BACKOFF_MS, this::handOverLeaders);
-    surroundings.after(Constants.CLAIM_BACKOFF_MS + Constants.DRAIN_LOOK_MS, () -> drain(drainEndsAt, itemsEndAt, whenDone));
+    surroundings.after(
+        Constants.CLAIM_BACKOFF_MS + Constants.DRAIN_LOOK_MS,
+        () -> drain(drainEndsAt, itemsEndAt, whenDone));
   }
 
   private void handOverLeaders() {
@@ -709,7 +926,9 @@
       leaders.remove(key);
       leader.lost();
       if (successor != null && leader.view.open()) {
-        send(successor.address(), successor.id(),
+        send(
+            successor.address(),
+            successor.id(),
             new KeyHandOver(key, leader.key.epoch(), leader.key.lastSequence()));
         feeder.leaderMoved(leader.batch, successor.id(), successor.address());
         surroundings.log("batch", "Batch handed over: " + leader.batch + ".");
@@ -718,8 +937,11 @@
   }
 
   private void drain(long drainEndsAt, long itemsEndAt, Runnable whenDone) {
-    boolean drained = (feeder.drain() || surroundings.now() >= itemsEndAt) && live.runningRequests() == 0 && live.queuedRequests() == 0
-        && opaque.openRequests() == 0;
+    boolean drained =
+        (feeder.drain() || surroundings.now() >= itemsEndAt)
+            && live.runningRequests() == 0
+            && live.queuedRequests() == 0
+            && opaque.openRequests() == 0;
     if (drained || surroundings.now() >= drainEndsAt) {
       end();
       whenDone.run();
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -1,64 +1,114 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-import static applespindle.corelogic.Json.JSON;
-
-/** Every failure the system can name. The table at the end maps each to its HTTP status; nothing else does. */
+/**
+ * Every failure the system can name. The table at the end maps each to its HTTP status; nothing
+ * else does.
+ */
 public sealed interface Fault {
   /** One faulty field of an input, by JSON path. */
   record Field(String path, String reason) {}
 
   record InvalidInput(List<Field> fields) implements Fault {}
+
   record InputTooLarge(long limitBytes) implements Fault {}
+
   record HeadTooLarge(long limitBytes) implements Fault {}
+
   record NoSuchPath(String path) implements Fault {}
+
   record MethodNotAllowed(String method) implements Fault {}
+
   record SignatureRefused(String reason) implements Fault {}
+
   record InvalidBundle(List<Field> fields) implements Fault {}
+
   record BundleConflict(long numberInForce) implements Fault {}
+
   record VersionConflict(long versionInForce) implements Fault {}
+
   record NoSuchWorker(String worker) implements Fault {}
+
   record NoSuchBatch(String batch) implements Fault {}
+
   record NoBundle() implements Fault {}
+
   record NoMatchingRule() implements Fault {}
+
   record KeyContentConflict(String batch) implements Fault {}
+
   record BatchRefused(String batch) implements Fault {}
+
   record BatchOverCeiling(int items, long ceiling) implements Fault {}
+
   record NoRoom(long waiting, long ceiling) implements Fault {}
+
   record QueueFull(String trafficClass) implements Fault {}
+
   record ExpiryPassed() implements Fault {}
+
   record NoWorker(String pool) implements Fault {}
+
   record NoMajority(String key) implements Fault {}
+
   record NotReady(String reason) implements Fault {}
+
   record NodeIsolated(long feedAgeMs) implements Fault {}
+
   record NodeStopping() implements Fault {}
+
   record NotOwner(String key) implements Fault {}
+
   record OldReplicaSet(long setNumber) implements Fault {}
+
   record NoSuchStorage(String node) implements Fault {}
+
   record TooFewCopies(int copies) implements Fault {}
+
   record StorageRetired(String node) implements Fault {}
+
   record StorageNotEmpty(int shards) implements Fault {}
+
   record OutcomeUnknown(String subject) implements Fault {}
+
   record AlreadyClaimed(String id) implements Fault {}
+
   record WorkerRefused(int status) implements Fault {}
+
   record WorkerUnreachable(String worker) implements Fault {}
+
   record WorkerCut(String worker) implements Fault {}
+
   record WorkerGarbage(String worker) implements Fault {}
+
   record WorkerSilent(String worker) implements Fault {}
+
   record WorkerFailed(int status) implements Fault {}
+
   record RunCancelled() implements Fault {}
+
   record ItemExpired() implements Fault {}
+
   record ItemFailed(int status) implements Fault {}
+
   record ItemImpossible() implements Fault {}
+
   record UnknownDuty(String duty) implements Fault {}
+
   record Overloaded(String ring) implements Fault {}
+
   record InternalFault(String kind) implements Fault {}
 
-  /** Status, whether a repeat may succeed, the sentence for a reader, and when to come back where nothing tells better. */
+  /**
+   * Status, whether a repeat may succeed, the sentence for a reader, and when to come back where
+   * nothing tells better.
+   */
   record Row(int status, boolean retryable, String message, int comeBackSeconds) {
     Row(int status, boolean retryable, String message) {
       this(status, retryable, message, status == 429 || status == 503 ? 1 : 0);
@@ -82,7 +132,11 @@
 
   /** A dead owner is followed within this. */
   int TAKEOVER_S = (int) ((Constants.TAKEOVER_MS + Constants.CLAIM_ROUND_MS + 999) / 1_000);
-  /** A node that is cut off has fresh news this long after it is heard again; others are open meanwhile. */
+
+  /**
+   * A node that is cut off has fresh news this long after it is heard again; others are open
+   * meanwhile.
+   */
   int STALE_S = (int) ((Constants.FEED_STALE_MS + 999) / 1_000);
 
   Map<Class<? extends Fault>, Row> TABLE = table();
@@ -94,43 +148,83 @@
     rows.put(HeadTooLarge.class, new Row(431, false, "The request's head is too large."));
     rows.put(NoSuchPath.class, new Row(404, false, "There is no such path."));
     rows.put(MethodNotAllowed.class, new Row(405, false, "The path does not take this method."));
-    rows.put(SignatureRefused.class, new Row(403, false, "The signature is missing, unknown or wrong."));
+    rows.put(
+        SignatureRefused.class, new Row(403, false, "The signature is missing, unknown or wrong."));
     rows.put(InvalidBundle.class, new Row(422, false, "The bundle has faults."));
-    rows.put(BundleConflict.class, new Row(409, false, "The bundle's number is not above the one in force, or has other content."));
+    rows.put(
+        BundleConflict.class,
+        new Row(
+            409,
+            false,
+            "The bundle's number is not above the one in force, or has other content."));
     rows.put(VersionConflict.class, new Row(409, false, "The version is not the one in force."));
     rows.put(NoSuchWorker.class, new Row(404, false, "There is no such worker."));
     rows.put(NoSuchBatch.class, new Row(404, false, "A majority of replicas has no such batch."));
     rows.put(NoBundle.class, new Row(503, true, "No bundle is in force.", TAKEOVER_S));
-    rows.put(NoMatchingRule.class, new Row(404, false, "No rule of the bundle matches the request."));
-    rows.put(KeyContentConflict.class, new Row(409, false, "The idempotency key was used with other content."));
+    rows.put(
+        NoMatchingRule.class, new Row(404, false, "No rule of the bundle matches the request."));
+    rows.put(
+        KeyContentConflict.class,
+        new Row(409, false, "The idempotency key was used with other content."));
     rows.put(BatchRefused.class, new Row(409, false, "The batch was refused; nothing of it runs."));
-    rows.put(NoRoom.class, new Row(429, true, "Waiting batch work is at its ceiling; nothing was accepted."));
-    rows.put(BatchOverCeiling.class, new Row(413, false, "The batch alone is larger than the ceiling of waiting items."));
-    rows.put(QueueFull.class, new Row(429, true, "The queue of this class is full; the request did not run."));
-    rows.put(ExpiryPassed.class, new Row(503, true, "The request could not start within its expiry; it did not run."));
-    rows.put(NoWorker.class, new Row(503, true, "No worker of the pool can take the request; it did not run."));
-    rows.put(NoMajority.class, new Row(503, true, "A majority of replicas can not be reached; nothing was done.", TAKEOVER_S));
-    rows.put(NotReady.class, new Row(503, true, "The node is not ready; nothing was done.", TAKEOVER_S));
-    rows.put(NodeIsolated.class, new Row(503, true, "The node is cut off from the others; nothing was done.", STALE_S));
+    rows.put(
+        NoRoom.class,
+        new Row(429, true, "Waiting batch work is at its ceiling; nothing was accepted."));
+    rows.put(
+        BatchOverCeiling.class,
+        new Row(413, false, "The batch alone is larger than the ceiling of waiting items."));
+    rows.put(
+        QueueFull.class,
+        new Row(429, true, "The queue of this class is full; the request did not run."));
+    rows.put(
+        ExpiryPassed.class,
+        new Row(503, true, "The request could not start within its expiry; it did not run."));
+    rows.put(
+        NoWorker.class,
+        new Row(503, true, "No worker of the pool can take the request; it did not run."));
+    rows.put(
+        NoMajority.class,
+        new Row(
+            503, true, "A majority of replicas can not be reached; nothing was done.", TAKEOVER_S));
+    rows.put(
+        NotReady.class, new Row(503, true, "The node is not ready; nothing was done.", TAKEOVER_S));
+    rows.put(
+        NodeIsolated.class,
+        new Row(503, true, "The node is cut off from the others; nothing was done.", STALE_S));
     rows.put(NodeStopping.class, new Row(503, true, "The node is stopping; nothing was done."));
-    rows.put(NotOwner.class, new Row(503, true, "The node does not own the key; nothing was done.", TAKEOVER_S));
-    rows.put(OldReplicaSet.class, new Row(503, true, "The replica set has changed; nothing was done.", TAKEOVER_S));
+    rows.put(
+        NotOwner.class,
+        new Row(503, true, "The node does not own the key; nothing was done.", TAKEOVER_S));
+    rows.put(
+        OldReplicaSet.class,
+        new Row(503, true, "The replica set has changed; nothing was done.", TAKEOVER_S));
     rows.put(NoSuchStorage.class, new Row(404, false, "There is no such storage node."));
     rows.put(TooFewCopies.class, new Row(409, false, "This would leave fewer than two copies."));
     rows.put(StorageRetired.class, new Row(409, false, "The storage node is retired already."));
     rows.put(StorageNotEmpty.class, new Row(409, true, "The storage node still holds shards."));
-    rows.put(OutcomeUnknown.class, new Row(504, true, "The outcome is not known: it may or may not have taken effect."));
-    rows.put(AlreadyClaimed.class, new Row(409, false, "The once-id is already claimed; this request did not run."));
-    rows.put(WorkerRefused.class, new Row(503, true, "The worker refused; the request did not run."));
-    rows.put(WorkerUnreachable.class, new Row(503, true, "The worker could not be reached; the request did not run."));
+    rows.put(
+        OutcomeUnknown.class,
+        new Row(504, true, "The outcome is not known: it may or may not have taken effect."));
+    rows.put(
+        AlreadyClaimed.class,
+        new Row(409, false, "The once-id is already claimed; this request did not run."));
+    rows.put(
+        WorkerRefused.class, new Row(503, true, "The worker refused; the request did not run."));
+    rows.put(
+        WorkerUnreachable.class,
+        new Row(503, true, "The worker could not be reached; the request did not run."));
     rows.put(WorkerCut.class, new Row(502, true, "The worker's output was cut off."));
     rows.put(WorkerGarbage.class, new Row(502, true, "The worker's output could not be read."));
     rows.put(WorkerSilent.class, new Row(504, true, "The worker fell silent."));
     rows.put(WorkerFailed.class, new Row(502, true, "The worker failed the request."));
     rows.put(RunCancelled.class, new Row(503, true, "The run was cancelled."));
-    rows.put(ItemExpired.class, new Row(504, false, "The batch's expiry passed before the item was done."));
+    rows.put(
+        ItemExpired.class,
+        new Row(504, false, "The batch's expiry passed before the item was done."));
     rows.put(ItemFailed.class, new Row(502, true, "The worker ran the item and failed."));
-    rows.put(ItemImpossible.class, new Row(422, false, "The worker says that the item can never be done."));
+    rows.put(
+        ItemImpossible.class,
+        new Row(422, false, "The worker says that the item can never be done."));
     rows.put(UnknownDuty.class, new Row(501, false, "The node does not know this ask."));
     rows.put(Overloaded.class, new Row(503, true, "The node is overloaded; nothing was done."));
     rows.put(InternalFault.class, new Row(500, true, "The node met a fault of its own."));
--- a/core-logic/src/main/java/applespindle/corelogic/FellowLoads.java
+++ b/core-logic/src/main/java/applespindle/corelogic/FellowLoads.java
@@ -10,9 +10,9 @@
 import java.util.function.Supplier;
 
 /**
- * Tells the other edges of the zone what this one has just sent to workers, so that prompts sent at the same time do not
- * meet at one worker. Only a hint: what is lost or late fades by itself. What is told is the whole of this edge's load at
- * a worker, so that a repeat does no harm.
+ * Tells the other edges of the zone what this one has just sent to workers, so that prompts sent at
+ * the same time do not meet at one worker. Only a hint: what is lost or late fades by itself. What
+ * is told is the whole of this edge's load at a worker, so that a repeat does no harm.
  */
 final class FellowLoads {
   /** How a message gets to another edge. */
@@ -27,7 +27,11 @@
   private final Set<WorkerBook.Known> changed = new LinkedHashSet<>();
   private boolean due;
 
-  FellowLoads(Surroundings surroundings, WorkerBook book, Supplier<List<Member>> fellows, PeerSender sender) {
+  FellowLoads(
+      Surroundings surroundings,
+      WorkerBook book,
+      Supplier<List<Member>> fellows,
+      PeerSender sender) {
     this.surroundings = surroundings;
     this.book = book;
     this.fellows = fellows;
@@ -35,8 +39,8 @@
   }
 
   /**
-   * A run began there. Grouped the longer the more fellows there are: the messages in a second stay as many. A worker that
-   * is asked for its load tells it to all.
+   * A run began there. Grouped the longer the more fellows there are: the messages in a second stay
+   * as many. A worker that is asked for its load tells it to all.
    */
   void began(WorkerBook.Known worker) {
     if (!worker.passive()) {
@@ -55,7 +59,8 @@
     List<OwnLoad> loads = new ArrayList<>();
     for (WorkerBook.Known each : changed) {
       if (book.listed(each)) {
-        loads.add(new OwnLoad(each.worker.id(), each.live + each.batch, (int) Math.round(each.reading)));
+        loads.add(
+            new OwnLoad(each.worker.id(), each.live + each.batch, (int) Math.round(each.reading)));
       }
     }
     changed.clear();
--- a/core-logic/src/main/java/applespindle/corelogic/InputReader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/InputReader.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,18 +22,28 @@
 import java.util.stream.Collectors;
 import org.hibernate.validator.messageinterpolation.ParameterMessageInterpolator;
 
-import static applespindle.corelogic.Json.JSON;
-
-/** Reads input from outside into a record and names every faulty field at once, each by its JSON path. */
+/**
+ * Reads input from outside into a record and names every faulty field at once, each by its JSON
+ * path.
+ */
 public final class InputReader {
-  /** Made at its first use: that takes long on a slow processor, and most processes never take outside input. */
+  /**
+   * Made at its first use: that takes long on a slow processor, and most processes never take
+   * outside input.
+   */
   private static final class FieldRules {
-    static final Validator VALIDATOR = Validation.byDefaultProvider().configure()
-        .messageInterpolator(new ParameterMessageInterpolator()).buildValidatorFactory().getValidator();
+    static final Validator VALIDATOR =
+        Validation.byDefaultProvider()
+            .configure()
+            .messageInterpolator(new ParameterMessageInterpolator())
+            .buildValidatorFactory()
+            .getValidator();
   }
 
   /** Used only on trees whose faults are already named. */
-  private static final ObjectMapper LENIENT = JSON.copy().disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+  private static final ObjectMapper LENIENT =
+      JSON.copy().disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
   private static final int FAULTS_MOST = 100;
 
   /** Either a value and no faults, or faults and no value. */
@@ -45,7 +57,10 @@
     return read(bytes, type, true);
   }
 
-  /** Of something whose field rules were checked before it was kept: only that this program understands it whole. */
+  /**
+   * Of something whose field rules were checked before it was kept: only that this program
+   * understands it whole.
+   */
   static <T> Input<T> readKept(byte[] bytes, Class<T> type) {
     return read(bytes, type, false);
   }
@@ -55,8 +70,14 @@
     try {
       tree = JSON.readTree(bytes);
     } catch (JsonProcessingException fault) {
-      String place = fault.getLocation() == null ? "" : " (line " + fault.getLocation().getLineNr() + ", column "
-          + fault.getLocation().getColumnNr() + ")";
+      String place =
+          fault.getLocation() == null
+              ? ""
+              : " (line "
+                  + fault.getLocation().getLineNr()
+                  + ", column "
+                  + fault.getLocation().getColumnNr()
+                  + ")";
       return new Input<>(null, List.of(new Fault.Field("$", "not well-formed JSON" + place)));
     } catch (IOException fault) {
       return new Input<>(null, List.of(new Fault.Field("$", "not readable")));
@@ -78,21 +99,31 @@
     try {
       value = LENIENT.treeToValue(sound, type);
     } catch (JsonProcessingException | IllegalArgumentException fault) {
-      return new Input<>(null, faults.isEmpty() ? List.of(new Fault.Field("$", "can not be read")) : faults);
+      return new Input<>(
+          null, faults.isEmpty() ? List.of(new Fault.Field("$", "can not be read")) : faults);
     }
     if (fieldRules) {
       Set<String> named = faults.stream().map(Fault.Field::path).collect(Collectors.toSet());
       FieldRules.VALIDATOR.validate(value).stream()
           .map(each -> new Fault.Field("$." + each.getPropertyPath(), each.getMessage()))
-          .filter(each -> !named.contains(each.path())).forEach(faults::add);
+          .filter(each -> !named.contains(each.path()))
+          .forEach(faults::add);
     }
     if (faults.isEmpty()) {
       return new Input<>(value, List.of());
     }
-    return new Input<>(null, faults.stream().sorted(Comparator.comparing(Fault.Field::path)).limit(FAULTS_MOST).toList());
+    return new Input<>(
+        null,
+        faults.stream()
+            .sorted(Comparator.comparing(Fault.Field::path))
+            .limit(FAULTS_MOST)
+            .toList());
   }
 
-  /** True if the node fits; what does not fit inside it is named and taken out, so that the rest can be checked too. */
+  /**
+   * True if the node fits; what does not fit inside it is named and taken out, so that the rest can
+   * be checked too.
+   */
   private static boolean compare(String path, JsonNode node, Type type, List<Fault.Field> faults) {
     if (type == JsonNode.class) {
       return true;
@@ -117,14 +148,16 @@
     return wanted == null;
   }
 
-  private static boolean compareGeneric(String path, JsonNode node, ParameterizedType type, List<Fault.Field> faults) {
+  private static boolean compareGeneric(
+      String path, JsonNode node, ParameterizedType type, List<Fault.Field> faults) {
     if (type.getRawType() == List.class) {
       if (!(node instanceof ArrayNode list)) {
         faults.add(new Fault.Field(path, "must be a list"));
         return false;
       }
       for (int index = 0; index < list.size(); index++) {
-        if (!compare(path + "[" + index + "]", list.get(index), type.getActualTypeArguments()[0], faults)) {
+        if (!compare(
+            path + "[" + index + "]", list.get(index), type.getActualTypeArguments()[0], faults)) {
           list.setNull(index);
         }
       }
@@ -148,13 +181,15 @@
     return names;
   }
 
-  private static boolean compareRecord(String path, JsonNode node, Class<?> type, List<Fault.Field> faults) {
+  private static boolean compareRecord(
+      String path, JsonNode node, Class<?> type, List<Fault.Field> faults) {
     if (!(node instanceof ObjectNode object)) {
       faults.add(new Fault.Field(path, "must be an object"));
       return false;
     }
     RecordComponent[] components = type.getRecordComponents();
-    Set<String> names = Arrays.stream(components).map(RecordComponent::getName).collect(Collectors.toSet());
+    Set<String> names =
+        Arrays.stream(components).map(RecordComponent::getName).collect(Collectors.toSet());
     for (String name : fieldNames(object)) {
       if (!names.contains(name)) {
         faults.add(new Fault.Field(path + "." + name, "unknown field"));
@@ -178,10 +213,14 @@
       return node.isBoolean() ? null : "must be true or false";
     }
     if (type == int.class || type == Integer.class) {
-      return node.isIntegralNumber() && node.canConvertToInt() ? null : "must be a whole number of at most 32 bits";
+      return node.isIntegralNumber() && node.canConvertToInt()
+          ? null
+          : "must be a whole number of at most 32 bits";
     }
     if (type == long.class || type == Long.class) {
-      return node.isIntegralNumber() && node.canConvertToLong() ? null : "must be a whole number of at most 64 bits";
+      return node.isIntegralNumber() && node.canConvertToLong()
+          ? null
+          : "must be a whole number of at most 64 bits";
     }
     if (type == double.class || type == Double.class) {
       return node.isNumber() ? null : "must be a number";
--- a/core-logic/src/main/java/applespindle/corelogic/Journal.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Journal.java
@@ -9,6 +9,7 @@
 
   /** Invariant: numbers rise by one; at most JOURNAL_KEPT events are held. */
   private final ArrayDeque<Event> events = new ArrayDeque<>();
+
   private final Surroundings surroundings;
   private long lastNumber;
 
@@ -24,7 +25,11 @@
   }
 
   public List<Event> about(String key, int most) {
-    return events.stream().filter(event -> key.isEmpty() || event.key().equals(key) || event.key().startsWith(key + "/"))
-        .skip(0).limit(most).toList();
+    return events.stream()
+        .filter(
+            event -> key.isEmpty() || event.key().equals(key) || event.key().startsWith(key + "/"))
+        .skip(0)
+        .limit(most)
+        .toList();
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Json.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Json.java
@@ -10,11 +10,12 @@
 
 /** The one JSON mapper; strict about unknown fields, duplicate names and trailing text. */
 public final class Json {
-  public static final ObjectMapper JSON = JsonMapper.builder()
-      .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-      .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-      .disable(com.fasterxml.jackson.databind.MapperFeature.ALLOW_COERCION_OF_SCALARS)
-      .build();
+  public static final ObjectMapper JSON =
+      JsonMapper.builder()
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(com.fasterxml.jackson.core.StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .disable(com.fasterxml.jackson.databind.MapperFeature.ALLOW_COERCION_OF_SCALARS)
+          .build();
 
   public static byte[] bytes(Object value) {
     try {
--- a/core-logic/src/main/java/applespindle/corelogic/KeptPrompts.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeptPrompts.java
@@ -6,8 +6,9 @@
 import java.util.Map;
 
 /**
- * What one worker may still keep of prompts this edge has sent there. A part counts only behind the same parts before it,
- * so it is remembered by the hash of all parts up to it. Those unused longest are forgotten first.
+ * What one worker may still keep of prompts this edge has sent there. A part counts only behind the
+ * same parts before it, so it is remembered by the hash of all parts up to it. Those unused longest
+ * are forgotten first.
  */
 final class KeptPrompts {
   private final LinkedHashMap<Long, Integer> tokensByChain = new LinkedHashMap<>(16, 0.75f, true);
@@ -39,7 +40,9 @@
       tokens += prompt.get(index).tokens() - (before == null ? 0 : before);
     }
     var oldest = tokensByChain.entrySet().iterator();
-    while (oldest.hasNext() && (tokensByChain.size() > Constants.KEPT_PARTS_MOST || tokensMost > 0 && tokens > tokensMost)) {
+    while (oldest.hasNext()
+        && (tokensByChain.size() > Constants.KEPT_PARTS_MOST
+            || tokensMost > 0 && tokens > tokensMost)) {
       Map.Entry<Long, Integer> part = oldest.next();
       tokens -= part.getValue();
       oldest.remove();
--- a/core-logic/src/main/java/applespindle/corelogic/KeyClaims.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyClaims.java
@@ -10,7 +10,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
-/** The claims under way in one node: at most one for each key; whoever asks meanwhile hears of its outcome too. */
+/**
+ * The claims under way in one node: at most one for each key; whoever asks meanwhile hears of its
+ * outcome too.
+ */
 final class KeyClaims {
   private final Surroundings surroundings;
   private final String nodeId;
@@ -21,13 +24,22 @@
   private final Map<String, OwnedKey> claiming = new HashMap<>();
   private final Map<String, List<Consumer<ClaimOutcome>>> waiting = new HashMap<>();
 
-  KeyClaims(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender,
-      Function<String, ReplicaSets> setsOf, Consumer<OwnedKey> whenOwned) {
+  KeyClaims(
+      Surroundings surroundings,
+      String nodeId,
+      KeyReplicas.Replies sender,
+      Function<String, ReplicaSets> setsOf,
+      Consumer<OwnedKey> whenOwned) {
     this(surroundings, nodeId, sender, setsOf, whenOwned, false);
   }
 
-  KeyClaims(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender,
-      Function<String, ReplicaSets> setsOf, Consumer<OwnedKey> whenOwned, boolean quietWhenIdle) {
+  KeyClaims(
+      Surroundings surroundings,
+      String nodeId,
+      KeyReplicas.Replies sender,
+      Function<String, ReplicaSets> setsOf,
+      Consumer<OwnedKey> whenOwned,
+      boolean quietWhenIdle) {
     this.quietWhenIdle = quietWhenIdle;
     this.surroundings = surroundings;
     this.nodeId = nodeId;
@@ -44,13 +56,22 @@
     }
     waiting.put(key, new ArrayList<>(List.of(then)));
     OwnedKey[] holder = new OwnedKey[1];
-    holder[0] = new OwnedKey(surroundings, nodeId, sender, key, setsOf.apply(key), handedOver, quietWhenIdle, outcome -> {
-      claiming.remove(key);
-      if (outcome.claim() == Claim.OWNED) {
-        whenOwned.accept(holder[0]);
-      }
-      waiting.remove(key).forEach(each -> each.accept(outcome));
-    });
+    holder[0] =
+        new OwnedKey(
+            surroundings,
+            nodeId,
+            sender,
+            key,
+            setsOf.apply(key),
+            handedOver,
+            quietWhenIdle,
+            outcome -> {
+              claiming.remove(key);
+              if (outcome.claim() == Claim.OWNED) {
+                whenOwned.accept(holder[0]);
+              }
+              waiting.remove(key).forEach(each -> each.accept(outcome));
+            });
     if (holder[0].state() == OwnedKey.State.CLAIMING) {
       claiming.put(key, holder[0]);
     }
@@ -70,6 +91,7 @@
 
   /** Lets every claim under way go on with the sets as they are known now. */
   void changeSets() {
-    List.copyOf(claiming.values()).forEach(claimedKey -> claimedKey.changeSets(setsOf.apply(claimedKey.key)));
+    List.copyOf(claiming.values())
+        .forEach(claimedKey -> claimedKey.changeSets(setsOf.apply(claimedKey.key)));
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -1,5 +1,11 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Message.Verdict.BEHIND;
+import static applespindle.corelogic.Message.Verdict.BUSY;
+import static applespindle.corelogic.Message.Verdict.OK;
+import static applespindle.corelogic.Message.Verdict.OLD_SET;
+import static applespindle.corelogic.Message.Verdict.REFUSED;
+
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
@@ -14,23 +20,27 @@
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
-import static applespindle.corelogic.Message.Verdict.BEHIND;
-import static applespindle.corelogic.Message.Verdict.BUSY;
-import static applespindle.corelogic.Message.Verdict.OK;
-import static applespindle.corelogic.Message.Verdict.OLD_SET;
-import static applespindle.corelogic.Message.Verdict.REFUSED;
-
-/** One node's copies of owned keys: it promises epochs, takes entries in order, and refuses older epochs. */
+/**
+ * One node's copies of owned keys: it promises epochs, takes entries in order, and refuses older
+ * epochs.
+ */
 public final class KeyReplicas {
   static final class Copy {
     /** Never falls. Every message with a lower epoch is refused. */
     Epoch promised = Epoch.NONE;
-    /** Contiguous by sequence. Entries up to committed never change; only a whole entry may begin the list above 1. */
+
+    /**
+     * Contiguous by sequence. Entries up to committed never change; only a whole entry may begin
+     * the list above 1.
+     */
     final List<Entry> entries = new ArrayList<>();
+
     /** At most the last entry's sequence; never falls. */
     long committed;
+
     /** The listener has heard of every committed entry up to here. */
     long announced;
+
     String owner = "";
     String ownerAddress = "";
     long heardOwnerAt = Long.MIN_VALUE / 2;
@@ -51,14 +61,21 @@
   private final Surroundings surroundings;
   private final BiConsumer<String, Entry> whenCommitted;
   private final TreeMap<String, Copy> copies = new TreeMap<>();
-  /** By set name, the highest set number known. Never falls; every message with a lower one is refused. */
+
+  /**
+   * By set name, the highest set number known. Never falls; every message with a lower one is
+   * refused.
+   */
   private final Map<String, Long> setNumbers = new TreeMap<>();
+
   private final UnaryOperator<String> setNameOf;
   private final Replies replies;
   private String lastTouched = "";
+
   /**
-   * By key, the last event that this log held at the start beyond what it knew to be committed. It may have been
-   * committed, and answered, before the end of the former process: an owner has yet to decide.
+   * By key, the last event that this log held at the start beyond what it knew to be committed. It
+   * may have been committed, and answered, before the end of the former process: an owner has yet
+   * to decide.
    */
   private final Map<String, Entry> undecided = new TreeMap<>();
 
@@ -67,7 +84,10 @@
   }
 
   /** setNameOf tells which set a key belongs to: keys of one set change their replicas together. */
-  KeyReplicas(Surroundings surroundings, Replies replies, BiConsumer<String, Entry> whenCommitted,
+  KeyReplicas(
+      Surroundings surroundings,
+      Replies replies,
+      BiConsumer<String, Entry> whenCommitted,
       UnaryOperator<String> setNameOf) {
     this.setNameOf = setNameOf;
     this.surroundings = surroundings;
@@ -89,7 +109,9 @@
 
   public View view(String key) {
     Copy copy = copies.get(key);
-    return new View(copy.promised, copy.entries.stream().filter(entry -> entry.sequence() <= copy.committed).toList());
+    return new View(
+        copy.promised,
+        copy.entries.stream().filter(entry -> entry.sequence() <= copy.committed).toList());
   }
 
   /** Whether the entry stands here, or a whole entry after it does. */
@@ -120,21 +142,25 @@
           copy.promised = record.epoch();
         }
       }
-      case ENTRY -> place(copy, new Entry(record.sequence(), record.epoch(), record.whole(), record.payload()));
+      case ENTRY ->
+          place(
+              copy, new Entry(record.sequence(), record.epoch(), record.whole(), record.payload()));
       case COMMITTED -> {
         copy.committed = Math.max(copy.committed, Math.min(record.sequence(), copy.lastSequence()));
         trim(copy);
       }
-      default -> { }
+      default -> {}
     }
   }
 
   void recovered() {
     copies.forEach(this::announce);
-    copies.forEach((key, copy) -> {
-      copy.entries.stream().filter(entry -> entry.sequence() > copy.committed && !entry.isTakeover())
-          .forEach(entry -> undecided.put(key, entry));
-    });
+    copies.forEach(
+        (key, copy) -> {
+          copy.entries.stream()
+              .filter(entry -> entry.sequence() > copy.committed && !entry.isTakeover())
+              .forEach(entry -> undecided.put(key, entry));
+        });
   }
 
   /** Another replica knows a committed event at this place: what stands up to there is decided. */
@@ -152,7 +178,8 @@
     }
     Copy copy = copies.get(key);
     Entry present = copy.at(last.sequence());
-    boolean open = copy.committed < last.sequence() && present != null && present.epoch().equals(last.epoch());
+    boolean open =
+        copy.committed < last.sequence() && present != null && present.epoch().equals(last.epoch());
     if (!open) {
       undecided.remove(key);
     }
@@ -160,20 +187,23 @@
   }
 
   boolean anyUndecided(Predicate<String> keys) {
-    return !undecided.isEmpty() && List.copyOf(undecided.keySet()).stream().filter(keys).anyMatch(this::undecided);
+    return !undecided.isEmpty()
+        && List.copyOf(undecided.keySet()).stream().filter(keys).anyMatch(this::undecided);
   }
 
   /** Everything a new log needs in order to stand without the older segments. */
   List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
     setNumbers.forEach((name, number) -> records.add(setRecord(name, number)));
-    copies.forEach((key, copy) -> {
-      records.add(new DiskRecord(Kind.PROMISE, key, copy.promised, 0, false, new byte[0]));
-      for (Entry entry : copy.entries) {
-        records.add(record(key, entry));
-      }
-      records.add(new DiskRecord(Kind.COMMITTED, key, Epoch.NONE, copy.committed, false, new byte[0]));
-    });
+    copies.forEach(
+        (key, copy) -> {
+          records.add(new DiskRecord(Kind.PROMISE, key, copy.promised, 0, false, new byte[0]));
+          for (Entry entry : copy.entries) {
+            records.add(record(key, entry));
+          }
+          records.add(
+              new DiskRecord(Kind.COMMITTED, key, Epoch.NONE, copy.committed, false, new byte[0]));
+        });
     return records;
   }
 
@@ -181,7 +211,10 @@
     return new DiskRecord(Kind.SET, name, Epoch.NONE, number, true, new byte[0]);
   }
 
-  /** Records that the set has this number, and with that refuses lower ones; the callback runs once it is synced. */
+  /**
+   * Records that the set has this number, and with that refuses lower ones; the callback runs once
+   * it is synced.
+   */
   void learnSet(String name, long number, Runnable whenSynced) {
     List<DiskRecord> records = List.of();
     if (number > setNumbers.getOrDefault(name, 0L)) {
@@ -195,13 +228,16 @@
     return setNumbers.getOrDefault(name, 0L);
   }
 
-  /** True if the message speaks of an older set than the one known here; a newer one is recorded at once. */
+  /**
+   * True if the message speaks of an older set than the one known here; a newer one is recorded at
+   * once.
+   */
   private boolean oldSet(String key, long setNumber) {
     String name = setNameOf.apply(key);
     long known = setNumber(name);
     if (setNumber > known) {
       setNumbers.put(name, setNumber);
-      surroundings.write(List.of(setRecord(name, setNumber)), () -> { });
+      surroundings.write(List.of(setRecord(name, setNumber)), () -> {});
     }
     return setNumber < known;
   }
@@ -217,7 +253,10 @@
     }
     boolean ownerHeard = surroundings.now() - copy.heardOwnerAt < Constants.TAKEOVER_MS;
     if (message.epoch().compareTo(copy.promised) <= 0) {
-      afterSync(copy, List.of(), () -> replies.reply(fromAddress, fromId, promised(message, copy, REFUSED)));
+      afterSync(
+          copy,
+          List.of(),
+          () -> replies.reply(fromAddress, fromId, promised(message, copy, REFUSED)));
       return;
     }
     if (ownerHeard && !message.handedOver() && !copy.owner.equals(message.epoch().node())) {
@@ -226,15 +265,25 @@
     }
     copy.promised = message.epoch();
     var record = new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]);
-    afterSync(copy, List.of(record), () -> {
-      boolean overtaken = message.epoch().below(copy.promised);
-      replies.reply(fromAddress, fromId, promised(message, copy, overtaken ? REFUSED : OK));
-    });
+    afterSync(
+        copy,
+        List.of(record),
+        () -> {
+          boolean overtaken = message.epoch().below(copy.promised);
+          replies.reply(fromAddress, fromId, promised(message, copy, overtaken ? REFUSED : OK));
+        });
   }
 
   private KeyPromised promised(KeyPromise message, Copy copy, Verdict verdict) {
-    return new KeyPromised(message.key(), message.epoch(), verdict, copy.promised, copy.owner, copy.ownerAddress,
-        copy.committed, verdict == OK ? List.copyOf(copy.entries) : List.of());
+    return new KeyPromised(
+        message.key(),
+        message.epoch(),
+        verdict,
+        copy.promised,
+        copy.owner,
+        copy.ownerAddress,
+        copy.committed,
+        verdict == OK ? List.copyOf(copy.entries) : List.of());
   }
 
   void append(KeyAppend message, String fromId, String fromAddress) {
@@ -253,7 +302,8 @@
     List<DiskRecord> records = new ArrayList<>();
     if (copy.promised.below(message.epoch())) {
       copy.promised = message.epoch();
-      records.add(new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]));
+      records.add(
+          new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]));
     }
     copy.owner = message.epoch().node();
     copy.ownerAddress = fromAddress;
@@ -261,11 +311,16 @@
     long previous = message.previousSequence();
     Entry predecessor = copy.at(previous);
     boolean startsLog = previous == 0 && !message.entries().isEmpty();
-    boolean fits = startsLog || previous == 0 && copy.entries.isEmpty()
-        || predecessor != null && predecessor.epoch().equals(message.previousEpoch());
+    boolean fits =
+        startsLog
+            || previous == 0 && copy.entries.isEmpty()
+            || predecessor != null && predecessor.epoch().equals(message.previousEpoch());
     if (!fits) {
       long hint = previous > copy.lastSequence() ? copy.lastSequence() : copy.committed;
-      afterSync(copy, records, () -> replies.reply(fromAddress, fromId, appended(message, BEHIND, copy.promised, hint)));
+      afterSync(
+          copy,
+          records,
+          () -> replies.reply(fromAddress, fromId, appended(message, BEHIND, copy.promised, hint)));
       return;
     }
     for (Entry entry : message.entries()) {
@@ -276,41 +331,61 @@
       place(copy, entry);
       records.add(record(message.key(), entry));
     }
-    long matched = message.entries().isEmpty() ? previous
-        : message.entries().get(message.entries().size() - 1).sequence();
+    long matched =
+        message.entries().isEmpty()
+            ? previous
+            : message.entries().get(message.entries().size() - 1).sequence();
     long committed = Math.min(message.committed(), matched);
     if (committed > copy.committed) {
       copy.committed = committed;
       surroundings.write(
-          List.of(new DiskRecord(Kind.COMMITTED, message.key(), Epoch.NONE, committed, false, new byte[0])), () -> { });
+          List.of(
+              new DiskRecord(
+                  Kind.COMMITTED, message.key(), Epoch.NONE, committed, false, new byte[0])),
+          () -> {});
       announce(message.key(), copy);
       trim(copy);
     }
-    afterSync(copy, records, () -> {
-      boolean overtaken = message.epoch().below(copy.promised);
-      replies.reply(fromAddress, fromId, appended(message, overtaken ? REFUSED : OK, copy.promised, matched));
-    });
+    afterSync(
+        copy,
+        records,
+        () -> {
+          boolean overtaken = message.epoch().below(copy.promised);
+          replies.reply(
+              fromAddress,
+              fromId,
+              appended(message, overtaken ? REFUSED : OK, copy.promised, matched));
+        });
   }
 
   private KeyAppended appended(KeyAppend message, Verdict verdict, Epoch promised, long matched) {
-    return new KeyAppended(message.key(), message.epoch(), message.round(), verdict, promised, matched);
+    return new KeyAppended(
+        message.key(), message.epoch(), message.round(), verdict, promised, matched);
   }
 
-  /** No reply leaves before what it speaks of is synced, be it written by this message or an earlier one. */
+  /**
+   * No reply leaves before what it speaks of is synced, be it written by this message or an earlier
+   * one.
+   */
   private void afterSync(Copy copy, List<DiskRecord> records, Runnable reply) {
     if (records.isEmpty() && copy.unsynced == 0) {
       reply.run();
       return;
     }
     copy.unsynced++;
-    surroundings.write(records, () -> {
-      copy.unsynced--;
-      reply.run();
-    });
+    surroundings.write(
+        records,
+        () -> {
+          copy.unsynced--;
+          reply.run();
+        });
   }
 
   /** One key as it is handed to a newcomer. */
-  /** partial: the first entry is one that whoever asked said it holds, and nothing before it is here. */
+  /**
+   * partial: the first entry is one that whoever asked said it holds, and nothing before it is
+   * here.
+   */
   record Copied(String key, Epoch promised, long committed, boolean partial, List<Entry> entries) {}
 
   /** The last entry that a copy holds. Logs that hold the same one are the same up to it. */
@@ -319,17 +394,20 @@
   /** Of the keys of a set after the given one, how far each is held here. */
   Map<String, Held> heldOf(String setName, String afterKey) {
     Map<String, Held> held = new TreeMap<>();
-    copies.tailMap(afterKey, false).forEach((key, copy) -> {
-      if (!copy.entries.isEmpty() && setNameOf.apply(key).equals(setName)) {
-        held.put(key, new Held(copy.lastSequence(), copy.at(copy.lastSequence()).epoch()));
-      }
-    });
+    copies
+        .tailMap(afterKey, false)
+        .forEach(
+            (key, copy) -> {
+              if (!copy.entries.isEmpty() && setNameOf.apply(key).equals(setName)) {
+                held.put(key, new Held(copy.lastSequence(), copy.at(copy.lastSequence()).epoch()));
+              }
+            });
     return held;
   }
 
   /**
-   * The next keys of a set after the given one, up to a size; what a newcomer starts from. Of a log that it holds a part
-   * of, the last entry of that part and what follows.
+   * The next keys of a set after the given one, up to a size; what a newcomer starts from. Of a log
+   * that it holds a part of, the last entry of that part and what follows.
    */
   List<Copied> copiesOf(String setName, String afterKey, Map<String, Held> held, int bytesMost) {
     List<Copied> page = new ArrayList<>();
@@ -342,7 +420,12 @@
       Held known = held.get(each.getKey());
       Entry shared = known == null ? null : copy.at(known.sequence());
       boolean partial = shared != null && shared.epoch().equals(known.epoch());
-      List<Entry> lacking = !partial ? List.copyOf(copy.entries) : copy.entries.stream().filter(entry -> entry.sequence() >= known.sequence()).toList();
+      List<Entry> lacking =
+          !partial
+              ? List.copyOf(copy.entries)
+              : copy.entries.stream()
+                  .filter(entry -> entry.sequence() >= known.sequence())
+                  .toList();
       bytes += 64 + lacking.stream().mapToInt(entry -> entry.event().length).sum();
       page.add(new Copied(each.getKey(), copy.promised, copy.committed, partial, lacking));
       if (bytes >= bytesMost) {
@@ -353,9 +436,10 @@
   }
 
   /**
-   * Takes over another replica's copy of a key if its log is the newer one, by the same rule as an owner's claim. The
-   * promise is taken over too, so that an epoch refused there is refused here. False, and nothing is taken, if it is a
-   * part that does not follow on what is held here any more.
+   * Takes over another replica's copy of a key if its log is the newer one, by the same rule as an
+   * owner's claim. The promise is taken over too, so that an epoch refused there is refused here.
+   * False, and nothing is taken, if it is a part that does not follow on what is held here any
+   * more.
    */
   boolean absorb(Copied other, Runnable whenSynced) {
     Copy copy = copy(other.key());
@@ -382,7 +466,8 @@
     long committed = Math.min(other.committed(), copy.lastSequence());
     if (committed > copy.committed) {
       copy.committed = committed;
-      records.add(new DiskRecord(Kind.COMMITTED, other.key(), Epoch.NONE, committed, false, new byte[0]));
+      records.add(
+          new DiskRecord(Kind.COMMITTED, other.key(), Epoch.NONE, committed, false, new byte[0]));
       announce(other.key(), copy);
       trim(copy);
     }
@@ -391,7 +476,8 @@
   }
 
   private static DiskRecord record(String key, Entry entry) {
-    return new DiskRecord(Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.whole(), entry.event());
+    return new DiskRecord(
+        Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.whole(), entry.event());
   }
 
   private static void place(Copy copy, Entry entry) {
@@ -426,7 +512,10 @@
     }
   }
 
-  /** The owner's process said that it still owns the key; as good as a beat, unless another owner was heard since. */
+  /**
+   * The owner's process said that it still owns the key; as good as a beat, unless another owner
+   * was heard since.
+   */
   void ownerLives(String key, String ownerId, String ownerAddress) {
     Copy copy = copies.get(key);
     if (copy != null && (copy.owner.isEmpty() || copy.owner.equals(ownerId))) {
