--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -14,17 +14,33 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** Live requests on one edge: takes them, queues them by class, selects a worker, and streams the response back. */
+/**
+ * Live requests on one edge: takes them, queues them by class, selects a worker, and streams the
+ * response back.
+ */
 public final class LiveDesk {
-  /** A live request as checked; body is what a worker gets, prompt what its way and its worker are chosen by. */
-  public record Request(String sender, String model, String trafficClass, Map<String, String> headers, String prompt,
-      ObjectNode body, boolean stream, String onceId) {}
+  /**
+   * A live request as checked; body is what a worker gets, prompt what its way and its worker are
+   * chosen by.
+   */
+  public record Request(
+      String sender,
+      String model,
+      String trafficClass,
+      Map<String, String> headers,
+      String prompt,
+      ObjectNode body,
+      boolean stream,
+      String onceId) {}
 
   /** Hears texts only if the request streams, then exactly one end or fault. */
   public interface Listener {
     void text(String text);
 
-    /** A worker has begun to answer a request that does not stream; may be told again after another worker was tried. */
+    /**
+     * A worker has begun to answer a request that does not stream; may be told again after another
+     * worker was tried.
+     */
     default void running() {}
 
     void end(String wholeOutput, String finishReason);
@@ -41,7 +57,10 @@
   interface Edge {
     Fault mayBegin();
 
-    /** Null when a request that was already taken may go on to a worker; a polite stop alone does not hinder it. */
+    /**
+     * Null when a request that was already taken may go on to a worker; a polite stop alone does
+     * not hinder it.
+     */
     Fault mayGoOn();
 
     Bundle bundle();
@@ -61,8 +80,12 @@
     final Listener listener;
     final Bundle.Way way;
     final Bundle.Pool pool;
-    /** Rank and queue limit of the bundle the request began with; a later bundle does not touch it. */
+
+    /**
+     * Rank and queue limit of the bundle the request began with; a later bundle does not touch it.
+     */
     final Bundle.ClassLimit classLimit;
+
     final long takenAt = surroundings.now();
     final long expiresAt;
     final Set<String> tried = new HashSet<>();
@@ -87,7 +110,8 @@
       this.retriesLeft = way.retries();
     }
 
-    @Override public void cancel() {
+    @Override
+    public void cancel() {
       if (!over) {
         edge.count("live_cancelled");
         finish();
@@ -102,8 +126,11 @@
       boolean unknownOnce = !request.onceId().isEmpty() && handedOver;
       int comeBack = comeBackSeconds(fault, this);
       finish();
-      listener.fault(unknownOnce ? Response.of(new Fault.OutcomeUnknown(request.onceId()))
-          : Response.of(fault, comeBack), passedOn);
+      listener.fault(
+          unknownOnce
+              ? Response.of(new Fault.OutcomeUnknown(request.onceId()))
+              : Response.of(fault, comeBack),
+          passedOn);
     }
 
     void finish() {
@@ -129,8 +156,10 @@
   private final String nodeId;
   private final Edge edge;
   private final WorkerBook book;
+
   /** By rank, then class: short checks stand before notes and are never behind them. */
   private final TreeMap<String, ArrayDeque<Taken>> queues = new TreeMap<>();
+
   private final Map<String, Double> startIntervals = new HashMap<>();
   private final Map<String, Long> lastStartAt = new HashMap<>();
   private CompiledRules rules;
@@ -146,7 +175,8 @@
   }
 
   private ArrayDeque<Taken> queue(Taken taken) {
-    return queues.computeIfAbsent(String.format("%03d %s", taken.classLimit.rank(), taken.way.trafficClass()),
+    return queues.computeIfAbsent(
+        String.format("%03d %s", taken.classLimit.rank(), taken.way.trafficClass()),
         unseen -> new ArrayDeque<>());
   }
 
@@ -159,17 +189,23 @@
     if (hindrance != null) {
       edge.count("live_refused_" + hindrance.type());
       listener.fault(Response.of(hindrance), false);
-      return () -> { };
+      return () -> {};
     }
     if (rulesOf != bundle) {
       rules = CompiledRules.compile(bundle);
       rulesOf = bundle;
     }
-    Bundle.Way way = rules.run(new CompiledRules.Subject(request.model(), request.sender(), request.trafficClass(),
-        request.headers(), request.prompt().length()));
+    Bundle.Way way =
+        rules.run(
+            new CompiledRules.Subject(
+                request.model(),
+                request.sender(),
+                request.trafficClass(),
+                request.headers(),
+                request.prompt().length()));
     if (way == null) {
       listener.fault(Response.of(new Fault.NoMatchingRule()), false);
-      return () -> { };
+      return () -> {};
     }
     Taken taken = new Taken(request, listener, bundle, way);
     Fault refusal = refusalAtOnce(taken);
@@ -189,25 +225,36 @@
   /** What can not start within its expiry hears so now, not at the end of it. */
   private Fault refusalAtOnce(Taken taken) {
     ArrayDeque<Taken> queue = queue(taken);
-    if (queue.size() >= taken.classLimit.queueMost() && (queue.size() > 0 || select(taken) == null)) {
+    if (queue.size() >= taken.classLimit.queueMost()
+        && (queue.size() > 0 || select(taken) == null)) {
       return new Fault.QueueFull(taken.way.trafficClass());
     }
-    if (book.all().stream().noneMatch(worker -> ofPool(worker, taken) && book.comesBackBy(worker, taken.expiresAt))) {
+    if (book.all().stream()
+        .noneMatch(worker -> ofPool(worker, taken) && book.comesBackBy(worker, taken.expiresAt))) {
       return new Fault.NoWorker(taken.way.pool());
     }
     double interval = startIntervals.getOrDefault(taken.way.trafficClass(), 0.0);
     return queue.size() * interval > taken.way.expiryMs() ? new Fault.ExpiryPassed() : null;
   }
 
-  /** From what is known now: the pace of the queue, or when the first worker's rest ends; else the fault's own. */
+  /**
+   * From what is known now: the pace of the queue, or when the first worker's rest ends; else the
+   * fault's own.
+   */
   private int comeBackSeconds(Fault fault, Taken taken) {
     long waitMs;
     if (fault instanceof Fault.QueueFull || fault instanceof Fault.ExpiryPassed) {
-      waitMs = (long) (queue(taken).size() * startIntervals.getOrDefault(taken.way.trafficClass(), 0.0));
-    } else if (fault instanceof Fault.NoWorker || fault instanceof Fault.WorkerRefused
+      waitMs =
+          (long) (queue(taken).size() * startIntervals.getOrDefault(taken.way.trafficClass(), 0.0));
+    } else if (fault instanceof Fault.NoWorker
+        || fault instanceof Fault.WorkerRefused
         || fault instanceof Fault.WorkerUnreachable) {
-      waitMs = book.all().stream().filter(worker -> ofPool(worker, taken)).mapToLong(book::restMs).min()
-          .orElse(Constants.LOAD_STALE_MS);
+      waitMs =
+          book.all().stream()
+              .filter(worker -> ofPool(worker, taken))
+              .mapToLong(book::restMs)
+              .min()
+              .orElse(Constants.LOAD_STALE_MS);
     } else {
       return fault.row().comeBackSeconds();
     }
@@ -216,29 +263,34 @@
 
   private void claimThenEnqueue(Taken taken) {
     String token = nodeId + "-" + ++tokens;
-    edge.claimOnce(taken.request.onceId(), token, fault -> {
-      if (taken.over) {
-        if (fault == null) {
-          edge.unclaimOnce(taken.request.onceId(), token);
-        }
-        return;
-      }
-      if (fault != null) {
-        taken.refuse(fault);
-      } else {
-        taken.token = token;
-        enqueue(taken);
-      }
-    });
+    edge.claimOnce(
+        taken.request.onceId(),
+        token,
+        fault -> {
+          if (taken.over) {
+            if (fault == null) {
+              edge.unclaimOnce(taken.request.onceId(), token);
+            }
+            return;
+          }
+          if (fault != null) {
+            taken.refuse(fault);
+          } else {
+            taken.token = token;
+            enqueue(taken);
+          }
+        });
   }
 
   private void enqueue(Taken taken) {
     queue(taken).add(taken);
-    surroundings.after(Math.max(0, taken.expiresAt - surroundings.now()), () -> {
-      if (!taken.over && taken.run == null) {
-        taken.refuse(new Fault.ExpiryPassed());
-      }
-    });
+    surroundings.after(
+        Math.max(0, taken.expiresAt - surroundings.now()),
+        () -> {
+          if (!taken.over && taken.run == null) {
+            taken.refuse(new Fault.ExpiryPassed());
+          }
+        });
     pump();
   }
 
@@ -250,8 +302,12 @@
         }
         WorkerBook.Known worker = select(taken);
         if (worker == null) {
-          if (book.all().stream().noneMatch(each -> ofPool(each, taken) && book.comesBackBy(each, taken.expiresAt)
-              && !taken.tried.contains(each.worker.id()))) {
+          if (book.all().stream()
+              .noneMatch(
+                  each ->
+                      ofPool(each, taken)
+                          && book.comesBackBy(each, taken.expiresAt)
+                          && !taken.tried.contains(each.worker.id()))) {
             taken.refuse(new Fault.NoWorker(taken.way.pool()));
             continue;
           }
@@ -268,8 +324,9 @@
   }
 
   /**
-   * The first worker in the prompt prefix's order that is usable, has room, and is not loaded beyond the bound; so
-   * the same prefix meets the same cache from every edge without any talk between them.
+   * The first worker in the prompt prefix's order that is usable, has room, and is not loaded
+   * beyond the bound; so the same prefix meets the same cache from every edge without any talk
+   * between them.
    */
   private WorkerBook.Known select(Taken taken) {
     Map<String, WorkerBook.Known> usable = new TreeMap<>();
@@ -285,7 +342,8 @@
     }
     double bound = Math.ceil(taken.pool.loadFactor() * (load + 1) / usable.size());
     WorkerBook.Known fallback = null;
-    for (String id : Rendezvous.order(prefix(taken.request.prompt(), taken.pool), usable.keySet())) {
+    for (String id :
+        Rendezvous.order(prefix(taken.request.prompt(), taken.pool), usable.keySet())) {
       WorkerBook.Known each = usable.get(id);
       if (each.free() <= 0) {
         continue;
@@ -305,7 +363,9 @@
     return blocks == 0 ? prompt : prompt.substring(0, blocks * pool.prefixBlockChars());
   }
 
-  /** Expiry and staleness are checked here, right before the hand-over: what was refused never runs. */
+  /**
+   * Expiry and staleness are checked here, right before the hand-over: what was refused never runs.
+   */
   private void handOver(Taken taken, WorkerBook.Known worker) {
     Fault hindrance = edge.mayGoOn();
     if (hindrance == null && surroundings.now() >= taken.expiresAt) {
@@ -323,16 +383,23 @@
     long expiry = Math.max(1, taken.expiresAt - surroundings.now()) + Constants.STREAM_SILENCE_MS;
     taken.lastTextAt = surroundings.now();
     taken.runListener = listener(taken, worker);
-    taken.run = surroundings.run(new WorkerCall(worker.worker.address(), Json.bytes(taken.request.body()), expiry),
-        taken.runListener);
+    taken.run =
+        surroundings.run(
+            new WorkerCall(worker.worker.address(), Json.bytes(taken.request.body()), expiry),
+            taken.runListener);
     atWorkers.add(taken);
   }
 
-  /** Whoever waits in a queue of an edge that may begin nothing hears so now, not when a worker would have been free. */
+  /**
+   * Whoever waits in a queue of an edge that may begin nothing hears so now, not when a worker
+   * would have been free.
+   */
   private void refuseIfHindered() {
     Fault hindrance = edge.mayGoOn();
     if (hindrance != null) {
-      queues.values().stream().flatMap(queue -> List.copyOf(queue).stream()).toList()
+      queues.values().stream()
+          .flatMap(queue -> List.copyOf(queue).stream())
+          .toList()
           .forEach(taken -> taken.refuse(hindrance));
     }
   }
@@ -354,7 +421,8 @@
     long now = surroundings.now();
     Long before = lastStartAt.put(trafficClass, now);
     if (queue(taken).size() > 1 && before != null) {
-      startIntervals.merge(trafficClass, (double) (now - before), (old, latest) -> old * 0.9 + latest * 0.1);
+      startIntervals.merge(
+          trafficClass, (double) (now - before), (old, latest) -> old * 0.9 + latest * 0.1);
     } else {
       startIntervals.remove(trafficClass);
     }
@@ -366,7 +434,8 @@
         return !taken.over && taken.worker == worker && taken.run != null;
       }
 
-      @Override public void text(String text) {
+      @Override
+      public void text(String text) {
         if (!stands()) {
           return;
         }
@@ -382,7 +451,8 @@
         }
       }
 
-      @Override public void end(String finishReason) {
+      @Override
+      public void end(String finishReason) {
         if (!stands()) {
           return;
         }
@@ -394,7 +464,8 @@
         pump();
       }
 
-      @Override public void fault(Fault fault, boolean mayHaveRun) {
+      @Override
+      public void fault(Fault fault, boolean mayHaveRun) {
         if (!stands()) {
           return;
         }
--- a/core-logic/src/main/java/applespindle/corelogic/NewsInForce.java
+++ b/core-logic/src/main/java/applespindle/corelogic/NewsInForce.java
@@ -14,31 +14,50 @@
 import java.util.function.Supplier;
 
 /**
- * Acknowledged means in force. Holds a yes back until every edge works by the news; after a wait, until a majority of the
- * listed edges does: an edge that has not heard the core for longer than that wait goes on only beside a majority of the
- * same list, and learns from one of them. What is not in force by then is told as an outcome not known. Where a yes binds
- * only edges that hear the core, the wait is short and nothing more is asked of the others: the feed brings such an edge
- * the news well within the time that it may still use older ones.
+ * Acknowledged means in force. Holds a yes back until every edge works by the news; after a wait,
+ * until a majority of the listed edges does: an edge that has not heard the core for longer than
+ * that wait goes on only beside a majority of the same list, and learns from one of them. What is
+ * not in force by then is told as an outcome not known. Where a yes binds only edges that hear the
+ * core, the wait is short and nothing more is asked of the others: the feed brings such an edge the
+ * news well within the time that it may still use older ones.
  */
 final class NewsInForce {
   /** The listed edges by address, and the addresses of all that hold a grant, with their names. */
   record Edges(List<String> listed, Map<String, String> live) {}
 
-  private record Waiting(String key, long sequence, long begunAt, ObjectNode body, Consumer<Response> then) {}
+  private record Waiting(
+      String key, long sequence, long begunAt, ObjectNode body, Consumer<Response> then) {}
 
   private final Surroundings surroundings;
   private final Supplier<Edges> edges;
-  /** Whether this core node hears a majority of the core now; without that its list of edges may be an old one. */
+
+  /**
+   * Whether this core node hears a majority of the core now; without that its list of edges may be
+   * an old one.
+   */
   private final BooleanSupplier hearsCore;
+
   private final Consumer<String> askEdge;
-  /** By edge address and key, the highest place the edge said it works by. Never falls, as the edge's own does not. */
+
+  /**
+   * By edge address and key, the highest place the edge said it works by. Never falls, as the
+   * edge's own does not.
+   */
   private final Map<String, Map<String, Long>> knownPlaces = new HashMap<>();
+
   private final List<Waiting> waiting = new ArrayList<>();
 
-  /** Whether edges that are cut off from the core count too; else only a core that hears a majority of itself does. */
+  /**
+   * Whether edges that are cut off from the core count too; else only a core that hears a majority
+   * of itself does.
+   */
   private final boolean edgesConfirm;
 
-  NewsInForce(Surroundings surroundings, boolean edgesConfirm, Supplier<Edges> edges, BooleanSupplier hearsCore,
+  NewsInForce(
+      Surroundings surroundings,
+      boolean edgesConfirm,
+      Supplier<Edges> edges,
+      BooleanSupplier hearsCore,
       Consumer<String> askEdge) {
     this.edgesConfirm = edgesConfirm;
     this.surroundings = surroundings;
@@ -48,7 +67,8 @@
   }
 
   void known(KeysKnown known) {
-    Map<String, Long> places = knownPlaces.computeIfAbsent(known.edgeAddress(), unseen -> new HashMap<>());
+    Map<String, Long> places =
+        knownPlaces.computeIfAbsent(known.edgeAddress(), unseen -> new HashMap<>());
     known.places().forEach(place -> places.merge(place.key(), place.sequence(), Math::max));
     settle();
   }
@@ -62,7 +82,8 @@
   }
 
   private boolean mostKnow(Edges present, String key, long sequence) {
-    return present.listed().stream().filter(address -> knows(address, key, sequence)).count() * 2 > present.listed().size();
+    return present.listed().stream().filter(address -> knows(address, key, sequence)).count() * 2
+        > present.listed().size();
   }
 
   void await(String key, long sequence, ObjectNode body, Consumer<Response> then) {
@@ -70,11 +91,17 @@
     tick();
   }
 
-  /** Asks the edges that are waited for again: a message may be lost, and this process may be new to its duty. */
+  /**
+   * Asks the edges that are waited for again: a message may be lost, and this process may be new to
+   * its duty.
+   */
   void tick() {
     settle();
     Edges present = edges.get();
-    knownPlaces.keySet().removeIf(address -> !present.listed().contains(address) && !present.live().containsKey(address));
+    knownPlaces
+        .keySet()
+        .removeIf(
+            address -> !present.listed().contains(address) && !present.live().containsKey(address));
     Set<String> asked = new TreeSet<>();
     waiting.forEach(each -> asked.addAll(missing(present, each)));
     if (asked.isEmpty() && !knowsAnything(present)) {
@@ -83,9 +110,13 @@
     asked.forEach(askEdge);
   }
 
-  /** A process that just took its duty up has heard no edge yet, and the next change of the list needs them. */
+  /**
+   * A process that just took its duty up has heard no edge yet, and the next change of the list
+   * needs them.
+   */
   private boolean knowsAnything(Edges present) {
-    return present.listed().stream().filter(knownPlaces::containsKey).count() * 2 > present.listed().size();
+    return present.listed().stream().filter(knownPlaces::containsKey).count() * 2
+        > present.listed().size();
   }
 
   private Set<String> missing(Edges present, Waiting each) {
@@ -101,26 +132,40 @@
     }
     Edges present = edges.get();
     List<Runnable> told = new ArrayList<>();
-    waiting.removeIf(each -> {
-      Set<String> missing = missing(present, each);
-      long waited = surroundings.now() - each.begunAt();
-      boolean waitedLong = waited >= Constants.IN_FORCE_MS;
-      boolean enough = missing.isEmpty() || (edgesConfirm ? waitedLong : waited >= Constants.IN_FORCE_SHORT_MS);
-      boolean inForce = enough && hearsCore.getAsBoolean()
-          && (missing.isEmpty() || !edgesConfirm || mostKnow(present, each.key(), each.sequence()));
-      if (!inForce && !waitedLong) {
-        return false;
-      }
-      ArrayNode confirmed = each.body().putArray("confirmed");
-      ArrayNode unconfirmed = each.body().putArray("unconfirmed");
-      Set<String> all = new TreeSet<>(present.listed());
-      all.addAll(present.live().keySet());
-      all.forEach(address -> (missing.contains(address) ? unconfirmed : confirmed)
-          .add(present.live().getOrDefault(address, address)));
-      told.add(() -> each.then().accept(inForce ? Response.of(200, each.body())
-          : Response.of(new Fault.OutcomeUnknown(each.key()))));
-      return true;
-    });
+    waiting.removeIf(
+        each -> {
+          Set<String> missing = missing(present, each);
+          long waited = surroundings.now() - each.begunAt();
+          boolean waitedLong = waited >= Constants.IN_FORCE_MS;
+          boolean enough =
+              missing.isEmpty()
+                  || (edgesConfirm ? waitedLong : waited >= Constants.IN_FORCE_SHORT_MS);
+          boolean inForce =
+              enough
+                  && hearsCore.getAsBoolean()
+                  && (missing.isEmpty()
+                      || !edgesConfirm
+                      || mostKnow(present, each.key(), each.sequence()));
+          if (!inForce && !waitedLong) {
+            return false;
+          }
+          ArrayNode confirmed = each.body().putArray("confirmed");
+          ArrayNode unconfirmed = each.body().putArray("unconfirmed");
+          Set<String> all = new TreeSet<>(present.listed());
+          all.addAll(present.live().keySet());
+          all.forEach(
+              address ->
+                  (missing.contains(address) ? unconfirmed : confirmed)
+                      .add(present.live().getOrDefault(address, address)));
+          told.add(
+              () ->
+                  each.then()
+                      .accept(
+                          inForce
+                              ? Response.of(200, each.body())
+                              : Response.of(new Fault.OutcomeUnknown(each.key()))));
+          return true;
+        });
     told.forEach(Runnable::run);
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Message.AskResponse;
 import applespindle.corelogic.Message.CoreIs;
@@ -16,13 +18,24 @@
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 
-import static applespindle.corelogic.Json.JSON;
-
-/** What every process has: a place, a journal, peers to ask and to answer, and the newest roster it knows. */
+/**
+ * What every process has: a place, a journal, peers to ask and to answer, and the newest roster it
+ * knows.
+ */
 public abstract class Node {
-  /** Who and where this process is. The id is new whenever its disk is; the incarnation rises at every start. */
-  public record Place(String id, long incarnation, String name, String zone, String role, String peerAddress,
-      String httpAddress, List<String> seeds) {}
+  /**
+   * Who and where this process is. The id is new whenever its disk is; the incarnation rises at
+   * every start.
+   */
+  public record Place(
+      String id,
+      long incarnation,
+      String name,
+      String zone,
+      String role,
+      String peerAddress,
+      String httpAddress,
+      List<String> seeds) {}
 
   public record Target(String id, String address) {}
 
@@ -39,14 +52,24 @@
     final long expiresAt;
     final Consumer<Response> then;
     int tries;
+
     /** Of every try so far: an answer that comes after the next try has begun still counts. */
     final List<Long> correlations = new ArrayList<>();
+
     boolean over;
+
     /** Once a try went unanswered, no later refusal may be passed on as "nothing was done". */
     boolean unknown;
+
     Response lastResponse = Response.of(new Fault.NotReady("nobody to ask yet"));
 
-    Asking(IntFunction<Target> targets, String duty, String key, byte[] body, long tryMs, long expiresAt,
+    Asking(
+        IntFunction<Target> targets,
+        String duty,
+        String key,
+        byte[] body,
+        long tryMs,
+        long expiresAt,
         Consumer<Response> then) {
       this.targets = targets;
       this.duty = duty;
@@ -74,14 +97,19 @@
       long correlation = ++lastCorrelation;
       correlations.add(correlation);
       open.put(correlation, response -> responded(correlation, response));
-      send(target.address(), target.id(),
-          new Ask(correlation, duty, key, place.id(), place.peerAddress(), Constants.ASK_HOPS, body));
-      surroundings.after(Math.min(left, tryMs), () -> {
-        if (!over && isLatest(correlation) && open.containsKey(correlation)) {
-          unknown = true;
-          tryOnce();
-        }
-      });
+      send(
+          target.address(),
+          target.id(),
+          new Ask(
+              correlation, duty, key, place.id(), place.peerAddress(), Constants.ASK_HOPS, body));
+      surroundings.after(
+          Math.min(left, tryMs),
+          () -> {
+            if (!over && isLatest(correlation) && open.containsKey(correlation)) {
+              unknown = true;
+              tryOnce();
+            }
+          });
     }
 
     private boolean isLatest(long correlation) {
@@ -105,7 +133,8 @@
       }
       over = true;
       correlations.forEach(open::remove);
-      boolean refusal = response.status() == 429 || response.status() == 503 || response.status() == 413;
+      boolean refusal =
+          response.status() == 429 || response.status() == 503 || response.status() == 413;
       then.accept(unknown && refusal ? Response.of(new Fault.OutcomeUnknown(key)) : response);
     }
   }
@@ -113,11 +142,15 @@
   protected final Surroundings surroundings;
   protected final Place place;
   protected final Journal journal;
+
   /** Newest roster known; its number never falls. */
   protected Roster roster = new Roster(0, List.of(), List.of());
+
   protected boolean stopping;
+
   /** Where to look for the core; at first the place's. */
   protected List<String> seeds;
+
   private final Map<Long, Consumer<Response>> open = new HashMap<>();
   private long lastCorrelation;
   private final Map<String, Long> counters = new LinkedHashMap<>();
@@ -131,7 +164,10 @@
 
   public abstract void start();
 
-  /** What the process was told at its start has changed; of the bounds, only what may change while it runs. */
+  /**
+   * What the process was told at its start has changed; of the bounds, only what may change while
+   * it runs.
+   */
   public void startupChanged(List<String> newSeeds, Bounds newBounds) {
     seeds = List.copyOf(newSeeds);
     boundsChanged(newBounds);
@@ -182,14 +218,20 @@
     if (message instanceof AskResponse response) {
       Consumer<Response> then = open.remove(response.correlation());
       if (then != null) {
-        then.accept(new Response(response.status(), Json.tree(response.body()),
-            response.comeBackSeconds() * 1_000L));
+        then.accept(
+            new Response(
+                response.status(),
+                Json.tree(response.body()),
+                response.comeBackSeconds() * 1_000L));
       }
     } else if (message instanceof Ask ask) {
       handleAsk(ask);
     } else if (message instanceof WhereIsCore) {
       if (roster.number() > 0) {
-        send(envelope.fromAddress(), envelope.fromId(), new CoreIs(roster.number(), Json.bytes(roster)));
+        send(
+            envelope.fromAddress(),
+            envelope.fromId(),
+            new CoreIs(roster.number(), Json.bytes(roster)));
       }
     } else if (message instanceof CoreIs told) {
       learnRoster(Json.read(told.body(), Roster.class));
@@ -209,21 +251,38 @@
     surroundings.send(toAddress, new Envelope(place.id(), place.peerAddress(), toId, message));
   }
 
-  protected void ask(IntFunction<Target> targets, String duty, String key, Object body, long expiryMs,
+  protected void ask(
+      IntFunction<Target> targets,
+      String duty,
+      String key,
+      Object body,
+      long expiryMs,
       Consumer<Response> then) {
     ask(targets, duty, key, body, Constants.ASK_TRY_MS, expiryMs, then);
   }
 
   /** tryMs: how long one node may take to respond before the next is tried. */
-  protected void ask(IntFunction<Target> targets, String duty, String key, Object body, long tryMs, long expiryMs,
+  protected void ask(
+      IntFunction<Target> targets,
+      String duty,
+      String key,
+      Object body,
+      long tryMs,
+      long expiryMs,
       Consumer<Response> then) {
     byte[] bytes = body instanceof byte[] raw ? raw : Json.bytes(body);
     new Asking(targets, duty, key, bytes, tryMs, surroundings.now() + expiryMs, then).tryOnce();
   }
 
   protected void respond(Ask ask, Response response) {
-    send(ask.originAddress(), ask.originId(), new AskResponse(ask.correlation(), response.status(),
-        response.comeBackSeconds(), Json.bytes(response.body())));
+    send(
+        ask.originAddress(),
+        ask.originId(),
+        new AskResponse(
+            ask.correlation(),
+            response.status(),
+            response.comeBackSeconds(),
+            Json.bytes(response.body())));
   }
 
   /** Hands an ask on to whom it belongs; the other responds to the origin directly. */
@@ -232,17 +291,28 @@
       respond(ask, Response.of(new Fault.NotOwner(ask.key())));
       return;
     }
-    send(toAddress, toId, new Ask(ask.correlation(), ask.duty(), ask.key(), ask.originId(), ask.originAddress(),
-        ask.hops() - 1, ask.body()));
+    send(
+        toAddress,
+        toId,
+        new Ask(
+            ask.correlation(),
+            ask.duty(),
+            ask.key(),
+            ask.originId(),
+            ask.originAddress(),
+            ask.hops() - 1,
+            ask.body()));
   }
 
   protected void every(long millis, Runnable duty) {
-    surroundings.after(millis, () -> {
-      if (!stopped()) {
-        duty.run();
-        every(millis, duty);
-      }
-    });
+    surroundings.after(
+        millis,
+        () -> {
+          if (!stopped()) {
+            duty.run();
+            every(millis, duty);
+          }
+        });
   }
 
   private boolean ended;
@@ -257,8 +327,15 @@
 
   protected ObjectNode commonStatus() {
     ObjectNode status = JSON.createObjectNode();
-    status.put("version", Constants.VERSION).put("name", place.name()).put("id", place.id()).put("incarnation", place.incarnation())
-        .put("zone", place.zone()).put("role", place.role()).put("peer", place.peerAddress()).put("stopping", stopping);
+    status
+        .put("version", Constants.VERSION)
+        .put("name", place.name())
+        .put("id", place.id())
+        .put("incarnation", place.incarnation())
+        .put("zone", place.zone())
+        .put("role", place.role())
+        .put("peer", place.peerAddress())
+        .put("stopping", stopping);
     status.set("seeds", JSON.<JsonNode>valueToTree(seeds));
     status.set("roster", JSON.<JsonNode>valueToTree(roster));
     return status;
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueBatch.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueBatch.java
@@ -4,7 +4,8 @@
 import java.util.List;
 
 /**
- * Many opaque requests handed in together, to be run later. id is the client's own: the same id again is the same batch.
+ * Many opaque requests handed in together, to be run later. id is the client's own: the same id
+ * again is the same batch.
  */
 public record OpaqueBatch(String id, String host, String path, List<Item> items) {
   /** tokens: prompt and the most put out together. Ids differ within a batch. */
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueDesk.java
@@ -19,9 +19,9 @@
 import java.util.Set;
 
 /**
- * Opaque live requests on one edge: finds the route, weighs the workers, passes the response on as it comes, and goes on
- * at another worker where the route allows it. Nothing is queued here: workers queue, by rank, and what fits nowhere in
- * time is refused at once.
+ * Opaque live requests on one edge: finds the route, weighs the workers, passes the response on as
+ * it comes, and goes on at another worker where the route allows it. Nothing is queued here:
+ * workers queue, by rank, and what fits nowhere in time is refused at once.
  */
 final class OpaqueDesk {
   /** How long first bytes take on a route. */
@@ -53,11 +53,18 @@
     final Set<String> tried = new HashSet<>();
     int sendsLeft;
     Run run;
+
     /** A worker may have run it or may yet: no status that promises the contrary any more. */
     boolean mayHaveRun;
+
     boolean headPassed;
-    /** Every piece passed on so far was an event with an id, so that another run can go on behind the last one. */
+
+    /**
+     * Every piece passed on so far was an event with an id, so that another run can go on behind
+     * the last one.
+     */
     boolean resumesExactly = true;
+
     String lastEventId;
     boolean over;
 
@@ -67,7 +74,10 @@
       this.route = route;
       this.pool = pool;
       this.poolLimits = bundle.pools().get(pool);
-      long patience = request.deadlineMs() > 0 ? Math.min(request.deadlineMs(), route.timeoutMs()) : route.timeoutMs();
+      long patience =
+          request.deadlineMs() > 0
+              ? Math.min(request.deadlineMs(), route.timeoutMs())
+              : route.timeoutMs();
       this.expiresAt = takenAt + patience;
       this.targetMs = route.targetMs() > 0 ? route.targetMs() : Constants.TARGET_GUESS_MS;
       this.chain = KeptPrompts.chain(request.prompt(), request.model());
@@ -85,7 +95,8 @@
       return request.promptTokens() + request.outputTokensMost();
     }
 
-    @Override public void cancel() {
+    @Override
+    public void cancel() {
       if (!over) {
         edge.count("opaque_cancelled");
         finish();
@@ -100,7 +111,10 @@
       }
     }
 
-    /** The end for want of a whole response. Only what certainly never ran is answered with a promise. */
+    /**
+     * The end for want of a whole response. Only what certainly never ran is answered with a
+     * promise.
+     */
     void conclude(Fault fault) {
       if (over) {
         return;
@@ -125,14 +139,26 @@
     final WorkerBook.Known worker;
     final long sentAt = surroundings.now();
     final double expectedWaitMs;
-    /** Prompt tokens the worker still reads for it, as far as is known; 0 once something has come. */
+
+    /**
+     * Prompt tokens the worker still reads for it, as far as is known; 0 once something has come.
+     */
     double reading;
-    /** What the worker had to read when this was sent, itself included; less than 0 once that says nothing of its pace. */
+
+    /**
+     * What the worker had to read when this was sent, itself included; less than 0 once that says
+     * nothing of its pace.
+     */
     private double toRead;
+
     long heardAt = sentAt;
     WorkerRun exchange;
-    /** Held until something follows it, so that a run which brings nothing can still be replaced. */
+
+    /**
+     * Held until something follows it, so that a run which brings nothing can still be replaced.
+     */
     Head head;
+
     /** The worker failed it and another is to run it: what still comes is read away. */
     boolean dropped;
 
@@ -176,13 +202,15 @@
       }
     }
 
-    @Override public void head(Head head) {
+    @Override
+    public void head(Head head) {
       if (!stands()) {
         return;
       }
       heard();
       boolean good = head.status() < 300;
-      if (taken.headPassed && !good || head.status() >= 500 && taken.repeatable() && mayMove(taken, worker)) {
+      if (taken.headPassed && !good
+          || head.status() >= 500 && taken.repeatable() && mayMove(taken, worker)) {
         dropped = true;
       }
       if (this.head == null && good) {
@@ -191,7 +219,8 @@
       this.head = head;
     }
 
-    @Override public void piece(Piece piece) {
+    @Override
+    public void piece(Piece piece) {
       if (!stands()) {
         return;
       }
@@ -214,7 +243,8 @@
       }
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
       if (!stands()) {
         return;
       }
@@ -240,11 +270,13 @@
       taken.listener.end();
     }
 
-    @Override public void load(WorkerLoad load) {
+    @Override
+    public void load(WorkerLoad load) {
       book.told(worker, load);
     }
 
-    @Override public void fault(Fault fault, boolean mayHaveRun) {
+    @Override
+    public void fault(Fault fault, boolean mayHaveRun) {
       if (!stands()) {
         return;
       }
@@ -301,9 +333,13 @@
     }
     if (hindrance != null) {
       edge.count("opaque_refused_" + hindrance.type());
-      boolean starting = hindrance instanceof Fault.NodeIsolated || hindrance instanceof Fault.NoBundle;
-      listener.refused(starting ? Response.comeBackInMs(hindrance, Constants.START_COME_BACK_MS) : Response.of(hindrance));
-      return () -> { };
+      boolean starting =
+          hindrance instanceof Fault.NodeIsolated || hindrance instanceof Fault.NoBundle;
+      listener.refused(
+          starting
+              ? Response.comeBackInMs(hindrance, Constants.START_COME_BACK_MS)
+              : Response.of(hindrance));
+      return () -> {};
     }
     edge.count("opaque_taken");
     Taken taken = new Taken(request, listener, edge.bundle(), route, pool(route));
@@ -316,8 +352,17 @@
   private String pool(Route route) {
     List<Share> shares = route.split();
     if (shares.size() > 1) {
-      List<Share> manned = shares.stream().filter(share -> share.weight() > 0
-          && book.all().stream().anyMatch(worker -> worker.worker.pool().equals(share.pool()) && !worker.leaving())).toList();
+      List<Share> manned =
+          shares.stream()
+              .filter(
+                  share ->
+                      share.weight() > 0
+                          && book.all().stream()
+                              .anyMatch(
+                                  worker ->
+                                      worker.worker.pool().equals(share.pool())
+                                          && !worker.leaving()))
+              .toList();
       shares = manned.isEmpty() ? shares : manned;
     }
     long total = 0;
@@ -335,8 +380,8 @@
   }
 
   /**
-   * To the next worker, or to the end. Whether this node and the worker may take it is looked at here, right before the
-   * send; fault is what ended the last run.
+   * To the next worker, or to the end. Whether this node and the worker may take it is looked at
+   * here, right before the send; fault is what ended the last run.
    */
   private void sendOn(Taken taken, Fault fault) {
     Fault hindrance = edge.mayGoOn();
@@ -364,8 +409,16 @@
     book.began(worker, false);
     worker.tokens += taken.tokens();
     worker.kept.read(taken.request.prompt(), taken.chain, keptTokensMost(taken));
-    WorkerRun exchange = surroundings.exchange(new WorkerExchange(worker.worker.address(), worker.worker.id(), taken.request,
-        taken.route.rank(), left, taken.lastEventId), run);
+    WorkerRun exchange =
+        surroundings.exchange(
+            new WorkerExchange(
+                worker.worker.address(),
+                worker.worker.id(),
+                taken.request,
+                taken.route.rank(),
+                left,
+                taken.lastEventId),
+            run);
     if (taken.run == run) {
       run.exchange = exchange;
     } else {
@@ -388,7 +441,9 @@
   private WorkerBook.Known select(Taken taken, WorkerBook.Known except) {
     List<WorkerBook.Known> candidates = new ArrayList<>();
     for (WorkerBook.Known each : book.all()) {
-      if (each.worker.pool().equals(taken.pool) && !each.leaving() && each != except
+      if (each.worker.pool().equals(taken.pool)
+          && !each.leaving()
+          && each != except
           && !taken.tried.contains(each.worker.id())) {
         candidates.add(each);
       }
@@ -407,8 +462,9 @@
   }
 
   /**
-   * The worker at which all edges of a zone look first for a prompt's shared parts, which are all but the last: the first in
-   * the rendezvous order of these parts, in this node's own zone where it has workers.
+   * The worker at which all edges of a zone look first for a prompt's shared parts, which are all
+   * but the last: the first in the rendezvous order of these parts, in this node's own zone where
+   * it has workers.
    */
   private WorkerBook.Known keeper(Taken taken, List<WorkerBook.Known> candidates) {
     int shared = taken.chain.length - (taken.route.sticky() && taken.chain.length == 1 ? 0 : 1);
@@ -440,7 +496,9 @@
     cost += (worker.unreadNow(now) + unread) / Constants.READ_TOKENS_PER_MS;
     long gapMs = edge.routes().gapTargetMs(taken.pool);
     if (gapMs > 0) {
-      cost += Constants.PAUSE_WEIGHT * Math.max(0, worker.pauseMs(now, unread) - Constants.PAUSE_PART * gapMs);
+      cost +=
+          Constants.PAUSE_WEIGHT
+              * Math.max(0, worker.pauseMs(now, unread) - Constants.PAUSE_PART * gapMs);
     }
     if (!worker.worker.zone().equals(zone)) {
       cost += target * Constants.OTHER_ZONE_WEIGHT;
@@ -450,10 +508,16 @@
     if (now < worker.restsUntil || unproved && (worker.live > 0 || !taken.repeatable())) {
       doubt += 1;
     }
-    return cost + target * (doubt * Constants.DOUBT_WEIGHT + surroundings.random().nextDouble() * Constants.SPREAD_WEIGHT);
+    return cost
+        + target
+            * (doubt * Constants.DOUBT_WEIGHT
+                + surroundings.random().nextDouble() * Constants.SPREAD_WEIGHT);
   }
 
-  /** What this edge has sent there is kept there; of what others sent, the keeper is trusted to have half of the shared parts. */
+  /**
+   * What this edge has sent there is kept there; of what others sent, the keeper is trusted to have
+   * half of the shared parts.
+   */
   private static double unreadTokens(Taken taken, WorkerBook.Known worker, boolean keeper) {
     List<PromptPart> prompt = taken.request.prompt();
     if (prompt.isEmpty()) {
@@ -485,8 +549,11 @@
   }
 
   private long comeBackMs(Fault fault, Taken taken) {
-    boolean ofWorkers = fault instanceof Fault.NoWorker || fault instanceof Fault.WorkerRefused
-        || fault instanceof Fault.WorkerUnreachable || fault instanceof Fault.ExpiryPassed;
+    boolean ofWorkers =
+        fault instanceof Fault.NoWorker
+            || fault instanceof Fault.WorkerRefused
+            || fault instanceof Fault.WorkerUnreachable
+            || fault instanceof Fault.ExpiryPassed;
     if (!ofWorkers) {
       return fault.row().comeBackSeconds() * 1_000L;
     }
@@ -494,7 +561,11 @@
     for (WorkerBook.Known each : book.all()) {
       if (each.worker.pool().equals(taken.pool) && !each.leaving()) {
         double slotMs = each.serviceMs / Math.max(1, each.capacity());
-        waitMs = Math.min(waitMs, Math.max(Math.max(slotMs, waitMs(taken, each)), each.restsUntil - surroundings.now()));
+        waitMs =
+            Math.min(
+                waitMs,
+                Math.max(
+                    Math.max(slotMs, waitMs(taken, each)), each.restsUntil - surroundings.now()));
       }
     }
     return Math.max(Constants.COME_BACK_LEAST_MS, Math.round(waitMs));
@@ -535,7 +606,10 @@
     }
   }
 
-  /** One silence speaks against a worker only if nothing at all came from there meanwhile, and not if most are silent. */
+  /**
+   * One silence speaks against a worker only if nothing at all came from there meanwhile, and not
+   * if most are silent.
+   */
   private void lookAt(Taken taken, long now) {
     Run run = taken.run;
     WorkerBook.Known worker = run.worker;
@@ -563,7 +637,8 @@
   private double silenceMs(Run run) {
     Route route = run.taken.route;
     if (run.head != null && route.gapTargetMs() > 0) {
-      return Math.max(Constants.SILENCE_LEAST_MS, (double) Constants.SILENCE_GAPS * route.gapTargetMs());
+      return Math.max(
+          Constants.SILENCE_LEAST_MS, (double) Constants.SILENCE_GAPS * route.gapTargetMs());
     }
     Pace pace = pace(route);
     double expected = pace.firstMs + 2 * pace.deviationMs + run.expectedWaitMs;
@@ -582,7 +657,10 @@
     return 2 * (suspect + 1) > all;
   }
 
-  /** Events are passed on once and in order; ids that are not numbers can not be compared and count as later. */
+  /**
+   * Events are passed on once and in order; ids that are not numbers can not be compared and count
+   * as later.
+   */
   private static boolean isAfter(String eventId, String lastEventId) {
     Long id = number(eventId);
     Long last = number(lastEventId);
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueGateway.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueGateway.java
@@ -2,7 +2,10 @@
 
 import java.util.function.Consumer;
 
-/** What a door for opaque requests asks of the logic behind it; on the logic's thread, but for whenBundleChanges. */
+/**
+ * What a door for opaque requests asks of the logic behind it; on the logic's thread, but for
+ * whenBundleChanges.
+ */
 public interface OpaqueGateway {
   /** Told of each bundle that comes into force here; to be set before the start. */
   void whenBundleChanges(Consumer<Bundle> then);
@@ -13,12 +16,15 @@
   /** The route an opaque request or batch would take under the bundle in force, or null. */
   Bundle.Route route(String host, String path);
 
-  /** Takes a whole batch of opaque items under the client's own id; 201 once it is on a majority of disks. */
+  /**
+   * Takes a whole batch of opaque items under the client's own id; 201 once it is on a majority of
+   * disks.
+   */
   void submitOpaque(OpaqueBatch batch, Consumer<Response> then);
 
   /**
-   * Results from a position on: {total, results: [{id, state: complete|expired, output}], next}. holdMs: how long the
-   * answer may wait for a first result; 0 not at all.
+   * Results from a position on: {total, results: [{id, state: complete|expired, output}], next}.
+   * holdMs: how long the answer may wait for a first result; 0 not at all.
    */
   void opaqueResults(String batch, long from, long holdMs, Consumer<Response> then);
 
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueHandout.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueHandout.java
@@ -1,8 +1,15 @@
 package applespindle.corelogic;
 
 /**
- * An item of an opaque batch as it is handed to a feeder. host and path are those of the batch: the route that they find
- * in the bundle at the moment of sending says where the item may run. expiresInMs: until it may be given up. text is what
- * earlier runs brought up to the event resumeAfter; both are empty where a run has to begin anew.
+ * An item of an opaque batch as it is handed to a feeder. host and path are those of the batch: the
+ * route that they find in the bundle at the moment of sending says where the item may run.
+ * expiresInMs: until it may be given up. text is what earlier runs brought up to the event
+ * resumeAfter; both are empty where a run has to begin anew.
  */
-record OpaqueHandout(String host, String path, long expiresInMs, OpaqueBatch.Item item, String resumeAfter, String text) {}
+record OpaqueHandout(
+    String host,
+    String path,
+    long expiresInMs,
+    OpaqueBatch.Item item,
+    String resumeAfter,
+    String text) {}
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueRequest.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueRequest.java
@@ -3,13 +3,24 @@
 import java.util.List;
 
 /**
- * A request that is passed on as it came. The door has read from its headers what decisions need: how long the client
- * waits (deadlineMs from the moment it was taken; 0 if it did not say), its model, its tokens, and the prompt's parts in
- * order, which say what a worker may still keep from earlier requests. resumeAfter: the id of the last event the client
- * already has, or empty.
+ * A request that is passed on as it came. The door has read from its headers what decisions need:
+ * how long the client waits (deadlineMs from the moment it was taken; 0 if it did not say), its
+ * model, its tokens, and the prompt's parts in order, which say what a worker may still keep from
+ * earlier requests. resumeAfter: the id of the last event the client already has, or empty.
  */
-public record OpaqueRequest(String id, String method, String target, String host, List<Header> headers, byte[] body,
-    long deadlineMs, String model, int promptTokens, int outputTokensMost, List<PromptPart> prompt, String resumeAfter) {
+public record OpaqueRequest(
+    String id,
+    String method,
+    String target,
+    String host,
+    List<Header> headers,
+    byte[] body,
+    long deadlineMs,
+    String model,
+    int promptTokens,
+    int outputTokensMost,
+    List<PromptPart> prompt,
+    String resumeAfter) {
   /** As it came; end-to-end headers only, in order. */
   public record Header(String name, String value) {}
 
@@ -19,13 +30,27 @@
   /** Status and end-to-end headers of a worker's response, as the worker sent them. */
   public record Head(int status, List<Header> headers) {}
 
-  /** One whole event with its id, or, where the body is no event stream, some of its bytes with an empty id. */
+  /**
+   * One whole event with its id, or, where the body is no event stream, some of its bytes with an
+   * empty id.
+   */
   public record Piece(String eventId, byte[] bytes) {}
 
   /** The same after it has waited for a while. */
   OpaqueRequest after(long waitedMs) {
-    return new OpaqueRequest(id, method, target, host, headers, body, deadlineMs == 0 ? 0 : Math.max(1, deadlineMs - waitedMs),
-        model, promptTokens, outputTokensMost, prompt, resumeAfter);
+    return new OpaqueRequest(
+        id,
+        method,
+        target,
+        host,
+        headers,
+        body,
+        deadlineMs == 0 ? 0 : Math.max(1, deadlineMs - waitedMs),
+        model,
+        promptTokens,
+        outputTokensMost,
+        prompt,
+        resumeAfter);
   }
 
   public String path() {
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -1,5 +1,10 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Message.Verdict.BUSY;
+import static applespindle.corelogic.Message.Verdict.OK;
+import static applespindle.corelogic.Message.Verdict.OLD_SET;
+import static applespindle.corelogic.Message.Verdict.REFUSED;
+
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
 import applespindle.corelogic.Message.KeyPromise;
@@ -14,19 +19,24 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Message.Verdict.BUSY;
-import static applespindle.corelogic.Message.Verdict.OK;
-import static applespindle.corelogic.Message.Verdict.OLD_SET;
-import static applespindle.corelogic.Message.Verdict.REFUSED;
-
 /**
- * The owner's side of one key: claims it under a higher epoch, appends in order, and answers once a majority of
- * synced disks has the entry. It stops for good when it meets a higher epoch; a new claim needs a new object.
+ * The owner's side of one key: claims it under a higher epoch, appends in order, and answers once a
+ * majority of synced disks has the entry. It stops for good when it meets a higher epoch; a new
+ * claim needs a new object.
  */
 final class OwnedKey {
-  enum Claim { OWNED, BUSY, NO_MAJORITY }
+  enum Claim {
+    OWNED,
+    BUSY,
+    NO_MAJORITY
+  }
 
-  enum State { CLAIMING, SETTLING, OWNED, LOST }
+  enum State {
+    CLAIMING,
+    SETTLING,
+    OWNED,
+    LOST
+  }
 
   record Replica(String id, String address) {}
 
@@ -34,17 +44,26 @@
 
   private static final class Progress {
     final Replica replica;
+
     /** The replica has synced our log up to here. Never falls. */
     long matched;
-    /** The next sequence to send; may run ahead of matched, falls back when the replica is behind. */
+
+    /**
+     * The next sequence to send; may run ahead of matched, falls back when the replica is behind.
+     */
     long next = 1;
+
     long heardRound;
     boolean heardSinceBeat;
+
     /** How far the replica was last told that entries are committed, and beats since. */
     long toldCommitted = -1;
+
     int beatsSince;
+
     /** Of the last send that carried much: when it was, and its first and last sequence. */
     long largeSentAt = Long.MIN_VALUE / 2;
+
     long largeFrom;
     long largeTo;
 
@@ -59,35 +78,55 @@
   private final String nodeId;
   private final KeyReplicas.Replies sender;
   final String key;
+
   /** Replaced only by one of a higher number. */
   private ReplicaSets sets;
+
   private final Map<String, Progress> progress = new LinkedHashMap<>();
   private final boolean handedOver;
-  /** Replicas hear by other ways that this owner lives: one that lacks nothing gets a beat only now and then. */
+
+  /**
+   * Replicas hear by other ways that this owner lives: one that lacks nothing gets a beat only now
+   * and then.
+   */
   private final boolean quietWhenIdle;
+
   private final long claimExpiresAt;
   private Consumer<ClaimOutcome> whenClaimed;
-  private Runnable whenLost = () -> { };
+  private Runnable whenLost = () -> {};
 
   private State state = State.CLAIMING;
+
   /** Rises with each claim round; never used again once refused. */
   private Epoch epoch;
+
   private long seenCounter;
   private final Map<String, KeyPromised> promises = new LinkedHashMap<>();
+
   /** Our log: contiguous; nothing before the takeover entry changes after the claim. */
   private final List<Entry> entries = new ArrayList<>();
+
   private long takeoverSequence;
+
   /** Highest sequence synced on a majority in our own epoch. Never falls. */
   private long committed;
+
   private long round;
   private final ArrayDeque<Waiting> waitingForCommit = new ArrayDeque<>();
   private final ArrayDeque<Waiting> waitingForRound = new ArrayDeque<>();
   private boolean flushPlanned;
-  private Schedule beat = () -> { };
-  private Schedule claimRound = () -> { };
-
-  OwnedKey(Surroundings surroundings, String nodeId, KeyReplicas.Replies sender, String key, ReplicaSets sets,
-      boolean handedOver, boolean quietWhenIdle, Consumer<ClaimOutcome> whenClaimed) {
+  private Schedule beat = () -> {};
+  private Schedule claimRound = () -> {};
+
+  OwnedKey(
+      Surroundings surroundings,
+      String nodeId,
+      KeyReplicas.Replies sender,
+      String key,
+      ReplicaSets sets,
+      boolean handedOver,
+      boolean quietWhenIdle,
+      Consumer<ClaimOutcome> whenClaimed) {
     this.surroundings = surroundings;
     this.nodeId = nodeId;
     this.sender = sender;
@@ -125,7 +164,10 @@
     this.whenLost = whenLost;
   }
 
-  /** Goes on under newer sets: newcomers get the log from its start, those that left are no longer counted. */
+  /**
+   * Goes on under newer sets: newcomers get the log from its start, those that left are no longer
+   * counted.
+   */
   void changeSets(ReplicaSets newer) {
     if (newer.number() <= sets.number() || state == State.LOST) {
       return;
@@ -158,14 +200,19 @@
     epoch = new Epoch(seenCounter + 1, nodeId);
     seenCounter = epoch.counter();
     for (Progress each : progress.values()) {
-      sender.reply(each.replica.address(), each.replica.id(), new KeyPromise(key, epoch, sets.number(), handedOver));
+      sender.reply(
+          each.replica.address(),
+          each.replica.id(),
+          new KeyPromise(key, epoch, sets.number(), handedOver));
     }
     claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::claimRound);
   }
 
   void promised(KeyPromised message, String fromId) {
     seenCounter = Math.max(seenCounter, message.promised().counter());
-    if (state != State.CLAIMING || !message.asked().equals(epoch) || !progress.containsKey(fromId)) {
+    if (state != State.CLAIMING
+        || !message.asked().equals(epoch)
+        || !progress.containsKey(fromId)) {
       return;
     }
     promises.put(fromId, message);
@@ -181,18 +228,21 @@
         finishClaim(new ClaimOutcome(Claim.BUSY, busy.get().owner(), busy.get().ownerAddress()));
       } else {
         claimRound.cancel();
-        claimRound = surroundings.after(1 + surroundings.random().nextLong(Constants.CLAIM_BACKOFF_MS), this::claimRound);
+        claimRound =
+            surroundings.after(
+                1 + surroundings.random().nextLong(Constants.CLAIM_BACKOFF_MS), this::claimRound);
       }
     }
   }
 
   private Set<String> withVerdictOk(boolean wanted) {
     Set<String> ids = new HashSet<>();
-    promises.forEach((id, promise) -> {
-      if (promise.verdict() == OK == wanted) {
-        ids.add(id);
-      }
-    });
+    promises.forEach(
+        (id, promise) -> {
+          if (promise.verdict() == OK == wanted) {
+            ids.add(id);
+          }
+        });
     return ids;
   }
 
@@ -210,23 +260,31 @@
     for (Progress each : progress.values()) {
       KeyPromised promise = promises.get(each.replica.id());
       boolean known = promise != null && promise.verdict() == OK;
-      each.next = known ? Math.min(lastOf(promise.entries()), takeoverSequence - 1) + 1 : takeoverSequence;
+      each.next =
+          known ? Math.min(lastOf(promise.entries()), takeoverSequence - 1) + 1 : takeoverSequence;
     }
     state = State.SETTLING;
-    waitingForCommit.add(new Waiting(takeoverSequence, claimExpiresAt, fault -> {
-      if (fault == null) {
-        state = State.OWNED;
-        finishClaim(new ClaimOutcome(Claim.OWNED, nodeId, ""));
-      } else {
-        stop();
-        finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
-      }
-    }));
+    waitingForCommit.add(
+        new Waiting(
+            takeoverSequence,
+            claimExpiresAt,
+            fault -> {
+              if (fault == null) {
+                state = State.OWNED;
+                finishClaim(new ClaimOutcome(Claim.OWNED, nodeId, ""));
+              } else {
+                stop();
+                finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
+              }
+            }));
     broadcast();
     beat = surroundings.after(Constants.OWNER_BEAT_MS, this::beat);
   }
 
-  /** Whose log is to be believed: the one whose last entry has the higher epoch, then the higher sequence. */
+  /**
+   * Whose log is to be believed: the one whose last entry has the higher epoch, then the higher
+   * sequence.
+   */
   static boolean newer(List<Entry> one, List<Entry> other) {
     if (one.isEmpty() || other.isEmpty()) {
       return !one.isEmpty();
@@ -246,7 +304,7 @@
       stop();
     }
     Consumer<ClaimOutcome> listener = whenClaimed;
-    whenClaimed = ignored -> { };
+    whenClaimed = ignored -> {};
     listener.accept(outcome);
   }
 
@@ -258,20 +316,24 @@
     }
     long sequence = lastSequence() + 1;
     entries.add(new Entry(sequence, epoch, whole, event));
-    waitingForCommit.add(new Waiting(sequence, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
+    waitingForCommit.add(
+        new Waiting(sequence, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
     planFlush();
     return sequence;
   }
 
   /**
-   * Runs the callback with null once all that was appended before is committed and a majority has confirmed, after
-   * this call, that our epoch still stands.
+   * Runs the callback with null once all that was appended before is committed and a majority has
+   * confirmed, after this call, that our epoch still stands.
    */
   void confirm(Consumer<Fault> then) {
     confirm(true, then);
   }
 
-  /** The same, but no sooner than the next beat asks the replicas anyway: costs no message of its own. */
+  /**
+   * The same, but no sooner than the next beat asks the replicas anyway: costs no message of its
+   * own.
+   */
   void confirmAtBeat(Consumer<Fault> then) {
     confirm(false, then);
   }
@@ -282,16 +344,21 @@
       return;
     }
     if (lastSequence() > committed) {
-      waitingForCommit.add(new Waiting(lastSequence(), surroundings.now() + Constants.COMMAND_EXPIRY_MS, fault -> {
-        if (fault == null) {
-          confirm(atOnce, then);
-        } else {
-          then.accept(fault);
-        }
-      }));
+      waitingForCommit.add(
+          new Waiting(
+              lastSequence(),
+              surroundings.now() + Constants.COMMAND_EXPIRY_MS,
+              fault -> {
+                if (fault == null) {
+                  confirm(atOnce, then);
+                } else {
+                  then.accept(fault);
+                }
+              }));
       return;
     }
-    waitingForRound.add(new Waiting(round + 1, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
+    waitingForRound.add(
+        new Waiting(round + 1, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
     if (atOnce) {
       planFlush();
     }
@@ -300,10 +367,12 @@
   private void planFlush() {
     if (!flushPlanned) {
       flushPlanned = true;
-      surroundings.after(0, () -> {
-        flushPlanned = false;
-        broadcast();
-      });
+      surroundings.after(
+          0,
+          () -> {
+            flushPlanned = false;
+            broadcast();
+          });
     }
   }
 
@@ -318,20 +387,27 @@
   private void sendTo(Progress each) {
     long first = entries.get(0).sequence();
     long from = each.next < first || each.next == 1 ? first : each.next;
-    List<Entry> lacking = from > lastSequence() ? List.of()
-        : List.copyOf(entries.subList((int) (from - first), entries.size()));
+    List<Entry> lacking =
+        from > lastSequence()
+            ? List.of()
+            : List.copyOf(entries.subList((int) (from - first), entries.size()));
     long previous = from == first ? 0 : from - 1;
-    Epoch previousEpoch = from == first ? Epoch.NONE : entries.get((int) (from - 1 - first)).epoch();
+    Epoch previousEpoch =
+        from == first ? Epoch.NONE : entries.get((int) (from - 1 - first)).epoch();
     each.next = lastSequence() + 1;
     each.toldCommitted = committed;
     each.beatsSince = 0;
-    if (lacking.stream().mapToLong(entry -> entry.event().length).sum() >= Constants.APPEND_LARGE_BYTES) {
+    if (lacking.stream().mapToLong(entry -> entry.event().length).sum()
+        >= Constants.APPEND_LARGE_BYTES) {
       each.largeSentAt = surroundings.now();
       each.largeFrom = from;
       each.largeTo = lastSequence();
     }
-    sender.reply(each.replica.address(), each.replica.id(),
-        new KeyAppend(key, epoch, sets.number(), round, previous, previousEpoch, committed, lacking));
+    sender.reply(
+        each.replica.address(),
+        each.replica.id(),
+        new KeyAppend(
+            key, epoch, sets.number(), round, previous, previousEpoch, committed, lacking));
   }
 
   void appended(KeyAppended message, String fromId) {
@@ -358,10 +434,14 @@
     advance();
   }
 
-  /** Much is slow to send, and small appends overtake it: what they find missing may be about to arrive. */
+  /**
+   * Much is slow to send, and small appends overtake it: what they find missing may be about to
+   * arrive.
+   */
   private boolean onItsWay(Progress each, long sequence) {
     return surroundings.now() - each.largeSentAt < Constants.APPEND_LARGE_MS
-        && sequence >= each.largeFrom && sequence <= each.largeTo;
+        && sequence >= each.largeFrom
+        && sequence <= each.largeTo;
   }
 
   private void advance() {
@@ -412,7 +492,10 @@
   private void beatWhereNeeded() {
     round++;
     for (Progress each : progress.values()) {
-      boolean lacksNothing = each.matched == lastSequence() && each.toldCommitted == committed && committed == lastSequence();
+      boolean lacksNothing =
+          each.matched == lastSequence()
+              && each.toldCommitted == committed
+              && committed == lastSequence();
       if (!lacksNothing || ++each.beatsSince >= Constants.IDLE_BEATS) {
         sendTo(each);
       }
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -6,10 +6,14 @@
 import java.util.List;
 import java.util.Map;
 
-/** Values of the core keys. Readers pass over fields they do not know, so that two versions can live together. */
+/**
+ * Values of the core keys. Readers pass over fields they do not know, so that two versions can live
+ * together.
+ */
 public final class Records {
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record CoreMember(String id, String peerAddress, String httpAddress, String zone, String name) {}
+  public record CoreMember(
+      String id, String peerAddress, String httpAddress, String zone, String name) {}
 
   /** The core's members; next is empty unless one of them is being replaced. */
   @JsonIgnoreProperties(ignoreUnknown = true)
@@ -20,12 +24,23 @@
   }
 
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record Member(String id, long incarnation, String name, String zone, String role, String peerAddress,
-      String httpAddress, boolean live) {}
+  public record Member(
+      String id,
+      long incarnation,
+      String name,
+      String zone,
+      String role,
+      String peerAddress,
+      String httpAddress,
+      boolean live) {}
 
-  /** slots: 0 if unknown, and then the worker is asked for its load; else known from the outside list. */
+  /**
+   * slots: 0 if unknown, and then the worker is asked for its load; else known from the outside
+   * list.
+   */
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record Worker(String id, String address, String pool, String state, String zone, int slots) {
+  public record Worker(
+      String id, String address, String pool, String state, String zone, int slots) {
     static final String READY = "ready";
     static final String LEAVING = "leaving";
     static final String GONE = "gone";
@@ -44,19 +59,26 @@
   public record ListedWorkers(List<Worker> workers) {}
 
   /**
-   * The edges that count, by peer address, when an acknowledgement asks for a majority of them and when an edge goes on
-   * without the core. Two lists in a row differ in one edge, and the next is not made before a majority of the edges
-   * knows the last: so any two majorities, also of different lists that are in use at once, share an edge.
+   * The edges that count, by peer address, when an acknowledgement asks for a majority of them and
+   * when an edge goes on without the core. Two lists in a row differ in one edge, and the next is
+   * not made before a majority of the edges knows the last: so any two majorities, also of
+   * different lists that are in use at once, share an edge.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record EdgeList(long number, List<String> addresses) {}
 
   /**
-   * A bundle as kept: the exact bytes that were sent. buildsOn: the number it was made from, where that is checked. taken:
-   * the last ones that were taken, itself included; only its owner keeps these, the feed does not carry them.
+   * A bundle as kept: the exact bytes that were sent. buildsOn: the number it was made from, where
+   * that is checked. taken: the last ones that were taken, itself included; only its owner keeps
+   * these, the feed does not carry them.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record SignedBundle(long number, byte[] bytes, String keyId, byte[] signature, Long buildsOn,
+  public record SignedBundle(
+      long number,
+      byte[] bytes,
+      String keyId,
+      byte[] signature,
+      Long buildsOn,
       List<TakenBundle> taken) {
     public SignedBundle {
       taken = taken == null ? List.of() : taken;
@@ -71,7 +93,10 @@
     }
   }
 
-  /** A bundle that was in force at some time, by number and digest of its bytes: sent again, it is acknowledged again. */
+  /**
+   * A bundle that was in force at some time, by number and digest of its bytes: sent again, it is
+   * acknowledged again.
+   */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record TakenBundle(long number, String digest) {}
 
@@ -80,8 +105,9 @@
   public record Shard(long number, List<StorageReplica> replicas, List<StorageReplica> next) {}
 
   /**
-   * A storage machine's place in life, as operators have it: emptying, retired; no record means active. keepsCopies: it is
-   * emptied only onto others, so that every shard has all of its replicas again when it is done.
+   * A storage machine's place in life, as operators have it: emptying, retired; no record means
+   * active. keepsCopies: it is emptied only onto others, so that every shard has all of its
+   * replicas again when it is done.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record StorageState(String id, String name, String state, boolean keepsCopies) {
@@ -98,8 +124,9 @@
   public record StorageReplica(String id, String address, String zone) {}
 
   /**
-   * The ledger of waiting batch work: by batch what it still takes, items or tokens, and by batch the group it counts in.
-   * Each group has a ceiling of its own; a batch without one counts in the group of all batches of prompts.
+   * The ledger of waiting batch work: by batch what it still takes, items or tokens, and by batch
+   * the group it counts in. Each group has a ceiling of its own; a batch without one counts in the
+   * group of all batches of prompts.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   record Room(Map<String, Long> items, Map<String, String> groups) {
@@ -120,8 +147,10 @@
   public record ListVersion(long version) {}
 
   /** What the platform hands in for one worker. */
-  public record WorkerInput(@NotBlank @Pattern(regexp = "[A-Za-z0-9_.-]{1,100}") String id,
-      @NotBlank @Pattern(regexp = "[0-9.]+:[0-9]{1,5}") String address, @NotBlank String pool,
+  public record WorkerInput(
+      @NotBlank @Pattern(regexp = "[A-Za-z0-9_.-]{1,100}") String id,
+      @NotBlank @Pattern(regexp = "[0-9.]+:[0-9]{1,5}") String address,
+      @NotBlank String pool,
       @Pattern(regexp = "ready|leaving") String state) {}
 
   private Records() {}
--- a/core-logic/src/main/java/applespindle/corelogic/ReplicaCopier.java
+++ b/core-logic/src/main/java/applespindle/corelogic/ReplicaCopier.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.Message.Ask;
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -9,11 +11,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
-import static applespindle.corelogic.Json.JSON;
-
 /**
- * Brings a newcomer's copies of one set up to date: pages from a majority of the present set, each source of which has
- * refused older set numbers before its first page, so nothing can be committed behind the newcomer's back.
+ * Brings a newcomer's copies of one set up to date: pages from a majority of the present set, each
+ * source of which has refused older set numbers before its first page, so nothing can be committed
+ * behind the newcomer's back.
  */
 final class ReplicaCopier {
   /** A page of a set; last is empty on the last one. Claims come with the first. */
@@ -22,11 +23,17 @@
   private final Surroundings surroundings;
   private final Node node;
   private final KeyReplicas replicas;
+
   /** Once-claims by id, the holder's token; empty for the core. */
   private final Map<String, String> claims;
+
   private final Function<String, String> setNameOfClaim;
 
-  ReplicaCopier(Surroundings surroundings, Node node, KeyReplicas replicas, Map<String, String> claims,
+  ReplicaCopier(
+      Surroundings surroundings,
+      Node node,
+      KeyReplicas replicas,
+      Map<String, String> claims,
       Function<String, String> setNameOfClaim) {
     this.surroundings = surroundings;
     this.node = node;
@@ -35,13 +42,19 @@
     this.setNameOfClaim = setNameOfClaim;
   }
 
-  void copyIn(String name, long number, List<OwnedKey.Replica> sources, BooleanSupplier stillPending, Runnable whenDone) {
+  void copyIn(
+      String name,
+      long number,
+      List<OwnedKey.Replica> sources,
+      BooleanSupplier stillPending,
+      Runnable whenDone) {
     new CopyIn(name, number, sources, stillPending, whenDone).next();
   }
 
   /**
-   * One source after the other, as what the first has brought need not come again from the next. One that is slow or
-   * silent holds the next up only for a moment, and once a majority is copied no further one is asked.
+   * One source after the other, as what the first has brought need not come again from the next.
+   * One that is slow or silent holds the next up only for a moment, and once a majority is copied
+   * no further one is asked.
    */
   private final class CopyIn {
     private final String name;
@@ -52,7 +65,12 @@
     private int begun;
     private int done;
 
-    CopyIn(String name, long number, List<OwnedKey.Replica> sources, BooleanSupplier stillPending, Runnable whenDone) {
+    CopyIn(
+        String name,
+        long number,
+        List<OwnedKey.Replica> sources,
+        BooleanSupplier stillPending,
+        Runnable whenDone) {
       this.name = name;
       this.number = number;
       this.sources = sources;
@@ -69,52 +87,78 @@
         return;
       }
       int source = begun++;
-      copyPage(name, number, sources.get(source), "", stillPending, () -> {
-        done++;
-        if (done == sources.size() / 2 + 1) {
-          whenDone.run();
-        }
-        if (begun == source + 1) {
-          next();
-        }
-      });
-      surroundings.after(Constants.COPY_NEXT_SOURCE_MS, () -> {
-        if (begun == source + 1) {
-          next();
-        }
-      });
+      copyPage(
+          name,
+          number,
+          sources.get(source),
+          "",
+          stillPending,
+          () -> {
+            done++;
+            if (done == sources.size() / 2 + 1) {
+              whenDone.run();
+            }
+            if (begun == source + 1) {
+              next();
+            }
+          });
+      surroundings.after(
+          Constants.COPY_NEXT_SOURCE_MS,
+          () -> {
+            if (begun == source + 1) {
+              next();
+            }
+          });
     }
   }
 
-  private void copyPage(String name, long number, OwnedKey.Replica source, String after, BooleanSupplier stillPending,
+  private void copyPage(
+      String name,
+      long number,
+      OwnedKey.Replica source,
+      String after,
+      BooleanSupplier stillPending,
       Runnable whenDone) {
     if (!stillPending.getAsBoolean()) {
       return;
     }
-    node.ask(attempt -> new Node.Target(source.id(), source.address()), "copy", name,
-        JSON.createObjectNode().put("setNumber", number).put("after", after)
-            .set("held", JSON.valueToTree(replicas.heldOf(name, after))), Constants.ASK_EXPIRY_MS, response -> {
+    node.ask(
+        attempt -> new Node.Target(source.id(), source.address()),
+        "copy",
+        name,
+        JSON.createObjectNode()
+            .put("setNumber", number)
+            .put("after", after)
+            .set("held", JSON.valueToTree(replicas.heldOf(name, after))),
+        Constants.ASK_EXPIRY_MS,
+        response -> {
           if (!response.good()) {
-            surroundings.after(Constants.COPIED_REPEAT_MS,
+            surroundings.after(
+                Constants.COPIED_REPEAT_MS,
                 () -> copyPage(name, number, source, after, stillPending, whenDone));
             return;
           }
           Page page = JSON.convertValue(response.body(), Page.class);
-          page.claims().forEach((id, token) -> {
-            if (claims.putIfAbsent(id, token) == null) {
-              surroundings.write(List.of(onceRecord(id, token)), () -> { });
-            }
-          });
+          page.claims()
+              .forEach(
+                  (id, token) -> {
+                    if (claims.putIfAbsent(id, token) == null) {
+                      surroundings.write(List.of(onceRecord(id, token)), () -> {});
+                    }
+                  });
           boolean fits = true;
           for (KeyReplicas.Copied copied : page.keys()) {
-            fits &= replicas.absorb(copied, () -> { });
+            fits &= replicas.absorb(copied, () -> {});
           }
           if (!fits) {
-            surroundings.after(Constants.COPY_PAUSE_MS, () -> copyPage(name, number, source, after, stillPending, whenDone));
+            surroundings.after(
+                Constants.COPY_PAUSE_MS,
+                () -> copyPage(name, number, source, after, stillPending, whenDone));
           } else if (page.last().isEmpty()) {
             surroundings.write(List.of(), whenDone);
           } else {
-            surroundings.after(Constants.COPY_PAUSE_MS,
+            surroundings.after(
+                Constants.COPY_PAUSE_MS,
                 () -> copyPage(name, number, source, page.last(), stillPending, whenDone));
           }
         });
@@ -123,21 +167,27 @@
   void copyOut(Ask ask) {
     JsonNode body = Json.tree(ask.body());
     String after = body.path("after").asText();
-    replicas.learnSet(ask.key(), body.path("setNumber").asLong(), () -> {
-      Map<String, KeyReplicas.Held> held = JSON.convertValue(body.path("held"), new TypeReference<>() {});
-      List<KeyReplicas.Copied> keys = replicas.copiesOf(ask.key(), after, held == null ? Map.of() : held,
-          Constants.COPY_PAGE_BYTES);
-      Map<String, String> ofSet = new LinkedHashMap<>();
-      if (after.isEmpty()) {
-        claims.forEach((id, token) -> {
-          if (setNameOfClaim.apply(id).equals(ask.key())) {
-            ofSet.put(id, token);
+    replicas.learnSet(
+        ask.key(),
+        body.path("setNumber").asLong(),
+        () -> {
+          Map<String, KeyReplicas.Held> held =
+              JSON.convertValue(body.path("held"), new TypeReference<>() {});
+          List<KeyReplicas.Copied> keys =
+              replicas.copiesOf(
+                  ask.key(), after, held == null ? Map.of() : held, Constants.COPY_PAGE_BYTES);
+          Map<String, String> ofSet = new LinkedHashMap<>();
+          if (after.isEmpty()) {
+            claims.forEach(
+                (id, token) -> {
+                  if (setNameOfClaim.apply(id).equals(ask.key())) {
+                    ofSet.put(id, token);
+                  }
+                });
           }
+          String last = keys.isEmpty() ? "" : keys.get(keys.size() - 1).key();
+          node.respond(ask, Response.of(200, new Page(keys, ofSet, last)));
         });
-      }
-      String last = keys.isEmpty() ? "" : keys.get(keys.size() - 1).key();
-      node.respond(ask, Response.of(200, new Page(keys, ofSet, last)));
-    });
   }
 
   static DiskRecord onceRecord(String id, String token) {
--- a/core-logic/src/main/java/applespindle/corelogic/ReplicaSets.java
+++ b/core-logic/src/main/java/applespindle/corelogic/ReplicaSets.java
@@ -8,9 +8,9 @@
 import java.util.function.ToLongFunction;
 
 /**
- * Who replicates a key, under a number that only rises. While a next set is pending, everything needs a majority of
- * the present set and one of the next; so neither an owner that has not heard of the change nor one that is ahead of
- * it can act on replicas that the other does not meet.
+ * Who replicates a key, under a number that only rises. While a next set is pending, everything
+ * needs a majority of the present set and one of the next; so neither an owner that has not heard
+ * of the change nor one that is ahead of it can act on replicas that the other does not meet.
  */
 record ReplicaSets(long number, List<OwnedKey.Replica> present, List<OwnedKey.Replica> next) {
   static final ReplicaSets NONE = new ReplicaSets(0, List.of(), List.of());
@@ -46,7 +46,8 @@
   }
 
   private static long reached(List<OwnedKey.Replica> set, ToLongFunction<String> valueOf) {
-    long[] values = set.stream().mapToLong(replica -> valueOf.applyAsLong(replica.id())).sorted().toArray();
+    long[] values =
+        set.stream().mapToLong(replica -> valueOf.applyAsLong(replica.id())).sorted().toArray();
     return values[values.length - (set.size() / 2 + 1)];
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Response.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Response.java
@@ -1,10 +1,13 @@
 package applespindle.corelogic;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
 import static applespindle.corelogic.Json.JSON;
 
-/** What a sender gets: a status, a JSON body, and for a refusal when to come back (milliseconds; 0: not said). */
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What a sender gets: a status, a JSON body, and for a refusal when to come back (milliseconds; 0:
+ * not said).
+ */
 public record Response(int status, JsonNode body, long comeBackMs) {
   public static Response of(int status, Object body) {
     return new Response(status, body instanceof JsonNode node ? node : JSON.valueToTree(body), 0);
--- a/core-logic/src/main/java/applespindle/corelogic/RoomPace.java
+++ b/core-logic/src/main/java/applespindle/corelogic/RoomPace.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayDeque;
 
-/** How fast waiting batch items have ended of late; only to tell a refused sender when to come back. */
+/**
+ * How fast waiting batch items have ended of late; only to tell a refused sender when to come back.
+ */
 final class RoomPace {
   private record Freed(long atMs, long items) {}
 
   private final Surroundings surroundings;
+
   /** Not older than the time measured over, in order of time. */
   private final ArrayDeque<Freed> freed = new ArrayDeque<>();
+
   private long sum;
 
   RoomPace(Surroundings surroundings) {
--- a/core-logic/src/main/java/applespindle/corelogic/RouteTable.java
+++ b/core-logic/src/main/java/applespindle/corelogic/RouteTable.java
@@ -9,11 +9,15 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** What a bundle says of opaque requests, as it is looked up: its routes by host, each host's longest prefix first. */
+/**
+ * What a bundle says of opaque requests, as it is looked up: its routes by host, each host's
+ * longest prefix first.
+ */
 final class RouteTable {
   static final RouteTable EMPTY = new RouteTable();
 
   private final Map<String, List<Route>> byHost = new HashMap<>();
+
   /** By pool, the shortest pause between events that any route demands there. */
   private final Map<String, Long> gapTargets = new HashMap<>();
 
@@ -22,12 +26,19 @@
     for (Route route : bundle.routes()) {
       table.byHost.computeIfAbsent(host(route.host()), unseen -> new ArrayList<>()).add(route);
       if (route.gapTargetMs() > 0) {
-        route.split().stream().filter(share -> share.weight() > 0)
+        route.split().stream()
+            .filter(share -> share.weight() > 0)
             .forEach(share -> table.gapTargets.merge(share.pool(), route.gapTargetMs(), Math::min));
       }
     }
-    table.byHost.values().forEach(routes ->
-        routes.sort(Comparator.comparingInt((Route route) -> route.pathPrefix().length()).reversed()));
+    table
+        .byHost
+        .values()
+        .forEach(
+            routes ->
+                routes.sort(
+                    Comparator.comparingInt((Route route) -> route.pathPrefix().length())
+                        .reversed()));
     return table;
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/ShardPlacement.java
+++ b/core-logic/src/main/java/applespindle/corelogic/ShardPlacement.java
@@ -21,12 +21,21 @@
     Set<String> zones = new LinkedHashSet<>();
     ordered.stream().filter(member -> zones.add(member.zone())).forEach(chosenMembers::add);
     ordered.stream().filter(member -> !chosenMembers.contains(member)).forEach(chosenMembers::add);
-    return chosenMembers.stream().limit(replicas)
-        .map(member -> new StorageReplica(member.id(), member.peerAddress(), member.zone())).toList();
+    return chosenMembers.stream()
+        .limit(replicas)
+        .map(member -> new StorageReplica(member.id(), member.peerAddress(), member.zone()))
+        .toList();
   }
 
-  /** Spares that are not in the set: those of a zone the rest does not cover first, then those that hold least. */
-  static List<Member> candidates(String key, Shard shard, List<StorageReplica> leaving, List<Member> spares,
+  /**
+   * Spares that are not in the set: those of a zone the rest does not cover first, then those that
+   * hold least.
+   */
+  static List<Member> candidates(
+      String key,
+      Shard shard,
+      List<StorageReplica> leaving,
+      List<Member> spares,
       Map<String, Long> holding) {
     Set<String> present = new LinkedHashSet<>();
     Set<String> zones = new LinkedHashSet<>();
@@ -36,15 +45,20 @@
         zones.add(each.zone());
       }
     }
-    return spares.stream().filter(member -> !present.contains(member.id()))
-        .sorted(Comparator.comparing((Member member) -> zones.contains(member.zone()))
-            .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
-            .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id())))).toList();
+    return spares.stream()
+        .filter(member -> !present.contains(member.id()))
+        .sorted(
+            Comparator.comparing((Member member) -> zones.contains(member.zone()))
+                .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
+                .thenComparing(member -> Rendezvous.mix(Rendezvous.hash(key + member.id()))))
+        .toList();
   }
 
   static long zonesWithout(Shard shard, StorageReplica leaver, Member newcomer) {
     Set<String> zones = new LinkedHashSet<>();
-    shard.replicas().stream().filter(each -> !each.equals(leaver)).forEach(each -> zones.add(each.zone()));
+    shard.replicas().stream()
+        .filter(each -> !each.equals(leaver))
+        .forEach(each -> zones.add(each.zone()));
     if (newcomer != null) {
       zones.add(newcomer.zone());
     }
--- a/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Message.KeyAppend;
@@ -18,19 +20,24 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-import static applespindle.corelogic.Json.JSON;
-
 /** The data plane's storage role: replicas of batch records, and once-claims. */
 public final class StorageNode extends DataNode {
   private Bounds bounds;
   private final KeyReplicas replicas;
   private final ReplicaCopier copier;
+
   /** Batches accepted by a committed entry and not yet committed as finished, ended or refused. */
   private final Set<String> unfinished = new TreeSet<>();
+
   /** Batches that are over, with since when this process has known so. */
   private final Map<String, Long> overSince = new TreeMap<>();
+
   private long removed;
-  /** Once-id to the one token that claimed it here. Written once; taken back only by the token itself. */
+
+  /**
+   * Once-id to the one token that claimed it here. Written once; taken back only by the token
+   * itself.
+   */
   private final Map<String, String> claims = new LinkedHashMap<>();
 
   public StorageNode(Surroundings surroundings, Place place) {
@@ -44,7 +51,8 @@
     copier = new ReplicaCopier(surroundings, this, replicas, claims, DataNode::shardOf);
   }
 
-  @Override protected void boundsChanged(Bounds newer) {
+  @Override
+  protected void boundsChanged(Bounds newer) {
     bounds = bounds.taking(newer);
   }
 
@@ -52,7 +60,8 @@
     return replicas;
   }
 
-  @Override public void recover(DiskRecord record) {
+  @Override
+  public void recover(DiskRecord record) {
     if (record.kind() == Kind.ONCE) {
       remember(record);
     } else {
@@ -68,32 +77,56 @@
     }
   }
 
-  @Override public List<DiskRecord> checkpoint() {
+  @Override
+  public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>(replicas.checkpoint());
     claims.forEach((id, token) -> records.add(ReplicaCopier.onceRecord(id, token)));
     return records;
   }
 
-  @Override public void start() {
+  @Override
+  public void start() {
     super.start();
     replicas.recovered();
     every(Constants.ORPHAN_SCAN_MS, this::reportOrphans);
     every(Constants.RETENTION_SCAN_MS, this::removeOld);
   }
 
-  /** The first replica of a batch has it removed by the batch's leader once it was kept long enough. */
+  /**
+   * The first replica of a batch has it removed by the batch's leader once it was kept long enough.
+   */
   private void removeOld() {
     if (bundle == null) {
       return;
     }
     long now = surroundings.now();
-    overSince.entrySet().stream().filter(entry -> now - entry.getValue() > (EdgeNode.isOpaque(entry.getKey())
-        ? bounds.keepBatchesMs() : bundle.limits().batch().keptMs())).map(Map.Entry::getKey)
-        .filter(key -> place.id().equals(Rendezvous.first(key, setsOf(key).present().stream()
-            .map(OwnedKey.Replica::id).toList())))
-        .limit(Constants.RETENTION_SCAN_MOST).toList()
-        .forEach(key -> ask(attempt -> firstEdge(key, attempt), "remove", key, JSON.createObjectNode(),
-            Constants.RETENTION_SCAN_MS, response -> { }));
+    overSince.entrySet().stream()
+        .filter(
+            entry ->
+                now - entry.getValue()
+                    > (EdgeNode.isOpaque(entry.getKey())
+                        ? bounds.keepBatchesMs()
+                        : bundle.limits().batch().keptMs()))
+        .map(Map.Entry::getKey)
+        .filter(
+            key ->
+                place
+                    .id()
+                    .equals(
+                        Rendezvous.first(
+                            key,
+                            setsOf(key).present().stream().map(OwnedKey.Replica::id).toList())))
+        .limit(Constants.RETENTION_SCAN_MOST)
+        .toList()
+        .forEach(
+            key ->
+                ask(
+                    attempt -> firstEdge(key, attempt),
+                    "remove",
+                    key,
+                    JSON.createObjectNode(),
+                    Constants.RETENTION_SCAN_MS,
+                    response -> {}));
   }
 
   private void committed(String key, Entry entry) {
@@ -104,7 +137,9 @@
     if (kind.equals(BatchEvent.ACCEPTED)) {
       unfinished.add(key);
       overSince.remove(key);
-    } else if (kind.equals(BatchEvent.FINISHED) || kind.equals(BatchEvent.ENDED) || kind.equals(BatchEvent.REFUSED)) {
+    } else if (kind.equals(BatchEvent.FINISHED)
+        || kind.equals(BatchEvent.ENDED)
+        || kind.equals(BatchEvent.REFUSED)) {
       unfinished.remove(key);
       overSince.put(key, surroundings.now());
     } else if (kind.equals(BatchEvent.REMOVED)) {
@@ -114,7 +149,10 @@
     journal.add("committed", key, "sequence " + entry.sequence() + " " + kind);
   }
 
-  /** Unfinished batches whose owner has gone silent are told to the edge that comes first for them now. */
+  /**
+   * Unfinished batches whose owner has gone silent are told to the edge that comes first for them
+   * now.
+   */
   private void reportOrphans() {
     Map<Target, List<String>> orphans = new HashMap<>();
     for (String key : unfinished) {
@@ -131,7 +169,8 @@
     orphans.forEach((edge, keys) -> send(edge.address(), edge.id(), new Unfinished(keys)));
   }
 
-  @Override protected void handle(Message message, String fromId, String fromAddress) {
+  @Override
+  protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyAppend append) {
       replicas.append(append, fromId, fromAddress);
     } else if (message instanceof KeyPromise promise) {
@@ -141,7 +180,8 @@
     }
   }
 
-  @Override protected void handleAsk(Ask ask) {
+  @Override
+  protected void handleAsk(Ask ask) {
     switch (ask.duty()) {
       case "copy" -> copier.copyOut(ask);
       case "peek" -> peek(ask);
@@ -180,39 +220,55 @@
       respond(ask, Response.of(new Fault.AlreadyClaimed(ask.key())));
       return;
     }
-    List<DiskRecord> records = holder == null ? List.of(ReplicaCopier.onceRecord(ask.key(), token)) : List.of();
-    surroundings.write(records, () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", true))));
+    List<DiskRecord> records =
+        holder == null ? List.of(ReplicaCopier.onceRecord(ask.key(), token)) : List.of();
+    surroundings.write(
+        records,
+        () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", true))));
   }
 
-  /** Only the token that claimed may take the claim back, and only before anything of it was handed over. */
+  /**
+   * Only the token that claimed may take the claim back, and only before anything of it was handed
+   * over.
+   */
   private void unclaim(Ask ask) {
     JsonNode body = Json.tree(ask.body());
     boolean holds = claims.remove(ask.key(), body.path("token").asText());
     List<DiskRecord> records = holds ? List.of(ReplicaCopier.onceRecord(ask.key(), "")) : List.of();
-    surroundings.write(records, () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", false))));
+    surroundings.write(
+        records,
+        () -> respond(ask, Response.of(200, JSON.createObjectNode().put("claimed", false))));
   }
 
   // ---- changes of a shard's replicas
 
-  @Override protected void changed(String key) {
+  @Override
+  protected void changed(String key) {
     if (key.startsWith("shard/")) {
       follow(key);
     }
   }
 
-  /** Fences older sets first; then a newcomer copies, and whoever stays only says that it is fenced. */
+  /**
+   * Fences older sets first; then a newcomer copies, and whoever stays only says that it is fenced.
+   */
   private void follow(String name) {
     Shard shard = shards().get(name);
-    replicas.learnSet(name, shard.number(), () -> {
-      if (shard.number() != shards().get(name).number() || shard.next().isEmpty() || !holds(shard.next())) {
-        return;
-      }
-      if (holds(shard.replicas())) {
-        sayCopied(name, shard.number());
-      } else {
-        copyIn(name, shard);
-      }
-    });
+    replicas.learnSet(
+        name,
+        shard.number(),
+        () -> {
+          if (shard.number() != shards().get(name).number()
+              || shard.next().isEmpty()
+              || !holds(shard.next())) {
+            return;
+          }
+          if (holds(shard.replicas())) {
+            sayCopied(name, shard.number());
+          } else {
+            copyIn(name, shard);
+          }
+        });
   }
 
   private boolean holds(List<StorageReplica> set) {
@@ -229,33 +285,49 @@
     if (!stillPending(name, number)) {
       return;
     }
-    askCore("copied", name, JSON.createObjectNode().put("id", place.id()).put("number", number),
-        Constants.ASK_TRY_MS, response -> { });
+    askCore(
+        "copied",
+        name,
+        JSON.createObjectNode().put("id", place.id()).put("number", number),
+        Constants.ASK_TRY_MS,
+        response -> {});
     surroundings.after(Constants.COPIED_REPEAT_MS, () -> sayCopied(name, number));
   }
 
   private void copyIn(String name, Shard shard) {
     journal.add("copying", name, "set " + shard.number());
-    copier.copyIn(name, shard.number(), replicas(shard.replicas()), () -> stillPending(name, shard.number()), () -> {
-      journal.add("copied", name, "set " + shard.number());
-      sayCopied(name, shard.number());
-    });
+    copier.copyIn(
+        name,
+        shard.number(),
+        replicas(shard.replicas()),
+        () -> stillPending(name, shard.number()),
+        () -> {
+          journal.add("copied", name, "set " + shard.number());
+          sayCopied(name, shard.number());
+        });
   }
 
-  @Override public String notReadyBecause() {
+  @Override
+  public String notReadyBecause() {
     return stopping ? "stopping" : !joined() ? "no grant from the core" : "";
   }
 
-  @Override public ObjectNode status() {
-    return super.status().put("keys", replicas.copies().size()).put("unfinished", unfinished.size())
-        .put("onceClaims", claims.size()).put("removed", removed);
+  @Override
+  public ObjectNode status() {
+    return super.status()
+        .put("keys", replicas.copies().size())
+        .put("unfinished", unfinished.size())
+        .put("onceClaims", claims.size())
+        .put("removed", removed);
   }
 
-  @Override public void stop(Runnable whenDone) {
+  @Override
+  public void stop(Runnable whenDone) {
     stopping = true;
-    leaveCore(() -> {
-      end();
-      whenDone.run();
-    });
+    leaveCore(
+        () -> {
+          end();
+          whenDone.run();
+        });
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Records.Member;
@@ -18,9 +20,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-import static applespindle.corelogic.Json.JSON;
-
-/** Which storage nodes hold which shard: the owner of a shard's key changes its set, one member at a time. */
+/**
+ * Which storage nodes hold which shard: the owner of a shard's key changes its set, one member at a
+ * time.
+ */
 final class StorageSets {
   private static final String PART = "core";
 
@@ -28,8 +31,13 @@
   private final CoreNode core;
   private final CoreTable table;
   private final int replicas;
-  /** Storage nodes that shards name and that are no members now, with since when; only known to this process. */
+
+  /**
+   * Storage nodes that shards name and that are no members now, with since when; only known to this
+   * process.
+   */
   private final Map<String, Long> silentSince = new HashMap<>();
+
   private boolean lookPlanned;
 
   StorageSets(Surroundings surroundings, CoreNode core, Bounds bounds) {
@@ -47,16 +55,21 @@
     }
   }
 
-  /** A step is taken as soon as the one before is done: every shard of a lost disk has to be moved within seconds. */
+  /**
+   * A step is taken as soon as the one before is done: every shard of a lost disk has to be moved
+   * within seconds.
+   */
   void lookSoon() {
     if (!lookPlanned) {
       lookPlanned = true;
-      surroundings.after(Constants.SHARD_LOOK_MS, () -> {
-        lookPlanned = false;
-        if (!core.stopped() && !core.stopping) {
-          change();
-        }
-      });
+      surroundings.after(
+          Constants.SHARD_LOOK_MS,
+          () -> {
+            lookPlanned = false;
+            if (!core.stopped() && !core.stopping) {
+              change();
+            }
+          });
     }
   }
 
@@ -76,7 +89,10 @@
       if (state == null) {
         core.claim(key);
       } else if (state.value.isNull()) {
-        core.put(state, new Shard(1, ShardPlacement.placeShard(key, storage, replicas), List.of()), fault -> { });
+        core.put(
+            state,
+            new Shard(1, ShardPlacement.placeShard(key, storage, replicas), List.of()),
+            fault -> {});
       }
     }
   }
@@ -96,13 +112,18 @@
   /** How many shards name each storage node among their present replicas. */
   private Map<String, Long> held() {
     Map<String, Long> holding = new HashMap<>();
-    table.shards().values().forEach(shard ->
-        shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
+    table
+        .shards()
+        .values()
+        .forEach(
+            shard ->
+                shard.replicas().forEach(replica -> holding.merge(replica.id(), 1L, Long::sum)));
     return holding;
   }
 
   private List<Owned> ownedShards() {
-    return core.owned.values().stream().filter(state -> state.key.key.startsWith(CoreTable.SHARD) && !state.value.isNull())
+    return core.owned.values().stream()
+        .filter(state -> state.key.key.startsWith(CoreTable.SHARD) && !state.value.isNull())
         .toList();
   }
 
@@ -115,7 +136,9 @@
     Map<String, Member> live = live();
     silentSince.keySet().removeAll(live.keySet());
     Map<String, Long> holding = held();
-    holding.keySet().stream().filter(id -> !live.containsKey(id)).forEach(id -> silentSince.putIfAbsent(id, now));
+    holding.keySet().stream()
+        .filter(id -> !live.containsKey(id))
+        .forEach(id -> silentSince.putIfAbsent(id, now));
     silentSince.keySet().retainAll(holding.keySet());
     List<Member> spares = spares();
     long pending = pending();
@@ -136,12 +159,13 @@
   private void changeTo(Owned state, Shard shard, List<StorageReplica> next) {
     state.copied.clear();
     core.journal().add("changing", state.key.key, "set " + (shard.number() + 1));
-    core.put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> { });
+    core.put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> {});
   }
 
   /**
-   * Moves one replica to a node that holds at least two fewer, and only while nothing else is to be changed anywhere:
-   * repairs come first, and owners that balance side by side would only pass shards to and fro.
+   * Moves one replica to a node that holds at least two fewer, and only while nothing else is to be
+   * changed anywhere: repairs come first, and owners that balance side by side would only pass
+   * shards to and fro.
    */
   private void balance() {
     Map<String, Member> live = live();
@@ -153,13 +177,21 @@
     Map<String, Long> holding = held();
     for (Owned state : ownedShards()) {
       Shard shard = state.as(Shard.class);
-      List<Member> candidates = ShardPlacement.candidates(state.key.key, shard, List.of(), spares, holding).stream()
-          .sorted(Comparator.comparingLong(member -> holding.getOrDefault(member.id(), 0L))).limit(1).toList();
+      List<Member> candidates =
+          ShardPlacement.candidates(state.key.key, shard, List.of(), spares, holding).stream()
+              .sorted(Comparator.comparingLong(member -> holding.getOrDefault(member.id(), 0L)))
+              .limit(1)
+              .toList();
       for (Member candidate : candidates) {
-        Optional<StorageReplica> fullest = shard.replicas().stream()
-            .filter(each -> ShardPlacement.zonesWithout(shard, each, candidate) >= ShardPlacement.zonesWithout(shard, null, null)
-                && holding.getOrDefault(candidate.id(), 0L) + 2 <= holding.getOrDefault(each.id(), 0L))
-            .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)));
+        Optional<StorageReplica> fullest =
+            shard.replicas().stream()
+                .filter(
+                    each ->
+                        ShardPlacement.zonesWithout(shard, each, candidate)
+                                >= ShardPlacement.zonesWithout(shard, null, null)
+                            && holding.getOrDefault(candidate.id(), 0L) + 2
+                                <= holding.getOrDefault(each.id(), 0L))
+                .max(Comparator.comparingLong(each -> holding.getOrDefault(each.id(), 0L)));
         if (fullest.isPresent()) {
           changeTo(state, shard, ShardPlacement.replaced(shard, fullest.get(), candidate));
           return;
@@ -170,35 +202,62 @@
 
   /** All replicas are there, live and to stay, and no change is under way. */
   private boolean whole(Shard shard, Map<String, Member> live) {
-    return shard.next().isEmpty() && shard.replicas().size() == replicas
-        && shard.replicas().stream().allMatch(each -> live.containsKey(each.id()) && table.active(each.id()));
+    return shard.next().isEmpty()
+        && shard.replicas().size() == replicas
+        && shard.replicas().stream()
+            .allMatch(each -> live.containsKey(each.id()) && table.active(each.id()));
   }
 
   /** Ends a change once the newcomer has copied, or calls it off if the newcomer has died. */
   private void settle(Owned state, Shard shard, Map<String, Member> live) {
-    List<StorageReplica> newcomers = shard.next().stream().filter(each -> !shard.replicas().contains(each)).toList();
+    List<StorageReplica> newcomers =
+        shard.next().stream().filter(each -> !shard.replicas().contains(each)).toList();
     List<StorageReplica> needed = newcomers.isEmpty() ? shard.next() : newcomers;
-    if (needed.stream().allMatch(each -> state.copied.getOrDefault(each.id(), 0L) == shard.number())) {
+    if (needed.stream()
+        .allMatch(each -> state.copied.getOrDefault(each.id(), 0L) == shard.number())) {
       surroundings.log(PART, "Replicas changed: " + state.key.key + ".");
       core.put(state, new Shard(shard.number() + 1, shard.next(), List.of()), fault -> lookSoon());
     } else if (newcomers.stream().anyMatch(each -> !live.containsKey(each.id()))) {
-      core.put(state, new Shard(shard.number() + 1, shard.replicas(), List.of()), fault -> lookSoon());
+      core.put(
+          state, new Shard(shard.number() + 1, shard.replicas(), List.of()), fault -> lookSoon());
     }
   }
 
-  /** The set that should be next, differing in one member, or null if nothing is dead, leaving or missing. */
-  private List<StorageReplica> repaired(String key, Shard shard, Map<String, Member> live, List<Member> spares,
-      Map<String, Long> holding, long now) {
+  /**
+   * The set that should be next, differing in one member, or null if nothing is dead, leaving or
+   * missing.
+   */
+  private List<StorageReplica> repaired(
+      String key,
+      Shard shard,
+      Map<String, Member> live,
+      List<Member> spares,
+      Map<String, Long> holding,
+      long now) {
     for (StorageReplica each : shard.replicas()) {
-      Optional<Member> inItsPlace = table.liveAt(each.address()).filter(member -> !member.id().equals(each.id())
-          && spares.contains(member) && shard.replicas().stream().noneMatch(other -> other.id().equals(member.id())));
+      Optional<Member> inItsPlace =
+          table
+              .liveAt(each.address())
+              .filter(
+                  member ->
+                      !member.id().equals(each.id())
+                          && spares.contains(member)
+                          && shard.replicas().stream()
+                              .noneMatch(other -> other.id().equals(member.id())));
       if (!live.containsKey(each.id()) && inItsPlace.isPresent()) {
         return ShardPlacement.replaced(shard, each, inItsPlace.get());
       }
     }
-    List<StorageReplica> leaving = shard.replicas().stream().filter(each -> !table.active(each.id())
-        || !live.containsKey(each.id()) && now - silentSince.getOrDefault(each.id(), now) >= Constants.STORAGE_SILENT_MS)
-        .sorted(Comparator.comparing((StorageReplica each) -> live.containsKey(each.id()))).toList();
+    List<StorageReplica> leaving =
+        shard.replicas().stream()
+            .filter(
+                each ->
+                    !table.active(each.id())
+                        || !live.containsKey(each.id())
+                            && now - silentSince.getOrDefault(each.id(), now)
+                                >= Constants.STORAGE_SILENT_MS)
+            .sorted(Comparator.comparing((StorageReplica each) -> live.containsKey(each.id())))
+            .toList();
     List<Member> candidates = ShardPlacement.candidates(key, shard, leaving, spares, holding);
     if (!leaving.isEmpty()) {
       if (!candidates.isEmpty()) {
@@ -206,11 +265,16 @@
       }
       StorageState state = table.storageState(leaving.get(0).id());
       boolean byHand = !state.state().equals(StorageState.ACTIVE) && !state.keepsCopies();
-      return byHand && shard.replicas().size() > Constants.SHARD_REPLICAS_LEAST
-          && shard.replicas().stream().filter(each -> !each.equals(leaving.get(0))).allMatch(each -> live.containsKey(each.id()))
-          ? ShardPlacement.replaced(shard, leaving.get(0), null) : null;
+      return byHand
+              && shard.replicas().size() > Constants.SHARD_REPLICAS_LEAST
+              && shard.replicas().stream()
+                  .filter(each -> !each.equals(leaving.get(0)))
+                  .allMatch(each -> live.containsKey(each.id()))
+          ? ShardPlacement.replaced(shard, leaving.get(0), null)
+          : null;
     }
-    return candidates.isEmpty() || shard.replicas().size() >= replicas ? null
+    return candidates.isEmpty() || shard.replicas().size() >= replicas
+        ? null
         : ShardPlacement.replaced(shard, null, candidates.get(0));
   }
 
@@ -219,33 +283,45 @@
   /** Marks a storage node as emptying or retired. The same mark again gets the same answer. */
   void mark(Ask ask, Owned state, StorageState sent) {
     StorageState known = state.as(StorageState.class);
-    int shards = (int) table.shards().values().stream().filter(shard -> names(shard, sent.id())).count();
+    int shards =
+        (int) table.shards().values().stream().filter(shard -> names(shard, sent.id())).count();
     Fault refusal = null;
     if (known == null && !table.has(CoreTable.MEMBER + sent.id())) {
       refusal = new Fault.NoSuchStorage(sent.id());
     } else if (sent.state().equals(StorageState.EMPTYING)) {
       int others = othersThan(sent);
       int least = sent.keepsCopies() ? replicas : Constants.SHARD_REPLICAS_LEAST;
-      refusal = known != null && known.state().equals(StorageState.RETIRED) ? new Fault.StorageRetired(sent.id())
-          : known == null && others < least ? new Fault.TooFewCopies(others) : null;
+      refusal =
+          known != null && known.state().equals(StorageState.RETIRED)
+              ? new Fault.StorageRetired(sent.id())
+              : known == null && others < least ? new Fault.TooFewCopies(others) : null;
     } else if (shards > 0 || known == null) {
       refusal = new Fault.StorageNotEmpty(shards);
     }
-    Response answer = refusal != null ? Response.of(refusal)
-        : Response.of(200, ((ObjectNode) JSON.<JsonNode>valueToTree(sent)).put("shards", shards));
+    Response answer =
+        refusal != null
+            ? Response.of(refusal)
+            : Response.of(
+                200, ((ObjectNode) JSON.<JsonNode>valueToTree(sent)).put("shards", shards));
     if (refusal != null || sent.equals(known)) {
       state.key.confirm(fault -> core.respond(ask, fault == null ? answer : Response.of(fault)));
     } else {
-      core.put(state, sent, fault -> core.respond(ask, fault == null ? answer : Response.of(fault)));
+      core.put(
+          state, sent, fault -> core.respond(ask, fault == null ? answer : Response.of(fault)));
     }
   }
 
-  /** Active nodes besides this one. Where no copy may be lacking, one that is silent for a moment counts: it is waited for. */
+  /**
+   * Active nodes besides this one. Where no copy may be lacking, one that is silent for a moment
+   * counts: it is waited for.
+   */
   private int othersThan(StorageState sent) {
     Set<String> others = new HashSet<>();
     spares().forEach(member -> others.add(member.id()));
     if (sent.keepsCopies()) {
-      held().keySet().stream().filter(id -> table.active(id) && !table.displaced(id)).forEach(others::add);
+      held().keySet().stream()
+          .filter(id -> table.active(id) && !table.displaced(id))
+          .forEach(others::add);
     }
     others.remove(sent.id());
     return others.size();
@@ -254,38 +330,53 @@
   /** Which node a name means; only a core node with fresh news can say that there is none. */
   void tellId(Ask ask, boolean fresh) {
     Optional<String> id = idOf(ask.key());
-    core.respond(ask, id.isPresent() ? Response.of(200, JSON.createObjectNode().put("id", id.get()))
-        : Response.of(fresh ? new Fault.NoSuchStorage(ask.key()) : new Fault.NotReady("no majority of the core heard")));
+    core.respond(
+        ask,
+        id.isPresent()
+            ? Response.of(200, JSON.createObjectNode().put("id", id.get()))
+            : Response.of(
+                fresh
+                    ? new Fault.NoSuchStorage(ask.key())
+                    : new Fault.NotReady("no majority of the core heard")));
   }
 
-  /** By id or name; of several lives under one name the one that is there now, else one that shards still name. */
+  /**
+   * By id or name; of several lives under one name the one that is there now, else one that shards
+   * still name.
+   */
   Optional<String> idOf(String idOrName) {
     Map<String, Long> holding = held();
-    return table.members().stream().filter(member -> member.role().equals("storage")
-            && (member.id().equals(idOrName) || member.name().equals(idOrName)))
-        .max(Comparator.comparing((Member member) -> member.id().equals(idOrName))
-            .thenComparing(member -> member.live() && !table.displaced(member.id()))
-            .thenComparing(member -> !table.displaced(member.id()))
-            .thenComparing(member -> holding.getOrDefault(member.id(), 0L)).thenComparing(Member::id))
+    return table.members().stream()
+        .filter(
+            member ->
+                member.role().equals("storage")
+                    && (member.id().equals(idOrName) || member.name().equals(idOrName)))
+        .max(
+            Comparator.comparing((Member member) -> member.id().equals(idOrName))
+                .thenComparing(member -> member.live() && !table.displaced(member.id()))
+                .thenComparing(member -> !table.displaced(member.id()))
+                .thenComparing(member -> holding.getOrDefault(member.id(), 0L))
+                .thenComparing(Member::id))
         .map(Member::id);
   }
 
   /**
-   * Whether the node may be taken away, disk and all. Every shard is asked of its owner, as news of a set that names the
-   * node may still be on its way here.
+   * Whether the node may be taken away, disk and all. Every shard is asked of its owner, as news of
+   * a set that names the node may still be on its way here.
    */
   void place(Ask ask, Owned state) {
     String id = state.key.key.substring(CoreTable.STORAGE.length());
-    state.key.confirm(fault -> {
-      StorageState known = state.as(StorageState.class);
-      if (fault != null) {
-        core.respond(ask, Response.of(fault));
-      } else if (known == null) {
-        core.respond(ask, place(false));
-      } else {
-        readShard(ask, id, 0);
-      }
-    });
+    state.key.confirm(
+        fault -> {
+          StorageState known = state.as(StorageState.class);
+          if (fault != null) {
+            core.respond(ask, Response.of(fault));
+          } else if (known == null) {
+            core.respond(ask, place(false));
+          } else {
+            readShard(ask, id, 0);
+          }
+        });
   }
 
   private static Response place(boolean complete) {
@@ -297,31 +388,58 @@
       core.respond(ask, place(true));
       return;
     }
-    core.command("read", CoreTable.SHARD + number, JSON.createObjectNode(), response -> {
-      Shard shard = response.good() && !response.body().isNull() ? JSON.convertValue(response.body(), Shard.class) : null;
-      if (!response.good()) {
-        core.respond(ask, response);
-      } else if (shard == null || names(shard, id) || !whole(shard, live())) {
-        core.respond(ask, place(false));
-      } else {
-        readShard(ask, id, number + 1);
-      }
-    });
+    core.command(
+        "read",
+        CoreTable.SHARD + number,
+        JSON.createObjectNode(),
+        response -> {
+          Shard shard =
+              response.good() && !response.body().isNull()
+                  ? JSON.convertValue(response.body(), Shard.class)
+                  : null;
+          if (!response.good()) {
+            core.respond(ask, response);
+          } else if (shard == null || names(shard, id) || !whole(shard, live())) {
+            core.respond(ask, place(false));
+          } else {
+            readShard(ask, id, number + 1);
+          }
+        });
   }
 
-  /** What emptying a node would move where, by the same choice as the real one; nothing is changed. */
+  /**
+   * What emptying a node would move where, by the same choice as the real one; nothing is changed.
+   */
   ObjectNode planEmptying(String id) {
     Map<String, Long> holding = held();
     List<Member> spares = spares().stream().filter(member -> !member.id().equals(id)).toList();
-    ObjectNode plan = JSON.createObjectNode().put("node", id).put("refused", spares.size() < Constants.SHARD_REPLICAS_LEAST);
+    ObjectNode plan =
+        JSON.createObjectNode()
+            .put("node", id)
+            .put("refused", spares.size() < Constants.SHARD_REPLICAS_LEAST);
     ArrayNode moves = plan.putArray("moves");
-    table.shards().forEach((key, shard) ->
-        shard.replicas().stream().filter(each -> each.id().equals(id)).findFirst().ifPresent(leaver -> {
-          List<Member> candidates = ShardPlacement.candidates(key, shard, List.of(leaver), spares, holding);
-          String to = candidates.isEmpty() ? "" : candidates.get(0).name();
-          candidates.stream().limit(1).forEach(chosen -> holding.merge(chosen.id(), 1L, Long::sum));
-          moves.addObject().put("shard", key).put("to", to).put("reducedRedundancy", candidates.isEmpty());
-        }));
+    table
+        .shards()
+        .forEach(
+            (key, shard) ->
+                shard.replicas().stream()
+                    .filter(each -> each.id().equals(id))
+                    .findFirst()
+                    .ifPresent(
+                        leaver -> {
+                          List<Member> candidates =
+                              ShardPlacement.candidates(
+                                  key, shard, List.of(leaver), spares, holding);
+                          String to = candidates.isEmpty() ? "" : candidates.get(0).name();
+                          candidates.stream()
+                              .limit(1)
+                              .forEach(chosen -> holding.merge(chosen.id(), 1L, Long::sum));
+                          moves
+                              .addObject()
+                              .put("shard", key)
+                              .put("to", to)
+                              .put("reducedRedundancy", candidates.isEmpty());
+                        }));
     return plan;
   }
 
@@ -331,18 +449,32 @@
   }
 
   long reduced() {
-    return table.shards().values().stream().filter(shard -> shard.replicas().size() < replicas).count();
+    return table.shards().values().stream()
+        .filter(shard -> shard.replicas().size() < replicas)
+        .count();
   }
 
   ArrayNode nodes() {
     ArrayNode rows = JSON.createArrayNode();
-    table.members().stream().filter(member -> member.role().equals("storage")).forEach(member -> {
-      long shards = table.shards().values().stream().filter(shard -> names(shard, member.id())).count();
-      String state = table.storageState(member.id()).state();
-      rows.addObject().put("id", member.id()).put("name", member.name()).put("zone", member.zone())
-          .put("live", member.live()).put("shards", shards)
-          .put("state", state.equals(StorageState.EMPTYING) && shards == 0 ? "emptied" : state);
-    });
+    table.members().stream()
+        .filter(member -> member.role().equals("storage"))
+        .forEach(
+            member -> {
+              long shards =
+                  table.shards().values().stream()
+                      .filter(shard -> names(shard, member.id()))
+                      .count();
+              String state = table.storageState(member.id()).state();
+              rows.addObject()
+                  .put("id", member.id())
+                  .put("name", member.name())
+                  .put("zone", member.zone())
+                  .put("live", member.live())
+                  .put("shards", shards)
+                  .put(
+                      "state",
+                      state.equals(StorageState.EMPTYING) && shards == 0 ? "emptied" : state);
+            });
     return rows;
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/StreamText.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StreamText.java
@@ -1,17 +1,19 @@
 package applespindle.corelogic;
 
-import applespindle.corelogic.OpaqueRequest.Piece;
-
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.corelogic.OpaqueRequest.Piece;
+
 /**
- * The text of one item's event stream, put together over one or more runs. Holds the data of every whole event once, in
- * order; after event n only a run that was asked to go on behind n may add to it.
+ * The text of one item's event stream, put together over one or more runs. Holds the data of every
+ * whole event once, in order; after event n only a run that was asked to go on behind n may add to
+ * it.
  */
 final class StreamText {
   private final StringBuilder text = new StringBuilder();
   private boolean hasData;
   private String lastEventId = "";
+
   /** False once an event without an id was taken: no run can be asked to go on behind it. */
   private boolean resumable = true;
 
--- a/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
@@ -4,9 +4,15 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-/** The ports of one process: all that the logic sees of the world. Every call and callback is on the logic thread. */
+/**
+ * The ports of one process: all that the logic sees of the world. Every call and callback is on the
+ * logic thread.
+ */
 public interface Surroundings {
-  /** Monotonic milliseconds; they do not jump with the wall clock and go on while the process is frozen. */
+  /**
+   * Monotonic milliseconds; they do not jump with the wall clock and go on while the process is
+   * frozen.
+   */
   long now();
 
   Schedule after(long millis, Runnable task);
@@ -14,24 +20,39 @@
   /** Sends to a peer address; may be lost, repeated or late. The own address is delivered too. */
   void send(String peerAddress, Envelope envelope);
 
-  /** Appends records; runs the callback once these and all earlier ones are synced, never if the sync fails. */
+  /**
+   * Appends records; runs the callback once these and all earlier ones are synced, never if the
+   * sync fails.
+   */
   void write(List<DiskRecord> records, Runnable whenSynced);
 
-  /** False while the disk is so far behind that a replica must stay silent rather than promise more. */
+  /**
+   * False while the disk is so far behind that a replica must stay silent rather than promise more.
+   */
   boolean takesWrites();
 
-  /** Starts a run at a worker. The listener hears zero or more texts and then exactly one end or fault. */
+  /**
+   * Starts a run at a worker. The listener hears zero or more texts and then exactly one end or
+   * fault.
+   */
   WorkerRun run(WorkerCall call, WorkerListener listener);
 
   void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty);
 
-  /** Hands an opaque request to a worker, in the worker's own format. The listener hears one end or one fault. */
+  /**
+   * Hands an opaque request to a worker, in the worker's own format. The listener hears one end or
+   * one fault.
+   */
   default WorkerRun exchange(WorkerExchange exchange, ExchangeListener listener) {
     throw new UnsupportedOperationException("no workers of opaque requests here");
   }
 
-  /** Reads a page of the list of workers that is kept outside; an empty token asks for the first page. */
-  default void listWorkers(String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
+  /**
+   * Reads a page of the list of workers that is kept outside; an empty token asks for the first
+   * page.
+   */
+  default void listWorkers(
+      String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
     throw new UnsupportedOperationException("no outside list of workers here");
   }
 
@@ -53,14 +74,23 @@
   record WorkerLoad(int running, int queued, int capacity, boolean leaving) {}
 
   /**
-   * One try of an opaque request at one worker. workerId is the life that is meant: another one at the same address must
-   * turn it away. expiryMs: how long the worker may still work on it. resumeAfter: go on behind this event; or empty.
+   * One try of an opaque request at one worker. workerId is the life that is meant: another one at
+   * the same address must turn it away. expiryMs: how long the worker may still work on it.
+   * resumeAfter: go on behind this event; or empty.
    */
-  record WorkerExchange(String address, String workerId, OpaqueRequest request, int rank, long expiryMs,
+  record WorkerExchange(
+      String address,
+      String workerId,
+      OpaqueRequest request,
+      int rank,
+      long expiryMs,
       String resumeAfter) {}
 
   interface ExchangeListener {
-    /** Final status and headers of the worker's own response, whatever the status, unless it says that it has not run. */
+    /**
+     * Final status and headers of the worker's own response, whatever the status, unless it says
+     * that it has not run.
+     */
     void head(OpaqueRequest.Head head);
 
     void piece(OpaqueRequest.Piece piece);
@@ -71,12 +101,25 @@
     /** What the worker says of its load, with any response. */
     void load(WorkerLoad load);
 
-    /** mayHaveRun is false only if the worker said so (WorkerRefused) or nothing of the request was ever sent. */
+    /**
+     * mayHaveRun is false only if the worker said so (WorkerRefused) or nothing of the request was
+     * ever sent.
+     */
     void fault(Fault fault, boolean mayHaveRun);
   }
 
-  /** A worker as listed outside; slots: how many requests it works on at once; warmUpMs: how much longer it is slow. */
-  record ListedWorker(String id, String address, String pool, String zone, int slots, boolean leaving, long warmUpMs) {}
+  /**
+   * A worker as listed outside; slots: how many requests it works on at once; warmUpMs: how much
+   * longer it is slow.
+   */
+  record ListedWorker(
+      String id,
+      String address,
+      String pool,
+      String zone,
+      int slots,
+      boolean leaving,
+      long warmUpMs) {}
 
   /** nextToken is empty on the last page. */
   record WorkerPage(List<ListedWorker> workers, String nextToken) {}
--- a/core-logic/src/main/java/applespindle/corelogic/WhenExpression.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WhenExpression.java
@@ -13,20 +13,33 @@
 import java.util.List;
 import java.util.Map;
 
-/** A rule's condition in CEL, checked for its types when the bundle is checked. Only the has() macro: no loops. */
+/**
+ * A rule's condition in CEL, checked for its types when the bundle is checked. Only the has()
+ * macro: no loops.
+ */
 final class WhenExpression {
   static final int LENGTH_MOST = 500;
   private static final int DEPTH_MOST = 32;
 
-  private static final CelOptions OPTIONS = CelOptions.current().maxExpressionCodePointSize(LENGTH_MOST)
-      .maxParseRecursionDepth(DEPTH_MOST).comprehensionMaxIterations(0).build();
-  private static final CelCompiler COMPILER = CelCompilerFactory.standardCelCompilerBuilder().setOptions(OPTIONS)
-      .setStandardMacros(CelStandardMacro.HAS)
-      .addVar("model", SimpleType.STRING).addVar("sender", SimpleType.STRING)
-      .addVar("trafficClass", SimpleType.STRING).addVar("promptChars", SimpleType.INT)
-      .addVar("headers", MapType.create(SimpleType.STRING, SimpleType.STRING))
-      .setResultType(SimpleType.BOOL).build();
-  private static final CelRuntime RUNTIME = CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(OPTIONS).build();
+  private static final CelOptions OPTIONS =
+      CelOptions.current()
+          .maxExpressionCodePointSize(LENGTH_MOST)
+          .maxParseRecursionDepth(DEPTH_MOST)
+          .comprehensionMaxIterations(0)
+          .build();
+  private static final CelCompiler COMPILER =
+      CelCompilerFactory.standardCelCompilerBuilder()
+          .setOptions(OPTIONS)
+          .setStandardMacros(CelStandardMacro.HAS)
+          .addVar("model", SimpleType.STRING)
+          .addVar("sender", SimpleType.STRING)
+          .addVar("trafficClass", SimpleType.STRING)
+          .addVar("promptChars", SimpleType.INT)
+          .addVar("headers", MapType.create(SimpleType.STRING, SimpleType.STRING))
+          .setResultType(SimpleType.BOOL)
+          .build();
+  private static final CelRuntime RUNTIME =
+      CelRuntimeFactory.standardCelRuntimeBuilder().setOptions(OPTIONS).build();
 
   private final CelRuntime.Program program;
 
@@ -40,8 +53,16 @@
       RUNTIME.createProgram(COMPILER.compile(text).getAst());
       return List.of();
     } catch (CelValidationException fault) {
-      return fault.getErrors().stream().map(each -> "line " + each.getSourceLocation().getLine() + ", column "
-          + (each.getSourceLocation().getColumn() + 1) + ": " + each.getMessage()).toList();
+      return fault.getErrors().stream()
+          .map(
+              each ->
+                  "line "
+                      + each.getSourceLocation().getLine()
+                      + ", column "
+                      + (each.getSourceLocation().getColumn() + 1)
+                      + ": "
+                      + each.getMessage())
+          .toList();
     } catch (CelEvaluationException fault) {
       return List.of("can not be evaluated");
     }
@@ -55,12 +76,25 @@
     }
   }
 
-  /** An expression that fails on a request, such as by a header that is not there, does not hold for it. */
+  /**
+   * An expression that fails on a request, such as by a header that is not there, does not hold for
+   * it.
+   */
   boolean holds(CompiledRules.Subject subject) {
     try {
-      return Boolean.TRUE.equals(program.eval(Map.of("model", subject.model() == null ? "" : subject.model(),
-          "sender", subject.sender(), "trafficClass", subject.trafficClass(),
-          "promptChars", (long) subject.promptChars(), "headers", subject.headers())));
+      return Boolean.TRUE.equals(
+          program.eval(
+              Map.of(
+                  "model",
+                  subject.model() == null ? "" : subject.model(),
+                  "sender",
+                  subject.sender(),
+                  "trafficClass",
+                  subject.trafficClass(),
+                  "promptChars",
+                  (long) subject.promptChars(),
+                  "headers",
+                  subject.headers())));
     } catch (CelEvaluationException fault) {
       return false;
     }
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -10,47 +10,80 @@
 import java.util.function.Consumer;
 
 /**
- * This edge's view of each listed worker: its mark, its load, and what this edge has running there. Workers whose slots
- * are listed are never asked for their load: what others run there is known from what their responses tell, and the
- * longer ago that was, the less it counts.
+ * This edge's view of each listed worker: its mark, its load, and what this edge has running there.
+ * Workers whose slots are listed are never asked for their load: what others run there is known
+ * from what their responses tell, and the longer ago that was, the less it counts.
  */
 final class WorkerBook {
   static final class Known {
     Worker worker;
     WorkerLoad load = new WorkerLoad(0, 0, 0, false);
     long loadAt = Long.MIN_VALUE / 2;
+
     /** This edge's runs there now. */
     int live;
+
     int batch;
-    /** This edge's runs begun less those ended since the last report: what the report can not know yet. */
+
+    /**
+     * This edge's runs begun less those ended since the last report: what the report can not know
+     * yet.
+     */
     int sinceReport;
-    /** Highest live running of late; falls slowly, so that batch work does not refill what live will want again. */
+
+    /**
+     * Highest live running of late; falls slowly, so that batch work does not refill what live will
+     * want again.
+     */
     double livePeak;
+
     long livePeakAt;
     int faultsInRow;
     int refusalsInRow;
     long restsUntil = Long.MIN_VALUE / 2;
     boolean polling;
+
     /** Others' runs there when a response last told. */
     double others;
+
     long othersAt = Long.MIN_VALUE / 2;
-    /** When bytes last came from there in any run; suspect: a run there stayed silent too long, and none came since. */
+
+    /**
+     * When bytes last came from there in any run; suspect: a run there stayed silent too long, and
+     * none came since.
+     */
     long heardAt = Long.MIN_VALUE / 2;
+
     boolean suspect;
+
     /** Part of its recent runs that failed, 0 to 1, as of faultShareAt. */
     double faultShare;
+
     long faultShareAt;
+
     /** From here on it gets more requests by and by. */
     long rampFrom = Long.MIN_VALUE / 2;
+
     double serviceMs = Constants.SERVICE_GUESS_MS;
+
     /** Prompt and output tokens of this edge's runs there. */
     long tokens;
-    /** Prompt tokens of this edge's runs there from which nothing has come yet: they delay every stream there. */
+
+    /**
+     * Prompt tokens of this edge's runs there from which nothing has come yet: they delay every
+     * stream there.
+     */
     double reading;
+
     /** By fellow edge: what it last told of its own runs there. */
     final Map<String, FellowLoad> fellows = new HashMap<>();
-    /** Prompt tokens read here of late and the time that took, first bytes' way included: a pace that is rather too low. */
+
+    /**
+     * Prompt tokens read here of late and the time that took, first bytes' way included: a pace
+     * that is rather too low.
+     */
     private double paceTokens = Constants.PACE_TOKENS_LEAST;
+
     private double paceMs = Constants.PACE_TOKENS_LEAST / Constants.PACE_GUESS_TOKENS_PER_MS;
     final KeptPrompts kept = new KeptPrompts();
     long idHash;
@@ -80,7 +113,10 @@
       return paceTokens / paceMs;
     }
 
-    /** Tokens that were sent there and are still to be read, as far as is known: what fellows told is read meanwhile. */
+    /**
+     * Tokens that were sent there and are still to be read, as far as is known: what fellows told
+     * is read meanwhile.
+     */
     double unreadNow(long now) {
       double unread = reading;
       for (FellowLoad each : fellows.values()) {
@@ -89,7 +125,10 @@
       return unread;
     }
 
-    /** The pause that further prompt tokens make there in streams, with what is still to be read before them. */
+    /**
+     * The pause that further prompt tokens make there in streams, with what is still to be read
+     * before them.
+     */
     double pauseMs(long now, double further) {
       return (unreadNow(now) + further) / readTokensPerMs();
     }
@@ -112,7 +151,8 @@
     }
 
     int running() {
-      return passive() ? live + batch + (int) Math.round(others)
+      return passive()
+          ? live + batch + (int) Math.round(others)
           : Math.max(live + batch, load.running() + load.queued() + sinceReport);
     }
 
@@ -130,8 +170,9 @@
 
   private final Surroundings surroundings;
   private final Runnable whenChanged;
-  private Consumer<Known> whenBegan = unheard -> { };
+  private Consumer<Known> whenBegan = unheard -> {};
   private final Map<String, Known> known = new TreeMap<>();
+
   /** Workers listed soon after this are only new to this edge; -1 before the first list. */
   private long followedSince = -1;
 
@@ -144,19 +185,20 @@
     followedSince = followedSince < 0 ? surroundings.now() : followedSince;
     boolean first = surroundings.now() - followedSince < Constants.RAMP_MS;
     known.keySet().retainAll(workers.keySet());
-    workers.forEach((id, worker) -> {
-      Known present = known.get(id);
-      if (present == null || !present.worker.address().equals(worker.address())) {
-        present = new Known();
-        present.idHash = Rendezvous.hash(id);
-        present.rampFrom = first ? present.rampFrom : surroundings.now();
-        known.put(id, present);
-      }
-      present.worker = worker;
-      if (!present.passive()) {
-        poll(present);
-      }
-    });
+    workers.forEach(
+        (id, worker) -> {
+          Known present = known.get(id);
+          if (present == null || !present.worker.address().equals(worker.address())) {
+            present = new Known();
+            present.idHash = Rendezvous.hash(id);
+            present.rampFrom = first ? present.rampFrom : surroundings.now();
+            known.put(id, present);
+          }
+          present.worker = worker;
+          if (!present.passive()) {
+            poll(present);
+          }
+        });
   }
 
   Collection<Known> all() {
@@ -183,20 +225,26 @@
       worker.polling = false;
       return;
     }
-    long jitter = surroundings.random().nextLong(Constants.LOAD_POLL_MS / 5) - Constants.LOAD_POLL_MS / 10;
-    surroundings.readLoad(worker.worker.address(), load -> {
-      worker.load = load;
-      worker.loadAt = surroundings.now();
-      worker.sinceReport = 0;
-      notePeak(worker);
-      surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker));
-      whenChanged.run();
-    }, fault -> surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker)));
+    long jitter =
+        surroundings.random().nextLong(Constants.LOAD_POLL_MS / 5) - Constants.LOAD_POLL_MS / 10;
+    surroundings.readLoad(
+        worker.worker.address(),
+        load -> {
+          worker.load = load;
+          worker.loadAt = surroundings.now();
+          worker.sinceReport = 0;
+          notePeak(worker);
+          surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker));
+          whenChanged.run();
+        },
+        fault -> surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker)));
   }
 
   private void notePeak(Known worker) {
     long now = surroundings.now();
-    double fallen = worker.livePeak * Math.pow(0.5, (now - worker.livePeakAt) / (double) Constants.LIVE_PEAK_HALVES_MS);
+    double fallen =
+        worker.livePeak
+            * Math.pow(0.5, (now - worker.livePeakAt) / (double) Constants.LIVE_PEAK_HALVES_MS);
     worker.livePeak = Math.max(worker.liveRunning(), fallen);
     worker.livePeakAt = now;
   }
@@ -211,7 +259,10 @@
     return worker.passive() || surroundings.now() - worker.loadAt < Constants.LOAD_STALE_MS;
   }
 
-  /** Neither its load nor a run there has been heard of for so long that what runs there is taken for lost. */
+  /**
+   * Neither its load nor a run there has been heard of for so long that what runs there is taken
+   * for lost.
+   */
   boolean lost(Known worker, long lastTextAt) {
     long now = surroundings.now();
     long heardAt = Math.max(worker.loadAt, worker.heardAt);
@@ -220,10 +271,16 @@
 
   /** Usable now, or as soon as a rest ends that ends before the expiry. */
   boolean comesBackBy(Known worker, long expiresAt) {
-    return listed(worker) && !worker.leaving() && heardOfLately(worker) && worker.restsUntil < expiresAt;
+    return listed(worker)
+        && !worker.leaving()
+        && heardOfLately(worker)
+        && worker.restsUntil < expiresAt;
   }
 
-  /** How long until the worker may be usable as far as is known: its rest, or the time its silence needs to show. */
+  /**
+   * How long until the worker may be usable as far as is known: its rest, or the time its silence
+   * needs to show.
+   */
   long restMs(Known worker) {
     long now = surroundings.now();
     boolean silent = !heardOfLately(worker) || worker.leaving();
@@ -253,25 +310,36 @@
     }
   }
 
-  /** Runs that fall while it rests already were begun before and fell with the first: they make the rest no longer. */
+  /**
+   * Runs that fall while it rests already were begun before and fell with the first: they make the
+   * rest no longer.
+   */
   void faulted(Known worker) {
     noteOutcome(worker, true);
     if (surroundings.now() >= worker.restsUntil) {
-      long rest = Math.min(Constants.WORKER_REST_MOST_MS, Constants.WORKER_REST_MS << Math.min(worker.faultsInRow, 10));
+      long rest =
+          Math.min(
+              Constants.WORKER_REST_MOST_MS,
+              Constants.WORKER_REST_MS << Math.min(worker.faultsInRow, 10));
       worker.faultsInRow++;
       worker.restsUntil = surroundings.now() + rest;
       worker.rampFrom = worker.restsUntil;
     }
   }
 
-  /** It answered, but with a failure of its own: no reason to rest, as another request may do better. */
+  /**
+   * It answered, but with a failure of its own: no reason to rest, as another request may do
+   * better.
+   */
   void failed(Known worker) {
     noteOutcome(worker, true);
   }
 
   private void noteOutcome(Known worker, boolean faulty) {
     long now = surroundings.now();
-    worker.faultShare = faultShare(worker) * (1 - Constants.OUTCOME_WEIGHT) + (faulty ? Constants.OUTCOME_WEIGHT : 0);
+    worker.faultShare =
+        faultShare(worker) * (1 - Constants.OUTCOME_WEIGHT)
+            + (faulty ? Constants.OUTCOME_WEIGHT : 0);
     worker.faultShareAt = now;
   }
 
@@ -324,24 +392,29 @@
   }
 
   /**
-   * It said that it is full: left alone until its next report can tell more, longer if it keeps saying so. Refusals of
-   * what was sent before the rest began are one saying.
+   * It said that it is full: left alone until its next report can tell more, longer if it keeps
+   * saying so. Refusals of what was sent before the rest began are one saying.
    */
   void refused(Known worker) {
     long now = surroundings.now();
     if (worker.passive()) {
-      worker.others = Math.max(worker.othersNow(now), worker.capacity() + 1 - worker.live - worker.batch);
+      worker.others =
+          Math.max(worker.othersNow(now), worker.capacity() + 1 - worker.live - worker.batch);
       worker.othersAt = now;
     } else if (now >= worker.restsUntil) {
-      worker.restsUntil = now
-          + Math.min(Constants.WORKER_REST_MOST_MS, Constants.LOAD_POLL_MS << Math.min(worker.refusalsInRow, 10));
+      worker.restsUntil =
+          now
+              + Math.min(
+                  Constants.WORKER_REST_MOST_MS,
+                  Constants.LOAD_POLL_MS << Math.min(worker.refusalsInRow, 10));
       worker.refusalsInRow++;
     }
   }
 
   /** A refusal for want of room, which says nothing against the request. */
   static boolean saysFull(Fault fault) {
-    return fault instanceof Fault.WorkerRefused refused && (refused.status() == 429 || refused.status() == 503);
+    return fault instanceof Fault.WorkerRefused refused
+        && (refused.status() == 429 || refused.status() == 503);
   }
 
   void served(Known worker) {
@@ -357,9 +430,15 @@
 
   void describe(ArrayNode rows) {
     for (Known each : known.values()) {
-      rows.addObject().put("id", each.worker.id()).put("state", each.worker.state()).put("usable", usable(each))
-          .put("running", each.running()).put("capacity", each.capacity()).put("leaving", each.leaving())
-          .put("ownLive", each.live).put("ownBatch", each.batch);
+      rows.addObject()
+          .put("id", each.worker.id())
+          .put("state", each.worker.state())
+          .put("usable", usable(each))
+          .put("running", each.running())
+          .put("capacity", each.capacity())
+          .put("leaving", each.leaving())
+          .put("ownLive", each.live)
+          .put("ownBatch", each.batch);
     }
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.ListedWorkers;
 import applespindle.corelogic.Records.Worker;
@@ -13,11 +15,10 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 
-import static applespindle.corelogic.Json.JSON;
-
 /**
- * The duty of whoever owns the key of the outside list of workers: reads it, and writes one value for all that changed in
- * one read. A read that is not whole changes nothing; an owner that lost the key writes nothing, as its epoch is refused.
+ * The duty of whoever owns the key of the outside list of workers: reads it, and writes one value
+ * for all that changed in one read. A read that is not whole changes nothing; an owner that lost
+ * the key writes nothing, as its epoch is refused.
  */
 final class WorkerListDuty {
   private static final String PART = "workers";
@@ -27,15 +28,27 @@
   private final Predicate<Owned> stillOwned;
   private final BundleDuty.PutValue put;
   private final Runnable handOver;
-  /** Rises with each read that begins or is given up: what answers under an older number is not heard. */
+
+  /**
+   * Rises with each read that begins or is given up: what answers under an older number is not
+   * heard.
+   */
   private long reading;
+
   private long goodAt;
   private int emptyReads;
   private int quickReads;
-  /** Workers that the last whole read of several pages lacked: pages may shift between two calls. */
+
+  /**
+   * Workers that the last whole read of several pages lacked: pages may shift between two calls.
+   */
   private Set<String> lacking = Set.of();
 
-  WorkerListDuty(Surroundings surroundings, Bounds bounds, Predicate<Owned> stillOwned, BundleDuty.PutValue put,
+  WorkerListDuty(
+      Surroundings surroundings,
+      Bounds bounds,
+      Predicate<Owned> stillOwned,
+      BundleDuty.PutValue put,
       Runnable handOver) {
     this.surroundings = surroundings;
     this.bounds = bounds;
@@ -61,15 +74,20 @@
     surroundings.after(Constants.LIST_READ_MS, () -> failed(state, number));
   }
 
-  private void readPage(Owned state, long number, String token, List<ListedWorker> before, int pages) {
-    surroundings.listWorkers(token, page -> {
-      if (number == reading && stillOwned.test(state)) {
-        took(state, number, page, before, pages);
-      }
-    }, fault -> failed(state, number));
+  private void readPage(
+      Owned state, long number, String token, List<ListedWorker> before, int pages) {
+    surroundings.listWorkers(
+        token,
+        page -> {
+          if (number == reading && stillOwned.test(state)) {
+            took(state, number, page, before, pages);
+          }
+        },
+        fault -> failed(state, number));
   }
 
-  private void took(Owned state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
+  private void took(
+      Owned state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
     before.addAll(page.workers());
     String next = page.nextToken();
     if (next == null || next.isEmpty()) {
@@ -109,21 +127,25 @@
 
   private void whole(Owned state, List<ListedWorker> listed, int pages) {
     goodAt = surroundings.now();
-    List<Worker> known = state.value.isNull() ? List.of() : JSON.convertValue(state.value, ListedWorkers.class).workers();
+    List<Worker> known =
+        state.value.isNull()
+            ? List.of()
+            : JSON.convertValue(state.value, ListedWorkers.class).workers();
     emptyReads = listed.isEmpty() ? emptyReads + 1 : 0;
     boolean doubted = emptyReads == 1 && !known.isEmpty();
     if (!doubted) {
       List<Worker> next = next(known, listed, pages);
       if (!next.equals(known)) {
         quickReads = Constants.LIST_QUICK_READS;
-        put.put(state, new ListedWorkers(next), fault -> { });
+        put.put(state, new ListedWorkers(next), fault -> {});
         surroundings.log(PART, "Outside list of " + next.size() + " workers taken.");
       } else if (quickReads > 0) {
         quickReads--;
       }
     }
     boolean quick = doubted || quickReads > 0 || !lacking.isEmpty();
-    surroundings.after(pause(quick ? Constants.LIST_QUICK_MS : Constants.LIST_CALM_MS), () -> read(state));
+    surroundings.after(
+        pause(quick ? Constants.LIST_QUICK_MS : Constants.LIST_CALM_MS), () -> read(state));
   }
 
   /** A leaving worker stays so while it is listed: what comes back is a new one under a new id. */
@@ -134,13 +156,22 @@
     for (ListedWorker each : listed) {
       Worker present = before.get(each.id());
       boolean leaving = each.leaving() || present != null && present.state().equals(Worker.LEAVING);
-      next.put(each.id(), new Worker(each.id(), each.address(), each.pool(), leaving ? Worker.LEAVING : Worker.READY,
-          each.zone(), each.slots()));
+      next.put(
+          each.id(),
+          new Worker(
+              each.id(),
+              each.address(),
+              each.pool(),
+              leaving ? Worker.LEAVING : Worker.READY,
+              each.zone(),
+              each.slots()));
     }
     Set<String> nowLacking = new TreeSet<>(before.keySet());
     nowLacking.removeAll(next.keySet());
     if (pages > 1) {
-      nowLacking.stream().filter(id -> !lacking.contains(id)).forEach(id -> next.put(id, before.get(id)));
+      nowLacking.stream()
+          .filter(id -> !lacking.contains(id))
+          .forEach(id -> next.put(id, before.get(id)));
     }
     lacking = pages > 1 ? nowLacking : Set.of();
     return List.copyOf(next.values());
--- a/core-logic/src/test/java/applespindle/corelogic/BatchFeederTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/BatchFeederTest.java
@@ -1,5 +1,8 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Bundle.Route;
 import applespindle.corelogic.Bundle.RouteType;
 import applespindle.corelogic.Bundle.Share;
@@ -25,12 +28,10 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** Opaque items at one feeder: the test plays the leader and the workers. */
 final class BatchFeederTest {
-  private static final Head STREAM = new Head(200, List.of(new Header("Content-Type", "text/event-stream")));
+  private static final Head STREAM =
+      new Head(200, List.of(new Header("Content-Type", "text/event-stream")));
   private static final String HOST = "letters.example";
 
   private static final class World extends PlayedWorld implements BatchFeeder.Edge {
@@ -50,27 +51,55 @@
     }
 
     private void tick() {
-      after(Constants.LOAD_POLL_MS, () -> {
-        feeder.tick();
-        tick();
-      });
+      after(
+          Constants.LOAD_POLL_MS,
+          () -> {
+            feeder.tick();
+            tick();
+          });
     }
 
     static Route route(String pool, int attempts) {
-      return new Route("letters", HOST, "/l/", RouteType.BATCH, 1_000, 500, 150, attempts, 3, true, true,
-          List.of(new Share("none", 0), new Share(pool, 1)), 10_000, 60_000, 0);
+      return new Route(
+          "letters",
+          HOST,
+          "/l/",
+          RouteType.BATCH,
+          1_000,
+          500,
+          150,
+          attempts,
+          3,
+          true,
+          true,
+          List.of(new Share("none", 0), new Share(pool, 1)),
+          10_000,
+          60_000,
+          0);
     }
 
     World routes(Route... routes) {
       var pool = new Bundle.Pool(64, 4, 1.5);
-      var limits = new Bundle.Limits(Map.of("c", new Bundle.ClassLimit(0, 0)),
-          new Bundle.BatchLimits("q", 0, 0, 0, false, 1_000, null));
-      bundle = new Bundle(1, Map.of("p", pool, "q", pool, "none", pool), List.of(), limits, Arrays.asList(routes), null, null);
+      var limits =
+          new Bundle.Limits(
+              Map.of("c", new Bundle.ClassLimit(0, 0)),
+              new Bundle.BatchLimits("q", 0, 0, 0, false, 1_000, null));
+      bundle =
+          new Bundle(
+              1,
+              Map.of("p", pool, "q", pool, "none", pool),
+              List.of(),
+              limits,
+              Arrays.asList(routes),
+              null,
+              null);
       return this;
     }
 
     World worker(String id, String pool, int slots) {
-      workers.put(id, new Worker(id, "10.0.0.1:" + (1000 + workers.size()), pool, Worker.READY, "z", slots));
+      workers.put(
+          id,
+          new Worker(id, "10.0.0.1:" + (1000 + workers.size()), pool, Worker.READY, "z", slots));
       book.follow(workers);
       return this;
     }
@@ -87,59 +116,94 @@
     }
 
     void handOut(String worker, int range, int... items) {
-      List<HandoutItem> handed = Arrays.stream(items).mapToObj(index -> item(index, "", "")).toList();
+      List<HandoutItem> handed =
+          Arrays.stream(items).mapToObj(index -> item(index, "", "")).toList();
       handOut(worker, range, handed);
     }
 
     void handOut(String worker, int range, List<HandoutItem> items) {
-      feeder.handedOut(new RangeHandout("o-1", worker, range, 1, false, 10_000, now(), items), "leader", "10.0.0.9:1");
+      feeder.handedOut(
+          new RangeHandout("o-1", worker, range, 1, false, 10_000, now(), items),
+          "leader",
+          "10.0.0.9:1");
     }
 
     static HandoutItem item(int index, String resumeAfter, String text) {
-      var item = new OpaqueBatch.Item("i" + index, "/l/item" + index + "?x=1", List.of(new Header("A", "b")),
-          ("body" + index).getBytes(UTF_8), 70);
-      return new HandoutItem(index, Json.bytes(new OpaqueHandout(HOST, "/l/b", 60_000, item, resumeAfter, text)));
+      var item =
+          new OpaqueBatch.Item(
+              "i" + index,
+              "/l/item" + index + "?x=1",
+              List.of(new Header("A", "b")),
+              ("body" + index).getBytes(UTF_8),
+              70);
+      return new HandoutItem(
+          index, Json.bytes(new OpaqueHandout(HOST, "/l/b", 60_000, item, resumeAfter, text)));
     }
 
     /** The newest outcomes that were reported for an item, in order. */
     List<ReportedItem> outcomes(int index) {
       List<ReportedItem> found = new ArrayList<>();
-      toLeader.stream().filter(RangeReport.class::isInstance).map(RangeReport.class::cast)
-          .flatMap(report -> report.results().stream()).filter(item -> item.index() == index)
-          .filter(item -> found.stream().noneMatch(each -> each.run().equals(item.run())
-              && each.faultType().equals(item.faultType()))).forEach(found::add);
+      toLeader.stream()
+          .filter(RangeReport.class::isInstance)
+          .map(RangeReport.class::cast)
+          .flatMap(report -> report.results().stream())
+          .filter(item -> item.index() == index)
+          .filter(
+              item ->
+                  found.stream()
+                      .noneMatch(
+                          each ->
+                              each.run().equals(item.run())
+                                  && each.faultType().equals(item.faultType())))
+          .forEach(found::add);
       return found;
     }
 
     boolean gaveBack() {
-      return toLeader.stream().anyMatch(message -> message instanceof RangeReport report && report.giveBack());
+      return toLeader.stream()
+          .anyMatch(message -> message instanceof RangeReport report && report.giveBack());
     }
 
-    @Override public void send(String toAddress, String toId, Message message) {
+    @Override
+    public void send(String toAddress, String toId, Message message) {
       toLeader.add(message);
       if (message instanceof RangeReport report && answers) {
-        after(1, () -> feeder.answered(new RangeReported(report.batch(), report.range(), report.rangeEpoch(),
-            report.worker(), report.reportNumber(), !report.giveBack())));
+        after(
+            1,
+            () ->
+                feeder.answered(
+                    new RangeReported(
+                        report.batch(),
+                        report.range(),
+                        report.rangeEpoch(),
+                        report.worker(),
+                        report.reportNumber(),
+                        !report.giveBack())));
       }
     }
 
-    @Override public boolean feeds(String worker) {
+    @Override
+    public boolean feeds(String worker) {
       return true;
     }
 
-    @Override public Fault mayBegin() {
+    @Override
+    public Fault mayBegin() {
       return mayBegin;
     }
 
-    @Override public Bundle bundle() {
+    @Override
+    public Bundle bundle() {
       return bundle;
     }
 
-    @Override public RouteTable routes() {
+    @Override
+    public RouteTable routes() {
       return bundle == null ? RouteTable.EMPTY : RouteTable.compile(bundle);
     }
 
-    @Override public boolean stopping() {
+    @Override
+    public boolean stopping() {
       return false;
     }
   }
@@ -151,13 +215,21 @@
     return world.sent.get(0);
   }
 
-  @Test void pullsOnlyForWorkersOfPoolsTheRouteSendsTo() {
-    world.worker("w", "p", 8).worker("other", "q", 8).worker("unweighted", "none", 8).offer("o-1").run(300);
-    List<String> pulledFor = world.toLeader.stream().map(message -> ((RangePull) message).worker()).distinct().toList();
+  @Test
+  void pullsOnlyForWorkersOfPoolsTheRouteSendsTo() {
+    world
+        .worker("w", "p", 8)
+        .worker("other", "q", 8)
+        .worker("unweighted", "none", 8)
+        .offer("o-1")
+        .run(300);
+    List<String> pulledFor =
+        world.toLeader.stream().map(message -> ((RangePull) message).worker()).distinct().toList();
     assertThat(pulledFor).containsExactly("w");
   }
 
-  @Test void sendsTheItemUnchangedBehindLiveTraffic() {
+  @Test
+  void sendsTheItemUnchangedBehindLiveTraffic() {
     WorkerExchange call = handOne().call;
     assertThat(call.workerId()).isEqualTo("w");
     assertThat(call.rank()).isEqualTo(3);
@@ -170,7 +242,8 @@
     assertThat(call.expiryMs()).isEqualTo(60_000);
   }
 
-  @Test void beginsFewItemsAtOnceAndTheNextWhenOneHasBegun() {
+  @Test
+  void beginsFewItemsAtOnceAndTheNextWhenOneHasBegun() {
     fed("w", 8).handOut("w", 0, 0, 1, 2, 3);
     int first = world.sent.size();
     assertThat(first).isLessThan(4);
@@ -178,14 +251,31 @@
     assertThat(world.sent).hasSize(first + 1);
   }
 
-  @Test void neverAtTheRankOfTheMostUrgentLiveRequests() {
+  @Test
+  void neverAtTheRankOfTheMostUrgentLiveRequests() {
     Route route = World.route("p", 1);
-    world.routes(new Route("letters", HOST, "/l/", RouteType.BATCH, 1_000, 500, 150, 1, 0, true, true, route.split(),
-        10_000, 60_000, 0));
+    world.routes(
+        new Route(
+            "letters",
+            HOST,
+            "/l/",
+            RouteType.BATCH,
+            1_000,
+            500,
+            150,
+            1,
+            0,
+            true,
+            true,
+            route.split(),
+            10_000,
+            60_000,
+            0));
     assertThat(handOne().call.rank()).isEqualTo(1);
   }
 
-  @Test void aWholeStreamIsTheResult() {
+  @Test
+  void aWholeStreamIsTheResult() {
     Sent run = handOne();
     run.worker.head(STREAM);
     run.event(1, "a");
@@ -199,8 +289,12 @@
 
   /** How often a report carried an outcome of the item. */
   private long carried(int index) {
-    return world.toLeader.stream().filter(RangeReport.class::isInstance).map(RangeReport.class::cast)
-        .flatMap(report -> report.results().stream()).filter(item -> item.index() == index).count();
+    return world.toLeader.stream()
+        .filter(RangeReport.class::isInstance)
+        .map(RangeReport.class::cast)
+        .flatMap(report -> report.results().stream())
+        .filter(item -> item.index() == index)
+        .count();
   }
 
   private static void serve(Sent run) {
@@ -209,7 +303,8 @@
     run.worker.end();
   }
 
-  @Test void anUnansweredResultIsReportedAgainOnlyAfterLong() {
+  @Test
+  void anUnansweredResultIsReportedAgainOnlyAfterLong() {
     world.answers = false;
     world.worker("w", "p", 8).handOut("w", 0, 0, 1);
     serve(world.sent.get(0));
@@ -221,7 +316,8 @@
     assertThat(carried(0)).isEqualTo(2);
   }
 
-  @Test void theOffsetCountsNoResultThatAnotherReportCarried() {
+  @Test
+  void theOffsetCountsNoResultThatAnotherReportCarried() {
     world.answers = false;
     world.worker("w", "p", 8).handOut("w", 0, 0, 1);
     serve(world.sent.get(0));
@@ -231,8 +327,11 @@
     assertThat(second.offset()).isEqualTo(0);
   }
 
-  /** The first report is lost; the answer to the second says nothing of what only the first carried. */
-  @Test void onlyAnAnswerToAReportThatCarriedAResultIsAnAnswerForIt() {
+  /**
+   * The first report is lost; the answer to the second says nothing of what only the first carried.
+   */
+  @Test
+  void onlyAnAnswerToAReportThatCarriedAResultIsAnAnswerForIt() {
     world.answers = false;
     world.worker("w", "p", 8).handOut("w", 0, 0, 1);
     serve(world.sent.get(0));
@@ -244,7 +343,8 @@
     assertThat(world.feeder.heldRanges()).isEqualTo(0);
   }
 
-  @Test void aNewLeaderGetsWhatIsUnansweredWithTheNextReport() {
+  @Test
+  void aNewLeaderGetsWhatIsUnansweredWithTheNextReport() {
     world.answers = false;
     Sent run = handOne();
     serve(run);
@@ -253,7 +353,8 @@
     assertThat(carried(0)).isEqualTo(2);
   }
 
-  @Test void whatACutLeavesGoesBackUpToTheLastWholeEvent() {
+  @Test
+  void whatACutLeavesGoesBackUpToTheLastWholeEvent() {
     Sent run = handOne();
     run.worker.head(STREAM);
     run.event(1, "a");
@@ -269,7 +370,8 @@
     assertThat(world.sent).hasSize(1);
   }
 
-  @Test void anAnswerThatSaysNothingKeepsTheTextOfEarlierRuns() {
+  @Test
+  void anAnswerThatSaysNothingKeepsTheTextOfEarlierRuns() {
     world.worker("w", "p", 8).handOut("w", 0, List.of(World.item(0, "2", "a\nb")));
     world.sent.get(0).worker.head(new Head(504, List.of()));
     world.sent.get(0).worker.end();
@@ -283,7 +385,8 @@
     assertThat(new String(world.outcomes(0).get(0).output(), UTF_8)).isEqualTo("a\nb\nc");
   }
 
-  @Test void aPartGoesBackWithItsRangeWhenTheWorkerLeaves() {
+  @Test
+  void aPartGoesBackWithItsRangeWhenTheWorkerLeaves() {
     Sent run = handOne();
     run.worker.head(STREAM);
     run.event(1, "a");
@@ -300,7 +403,8 @@
     assertThat(world.gaveBack()).isTrue();
   }
 
-  @Test void aPartThatWasHandedOutIsGoneOnWith() {
+  @Test
+  void aPartThatWasHandedOutIsGoneOnWith() {
     world.worker("w", "p", 8).handOut("w", 0, List.of(World.item(0, "2", "a\nb")));
     Sent run = world.sent.get(0);
     assertThat(run.call.resumeAfter()).isEqualTo("2");
@@ -310,7 +414,8 @@
     assertThat(new String(world.outcomes(0).get(0).output(), UTF_8)).isEqualTo("a\nb\nc");
   }
 
-  @Test void onlyAWhole500IsAFailedAttempt() {
+  @Test
+  void onlyAWhole500IsAFailedAttempt() {
     Sent run = handOne();
     run.worker.head(new Head(500, List.of()));
     run.worker.fault(new Fault.WorkerCut("w"), true);
@@ -323,14 +428,16 @@
     assertThat(world.outcomes(0).get(0).faultType()).isEqualTo("ItemFailed");
   }
 
-  @Test void a422EndsTheItem() {
+  @Test
+  void a422EndsTheItem() {
     Sent run = handOne();
     run.worker.head(new Head(422, List.of()));
     run.worker.end();
     assertThat(world.outcomes(0).get(0).faultType()).isEqualTo("ItemImpossible");
   }
 
-  @Test void noOtherAnswerCountsAgainstTheItem() {
+  @Test
+  void noOtherAnswerCountsAgainstTheItem() {
     Sent run = handOne();
     run.worker.head(new Head(504, List.of()));
     run.worker.end();
@@ -348,7 +455,8 @@
     assertThat(world.gaveBack()).isTrue();
   }
 
-  @Test void silenceIsGivenUpAndGoneOnFrom() {
+  @Test
+  void silenceIsGivenUpAndGoneOnFrom() {
     Sent run = handOne();
     run.worker.head(STREAM);
     run.event(1, "a");
@@ -358,7 +466,8 @@
     assertThat(world.gaveBack()).isTrue();
   }
 
-  @Test void aRunThatGaveWayWaitsWhileItsWorkerIsHeard() {
+  @Test
+  void aRunThatGaveWayWaitsWhileItsWorkerIsHeard() {
     world.worker("w", "p", 8).handOut("w", 0, 0, 1);
     for (int step = 0; step < 20; step++) {
       world.sent.get(1).worker.head(STREAM);
@@ -367,7 +476,8 @@
     assertThat(world.sent.get(0).cancelled).isFalse();
   }
 
-  @Test void holdsNoMoreThanTheSlotsLessAReserve() {
+  @Test
+  void holdsNoMoreThanTheSlotsLessAReserve() {
     fed("w", 8).handOut("w", 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9);
     for (int index = 0; index < world.sent.size(); index++) {
       world.sent.get(index).worker.head(STREAM);
@@ -381,8 +491,11 @@
     return world;
   }
 
-  @Test void takesTheSlotsOfAWorkerThatIsNewToItByAndBy() {
-    world.worker("w", "p", 24).handOut("w", 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19);
+  @Test
+  void takesTheSlotsOfAWorkerThatIsNewToItByAndBy() {
+    world
+        .worker("w", "p", 24)
+        .handOut("w", 0, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19);
     int begunAtOnce = begun();
     assertThat(begunAtOnce).isEqualTo(4);
     world.run(Constants.FEEDER_RAMP_MS / 2);
@@ -404,10 +517,12 @@
     return world.sent.size();
   }
 
-  @Test void anItemWaitsUntilTheWorkerHasReadWhatFellowsSentThere() {
+  @Test
+  void anItemWaitsUntilTheWorkerHasReadWhatFellowsSentThere() {
     fed("w", 8);
     int pauseTokens = (int) (150 * Constants.ITEM_PAUSE_PART * Constants.PACE_GUESS_TOKENS_PER_MS);
-    world.book.fellowTold("other", new WorkerLoads(List.of(new OwnLoad("w", 1, pauseTokens + 2_000))));
+    world.book.fellowTold(
+        "other", new WorkerLoads(List.of(new OwnLoad("w", 1, pauseTokens + 2_000))));
     world.handOut("w", 0, 0);
     assertThat(world.sent).isEmpty();
     world.run(40 - 2 * Constants.ITEM_LOOK_MS + 20);
@@ -416,7 +531,8 @@
     assertThat(world.sent).hasSize(1);
   }
 
-  @Test void itsOwnItemsCountAsToBeReadUntilSomethingComes() {
+  @Test
+  void itsOwnItemsCountAsToBeReadUntilSomethingComes() {
     fed("w", 8).handOut("w", 0, 0);
     WorkerBook.Known worker = world.book.get("w");
     assertThat(worker.reading).isEqualTo(35.0);
@@ -426,7 +542,8 @@
     assertThat(worker.reading).isEqualTo(0.0);
   }
 
-  @Test void nothingIsSentToALeavingWorkerOrWithoutNews() {
+  @Test
+  void nothingIsSentToALeavingWorkerOrWithoutNews() {
     world.worker("w", "p", 8).mark("w", Worker.LEAVING);
     world.handOut("w", 0, 0);
     world.run(500);
@@ -438,7 +555,8 @@
     assertThat(world.sent).isEmpty();
   }
 
-  @Test void theRouteInForceAtTheMomentOfSendingCounts() {
+  @Test
+  void theRouteInForceAtTheMomentOfSendingCounts() {
     world.worker("w", "p", 8).routes(World.route("q", 1));
     world.handOut("w", 0, 0);
     assertThat(world.sent).isEmpty();
@@ -446,7 +564,8 @@
     assertThat(world.gaveBack()).isTrue();
   }
 
-  @Test void nothingIsSentAfterTheGrant() {
+  @Test
+  void nothingIsSentAfterTheGrant() {
     world.answers = false;
     world.worker("w", "p", 2).handOut("w", 0, 0, 1);
     Sent run = world.sent.get(0);
@@ -458,7 +577,8 @@
     assertThat(world.sent).hasSize(1);
   }
 
-  @Test void anEndCancelsWhatRuns() {
+  @Test
+  void anEndCancelsWhatRuns() {
     Sent run = handOne();
     world.feeder.ended("o-1");
     assertThat(run.cancelled).isTrue();
@@ -467,7 +587,8 @@
     assertThat(world.outcomes(0)).isEmpty();
   }
 
-  @Test void aWorkerThatIsListedNoMoreGivesItsRangesBack() {
+  @Test
+  void aWorkerThatIsListedNoMoreGivesItsRangesBack() {
     world.worker("w", "p", 2).handOut("w", 0, 0, 1);
     world.workers.clear();
     world.book.follow(world.workers);
@@ -476,7 +597,8 @@
     assertThat(world.gaveBack()).isTrue();
   }
 
-  @Test void outcomesOutliveALongSilenceOfTheLeader() {
+  @Test
+  void outcomesOutliveALongSilenceOfTheLeader() {
     world.answers = false;
     Sent run = handOne();
     run.worker.head(STREAM);
--- a/core-logic/src/test/java/applespindle/corelogic/BatchViewTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/BatchViewTest.java
@@ -1,5 +1,9 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.BatchEvent.Accepted;
 import applespindle.corelogic.BatchEvent.Attempt;
 import applespindle.corelogic.BatchEvent.Opaque;
@@ -9,10 +13,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-import static applespindle.corelogic.Json.JSON;
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** The fold of an opaque batch's log. */
 final class BatchViewTest {
   private final BatchView view = new BatchView();
@@ -23,19 +23,31 @@
 
   private void accept() {
     List<JsonNode> items = List.of(item("a", 100), item("b", 20), item("c", 3));
-    fold(BatchEvent.accepted(new Accepted("", "digest", 10_000, 60_000, items, new Opaque("h", "/l/x", "r", 4, 2, 500))));
+    fold(
+        BatchEvent.accepted(
+            new Accepted(
+                "", "digest", 10_000, 60_000, items, new Opaque("h", "/l/x", "r", 4, 2, 500))));
     fold(BatchEvent.ordered(List.of(1, 0), 2));
   }
 
   private static JsonNode item(String id, int tokens) {
-    return JSON.valueToTree(new OpaqueBatch.Item(id, "/l/" + id, List.of(), "body".getBytes(UTF_8), tokens));
+    return JSON.valueToTree(
+        new OpaqueBatch.Item(id, "/l/" + id, List.of(), "body".getBytes(UTF_8), tokens));
   }
 
   private void record(int item, String fault, String output) {
-    fold(BatchEvent.recorded(0, new Recorded(0, 1, List.of(new Result(item, "run" + output, "w", "", fault, output)), List.of())));
+    fold(
+        BatchEvent.recorded(
+            0,
+            new Recorded(
+                0,
+                1,
+                List.of(new Result(item, "run" + output, "w", "", fault, output)),
+                List.of())));
   }
 
-  @Test void waitsForTheTokensOfItemsWithoutAResult() {
+  @Test
+  void waitsForTheTokensOfItemsWithoutAResult() {
     accept();
     assertThat(view.waitingRoom()).isEqualTo(123);
     record(0, null, "x");
@@ -44,7 +56,8 @@
     assertThat(view.waitingRoom()).isEqualTo(20);
   }
 
-  @Test void anEndFreesAllRoomAndTakesNoMoreResults() {
+  @Test
+  void anEndFreesAllRoomAndTakesNoMoreResults() {
     accept();
     fold(BatchEvent.plain(BatchEvent.ENDED, 0));
     record(0, null, "x");
@@ -52,16 +65,20 @@
     assertThat(view.results).isEmpty();
   }
 
-  @Test void theFirstResultOfAnItemStandsInTheOrderOfRecording() {
+  @Test
+  void theFirstResultOfAnItemStandsInTheOrderOfRecording() {
     accept();
     record(1, null, "x");
     record(0, null, "y");
     record(1, null, "z");
-    assertThat(view.results.stream().map(Result::output).toList()).containsExactly("x", "y").inOrder();
+    assertThat(view.results.stream().map(Result::output).toList())
+        .containsExactly("x", "y")
+        .inOrder();
     assertThat(view.waitingRoom()).isEqualTo(3);
   }
 
-  @Test void aFailedRunCountsOnce() {
+  @Test
+  void aFailedRunCountsOnce() {
     accept();
     var attempt = new Recorded(0, 1, List.of(), List.of(new Attempt(0, "run", "ItemFailed")));
     fold(BatchEvent.recorded(0, attempt));
@@ -69,14 +86,18 @@
     assertThat(view.attempts(0)).isEqualTo(1);
   }
 
-  @Test void keepsTheBodyByteForByte() {
+  @Test
+  void keepsTheBodyByteForByte() {
     accept();
     OpaqueBatch.Item item = JSON.convertValue(view.accepted.items().get(1), OpaqueBatch.Item.class);
     assertThat(new String(item.body(), UTF_8)).isEqualTo("body");
   }
 
-  @Test void aBatchOfPromptsCountsItems() {
-    fold(BatchEvent.accepted(new Accepted("s", "d", 1, 1, List.of(JSON.createObjectNode().put("id", "a")), null)));
+  @Test
+  void aBatchOfPromptsCountsItems() {
+    fold(
+        BatchEvent.accepted(
+            new Accepted("s", "d", 1, 1, List.of(JSON.createObjectNode().put("id", "a")), null)));
     assertThat(view.waitingRoom()).isEqualTo(1);
   }
 }
--- a/core-logic/src/test/java/applespindle/corelogic/BundleTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/BundleTest.java
@@ -1,14 +1,15 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 class BundleTest {
-  private static final String GOOD = """
+  private static final String GOOD =
+      """
       {"number": 3,
        "pools": {"main": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5},
                  "big": {"prefixBlockChars": 64, "prefixBlocks": 4, "loadFactor": 1.5}},
@@ -28,10 +29,12 @@
   private static void rejects(String text, String... paths) {
     Fault fault = check(text).fault();
     assertThat(fault).isInstanceOf(Fault.InvalidBundle.class);
-    assertThat(((Fault.InvalidBundle) fault).fields().stream().map(Fault.Field::path)).containsExactlyElementsIn(List.of(paths));
+    assertThat(((Fault.InvalidBundle) fault).fields().stream().map(Fault.Field::path))
+        .containsExactlyElementsIn(List.of(paths));
   }
 
-  @Test void rulesRunInOrder() {
+  @Test
+  void rulesRunInOrder() {
     CompiledRules rules = CompiledRules.compile(check(GOOD).bundle());
     var longOne = new CompiledRules.Subject(null, "authority", "", Map.of(), 101);
     var shortOne = new CompiledRules.Subject(null, "authority", "", Map.of("x-kind", "short"), 100);
@@ -41,14 +44,20 @@
     assertThat(rules.run(neither)).isNull();
   }
 
-  @Test void namesEveryFaultAtOnce() {
+  @Test
+  void namesEveryFaultAtOnce() {
     rejects("{", "$");
-    rejects(GOOD.replace("\"number\": 3", "\"number\": 0, \"more\": 1").replace("\"retries\": 0}},", "\"retries\": \"x\"}},"),
-        "$.more", "$.number", "$.rules[0].way.retries");
+    rejects(
+        GOOD.replace("\"number\": 3", "\"number\": 0, \"more\": 1")
+            .replace("\"retries\": 0}},", "\"retries\": \"x\"}},"),
+        "$.more",
+        "$.number",
+        "$.rules[0].way.retries");
     rejects(GOOD.replace("\"pool\": \"big\"", "\"pool\": \"none\""), "$.rules[0].way.pool");
   }
 
-  @Test void namesThePositionOfAFaultyExpression() {
+  @Test
+  void namesThePositionOfAFaultyExpression() {
     Fault fault = check(GOOD.replace("promptChars > 100", "promptChars > 'x'")).fault();
     Fault.Field field = ((Fault.InvalidBundle) fault).fields().get(0);
     assertThat(field.path()).isEqualTo("$.rules[0].when");
@@ -57,8 +66,10 @@
         .isEqualTo("InvalidBundle");
   }
 
-  @Test void anUnknownSignerAndAWrongSignatureAreRefusedBeforeAnythingIsRead() {
+  @Test
+  void anUnknownSignerAndAWrongSignatureAreRefusedBeforeAnythingIsRead() {
     byte[] bytes = "not json".getBytes(UTF_8);
-    assertThat(Bundle.check(bytes, "nobody", new byte[64], Map.of()).fault().type()).isEqualTo("SignatureRefused");
+    assertThat(Bundle.check(bytes, "nobody", new byte[64], Map.of()).fault().type())
+        .isEqualTo("SignatureRefused");
   }
 }
--- a/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
@@ -1,5 +1,8 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.KeyAppend;
 import java.util.List;
@@ -8,48 +11,59 @@
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** What a replica knows of its own log when it starts again: an entry it can not call committed is undecided. */
+/**
+ * What a replica knows of its own log when it starts again: an entry it can not call committed is
+ * undecided.
+ */
 final class KeyReplicasTest {
   private static final String KEY = "bundle";
   private static final Epoch FIRST = new Epoch(1, "a");
   private static final Epoch SECOND = new Epoch(2, "b");
 
   private static final class World implements Surroundings {
-    @Override public long now() {
+    @Override
+    public long now() {
       return 0;
     }
 
-    @Override public Schedule after(long millis, Runnable task) {
-      return () -> { };
+    @Override
+    public Schedule after(long millis, Runnable task) {
+      return () -> {};
     }
 
-    @Override public void send(String peerAddress, Envelope envelope) {}
+    @Override
+    public void send(String peerAddress, Envelope envelope) {}
 
-    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
       whenSynced.run();
     }
 
-    @Override public boolean takesWrites() {
+    @Override
+    public boolean takesWrites() {
       return true;
     }
 
-    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
-      return () -> { };
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
+      return () -> {};
     }
 
-    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
 
-    @Override public RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
       return RandomGenerator.getDefault();
     }
 
-    @Override public void log(String part, String sentence) {}
+    @Override
+    public void log(String part, String sentence) {}
   }
 
-  private final KeyReplicas replicas = new KeyReplicas(new World(), (address, id, message) -> { }, (key, entry) -> { }, key -> "set");
+  private final KeyReplicas replicas =
+      new KeyReplicas(new World(), (address, id, message) -> {}, (key, entry) -> {}, key -> "set");
 
   private static Entry entry(long sequence, Epoch epoch) {
     return new Entry(sequence, epoch, true, "{}".getBytes(UTF_8));
@@ -57,23 +71,31 @@
 
   private void recover(long entries, long committed) {
     for (long sequence = 1; sequence <= entries; sequence++) {
-      replicas.recover(new DiskRecord(Kind.ENTRY, KEY, FIRST, sequence, true, "{}".getBytes(UTF_8)));
+      replicas.recover(
+          new DiskRecord(Kind.ENTRY, KEY, FIRST, sequence, true, "{}".getBytes(UTF_8)));
     }
-    replicas.recover(new DiskRecord(Kind.COMMITTED, KEY, Epoch.NONE, committed, false, new byte[0]));
+    replicas.recover(
+        new DiskRecord(Kind.COMMITTED, KEY, Epoch.NONE, committed, false, new byte[0]));
     replicas.recovered();
   }
 
-  private void append(Epoch epoch, long previous, Epoch previousEpoch, long committed, Entry... entries) {
-    replicas.append(new KeyAppend(KEY, epoch, 1, 1, previous, previousEpoch, committed, List.of(entries)), epoch.node(), "");
+  private void append(
+      Epoch epoch, long previous, Epoch previousEpoch, long committed, Entry... entries) {
+    replicas.append(
+        new KeyAppend(KEY, epoch, 1, 1, previous, previousEpoch, committed, List.of(entries)),
+        epoch.node(),
+        "");
   }
 
-  @Test void aLogWithoutATailIsDecided() {
+  @Test
+  void aLogWithoutATailIsDecided() {
     recover(3, 3);
     assertThat(replicas.undecided(KEY)).isFalse();
     assertThat(replicas.anyUndecided(key -> true)).isFalse();
   }
 
-  @Test void aTailIsUndecidedUntilItsOwnerCommitsIt() {
+  @Test
+  void aTailIsUndecidedUntilItsOwnerCommitsIt() {
     recover(3, 2);
     assertThat(replicas.undecided(KEY)).isTrue();
     assertThat(replicas.anyUndecided(key -> !key.equals(KEY))).isFalse();
@@ -83,13 +105,15 @@
     assertThat(replicas.anyUndecided(key -> true)).isFalse();
   }
 
-  @Test void aTailThatANewOwnerReplacesIsDecided() {
+  @Test
+  void aTailThatANewOwnerReplacesIsDecided() {
     recover(3, 2);
     append(SECOND, 2, FIRST, 2, entry(3, SECOND));
     assertThat(replicas.undecided(KEY)).isFalse();
   }
 
-  @Test void aTailIsDecidedOnceAnotherReplicaKnowsACommittedEventThere() {
+  @Test
+  void aTailIsDecidedOnceAnotherReplicaKnowsACommittedEventThere() {
     recover(3, 2);
     replicas.committedElsewhere(KEY, 2);
     assertThat(replicas.undecided(KEY)).isTrue();
@@ -97,14 +121,16 @@
     assertThat(replicas.undecided(KEY)).isFalse();
   }
 
-  @Test void aTakeoverAloneIsNothingToDecide() {
+  @Test
+  void aTakeoverAloneIsNothingToDecide() {
     recover(2, 2);
     replicas.recover(new DiskRecord(Kind.ENTRY, KEY, SECOND, 3, false, new byte[0]));
     replicas.recovered();
     assertThat(replicas.undecided(KEY)).isFalse();
   }
 
-  @Test void entriesThatCameAfterTheStartDoNotCount() {
+  @Test
+  void entriesThatCameAfterTheStartDoNotCount() {
     recover(2, 2);
     append(SECOND, 2, FIRST, 2, entry(3, SECOND));
     assertThat(replicas.undecided(KEY)).isFalse();
@@ -119,10 +145,13 @@
   }
 
   private List<Long> copied(Map<String, KeyReplicas.Held> held) {
-    return replicas.copiesOf("set", "", held, 1 << 20).get(0).entries().stream().map(Entry::sequence).toList();
+    return replicas.copiesOf("set", "", held, 1 << 20).get(0).entries().stream()
+        .map(Entry::sequence)
+        .toList();
   }
 
-  @Test void aCopyBringsOnlyWhatTheOtherLacks() {
+  @Test
+  void aCopyBringsOnlyWhatTheOtherLacks() {
     append(FIRST, 0, Epoch.NONE, 0, part(1, FIRST), part(2, FIRST), part(3, FIRST));
     assertThat(copied(Map.of())).containsExactly(1L, 2L, 3L).inOrder();
     assertThat(copied(Map.of(KEY, held(2, FIRST)))).containsExactly(2L, 3L).inOrder();
@@ -132,14 +161,18 @@
     assertThat(replicas.heldOf("set", "")).containsExactly(KEY, held(3, FIRST));
   }
 
-  @Test void aPartIsTakenOnlyBehindWhatItFollows() {
+  @Test
+  void aPartIsTakenOnlyBehindWhatItFollows() {
     append(FIRST, 0, Epoch.NONE, 0, part(1, FIRST), part(2, FIRST));
-    var follows = new KeyReplicas.Copied(KEY, FIRST, 2, true, List.of(part(2, FIRST), part(3, FIRST)));
-    var other = new KeyReplicas.Copied(KEY, FIRST, 3, true, List.of(part(3, SECOND), part(4, SECOND)));
-    var beyond = new KeyReplicas.Copied(KEY, FIRST, 3, true, List.of(part(5, FIRST), part(6, FIRST)));
-    assertThat(replicas.absorb(follows, () -> { })).isTrue();
-    assertThat(replicas.absorb(other, () -> { })).isFalse();
-    assertThat(replicas.absorb(beyond, () -> { })).isFalse();
+    var follows =
+        new KeyReplicas.Copied(KEY, FIRST, 2, true, List.of(part(2, FIRST), part(3, FIRST)));
+    var other =
+        new KeyReplicas.Copied(KEY, FIRST, 3, true, List.of(part(3, SECOND), part(4, SECOND)));
+    var beyond =
+        new KeyReplicas.Copied(KEY, FIRST, 3, true, List.of(part(5, FIRST), part(6, FIRST)));
+    assertThat(replicas.absorb(follows, () -> {})).isTrue();
+    assertThat(replicas.absorb(other, () -> {})).isFalse();
+    assertThat(replicas.absorb(beyond, () -> {})).isFalse();
     assertThat(copied(Map.of())).containsExactly(1L, 2L, 3L).inOrder();
   }
 }
