--- a/core-logic/src/test/java/applespindle/corelogic/OpaqueDeskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/OpaqueDeskTest.java
@@ -1,5 +1,8 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Bundle.Route;
 import applespindle.corelogic.Bundle.RouteType;
 import applespindle.corelogic.Bundle.Share;
@@ -8,8 +11,8 @@
 import applespindle.corelogic.OpaqueRequest.Head;
 import applespindle.corelogic.OpaqueRequest.Piece;
 import applespindle.corelogic.OpaqueRequest.PromptPart;
-import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.PlayedWorld.Sent;
+import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.Records.Worker;
 import applespindle.corelogic.Surroundings.WorkerExchange;
 import applespindle.corelogic.Surroundings.WorkerLoad;
@@ -23,9 +26,6 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 final class OpaqueDeskTest {
   private static final Head GOOD = new Head(200, List.of());
   private static final String POOL = "p";
@@ -33,7 +33,7 @@
   /** Simulated time, workers that the test plays, and nothing else. */
   private static final class World extends PlayedWorld implements LiveDesk.Edge {
     final Map<String, Worker> workers = new LinkedHashMap<>();
-    final WorkerBook book = new WorkerBook(this, () -> { });
+    final WorkerBook book = new WorkerBook(this, () -> {});
     final OpaqueDesk desk = new OpaqueDesk(this, "near", this, book);
     Bundle bundle;
     Fault mayBegin;
@@ -44,7 +44,9 @@
     }
 
     World worker(String id, String pool, String zone, int slots) {
-      workers.put(id, new Worker(id, "10.0.0.1:" + (1000 + workers.size()), pool, Worker.READY, zone, slots));
+      workers.put(
+          id,
+          new Worker(id, "10.0.0.1:" + (1000 + workers.size()), pool, Worker.READY, zone, slots));
       book.follow(workers);
       return this;
     }
@@ -56,7 +58,8 @@
     }
 
     World routes(Route... routes) {
-      Map<String, Bundle.Pool> pools = Map.of(POOL, new Bundle.Pool(64, 4, 1.5), "q", new Bundle.Pool(64, 4, 1.5));
+      Map<String, Bundle.Pool> pools =
+          Map.of(POOL, new Bundle.Pool(64, 4, 1.5), "q", new Bundle.Pool(64, 4, 1.5));
       bundle = new Bundle(1, pools, List.of(), null, Arrays.asList(routes), null, null);
       return this;
     }
@@ -71,27 +74,34 @@
       return client;
     }
 
-    @Override public Fault mayBegin() {
+    @Override
+    public Fault mayBegin() {
       return mayBegin == null ? mayGoOn : mayBegin;
     }
 
-    @Override public Fault mayGoOn() {
+    @Override
+    public Fault mayGoOn() {
       return mayGoOn;
     }
 
-    @Override public Bundle bundle() {
+    @Override
+    public Bundle bundle() {
       return bundle;
     }
 
-    @Override public RouteTable routes() {
+    @Override
+    public RouteTable routes() {
       return bundle == null ? RouteTable.EMPTY : RouteTable.compile(bundle);
     }
 
-    @Override public void claimOnce(String id, String token, Consumer<Fault> then) {}
+    @Override
+    public void claimOnce(String id, String token, Consumer<Fault> then) {}
 
-    @Override public void unclaimOnce(String id, String token) {}
+    @Override
+    public void unclaimOnce(String id, String token) {}
 
-    @Override public void count(String counter) {}
+    @Override
+    public void count(String counter) {}
   }
 
   /** Writes down what it hears. */
@@ -101,41 +111,72 @@
     Fault cut;
     LiveDesk.Handle handle;
 
-    @Override public void head(Head head) {
+    @Override
+    public void head(Head head) {
       heard.add("head " + head.status());
     }
 
-    @Override public void piece(Piece piece) {
+    @Override
+    public void piece(Piece piece) {
       heard.add(new String(piece.bytes(), UTF_8));
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
       heard.add("end");
     }
 
-    @Override public void refused(Response response) {
+    @Override
+    public void refused(Response response) {
       refusal = response;
       heard.add("refused " + response.status());
     }
 
-    @Override public void cut(Fault fault) {
+    @Override
+    public void cut(Fault fault) {
       cut = fault;
       heard.add("cut");
     }
   }
 
   private static Route route(RouteType type, int attempts, boolean resumable, Share... split) {
-    return new Route("r-" + type, "a.example", "/a/", type, 4_000, 200, type == RouteType.STREAM ? 100 : 0, attempts, 3,
-        true, resumable, split.length == 0 ? List.of(new Share(POOL, 1)) : List.of(split), 0, 0, 0);
+    return new Route(
+        "r-" + type,
+        "a.example",
+        "/a/",
+        type,
+        4_000,
+        200,
+        type == RouteType.STREAM ? 100 : 0,
+        attempts,
+        3,
+        true,
+        resumable,
+        split.length == 0 ? List.of(new Share(POOL, 1)) : List.of(split),
+        0,
+        0,
+        0);
   }
 
   private static OpaqueRequest request(String id, String... parts) {
     return request(id, "A.Example:80", "/a/x?y=/b/", 2_000, parts);
   }
 
-  private static OpaqueRequest request(String id, String host, String target, long deadlineMs, String... parts) {
+  private static OpaqueRequest request(
+      String id, String host, String target, long deadlineMs, String... parts) {
     List<PromptPart> prompt = Arrays.stream(parts).map(part -> new PromptPart(part, 400)).toList();
-    return new OpaqueRequest(id, "POST", target, host, List.of(), new byte[0], deadlineMs, "m", 400 * parts.length, 80, prompt,
+    return new OpaqueRequest(
+        id,
+        "POST",
+        target,
+        host,
+        List.of(),
+        new byte[0],
+        deadlineMs,
+        "m",
+        400 * parts.length,
+        80,
+        prompt,
         "");
   }
 
@@ -144,30 +185,75 @@
   }
 
   private static World world(Route route) {
-    return new World().worker("w1", POOL, "near", 8).worker("w2", POOL, "near", 8).worker("w3", POOL, "near", 8).routes(route);
+    return new World()
+        .worker("w1", POOL, "near", 8)
+        .worker("w2", POOL, "near", 8)
+        .worker("w3", POOL, "near", 8)
+        .routes(route);
   }
 
   // ---- routes
 
-  @Test void takesTheLongestPrefixOfTheHostWithoutItsPortAndCase() {
-    Route shorter = new Route("short", "a.example", "/a/", RouteType.ONCE, 4_000, 200, 0, 1, 0, false, false,
-        List.of(new Share("q", 1)), 0, 0, 0);
-    Route longer = new Route("long", "a.example", "/a/b/", RouteType.ONCE, 4_000, 200, 0, 1, 0, false, false,
-        List.of(new Share(POOL, 1)), 0, 0, 0);
-    World world = new World().worker("w1", POOL, "near", 8).worker("w2", "q", "near", 8).routes(shorter, longer);
+  @Test
+  void takesTheLongestPrefixOfTheHostWithoutItsPortAndCase() {
+    Route shorter =
+        new Route(
+            "short",
+            "a.example",
+            "/a/",
+            RouteType.ONCE,
+            4_000,
+            200,
+            0,
+            1,
+            0,
+            false,
+            false,
+            List.of(new Share("q", 1)),
+            0,
+            0,
+            0);
+    Route longer =
+        new Route(
+            "long",
+            "a.example",
+            "/a/b/",
+            RouteType.ONCE,
+            4_000,
+            200,
+            0,
+            1,
+            0,
+            false,
+            false,
+            List.of(new Share(POOL, 1)),
+            0,
+            0,
+            0);
+    World world =
+        new World()
+            .worker("w1", POOL, "near", 8)
+            .worker("w2", "q", "near", 8)
+            .routes(shorter, longer);
     world.pass(request("1", "A.EXAMPLE:8080", "/a/b/c", 1_000));
     world.pass(request("2", "a.example", "/a/bc", 1_000));
-    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).toList()).containsExactly("w1", "w2").inOrder();
+    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).toList())
+        .containsExactly("w1", "w2")
+        .inOrder();
   }
 
-  @Test void answers404WhereNoRouteMatches() {
+  @Test
+  void answers404WhereNoRouteMatches() {
     World world = world(route(RouteType.ONCE, 1, false));
-    assertThat(world.pass(request("1", "b.example", "/a/x", 1_000)).heard).containsExactly("refused 404");
-    assertThat(world.pass(request("2", "a.example", "/b/x", 1_000)).heard).containsExactly("refused 404");
+    assertThat(world.pass(request("1", "b.example", "/a/x", 1_000)).heard)
+        .containsExactly("refused 404");
+    assertThat(world.pass(request("2", "a.example", "/b/x", 1_000)).heard)
+        .containsExactly("refused 404");
     assertThat(world.sent).isEmpty();
   }
 
-  @Test void refusesAtOnceWithATimeToComeBackWhileItMayNotBegin() {
+  @Test
+  void refusesAtOnceWithATimeToComeBackWhileItMayNotBegin() {
     World world = world(route(RouteType.ONCE, 1, false));
     world.mayBegin = new Fault.NodeStopping();
     Client client = world.pass(request("1"));
@@ -179,9 +265,13 @@
     assertThat(world.sent).isEmpty();
   }
 
-  @Test void splitsByWeightAndPassesOverAPoolWithoutWorkers() {
-    World world = new World().worker("w1", POOL, "near", 1_000).worker("w2", "q", "near", 1_000)
-        .routes(route(RouteType.ONCE, 1, false, new Share(POOL, 90), new Share("q", 10)));
+  @Test
+  void splitsByWeightAndPassesOverAPoolWithoutWorkers() {
+    World world =
+        new World()
+            .worker("w1", POOL, "near", 1_000)
+            .worker("w2", "q", "near", 1_000)
+            .routes(route(RouteType.ONCE, 1, false, new Share(POOL, 90), new Share("q", 10)));
     for (int index = 0; index < 400; index++) {
       world.pass(request("r" + index));
     }
@@ -193,12 +283,14 @@
     for (int index = 0; index < 20; index++) {
       world.pass(request("s" + index));
     }
-    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).distinct().toList()).containsExactly("w2");
+    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).distinct().toList())
+        .containsExactly("w2");
   }
 
   // ---- choice of worker
 
-  @Test void tellsTheWorkerItsIdRankAndWhatIsLeft() {
+  @Test
+  void tellsTheWorkerItsIdRankAndWhatIsLeft() {
     World world = world(route(RouteType.ONCE, 1, false));
     world.pass(request("1"));
     WorkerExchange call = world.last().call;
@@ -208,7 +300,8 @@
     assertThat(call.expiryMs()).isEqualTo(2_000);
   }
 
-  @Test void neverSendsToALeavingWorker() {
+  @Test
+  void neverSendsToALeavingWorker() {
     World world = world(route(RouteType.REPEATABLE, 3, false));
     world.mark("w1", Worker.LEAVING);
     world.mark("w2", Worker.LEAVING);
@@ -218,7 +311,8 @@
     assertThat(world.pass(request("2")).heard).containsExactly("refused 503");
   }
 
-  @Test void spreadsRequestsOverIdleWorkers() {
+  @Test
+  void spreadsRequestsOverIdleWorkers() {
     World world = world(route(RouteType.ONCE, 1, false));
     for (int index = 0; index < 12; index++) {
       world.pass(request("r" + index));
@@ -226,7 +320,8 @@
     world.book.all().forEach(worker -> assertThat(worker.live).isEqualTo(4));
   }
 
-  @Test void passesOverAWorkerThatReadsWhatAFellowSentThere() {
+  @Test
+  void passesOverAWorkerThatReadsWhatAFellowSentThere() {
     World world = world(route(RouteType.STREAM, 1, false));
     for (String busy : List.of("w1", "w3")) {
       world.book.fellowTold("other", new WorkerLoads(List.of(new OwnLoad(busy, 1, 1_500))));
@@ -235,13 +330,17 @@
     assertThat(world.last().call.workerId()).isEqualTo("w2");
   }
 
-  @Test void whatAFellowToldFadesAsTheWorkerReads() {
+  @Test
+  void whatAFellowToldFadesAsTheWorkerReads() {
     World world = world(route(RouteType.STREAM, 1, false));
-    world.book.fellowTold("other", new WorkerLoads(List.of(new OwnLoad("w1", 2, 1_000), new OwnLoad("gone", 1, 1))));
+    world.book.fellowTold(
+        "other", new WorkerLoads(List.of(new OwnLoad("w1", 2, 1_000), new OwnLoad("gone", 1, 1))));
     WorkerBook.Known worker = world.book.get("w1");
     assertThat(worker.unreadNow(world.now())).isEqualTo(1_000.0);
     world.run(10);
-    assertThat(worker.unreadNow(world.now())).isWithin(0.001).of(1_000 - 10 * Constants.PACE_GUESS_TOKENS_PER_MS);
+    assertThat(worker.unreadNow(world.now()))
+        .isWithin(0.001)
+        .of(1_000 - 10 * Constants.PACE_GUESS_TOKENS_PER_MS);
     world.run(20);
     assertThat(worker.unreadNow(world.now())).isEqualTo(0.0);
     assertThat(worker.runningNow(world.now())).isGreaterThan(1.5);
@@ -249,7 +348,8 @@
     assertThat(worker.unreadNow(world.now())).isEqualTo(200.0);
   }
 
-  @Test void learnsHowFastAWorkerReads() {
+  @Test
+  void learnsHowFastAWorkerReads() {
     World world = world(route(RouteType.STREAM, 1, false));
     double guessed = world.book.get("w1").readTokensPerMs();
     for (int index = 0; index < 60; index++) {
@@ -263,7 +363,8 @@
     assertThat(guessed).isGreaterThan(18.0);
   }
 
-  @Test void keptPartsDoNotOutweighAPauseThatStreamsCanNotBear() {
+  @Test
+  void keptPartsDoNotOutweighAPauseThatStreamsCanNotBear() {
     World world = world(route(RouteType.STREAM, 1, false));
     world.pass(request("1", "a", "b", "c"));
     String keeper = world.last().call.workerId();
@@ -277,16 +378,25 @@
     assertThat(world.last().call.workerId()).isNotEqualTo(keeper);
   }
 
-  @Test void tellsItsFellowsOfTheZoneOnceForAllThatBeganMeanwhile() {
+  @Test
+  void tellsItsFellowsOfTheZoneOnceForAllThatBeganMeanwhile() {
     World world = world(route(RouteType.STREAM, 1, false));
-    List<Member> fellows = List.of(new Member("e2", 1, "e2", "near", "edge", "10.0.0.2:1", "", true),
-        new Member("e3", 1, "e3", "near", "edge", "10.0.0.3:1", "", true));
+    List<Member> fellows =
+        List.of(
+            new Member("e2", 1, "e2", "near", "edge", "10.0.0.2:1", "", true),
+            new Member("e3", 1, "e3", "near", "edge", "10.0.0.3:1", "", true));
     List<String> told = new ArrayList<>();
     List<OwnLoad> loads = new ArrayList<>();
-    world.book.whenBegan(new FellowLoads(world, world.book, () -> fellows, (address, id, message) -> {
-      told.add(id);
-      loads.addAll(((WorkerLoads) message).loads());
-    })::began);
+    world.book.whenBegan(
+        new FellowLoads(
+                world,
+                world.book,
+                () -> fellows,
+                (address, id, message) -> {
+                  told.add(id);
+                  loads.addAll(((WorkerLoads) message).loads());
+                })
+            ::began);
     world.pass(request("1", "a", "b"));
     world.pass(request("2", "c", "d"));
     world.run(2 * Constants.FELLOW_LOADS_MS - 1);
@@ -298,7 +408,8 @@
     assertThat(told).hasSize(2);
   }
 
-  @Test void meetsTheSameWorkerForTheSameSharedPartsFromEveryEdge() {
+  @Test
+  void meetsTheSameWorkerForTheSameSharedPartsFromEveryEdge() {
     Set<String> chosen = new HashSet<>();
     for (int edge = 0; edge < 5; edge++) {
       World world = world(route(RouteType.ONCE, 1, false));
@@ -308,7 +419,8 @@
     assertThat(chosen).hasSize(1);
   }
 
-  @Test void takesAnotherWorkerOnceThatOneIsClearlyMoreLoaded() {
+  @Test
+  void takesAnotherWorkerOnceThatOneIsClearlyMoreLoaded() {
     World world = world(route(RouteType.ONCE, 1, false));
     for (int index = 0; index < 24; index++) {
       world.pass(request("r" + index, "shared", "own" + index));
@@ -316,19 +428,27 @@
     world.book.all().forEach(worker -> assertThat(worker.live).isAtLeast(5));
   }
 
-  @Test void doesNotLetOneWorkerReadManyPromptsAtOnce() {
+  @Test
+  void doesNotLetOneWorkerReadManyPromptsAtOnce() {
     World world = world(route(RouteType.STREAM, 1, false));
     for (int index = 0; index < 3; index++) {
-      world.pass(request("r" + index, "shared", "a" + index, "b" + index, "c" + index, "d" + index));
+      world.pass(
+          request("r" + index, "shared", "a" + index, "b" + index, "c" + index, "d" + index));
     }
-    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).distinct().count()).isEqualTo(3);
+    assertThat(world.sent.stream().map(sent -> sent.call.workerId()).distinct().count())
+        .isEqualTo(3);
     world.sent.forEach(sent -> sent.worker.head(GOOD));
     world.book.all().forEach(worker -> assertThat(worker.reading).isEqualTo(0.0));
   }
 
-  @Test void prefersItsOwnZoneUntilThatIsMoreLoaded() {
-    World world = new World().worker("w1", POOL, "far", 8).worker("w2", POOL, "near", 8).worker("w3", POOL, "far", 8)
-        .routes(route(RouteType.ONCE, 1, false));
+  @Test
+  void prefersItsOwnZoneUntilThatIsMoreLoaded() {
+    World world =
+        new World()
+            .worker("w1", POOL, "far", 8)
+            .worker("w2", POOL, "near", 8)
+            .worker("w3", POOL, "far", 8)
+            .routes(route(RouteType.ONCE, 1, false));
     world.pass(request("1"));
     assertThat(world.last().call.workerId()).isEqualTo("w2");
     for (int index = 0; index < 9; index++) {
@@ -337,8 +457,13 @@
     assertThat(world.book.get("w1").live).isAtLeast(2);
   }
 
-  @Test void avoidsAWorkerThatToldOfALoadUntilThatIsOld() {
-    World world = new World().worker("w1", POOL, "near", 8).worker("w2", POOL, "near", 8).routes(route(RouteType.ONCE, 1, false));
+  @Test
+  void avoidsAWorkerThatToldOfALoadUntilThatIsOld() {
+    World world =
+        new World()
+            .worker("w1", POOL, "near", 8)
+            .worker("w2", POOL, "near", 8)
+            .routes(route(RouteType.ONCE, 1, false));
     world.pass(request("1"));
     Sent first = world.last();
     first.worker.load(new WorkerLoad(8, 2, 8, false));
@@ -346,16 +471,21 @@
       world.pass(request("r" + index));
       assertThat(world.last().call.workerId()).isNotEqualTo(first.call.workerId());
     }
-    world.sent.subList(1, world.sent.size()).forEach(sent -> {
-      sent.worker.head(GOOD);
-      sent.worker.end();
-    });
+    world
+        .sent
+        .subList(1, world.sent.size())
+        .forEach(
+            sent -> {
+              sent.worker.head(GOOD);
+              sent.worker.end();
+            });
     world.run(10_000);
     first.worker.fault(new Fault.WorkerCut("w"), true);
     assertThat(world.book.get(first.call.workerId()).othersNow(world.now())).isLessThan(0.1);
   }
 
-  @Test void givesAWorkerJustListedFewRequestsAtFirst() {
+  @Test
+  void givesAWorkerJustListedFewRequestsAtFirst() {
     World world = new World().worker("w1", POOL, "near", 8).routes(route(RouteType.ONCE, 1, false));
     world.run(10_000);
     world.worker("w2", POOL, "near", 8);
@@ -367,7 +497,8 @@
     assertThat(world.book.ramp(world.book.get("w2"))).isEqualTo(1.0);
   }
 
-  @Test void avoidsAWorkerAfterAFaultAndTriesItWithOneAtATimeLater() {
+  @Test
+  void avoidsAWorkerAfterAFaultAndTriesItWithOneAtATimeLater() {
     World world = world(route(RouteType.REPEATABLE, 3, false));
     world.pass(request("1"));
     String faulty = world.last().call.workerId();
@@ -376,10 +507,11 @@
       world.pass(request("r" + index));
       assertThat(world.last().call.workerId()).isNotEqualTo(faulty);
     }
-    world.sent.forEach(sent -> {
-      sent.worker.head(GOOD);
-      sent.worker.end();
-    });
+    world.sent.forEach(
+        sent -> {
+          sent.worker.head(GOOD);
+          sent.worker.end();
+        });
     world.run(Constants.WORKER_REST_MS + Constants.RAMP_MS);
     for (int index = 0; index < 6; index++) {
       world.pass(request("s" + index));
@@ -389,7 +521,8 @@
 
   // ---- refusals
 
-  @Test void refusesOnlyWhenTheWaitIsLongerThanTheClientHas() {
+  @Test
+  void refusesOnlyWhenTheWaitIsLongerThanTheClientHas() {
     World world = new World().worker("w1", POOL, "near", 1).routes(route(RouteType.ONCE, 1, false));
     Client last = null;
     int taken = 0;
@@ -403,7 +536,8 @@
     assertThat(last.refusal.comeBackMs()).isAtMost(Constants.COME_BACK_LONGEST_MS);
   }
 
-  @Test void isolationEndsARequestBeforeItsNextSend() {
+  @Test
+  void isolationEndsARequestBeforeItsNextSend() {
     World world = world(route(RouteType.REPEATABLE, 3, false));
     Client client = world.pass(request("1"));
     world.mayGoOn = new Fault.NodeIsolated(9_000);
@@ -414,7 +548,8 @@
 
   // ---- attempts
 
-  @Test void goesOnAfterAWorkersWordForEveryTypeUpToTheAttempts() {
+  @Test
+  void goesOnAfterAWorkersWordForEveryTypeUpToTheAttempts() {
     World world = world(route(RouteType.ONCE, 2, false));
     Client client = world.pass(request("1"));
     world.last().worker.fault(new Fault.WorkerRefused(503), false);
@@ -426,7 +561,8 @@
     assertThat(client.refusal.comeBackMs()).isGreaterThan(0);
   }
 
-  @Test void attemptsOfZeroCountAsOne() {
+  @Test
+  void attemptsOfZeroCountAsOne() {
     World world = world(route(RouteType.REPEATABLE, 0, false));
     Client client = world.pass(request("1"));
     world.last().worker.fault(new Fault.WorkerRefused(503), false);
@@ -434,7 +570,8 @@
     assertThat(client.heard).containsExactly("refused 503");
   }
 
-  @Test void doesNotCountAConnectionThatWasNeverMade() {
+  @Test
+  void doesNotCountAConnectionThatWasNeverMade() {
     World world = world(route(RouteType.ONCE, 1, false));
     Client client = world.pass(request("1"));
     world.last().worker.fault(new Fault.WorkerUnreachable("w"), false);
@@ -444,7 +581,8 @@
     assertThat(client.heard).containsExactly("refused 503");
   }
 
-  @Test void neverSendsAOnceRequestAgainWhenItMayHaveRun() {
+  @Test
+  void neverSendsAOnceRequestAgainWhenItMayHaveRun() {
     World world = world(route(RouteType.ONCE, 3, false));
     Client client = world.pass(request("1"));
     world.last().worker.fault(new Fault.WorkerCut("w"), true);
@@ -452,7 +590,8 @@
     assertThat(client.heard).containsExactly("refused 502");
   }
 
-  @Test void neverSendsAStreamAgainThatMayNotBeResumed() {
+  @Test
+  void neverSendsAStreamAgainThatMayNotBeResumed() {
     World world = world(route(RouteType.STREAM, 3, false));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -461,7 +600,8 @@
     assertThat(client.heard).containsExactly("refused 502");
   }
 
-  @Test void promisesNothingOnceSomethingMayHaveRun() {
+  @Test
+  void promisesNothingOnceSomethingMayHaveRun() {
     World world = world(route(RouteType.REPEATABLE, 2, false));
     Client client = world.pass(request("1"));
     world.last().worker.fault(new Fault.WorkerCut("w"), true);
@@ -469,7 +609,8 @@
     assertThat(client.heard).containsExactly("refused 504");
   }
 
-  @Test void runsARepeatableRequestElsewhereBeforeAnythingWasPassedOn() {
+  @Test
+  void runsARepeatableRequestElsewhereBeforeAnythingWasPassedOn() {
     World world = world(route(RouteType.REPEATABLE, 3, false));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -480,7 +621,8 @@
     assertThat(client.heard).containsExactly("head 200", "whole", "end").inOrder();
   }
 
-  @Test void cutsAPlainBodyOnceSomeOfItWasPassedOn() {
+  @Test
+  void cutsAPlainBodyOnceSomeOfItWasPassedOn() {
     World world = world(route(RouteType.REPEATABLE, 3, false));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -490,7 +632,8 @@
     assertThat(world.sent).hasSize(1);
   }
 
-  @Test void takesAWorkersOwnFailureElsewhereOnlyWhereItMayRunAgain() {
+  @Test
+  void takesAWorkersOwnFailureElsewhereOnlyWhereItMayRunAgain() {
     World repeatable = world(route(RouteType.REPEATABLE, 2, false));
     Client first = repeatable.pass(request("1"));
     repeatable.last().worker.head(new Head(500, List.of()));
@@ -509,7 +652,8 @@
     assertThat(once.sent).hasSize(1);
   }
 
-  @Test void passesAWorkersLastFailureOnUnchanged() {
+  @Test
+  void passesAWorkersLastFailureOnUnchanged() {
     World world = world(route(RouteType.REPEATABLE, 1, false));
     Client client = world.pass(request("1"));
     world.last().worker.head(new Head(504, List.of()));
@@ -519,7 +663,8 @@
 
   // ---- streams
 
-  @Test void holdsAStreamsHeadUntilItsFirstEvent() {
+  @Test
+  void holdsAStreamsHeadUntilItsFirstEvent() {
     World world = world(route(RouteType.STREAM, 1, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -529,7 +674,8 @@
     assertThat(client.heard).containsExactly("head 200", "e1", "end").inOrder();
   }
 
-  @Test void resumesACutStreamBehindTheLastEventUnderTheFirstHead() {
+  @Test
+  void resumesACutStreamBehindTheLastEventUnderTheFirstHead() {
     World world = world(route(RouteType.STREAM, 3, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -544,7 +690,8 @@
     assertThat(client.heard).containsExactly("head 200", "e1", "e2", "e3", "end").inOrder();
   }
 
-  @Test void takesTheNextWorkerIfAResumedRunFails() {
+  @Test
+  void takesTheNextWorkerIfAResumedRunFails() {
     World world = world(route(RouteType.STREAM, 3, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -558,7 +705,8 @@
     assertThat(client.heard).containsExactly("head 200", "e1", "cut").inOrder();
   }
 
-  @Test void doesNotResumeBehindAnEventWithoutAnId() {
+  @Test
+  void doesNotResumeBehindAnEventWithoutAnId() {
     World world = world(route(RouteType.STREAM, 3, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -570,7 +718,8 @@
 
   // ---- silence, expiry, end
 
-  @Test void givesARepeatableRequestAtASilentWorkerToAnother() {
+  @Test
+  void givesARepeatableRequestAtASilentWorkerToAnother() {
     World world = world(route(RouteType.REPEATABLE, 2, false));
     Client client = world.pass(request("1"));
     Sent silent = world.last();
@@ -584,7 +733,8 @@
     assertThat(world.last().call.workerId()).isNotEqualTo(silent.call.workerId());
   }
 
-  @Test void leavesAOnceRequestWithItsSilentWorkerAndKeepsNewOnesAway() {
+  @Test
+  void leavesAOnceRequestWithItsSilentWorkerAndKeepsNewOnesAway() {
     World world = world(route(RouteType.ONCE, 2, false));
     Client client = world.pass(request("1"));
     Sent silent = world.last();
@@ -600,7 +750,8 @@
     assertThat(world.book.get(silent.call.workerId()).suspect).isFalse();
   }
 
-  @Test void doesNotSuspectAWorkerThatAnswersOthers() {
+  @Test
+  void doesNotSuspectAWorkerThatAnswersOthers() {
     World world = new World().worker("w1", POOL, "near", 8).routes(route(RouteType.ONCE, 1, false));
     world.pass(request("1"));
     Client other = world.pass(request("2"));
@@ -614,7 +765,8 @@
     assertThat(other.cut).isNull();
   }
 
-  @Test void doesNotSuspectMostOfAPool() {
+  @Test
+  void doesNotSuspectMostOfAPool() {
     World world = world(route(RouteType.REPEATABLE, 1, false));
     for (int index = 0; index < 3; index++) {
       world.pass(request("r" + index));
@@ -623,7 +775,8 @@
     assertThat(world.book.all().stream().filter(worker -> worker.suspect).count()).isAtMost(1L);
   }
 
-  @Test void doesNotTakeItsOwnFreezeForSilence() {
+  @Test
+  void doesNotTakeItsOwnFreezeForSilence() {
     World world = world(route(RouteType.REPEATABLE, 2, false));
     world.pass(request("1"));
     world.run(150);
@@ -632,7 +785,8 @@
     assertThat(world.sent).hasSize(1);
   }
 
-  @Test void resumesAStreamWhoseWorkerFallsSilentBetweenEvents() {
+  @Test
+  void resumesAStreamWhoseWorkerFallsSilentBetweenEvents() {
     World world = world(route(RouteType.STREAM, 2, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
@@ -644,7 +798,8 @@
     assertThat(client.heard).containsExactly("head 200", "e1").inOrder();
   }
 
-  @Test void endsAtTheClientsExpiryWithoutAPromise() {
+  @Test
+  void endsAtTheClientsExpiryWithoutAPromise() {
     World world = world(route(RouteType.ONCE, 1, false));
     Client client = world.pass(request("1", "a.example", "/a/x", 900));
     world.run(1_100);
@@ -653,7 +808,8 @@
     assertThat(world.desk.openRequests()).isEqualTo(0);
   }
 
-  @Test void endsAtTheRoutesTimeoutWithACut() {
+  @Test
+  void endsAtTheRoutesTimeoutWithACut() {
     World world = world(route(RouteType.STREAM, 1, false));
     Client client = world.pass(request("1", "a.example", "/a/x", 60_000));
     world.last().worker.head(GOOD);
@@ -662,7 +818,8 @@
     assertThat(client.heard).containsExactly("head 200", "e1", "cut").inOrder();
   }
 
-  @Test void cancelsTheRunOfAClientThatHasGone() {
+  @Test
+  void cancelsTheRunOfAClientThatHasGone() {
     World world = world(route(RouteType.STREAM, 1, true));
     Client client = world.pass(request("1"));
     world.last().worker.head(GOOD);
--- a/core-logic/src/test/java/applespindle/corelogic/PlayedWorld.java
+++ b/core-logic/src/test/java/applespindle/corelogic/PlayedWorld.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.OpaqueRequest.Piece;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,9 +11,10 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** Simulated time and workers of opaque requests that the test plays; nothing else of the world may be used. */
+/**
+ * Simulated time and workers of opaque requests that the test plays; nothing else of the world may
+ * be used.
+ */
 abstract class PlayedWorld implements Surroundings {
   /** One send as a worker sees it. */
   static final class Sent {
@@ -57,41 +60,52 @@
     now += millis;
   }
 
-  @Override public long now() {
+  @Override
+  public long now() {
     return now;
   }
 
-  @Override public Schedule after(long millis, Runnable task) {
+  @Override
+  public Schedule after(long millis, Runnable task) {
     Planned planned = new Planned(now + millis, order++, task);
     plan.add(planned);
     return () -> plan.remove(planned);
   }
 
-  @Override public WorkerRun exchange(WorkerExchange call, ExchangeListener listener) {
+  @Override
+  public WorkerRun exchange(WorkerExchange call, ExchangeListener listener) {
     Sent send = new Sent(call, listener);
     sent.add(send);
     return () -> send.cancelled = true;
   }
 
-  @Override public void send(String peerAddress, Envelope envelope) {}
+  @Override
+  public void send(String peerAddress, Envelope envelope) {}
 
-  @Override public void write(List<DiskRecord> records, Runnable whenSynced) {}
+  @Override
+  public void write(List<DiskRecord> records, Runnable whenSynced) {}
 
-  @Override public boolean takesWrites() {
+  @Override
+  public boolean takesWrites() {
     return true;
   }
 
-  @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+  @Override
+  public WorkerRun run(WorkerCall call, WorkerListener listener) {
     throw new AssertionError("no such run");
   }
 
-  @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+  @Override
+  public void readLoad(
+      String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
     throw new AssertionError("a worker whose slots are listed is never asked");
   }
 
-  @Override public RandomGenerator random() {
+  @Override
+  public RandomGenerator random() {
     return random;
   }
 
-  @Override public void log(String part, String sentence) {}
+  @Override
+  public void log(String part, String sentence) {}
 }
--- a/core-logic/src/test/java/applespindle/corelogic/RouteTableTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/RouteTableTest.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.corelogic.Bundle.Route;
 import applespindle.corelogic.Bundle.RouteType;
 import applespindle.corelogic.Bundle.Share;
@@ -7,16 +9,38 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-
 final class RouteTableTest {
   private static Route route(String name, String host, String prefix) {
-    return new Route(name, host, prefix, RouteType.ONCE, 1_000, 0, 0, 1, 0, false, false, List.of(new Share("p", 1)), 0, 0, 0);
+    return new Route(
+        name,
+        host,
+        prefix,
+        RouteType.ONCE,
+        1_000,
+        0,
+        0,
+        1,
+        0,
+        false,
+        false,
+        List.of(new Share("p", 1)),
+        0,
+        0,
+        0);
   }
 
-  @Test void theLongestPrefixOfTheHostIsTheRoute() {
-    RouteTable table = RouteTable.compile(new Bundle(1, Map.of(), List.of(), null,
-        List.of(route("one", "A.example", "/x/"), route("two", "a.example", "/x/y/")), null, null));
+  @Test
+  void theLongestPrefixOfTheHostIsTheRoute() {
+    RouteTable table =
+        RouteTable.compile(
+            new Bundle(
+                1,
+                Map.of(),
+                List.of(),
+                null,
+                List.of(route("one", "A.example", "/x/"), route("two", "a.example", "/x/y/")),
+                null,
+                null));
     assertThat(table.find("a.example:8080", "/x/y/z").name()).isEqualTo("two");
     assertThat(table.find("A.EXAMPLE", "/x/z").name()).isEqualTo("one");
     assertThat(table.find("a.example", "/x")).isNull();
--- a/core-logic/src/test/java/applespindle/corelogic/StreamTextTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/StreamTextTest.java
@@ -1,11 +1,11 @@
 package applespindle.corelogic;
 
-import applespindle.corelogic.OpaqueRequest.Piece;
-import org.junit.jupiter.api.Test;
-
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.corelogic.OpaqueRequest.Piece;
+import org.junit.jupiter.api.Test;
+
 final class StreamTextTest {
   private final StreamText text = new StreamText();
 
@@ -13,7 +13,8 @@
     text.add(new Piece(id, bytes.getBytes(UTF_8)));
   }
 
-  @Test void joinsTheDataOfAllEventsByLineFeeds() {
+  @Test
+  void joinsTheDataOfAllEventsByLineFeeds() {
     add("1", "id: 1\ndata: Dear\n\n");
     add("2", "id: 2\ndata:guest,\ndata:  come\n\n");
     add("3", "data\nid: 3\r\n\r\n");
@@ -21,7 +22,8 @@
     assertThat(text.resumeAfter()).isEqualTo("3");
   }
 
-  @Test void passesOverOtherFieldsCommentsAndOtherLines() {
+  @Test
+  void passesOverOtherFieldsCommentsAndOtherLines() {
     add("1", "some-versions: 4\nevent: x\n: data: no\nid: 1\ndata: a\nretry: 3\n\n");
     add("2", "id: 2\n\n");
     add("3", "id: 3\ndata: b\n\n");
@@ -29,7 +31,8 @@
     assertThat(text.resumeAfter()).isEqualTo("3");
   }
 
-  @Test void holdsEachEventOnce() {
+  @Test
+  void holdsEachEventOnce() {
     add("9", "id: 9\ndata: a\n\n");
     add("9", "id: 9\ndata: a\n\n");
     add("8", "id: 8\ndata: z\n\n");
@@ -37,27 +40,31 @@
     assertThat(text.text()).isEqualTo("a\nb");
   }
 
-  @Test void anEventWithoutAnIdLeavesNoPlaceToGoOnFrom() {
+  @Test
+  void anEventWithoutAnIdLeavesNoPlaceToGoOnFrom() {
     add("1", "id: 1\ndata: a\n\n");
     add("", "data: b\n\n");
     assertThat(text.text()).isEqualTo("a\nb");
     assertThat(text.resumeAfter()).isEmpty();
   }
 
-  @Test void goesOnFromWhatWasHandedOver() {
+  @Test
+  void goesOnFromWhatWasHandedOver() {
     StreamText later = new StreamText("2", "a\nb");
     later.add(new Piece("2", "id: 2\ndata: b\n\n".getBytes(UTF_8)));
     later.add(new Piece("3", "id: 3\ndata: c\n\n".getBytes(UTF_8)));
     assertThat(later.text()).isEqualTo("a\nb\nc");
   }
 
-  @Test void beginsEmptyWhereNothingWasHandedOver() {
+  @Test
+  void beginsEmptyWhereNothingWasHandedOver() {
     StreamText anew = new StreamText("", "");
     anew.add(new Piece("1", "id: 1\ndata: a\n\n".getBytes(UTF_8)));
     assertThat(anew.text()).isEqualTo("a");
   }
 
-  @Test void emptyDataCountsAsAnEvent() {
+  @Test
+  void emptyDataCountsAsAnEvent() {
     add("1", "id: 1\ndata:\n\n");
     add("2", "id: 2\ndata: b\n\n");
     assertThat(text.text()).isEqualTo("\nb");
--- a/core-logic/src/test/java/applespindle/corelogic/WorkerBookTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/WorkerBookTest.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.corelogic.Records.Worker;
 import java.util.List;
 import java.util.Map;
@@ -8,8 +10,6 @@
 import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-
 /** How long a worker rests after what was heard of it, and how long a crowd at it is remembered. */
 final class WorkerBookTest {
   /** Time and load as the test sets them; the load is read when the test says so. */
@@ -18,47 +18,58 @@
     int running;
     Runnable readNext;
 
-    @Override public long now() {
+    @Override
+    public long now() {
       return now;
     }
 
-    @Override public Schedule after(long millis, Runnable task) {
+    @Override
+    public Schedule after(long millis, Runnable task) {
       readNext = task;
-      return () -> { };
+      return () -> {};
     }
 
-    @Override public void send(String peerAddress, Envelope envelope) {}
+    @Override
+    public void send(String peerAddress, Envelope envelope) {}
 
-    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {}
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {}
 
-    @Override public boolean takesWrites() {
+    @Override
+    public boolean takesWrites() {
       return true;
     }
 
-    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
       throw new AssertionError("nothing is run here");
     }
 
-    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
       whenRead.accept(new WorkerLoad(running, 0, 8, false));
     }
 
-    @Override public RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
       return new SplittableRandom(7);
     }
 
-    @Override public void log(String part, String sentence) {}
+    @Override
+    public void log(String part, String sentence) {}
   }
 
   private final World world = new World();
-  private final WorkerBook book = new WorkerBook(world, () -> { });
+  private final WorkerBook book = new WorkerBook(world, () -> {});
 
   private WorkerBook.Known worker(int slots) {
     book.follow(Map.of("w", new Worker("w", "10.0.0.1:1", "p", Worker.READY, "", slots)));
     return book.get("w");
   }
 
-  @Test void refusalsOfRequestsSentTogetherMakeOneRest() {
+  @Test
+  void refusalsOfRequestsSentTogetherMakeOneRest() {
     WorkerBook.Known worker = worker(0);
     for (int number = 0; number < 8; number++) {
       book.refused(worker);
@@ -69,7 +80,8 @@
     assertThat(book.usable(worker)).isTrue();
   }
 
-  @Test void aRefusalAfterTheRestMakesALongerOne() {
+  @Test
+  void aRefusalAfterTheRestMakesALongerOne() {
     WorkerBook.Known worker = worker(0);
     book.refused(worker);
     world.now += Constants.LOAD_POLL_MS;
@@ -80,7 +92,8 @@
     assertThat(book.usable(worker)).isTrue();
   }
 
-  @Test void runsThatFallTogetherMakeOneRest() {
+  @Test
+  void runsThatFallTogetherMakeOneRest() {
     WorkerBook.Known worker = worker(8);
     for (int number = 0; number < 8; number++) {
       book.faulted(worker);
@@ -91,7 +104,8 @@
     assertThat(book.usable(worker)).isTrue();
   }
 
-  @Test void aFaultAfterTheRestMakesALongerOne() {
+  @Test
+  void aFaultAfterTheRestMakesALongerOne() {
     WorkerBook.Known worker = worker(8);
     book.faulted(worker);
     world.now += Constants.WORKER_REST_MS;
@@ -102,7 +116,8 @@
     assertThat(book.usable(worker)).isTrue();
   }
 
-  @Test void aPastCrowdIsForgottenByHalves() {
+  @Test
+  void aPastCrowdIsForgottenByHalves() {
     world.running = 8;
     WorkerBook.Known worker = worker(0);
     world.running = 0;
--- a/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
@@ -1,5 +1,7 @@
 package applespindle.dataplane;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
 import applespindle.corelogic.Bundle;
 import applespindle.corelogic.Constants;
 import io.activej.bytebuf.ByteBuf;
@@ -11,24 +13,36 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.function.Supplier;
 
-import static java.nio.charset.StandardCharsets.US_ASCII;
-
 /**
- * A client's connection below the HTTP library, which would bear what a door must not: it lets line ends be bare, heads be
- * as long and as slow as they like, goes on reading after a refusal, unpacks bodies, does not look at a connection while
- * its request is being served, and writes a response's head and each of its pieces apart. Invariants: at most one read and
- * one write of the inner socket are open; bytes go both ways in order; a head is handed on whole and sound, or not at all.
+ * A client's connection below the HTTP library, which would bear what a door must not: it lets line
+ * ends be bare, heads be as long and as slow as they like, goes on reading after a refusal, unpacks
+ * bodies, does not look at a connection while its request is being served, and writes a response's
+ * head and each of its pieces apart. Invariants: at most one read and one write of the inner socket
+ * are open; bytes go both ways in order; a head is handed on whole and sound, or not at all.
  */
 final class ClientSocket implements ITcpSocket {
-  private enum Phase { HEAD, BODY, SERVED }
+  private enum Phase {
+    HEAD,
+    BODY,
+    SERVED
+  }
 
-  /** How long a client may go on sending what nobody reads, so that it can read why it was refused. */
+  /**
+   * How long a client may go on sending what nobody reads, so that it can read why it was refused.
+   */
   private static final long LINGER_MS = 500;
+
   /** A writer waits until what was gathered beyond this has gone out. */
   private static final int GATHERED_BYTES_MOST = 64 << 10;
+
   private static final byte[] ENCODING = "content-encoding:".getBytes(US_ASCII);
-  /** Where the hyphen of ENCODING stands, and what stands in its place above: no client's head can hold it. */
+
+  /**
+   * Where the hyphen of ENCODING stands, and what stands in its place above: no client's head can
+   * hold it.
+   */
   private static final int HYPHEN_AT = 7;
+
   private static final byte MASK = 1;
   static final String MASKED_ENCODING = "content" + (char) MASK + "encoding";
 
@@ -37,14 +51,22 @@
   private final Supplier<Bundle.ClientLimits> limits;
   private final Runnable whenClosed;
   private Phase phase = Phase.HEAD;
+
   /** The present head as far as it was read; null before its first byte. */
   private ByteBuf headBytes;
-  /** Of the present head: bytes so far, the last byte, and how many line ends stand behind each other. */
+
+  /**
+   * Of the present head: bytes so far, the last byte, and how many line ends stand behind each
+   * other.
+   */
   private int headSize;
+
   private byte last;
   private int lineEnds;
+
   /** How much of ENCODING the present line begins with; -1 if it begins otherwise. */
   private int encodingMatched;
+
   private long headBegunAt;
   private boolean reading;
   private ByteBuf ahead;
@@ -55,16 +77,24 @@
   private ScheduledRunnable timeout;
   private long timeoutAt;
   private Runnable whenGone;
+
   /** Written and not handed to the inner socket yet. */
   private ByteBuf gathered;
+
   private boolean flushPosted;
   private boolean flushing;
   private SettablePromise<Void> flushed;
+
   /** After the next write has gone out, the connection ends. */
   private boolean closing;
+
   private Exception closed;
 
-  ClientSocket(ITcpSocket inner, NioReactor reactor, Supplier<Bundle.ClientLimits> limits, Runnable whenClosed) {
+  ClientSocket(
+      ITcpSocket inner,
+      NioReactor reactor,
+      Supplier<Bundle.ClientLimits> limits,
+      Runnable whenClosed) {
     this.inner = inner;
     this.reactor = reactor;
     this.limits = limits;
@@ -76,7 +106,10 @@
     phase = Phase.BODY;
   }
 
-  /** The request was read whole: from now on the client is watched, until the next head is asked for. */
+  /**
+   * The request was read whole: from now on the client is watched, until the next head is asked
+   * for.
+   */
   void served(Runnable whenGone) {
     phase = Phase.SERVED;
     this.whenGone = whenGone;
@@ -109,7 +142,8 @@
 
   // ---- reading
 
-  @Override public Promise<ByteBuf> read() {
+  @Override
+  public Promise<ByteBuf> read() {
     if (phase == Phase.SERVED) {
       phase = Phase.HEAD;
       headSize = 0;
@@ -144,29 +178,32 @@
 
   private void readInner() {
     reading = true;
-    inner.read().subscribe((bytes, fault) -> {
-      reading = false;
-      if (fault != null) {
-        broken = fault;
-      } else if (bytes == null) {
-        ended = true;
-      }
-      if (closing || closed != null) {
-        discard(bytes);
-      } else if (asked == null && bytes != null) {
-        ahead = bytes;
-      } else if (asked == null) {
-        tellGone();
-      } else if (fault != null) {
-        SettablePromise<ByteBuf> present = asked;
-        asked = null;
-        present.setException(fault);
-      } else if (bytes == null) {
-        hand(null);
-      } else {
-        take(bytes);
-      }
-    });
+    inner
+        .read()
+        .subscribe(
+            (bytes, fault) -> {
+              reading = false;
+              if (fault != null) {
+                broken = fault;
+              } else if (bytes == null) {
+                ended = true;
+              }
+              if (closing || closed != null) {
+                discard(bytes);
+              } else if (asked == null && bytes != null) {
+                ahead = bytes;
+              } else if (asked == null) {
+                tellGone();
+              } else if (fault != null) {
+                SettablePromise<ByteBuf> present = asked;
+                asked = null;
+                present.setException(fault);
+              } else if (bytes == null) {
+                hand(null);
+              } else {
+                take(bytes);
+              }
+            });
   }
 
   private void discard(ByteBuf bytes) {
@@ -211,19 +248,23 @@
   }
 
   /**
-   * Looks at the head's bytes from where it stopped: every line must end with CR and LF, none may go on in the next, and
-   * no control character may stand in it.
+   * Looks at the head's bytes from where it stopped: every line must end with CR and LF, none may
+   * go on in the next, and no control character may stand in it.
    */
   private String headFault() {
     Bundle.ClientLimits known = limits.get();
-    int most = known == null || known.headBytesMost() == 0 ? OpaqueDoor.HEAD_BYTES_MOST : known.headBytesMost();
+    int most =
+        known == null || known.headBytesMost() == 0
+            ? OpaqueDoor.HEAD_BYTES_MOST
+            : known.headBytesMost();
     byte[] array = headBytes.array();
     for (int index = headBytes.head() + headSize; index < headBytes.tail(); index++) {
       byte each = array[index];
       if (each == '\n' ? last != '\r' : last == '\r') {
         return "400 Bad Request";
       }
-      boolean control = each >= 0 && each < ' ' && each != '\r' && each != '\n' && each != '\t' || each == 127;
+      boolean control =
+          each >= 0 && each < ' ' && each != '\r' && each != '\n' && each != '\t' || each == 127;
       if (control || (each == ' ' || each == '\t') && lineEnds > 0) {
         return "400 Bad Request";
       }
@@ -240,7 +281,10 @@
     return null;
   }
 
-  /** The library would unpack a body by this header, and what reaches the worker must be the client's own bytes. */
+  /**
+   * The library would unpack a body by this header, and what reaches the worker must be the
+   * client's own bytes.
+   */
   private void maskEncoding(byte[] array, int index, byte each) {
     if (each == '\n') {
       encodingMatched = 0;
@@ -257,7 +301,8 @@
   /** A header's name as the client wrote it. */
   static String unmasked(String name) {
     return name.length() == MASKED_ENCODING.length() && name.equalsIgnoreCase(MASKED_ENCODING)
-        ? name.replace((char) MASK, '-') : name;
+        ? name.replace((char) MASK, '-')
+        : name;
   }
 
   // ---- time
@@ -268,12 +313,21 @@
       return Long.MAX_VALUE;
     }
     if (headBytes != null) {
-      return headBegunAt + (known == null || known.headTimeoutMs() == 0 ? Constants.CLIENT_HEAD_MS : known.headTimeoutMs());
-    }
-    return askedAt + (known == null || known.idleTimeoutMs() == 0 ? Constants.CLIENT_IDLE_MS : known.idleTimeoutMs());
+      return headBegunAt
+          + (known == null || known.headTimeoutMs() == 0
+              ? Constants.CLIENT_HEAD_MS
+              : known.headTimeoutMs());
+    }
+    return askedAt
+        + (known == null || known.idleTimeoutMs() == 0
+            ? Constants.CLIENT_IDLE_MS
+            : known.idleTimeoutMs());
   }
 
-  /** One timer a connection: it stays where it was when something came, and looks again when it fires. */
+  /**
+   * One timer a connection: it stays where it was when something came, and looks again when it
+   * fires.
+   */
   private void watchTime() {
     long dueAt = dueAt();
     if (timeout != null && timeoutAt <= dueAt) {
@@ -302,20 +356,28 @@
     }
   }
 
-  /** Nothing of the request was passed on, and the HTTP library hears no more of this connection but its end. */
+  /**
+   * Nothing of the request was passed on, and the HTTP library hears no more of this connection but
+   * its end.
+   */
   private void refuse(String status) {
     SettablePromise<ByteBuf> present = asked;
     asked = null;
     closing = true;
-    ByteBuf answer = ByteBuf.wrapForReading(
-        ("HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").getBytes(US_ASCII));
+    ByteBuf answer =
+        ByteBuf.wrapForReading(
+            ("HTTP/1.1 " + status + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+                .getBytes(US_ASCII));
     write(answer).subscribe((written, fault) -> present.trySetException(fault));
   }
 
   // ---- writing and the end
 
-  /** What is written by this task and by those that wait in the loop already goes out in one piece. */
-  @Override public Promise<Void> write(ByteBuf bytes) {
+  /**
+   * What is written by this task and by those that wait in the loop already goes out in one piece.
+   */
+  @Override
+  public Promise<Void> write(ByteBuf bytes) {
     if (closed != null) {
       bytes.recycle();
       return Promise.ofException(closed);
@@ -344,23 +406,26 @@
     SettablePromise<Void> told = flushed;
     flushed = null;
     flushing = true;
-    inner.write(bytes).subscribe((written, fault) -> {
-      flushing = false;
-      if (fault != null) {
-        writeFailed(told, fault);
-        return;
-      }
-      if (gathered != null) {
-        flush();
-      }
-      if (closed != null) {
-        closeInner();
-      } else if (closing) {
-        linger(() -> told.trySetException(new Refused()));
-      } else if (told != null) {
-        told.set(null);
-      }
-    });
+    inner
+        .write(bytes)
+        .subscribe(
+            (written, fault) -> {
+              flushing = false;
+              if (fault != null) {
+                writeFailed(told, fault);
+                return;
+              }
+              if (gathered != null) {
+                flush();
+              }
+              if (closed != null) {
+                closeInner();
+              } else if (closing) {
+                linger(() -> told.trySetException(new Refused()));
+              } else if (told != null) {
+                told.set(null);
+              }
+            });
   }
 
   /** Whoever waits for something here learns it; the library then closes. */
@@ -379,7 +444,10 @@
     }
   }
 
-  /** Closing while bytes are unread would reset the connection, and the client would not see the answer. */
+  /**
+   * Closing while bytes are unread would reset the connection, and the client would not see the
+   * answer.
+   */
   private void linger(Runnable then) {
     if (ended || broken != null) {
       then.run();
@@ -395,16 +463,19 @@
     reactor.delayBackground(LINGER_MS, then::run);
   }
 
-  @Override public boolean isReadAvailable() {
+  @Override
+  public boolean isReadAvailable() {
     return false;
   }
 
-  @Override public boolean isClosed() {
+  @Override
+  public boolean isClosed() {
     return closed != null || inner.isClosed();
   }
 
   /** What was written before goes out first, if the client reads it soon. */
-  @Override public void closeEx(Exception fault) {
+  @Override
+  public void closeEx(Exception fault) {
     if (closed != null) {
       return;
     }
--- a/data-plane/src/main/java/applespindle/dataplane/DataPlane.java
+++ b/data-plane/src/main/java/applespindle/dataplane/DataPlane.java
@@ -10,8 +10,16 @@
 /** The data plane's program, in the role its startup names. */
 public final class DataPlane {
   public static void main(String[] arguments) {
-    Program.run("data-plane", null, arguments, startup -> (surroundings, place) -> startup.role().equals("storage")
-        ? new StorageNode(surroundings, place) : new EdgeNode(surroundings, place), DataPlane::open);
+    Program.run(
+        "data-plane",
+        null,
+        arguments,
+        startup ->
+            (surroundings, place) ->
+                startup.role().equals("storage")
+                    ? new StorageNode(surroundings, place)
+                    : new EdgeNode(surroundings, place),
+        DataPlane::open);
   }
 
   private static void open(NodeProcess process) {
--- a/data-plane/src/main/java/applespindle/dataplane/EdgeInterface.java
+++ b/data-plane/src/main/java/applespindle/dataplane/EdgeInterface.java
@@ -1,5 +1,7 @@
 package applespindle.dataplane;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.HttpInterface.Call;
 import applespindle.adapters.NodeProcess;
@@ -20,13 +22,22 @@
 import jakarta.validation.constraints.NotNull;
 import java.util.List;
 
-import static applespindle.corelogic.Json.JSON;
-
 /** What callers and batch senders see of an edge. */
 final class EdgeInterface {
-  /** A live request's body; further fields of the published format pass through to the worker as they are. */
-  record Completion(@NotNull String prompt, String model, @Min(1) @Max(Constants.TOKENS_MOST) Integer max_tokens,
-      Boolean stream, Double temperature, Double top_p, JsonNode stop, Long seed, String user) {}
+  /**
+   * A live request's body; further fields of the published format pass through to the worker as
+   * they are.
+   */
+  record Completion(
+      @NotNull String prompt,
+      String model,
+      @Min(1) @Max(Constants.TOKENS_MOST) Integer max_tokens,
+      Boolean stream,
+      Double temperature,
+      Double top_p,
+      JsonNode stop,
+      Long seed,
+      String user) {}
 
   private static final int KEY_LENGTH_MOST = 200;
 
@@ -41,9 +52,12 @@
   void addTo(HttpInterface http) {
     http.post("/v1/completions", this::complete);
     http.post("/v1/batches", call -> submit(http, call));
-    http.get("/v1/batches/{id}", call -> http.ask(then -> edge.readBatch(call.parts().get("id"), then)));
+    http.get(
+        "/v1/batches/{id}", call -> http.ask(then -> edge.readBatch(call.parts().get("id"), then)));
     http.get("/v1/batches/{id}/results", call -> results(http, call));
-    http.post("/v1/batches/{id}/end", call -> http.ask(then -> edge.endBatch(call.parts().get("id"), then)));
+    http.post(
+        "/v1/batches/{id}/end",
+        call -> http.ask(then -> edge.endBatch(call.parts().get("id"), then)));
   }
 
   private static String sender(Call call) {
@@ -56,8 +70,12 @@
   private Promise<HttpResponse> submit(HttpInterface http, Call call) {
     String key = call.header("Idempotency-Key");
     if (key.isEmpty() || key.length() > KEY_LENGTH_MOST) {
-      return HttpInterface.refuse(new Fault.InvalidInput(List.of(
-          new Fault.Field("header Idempotency-Key", "must have 1 to " + KEY_LENGTH_MOST + " characters"))));
+      return HttpInterface.refuse(
+          new Fault.InvalidInput(
+              List.of(
+                  new Fault.Field(
+                      "header Idempotency-Key",
+                      "must have 1 to " + KEY_LENGTH_MOST + " characters"))));
     }
     InputReader.Input<BatchInput> input = BatchInput.read(call.body());
     if (!input.good()) {
@@ -68,13 +86,20 @@
 
   private Promise<HttpResponse> results(HttpInterface http, Call call) {
     Long after = number(call.query("after"), 0, 0, Long.MAX_VALUE);
-    Long limit = number(call.query("limit"), Constants.RESULTS_PAGE, 1, Constants.RESULTS_PAGE_MOST);
+    Long limit =
+        number(call.query("limit"), Constants.RESULTS_PAGE, 1, Constants.RESULTS_PAGE_MOST);
     if (after == null || limit == null) {
-      return HttpInterface.refuse(new Fault.InvalidInput(List.of(after == null
-          ? new Fault.Field("query after", "must be a whole number from 0")
-          : new Fault.Field("query limit", "must be a whole number from 1 to " + Constants.RESULTS_PAGE_MOST))));
+      return HttpInterface.refuse(
+          new Fault.InvalidInput(
+              List.of(
+                  after == null
+                      ? new Fault.Field("query after", "must be a whole number from 0")
+                      : new Fault.Field(
+                          "query limit",
+                          "must be a whole number from 1 to " + Constants.RESULTS_PAGE_MOST))));
     }
-    return http.ask(then -> edge.readResults(call.parts().get("id"), after, limit.intValue(), then));
+    return http.ask(
+        then -> edge.readResults(call.parts().get("id"), after, limit.intValue(), then));
   }
 
   private static Long number(String text, long missing, long least, long most) {
@@ -98,21 +123,36 @@
     Completion completion = input.value();
     boolean streams = Boolean.TRUE.equals(completion.stream());
     ObjectNode body = JSON.createObjectNode();
-    JSON.valueToTree(completion).fields().forEachRemaining(field -> {
-      if (!field.getValue().isNull()) {
-        body.set(field.getKey(), field.getValue());
-      }
-    });
+    JSON.valueToTree(completion)
+        .fields()
+        .forEachRemaining(
+            field -> {
+              if (!field.getValue().isNull()) {
+                body.set(field.getKey(), field.getValue());
+              }
+            });
     body.put("stream", true);
-    var request = new LiveDesk.Request(sender(call), completion.model(), call.header("Applespindle-Class"),
-        HttpInterface.headers(call.request()), completion.prompt(), body, streams, call.header("Applespindle-Once"));
+    var request =
+        new LiveDesk.Request(
+            sender(call),
+            completion.model(),
+            call.header("Applespindle-Class"),
+            HttpInterface.headers(call.request()),
+            completion.prompt(),
+            body,
+            streams,
+            call.header("Applespindle-Once"));
     LiveExchange exchange = new LiveExchange(process, edge, request);
     return exchange.begin();
   }
 
   static ObjectNode wholeBody(String output, String finishReason) {
     ObjectNode body = JSON.createObjectNode().put("object", "text_completion");
-    body.putArray("choices").addObject().put("index", 0).put("text", output).put("finish_reason", finishReason);
+    body.putArray("choices")
+        .addObject()
+        .put("index", 0)
+        .put("text", output)
+        .put("finish_reason", finishReason);
     return body;
   }
 
@@ -121,10 +161,16 @@
   }
 
   static HttpResponse wholeLater(PieceStream events) {
-    return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "application/json").withBodyStream(events).build();
+    return HttpResponse.ok200()
+        .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+        .withBodyStream(events)
+        .build();
   }
 
   static HttpResponse streamed(PieceStream events) {
-    return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream").withBodyStream(events).build();
+    return HttpResponse.ok200()
+        .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
+        .withBodyStream(events)
+        .build();
   }
 }
--- a/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
@@ -1,5 +1,8 @@
 package applespindle.dataplane;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
 import applespindle.corelogic.Constants;
@@ -13,10 +16,10 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** One live request between the http thread, where its sender is, and the logic thread, where it is decided. */
+/**
+ * One live request between the http thread, where its sender is, and the logic thread, where it is
+ * decided.
+ */
 final class LiveExchange implements LiveDesk.Listener {
   private static final int WAITING_MOST = 10_000;
 
@@ -24,10 +27,13 @@
   private final EdgeNode edge;
   private final LiveDesk.Request request;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
+
   /** On the http thread only. */
   private PieceStream events;
+
   private boolean blanksGo;
   private boolean over;
+
   /** On the logic thread only. */
   private LiveDesk.Handle handle;
 
@@ -68,67 +74,85 @@
 
   private static byte[] piece(String text, String finishReason) {
     ObjectNode data = JSON.createObjectNode().put("object", "text_completion");
-    data.putArray("choices").addObject().put("index", 0).put("text", text).put("finish_reason", finishReason);
+    data.putArray("choices")
+        .addObject()
+        .put("index", 0)
+        .put("text", text)
+        .put("finish_reason", finishReason);
     return event(data);
   }
 
-  @Override public void text(String text) {
+  @Override
+  public void text(String text) {
     onHttp(() -> events().push(piece(text, null)));
   }
 
-  @Override public void running() {
-    onHttp(() -> {
-      if (!blanksGo) {
-        blanksGo = true;
-        nextBlank();
-      }
-    });
+  @Override
+  public void running() {
+    onHttp(
+        () -> {
+          if (!blanksGo) {
+            blanksGo = true;
+            nextBlank();
+          }
+        });
   }
 
-  /** White space before a JSON text means nothing; writing it shows whether the sender is still there. */
+  /**
+   * White space before a JSON text means nothing; writing it shows whether the sender is still
+   * there.
+   */
   private void nextBlank() {
-    process.httpLoop().delay(Constants.BLANK_MS, () -> {
-      if (over) {
-        return;
-      }
-      if (events == null) {
-        events = new PieceStream(this::senderGone, WAITING_MOST, Integer.MAX_VALUE);
-        response.trySet(EdgeInterface.wholeLater(events));
-      }
-      events.push(new byte[] {' '});
-      nextBlank();
-    });
+    process
+        .httpLoop()
+        .delay(
+            Constants.BLANK_MS,
+            () -> {
+              if (over) {
+                return;
+              }
+              if (events == null) {
+                events = new PieceStream(this::senderGone, WAITING_MOST, Integer.MAX_VALUE);
+                response.trySet(EdgeInterface.wholeLater(events));
+              }
+              events.push(new byte[] {' '});
+              nextBlank();
+            });
   }
 
-  @Override public void end(String wholeOutput, String finishReason) {
-    onHttp(() -> {
-      over = true;
-      if (!request.stream() && events != null) {
-        events.push(Json.bytes(EdgeInterface.wholeBody(wholeOutput, finishReason)));
-        events.end();
-      } else if (request.stream()) {
-        events().push(piece("", finishReason));
-        events().push("data: [DONE]\n\n".getBytes(UTF_8));
-        events().end();
-      } else {
-        response.trySet(EdgeInterface.whole(wholeOutput, finishReason));
-      }
-    });
+  @Override
+  public void end(String wholeOutput, String finishReason) {
+    onHttp(
+        () -> {
+          over = true;
+          if (!request.stream() && events != null) {
+            events.push(Json.bytes(EdgeInterface.wholeBody(wholeOutput, finishReason)));
+            events.end();
+          } else if (request.stream()) {
+            events().push(piece("", finishReason));
+            events().push("data: [DONE]\n\n".getBytes(UTF_8));
+            events().end();
+          } else {
+            response.trySet(EdgeInterface.whole(wholeOutput, finishReason));
+          }
+        });
   }
 
-  @Override public void fault(Response fault, boolean cut) {
-    onHttp(() -> {
-      over = true;
-      if (events == null) {
-        response.trySet(HttpInterface.render(fault));
-      } else if (!request.stream()) {
-        events.cut();
-      } else {
-        ObjectNode data = JSON.createObjectNode();
-        data.set("error", fault.body());
-        events.push(event(data));
-        events.cut();
-      }
-    });
+  @Override
+  public void fault(Response fault, boolean cut) {
+    onHttp(
+        () -> {
+          over = true;
+          if (events == null) {
+            response.trySet(HttpInterface.render(fault));
+          } else if (!request.stream()) {
+            events.cut();
+          } else {
+            ObjectNode data = JSON.createObjectNode();
+            data.set("error", fault.body());
+            events.push(event(data));
+            events.cut();
+          }
+        });
   }
 }
--- a/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
+++ b/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
@@ -41,25 +41,43 @@
 import java.util.function.Consumer;
 
 /**
- * Where clients of opaque requests arrive. A request is read whole within the limits in force before the logic hears of
- * it; what is refused here was never passed on. All on the http thread, except the questions to the logic.
+ * Where clients of opaque requests arrive. A request is read whole within the limits in force
+ * before the logic hears of it; what is refused here was never passed on. All on the http thread,
+ * except the questions to the logic.
  */
 public final class OpaqueDoor {
-  /** Headers that belong to one connection and go no further, besides those that Connection names. */
-  private static final Set<String> CONNECTION_BOUND = Set.of("connection", "keep-alive", "proxy-connection",
-      "transfer-encoding", "te", "trailer", "upgrade", "content-length", "expect", "proxy-authenticate",
-      "proxy-authorization");
+  /**
+   * Headers that belong to one connection and go no further, besides those that Connection names.
+   */
+  private static final Set<String> CONNECTION_BOUND =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "transfer-encoding",
+          "te",
+          "trailer",
+          "upgrade",
+          "content-length",
+          "expect",
+          "proxy-authenticate",
+          "proxy-authorization");
+
   /** The library's own time for idle connections; those in force are kept to by the sockets. */
   private static final Duration IDLE_MOST = Duration.ofDays(1);
+
   static final int HEAD_BYTES_MOST = 64 << 10;
 
   private final NodeProcess process;
   private final OpaqueGateway gateway;
   private final RequestFormat format;
+
   /** As the bundle in force has them; null before the first. */
   private volatile Bundle.ClientLimits limits;
+
   /** On the http thread only, as are the sockets. */
   private final Set<ClientSocket> sockets = new HashSet<>();
+
   /** The socket being accepted. */
   private ClientSocket accepted;
 
@@ -76,17 +94,27 @@
   }
 
   public void listen(String address) {
-    gateway.whenBundleChanges(bundle -> {
-      limits = bundle.clients();
-      process.toHttp(() -> List.copyOf(sockets).forEach(ClientSocket::limitsChanged));
-    });
-    HttpServer server = HttpServer.builder(process.httpLoop(), this::serve).withKeepAliveTimeout(IDLE_MOST)
-        .withInspector(new Sockets())
-        .withHttpErrorFormatter(fault -> Promise.of(HttpInterface.render(Response.of(new Fault.InternalFault(fault.getClass().getSimpleName())))))
-        .build();
+    gateway.whenBundleChanges(
+        bundle -> {
+          limits = bundle.clients();
+          process.toHttp(() -> List.copyOf(sockets).forEach(ClientSocket::limitsChanged));
+        });
+    HttpServer server =
+        HttpServer.builder(process.httpLoop(), this::serve)
+            .withKeepAliveTimeout(IDLE_MOST)
+            .withInspector(new Sockets())
+            .withHttpErrorFormatter(
+                fault ->
+                    Promise.of(
+                        HttpInterface.render(
+                            Response.of(
+                                new Fault.InternalFault(fault.getClass().getSimpleName())))))
+            .build();
     try {
       SimpleServer.builder(process.httpLoop(), socket -> serve(server, socket))
-          .withListenAddress(HttpInterface.socketAddress(address)).build().listen();
+          .withListenAddress(HttpInterface.socketAddress(address))
+          .build()
+          .listen();
     } catch (IOException fault) {
       throw new UncheckedIOException(fault);
     }
@@ -94,31 +122,43 @@
 
   private void serve(HttpServer server, ITcpSocket socket) {
     ClientSocket[] guarded = new ClientSocket[1];
-    guarded[0] = new ClientSocket(socket, process.httpLoop(), () -> limits, () -> sockets.remove(guarded[0]));
+    guarded[0] =
+        new ClientSocket(
+            socket, process.httpLoop(), () -> limits, () -> sockets.remove(guarded[0]));
     accepted = guarded[0];
     sockets.add(accepted);
     ServedConnection.serve(server, accepted, InetAddress.getLoopbackAddress());
   }
 
   /** Each connection keeps its socket at hand; it is told of while it is being accepted. */
-  private final class Sockets extends AbstractInspector<HttpServer.Inspector> implements HttpServer.Inspector {
-    @Override public void onAccept(HttpServerConnection connection) {
+  private final class Sockets extends AbstractInspector<HttpServer.Inspector>
+      implements HttpServer.Inspector {
+    @Override
+    public void onAccept(HttpServerConnection connection) {
       connection.setUserData(accepted);
     }
 
-    @Override public void onHttpRequest(HttpRequest request) {}
+    @Override
+    public void onHttpRequest(HttpRequest request) {}
 
-    @Override public void onHttpResponse(HttpRequest request, HttpResponse response) {}
+    @Override
+    public void onHttpResponse(HttpRequest request, HttpResponse response) {}
 
-    @Override public void onHttpResponseComplete(HttpServerConnection connection) {}
+    @Override
+    public void onHttpResponseComplete(HttpServerConnection connection) {}
 
-    @Override public void onServletException(HttpRequest request, Exception fault) {}
+    @Override
+    public void onServletException(HttpRequest request, Exception fault) {}
 
-    @Override public void onHttpError(HttpServerConnection connection, Exception fault) {}
+    @Override
+    public void onHttpError(HttpServerConnection connection, Exception fault) {}
 
-    @Override public void onMalformedHttpRequest(HttpServerConnection connection, MalformedHttpException fault, byte[] bytes) {}
+    @Override
+    public void onMalformedHttpRequest(
+        HttpServerConnection connection, MalformedHttpException fault, byte[] bytes) {}
 
-    @Override public void onDisconnect(HttpServerConnection connection) {}
+    @Override
+    public void onDisconnect(HttpServerConnection connection) {}
   }
 
   private static ClientSocket socket(HttpRequest request) {
@@ -133,7 +173,10 @@
 
   private Promise<HttpResponse> refuseAndClose(HttpRequest request, Fault fault) {
     socket(request).closeAfterWrite();
-    return later(HttpInterface.begin(Response.of(fault)).withHeader(HttpHeaders.CONNECTION, "close").build());
+    return later(
+        HttpInterface.begin(Response.of(fault))
+            .withHeader(HttpHeaders.CONNECTION, "close")
+            .build());
   }
 
   /** The library reads on behind a request that is answered while it is being read; so none is. */
@@ -159,22 +202,32 @@
     String host = request.getHeader(HttpHeaders.HOST);
     List<OpaqueRequest.Header> headers = endToEnd(request);
     String method = request.getMethod().name();
-    return request.loadBody(bodyBytesMost).then(
-        // The library looks at the size before it adds a chunk, and not behind the last.
-        body -> body.readRemaining() > bodyBytesMost ? refuseAndClose(request, new Fault.InputTooLarge(bodyBytesMost))
-            : answer(request, socket, new Arrived(method, target, host, headers, body.getArray())),
-        unreadable -> refuseAndClose(request, new Fault.InputTooLarge(bodyBytesMost)));
+    return request
+        .loadBody(bodyBytesMost)
+        .then(
+            // The library looks at the size before it adds a chunk, and not behind the last.
+            body ->
+                body.readRemaining() > bodyBytesMost
+                    ? refuseAndClose(request, new Fault.InputTooLarge(bodyBytesMost))
+                    : answer(
+                        request,
+                        socket,
+                        new Arrived(method, target, host, headers, body.getArray())),
+            unreadable -> refuseAndClose(request, new Fault.InputTooLarge(bodyBytesMost)));
   }
 
   private int bodyBytesMost() {
     Bundle.ClientLimits known = limits;
-    return known == null || known.bodyBytesMost() == 0 ? Constants.BODY_BYTES_MOST : known.bodyBytesMost();
+    return known == null || known.bodyBytesMost() == 0
+        ? Constants.BODY_BYTES_MOST
+        : known.bodyBytesMost();
   }
 
   /** What makes a head ambiguous or too large; such a request goes no further. */
   private Fault headFault(HttpRequest request) {
     Bundle.ClientLimits known = limits;
-    int headBytesMost = known == null || known.headBytesMost() == 0 ? HEAD_BYTES_MOST : known.headBytesMost();
+    int headBytesMost =
+        known == null || known.headBytesMost() == 0 ? HEAD_BYTES_MOST : known.headBytesMost();
     int bytes = request.getPathAndQuery().length();
     int lengths = 0;
     int hosts = 0;
@@ -208,7 +261,10 @@
     return hosts == 1 ? null : invalid("header Host", "must stand once");
   }
 
-  /** Most of all no space before the colon: such a length would be another name, and the body another request. */
+  /**
+   * Most of all no space before the colon: such a length would be another name, and the body
+   * another request.
+   */
   private static boolean isToken(String name) {
     for (int index = 0; index < name.length(); index++) {
       char each = name.charAt(index);
@@ -246,20 +302,23 @@
   private Promise<HttpResponse> answer(HttpRequest http, ClientSocket socket, Arrived arrived) {
     SettablePromise<HttpResponse> response = new SettablePromise<>();
     Runnable whenGone = decide(arrived, response);
-    socket.served(() -> {
-      whenGone.run();
-      response.trySet(HttpInterface.render(Response.of(new Fault.RunCancelled())));
-    });
-    Promise<HttpResponse> unhurried = response.isComplete() ? later(response.getResult()) : response;
-    return unhurried.map(ready -> {
-      if (process.stopping()) {
-        ServedConnection.endAfterResponse(http);
-      }
-      if (ServedConnection.hasSurplus(http)) {
-        ServedConnection.endAfterResponse(http);
-      }
-      return ready;
-    });
+    socket.served(
+        () -> {
+          whenGone.run();
+          response.trySet(HttpInterface.render(Response.of(new Fault.RunCancelled())));
+        });
+    Promise<HttpResponse> unhurried =
+        response.isComplete() ? later(response.getResult()) : response;
+    return unhurried.map(
+        ready -> {
+          if (process.stopping()) {
+            ServedConnection.endAfterResponse(http);
+          }
+          if (ServedConnection.hasSurplus(http)) {
+            ServedConnection.endAfterResponse(http);
+          }
+          return ready;
+        });
   }
 
   /** Has the request answered; what it returns is to be run if the client goes before that. */
@@ -271,21 +330,23 @@
       } else {
         answer(batchCall.value(), response);
       }
-      return () -> { };
+      return () -> {};
     }
     Parsed<OpaqueRequest> request = format.request(arrived);
     if (request.fault() != null) {
       response.set(render(Response.of(request.fault())));
-      return () -> { };
+      return () -> {};
     }
     OpaqueExchange exchange = new OpaqueExchange(process, response, this::render);
-    boolean taken = process.toLogic(() -> {
-      if (arrived.method().equals("POST") && leadsToBatches(request.value())) {
-        process.toHttp(() -> submit(arrived, response));
-      } else {
-        exchange.begin(listener -> gateway.pass(request.value(), listener));
-      }
-    });
+    boolean taken =
+        process.toLogic(
+            () -> {
+              if (arrived.method().equals("POST") && leadsToBatches(request.value())) {
+                process.toHttp(() -> submit(arrived, response));
+              } else {
+                exchange.begin(listener -> gateway.pass(request.value(), listener));
+              }
+            });
     if (!taken) {
       response.set(render(Response.of(new Fault.Overloaded("logic"))));
     }
@@ -294,7 +355,8 @@
 
   /** Our own responses tell when to come back as the format has it. */
   private HttpResponse render(Response response) {
-    HttpResponse.Builder builder = HttpInterface.begin(new Response(response.status(), response.body(), 0));
+    HttpResponse.Builder builder =
+        HttpInterface.begin(new Response(response.status(), response.body(), 0));
     if (response.comeBackMs() > 0) {
       builder.withHeader(HttpHeaders.RETRY_AFTER, format.comeBack(response.comeBackMs()));
     }
@@ -312,30 +374,40 @@
       response.trySet(render(Response.of(batch.fault())));
       return;
     }
-    ask(then -> gateway.submitOpaque(batch.value(), then), answer -> response.trySet(render(format.show(null, answer))));
+    ask(
+        then -> gateway.submitOpaque(batch.value(), then),
+        answer -> response.trySet(render(format.show(null, answer))));
   }
 
   private void answer(BatchCall call, SettablePromise<HttpResponse> response) {
-    ask(then -> {
-      if (call instanceof BatchCall.Results results) {
-        gateway.opaqueResults(results.batch(), results.from(), results.holdMs(), then);
-      } else if (call instanceof BatchCall.ItemBody item) {
-        gateway.opaqueItem(item.batch(), item.item(), then);
-      } else if (call instanceof BatchCall.End end) {
-        gateway.endOpaque(end.batch(), then);
-      }
-    }, answer -> response.trySet(answer.good() && call instanceof BatchCall.ItemBody ? itemBody(answer)
-        : render(format.show(call, answer))));
+    ask(
+        then -> {
+          if (call instanceof BatchCall.Results results) {
+            gateway.opaqueResults(results.batch(), results.from(), results.holdMs(), then);
+          } else if (call instanceof BatchCall.ItemBody item) {
+            gateway.opaqueItem(item.batch(), item.item(), then);
+          } else if (call instanceof BatchCall.End end) {
+            gateway.endOpaque(end.batch(), then);
+          }
+        },
+        answer ->
+            response.trySet(
+                answer.good() && call instanceof BatchCall.ItemBody
+                    ? itemBody(answer)
+                    : render(format.show(call, answer))));
   }
 
   private static HttpResponse itemBody(Response answer) {
-    return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream")
-        .withBody(Base64.getDecoder().decode(answer.body().path("body").asText())).build();
+    return HttpResponse.ok200()
+        .withHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream")
+        .withBody(Base64.getDecoder().decode(answer.body().path("body").asText()))
+        .build();
   }
 
   /** Asks on the logic thread; the answer comes back to the http thread. */
   private void ask(Consumer<Consumer<Response>> question, Consumer<Response> then) {
-    boolean taken = process.toLogic(() -> question.accept(answer -> process.toHttp(() -> then.accept(answer))));
+    boolean taken =
+        process.toLogic(() -> question.accept(answer -> process.toHttp(() -> then.accept(answer))));
     if (!taken) {
       then.accept(Response.of(new Fault.Overloaded("logic")));
     }
--- a/data-plane/src/main/java/applespindle/dataplane/OpaqueExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/OpaqueExchange.java
@@ -1,6 +1,5 @@
 package applespindle.dataplane;
 
-import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.LiveDesk;
@@ -19,9 +18,9 @@
 import java.util.function.Function;
 
 /**
- * One opaque request between the http thread, where its client is, and the logic thread, where it is decided. What the
- * logic tells is passed on in order, and what it tells in one task goes over in one; the client's going is told to the
- * logic at most once.
+ * One opaque request between the http thread, where its client is, and the logic thread, where it
+ * is decided. What the logic tells is passed on in order, and what it tells in one task goes over
+ * in one; the client's going is told to the logic at most once.
  */
 final class OpaqueExchange implements OpaqueListener {
   private static final int GATHERED_LEAST = 4;
@@ -30,11 +29,15 @@
   private final NodeProcess process;
   private final SettablePromise<HttpResponse> response;
   private final Function<Response, HttpResponse> refusal;
+
   /** On the http thread only. */
   private PieceStream body;
+
   private boolean over;
+
   /** On the logic thread only. */
   private LiveDesk.Handle handle;
+
   private boolean gone;
 
   /** What the logic has told and the http thread has not taken yet. */
@@ -49,7 +52,10 @@
   /** Guarded by this; null once the http thread has taken it. */
   private Told told;
 
-  OpaqueExchange(NodeProcess process, SettablePromise<HttpResponse> response, Function<Response, HttpResponse> refusal) {
+  OpaqueExchange(
+      NodeProcess process,
+      SettablePromise<HttpResponse> response,
+      Function<Response, HttpResponse> refusal) {
     this.process = process;
     this.response = response;
     this.refusal = refusal;
@@ -67,12 +73,13 @@
   void clientGone() {
     if (!over) {
       over = true;
-      process.toLogic(() -> {
-        gone = true;
-        if (handle != null) {
-          handle.cancel();
-        }
-      });
+      process.toLogic(
+          () -> {
+            gone = true;
+            if (handle != null) {
+              handle.cancel();
+            }
+          });
     }
   }
 
@@ -89,23 +96,28 @@
     }
   }
 
-  @Override public void head(Head head) {
+  @Override
+  public void head(Head head) {
     tell(told -> told.head = head);
   }
 
-  @Override public void piece(Piece piece) {
+  @Override
+  public void piece(Piece piece) {
     tell(told -> told.pieces.add(piece.bytes()));
   }
 
-  @Override public void end() {
+  @Override
+  public void end() {
     tell(told -> told.ended = true);
   }
 
-  @Override public void refused(Response refused) {
+  @Override
+  public void refused(Response refused) {
     tell(told -> told.refused = refused);
   }
 
-  @Override public void cut(Fault fault) {
+  @Override
+  public void cut(Fault fault) {
     tell(told -> told.cut = true);
   }
 
--- a/data-plane/src/main/java/applespindle/dataplane/PieceStream.java
+++ b/data-plane/src/main/java/applespindle/dataplane/PieceStream.java
@@ -6,7 +6,9 @@
 import io.activej.promise.SettablePromise;
 import java.util.ArrayDeque;
 
-/** A body on its way to one client, piece by piece; closed by the server when the client has gone. */
+/**
+ * A body on its way to one client, piece by piece; closed by the server when the client has gone.
+ */
 final class PieceStream extends AbstractChannelSupplier<ByteBuf> {
   private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
   private final Runnable whenClientGone;
@@ -56,7 +58,8 @@
   }
 
   /** All pieces that wait are written at once. */
-  @Override protected Promise<ByteBuf> doGet() {
+  @Override
+  protected Promise<ByteBuf> doGet() {
     if (!waiting.isEmpty()) {
       return Promise.of(takeWaiting());
     }
@@ -85,7 +88,8 @@
     return ByteBuf.wrapForReading(bytes);
   }
 
-  @Override protected void onClosed(Exception fault) {
+  @Override
+  protected void onClosed(Exception fault) {
     if (asked != null) {
       asked.trySetException(fault);
     }
--- a/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
+++ b/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
@@ -9,7 +9,8 @@
 /** How clients write opaque requests and batches of them. Used on the http thread only. */
 public interface RequestFormat {
   /** A request as it came, with its end-to-end headers. */
-  record Arrived(String method, String target, String host, List<OpaqueRequest.Header> headers, byte[] body) {
+  record Arrived(
+      String method, String target, String host, List<OpaqueRequest.Header> headers, byte[] body) {
     /** The first value of a header, or an empty text. */
     public String header(String name) {
       for (OpaqueRequest.Header header : headers) {
@@ -21,10 +22,15 @@
     }
   }
 
-  /** A call about a batch that was taken: its results from a position on, the body of an item, or its end. */
+  /**
+   * A call about a batch that was taken: its results from a position on, the body of an item, or
+   * its end.
+   */
   sealed interface BatchCall {
     record Results(String batch, long from, long holdMs) implements BatchCall {}
+
     record ItemBody(String batch, String item) implements BatchCall {}
+
     record End(String batch) implements BatchCall {}
   }
 
--- a/data-plane/src/test/java/applespindle/dataplane/OpaqueAnswersTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/OpaqueAnswersTest.java
@@ -1,5 +1,12 @@
 package applespindle.dataplane;
 
+import static applespindle.dataplane.TestDoor.post;
+import static applespindle.dataplane.TestDoor.readAll;
+import static applespindle.dataplane.TestDoor.readUntil;
+import static applespindle.dataplane.TestDoor.send;
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.corelogic.Bundle.ClientLimits;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.OpaqueListener;
@@ -17,26 +24,22 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import static applespindle.dataplane.TestDoor.post;
-import static applespindle.dataplane.TestDoor.readAll;
-import static applespindle.dataplane.TestDoor.readUntil;
-import static applespindle.dataplane.TestDoor.send;
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /** What goes through the door both ways, by raw bytes, and the limits it keeps to. */
 final class OpaqueAnswersTest {
   private static final ClientLimits WIDE = new ClientLimits(16_384, 1 << 20, 60_000, 60_000);
-  private static final Head STREAM = new Head(200, List.of(new Header("Content-Type", "text/event-stream")));
+  private static final Head STREAM =
+      new Head(200, List.of(new Header("Content-Type", "text/event-stream")));
   private static TestDoor door;
 
-  @BeforeAll static void open() throws IOException {
+  @BeforeAll
+  static void open() throws IOException {
     door = new TestDoor();
   }
 
-  @BeforeEach void forget() {
+  @BeforeEach
+  void forget() {
     door.passed.clear();
-    door.answer = unanswered -> { };
+    door.answer = unanswered -> {};
     door.limit(WIDE);
   }
 
@@ -53,15 +56,20 @@
 
   // ---- requests
 
-  @Test void aPackedBodyIsPassedOnByItsExactBytes() throws Exception {
+  @Test
+  void aPackedBodyIsPassedOnByItsExactBytes() throws Exception {
     ByteArrayOutputStream packed = new ByteArrayOutputStream();
     try (GZIPOutputStream gzip = new GZIPOutputStream(packed)) {
       gzip.write("some words, some words".getBytes(ISO_8859_1));
     }
     door.answer = OpaqueAnswersTest::whole;
     String body = packed.toString(ISO_8859_1);
-    String chunked = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\ncontent-encoding:GZIP\r\n\r\n"
-        + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+    String chunked =
+        "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\ncontent-encoding:GZIP\r\n\r\n"
+            + Integer.toHexString(body.length())
+            + "\r\n"
+            + body
+            + "\r\n0\r\n\r\n";
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "Content-Encoding: gzip\r\nX-Last: 1\r\n", body));
       readUntil(socket, "in two");
@@ -70,13 +78,15 @@
     }
     OpaqueRequest first = door.nextPassed().request();
     assertThat(first.body()).isEqualTo(packed.toByteArray());
-    assertThat(first.headers()).containsAtLeast(new Header("Content-Encoding", "gzip"), new Header("X-Last", "1"));
+    assertThat(first.headers())
+        .containsAtLeast(new Header("Content-Encoding", "gzip"), new Header("X-Last", "1"));
     OpaqueRequest second = door.nextPassed().request();
     assertThat(second.body()).isEqualTo(packed.toByteArray());
     assertThat(second.headers()).contains(new Header("content-encoding", "GZIP"));
   }
 
-  @Test void aHeadMayComeByteByByte() throws Exception {
+  @Test
+  void aHeadMayComeByteByByte() throws Exception {
     door.answer = OpaqueAnswersTest::whole;
     try (Socket socket = door.connect()) {
       socket.setTcpNoDelay(true);
@@ -91,7 +101,8 @@
     assertThat(request.body()).isEqualTo("abc".getBytes(ISO_8859_1));
   }
 
-  @Test void controlCharactersInAHeadAreRefused() throws Exception {
+  @Test
+  void controlCharactersInAHeadAreRefused() throws Exception {
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "content\u0001encoding: gzip\r\n", "abc"));
       assertThat(readAll(socket)).startsWith("HTTP/1.1 400");
@@ -99,7 +110,8 @@
     assertThat(door.passed).isEmpty();
   }
 
-  @Test void aRequestThatComesEarlyWaitsForItsTurn() throws Exception {
+  @Test
+  void aRequestThatComesEarlyWaitsForItsTurn() throws Exception {
     try (Socket socket = door.connect()) {
       send(socket, post("/first", "", "abc"));
       TestDoor.Passed first = door.nextPassed();
@@ -113,20 +125,23 @@
     }
   }
 
-  @Test void aRequestInTheSameBytesEndsTheConnectionAfterAWholeStream() throws Exception {
+  @Test
+  void aRequestInTheSameBytesEndsTheConnectionAfterAWholeStream() throws Exception {
     try (Socket socket = door.connect()) {
       send(socket, post("/first", "", "abc") + post("/second", "", "abc"));
       OpaqueListener listener = door.nextPassed().listener();
-      door.onLogic(() -> {
-        listener.head(STREAM);
-        listener.piece(piece("data: 1\n\n"));
-      });
+      door.onLogic(
+          () -> {
+            listener.head(STREAM);
+            listener.piece(piece("data: 1\n\n"));
+          });
       String begun = readUntil(socket, "data: 1\n\n");
       assertThat(begun.toLowerCase()).contains("connection: close");
-      door.onLogic(() -> {
-        listener.piece(piece("data: 2\n\n"));
-        listener.end();
-      });
+      door.onLogic(
+          () -> {
+            listener.piece(piece("data: 2\n\n"));
+            listener.end();
+          });
       String rest = readAll(socket);
       assertThat(rest).contains("data: 2\n\n");
       assertThat(rest).endsWith("0\r\n\r\n");
@@ -136,7 +151,8 @@
 
   // ---- responses
 
-  @Test void whatIsWholeAtOnceHasALength() throws Exception {
+  @Test
+  void whatIsWholeAtOnceHasALength() throws Exception {
     door.answer = OpaqueAnswersTest::whole;
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "", "abc"));
@@ -146,15 +162,18 @@
     }
   }
 
-  @Test void pieceForPieceWhatComesLater() throws Exception {
+  @Test
+  void pieceForPieceWhatComesLater() throws Exception {
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "", "abc"));
       OpaqueListener listener = door.nextPassed().listener();
-      door.onLogic(() -> {
-        listener.head(STREAM);
-        listener.piece(piece("data: 1\n\n"));
-      });
-      assertThat(readUntil(socket, "data: 1\n\n").toLowerCase()).contains("transfer-encoding: chunked");
+      door.onLogic(
+          () -> {
+            listener.head(STREAM);
+            listener.piece(piece("data: 1\n\n"));
+          });
+      assertThat(readUntil(socket, "data: 1\n\n").toLowerCase())
+          .contains("transfer-encoding: chunked");
       door.onLogic(() -> listener.piece(piece("data: 2\n\n")));
       readUntil(socket, "data: 2\n\n");
       door.onLogic(listener::end);
@@ -165,22 +184,25 @@
     }
   }
 
-  @Test void aCutStreamDoesNotLookWhole() throws Exception {
+  @Test
+  void aCutStreamDoesNotLookWhole() throws Exception {
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "", "abc"));
       OpaqueListener listener = door.nextPassed().listener();
-      door.onLogic(() -> {
-        listener.head(STREAM);
-        listener.piece(piece("data: 1\n\n"));
-        listener.cut(new Fault.WorkerCut("w"));
-      });
+      door.onLogic(
+          () -> {
+            listener.head(STREAM);
+            listener.piece(piece("data: 1\n\n"));
+            listener.cut(new Fault.WorkerCut("w"));
+          });
       String all = readAll(socket);
       assertThat(all).contains("data: 1\n\n");
       assertThat(all).doesNotContain("\r\n0\r\n");
     }
   }
 
-  @Test void aClientThatGoesIsToldToTheLogic() throws Exception {
+  @Test
+  void aClientThatGoesIsToldToTheLogic() throws Exception {
     Socket before = door.connect();
     send(before, post("/x", "", "abc"));
     TestDoor.Passed unanswered = door.nextPassed();
@@ -190,10 +212,11 @@
     Socket midway = door.connect();
     send(midway, post("/x", "", "abc"));
     TestDoor.Passed begun = door.nextPassed();
-    door.onLogic(() -> {
-      begun.listener().head(STREAM);
-      begun.listener().piece(piece("data: 1\n\n"));
-    });
+    door.onLogic(
+        () -> {
+          begun.listener().head(STREAM);
+          begun.listener().piece(piece("data: 1\n\n"));
+        });
     readUntil(midway, "data: 1\n\n");
     midway.close();
     begun.cancelled().get(TestDoor.LIMIT_S, TimeUnit.SECONDS);
@@ -201,7 +224,8 @@
 
   // ---- limits
 
-  @Test void aSlowHeadIsRefused() throws Exception {
+  @Test
+  void aSlowHeadIsRefused() throws Exception {
     door.limit(new ClientLimits(16_384, 1 << 20, 50, 60_000));
     try (Socket socket = door.connect()) {
       send(socket, "POST /x HTTP/1.1\r\nHost: h\r\n");
@@ -210,7 +234,8 @@
     assertThat(door.passed).isEmpty();
   }
 
-  @Test void aBodyThatStallsIsRefused() throws Exception {
+  @Test
+  void aBodyThatStallsIsRefused() throws Exception {
     door.limit(new ClientLimits(16_384, 1 << 20, 60_000, 50));
     try (Socket socket = door.connect()) {
       send(socket, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 30\r\n\r\nabc");
@@ -219,9 +244,11 @@
     assertThat(door.passed).isEmpty();
   }
 
-  @Test void idleConnectionsEndByTheLimitsInForce() throws Exception {
+  @Test
+  void idleConnectionsEndByTheLimitsInForce() throws Exception {
     door.answer = OpaqueAnswersTest::whole;
-    try (Socket fresh = door.connect(); Socket used = door.connect()) {
+    try (Socket fresh = door.connect();
+        Socket used = door.connect()) {
       send(used, post("/x", "", "abc"));
       readUntil(used, "in two");
       door.limit(new ClientLimits(16_384, 1 << 20, 60_000, 50));
@@ -230,7 +257,8 @@
     }
   }
 
-  @Test void sizesAreThoseInForceFromTheFirstRequestOn() throws Exception {
+  @Test
+  void sizesAreThoseInForceFromTheFirstRequestOn() throws Exception {
     door.limit(new ClientLimits(200, 10, 60_000, 60_000));
     try (Socket socket = door.connect()) {
       send(socket, post("/x", "X-Long: " + "a".repeat(300) + "\r\n", "abc"));
@@ -241,7 +269,9 @@
       assertThat(readAll(socket)).startsWith("HTTP/1.1 413");
     }
     try (Socket socket = door.connect()) {
-      send(socket, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n");
+      send(
+          socket,
+          "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n");
       assertThat(readAll(socket)).startsWith("HTTP/1.1 413");
     }
     assertThat(door.passed).isEmpty();
--- a/data-plane/src/test/java/applespindle/dataplane/OpaqueDoorTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/OpaqueDoorTest.java
@@ -1,5 +1,8 @@
 package applespindle.dataplane;
 
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.adapters.NodeProcess;
 import applespindle.adapters.Startup;
 import applespindle.corelogic.Bounds;
@@ -21,34 +24,52 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
-/** What the door lets through, against raw bytes. An edge without a bundle refuses whatever reaches it with 503. */
+/**
+ * What the door lets through, against raw bytes. An edge without a bundle refuses whatever reaches
+ * it with 503.
+ */
 final class OpaqueDoorTest {
   /** Remembers every request that got past the door. */
   private static final class Remembering implements RequestFormat {
     final Queue<Arrived> arrived = new ConcurrentLinkedQueue<>();
 
-    @Override public String comeBack(long millis) {
+    @Override
+    public String comeBack(long millis) {
       return millis + "ms";
     }
 
-    @Override public Parsed<OpaqueRequest> request(Arrived request) {
+    @Override
+    public Parsed<OpaqueRequest> request(Arrived request) {
       arrived.add(request);
-      return new Parsed<>(new OpaqueRequest("r", request.method(), request.target(), request.host(), request.headers(),
-          request.body(), 0, "", 0, 0, List.of(), ""), null);
+      return new Parsed<>(
+          new OpaqueRequest(
+              "r",
+              request.method(),
+              request.target(),
+              request.host(),
+              request.headers(),
+              request.body(),
+              0,
+              "",
+              0,
+              0,
+              List.of(),
+              ""),
+          null);
     }
 
-    @Override public Parsed<BatchCall> batchCall(Arrived request) {
+    @Override
+    public Parsed<BatchCall> batchCall(Arrived request) {
       return Parsed.none();
     }
 
-    @Override public Parsed<OpaqueBatch> batch(Arrived request) {
+    @Override
+    public Parsed<OpaqueBatch> batch(Arrived request) {
       return new Parsed<>(null, new Fault.NoMatchingRule());
     }
 
-    @Override public Response show(BatchCall call, Response response) {
+    @Override
+    public Response show(BatchCall call, Response response) {
       return response;
     }
   }
@@ -56,13 +77,28 @@
   private static final Remembering FORMAT = new Remembering();
   private static int port;
 
-  @BeforeAll static void open() throws IOException {
+  @BeforeAll
+  static void open() throws IOException {
     OpaqueDoor.allowHeads();
     port = freePort();
     String peer = "127.0.0.1:" + freePort();
-    var startup = new Startup("edge", "zone", "edge", "127.0.0.1:" + port, peer, null, List.of(peer), List.of(), Map.of());
-    new NodeProcess(startup, (surroundings, place) -> new EdgeNode(surroundings, place, Bounds.DEFAULT)).start(process ->
-        new OpaqueDoor(process, (EdgeNode) process.node(), FORMAT).listen("127.0.0.1:" + port));
+    var startup =
+        new Startup(
+            "edge",
+            "zone",
+            "edge",
+            "127.0.0.1:" + port,
+            peer,
+            null,
+            List.of(peer),
+            List.of(),
+            Map.of());
+    new NodeProcess(
+            startup, (surroundings, place) -> new EdgeNode(surroundings, place, Bounds.DEFAULT))
+        .start(
+            process ->
+                new OpaqueDoor(process, (EdgeNode) process.node(), FORMAT)
+                    .listen("127.0.0.1:" + port));
   }
 
   private static int freePort() throws IOException {
@@ -71,7 +107,8 @@
     }
   }
 
-  @BeforeEach void forget() {
+  @BeforeEach
+  void forget() {
     FORMAT.arrived.clear();
   }
 
@@ -97,7 +134,8 @@
       }
       head.append((char) each);
     }
-    String length = head.toString().toLowerCase().replaceAll("(?s).*content-length: *([0-9]+).*", "$1");
+    String length =
+        head.toString().toLowerCase().replaceAll("(?s).*content-length: *([0-9]+).*", "$1");
     return head + new String(in.readNBytes(Integer.parseInt(length)), ISO_8859_1);
   }
 
@@ -108,12 +146,24 @@
     assertThat(FORMAT.arrived).isEmpty();
   }
 
-  @Test void properRequestsArriveWholeOnOneConnection() throws IOException {
+  @Test
+  void properRequestsArriveWholeOnOneConnection() throws IOException {
     try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setSoTimeout(5_000);
-      socket.getOutputStream().write(request("/x/1?a=%20b", "Content-Length: 3\r\nX-Any: 1\r\n", "abc").getBytes(ISO_8859_1));
+      socket
+          .getOutputStream()
+          .write(
+              request("/x/1?a=%20b", "Content-Length: 3\r\nX-Any: 1\r\n", "abc")
+                  .getBytes(ISO_8859_1));
       assertThat(readResponse(socket.getInputStream())).startsWith("HTTP/1.1 503");
-      socket.getOutputStream().write(request("/x/2", "Transfer-Encoding: chunked\r\nConnection: X-Hop\r\nX-Hop: 2\r\n", "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n").getBytes(ISO_8859_1));
+      socket
+          .getOutputStream()
+          .write(
+              request(
+                      "/x/2",
+                      "Transfer-Encoding: chunked\r\nConnection: X-Hop\r\nX-Hop: 2\r\n",
+                      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+                  .getBytes(ISO_8859_1));
       assertThat(readResponse(socket.getInputStream())).startsWith("HTTP/1.1 503");
     }
     assertThat(FORMAT.arrived).hasSize(2);
@@ -122,53 +172,72 @@
     assertThat(first.target()).isEqualTo("/x/1?a=%20b");
     assertThat(first.host()).isEqualTo("h");
     assertThat(first.body()).isEqualTo("abc".getBytes(ISO_8859_1));
-    assertThat(first.headers()).containsExactly(new OpaqueRequest.Header("Host", "h"), new OpaqueRequest.Header("X-Any", "1"));
+    assertThat(first.headers())
+        .containsExactly(
+            new OpaqueRequest.Header("Host", "h"), new OpaqueRequest.Header("X-Any", "1"));
     RequestFormat.Arrived second = FORMAT.arrived.poll();
     assertThat(second.body()).isEqualTo("abcde".getBytes(ISO_8859_1));
     assertThat(second.headers()).containsExactly(new OpaqueRequest.Header("Host", "h"));
   }
 
-  @Test void garbageIsRefused() throws IOException {
+  @Test
+  void garbageIsRefused() throws IOException {
     refusedAndClosed("\u0016\u0003\u0001 garbage\r\n\r\n", "400");
     refusedAndClosed("POST /x HTTQ/1.1\r\nHost: h\r\n\r\n", "400");
   }
 
-  @Test void lengthsThatDisagreeAreRefused() throws IOException {
-    refusedAndClosed(request("/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), "400");
+  @Test
+  void lengthsThatDisagreeAreRefused() throws IOException {
+    refusedAndClosed(
+        request("/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"), "400");
     refusedAndClosed(request("/x", "Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"), "400");
     refusedAndClosed(request("/x", "Content-Length: -3\r\n", "abc"), "400");
     refusedAndClosed(request("/x", "Content-Length : 3\r\n", "abc"), "400");
     refusedAndClosed(request("/x", "Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n"), "400");
   }
 
-  @Test void bareLineEndsAndFoldedLinesAreRefused() throws IOException {
+  @Test
+  void bareLineEndsAndFoldedLinesAreRefused() throws IOException {
     refusedAndClosed("POST /x HTTP/1.1\nHost: h\n\n", "400");
     refusedAndClosed(request("/x", "X-Any: 1\n\nPOST /hidden HTTP/1.1\nHost: h\n\n", ""), "400");
     refusedAndClosed(request("/x", "X-Any: 1\r\n folded\r\n", ""), "400");
   }
 
-  @Test void badChunksAreRefused() throws IOException {
-    assertThat(sendAndReadAll(request("/x", "Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n"))).doesNotContain(" 503 ");
-    assertThat(sendAndReadAll(request("/x", "Transfer-Encoding: chunked\r\n", "3\r\nabcde\r\n0\r\n\r\n"))).doesNotContain(" 503 ");
+  @Test
+  void badChunksAreRefused() throws IOException {
+    assertThat(
+            sendAndReadAll(
+                request("/x", "Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n")))
+        .doesNotContain(" 503 ");
+    assertThat(
+            sendAndReadAll(
+                request("/x", "Transfer-Encoding: chunked\r\n", "3\r\nabcde\r\n0\r\n\r\n")))
+        .doesNotContain(" 503 ");
     assertThat(FORMAT.arrived).isEmpty();
   }
 
-  @Test void whatIsTooLargeIsRefused() throws IOException {
+  @Test
+  void whatIsTooLargeIsRefused() throws IOException {
     refusedAndClosed(request("/x", "X-Any: " + "a".repeat(70_000) + "\r\n", ""), "431");
     refusedAndClosed(request("/x", "Content-Length: 99999999\r\n", "abc"), "413");
   }
 
-  @Test void bytesBehindARequestEndItsConnection() throws IOException {
-    String response = sendAndReadAll(request("/x", "Content-Length: 3\r\n", "abc" + request("/hidden", "", "")));
+  @Test
+  void bytesBehindARequestEndItsConnection() throws IOException {
+    String response =
+        sendAndReadAll(request("/x", "Content-Length: 3\r\n", "abc" + request("/hidden", "", "")));
     assertThat(response).startsWith("HTTP/1.1 503");
     assertThat(response.indexOf("HTTP/1.1", 1)).isEqualTo(-1);
     assertThat(FORMAT.arrived).hasSize(1);
   }
 
-  @Test void aBodyCutShortNeverArrives() throws IOException {
+  @Test
+  void aBodyCutShortNeverArrives() throws IOException {
     try (Socket socket = new Socket("127.0.0.1", port)) {
       socket.setSoTimeout(5_000);
-      socket.getOutputStream().write(request("/x", "Content-Length: 30\r\n", "abc").getBytes(ISO_8859_1));
+      socket
+          .getOutputStream()
+          .write(request("/x", "Content-Length: 30\r\n", "abc").getBytes(ISO_8859_1));
       socket.shutdownOutput();
       socket.getInputStream().readAllBytes();
     } catch (SocketTimeoutException open) {
--- a/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
@@ -1,5 +1,7 @@
 package applespindle.dataplane;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
 import applespindle.adapters.NodeProcess;
 import applespindle.adapters.Startup;
 import applespindle.corelogic.Bounds;
@@ -24,74 +26,101 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
-
 /** A door on loopback before a logic that answers as a test says. */
 final class TestDoor {
   static final long LIMIT_S = 20;
 
   /** One request that reached the logic, which tells its listener what the test wants. */
-  record Passed(OpaqueRequest request, OpaqueListener listener, CompletableFuture<Void> cancelled) {}
+  record Passed(
+      OpaqueRequest request, OpaqueListener listener, CompletableFuture<Void> cancelled) {}
 
   private final class Gateway implements OpaqueGateway {
-    @Override public void whenBundleChanges(Consumer<Bundle> then) {
+    @Override
+    public void whenBundleChanges(Consumer<Bundle> then) {
       bundleChanges = then;
     }
 
-    @Override public LiveDesk.Handle pass(OpaqueRequest request, OpaqueListener listener) {
+    @Override
+    public LiveDesk.Handle pass(OpaqueRequest request, OpaqueListener listener) {
       CompletableFuture<Void> cancelled = new CompletableFuture<>();
       answer.accept(listener);
       passed.add(new Passed(request, listener, cancelled));
       return () -> cancelled.complete(null);
     }
 
-    @Override public Bundle.Route route(String host, String path) {
+    @Override
+    public Bundle.Route route(String host, String path) {
       return null;
     }
 
-    @Override public void submitOpaque(OpaqueBatch batch, Consumer<Response> then) {
+    @Override
+    public void submitOpaque(OpaqueBatch batch, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
-    @Override public void opaqueResults(String batch, long from, long holdMs, Consumer<Response> then) {
+    @Override
+    public void opaqueResults(String batch, long from, long holdMs, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
-    @Override public void opaqueItem(String batch, String item, Consumer<Response> then) {
+    @Override
+    public void opaqueItem(String batch, String item, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
-    @Override public void endOpaque(String batch, Consumer<Response> then) {
+    @Override
+    public void endOpaque(String batch, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
   }
 
-  private static final RequestFormat FORMAT = new RequestFormat() {
-    @Override public String comeBack(long millis) {
-      return millis + "ms";
-    }
-
-    @Override public Parsed<OpaqueRequest> request(Arrived arrived) {
-      return new Parsed<>(new OpaqueRequest("r", arrived.method(), arrived.target(), arrived.host(), arrived.headers(),
-          arrived.body(), 0, "", 0, 0, List.of(), ""), null);
-    }
-
-    @Override public Parsed<BatchCall> batchCall(Arrived arrived) {
-      return Parsed.none();
-    }
-
-    @Override public Parsed<OpaqueBatch> batch(Arrived arrived) {
-      return new Parsed<>(null, new Fault.NoMatchingRule());
-    }
-
-    @Override public Response show(BatchCall call, Response response) {
-      return response;
-    }
-  };
+  private static final RequestFormat FORMAT =
+      new RequestFormat() {
+        @Override
+        public String comeBack(long millis) {
+          return millis + "ms";
+        }
+
+        @Override
+        public Parsed<OpaqueRequest> request(Arrived arrived) {
+          return new Parsed<>(
+              new OpaqueRequest(
+                  "r",
+                  arrived.method(),
+                  arrived.target(),
+                  arrived.host(),
+                  arrived.headers(),
+                  arrived.body(),
+                  0,
+                  "",
+                  0,
+                  0,
+                  List.of(),
+                  ""),
+              null);
+        }
+
+        @Override
+        public Parsed<BatchCall> batchCall(Arrived arrived) {
+          return Parsed.none();
+        }
+
+        @Override
+        public Parsed<OpaqueBatch> batch(Arrived arrived) {
+          return new Parsed<>(null, new Fault.NoMatchingRule());
+        }
+
+        @Override
+        public Response show(BatchCall call, Response response) {
+          return response;
+        }
+      };
 
   final BlockingQueue<Passed> passed = new LinkedBlockingQueue<>();
+
   /** Told at once to each request's listener, on the logic thread. */
-  volatile Consumer<OpaqueListener> answer = unanswered -> { };
+  volatile Consumer<OpaqueListener> answer = unanswered -> {};
+
   final int port;
   private final NodeProcess process;
   private Consumer<Bundle> bundleChanges;
@@ -100,9 +129,22 @@
     OpaqueDoor.allowHeads();
     port = freePort();
     String peer = "127.0.0.1:" + freePort();
-    var startup = new Startup("edge", "zone", "edge", "127.0.0.1:" + port, peer, null, List.of(peer), List.of(), Map.of());
-    process = new NodeProcess(startup, (surroundings, place) -> new EdgeNode(surroundings, place, Bounds.DEFAULT));
-    process.start(started -> new OpaqueDoor(started, new Gateway(), FORMAT).listen("127.0.0.1:" + port));
+    var startup =
+        new Startup(
+            "edge",
+            "zone",
+            "edge",
+            "127.0.0.1:" + port,
+            peer,
+            null,
+            List.of(peer),
+            List.of(),
+            Map.of());
+    process =
+        new NodeProcess(
+            startup, (surroundings, place) -> new EdgeNode(surroundings, place, Bounds.DEFAULT));
+    process.start(
+        started -> new OpaqueDoor(started, new Gateway(), FORMAT).listen("127.0.0.1:" + port));
   }
 
   private static int freePort() throws IOException {
@@ -114,10 +156,11 @@
   /** Puts limits in force, and waits until the logic has told them. */
   void limit(Bundle.ClientLimits limits) {
     CompletableFuture<Void> told = new CompletableFuture<>();
-    process.toLogic(() -> {
-      bundleChanges.accept(new Bundle(1, Map.of(), List.of(), null, List.of(), limits, ""));
-      told.complete(null);
-    });
+    process.toLogic(
+        () -> {
+          bundleChanges.accept(new Bundle(1, Map.of(), List.of(), null, List.of(), limits, ""));
+          told.complete(null);
+        });
     told.orTimeout(LIMIT_S, TimeUnit.SECONDS).join();
   }
 
@@ -144,7 +187,14 @@
   }
 
   static String post(String target, String headers, String body) {
-    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + body.length() + "\r\n" + headers + "\r\n" + body;
+    return "POST "
+        + target
+        + " HTTP/1.1\r\nHost: h\r\nContent-Length: "
+        + body.length()
+        + "\r\n"
+        + headers
+        + "\r\n"
+        + body;
   }
 
   /** All until the door closes. */
--- a/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/HttpCaller.java
@@ -1,5 +1,8 @@
 package applespindle.operatortool;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.adapters.NumbersOnly;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.activej.eventloop.Eventloop;
@@ -11,9 +14,6 @@
 import java.time.Duration;
 import java.util.Map;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** One HTTP call at a time, waited for; for command lines and tests. */
 public final class HttpCaller {
   /** comeBackSeconds: what Retry-After said, 0 if nothing. */
@@ -22,7 +22,10 @@
       this(status, body, text, 0);
     }
 
-    /** Nothing was done, or the same call again is safe and asks for the outcome; and a later try may do better. */
+    /**
+     * Nothing was done, or the same call again is safe and asks for the outcome; and a later try
+     * may do better.
+     */
     public boolean worthAnotherTry() {
       return status == 429 || status == 503 || status == 504;
     }
@@ -40,28 +43,49 @@
   }
 
   /** Status 0 means that no response came. */
-  public Result call(HttpMethod method, String address, String path, byte[] body, Map<String, String> headers) {
+  public Result call(
+      HttpMethod method, String address, String path, byte[] body, Map<String, String> headers) {
     Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
-    HttpClient client = HttpClient.builder(eventloop, new NumbersOnly()).withNoKeepAlive().withConnectTimeout(timeout).withReadWriteTimeout(timeout).build();
+    HttpClient client =
+        HttpClient.builder(eventloop, new NumbersOnly())
+            .withNoKeepAlive()
+            .withConnectTimeout(timeout)
+            .withReadWriteTimeout(timeout)
+            .build();
     HttpRequest.Builder request = HttpRequest.builder(method, "http://" + address + path);
     headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
     if (body != null) {
       request.withBody(body);
     }
     Result[] result = {new Result(0, JSON.nullNode(), "")};
-    client.request(request.build()).then(response -> response.loadBody(BODY_BYTES_MOST)
-        .whenResult(bytes -> {
-          String text = bytes.getString(UTF_8);
-          JsonNode tree;
-          try {
-            tree = text.isEmpty() ? JSON.nullNode() : JSON.readTree(text);
-          } catch (IOException notJson) {
-            tree = JSON.nullNode();
-          }
-          String comeBack = response.getHeader(HttpHeaders.RETRY_AFTER);
-          result[0] = new Result(response.getCode(), tree, text,
-              comeBack != null && comeBack.matches("[0-9]{1,6}") ? Integer.parseInt(comeBack) : 0);
-        })).whenException(fault -> result[0] = new Result(0, JSON.nullNode(), String.valueOf(fault.getMessage())));
+    client
+        .request(request.build())
+        .then(
+            response ->
+                response
+                    .loadBody(BODY_BYTES_MOST)
+                    .whenResult(
+                        bytes -> {
+                          String text = bytes.getString(UTF_8);
+                          JsonNode tree;
+                          try {
+                            tree = text.isEmpty() ? JSON.nullNode() : JSON.readTree(text);
+                          } catch (IOException notJson) {
+                            tree = JSON.nullNode();
+                          }
+                          String comeBack = response.getHeader(HttpHeaders.RETRY_AFTER);
+                          result[0] =
+                              new Result(
+                                  response.getCode(),
+                                  tree,
+                                  text,
+                                  comeBack != null && comeBack.matches("[0-9]{1,6}")
+                                      ? Integer.parseInt(comeBack)
+                                      : 0);
+                        }))
+        .whenException(
+            fault ->
+                result[0] = new Result(0, JSON.nullNode(), String.valueOf(fault.getMessage())));
     eventloop.run();
     return result[0];
   }
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -19,17 +19,25 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 
-
-/** The operators' command line. Exit status: 0 done, 1 refused or not found, 2 wrong use or input. */
+/**
+ * The operators' command line. Exit status: 0 done, 1 refused or not found, 2 wrong use or input.
+ */
 public final class OperatorTool {
   private static final Duration TIMEOUT = Duration.ofSeconds(15);
   private static final int TRIES_MOST = 4;
   private final HttpCaller caller = new HttpCaller(TIMEOUT);
+
   /** Commands are safe to send again: each has a number, a key, or a state that it sets. */
-  private final RetryPolicy<HttpCaller.Result> again = RetryPolicy.<HttpCaller.Result>builder()
-      .handleResultIf(HttpCaller.Result::worthAnotherTry).withMaxAttempts(TRIES_MOST)
-      .withDelayFn(tried -> Duration.ofSeconds(Math.max(1, tried.getLastResult().comeBackSeconds())))
-      .onRetry(tried -> System.err.println("status " + tried.getLastResult().status() + ", trying again")).build();
+  private final RetryPolicy<HttpCaller.Result> again =
+      RetryPolicy.<HttpCaller.Result>builder()
+          .handleResultIf(HttpCaller.Result::worthAnotherTry)
+          .withMaxAttempts(TRIES_MOST)
+          .withDelayFn(
+              tried -> Duration.ofSeconds(Math.max(1, tried.getLastResult().comeBackSeconds())))
+          .onRetry(
+              tried ->
+                  System.err.println("status " + tried.getLastResult().status() + ", trying again"))
+          .build();
 
   private HttpCaller.Result patiently(CheckedSupplier<HttpCaller.Result> command) {
     return Failsafe.with(again).get(command);
@@ -45,16 +53,22 @@
   }
 
   private static ArgumentParser parser() {
-    ArgumentParser parser = ArgumentParsers.newFor("operator-tool").build().description("Drives applespindle.");
+    ArgumentParser parser =
+        ArgumentParsers.newFor("operator-tool").build().description("Drives applespindle.");
     Subparsers commands = parser.addSubparsers().dest("command").metavar("COMMAND");
     Subparser keys = commands.addParser("keys").help("make a key pair for signing");
-    keys.addArgument("--out").required(true).metavar("FILE").help("private key file; the public key goes to FILE.pub");
-    Subparser check = commands.addParser("check-bundle").help("check a bundle offline, as the servers do");
+    keys.addArgument("--out")
+        .required(true)
+        .metavar("FILE")
+        .help("private key file; the public key goes to FILE.pub");
+    Subparser check =
+        commands.addParser("check-bundle").help("check a bundle offline, as the servers do");
     check.addArgument("bundle");
     Subparser sign = commands.addParser("sign").help("sign a bundle's exact bytes");
     sign.addArgument("--key").required(true);
     sign.addArgument("bundle");
-    Subparser send = commands.addParser("send-bundle").help("sign, send and wait until it is in force");
+    Subparser send =
+        commands.addParser("send-bundle").help("sign, send and wait until it is in force");
     send.addArgument("--core").required(true).metavar("ADDRESS");
     send.addArgument("--key").required(true);
     send.addArgument("--key-id").required(true);
@@ -62,7 +76,8 @@
     withAddress(commands.addParser("show-bundle").help("read back the bundle in force"), "--core");
     withAddress(commands.addParser("status").help("status of one process"), "--node");
     withAddress(commands.addParser("workers").help("list the workers"), "--core");
-    Subparser leaving = withAddress(commands.addParser("leaving").help("mark a worker as leaving"), "--core");
+    Subparser leaving =
+        withAddress(commands.addParser("leaving").help("mark a worker as leaving"), "--core");
     leaving.addArgument("worker");
     Subparser submit = withAddress(commands.addParser("submit").help("hand in a batch"), "--edge");
     submit.addArgument("--key").required(true).help("idempotency key");
@@ -75,21 +90,46 @@
     Subparser end = withAddress(commands.addParser("end").help("end a batch early"), "--edge");
     end.addArgument("batch");
     for (String verb : new String[] {"empty", "retire", "plan"}) {
-      Subparser storage = withAddress(commands.addParser(verb + "-storage").help(verb.equals("plan")
-          ? "what emptying a storage node would move where" : verb + " a storage node"), "--core");
+      Subparser storage =
+          withAddress(
+              commands
+                  .addParser(verb + "-storage")
+                  .help(
+                      verb.equals("plan")
+                          ? "what emptying a storage node would move where"
+                          : verb + " a storage node"),
+              "--core");
       storage.addArgument("storage").help("id or name");
     }
     withAddress(commands.addParser("storage").help("list the storage nodes"), "--core");
-    Subparser preflight = commands.addParser("preflight").help("whether the tier may be given traffic; names each fault");
-    preflight.addArgument("--nodes").required(true).nargs("+").metavar("ADDRESS").help("HTTP addresses of all processes");
+    Subparser preflight =
+        commands
+            .addParser("preflight")
+            .help("whether the tier may be given traffic; names each fault");
+    preflight
+        .addArgument("--nodes")
+        .required(true)
+        .nargs("+")
+        .metavar("ADDRESS")
+        .help("HTTP addresses of all processes");
     Subparser trace = commands.addParser("trace").help("follow one change through all nodes");
-    trace.addArgument("--nodes").required(true).nargs("+").metavar("ADDRESS").help("HTTP addresses");
+    trace
+        .addArgument("--nodes")
+        .required(true)
+        .nargs("+")
+        .metavar("ADDRESS")
+        .help("HTTP addresses");
     trace.addArgument("--key").required(true).help("such as bundle, worker/w1, batch/b-…");
     return parser;
   }
 
   private static Subparser withAddress(Subparser command, String flag) {
-    command.addArgument(flag).required(true).metavar("ADDRESS").dest("address").help("HTTP address");
+    command
+        .addArgument(flag)
+        .required(true)
+        .metavar("ADDRESS")
+        .dest("address")
+        .help("HTTP address");
     return command;
   }
 
@@ -127,15 +167,26 @@
         return checkBundle(Files.readAllBytes(Path.of(flags.getString("bundle"))));
       }
       case "sign" -> {
-        System.out.println(Signing.sign(Files.readAllBytes(Path.of(flags.getString("bundle"))),
-            Files.readString(Path.of(flags.getString("key")))));
+        System.out.println(
+            Signing.sign(
+                Files.readAllBytes(Path.of(flags.getString("bundle"))),
+                Files.readString(Path.of(flags.getString("key")))));
         return 0;
       }
       case "send-bundle" -> {
         byte[] bytes = Files.readAllBytes(Path.of(flags.getString("bundle")));
-        return show(patiently(() -> caller.post(flags.getString("core"), "/v1/bundles", bytes, Map.of(
-            "Applespindle-Key-Id", flags.getString("key_id"),
-            "Applespindle-Signature", Signing.sign(bytes, Files.readString(Path.of(flags.getString("key"))))))));
+        return show(
+            patiently(
+                () ->
+                    caller.post(
+                        flags.getString("core"),
+                        "/v1/bundles",
+                        bytes,
+                        Map.of(
+                            "Applespindle-Key-Id", flags.getString("key_id"),
+                            "Applespindle-Signature",
+                                Signing.sign(
+                                    bytes, Files.readString(Path.of(flags.getString("key"))))))));
       }
       case "show-bundle" -> {
         return show(caller.get(address, "/v1/bundles/current"));
@@ -154,22 +205,60 @@
       }
       case "empty-storage", "retire-storage" -> {
         String verb = flags.getString("command").replace("-storage", "");
-        return show(patiently(() -> caller.post(address, "/v1/storage/" + flags.getString("storage") + "/" + verb, new byte[0], Map.of())));
+        return show(
+            patiently(
+                () ->
+                    caller.post(
+                        address,
+                        "/v1/storage/" + flags.getString("storage") + "/" + verb,
+                        new byte[0],
+                        Map.of())));
       }
       case "leaving" -> {
-        return show(patiently(() -> caller.call(HttpMethod.POST, address, "/v1/workers/" + flags.getString("worker") + "/leaving",
-            new byte[0], Map.of())));
+        return show(
+            patiently(
+                () ->
+                    caller.call(
+                        HttpMethod.POST,
+                        address,
+                        "/v1/workers/" + flags.getString("worker") + "/leaving",
+                        new byte[0],
+                        Map.of())));
       }
       case "submit" -> {
-        return show(patiently(() -> caller.post(address, "/v1/batches", Files.readAllBytes(Path.of(flags.getString("batch"))),
-            Map.of("Idempotency-Key", flags.getString("key"), "Applespindle-Sender", flags.getString("sender")))));
+        return show(
+            patiently(
+                () ->
+                    caller.post(
+                        address,
+                        "/v1/batches",
+                        Files.readAllBytes(Path.of(flags.getString("batch"))),
+                        Map.of(
+                            "Idempotency-Key",
+                            flags.getString("key"),
+                            "Applespindle-Sender",
+                            flags.getString("sender")))));
       }
       case "results" -> {
-        return show(caller.get(address, "/v1/batches/" + flags.getString("batch") + "/results?after="
-            + flags.getLong("after") + "&limit=" + flags.getInt("limit")));
+        return show(
+            caller.get(
+                address,
+                "/v1/batches/"
+                    + flags.getString("batch")
+                    + "/results?after="
+                    + flags.getLong("after")
+                    + "&limit="
+                    + flags.getInt("limit")));
       }
       case "end" -> {
-        return show(patiently(() -> caller.post(address, "/v1/batches/" + flags.getString("batch") + "/end", new byte[0], Map.of())));
+        return show(
+            patiently(
+                () ->
+                    caller.post(
+                        address,
+                        "/v1/batches/" + flags.getString("batch") + "/end",
+                        new byte[0],
+                        Map.of())));
       }
       case "preflight" -> {
         return Preflight.run(caller, flags.getList("nodes"));
--- a/operator-tool/src/main/java/applespindle/operatortool/Signing.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/Signing.java
@@ -15,7 +15,8 @@
   public static Keys generate() {
     try {
       KeyPair pair = KeyPairGenerator.getInstance("Ed25519").generateKeyPair();
-      return new Keys(base64(pair.getPublic().getEncoded()), base64(pair.getPrivate().getEncoded()));
+      return new Keys(
+          base64(pair.getPublic().getEncoded()), base64(pair.getPrivate().getEncoded()));
     } catch (GeneralSecurityException fault) {
       throw new IllegalStateException(fault);
     }
@@ -24,8 +25,10 @@
   public static String sign(byte[] bytes, String privateKey) {
     try {
       Signature signer = Signature.getInstance("Ed25519");
-      signer.initSign(KeyFactory.getInstance("Ed25519")
-          .generatePrivate(new PKCS8EncodedKeySpec(Base64.getDecoder().decode(privateKey.strip()))));
+      signer.initSign(
+          KeyFactory.getInstance("Ed25519")
+              .generatePrivate(
+                  new PKCS8EncodedKeySpec(Base64.getDecoder().decode(privateKey.strip()))));
       signer.update(bytes);
       return base64(signer.sign());
     } catch (GeneralSecurityException fault) {
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -11,14 +11,31 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
-/** Tests the never-rules of the brief, with their time limits, on nothing but what was observed from outside. */
+/**
+ * Tests the never-rules of the brief, with their time limits, on nothing but what was observed from
+ * outside.
+ */
 public final class Checker {
   public enum Rule {
-    ACCEPTED_BATCH_LOST, REFUSED_BATCH_RAN, RESULT_TWICE_OR_CHANGED, RESULT_NOT_WHOLE, REPORTED_MISSING,
-    RAN_AFTER_END, ONCE_REQUEST_RAN_WRONGLY, WRONG_OR_CUT_ANSWER, WORK_TO_LEAVING_WORKER, BUNDLE_NOT_IN_FORCE,
-    SERVICE_NOT_BACK, CEILING_OVERSHOT,
+    ACCEPTED_BATCH_LOST,
+    REFUSED_BATCH_RAN,
+    RESULT_TWICE_OR_CHANGED,
+    RESULT_NOT_WHOLE,
+    REPORTED_MISSING,
+    RAN_AFTER_END,
+    ONCE_REQUEST_RAN_WRONGLY,
+    WRONG_OR_CUT_ANSWER,
+    WORK_TO_LEAVING_WORKER,
+    BUNDLE_NOT_IN_FORCE,
+    SERVICE_NOT_BACK,
+    CEILING_OVERSHOT,
     /** Of opaque requests and batches: see OpaqueChecker. */
-    UNASKED_RUN, RAN_TWICE, REFUSED_REQUEST_RAN, WRONG_POOL, STREAM_BROKEN, RESPONSE_LOST
+    UNASKED_RUN,
+    RAN_TWICE,
+    REFUSED_REQUEST_RAN,
+    WRONG_POOL,
+    STREAM_BROKEN,
+    RESPONSE_LOST
   }
 
   public record Violation(Rule rule, long atMs, String what) {}
@@ -29,8 +46,10 @@
   static final long BUNDLE_MS = 2_000;
   static final long BACK_MS = 12_000;
   private static final double OVERSHOOT = 1.1;
+
   /** A gap without success counts only if this many attempts were made in it. */
   private static final int ATTEMPTS_LEAST = 3;
+
   /** A caller that did not ask for this long can not say that service was missing meanwhile. */
   private static final long ASKED_WITHIN_MS = 9_000;
 
@@ -38,10 +57,13 @@
   private final List<Violation> violations = new ArrayList<>();
   private final Map<String, String> keyOfBatch = new HashMap<>();
   private final Map<String, Long> acceptedAt = new TreeMap<>();
+
   /** By bundle number, when it was first told to be in force. */
   private final Map<Long, Long> bundleAcknowledgedAt = new TreeMap<>();
+
   /** By batch key and item id. */
   private final Map<String, Seen> items = new HashMap<>();
+
   private final Map<String, Integer> itemCounts = new HashMap<>();
 
   private Checker(History history) {
@@ -70,14 +92,19 @@
     return checker.violations;
   }
 
-  /** Where more was broken than the brief asks to survive, the time to be back counts from the end of that. */
+  /**
+   * Where more was broken than the brief asks to survive, the time to be back counts from the end
+   * of that.
+   */
   private void notBack(long goodAtMs, long atMs, String what) {
     long countsFrom = goodAtMs;
     long beyondSince = Long.MAX_VALUE;
     for (Seen each : of(Kind.FAULT)) {
       if (each.subject().equals("beyond-begins")) {
         beyondSince = each.atMs();
-      } else if (each.subject().equals("beyond-ends") && goodAtMs < each.atMs() && atMs > beyondSince) {
+      } else if (each.subject().equals("beyond-ends")
+          && goodAtMs < each.atMs()
+          && atMs > beyondSince) {
         countsFrom = each.atMs();
       }
     }
@@ -129,11 +156,12 @@
         firstRun.putIfAbsent(keyOf(each), each.atMs());
       }
     }
-    refusedAtEveryTry.forEach((key, refused) -> {
-      if (refused && firstRun.containsKey(key)) {
-        violated(Rule.REFUSED_BATCH_RAN, firstRun.get(key), key);
-      }
-    });
+    refusedAtEveryTry.forEach(
+        (key, refused) -> {
+          if (refused && firstRun.containsKey(key)) {
+            violated(Rule.REFUSED_BATCH_RAN, firstRun.get(key), key);
+          }
+        });
     Map<String, Seen> lastRead = new HashMap<>();
     for (Seen each : of(Kind.BATCH_READ)) {
       Long accepted = acceptedAt.get(each.subject());
@@ -146,20 +174,39 @@
     }
     Set<String> endAsked = new HashSet<>();
     of(Kind.END_ASKED).forEach(each -> endAsked.add(each.subject()));
-    acceptedAt.keySet().forEach(key -> {
-      Seen last = lastRead.get(key);
-      boolean kept = last != null && last.number() == 200
-          && (last.detail().equals("ended") || last.detail().equals("finished"));
-      if (!kept) {
-        violated(Rule.ACCEPTED_BATCH_LOST, last == null ? 0 : last.atMs(),
-            key + (last == null ? " never read" : " last read " + last.number() + " " + last.detail()));
-      } else if (last.detail().equals("ended") && !endAsked.contains(key)) {
-        violated(Rule.ACCEPTED_BATCH_LOST, last.atMs(), key + " ended and nobody asked for it");
-      } else if (last.detail().equals("finished") && Long.parseLong(last.text()) != itemCounts.getOrDefault(key, 0)) {
-        violated(Rule.ACCEPTED_BATCH_LOST, last.atMs(), key + " finished with " + last.text() + " of "
-            + itemCounts.get(key) + " results");
-      }
-    });
+    acceptedAt
+        .keySet()
+        .forEach(
+            key -> {
+              Seen last = lastRead.get(key);
+              boolean kept =
+                  last != null
+                      && last.number() == 200
+                      && (last.detail().equals("ended") || last.detail().equals("finished"));
+              if (!kept) {
+                violated(
+                    Rule.ACCEPTED_BATCH_LOST,
+                    last == null ? 0 : last.atMs(),
+                    key
+                        + (last == null
+                            ? " never read"
+                            : " last read " + last.number() + " " + last.detail()));
+              } else if (last.detail().equals("ended") && !endAsked.contains(key)) {
+                violated(
+                    Rule.ACCEPTED_BATCH_LOST, last.atMs(), key + " ended and nobody asked for it");
+              } else if (last.detail().equals("finished")
+                  && Long.parseLong(last.text()) != itemCounts.getOrDefault(key, 0)) {
+                violated(
+                    Rule.ACCEPTED_BATCH_LOST,
+                    last.atMs(),
+                    key
+                        + " finished with "
+                        + last.text()
+                        + " of "
+                        + itemCounts.get(key)
+                        + " results");
+              }
+            });
   }
 
   private String keyOf(Seen workerSeen) {
@@ -168,51 +215,72 @@
   }
 
   private void results() {
-    boolean failuresAllowed = of(Kind.FAULT).stream().anyMatch(each -> each.subject().startsWith("worker "));
+    boolean failuresAllowed =
+        of(Kind.FAULT).stream().anyMatch(each -> each.subject().startsWith("worker "));
     Map<String, TreeMap<Long, Seen>> byBatch = new HashMap<>();
     for (Seen each : of(Kind.RESULT_READ)) {
-      TreeMap<Long, Seen> results = byBatch.computeIfAbsent(each.subject(), unseen -> new TreeMap<>());
+      TreeMap<Long, Seen> results =
+          byBatch.computeIfAbsent(each.subject(), unseen -> new TreeMap<>());
       Seen before = results.putIfAbsent(each.number(), each);
-      if (before != null && !(before.detail().equals(each.detail()) && before.text().equals(each.text()))) {
-        violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), each.subject() + " number " + each.number() + " changed");
+      if (before != null
+          && !(before.detail().equals(each.detail()) && before.text().equals(each.text()))) {
+        violated(
+            Rule.RESULT_TWICE_OR_CHANGED,
+            each.atMs(),
+            each.subject() + " number " + each.number() + " changed");
       }
     }
-    byBatch.forEach((key, results) -> {
-      Set<String> ids = new HashSet<>();
-      for (Seen each : results.values()) {
-        String id = each.detail().substring(0, each.detail().indexOf('|'));
-        if (!ids.add(id)) {
-          violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), key + " item " + id + " twice");
-        }
-        Seen item = items.get(key + " " + id);
-        boolean succeeded = each.detail().endsWith("|succeeded");
-        if (!succeeded && !failuresAllowed) {
-          violated(Rule.RESULT_NOT_WHOLE, each.atMs(), key + " item " + id + " failed though no worker did");
-        }
-        if (item == null || succeeded && !each.text().equals(StandInOutput.whole(item.text(), (int) item.number()))) {
-          violated(Rule.RESULT_NOT_WHOLE, each.atMs(), key + " item " + id);
-        }
-      }
-    });
+    byBatch.forEach(
+        (key, results) -> {
+          Set<String> ids = new HashSet<>();
+          for (Seen each : results.values()) {
+            String id = each.detail().substring(0, each.detail().indexOf('|'));
+            if (!ids.add(id)) {
+              violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), key + " item " + id + " twice");
+            }
+            Seen item = items.get(key + " " + id);
+            boolean succeeded = each.detail().endsWith("|succeeded");
+            if (!succeeded && !failuresAllowed) {
+              violated(
+                  Rule.RESULT_NOT_WHOLE,
+                  each.atMs(),
+                  key + " item " + id + " failed though no worker did");
+            }
+            if (item == null
+                || succeeded
+                    && !each.text().equals(StandInOutput.whole(item.text(), (int) item.number()))) {
+              violated(Rule.RESULT_NOT_WHOLE, each.atMs(), key + " item " + id);
+            }
+          }
+        });
     Map<String, Long> highestRead = new HashMap<>();
     Map<String, Long> highestReadAt = new HashMap<>();
     for (Seen each : seen) {
-      if (each.kind() == Kind.RESULT_READ && each.number() > highestRead.getOrDefault(each.subject(), 0L)) {
+      if (each.kind() == Kind.RESULT_READ
+          && each.number() > highestRead.getOrDefault(each.subject(), 0L)) {
         highestRead.put(each.subject(), each.number());
         highestReadAt.put(each.subject(), each.atMs());
-      } else if (each.kind() == Kind.BATCH_READ && each.number() == 200
+      } else if (each.kind() == Kind.BATCH_READ
+          && each.number() == 200
           && highestRead.getOrDefault(each.subject(), 0L) > Long.parseLong(each.text())
           && each.atMs() > highestReadAt.get(each.subject()) + MISSING_MS) {
-        violated(Rule.REPORTED_MISSING, each.atMs(), each.subject() + " shows fewer results than were read");
+        violated(
+            Rule.REPORTED_MISSING,
+            each.atMs(),
+            each.subject() + " shows fewer results than were read");
       }
     }
     Map<String, Seen> overSince = new HashMap<>();
     for (Seen each : of(Kind.BATCH_READ)) {
       Seen over = overSince.get(each.subject());
-      if (each.number() == 200 && (each.detail().equals("finished") || each.detail().equals("ended"))) {
+      if (each.number() == 200
+          && (each.detail().equals("finished") || each.detail().equals("ended"))) {
         overSince.putIfAbsent(each.subject(), each);
       } else if (each.number() == 200 && over != null && each.atMs() > over.atMs() + MISSING_MS) {
-        violated(Rule.REPORTED_MISSING, each.atMs(), each.subject() + " is " + each.detail() + " after it was " + over.detail());
+        violated(
+            Rule.REPORTED_MISSING,
+            each.atMs(),
+            each.subject() + " is " + each.detail() + " after it was " + over.detail());
       }
     }
   }
@@ -225,7 +293,8 @@
       }
     }
     for (Seen each : of(Kind.WORKER_RECEIVED)) {
-      if (!each.detail().isEmpty() && each.atMs() > endedAt.getOrDefault(keyOf(each), Long.MAX_VALUE / 2) + AFTER_END_MS) {
+      if (!each.detail().isEmpty()
+          && each.atMs() > endedAt.getOrDefault(keyOf(each), Long.MAX_VALUE / 2) + AFTER_END_MS) {
         violated(Rule.RAN_AFTER_END, each.atMs(), each.detail());
       }
     }
@@ -249,22 +318,30 @@
         }
       }
     }
-    runsByOnce.forEach((once, runs) -> {
-      if (runs.size() > 1) {
-        violated(Rule.ONCE_REQUEST_RAN_WRONGLY, runs.get(1).atMs(), once + " ran " + runs.size() + " times");
-      }
-    });
+    runsByOnce.forEach(
+        (once, runs) -> {
+          if (runs.size() > 1) {
+            violated(
+                Rule.ONCE_REQUEST_RAN_WRONGLY,
+                runs.get(1).atMs(),
+                once + " ran " + runs.size() + " times");
+          }
+        });
     for (Seen each : of(Kind.LIVE_ANSWERED)) {
       Seen request = sent.get(each.subject());
       boolean toldNotRun = each.number() == 429 || each.number() == 503 || each.number() == 409;
       if (!request.detail().isEmpty() && toldNotRun && runsByRequest.containsKey(each.subject())) {
-        violated(Rule.ONCE_REQUEST_RAN_WRONGLY, each.atMs(), each.subject() + " was told that it did not run");
+        violated(
+            Rule.ONCE_REQUEST_RAN_WRONGLY,
+            each.atMs(),
+            each.subject() + " was told that it did not run");
       }
       String whole = StandInOutput.whole(request.text(), (int) request.number());
       if (!whole.startsWith(each.text())) {
         violated(Rule.WRONG_OR_CUT_ANSWER, each.atMs(), each.subject() + " got another's output");
       } else if (each.detail().equals("complete") && !each.text().equals(whole)) {
-        violated(Rule.WRONG_OR_CUT_ANSWER, each.atMs(), each.subject() + " was cut and looks complete");
+        violated(
+            Rule.WRONG_OR_CUT_ANSWER, each.atMs(), each.subject() + " was cut and looks complete");
       }
     }
   }
@@ -275,7 +352,8 @@
       if (each.kind() == Kind.LEAVING_ANSWERED && each.number() == 200) {
         leavingAt.putIfAbsent(each.subject(), each.atMs());
       } else if (each.kind() == Kind.WORKER_RECEIVED
-          && each.atMs() > leavingAt.getOrDefault(each.subject(), Long.MAX_VALUE / 2) + LEAVING_MS) {
+          && each.atMs()
+              > leavingAt.getOrDefault(each.subject(), Long.MAX_VALUE / 2) + LEAVING_MS) {
         violated(Rule.WORK_TO_LEAVING_WORKER, each.atMs(), each.subject());
       }
     }
@@ -286,59 +364,95 @@
       switch (each.kind()) {
         case BUNDLE_READ -> {
           long begunAt = Long.parseLong(each.text());
-          highestAcknowledgedBefore(begunAt).filter(number -> number > each.number()).ifPresent(number ->
-              violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "read " + each.number() + " after " + number));
+          highestAcknowledgedBefore(begunAt)
+              .filter(number -> number > each.number())
+              .ifPresent(
+                  number ->
+                      violated(
+                          Rule.BUNDLE_NOT_IN_FORCE,
+                          each.atMs(),
+                          "read " + each.number() + " after " + number));
         }
-        case EDGE_BUNDLE -> highestAcknowledgedBefore(each.atMs() - BUNDLE_MS)
-            .filter(number -> number > each.number()).ifPresent(number ->
-                violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), each.subject() + " has " + each.number()
-                    + " after " + number));
-        default -> { }
+        case EDGE_BUNDLE ->
+            highestAcknowledgedBefore(each.atMs() - BUNDLE_MS)
+                .filter(number -> number > each.number())
+                .ifPresent(
+                    number ->
+                        violated(
+                            Rule.BUNDLE_NOT_IN_FORCE,
+                            each.atMs(),
+                            each.subject() + " has " + each.number() + " after " + number));
+        default -> {}
       }
     }
   }
 
-  /** What counts is where requests go: one sent late enough after an acknowledgement must not meet an older way. */
+  /**
+   * What counts is where requests go: one sent late enough after an acknowledgement must not meet
+   * an older way.
+   */
   private void bundleEffects() {
     Map<String, TreeMap<Long, String>> poolsOfClass = new HashMap<>();
     Map<String, String> poolOfWorker = new HashMap<>();
     Map<String, Seen> classByPrompt = new HashMap<>();
     for (Seen each : seen) {
       switch (each.kind()) {
-        case BUNDLE_WAY -> poolsOfClass.computeIfAbsent(each.detail(), unseen -> new TreeMap<>())
-            .put(each.number(), each.text());
+        case BUNDLE_WAY ->
+            poolsOfClass
+                .computeIfAbsent(each.detail(), unseen -> new TreeMap<>())
+                .put(each.number(), each.text());
         case WORKER_POOL -> poolOfWorker.put(each.subject(), each.detail());
         case LIVE_CLASS -> classByPrompt.put(each.text(), each);
         case WORKER_RECEIVED -> {
           Seen request = each.detail().isEmpty() ? classByPrompt.get(each.text()) : null;
-          long inForce = request == null ? 0 : highestAcknowledgedBefore(request.atMs() - BUNDLE_MS).orElse(0L);
-          if (inForce > 0 && !poolsOfClass.get(request.detail()).tailMap(inForce).containsValue(poolOfWorker.get(each.subject()))) {
-            violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), request.subject() + " went to " + each.subject()
-                + " by a way older than bundle " + inForce);
+          long inForce =
+              request == null
+                  ? 0
+                  : highestAcknowledgedBefore(request.atMs() - BUNDLE_MS).orElse(0L);
+          if (inForce > 0
+              && !poolsOfClass
+                  .get(request.detail())
+                  .tailMap(inForce)
+                  .containsValue(poolOfWorker.get(each.subject()))) {
+            violated(
+                Rule.BUNDLE_NOT_IN_FORCE,
+                each.atMs(),
+                request.subject()
+                    + " went to "
+                    + each.subject()
+                    + " by a way older than bundle "
+                    + inForce);
           }
         }
-        default -> { }
+        default -> {}
       }
     }
   }
 
   private java.util.Optional<Long> highestAcknowledgedBefore(long time) {
-    return bundleAcknowledgedAt.entrySet().stream().filter(entry -> entry.getValue() < time).map(Map.Entry::getKey)
+    return bundleAcknowledgedAt.entrySet().stream()
+        .filter(entry -> entry.getValue() < time)
+        .map(Map.Entry::getKey)
         .max(Long::compare);
   }
 
   /**
-   * No stretch longer than the limit in which attempts were made and none succeeded. That there is no room is a
-   * working service's answer too.
+   * No stretch longer than the limit in which attempts were made and none succeeded. That there is
+   * no room is a working service's answer too.
    */
   private void service(List<Seen> answers, String what) {
     long lastGoodAt = -1;
     long lastAskedAt = -1;
     int attempts = 0;
     for (Seen each : answers) {
-      boolean good = each.kind() == Kind.LIVE_ANSWERED ? each.detail().equals("complete") || each.number() == 409
-          : each.number() == 200 || each.number() == 201 || each.number() == 404 || each.detail().equals("NoRoom")
-              || each.detail().equals("BatchOverCeiling");
+      boolean good =
+          each.kind() == Kind.LIVE_ANSWERED
+              ? each.detail().equals("complete") || each.number() == 409
+              : each.number() == 200
+                  || each.number() == 201
+                  || each.number() == 404
+                  || each.detail().equals("NoRoom")
+                  || each.detail().equals("BatchOverCeiling");
       if (lastGoodAt < 0 || each.atMs() - lastAskedAt > ASKED_WITHIN_MS) {
         lastGoodAt = each.atMs();
         attempts = 0;
@@ -360,20 +474,27 @@
     Map<String, String> edgeOfRequest = new HashMap<>();
     of(Kind.LIVE_AT).forEach(each -> edgeOfRequest.put(each.subject(), each.detail()));
     Map<String, List<Seen>> byEdge = new TreeMap<>();
-    of(Kind.LIVE_ANSWERED).stream().filter(each -> edgeOfRequest.containsKey(each.subject()))
-        .forEach(each -> byEdge.computeIfAbsent(edgeOfRequest.get(each.subject()), unseen -> new ArrayList<>()).add(each));
+    of(Kind.LIVE_ANSWERED).stream()
+        .filter(each -> edgeOfRequest.containsKey(each.subject()))
+        .forEach(
+            each ->
+                byEdge
+                    .computeIfAbsent(edgeOfRequest.get(each.subject()), unseen -> new ArrayList<>())
+                    .add(each));
     byEdge.forEach((edge, answers) -> service(answers, "live request at " + edge));
   }
 
   private void serviceOfEachBatch() {
     Map<String, List<Seen>> byBatch = new TreeMap<>();
-    of(Kind.BATCH_READ).forEach(each -> byBatch.computeIfAbsent(each.subject(), unseen -> new ArrayList<>()).add(each));
+    of(Kind.BATCH_READ)
+        .forEach(
+            each -> byBatch.computeIfAbsent(each.subject(), unseen -> new ArrayList<>()).add(each));
     byBatch.forEach((key, reads) -> service(reads, "read of " + key));
   }
 
   /**
-   * An open batch must not stand still while one that was accepted well after that is done already, and some batch must
-   * move while any is open.
+   * An open batch must not stand still while one that was accepted well after that is done already,
+   * and some batch must move while any is open.
    */
   private void progress() {
     Map<String, Long> movedAt = new HashMap<>();
@@ -381,12 +502,15 @@
     Set<String> closed = new HashSet<>();
     long anyMovedAt = 0;
     for (Seen each : seen) {
-      if (each.kind() == Kind.SUBMIT_ANSWERED && acceptedAt.getOrDefault(each.subject(), -1L) == each.atMs()) {
+      if (each.kind() == Kind.SUBMIT_ANSWERED
+          && acceptedAt.getOrDefault(each.subject(), -1L) == each.atMs()) {
         movedAt.put(each.subject(), each.atMs());
         anyMovedAt = closed.size() == movedAt.size() - 1 ? each.atMs() : anyMovedAt;
       } else if (each.kind() == Kind.END_ANSWERED && each.number() == 200) {
         closed.add(each.subject());
-      } else if (each.kind() == Kind.BATCH_READ && each.number() == 200 && movedAt.containsKey(each.subject())
+      } else if (each.kind() == Kind.BATCH_READ
+          && each.number() == 200
+          && movedAt.containsKey(each.subject())
           && !closed.contains(each.subject())) {
         String key = each.subject();
         long now = Long.parseLong(each.text());
@@ -402,18 +526,25 @@
           anyMovedAt = each.atMs();
         } else if (each.atMs() - movedAt.get(key) > BACK_MS) {
           long stoodSince = movedAt.get(key);
-          acceptedAt.forEach((other, at) -> {
-            if (at > stoodSince + MISSING_MS && closed.contains(other) && recorded.containsKey(other) && movedAt.get(key) == stoodSince) {
-              notBack(stoodSince, each.atMs(), other + " is done and " + key + " stands still");
-              movedAt.put(key, each.atMs());
-            }
-          });
+          acceptedAt.forEach(
+              (other, at) -> {
+                if (at > stoodSince + MISSING_MS
+                    && closed.contains(other)
+                    && recorded.containsKey(other)
+                    && movedAt.get(key) == stoodSince) {
+                  notBack(stoodSince, each.atMs(), other + " is done and " + key + " stands still");
+                  movedAt.put(key, each.atMs());
+                }
+              });
         }
       }
     }
   }
 
-  /** Operators' and the platform's commands, each kind apart; not judged while links are cut on purpose. */
+  /**
+   * Operators' and the platform's commands, each kind apart; not judged while links are cut on
+   * purpose.
+   */
   private void commands() {
     long lastGoodAt = -1;
     long lastAskedAt = Long.MIN_VALUE / 2;
@@ -440,7 +571,10 @@
       boolean asksAgain = each.atMs() - lastAskedAt <= ASKED_WITHIN_MS;
       lastAskedAt = each.atMs();
       if (good || !asksAgain || !openCuts.isEmpty()) {
-        lastGoodAt = good || !openCuts.isEmpty() ? each.atMs() : firstSentAt.getOrDefault(each.subject(), each.atMs());
+        lastGoodAt =
+            good || !openCuts.isEmpty()
+                ? each.atMs()
+                : firstSentAt.getOrDefault(each.subject(), each.atMs());
         attempts = good ? 0 : 1;
       } else if (++attempts >= ATTEMPTS_LEAST && each.atMs() - lastGoodAt > BACK_MS) {
         notBack(lastGoodAt, each.atMs(), "no command succeeded");
@@ -450,8 +584,9 @@
   }
 
   /**
-   * That there is no room must be true as seen from outside: of all that may have been taken and is not known to be
-   * over, at some time within the time a failure may take to mend, no more room was left than was asked for.
+   * That there is no room must be true as seen from outside: of all that may have been taken and is
+   * not known to be over, at some time within the time a failure may take to mend, no more room was
+   * left than was asked for.
    */
   private void roomRefusals() {
     long ceiling = Long.MAX_VALUE / 4;
@@ -472,15 +607,28 @@
           long items = itemsOf.getOrDefault(key, (long) itemCounts.getOrDefault(key, 0));
           boolean refused = definiteRefusal(each);
           if (each.detail().equals("NoRoom")) {
-            long others = mayWait.values().stream().mapToLong(Long::longValue).sum() - mayWait.getOrDefault(key, 0L);
-            long most = Math.max(others, waitingAt.tailMap(each.atMs() - BACK_MS).values().stream()
-                .mapToLong(Long::longValue).max().orElse(0));
+            long others =
+                mayWait.values().stream().mapToLong(Long::longValue).sum()
+                    - mayWait.getOrDefault(key, 0L);
+            long most =
+                Math.max(
+                    others,
+                    waitingAt.tailMap(each.atMs() - BACK_MS).values().stream()
+                        .mapToLong(Long::longValue)
+                        .max()
+                        .orElse(0));
             if (most + items <= ceiling) {
-              violated(Rule.SERVICE_NOT_BACK, each.atMs(), key + " was told of no room where " + (ceiling - most) + " was left");
+              violated(
+                  Rule.SERVICE_NOT_BACK,
+                  each.atMs(),
+                  key + " was told of no room where " + (ceiling - most) + " was left");
             }
           }
           if (each.detail().equals("BatchOverCeiling") && items <= ceiling) {
-            violated(Rule.SERVICE_NOT_BACK, each.atMs(), key + " was told to be over a ceiling of " + ceiling);
+            violated(
+                Rule.SERVICE_NOT_BACK,
+                each.atMs(),
+                key + " was told to be over a ceiling of " + ceiling);
           }
           if (openTries.merge(key, -1, Integer::sum) <= 0 && refused) {
             mayWait.remove(key);
@@ -489,18 +637,19 @@
         case BATCH_READ -> {
           if (each.number() == 200 && mayWait.containsKey(key)) {
             boolean over = each.detail().equals("ended") || each.detail().equals("finished");
-            mayWait.put(key, over ? 0 : itemsOf.getOrDefault(key, 0L) - Long.parseLong(each.text()));
+            mayWait.put(
+                key, over ? 0 : itemsOf.getOrDefault(key, 0L) - Long.parseLong(each.text()));
           }
         }
-        default -> { }
+        default -> {}
       }
       waitingAt.put(each.atMs(), mayWait.values().stream().mapToLong(Long::longValue).sum());
     }
   }
 
   /**
-   * Accepted items whose run has not ended at any worker are waiting for certain. A ceiling lowered below what waits
-   * already is kept by not letting it grow.
+   * Accepted items whose run has not ended at any worker are waiting for certain. A ceiling lowered
+   * below what waits already is kept by not letting it grow.
    */
   private void ceiling() {
     double allowed = Long.MAX_VALUE / 4;
@@ -521,18 +670,25 @@
         }
         case SUBMIT_ANSWERED -> {
           if ((each.number() == 200 || each.number() == 201) && accepted.add(each.subject())) {
-            waiting += itemCounts.getOrDefault(each.subject(), 0) - finishedOf.getOrDefault(each.subject(), 0);
+            waiting +=
+                itemCounts.getOrDefault(each.subject(), 0)
+                    - finishedOf.getOrDefault(each.subject(), 0);
           }
         }
         case END_ANSWERED -> {
-          if (each.number() == 200 && accepted.contains(each.subject()) && gone.add(each.subject())) {
-            waiting -= itemCounts.getOrDefault(each.subject(), 0) - finishedOf.getOrDefault(each.subject(), 0);
+          if (each.number() == 200
+              && accepted.contains(each.subject())
+              && gone.add(each.subject())) {
+            waiting -=
+                itemCounts.getOrDefault(each.subject(), 0)
+                    - finishedOf.getOrDefault(each.subject(), 0);
           }
         }
-        default -> { }
+        default -> {}
       }
       if (waiting > allowed) {
-        violated(Rule.CEILING_OVERSHOT, each.atMs(), waiting + " waiting where " + allowed + " may");
+        violated(
+            Rule.CEILING_OVERSHOT, each.atMs(), waiting + " waiting where " + allowed + " may");
         return;
       }
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -2,7 +2,10 @@
 
 import applespindle.testfleet.StandInWorkers.Pace;
 
-/** The two deployments of today, and a small one for trying out. Paces are ours; the brief names none. */
+/**
+ * The two deployments of today, and a small one for trying out. Paces are ours; the brief names
+ * none.
+ */
 public enum Deployment {
   AUTHORITY(9, 10, 80, 160, 10_000, new Pace(16, 60, 15, 120)),
   COOPERATIVE(9, 8, 40, 110, 8_000, new Pace(16, 60, 15, 120)),
@@ -11,8 +14,10 @@
   public final int edges;
   public final int workers;
   public final int batchItems;
+
   /** Length of one letter or notice. */
   public final int batchTokens;
+
   public final long dueMs;
   public final Pace pace;
 
@@ -30,7 +35,9 @@
     return bundle(number, "", "");
   }
 
-  /** The same with one class routed to another pool, so that a bundle's effect shows at the workers. */
+  /**
+   * The same with one class routed to another pool, so that a bundle's effect shows at the workers.
+   */
   public String bundle(long number, String trafficClass, String pool) {
     return """
         {
@@ -47,16 +54,26 @@
                       "cancelForLive": true, "itemExpiryMs": 30000, "retentionMs": 86400000}
           }
         }
-        """.formatted(number, pool.isEmpty() || pool.equals("main") ? ""
-            : ", \"" + pool + "\": {\"prefixBlockChars\": 64, \"prefixBlocks\": 4, \"loadFactor\": 1.5}",
-        trafficClass.equals("note") ? pool : "main", trafficClass.equals("check") ? pool : "main");
+        """
+        .formatted(
+            number,
+            pool.isEmpty() || pool.equals("main")
+                ? ""
+                : ", \""
+                    + pool
+                    + "\": {\"prefixBlockChars\": 64, \"prefixBlocks\": 4, \"loadFactor\": 1.5}",
+            trafficClass.equals("note") ? pool : "main",
+            trafficClass.equals("check") ? pool : "main");
   }
 
   /** By traffic class, the pool a bundle of this form routes it to. */
   static java.util.Map<String, String> pools(String bundle) {
     java.util.Map<String, String> pools = new java.util.TreeMap<>();
-    Simulation.tree(bundle.getBytes(java.nio.charset.StandardCharsets.UTF_8)).path("rules")
-        .forEach(rule -> pools.put(rule.at("/way/trafficClass").asText(), rule.at("/way/pool").asText()));
+    Simulation.tree(bundle.getBytes(java.nio.charset.StandardCharsets.UTF_8))
+        .path("rules")
+        .forEach(
+            rule ->
+                pools.put(rule.at("/way/trafficClass").asText(), rule.at("/way/pool").asText()));
     return pools;
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.controlplane.ControlPlane;
 import applespindle.corelogic.Json;
 import applespindle.dataplane.DataPlane;
@@ -21,24 +24,30 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Function;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** A whole fleet of real processes on loopback: three control planes, edges, three storage nodes, stand-in workers. */
+/**
+ * A whole fleet of real processes on loopback: three control planes, edges, three storage nodes,
+ * stand-in workers.
+ */
 public final class Fleet implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
-  /** Below the range that outgoing connections take their ports from, so that none of these takes one meanwhile. */
+
+  /**
+   * Below the range that outgoing connections take their ports from, so that none of these takes
+   * one meanwhile.
+   */
   private static final int FREE_PORTS_FROM = 20_000;
+
   private static final int FREE_PORTS = 10_000;
   private static final int ZONES = 3;
-  private static final List<String> JVM = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
+  private static final List<String> JVM =
+      List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
 
   /** One process of the fleet and how it is started again. */
   public static final class Member {
@@ -58,8 +67,11 @@
     }
 
     public void start() throws IOException {
-      process = new ProcessBuilder(command).redirectErrorStream(true)
-          .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+      process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+              .start();
     }
 
     public void kill() {
@@ -109,8 +121,10 @@
 
   private static final int COMMAND_TRIES = 20;
   public final Deployment deployment;
+
   /** Workers listed in the pool "spare", so that a bundle's effect shows at the workers. */
   Set<String> spares = Set.of();
+
   public final History history = new History();
   public final StandInWorkers workers;
   public final Map<String, Member> members = new LinkedHashMap<>();
@@ -118,14 +132,17 @@
   public final HttpCaller caller = new HttpCaller(Duration.ofSeconds(10));
   private final Path folder;
   private final String classPath;
+
   /** Heap of each process that is started from now on. */
   public int heapMegabytes = 192;
+
   private final List<String> corePeers = new ArrayList<>();
   private final Set<Integer> taken = new HashSet<>();
   private int nextPort;
 
   /** firstPort 0 takes whatever ports are free. */
-  public Fleet(Deployment deployment, Path folder, String classPath, int firstPort) throws IOException {
+  public Fleet(Deployment deployment, Path folder, String classPath, int firstPort)
+      throws IOException {
     this.deployment = deployment;
     this.folder = Files.createDirectories(folder);
     this.classPath = classPath;
@@ -164,27 +181,54 @@
     Files.write(file, Json.bytes(startup));
     Files.writeString(folder.resolve("operator.key"), keys.privateKey());
     for (int zone = 0; zone < ZONES; zone++) {
-      add("core-" + (zone + 1), zone, ControlPlane.class, corePeers.get(zone), true, "--startup", file.toString());
+      add(
+          "core-" + (zone + 1),
+          zone,
+          ControlPlane.class,
+          corePeers.get(zone),
+          true,
+          "--startup",
+          file.toString());
     }
     for (int index = 0; index < ZONES; index++) {
       add("storage-" + (index + 1), index, DataPlane.class, address(), true, "--role", "storage");
     }
     for (int index = 0; index < deployment.edges; index++) {
-      add("edge-" + (index + 1), index % ZONES, DataPlane.class, address(), false, "--role", "edge");
+      add(
+          "edge-" + (index + 1),
+          index % ZONES,
+          DataPlane.class,
+          address(),
+          false,
+          "--role",
+          "edge");
     }
     for (Member member : members.values()) {
       member.start();
     }
   }
 
-  private void add(String name, int zone, Class<?> program, String peer, boolean disk, String... more)
+  private void add(
+      String name, int zone, Class<?> program, String peer, boolean disk, String... more)
       throws IOException {
     String http = address();
-    List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
+    List<String> command =
+        new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java")));
     command.addAll(JVM);
     command.add("-Xmx" + heapMegabytes + "m");
-    command.addAll(List.of("-cp", classPath, program.getName(), "--name", name, "--zone", "zone-" + (zone + 1),
-        "--http", http, "--peer", peer));
+    command.addAll(
+        List.of(
+            "-cp",
+            classPath,
+            program.getName(),
+            "--name",
+            name,
+            "--zone",
+            "zone-" + (zone + 1),
+            "--http",
+            http,
+            "--peer",
+            peer));
     command.addAll(List.of(more));
     Path data = folder.resolve(name);
     if (disk) {
@@ -192,7 +236,8 @@
     }
     command.add("--seeds");
     command.addAll(corePeers);
-    members.put(name, new Member(name, http, data, command, folder.resolve(name + ".log").toFile()));
+    members.put(
+        name, new Member(name, http, data, command, folder.resolve(name + ".log").toFile()));
   }
 
   public List<Member> ofRole(String role) {
@@ -208,44 +253,75 @@
     return members.get(name);
   }
 
-  /** Lists the workers and sends the first bundle as soon as the core takes them, then waits until all are ready. */
+  /**
+   * Lists the workers and sends the first bundle as soon as the core takes them, then waits until
+   * all are ready.
+   */
   public void open(long mostMs) {
     String core = ofRole("core").get(0).http;
     awaitTrue("the core", mostMs, () -> allAlive() && caller.get(core, "/ready").good());
-    awaitTrue("the worker list", mostMs, () -> caller.put(core, "/v1/workers", workerList()).good());
+    awaitTrue(
+        "the worker list", mostMs, () -> caller.put(core, "/v1/workers", workerList()).good());
     awaitTrue("the bundle", mostMs, () -> sendBundle(core, deployment.bundle(1)).good());
-    awaitTrue("all nodes", mostMs, () -> members.values().stream()
-        .allMatch(member -> caller.get(member.http, "/ready").good()));
+    awaitTrue(
+        "all nodes",
+        mostMs,
+        () ->
+            members.values().stream().allMatch(member -> caller.get(member.http, "/ready").good()));
   }
 
   private boolean allAlive() {
-    members.values().stream().filter(member -> !member.alive()).findFirst().ifPresent(member -> {
-      throw new IllegalStateException(member.name + " ended at once, see " + member.log);
-    });
+    members.values().stream()
+        .filter(member -> !member.alive())
+        .findFirst()
+        .ifPresent(
+            member -> {
+              throw new IllegalStateException(member.name + " ended at once, see " + member.log);
+            });
     return true;
   }
 
   private byte[] workerList() {
     ObjectNode list = JSON.createObjectNode();
     ArrayNode rows = list.putArray("workers");
-    workers.all().forEach(worker -> {
-      String pool = spares.contains(worker.id) ? "spare" : "main";
-      history.add(StandInWorkers.nowMs(), History.Kind.WORKER_POOL, worker.id, pool, "", 0);
-      rows.addObject().put("id", worker.id).put("address", worker.address).put("pool", pool);
-    });
+    workers
+        .all()
+        .forEach(
+            worker -> {
+              String pool = spares.contains(worker.id) ? "spare" : "main";
+              history.add(StandInWorkers.nowMs(), History.Kind.WORKER_POOL, worker.id, pool, "", 0);
+              rows.addObject()
+                  .put("id", worker.id)
+                  .put("address", worker.address)
+                  .put("pool", pool);
+            });
     return Json.bytes(list);
   }
 
-  /** Sends a bundle as its operator does: again with the same bytes until something certain is said. */
+  /**
+   * Sends a bundle as its operator does: again with the same bytes until something certain is said.
+   */
   void rollOut(long number, String bundle) {
-    history.add(StandInWorkers.nowMs(), History.Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
-    Deployment.pools(bundle).forEach((trafficClass, pool) -> history.add(StandInWorkers.nowMs(),
-        History.Kind.BUNDLE_WAY, Long.toString(number), trafficClass, pool, number));
-    untilCertain(History.Kind.BUNDLE_ANSWERED, Long.toString(number), core -> sendBundle(core, bundle));
+    history.add(
+        StandInWorkers.nowMs(), History.Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    Deployment.pools(bundle)
+        .forEach(
+            (trafficClass, pool) ->
+                history.add(
+                    StandInWorkers.nowMs(),
+                    History.Kind.BUNDLE_WAY,
+                    Long.toString(number),
+                    trafficClass,
+                    pool,
+                    number));
+    untilCertain(
+        History.Kind.BUNDLE_ANSWERED, Long.toString(number), core -> sendBundle(core, bundle));
   }
 
   void markLeaving(String worker) {
-    untilCertain(History.Kind.LEAVING_ANSWERED, worker,
+    untilCertain(
+        History.Kind.LEAVING_ANSWERED,
+        worker,
         core -> caller.post(core, "/v1/workers/" + worker + "/leaving", new byte[0], Map.of()));
   }
 
@@ -253,7 +329,13 @@
     for (int attempt = 0; attempt < COMMAND_TRIES; attempt++) {
       List<Member> cores = ofRole("core");
       Result result = command.apply(cores.get(attempt % cores.size()).http);
-      history.add(StandInWorkers.nowMs(), kind, subject, result.body().path("type").asText(""), "", result.status());
+      history.add(
+          StandInWorkers.nowMs(),
+          kind,
+          subject,
+          result.body().path("type").asText(""),
+          "",
+          result.status());
       if (result.good() || result.status() == 409) {
         return;
       }
@@ -262,23 +344,39 @@
 
   public Result sendBundle(String core, String bundle) {
     byte[] bytes = bundle.getBytes(UTF_8);
-    return caller.post(core, "/v1/bundles", bytes, Map.of("Applespindle-Key-Id", "operator",
-        "Applespindle-Signature", Signing.sign(bytes, keys.privateKey())));
+    return caller.post(
+        core,
+        "/v1/bundles",
+        bytes,
+        Map.of(
+            "Applespindle-Key-Id",
+            "operator",
+            "Applespindle-Signature",
+            Signing.sign(bytes, keys.privateKey())));
   }
 
   /** A batch of letters that share a long prefix, as the brief's do. */
   public static byte[] letters(String name, int items, int tokens, long dueMs) {
     ObjectNode batch = JSON.createObjectNode().put("due_in_ms", dueMs);
     ArrayNode rows = batch.putArray("items");
-    String shared = "Write an invitation letter in the usual form of the office, with greeting, place and hour. "
-        .repeat(4);
-    IntStream.range(0, items).forEach(index -> rows.addObject().put("id", name + "-" + index)
-        .put("prompt", shared + "Guest " + name + " " + index).put("max_tokens", tokens));
+    String shared =
+        "Write an invitation letter in the usual form of the office, with greeting, place and hour. "
+            .repeat(4);
+    IntStream.range(0, items)
+        .forEach(
+            index ->
+                rows.addObject()
+                    .put("id", name + "-" + index)
+                    .put("prompt", shared + "Guest " + name + " " + index)
+                    .put("max_tokens", tokens));
     return Json.bytes(batch);
   }
 
   public Result submit(Member edge, String key, byte[] batch) {
-    return caller.post(edge.http, "/v1/batches", batch,
+    return caller.post(
+        edge.http,
+        "/v1/batches",
+        batch,
         Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"));
   }
 
@@ -296,8 +394,11 @@
     }
   }
 
-  @Override public void close() {
-    members.values().stream().filter(Member::alive).forEach(member -> member.process.destroyForcibly());
+  @Override
+  public void close() {
+    members.values().stream()
+        .filter(Member::alive)
+        .forEach(member -> member.process.destroyForcibly());
     members.values().stream().filter(Member::alive).forEach(Member::waitFor);
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -15,22 +15,46 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
-/** Starts a fleet on this machine; keeps it until stopped, or runs the brief's traffic and judges what was seen. */
+/**
+ * Starts a fleet on this machine; keeps it until stopped, or runs the brief's traffic and judges
+ * what was seen.
+ */
 public final class FleetProgram {
   private static final long OPEN_MS = 60_000;
+
   /** The brief: traffic starts fifteen seconds after the machines. */
   private static final long TRAFFIC_FROM_MS = 15_000;
 
   public static void main(String[] arguments) throws IOException, InterruptedException {
-    ArgumentParser parser = ArgumentParsers.newFor("test-fleet").build().description("A whole fleet on this machine.");
-    parser.addArgument("--deployment").choices("authority", "cooperative", "small").setDefault("small");
-    parser.addArgument("--folder").setDefault("fleet-data").help("data folders and logs; emptied at the start");
+    ArgumentParser parser =
+        ArgumentParsers.newFor("test-fleet").build().description("A whole fleet on this machine.");
+    parser
+        .addArgument("--deployment")
+        .choices("authority", "cooperative", "small")
+        .setDefault("small");
+    parser
+        .addArgument("--folder")
+        .setDefault("fleet-data")
+        .help("data folders and logs; emptied at the start");
     parser.addArgument("--first-port").type(Integer.class).setDefault(7100);
-    parser.addArgument("--traffic").type(Integer.class).metavar("SECONDS").help("run the brief's traffic, then judge");
-    parser.addArgument("--faults").nargs("*").metavar("SECOND:VERB:WHO").setDefault(List.of())
-        .help("such as 10:kill:leader 18:start:last; verbs kill start freeze wake stop lose-disk; "
-            + "or of outside: bundle:2:check:spare leaving:w3 dark:w1 cuts:w1 garbage:w1 refuses:w1 well:w1");
-    parser.addArgument("--spare").nargs("*").metavar("WORKER").setDefault(List.of())
+    parser
+        .addArgument("--traffic")
+        .type(Integer.class)
+        .metavar("SECONDS")
+        .help("run the brief's traffic, then judge");
+    parser
+        .addArgument("--faults")
+        .nargs("*")
+        .metavar("SECOND:VERB:WHO")
+        .setDefault(List.of())
+        .help(
+            "such as 10:kill:leader 18:start:last; verbs kill start freeze wake stop lose-disk; "
+                + "or of outside: bundle:2:check:spare leaving:w3 dark:w1 cuts:w1 garbage:w1 refuses:w1 well:w1");
+    parser
+        .addArgument("--spare")
+        .nargs("*")
+        .metavar("WORKER")
+        .setDefault(List.of())
         .help("workers listed in a second pool, for bundles that route there");
     Namespace flags;
     try {
@@ -43,7 +67,9 @@
     Deployment deployment = Deployment.valueOf(flags.getString("deployment").toUpperCase());
     Path folder = Path.of(flags.getString("folder"));
     empty(folder);
-    Fleet fleet = new Fleet(deployment, folder, System.getProperty("java.class.path"), flags.getInt("first_port"));
+    Fleet fleet =
+        new Fleet(
+            deployment, folder, System.getProperty("java.class.path"), flags.getInt("first_port"));
     fleet.spares = Set.copyOf(flags.<String>getList("spare"));
     Runtime.getRuntime().addShutdownHook(new Thread(fleet::close));
     long startedAt = StandInWorkers.nowMs();
@@ -51,13 +77,20 @@
     fleet.open(OPEN_MS);
     System.out.println("ready after " + (StandInWorkers.nowMs() - startedAt) + " ms");
     if (flags.getInt("traffic") == null) {
-      fleet.members.values().forEach(member -> System.out.println(member.name + "  http " + member.http
-          + "  pid " + member.pid()));
-      System.out.println("The operators' key is " + folder.resolve("operator.key") + ", its id is operator.");
+      fleet
+          .members
+          .values()
+          .forEach(
+              member ->
+                  System.out.println(
+                      member.name + "  http " + member.http + "  pid " + member.pid()));
+      System.out.println(
+          "The operators' key is " + folder.resolve("operator.key") + ", its id is operator.");
       System.out.println("The fleet serves. Stop it with Ctrl-C.");
       Thread.currentThread().join();
     }
-    TimeUnit.MILLISECONDS.sleep(Math.max(0, TRAFFIC_FROM_MS - (StandInWorkers.nowMs() - startedAt)));
+    TimeUnit.MILLISECONDS.sleep(
+        Math.max(0, TRAFFIC_FROM_MS - (StandInWorkers.nowMs() - startedAt)));
     long everyMs = deployment == Deployment.COOPERATIVE ? 2_000 : 4_000;
     var plan = new RealTraffic.Plan(30, 3, 2, everyMs, flags.getInt("traffic") * 1_000L);
     RealTraffic traffic = new RealTraffic(fleet, plan);
@@ -69,7 +102,8 @@
     Files.writeString(folder.resolve("history.jsonl"), fleet.history.toLines());
     List<Checker.Violation> violations = Checker.check(fleet.history);
     violations.forEach(violation -> System.out.println("BROKEN " + violation));
-    System.out.println(violations.isEmpty() ? "No never-rule was broken." : violations.size() + " rules broken.");
+    System.out.println(
+        violations.isEmpty() ? "No never-rule was broken." : violations.size() + " rules broken.");
     System.exit(violations.isEmpty() ? 0 : 1);
   }
 
@@ -99,15 +133,18 @@
     for (String fault : faults) {
       String[] words = fault.split(":");
       try {
-        TimeUnit.MILLISECONDS.sleep(Math.max(0, begunAt + (long) (Double.parseDouble(words[0]) * 1_000)
-            - StandInWorkers.nowMs()));
+        TimeUnit.MILLISECONDS.sleep(
+            Math.max(
+                0,
+                begunAt + (long) (Double.parseDouble(words[0]) * 1_000) - StandInWorkers.nowMs()));
         if (ofOutside(fleet, words)) {
           continue;
         }
         Member target = words[2].equals("last") ? last : target(fleet, words[2]);
         last = target;
         System.out.println(words[0] + " s: " + words[1] + " " + target.name);
-        fleet.history.add(StandInWorkers.nowMs(), History.Kind.FAULT, words[1] + " " + target.name, "", "", 0);
+        fleet.history.add(
+            StandInWorkers.nowMs(), History.Kind.FAULT, words[1] + " " + target.name, "", "", 0);
         switch (words[1]) {
           case "kill" -> target.kill();
           case "start" -> target.start();
@@ -126,21 +163,34 @@
     }
   }
 
-  /** What operators, the platform and workers do: bundle:N:CLASS:POOL, leaving:WORKER, or a worker's fault. */
+  /**
+   * What operators, the platform and workers do: bundle:N:CLASS:POOL, leaving:WORKER, or a worker's
+   * fault.
+   */
   private static boolean ofOutside(Fleet fleet, String[] words) {
     switch (words[1]) {
-      case "bundle" -> fleet.rollOut(Long.parseLong(words[2]),
-          fleet.deployment.bundle(Long.parseLong(words[2]), words[3], words[4]));
+      case "bundle" ->
+          fleet.rollOut(
+              Long.parseLong(words[2]),
+              fleet.deployment.bundle(Long.parseLong(words[2]), words[3], words[4]));
       case "leaving" -> fleet.markLeaving(words[2]);
       case "dark", "cuts", "garbage", "refuses", "well" -> {
-        fleet.history.add(StandInWorkers.nowMs(), History.Kind.FAULT, "worker " + words[2] + " " + words[1], "", "", 0);
-        fleet.workers.all().stream().filter(worker -> worker.id.equals(words[2]))
-            .forEach(worker -> {
-              worker.dark = words[1].equals("dark");
-              worker.cutAfterTokens = words[1].equals("cuts") ? 1 : -1;
-              worker.garbage = words[1].equals("garbage");
-              worker.refuses = words[1].equals("refuses");
-            });
+        fleet.history.add(
+            StandInWorkers.nowMs(),
+            History.Kind.FAULT,
+            "worker " + words[2] + " " + words[1],
+            "",
+            "",
+            0);
+        fleet.workers.all().stream()
+            .filter(worker -> worker.id.equals(words[2]))
+            .forEach(
+                worker -> {
+                  worker.dark = words[1].equals("dark");
+                  worker.cutAfterTokens = words[1].equals("cuts") ? 1 : -1;
+                  worker.garbage = words[1].equals("garbage");
+                  worker.refuses = words[1].equals("refuses");
+                });
       }
       default -> {
         return false;
@@ -154,8 +204,12 @@
     if (!who.equals("leader")) {
       return fleet.member(who);
     }
-    return fleet.ofRole("edge").stream().filter(Member::alive).max(Comparator.comparingInt(edge ->
-        fleet.caller.get(edge.http, "/v1/status").body().path("leads").size())).orElseThrow();
+    return fleet.ofRole("edge").stream()
+        .filter(Member::alive)
+        .max(
+            Comparator.comparingInt(
+                edge -> fleet.caller.get(edge.http, "/v1/status").body().path("leads").size()))
+        .orElseThrow();
   }
 
   private FleetProgram() {}
--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -1,14 +1,17 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Json;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
 import java.util.List;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** What was observed from outside, in order of time: by senders, workers, operators and the platform. */
+/**
+ * What was observed from outside, in order of time: by senders, workers, operators and the
+ * platform.
+ */
 public final class History {
   public enum Kind {
     /** subject: batch key; detail: item id; text: prompt; number: tokens. */
@@ -30,7 +33,10 @@
     WORKER_FINISHED,
     /** subject: request; detail: once-id; text: prompt; number: tokens. */
     LIVE_SENT,
-    /** subject: request; number: status, 0 for none; detail: complete, cut, or the fault type; text: output. */
+    /**
+     * subject: request; number: status, 0 for none; detail: complete, cut, or the fault type; text:
+     * output.
+     */
     LIVE_ANSWERED,
     /** number: the bundle's number. */
     BUNDLE_SENT,
@@ -42,7 +48,9 @@
     EDGE_BUNDLE,
     /** subject: worker; number: status. */
     LEAVING_ANSWERED,
-    /** subject: the bundle's number; detail: traffic class; text: the pool it routes the class to. */
+    /**
+     * subject: the bundle's number; detail: traffic class; text: the pool it routes the class to.
+     */
     BUNDLE_WAY,
     /** subject: request; detail: the edge it was sent to. */
     LIVE_AT,
@@ -56,39 +64,71 @@
     FAULT,
     /** subject: a bound that the deployment tells its processes; number: its value. */
     BOUND,
-    /** subject: process; detail: began or ended, and down, frozen, cut, slow, disk, clock, reset or stopping; text: its role. */
+    /**
+     * subject: process; detail: began or ended, and down, frozen, cut, slow, disk, clock, reset or
+     * stopping; text: its role.
+     */
     TROUBLE,
     /** subject: worker; detail: its pool; text: its address. */
     WORKER_BORN,
-    /** subject: worker; detail: its pool; text: ready, leaving or gone, as the outside list shows it from now on. */
+    /**
+     * subject: worker; detail: its pool; text: ready, leaving or gone, as the outside list shows it
+     * from now on.
+     */
     WORKER_LISTED,
     /** detail: began or ended. */
     LIST_TROUBLE,
-    /** subject: change; detail: valid or invalid; text: the number it builds on; number: its own. */
+    /**
+     * subject: change; detail: valid or invalid; text: the number it builds on; number: its own.
+     */
     CHANGE_SENT,
-    /** subject: change; detail: route; text: host, prefix, type, attempts, most waiting tokens, pools; number: the change's. */
+    /**
+     * subject: change; detail: route; text: host, prefix, type, attempts, most waiting tokens,
+     * pools; number: the change's.
+     */
     CHANGE_ROUTE,
     /** subject: change; detail: fault type; number: status, 0 for none. */
     CHANGE_ANSWERED,
-    /** subject: the change of just these bytes, or none; text: when the read began; number: the number read. */
+    /**
+     * subject: the change of just these bytes, or none; text: when the read began; number: the
+     * number read.
+     */
     CHANGE_READ,
-    /** subject: try; detail: once, repeatable, stream or resumable, the edge, the last event its client has; text: what was asked; number: its tokens. */
+    /**
+     * subject: try; detail: once, repeatable, stream or resumable, the edge, the last event its
+     * client has; text: what was asked; number: its tokens.
+     */
     REQUEST_SENT,
-    /** subject: try; detail: complete, cut, refused, broken, unreachable or given-up; text: stamp, line feed, body; number: status. */
+    /**
+     * subject: try; detail: complete, cut, refused, broken, unreachable or given-up; text: stamp,
+     * line feed, body; number: status.
+     */
     REQUEST_ANSWERED,
-    /** subject: worker; detail: request and edge; text: what was asked; number: 0, or the status it was turned away with. */
+    /**
+     * subject: worker; detail: request and edge; text: what was asked; number: 0, or the status it
+     * was turned away with.
+     */
     RUN_ARRIVED,
     /** subject: worker; detail: request; text: run; number: the event it goes on behind. */
     RUN_BEGAN,
-    /** subject: worker; detail: request; text: run; number: status of the whole answer, 0 if it broke off, -1 if its caller left. */
+    /**
+     * subject: worker; detail: request; text: run; number: status of the whole answer, 0 if it
+     * broke off, -1 if its caller left.
+     */
     RUN_ENDED,
     /** subject: batch; detail: edge; text: host and path; number: tokens. */
     OPAQUE_SENT,
-    /** subject: batch; detail: item; text: tokens counted, and what is asked; number: its tokens put out. */
+    /**
+     * subject: batch; detail: item; text: tokens counted, and what is asked; number: its tokens put
+     * out.
+     */
     OPAQUE_ITEM,
     /** subject: batch; detail: fault type; number: status, 0 for none. */
     OPAQUE_ANSWERED,
-    /** subject: batch; detail: edge; text: first position asked, next position, total, when the read began; number: status. */
+    /**
+     * subject: batch; detail: edge; text: first position asked, next position, total, when the read
+     * began; number: status.
+     */
     OPAQUE_READ,
     /** subject: batch; detail: item and state; text: output; number: position. */
     OPAQUE_RESULT,
@@ -98,15 +138,20 @@
     OPAQUE_END_ASKED,
     /** subject: batch; number: status. */
     OPAQUE_END_ANSWERED,
-    /** subject: batch; detail: read or unread; text: results then read back; number: items whose body did not come. */
+    /**
+     * subject: batch; detail: read or unread; text: results then read back; number: items whose
+     * body did not come.
+     */
     OPAQUE_CLOSED
   }
 
-  public record Seen(long atMs, Kind kind, String subject, String detail, String text, long number) {}
+  public record Seen(
+      long atMs, Kind kind, String subject, String detail, String text, long number) {}
 
   private final List<Seen> all = new ArrayList<>();
 
-  public synchronized void add(long atMs, Kind kind, String subject, String detail, String text, long number) {
+  public synchronized void add(
+      long atMs, Kind kind, String subject, String detail, String text, long number) {
     all.add(new Seen(atMs, kind, subject, detail, text, number));
   }
 
@@ -144,7 +189,10 @@
       }
       try {
         Seen seen = JSON.readValue(line, Seen.class);
-        if (seen.kind() == null || seen.subject() == null || seen.detail() == null || seen.text() == null) {
+        if (seen.kind() == null
+            || seen.subject() == null
+            || seen.detail() == null
+            || seen.text() == null) {
           throw new BrokenLine(number, "a field is missing");
         }
         history.all.add(seen);
--- a/test-fleet/src/main/java/applespindle/testfleet/Instants.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Instants.java
@@ -12,26 +12,64 @@
 import java.util.TreeMap;
 
 /**
- * Kills at the worst instant, swept instead of drawn: for each kind of message, each of some counts, and each of the four
- * instants about it (before and after its sending, before and after its taking in), one run of a scenario in which the
- * process falls right then, by kill or by power loss, and comes back 3 s later. Usage: FILE SEED [COUNT...].
+ * Kills at the worst instant, swept instead of drawn: for each kind of message, each of some
+ * counts, and each of the four instants about it (before and after its sending, before and after
+ * its taking in), one run of a scenario in which the process falls right then, by kill or by power
+ * loss, and comes back 3 s later. Usage: FILE SEED [COUNT...].
  */
 public final class Instants {
-  /** Steps of replication, of news and what confirms it, of dispatch, of copying and set changes. */
-  static final List<String> KINDS = List.of("KeyPromise", "KeyPromised", "KeyAppend", "KeyAppended", "KeyHandOver",
-      "FeedNews", "KeysKnown", "KeysAsked", "CorePing", "RangePull", "RangeHandout", "RangeReport", "RangeReported",
-      "WorkOffer", "BatchEnded", "Unfinished", "Ask:submit", "Ask:room", "Ask:end", "Ask:results", "Ask:peek", "Ask:claim",
-      "Ask:copy", "Ask:copied", "Ask:bundle", "Ask:worker", "Ask:storage", "Ask:grant", "Ask:leave", "AskResponse");
+  /**
+   * Steps of replication, of news and what confirms it, of dispatch, of copying and set changes.
+   */
+  static final List<String> KINDS =
+      List.of(
+          "KeyPromise",
+          "KeyPromised",
+          "KeyAppend",
+          "KeyAppended",
+          "KeyHandOver",
+          "FeedNews",
+          "KeysKnown",
+          "KeysAsked",
+          "CorePing",
+          "RangePull",
+          "RangeHandout",
+          "RangeReport",
+          "RangeReported",
+          "WorkOffer",
+          "BatchEnded",
+          "Unfinished",
+          "Ask:submit",
+          "Ask:room",
+          "Ask:end",
+          "Ask:results",
+          "Ask:peek",
+          "Ask:claim",
+          "Ask:copy",
+          "Ask:copied",
+          "Ask:bundle",
+          "Ask:worker",
+          "Ask:storage",
+          "Ask:grant",
+          "Ask:leave",
+          "AskResponse");
+
   private static final long FROM_MS = 14_900;
   private static final long BACK_AFTER_MS = 3_000;
 
   record Case(String kind, int number, Position position, boolean powerLoss) {
     Scenario.Outcome run(Scenario scenario, long seed) {
-      return scenario.run(seed, false, fleet -> fleet.simulation.instant =
-          fleet.simulation.new Instant(kind, number, position, powerLoss, FROM_MS, BACK_AFTER_MS));
+      return scenario.run(
+          seed,
+          false,
+          fleet ->
+              fleet.simulation.instant =
+                  fleet.simulation
+                  .new Instant(kind, number, position, powerLoss, FROM_MS, BACK_AFTER_MS));
     }
 
-    @Override public String toString() {
+    @Override
+    public String toString() {
       return kind + " " + number + " " + position + (powerLoss ? " power-loss" : " kill");
     }
   }
@@ -58,25 +96,31 @@
     }
     Scenario scenario = Scenario.parse(Files.readString(Path.of(arguments[0])));
     long seed = Long.parseLong(arguments[1]);
-    List<Integer> numbers = arguments.length == 2 ? List.of(1, 2, 3, 5, 8, 13, 21, 34, 55, 89)
-        : Arrays.stream(arguments).skip(2).map(Integer::parseInt).toList();
+    List<Integer> numbers =
+        arguments.length == 2
+            ? List.of(1, 2, 3, 5, 8, 13, 21, 34, 55, 89)
+            : Arrays.stream(arguments).skip(2).map(Integer::parseInt).toList();
     Map<String, int[]> byKind = new TreeMap<>();
     List<String> broken = new ArrayList<>();
-    cases(numbers).parallelStream().forEach(each -> {
-      Scenario.Outcome outcome = each.run(scenario, seed);
-      boolean fell = outcome.fleet().simulation.instant.fallen != null;
-      synchronized (broken) {
-        int[] counts = byKind.computeIfAbsent(each.kind(), unseen -> new int[3]);
-        counts[0]++;
-        counts[1] += fell ? 1 : 0;
-        counts[2] += outcome.faults().isEmpty() ? 0 : 1;
-        if (!outcome.faults().isEmpty()) {
-          broken.add(each + ": " + outcome.faults().get(0));
-        }
-      }
-    });
-    byKind.forEach((kind, counts) -> System.out.printf("%-16s %4d runs, %4d struck, %d broken%n", kind, counts[0],
-        counts[1], counts[2]));
+    cases(numbers).parallelStream()
+        .forEach(
+            each -> {
+              Scenario.Outcome outcome = each.run(scenario, seed);
+              boolean fell = outcome.fleet().simulation.instant.fallen != null;
+              synchronized (broken) {
+                int[] counts = byKind.computeIfAbsent(each.kind(), unseen -> new int[3]);
+                counts[0]++;
+                counts[1] += fell ? 1 : 0;
+                counts[2] += outcome.faults().isEmpty() ? 0 : 1;
+                if (!outcome.faults().isEmpty()) {
+                  broken.add(each + ": " + outcome.faults().get(0));
+                }
+              }
+            });
+    byKind.forEach(
+        (kind, counts) ->
+            System.out.printf(
+                "%-16s %4d runs, %4d struck, %d broken%n", kind, counts[0], counts[1], counts[2]));
     broken.stream().sorted().forEach(System.out::println);
     System.exit(broken.isEmpty() ? 0 : 1);
   }
