--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRed.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/KnownRed.java
@@ -7,20 +7,30 @@
 import java.util.Map;
 
 /**
- * Whether a run of all tests may pass: failures only of tests that are listed as known, each of which must fail. A line
- * of the list is: test, cause, issue. The test is its full name as reported, which may hold commas of its own.
+ * Whether a run of all tests may pass: failures only of tests that are listed as known, each of
+ * which must fail. A line of the list is: test, cause, issue. The test is its full name as
+ * reported, which may hold commas of its own.
  */
 final class KnownRed {
-  enum Outcome { PASSED, FAILED, SKIPPED }
+  enum Outcome {
+    PASSED,
+    FAILED,
+    SKIPPED
+  }
 
-  /** reasons: why the run does not pass, empty if it does; known: the lines that were let through. */
+  /**
+   * reasons: why the run does not pass, empty if it does; known: the lines that were let through.
+   */
   record Verdict(List<String> reasons, List<String> known) {
     boolean passes() {
       return reasons.isEmpty();
     }
   }
 
-  /** results: by full name of the test; unreported: test classes of the sources that no report speaks of. */
+  /**
+   * results: by full name of the test; unreported: test classes of the sources that no report
+   * speaks of.
+   */
   static Verdict judge(Map<String, Outcome> results, List<String> unreported, List<String> lines) {
     List<String> reasons = new ArrayList<>();
     List<String> known = new ArrayList<>();
@@ -29,8 +39,11 @@
       if (line.isBlank()) {
         continue;
       }
-      String test = results.keySet().stream().filter(name -> line.strip().startsWith(name + ", "))
-          .max(Comparator.comparingInt(String::length)).orElse(null);
+      String test =
+          results.keySet().stream()
+              .filter(name -> line.strip().startsWith(name + ", "))
+              .max(Comparator.comparingInt(String::length))
+              .orElse(null);
       if (test == null) {
         reasons.add("listed, and there is no such test: " + line.strip());
       } else if (!line.strip().substring(test.length() + 2).matches("\\S.*, .*\\S")) {
@@ -43,19 +56,24 @@
       reasons.add("no test was reported");
     }
     unreported.forEach(missing -> reasons.add("no report of " + missing));
-    listed.forEach((test, line) -> {
-      Outcome outcome = results.get(test);
-      if (outcome == Outcome.FAILED) {
-        known.add(line);
-      } else {
-        reasons.add("listed, and it " + (outcome == Outcome.PASSED ? "passes: " : "is skipped: ") + test);
-      }
-    });
-    results.forEach((test, outcome) -> {
-      if (outcome == Outcome.FAILED && !listed.containsKey(test)) {
-        reasons.add("failed: " + test);
-      }
-    });
+    listed.forEach(
+        (test, line) -> {
+          Outcome outcome = results.get(test);
+          if (outcome == Outcome.FAILED) {
+            known.add(line);
+          } else {
+            reasons.add(
+                "listed, and it "
+                    + (outcome == Outcome.PASSED ? "passes: " : "is skipped: ")
+                    + test);
+          }
+        });
+    results.forEach(
+        (test, outcome) -> {
+          if (outcome == Outcome.FAILED && !listed.containsKey(test)) {
+            reasons.add("failed: " + test);
+          }
+        });
     return new Verdict(reasons, known);
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
@@ -17,7 +17,10 @@
 import org.w3c.dom.NodeList;
 import org.xml.sax.SAXException;
 
-/** Reads the reports of a whole run of the tests under a folder and KNOWN-RED.txt there, and says whether it passes. */
+/**
+ * Reads the reports of a whole run of the tests under a folder and KNOWN-RED.txt there, and says
+ * whether it passes.
+ */
 public final class KnownRedProgram {
   public static void main(String[] arguments) throws IOException, ParserConfigurationException {
     System.exit(run(Path.of(arguments.length > 0 ? arguments[0] : ".")));
@@ -33,18 +36,32 @@
         read(report, results, reasons);
       }
       for (Path source : files(module.resolve("src/test/java"), "", "Test.java")) {
-        String name = module.resolve("src/test/java").relativize(source).toString().replace('/', '.').replaceAll("[.]java$", "");
+        String name =
+            module
+                .resolve("src/test/java")
+                .relativize(source)
+                .toString()
+                .replace('/', '.')
+                .replaceAll("[.]java$", "");
         if (!Files.exists(reports.resolve("TEST-" + name + ".xml"))) {
           unreported.add(name);
         }
       }
     }
     Path list = root.resolve("KNOWN-RED.txt");
-    Verdict verdict = KnownRed.judge(results, unreported, Files.exists(list) ? Files.readAllLines(list) : List.of());
+    Verdict verdict =
+        KnownRed.judge(
+            results, unreported, Files.exists(list) ? Files.readAllLines(list) : List.of());
     verdict.known().forEach(line -> System.out.println("known red: " + line));
     reasons.addAll(verdict.reasons());
     reasons.forEach(reason -> System.out.println("CI fails: " + reason));
-    System.out.println(results.size() + " tests, " + verdict.known().size() + " known red, " + reasons.size() + " reasons to fail");
+    System.out.println(
+        results.size()
+            + " tests, "
+            + verdict.known().size()
+            + " known red, "
+            + reasons.size()
+            + " reasons to fail");
     return reasons.isEmpty() ? 0 : 1;
   }
 
@@ -59,25 +76,44 @@
       return List.of();
     }
     try (Stream<Path> all = Files.walk(folder)) {
-      return all.filter(file -> file.getFileName().toString().startsWith(begin) && file.getFileName().toString().endsWith(end))
-          .sorted().toList();
+      return all.filter(
+              file ->
+                  file.getFileName().toString().startsWith(begin)
+                      && file.getFileName().toString().endsWith(end))
+          .sorted()
+          .toList();
     }
   }
 
-  /** A report that can not be read is a reason to fail. Of a test that is reported more than once the worst counts. */
-  private static void read(Path report, Map<String, Outcome> results, List<String> reasons) throws IOException, ParserConfigurationException {
+  /**
+   * A report that can not be read is a reason to fail. Of a test that is reported more than once
+   * the worst counts.
+   */
+  private static void read(Path report, Map<String, Outcome> results, List<String> reasons)
+      throws IOException, ParserConfigurationException {
     DocumentBuilder builder = DocumentBuilderFactory.newInstance().newDocumentBuilder();
     try {
       NodeList cases = builder.parse(report.toFile()).getElementsByTagName("testcase");
       for (int index = 0; index < cases.getLength(); index++) {
         Element test = (Element) cases.item(index);
-        boolean failed = Stream.of("failure", "error", "flakyFailure", "flakyError", "rerunFailure", "rerunError")
-            .anyMatch(kind -> test.getElementsByTagName(kind).getLength() > 0);
-        Outcome outcome = failed ? Outcome.FAILED
-            : test.getElementsByTagName("skipped").getLength() > 0 ? Outcome.SKIPPED : Outcome.PASSED;
+        boolean failed =
+            Stream.of(
+                    "failure", "error", "flakyFailure", "flakyError", "rerunFailure", "rerunError")
+                .anyMatch(kind -> test.getElementsByTagName(kind).getLength() > 0);
+        Outcome outcome =
+            failed
+                ? Outcome.FAILED
+                : test.getElementsByTagName("skipped").getLength() > 0
+                    ? Outcome.SKIPPED
+                    : Outcome.PASSED;
         String name = test.getAttribute("classname") + "." + test.getAttribute("name");
-        results.merge(name, outcome, (one, other) -> one == Outcome.FAILED || other == Outcome.FAILED ? Outcome.FAILED
-            : one == Outcome.SKIPPED ? one : other);
+        results.merge(
+            name,
+            outcome,
+            (one, other) ->
+                one == Outcome.FAILED || other == Outcome.FAILED
+                    ? Outcome.FAILED
+                    : one == Outcome.SKIPPED ? one : other);
       }
     } catch (SAXException fault) {
       reasons.add("a report can not be read: " + report);
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
@@ -14,25 +14,48 @@
 import java.util.Set;
 import java.util.TreeMap;
 
-/** The never-rules of opaque requests, opaque batches, the outside list and changes of routes, from outside alone. */
+/**
+ * The never-rules of opaque requests, opaque batches, the outside list and changes of routes, from
+ * outside alone.
+ */
 final class OpaqueChecker {
   private static final Set<Long> PROMISES = Set.of(408L, 421L, 429L, 503L);
   private static final Set<Long> CLEAR_NO = Set.of(400L, 409L, 412L, 413L, 422L);
   private static final int ATTEMPTS_LEAST = 3;
   private static final long UNLIMITED = Long.MAX_VALUE / 1_000;
+
   /** How a run ended whose caller left. */
   static final int DROPPED = -1;
 
   /** One run at a worker; began is null while it waits there. */
-  private record Run(String worker, String request, String asked, String edge, long arrivedMs, Seen began, Seen ended) {}
+  private record Run(
+      String worker,
+      String request,
+      String asked,
+      String edge,
+      long arrivedMs,
+      Seen began,
+      Seen ended) {}
 
   /** One change, as its operator sent it; routes by name. */
-  private record Change(String id, long number, boolean valid, String buildsOn, long sentMs, Map<String, Route> routes) {}
-
-  private record Route(String host, String prefix, String type, int attempts, long tokensMost, Set<String> pools) {
+  private record Change(
+      String id,
+      long number,
+      boolean valid,
+      String buildsOn,
+      long sentMs,
+      Map<String, Route> routes) {}
+
+  private record Route(
+      String host, String prefix, String type, int attempts, long tokensMost, Set<String> pools) {
     static Route parse(String text) {
       String[] words = text.split(" ");
-      return new Route(words[0], words[1], words[2], Integer.parseInt(words[3]), Long.parseLong(words[4]),
+      return new Route(
+          words[0],
+          words[1],
+          words[2],
+          Integer.parseInt(words[3]),
+          Long.parseLong(words[4]),
           words.length > 5 ? Set.of(words[5].split(",")) : Set.of());
     }
   }
@@ -79,8 +102,10 @@
   private final Map<String, Run> runs = new HashMap<>();
   private final Map<String, String> poolOfWorker = new HashMap<>();
   private final Map<String, Change> changes = new LinkedHashMap<>();
+
   /** By number, when a change was first acknowledged. */
   private final TreeMap<Long, Long> acknowledgedMs = new TreeMap<>();
+
   private final Set<String> acknowledged = new HashSet<>();
   private final Set<String> refusedChanges = new HashSet<>();
   private final Map<String, Batch> batches = new LinkedHashMap<>();
@@ -133,14 +158,30 @@
         case WORKER_BORN -> poolOfWorker.put(each.subject(), each.detail());
         case RUN_ARRIVED -> {
           String[] words = each.detail().split(" ");
-          Run run = new Run(each.subject(), words[0], each.text(), words[1], each.atMs(),
-              begins.get(words[2]), ends.get(words[2]));
+          Run run =
+              new Run(
+                  each.subject(),
+                  words[0],
+                  each.text(),
+                  words[1],
+                  each.atMs(),
+                  begins.get(words[2]),
+                  ends.get(words[2]));
           runs.put(words[2], run);
           runsOf.computeIfAbsent(words[0], unseen -> new ArrayList<>()).add(run);
         }
-        case CHANGE_SENT -> changes.putIfAbsent(each.subject(), new Change(each.subject(), each.number(),
-            each.detail().equals("valid"), each.text(), each.atMs(), new HashMap<>()));
-        case CHANGE_ROUTE -> changes.get(each.subject()).routes().put(each.detail(), Route.parse(each.text()));
+        case CHANGE_SENT ->
+            changes.putIfAbsent(
+                each.subject(),
+                new Change(
+                    each.subject(),
+                    each.number(),
+                    each.detail().equals("valid"),
+                    each.text(),
+                    each.atMs(),
+                    new HashMap<>()));
+        case CHANGE_ROUTE ->
+            changes.get(each.subject()).routes().put(each.detail(), Route.parse(each.text()));
         case CHANGE_ANSWERED -> {
           if (each.number() == 200) {
             acknowledged.add(each.subject());
@@ -155,8 +196,10 @@
   }
 
   private void learnBatch(Seen each) {
-    Batch batch = each.kind().name().startsWith("OPAQUE_")
-        ? batches.computeIfAbsent(each.subject(), Batch::new) : null;
+    Batch batch =
+        each.kind().name().startsWith("OPAQUE_")
+            ? batches.computeIfAbsent(each.subject(), Batch::new)
+            : null;
     switch (each.kind()) {
       case OPAQUE_SENT -> {
         if (batch.host == null) {
@@ -183,19 +226,21 @@
           batch.endedMs = Math.min(batch.endedMs, each.atMs());
         }
       }
-      default -> { }
+      default -> {}
     }
   }
 
   /** Neither refused nor beaten: may be in force from the time it was sent. */
   private boolean mayBeInForce(Change change) {
-    return change.valid() && (acknowledged.contains(change.id()) || !refusedChanges.contains(change.id()));
+    return change.valid()
+        && (acknowledged.contains(change.id()) || !refusedChanges.contains(change.id()));
   }
 
   private static Route routeOf(Change change, String host, String path) {
     return change.routes().values().stream()
         .filter(route -> route.host().equalsIgnoreCase(host) && path.startsWith(route.prefix()))
-        .max(java.util.Comparator.comparingInt(route -> route.prefix().length())).orElse(null);
+        .max(java.util.Comparator.comparingInt(route -> route.prefix().length()))
+        .orElse(null);
   }
 
   private static String host(String asked) {
@@ -216,44 +261,74 @@
 
   // ---- what workers were asked
 
-  /** Workers run what a client asked, unchanged, at a pool that some change sent before lets it go to. */
+  /**
+   * Workers run what a client asked, unchanged, at a pool that some change sent before lets it go
+   * to.
+   */
   private void asked() {
     for (Run run : runs.values()) {
       Seen request = requests.get(run.request());
       String batch = batchOfItem.get(run.request());
-      String wanted = request != null ? request.text() : batch != null ? batches.get(batch).asked(run.request()) : null;
-      long sentMs = request != null ? request.atMs() : batch != null ? batches.get(batch).firstSentMs : Long.MAX_VALUE;
+      String wanted =
+          request != null
+              ? request.text()
+              : batch != null ? batches.get(batch).asked(run.request()) : null;
+      long sentMs =
+          request != null
+              ? request.atMs()
+              : batch != null ? batches.get(batch).firstSentMs : Long.MAX_VALUE;
       if (run.began() == null) {
         continue;
       }
       if (wanted == null || !wanted.equals(run.asked()) || sentMs > run.arrivedMs()) {
-        violated(Rule.UNASKED_RUN, run.arrivedMs(), run.request() + " at " + run.worker() + " asked " + run.asked()
-            + " where its client asked " + wanted);
+        violated(
+            Rule.UNASKED_RUN,
+            run.arrivedMs(),
+            run.request()
+                + " at "
+                + run.worker()
+                + " asked "
+                + run.asked()
+                + " where its client asked "
+                + wanted);
         continue;
       }
       String pool = poolOfWorker.get(run.worker());
       if (!everAllowed(wanted, pool, run.began().atMs())) {
-        violated(Rule.WRONG_POOL, run.began().atMs(), run.request() + " ran at " + run.worker() + " of " + pool);
-      }
-    }
-    runsOf.forEach((id, ofRequest) -> {
-      Seen request = requests.get(id);
-      List<Run> begun = ofRequest.stream().filter(run -> run.began() != null).toList();
-      if (request == null || repeatable(request) || begun.isEmpty()) {
-        return;
-      }
-      if (begun.size() > 1) {
-        violated(Rule.RAN_TWICE, begun.get(1).began().atMs(), id + " ran " + begun.size() + " times");
-      }
-      Seen answer = answers.get(id);
-      if (answer != null && answer.detail().equals("refused") && PROMISES.contains(answer.number())) {
-        violated(Rule.REFUSED_REQUEST_RAN, begun.get(0).began().atMs(), id + " was refused with " + answer.number());
-      }
-    });
+        violated(
+            Rule.WRONG_POOL,
+            run.began().atMs(),
+            run.request() + " ran at " + run.worker() + " of " + pool);
+      }
+    }
+    runsOf.forEach(
+        (id, ofRequest) -> {
+          Seen request = requests.get(id);
+          List<Run> begun = ofRequest.stream().filter(run -> run.began() != null).toList();
+          if (request == null || repeatable(request) || begun.isEmpty()) {
+            return;
+          }
+          if (begun.size() > 1) {
+            violated(
+                Rule.RAN_TWICE,
+                begun.get(1).began().atMs(),
+                id + " ran " + begun.size() + " times");
+          }
+          Seen answer = answers.get(id);
+          if (answer != null
+              && answer.detail().equals("refused")
+              && PROMISES.contains(answer.number())) {
+            violated(
+                Rule.REFUSED_REQUEST_RAN,
+                begun.get(0).began().atMs(),
+                id + " was refused with " + answer.number());
+          }
+        });
   }
 
   private boolean everAllowed(String asked, String pool, long atMs) {
-    return changes.values().stream().filter(change -> change.sentMs() <= atMs)
+    return changes.values().stream()
+        .filter(change -> change.sentMs() <= atMs)
         .map(change -> routeOf(change, host(asked), path(asked)))
         .anyMatch(route -> route != null && route.pools().contains(pool));
   }
@@ -271,16 +346,23 @@
       String body = answer.text().substring(lineEnd + 1);
       Run head = runs.get(stamp.split("[.]")[0]);
       boolean whole = answer.detail().equals("complete");
-      if (head == null || !head.request().equals(answer.subject())
+      if (head == null
+          || !head.request().equals(answer.subject())
           || !stamp.equals(OpaqueOutput.stamp(request.text(), stamp.split("[.]")[0]))) {
-        violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has the stamp " + stamp);
+        violated(
+            Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has the stamp " + stamp);
       } else if (answer.number() >= 300) {
         if (whole && !body.equals(failure(head, answer.number()))) {
-          violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has a changed failure");
+          violated(
+              Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has a changed failure");
         }
       } else if (head.ended() != null && head.ended().number() >= 300) {
-        violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " shows a failure as a success");
-      } else if (request.detail().startsWith("stream ") || request.detail().startsWith("resumable ")) {
+        violated(
+            Rule.WRONG_OR_CUT_ANSWER,
+            answer.atMs(),
+            answer.subject() + " shows a failure as a success");
+      } else if (request.detail().startsWith("stream ")
+          || request.detail().startsWith("resumable ")) {
         stream(request, answer, body, whole);
       } else {
         plain(request, answer, head, body, whole, stamp);
@@ -297,11 +379,18 @@
   }
 
   private void plain(Seen request, Seen answer, Run run, String body, boolean whole, String stamp) {
-    String output = OpaqueOutput.text(request.text(), 1, (int) request.number(), stamp.split("[.]")[0]);
+    String output =
+        OpaqueOutput.text(request.text(), 1, (int) request.number(), stamp.split("[.]")[0]);
     if (whole ? !body.equals(output) : !output.startsWith(body)) {
-      violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + (whole ? " is complete with " : " has ") + body);
+      violated(
+          Rule.WRONG_OR_CUT_ANSWER,
+          answer.atMs(),
+          answer.subject() + (whole ? " is complete with " : " has ") + body);
     } else if (whole && (run.ended() == null || run.ended().number() != 200)) {
-      violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " is complete and its run is not");
+      violated(
+          Rule.WRONG_OR_CUT_ANSWER,
+          answer.atMs(),
+          answer.subject() + " is complete and its run is not");
     }
   }
 
@@ -312,8 +401,10 @@
     for (String line : body.isEmpty() ? new String[0] : body.split("\n")) {
       int colon = line.indexOf(':');
       Part part = Part.parse(line.substring(colon + 1));
-      if (part == null || !line.substring(0, Math.max(0, colon)).equals(Integer.toString(part.last()))) {
-        violated(Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has the event " + line);
+      if (part == null
+          || !line.substring(0, Math.max(0, colon)).equals(Integer.toString(part.last()))) {
+        violated(
+            Rule.WRONG_OR_CUT_ANSWER, answer.atMs(), answer.subject() + " has the event " + line);
         return;
       }
       lastId = part.last();
@@ -321,11 +412,15 @@
     }
     String fault = joined(texts, request.subject(), request.text(), resumeAfter);
     if (fault != null) {
-      violated(fault.startsWith("another") ? Rule.WRONG_OR_CUT_ANSWER : Rule.STREAM_BROKEN, answer.atMs(),
+      violated(
+          fault.startsWith("another") ? Rule.WRONG_OR_CUT_ANSWER : Rule.STREAM_BROKEN,
+          answer.atMs(),
           answer.subject() + ": " + fault);
     } else if (whole && lastId != request.number()) {
-      violated(Rule.STREAM_BROKEN, answer.atMs(), answer.subject() + " ends as complete after " + lastId + " of "
-          + request.number());
+      violated(
+          Rule.STREAM_BROKEN,
+          answer.atMs(),
+          answer.subject() + " ends as complete after " + lastId + " of " + request.number());
     }
   }
 
@@ -334,7 +429,10 @@
     return words.length > 2 ? Long.parseLong(words[2]) : 0;
   }
 
-  /** Null if the pieces follow each other, each from a run of just this request, that goes on where the one before ended. */
+  /**
+   * Null if the pieces follow each other, each from a run of just this request, that goes on where
+   * the one before ended.
+   */
   private String joined(List<String> texts, String request, String asked, long resumeAfter) {
     long last = resumeAfter;
     String present = "";
@@ -342,7 +440,10 @@
     for (String text : texts) {
       Part part = Part.parse(text);
       Run run = part == null ? null : runs.get(part.run());
-      if (run == null || run.began() == null || !run.request().equals(request) || !part.asked().equals(OpaqueOutput.sum(asked))) {
+      if (run == null
+          || run.began() == null
+          || !run.request().equals(request)
+          || !part.asked().equals(OpaqueOutput.sum(asked))) {
         return "another's piece " + text;
       }
       if (part.first() != last + 1 || part.last() < part.first()) {
@@ -373,12 +474,23 @@
     for (Seen each : of(Kind.RUN_ARRIVED)) {
       Long shown = shownMs.get(each.subject());
       String[] words = each.detail().split(" ");
-      if (shown == null || each.number() == 421 || each.atMs() - shown - troubled(listTrouble, shown, each.atMs()) <= drainMs) {
+      if (shown == null
+          || each.number() == 421
+          || each.atMs() - shown - troubled(listTrouble, shown, each.atMs()) <= drainMs) {
         continue;
       }
       if (touch.inTouch(words[1], each.atMs()) && touch.inTouch(words[1], shown + drainMs)) {
-        violated(Rule.WORK_TO_LEAVING_WORKER, each.atMs(), words[0] + " reached " + each.subject() + " from " + words[1]
-            + ", " + (each.atMs() - shown) + " ms after it was shown to leave");
+        violated(
+            Rule.WORK_TO_LEAVING_WORKER,
+            each.atMs(),
+            words[0]
+                + " reached "
+                + each.subject()
+                + " from "
+                + words[1]
+                + ", "
+                + (each.atMs() - shown)
+                + " ms after it was shown to leave");
       }
     }
   }
@@ -407,11 +519,17 @@
         continue;
       }
       if (!change.valid()) {
-        violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "an invalid change was acknowledged: " + change.id());
+        violated(
+            Rule.BUNDLE_NOT_IN_FORCE,
+            each.atMs(),
+            "an invalid change was acknowledged: " + change.id());
       }
       String other = winnerOn.putIfAbsent(change.buildsOn(), change.id());
       if (other != null && !other.equals(change.id())) {
-        violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), change.id() + " and " + other + " both build on " + change.buildsOn());
+        violated(
+            Rule.BUNDLE_NOT_IN_FORCE,
+            each.atMs(),
+            change.id() + " and " + other + " both build on " + change.buildsOn());
       }
     }
     for (Seen each : of(Kind.CHANGE_READ)) {
@@ -419,19 +537,31 @@
       long newest = acknowledgedBefore(begunMs);
       Change change = changes.get(each.subject());
       if (newest > each.number() || change == null && each.number() > 0) {
-        violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "read " + each.number() + " of " + each.subject() + " after " + newest);
+        violated(
+            Rule.BUNDLE_NOT_IN_FORCE,
+            each.atMs(),
+            "read " + each.number() + " of " + each.subject() + " after " + newest);
       } else if (change != null && (change.number() != each.number() || !mayBeInForce(change))) {
-        violated(Rule.BUNDLE_NOT_IN_FORCE, each.atMs(), "read " + change.id() + ", which is not in force, as " + each.number());
+        violated(
+            Rule.BUNDLE_NOT_IN_FORCE,
+            each.atMs(),
+            "read " + change.id() + ", which is not in force, as " + each.number());
       }
     }
   }
 
   private long acknowledgedBefore(long timeMs) {
-    return acknowledgedMs.entrySet().stream().filter(entry -> entry.getValue() < timeMs).mapToLong(Map.Entry::getKey)
-        .max().orElse(0);
+    return acknowledgedMs.entrySet().stream()
+        .filter(entry -> entry.getValue() < timeMs)
+        .mapToLong(Map.Entry::getKey)
+        .max()
+        .orElse(0);
   }
 
-  /** How each request was handled must be allowed by a change no older than what was in force for its node by then. */
+  /**
+   * How each request was handled must be allowed by a change no older than what was in force for
+   * its node by then.
+   */
   private void effects() {
     Map<String, List<long[]>> provenAt = new HashMap<>();
     for (Seen each : seen) {
@@ -441,35 +571,79 @@
           Seen request = requests.get(each.detail());
           Batch batch = batches.get(batchOfItem.getOrDefault(each.detail(), ""));
           if (request != null) {
-            handled(request, request.text(), request.atMs(), run.edge(), each.atMs(), poolOfWorker.get(each.subject()), provenAt);
+            handled(
+                request,
+                request.text(),
+                request.atMs(),
+                run.edge(),
+                each.atMs(),
+                poolOfWorker.get(each.subject()),
+                provenAt);
           } else if (batch != null && batch.acceptedMs >= 0) {
-            handled(null, run.asked(), batch.acceptedMs, run.edge(), each.atMs(), poolOfWorker.get(each.subject()), provenAt);
+            handled(
+                null,
+                run.asked(),
+                batch.acceptedMs,
+                run.edge(),
+                each.atMs(),
+                poolOfWorker.get(each.subject()),
+                provenAt);
           }
         }
         case REQUEST_ANSWERED -> {
           Seen request = requests.get(each.subject());
           if (each.detail().equals("refused") && each.number() == 404) {
-            handled(request, request.text(), request.atMs(), edgeOf(request), each.atMs(), null, provenAt);
+            handled(
+                request,
+                request.text(),
+                request.atMs(),
+                edgeOf(request),
+                each.atMs(),
+                null,
+                provenAt);
           }
         }
-        default -> { }
+        default -> {}
       }
     }
   }
 
   /** pool: where it ran; null if it was told that there is no such route. */
-  private void handled(Seen request, String asked, long sentMs, String edge, long atMs, String pool,
+  private void handled(
+      Seen request,
+      String asked,
+      long sentMs,
+      String edge,
+      long atMs,
+      String pool,
       Map<String, List<long[]>> provenAt) {
-    long[] fitting = changes.values().stream().filter(this::mayBeInForce).filter(change -> change.sentMs() <= atMs)
-        .filter(change -> {
-          Route route = routeOf(change, host(asked), path(asked));
-          return pool == null ? route == null : route != null && route.pools().contains(pool);
-        }).mapToLong(Change::number).sorted().toArray();
-    String what = (request == null ? "an item" : request.subject()) + " asked " + host(asked) + path(asked) + " at " + edge
-        + (pool == null ? " and was told of no route" : " ran in " + pool);
+    long[] fitting =
+        changes.values().stream()
+            .filter(this::mayBeInForce)
+            .filter(change -> change.sentMs() <= atMs)
+            .filter(
+                change -> {
+                  Route route = routeOf(change, host(asked), path(asked));
+                  return pool == null
+                      ? route == null
+                      : route != null && route.pools().contains(pool);
+                })
+            .mapToLong(Change::number)
+            .sorted()
+            .toArray();
+    String what =
+        (request == null ? "an item" : request.subject())
+            + " asked "
+            + host(asked)
+            + path(asked)
+            + " at "
+            + edge
+            + (pool == null ? " and was told of no route" : " ran in " + pool);
     if (fitting.length == 0) {
-      boolean wrong = pool != null ? everAllowed(asked, pool, atMs)
-          : acknowledgedBefore(sentMs) > 0 && touch.inTouch(edge, sentMs);
+      boolean wrong =
+          pool != null
+              ? everAllowed(asked, pool, atMs)
+              : acknowledgedBefore(sentMs) > 0 && touch.inTouch(edge, sentMs);
       if (wrong) {
         violated(Rule.BUNDLE_NOT_IN_FORCE, atMs, what + ", which nothing in force allowed");
       }
@@ -478,13 +652,21 @@
     long newest = fitting[fitting.length - 1];
     long inForce = acknowledgedBefore(sentMs - bound("applyMs", 2_000));
     if (newest < inForce && touch.inTouch(edge, sentMs) && touch.inTouch(edge, atMs)) {
-      violated(Rule.BUNDLE_NOT_IN_FORCE, atMs, what + " by nothing newer than " + newest + " where " + inForce + " was in force");
+      violated(
+          Rule.BUNDLE_NOT_IN_FORCE,
+          atMs,
+          what + " by nothing newer than " + newest + " where " + inForce + " was in force");
     }
     List<long[]> proven = provenAt.computeIfAbsent(edge, unseen -> new ArrayList<>());
     for (long[] before : proven) {
-      if (newest < before[0] && sentMs > before[1] + bound("downgradeMs", 250) && request != null
+      if (newest < before[0]
+          && sentMs > before[1] + bound("downgradeMs", 250)
+          && request != null
           && touch.oneLife(edge, before[1], sentMs)) {
-        violated(Rule.BUNDLE_NOT_IN_FORCE, atMs, what + " by " + newest + " after it had shown " + before[0]);
+        violated(
+            Rule.BUNDLE_NOT_IN_FORCE,
+            atMs,
+            what + " by " + newest + " after it had shown " + before[0]);
         break;
       }
     }
@@ -502,7 +684,8 @@
     for (Seen each : of(Kind.TROUBLE)) {
       if (each.detail().equals("began stopping")) {
         stopBegan.put(each.subject(), each.atMs());
-        stops.computeIfAbsent(each.subject(), unseen -> new ArrayList<>())
+        stops
+            .computeIfAbsent(each.subject(), unseen -> new ArrayList<>())
             .add(new long[] {each.atMs(), each.atMs() + bound("graceMs", 8_000) + 1_000});
       }
     }
@@ -510,26 +693,52 @@
       Seen request = requests.get(answer.subject());
       String edge = edgeOf(request);
       boolean broke = answer.detail().equals("cut") || answer.detail().equals("broken");
-      boolean planned = stops.getOrDefault(edge, List.of()).stream()
-          .anyMatch(stop -> request.atMs() <= stop[1] && answer.atMs() >= stop[0] && answer.atMs() <= stop[1]);
+      boolean planned =
+          stops.getOrDefault(edge, List.of()).stream()
+              .anyMatch(
+                  stop ->
+                      request.atMs() <= stop[1]
+                          && answer.atMs() >= stop[0]
+                          && answer.atMs() <= stop[1]);
       List<Run> ofRequest = runsOf.getOrDefault(answer.subject(), List.of());
-      boolean workersDoing = ofRequest.stream().anyMatch(run -> run.ended() != null
-          && run.ended().number() != 200 && run.ended().number() != DROPPED && run.ended().atMs() < answer.atMs());
-      boolean passedOnOrLate = !ofRequest.isEmpty() || answer.atMs() - request.atMs() > bound("lossSlackMs", 200);
+      boolean workersDoing =
+          ofRequest.stream()
+              .anyMatch(
+                  run ->
+                      run.ended() != null
+                          && run.ended().number() != 200
+                          && run.ended().number() != DROPPED
+                          && run.ended().atMs() < answer.atMs());
+      boolean passedOnOrLate =
+          !ofRequest.isEmpty() || answer.atMs() - request.atMs() > bound("lossSlackMs", 200);
       boolean late = answer.atMs() - request.atMs() > bound("requestTimeoutMs", 10_000);
-      if (broke && planned && !workersDoing && passedOnOrLate && !late && touch.settled(request.atMs())
-          && touch.settled(answer.atMs()) && doneInTime(ofRequest, stops.get(edge), answer)
+      if (broke
+          && planned
+          && !workersDoing
+          && passedOnOrLate
+          && !late
+          && touch.settled(request.atMs())
+          && touch.settled(answer.atMs())
+          && doneInTime(ofRequest, stops.get(edge), answer)
           && touch.untroubled(edge, request.atMs(), answer.atMs(), Set.of("stopping", "down"))) {
-        violated(Rule.RESPONSE_LOST, answer.atMs(), answer.subject() + " was cut off at " + edge + ", which was told to stop");
+        violated(
+            Rule.RESPONSE_LOST,
+            answer.atMs(),
+            answer.subject() + " was cut off at " + edge + ", which was told to stop");
       }
     }
   }
 
   /** False if a worker was still at it in the second half of the grace. */
   private boolean doneInTime(List<Run> ofRequest, List<long[]> stops, Seen answer) {
-    long half = stops.stream().filter(stop -> answer.atMs() >= stop[0] && answer.atMs() <= stop[1])
-        .mapToLong(stop -> stop[0] + bound("graceMs", 8_000) / 2).max().orElse(0);
-    return ofRequest.stream().filter(run -> run.began() != null)
+    long half =
+        stops.stream()
+            .filter(stop -> answer.atMs() >= stop[0] && answer.atMs() <= stop[1])
+            .mapToLong(stop -> stop[0] + bound("graceMs", 8_000) / 2)
+            .max()
+            .orElse(0);
+    return ofRequest.stream()
+        .filter(run -> run.began() != null)
         .noneMatch(run -> run.ended() == null || run.ended().atMs() > half);
   }
 
@@ -539,15 +748,19 @@
     long settleMs = bound("settleMs", 1_000);
     for (Batch batch : batches.values()) {
       if (batch.acceptedMs < 0 && batch.refusedAtEveryTry && batch.openTries <= 0) {
-        batch.items.keySet().stream().flatMap(item -> runsOf.getOrDefault(item, List.of()).stream())
-            .filter(run -> run.began() != null).findFirst()
+        batch.items.keySet().stream()
+            .flatMap(item -> runsOf.getOrDefault(item, List.of()).stream())
+            .filter(run -> run.began() != null)
+            .findFirst()
             .ifPresent(run -> violated(Rule.REFUSED_BATCH_RAN, run.began().atMs(), batch.id));
       }
       for (String item : batch.items.keySet()) {
         for (Run run : runsOf.getOrDefault(item, List.of())) {
-          if (run.arrivedMs() > batch.endedMs + bound("cancelMs", 3_000) && touch.inTouch(run.edge(), run.arrivedMs())
+          if (run.arrivedMs() > batch.endedMs + bound("cancelMs", 3_000)
+              && touch.inTouch(run.edge(), run.arrivedMs())
               && touch.inTouch(run.edge(), batch.endedMs + bound("cancelMs", 3_000))) {
-            violated(Rule.RAN_AFTER_END, run.arrivedMs(), batch.id + " " + item + " from " + run.edge());
+            violated(
+                Rule.RAN_AFTER_END, run.arrivedMs(), batch.id + " " + item + " from " + run.edge());
           }
         }
       }
@@ -556,19 +769,37 @@
     for (Seen each : seen) {
       Batch batch = batches.get(each.subject());
       if (each.kind() == Kind.OPAQUE_RESULT) {
-        readAt.computeIfAbsent(each.subject(), unseen -> new HashMap<>()).putIfAbsent(each.number(), each.atMs());
+        readAt
+            .computeIfAbsent(each.subject(), unseen -> new HashMap<>())
+            .putIfAbsent(each.number(), each.atMs());
         result(batch, each);
       } else if (each.kind() == Kind.OPAQUE_READ) {
         read(batch, each, readAt.getOrDefault(each.subject(), Map.of()), settleMs);
       } else if (each.kind() == Kind.OPAQUE_BODY && each.number() == 200) {
         String asked = batch.items.containsKey(each.detail()) ? batch.asked(each.detail()) : "";
         if (!asked.endsWith(" " + each.text())) {
-          violated(Rule.WRONG_OR_CUT_ANSWER, each.atMs(), batch.id + " body of " + each.detail() + " is " + each.text());
+          violated(
+              Rule.WRONG_OR_CUT_ANSWER,
+              each.atMs(),
+              batch.id + " body of " + each.detail() + " is " + each.text());
         }
       } else if (each.kind() == Kind.OPAQUE_CLOSED && batch.acceptedMs >= 0) {
-        if (each.detail().equals("unread") || Long.parseLong(each.text()) < batch.results.size() || each.number() > 0) {
-          violated(Rule.ACCEPTED_BATCH_LOST, each.atMs(), batch.id + " " + each.detail() + " at the close, " + each.text()
-              + " of " + batch.results.size() + " results, " + each.number() + " bodies missing");
+        if (each.detail().equals("unread")
+            || Long.parseLong(each.text()) < batch.results.size()
+            || each.number() > 0) {
+          violated(
+              Rule.ACCEPTED_BATCH_LOST,
+              each.atMs(),
+              batch.id
+                  + " "
+                  + each.detail()
+                  + " at the close, "
+                  + each.text()
+                  + " of "
+                  + batch.results.size()
+                  + " results, "
+                  + each.number()
+                  + " bodies missing");
         }
       }
     }
@@ -578,21 +809,34 @@
     String[] words = each.text().split(" ");
     long from = Long.parseLong(words[0]);
     long begunMs = Long.parseLong(words[3]);
-    boolean inTouch = touch.inTouch(each.detail(), begunMs) && touch.inTouch(each.detail(), each.atMs());
-    boolean kept = each.atMs() < batch.firstSentMs + bound("keepBatchesMs", 120_000) || batch.results.size() < batch.items.size();
-    if ((each.number() == 404 || each.number() == 410) && batch.acceptedMs >= 0 && begunMs > batch.acceptedMs + settleMs
-        && inTouch && kept) {
-      violated(Rule.REPORTED_MISSING, each.atMs(), batch.id + " was told missing by " + each.detail());
+    boolean inTouch =
+        touch.inTouch(each.detail(), begunMs) && touch.inTouch(each.detail(), each.atMs());
+    boolean kept =
+        each.atMs() < batch.firstSentMs + bound("keepBatchesMs", 120_000)
+            || batch.results.size() < batch.items.size();
+    if ((each.number() == 404 || each.number() == 410)
+        && batch.acceptedMs >= 0
+        && begunMs > batch.acceptedMs + settleMs
+        && inTouch
+        && kept) {
+      violated(
+          Rule.REPORTED_MISSING, each.atMs(), batch.id + " was told missing by " + each.detail());
     }
     if (each.number() != 200) {
       return;
     }
     long known = readAt.getOrDefault(from, Long.MAX_VALUE / 2);
     if (Long.parseLong(words[1]) <= from && begunMs > known + settleMs && inTouch) {
-      violated(Rule.REPORTED_MISSING, each.atMs(), batch.id + " has nothing at " + from + " for " + each.detail());
+      violated(
+          Rule.REPORTED_MISSING,
+          each.atMs(),
+          batch.id + " has nothing at " + from + " for " + each.detail());
     }
     if (Long.parseLong(words[2]) != batch.items.size()) {
-      violated(Rule.RESULT_NOT_WHOLE, each.atMs(), batch.id + " has a total of " + words[2] + " for " + batch.items.size() + " items");
+      violated(
+          Rule.RESULT_NOT_WHOLE,
+          each.atMs(),
+          batch.id + " has a total of " + words[2] + " for " + batch.items.size() + " items");
     }
   }
 
@@ -601,41 +845,74 @@
     Seen before = batch.results.putIfAbsent(each.number(), each);
     if (before != null) {
       if (!before.detail().equals(each.detail()) || !before.text().equals(each.text())) {
-        violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), batch.id + " position " + each.number() + " was " + before.detail()
-            + " and is " + each.detail());
+        violated(
+            Rule.RESULT_TWICE_OR_CHANGED,
+            each.atMs(),
+            batch.id
+                + " position "
+                + each.number()
+                + " was "
+                + before.detail()
+                + " and is "
+                + each.detail());
       }
       return;
     }
-    if (batch.results.values().stream().anyMatch(other -> other != each && other.detail().split(" ")[0].equals(words[0]))) {
-      violated(Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), batch.id + " lists " + words[0] + " twice");
+    if (batch.results.values().stream()
+        .anyMatch(other -> other != each && other.detail().split(" ")[0].equals(words[0]))) {
+      violated(
+          Rule.RESULT_TWICE_OR_CHANGED, each.atMs(), batch.id + " lists " + words[0] + " twice");
     }
     Seen item = batch.items.get(words[0]);
     if (item == null) {
-      violated(Rule.RESULT_NOT_WHOLE, each.atMs(), batch.id + " lists " + words[0] + ", which is not its own");
+      violated(
+          Rule.RESULT_NOT_WHOLE,
+          each.atMs(),
+          batch.id + " lists " + words[0] + ", which is not its own");
     } else if (words[1].equals("complete")) {
       List<String> texts = each.text().isEmpty() ? List.of() : List.of(each.text().split("\n"));
       String fault = joined(texts, words[0], batch.asked(words[0]), 0);
       Part last = texts.isEmpty() ? null : Part.parse(texts.get(texts.size() - 1));
       if (fault != null) {
-        violated(fault.startsWith("another") ? Rule.RESULT_NOT_WHOLE : Rule.STREAM_BROKEN, each.atMs(),
+        violated(
+            fault.startsWith("another") ? Rule.RESULT_NOT_WHOLE : Rule.STREAM_BROKEN,
+            each.atMs(),
             batch.id + " " + words[0] + ": " + fault);
       } else if (last == null || last.last() != item.number()) {
-        violated(Rule.RESULT_NOT_WHOLE, each.atMs(), batch.id + " " + words[0] + " is complete with " + each.text());
+        violated(
+            Rule.RESULT_NOT_WHOLE,
+            each.atMs(),
+            batch.id + " " + words[0] + " is complete with " + each.text());
       }
     } else if (!mayBeGivenUp(batch, words[0], each.atMs())) {
-      violated(Rule.RESULT_NOT_WHOLE, each.atMs(), batch.id + " " + words[0] + " is given up too early");
+      violated(
+          Rule.RESULT_NOT_WHOLE, each.atMs(), batch.id + " " + words[0] + " is given up too early");
     }
   }
 
   private boolean mayBeGivenUp(Batch batch, String item, long atMs) {
     List<Run> ofItem = runsOf.getOrDefault(item, List.of());
-    long failures = ofItem.stream().filter(run -> run.ended() != null && run.ended().number() == 500).count();
-    int attempts = changes.values().stream().map(change -> routeOf(change, batch.host, batch.path))
-        .filter(route -> route != null).mapToInt(Route::attempts).min().orElse(0);
-    boolean routeGone = changes.values().stream().filter(this::mayBeInForce).filter(change -> change.sentMs() <= atMs
-        && change.sentMs() > batch.firstSentMs - bound("applyMs", 2_000) - bound("ackMs", 4_000))
-        .anyMatch(change -> routeOf(change, batch.host, batch.path) == null);
-    return failures >= Math.max(1, attempts) || routeGone || atMs >= batch.endAskedMs
+    long failures =
+        ofItem.stream().filter(run -> run.ended() != null && run.ended().number() == 500).count();
+    int attempts =
+        changes.values().stream()
+            .map(change -> routeOf(change, batch.host, batch.path))
+            .filter(route -> route != null)
+            .mapToInt(Route::attempts)
+            .min()
+            .orElse(0);
+    boolean routeGone =
+        changes.values().stream()
+            .filter(this::mayBeInForce)
+            .filter(
+                change ->
+                    change.sentMs() <= atMs
+                        && change.sentMs()
+                            > batch.firstSentMs - bound("applyMs", 2_000) - bound("ackMs", 4_000))
+            .anyMatch(change -> routeOf(change, batch.host, batch.path) == null);
+    return failures >= Math.max(1, attempts)
+        || routeGone
+        || atMs >= batch.endAskedMs
         || ofItem.stream().anyMatch(run -> run.ended() != null && run.ended().number() == 422)
         || atMs - batch.firstSentMs >= bound("retentionMs", Long.MAX_VALUE / 2);
   }
@@ -652,22 +929,35 @@
       if (taken.acceptedMs < 0) {
         continue;
       }
-      long limit = changes.values().stream().filter(this::mayBeInForce).filter(change -> change.sentMs() <= taken.acceptedMs)
-          .map(change -> routeOf(change, taken.host, taken.path)).filter(route -> route != null)
-          .mapToLong(route -> route.tokensMost() == 0 ? UNLIMITED : route.tokensMost()).max().orElse(UNLIMITED);
+      long limit =
+          changes.values().stream()
+              .filter(this::mayBeInForce)
+              .filter(change -> change.sentMs() <= taken.acceptedMs)
+              .map(change -> routeOf(change, taken.host, taken.path))
+              .filter(route -> route != null)
+              .mapToLong(route -> route.tokensMost() == 0 ? UNLIMITED : route.tokensMost())
+              .max()
+              .orElse(UNLIMITED);
       long waiting = 0;
       for (Batch batch : batches.values()) {
-        if (batch.acceptedMs < 0 || batch.acceptedMs > taken.acceptedMs || batch.endAskedMs <= taken.acceptedMs
+        if (batch.acceptedMs < 0
+            || batch.acceptedMs > taken.acceptedMs
+            || batch.endAskedMs <= taken.acceptedMs
             || !batch.place().equals(taken.place())) {
           continue;
         }
         for (String item : batch.items.keySet()) {
-          boolean dead = mayBeGivenUp(batch, item, taken.acceptedMs) || doneMs.getOrDefault(item, Long.MAX_VALUE) <= taken.acceptedMs;
+          boolean dead =
+              mayBeGivenUp(batch, item, taken.acceptedMs)
+                  || doneMs.getOrDefault(item, Long.MAX_VALUE) <= taken.acceptedMs;
           waiting += dead ? 0 : batch.tokens(item);
         }
       }
       if (waiting > limit * (100 + bound("overshootPercent", 10)) / 100) {
-        violated(Rule.CEILING_OVERSHOT, taken.acceptedMs, waiting + " tokens wait where " + limit + " may, with " + taken.id);
+        violated(
+            Rule.CEILING_OVERSHOT,
+            taken.acceptedMs,
+            waiting + " tokens wait where " + limit + " may, with " + taken.id);
       }
     }
   }
@@ -683,14 +973,21 @@
         continue;
       }
       String edge = edgeOf(requests.get(each.subject()));
-      boolean good = each.detail().equals("complete") || !touch.inTouch(edge, each.atMs())
-          || each.number() == 404 || !acknowledgedSince(each.atMs());
+      boolean good =
+          each.detail().equals("complete")
+              || !touch.inTouch(edge, each.atMs())
+              || each.number() == 404
+              || !acknowledgedSince(each.atMs());
       if (good) {
         goodMs.put(edge, each.atMs());
         asked.put(edge, 0);
       } else if (asked.merge(edge, 1, Integer::sum) > ATTEMPTS_LEAST
-          && each.atMs() - goodMs.computeIfAbsent(edge, unseen -> each.atMs()) > bound("recoveryMs", 12_000)) {
-        violated(Rule.SERVICE_NOT_BACK, each.atMs(), "no opaque request served at " + edge + " since " + goodMs.get(edge));
+          && each.atMs() - goodMs.computeIfAbsent(edge, unseen -> each.atMs())
+              > bound("recoveryMs", 12_000)) {
+        violated(
+            Rule.SERVICE_NOT_BACK,
+            each.atMs(),
+            "no opaque request served at " + edge + " since " + goodMs.get(edge));
         goodMs.put(edge, each.atMs());
       }
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
@@ -1,5 +1,7 @@
 package applespindle.testfleet;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.LiveDesk;
@@ -25,9 +27,10 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** Clients of opaque requests and of opaque batches, who try again just as far as the answers they got allow it. */
+/**
+ * Clients of opaque requests and of opaque batches, who try again just as far as the answers they
+ * got allow it.
+ */
 final class OpaqueClients {
   static final long DEADLINE_MS = 4_000;
   private static final long STREAM_SILENCE_MS = 2_000;
@@ -48,8 +51,10 @@
   private final OpaqueOperators operators;
   private final History history;
   private long ids;
+
   /** By type of route: asked for, and served in the end. */
   final Map<String, int[]> servedOf = new TreeMap<>();
+
   final Map<String, Integer> refusals = new TreeMap<>();
   final List<Long> latencies = new ArrayList<>();
   final List<BatchClient> batches = new ArrayList<>();
@@ -77,7 +82,9 @@
     if (!choice.isEmpty()) {
       new Wish(choice.get(simulation.random.nextInt(choice.size()))).attempt(null);
     }
-    simulation.afterMs(-Math.log(1 - simulation.random.nextDouble()) * 1000 / perSecond, () -> next(type, perSecond, untilMs));
+    simulation.afterMs(
+        -Math.log(1 - simulation.random.nextDouble()) * 1000 / perSecond,
+        () -> next(type, perSecond, untilMs));
   }
 
   /** A few requests on routes just added or removed, to each node. */
@@ -94,7 +101,9 @@
 
   private List<PromptPart> prompt(String own) {
     int family = simulation.random.nextInt(FAMILIES);
-    return List.of(new PromptPart("f" + family, 200 + 10 * family), new PromptPart("s" + simulation.random.nextInt(5 * FAMILIES), 60),
+    return List.of(
+        new PromptPart("f" + family, 200 + 10 * family),
+        new PromptPart("s" + simulation.random.nextInt(5 * FAMILIES), 60),
         new PromptPart(own, 20));
   }
 
@@ -138,8 +147,12 @@
         }
         return;
       }
-      boolean promised = last.detail.equals("refused") && PROMISES.contains(last.status) || last.detail.equals("unreachable");
-      if (FINAL.contains(last.status) && !last.detail.equals("complete") || tries >= TRIES || !(promised || mayAgain)) {
+      boolean promised =
+          last.detail.equals("refused") && PROMISES.contains(last.status)
+              || last.detail.equals("unreachable");
+      if (FINAL.contains(last.status) && !last.detail.equals("complete")
+          || tries >= TRIES
+          || !(promised || mayAgain)) {
         return;
       }
       if (route.type().equals("resumable") && !last.lastEvent.isEmpty()) {
@@ -176,97 +189,151 @@
     }
 
     void send() {
-      var request = new OpaqueRequest(id, "POST", wish.target, wish.route.host(), List.of(new Header("Content-Type", "text/plain")),
-          wish.body, Math.max(1, wish.left()), "m", 280, wish.tokens, wish.prompt, wish.resumeAfter);
+      var request =
+          new OpaqueRequest(
+              id,
+              "POST",
+              wish.target,
+              wish.route.host(),
+              List.of(new Header("Content-Type", "text/plain")),
+              wish.body,
+              Math.max(1, wish.left()),
+              "m",
+              280,
+              wish.tokens,
+              wish.prompt,
+              wish.resumeAfter);
       heardMs = simulation.nowMs();
-      history.add(simulation.nowMs(), Kind.REQUEST_SENT, id, wish.route.type() + " " + edge.name + (wish.resumeAfter.isEmpty() ? "" : " " + wish.resumeAfter), OpaqueWorkers.asked(request), wish.tokens);
-      simulation.call(edge, (Consumer<Runnable> then) -> {
-        whenOver = then;
-        handle = ((EdgeNode) edge.node()).pass(request, this);
-        if (over) {
-          handle.cancel();
-        }
-      }, new Caller<Runnable>() {
-        @Override public void answered(Runnable answer) {
-          answer.run();
-        }
+      history.add(
+          simulation.nowMs(),
+          Kind.REQUEST_SENT,
+          id,
+          wish.route.type()
+              + " "
+              + edge.name
+              + (wish.resumeAfter.isEmpty() ? "" : " " + wish.resumeAfter),
+          OpaqueWorkers.asked(request),
+          wish.tokens);
+      simulation.call(
+          edge,
+          (Consumer<Runnable> then) -> {
+            whenOver = then;
+            handle = ((EdgeNode) edge.node()).pass(request, this);
+            if (over) {
+              handle.cancel();
+            }
+          },
+          new Caller<Runnable>() {
+            @Override
+            public void answered(Runnable answer) {
+              answer.run();
+            }
 
-        @Override public void broken(boolean neverReached) {
-          finish(neverReached ? "unreachable" : status > 0 ? "cut" : "broken", status);
-        }
-      });
+            @Override
+            public void broken(boolean neverReached) {
+              finish(neverReached ? "unreachable" : status > 0 ? "cut" : "broken", status);
+            }
+          });
       watch();
     }
 
     private void watch() {
-      boolean streaming = !wish.route.type().equals("once") && !wish.route.type().equals("repeatable");
-      simulation.afterMs(100, () -> {
-        boolean silent = streaming && simulation.nowMs() - heardMs > STREAM_SILENCE_MS;
-        if (!over && (silent || !streaming && wish.left() <= 0)) {
-          giveUp();
-        } else if (!over) {
-          watch();
-        }
-      });
+      boolean streaming =
+          !wish.route.type().equals("once") && !wish.route.type().equals("repeatable");
+      simulation.afterMs(
+          100,
+          () -> {
+            boolean silent = streaming && simulation.nowMs() - heardMs > STREAM_SILENCE_MS;
+            if (!over && (silent || !streaming && wish.left() <= 0)) {
+              giveUp();
+            } else if (!over) {
+              watch();
+            }
+          });
     }
 
     private void giveUp() {
       finish("given-up", status);
-      simulation.call(edge, (Consumer<Object> then) -> {
-        if (handle != null) {
-          handle.cancel();
-        }
-      }, new Caller<>() {
-        @Override public void answered(Object answer) {}
+      simulation.call(
+          edge,
+          (Consumer<Object> then) -> {
+            if (handle != null) {
+              handle.cancel();
+            }
+          },
+          new Caller<>() {
+            @Override
+            public void answered(Object answer) {}
 
-        @Override public void broken(boolean neverReached) {}
-      });
+            @Override
+            public void broken(boolean neverReached) {}
+          });
     }
 
     private void later(Runnable hearing) {
-      simulation.afterMs(0.3, () -> {
-        if (!over) {
-          heardMs = simulation.nowMs();
-          hearing.run();
-        }
-      });
+      simulation.afterMs(
+          0.3,
+          () -> {
+            if (!over) {
+              heardMs = simulation.nowMs();
+              hearing.run();
+            }
+          });
     }
 
-    @Override public void head(Head head) {
+    @Override
+    public void head(Head head) {
       int told = head.status();
-      later(() -> {
-        status = told;
-        stamp = head.headers().stream().filter(header -> header.name().equalsIgnoreCase("Stamp")).map(Header::value)
-            .findFirst().orElse("");
-      });
-    }
-
-    @Override public void piece(Piece piece) {
-      later(() -> {
-        String bytes = new String(piece.bytes(), UTF_8);
-        if (piece.eventId().isEmpty()) {
-          text.append(bytes);
-        } else {
-          String data = bytes.lines().filter(line -> line.startsWith("data: ")).map(line -> line.substring(6)).findFirst().orElse("");
-          text.append(piece.eventId()).append(':').append(data).append('\n');
-          lastEvent = piece.eventId();
-        }
-      });
+      later(
+          () -> {
+            status = told;
+            stamp =
+                head.headers().stream()
+                    .filter(header -> header.name().equalsIgnoreCase("Stamp"))
+                    .map(Header::value)
+                    .findFirst()
+                    .orElse("");
+          });
+    }
+
+    @Override
+    public void piece(Piece piece) {
+      later(
+          () -> {
+            String bytes = new String(piece.bytes(), UTF_8);
+            if (piece.eventId().isEmpty()) {
+              text.append(bytes);
+            } else {
+              String data =
+                  bytes
+                      .lines()
+                      .filter(line -> line.startsWith("data: "))
+                      .map(line -> line.substring(6))
+                      .findFirst()
+                      .orElse("");
+              text.append(piece.eventId()).append(':').append(data).append('\n');
+              lastEvent = piece.eventId();
+            }
+          });
     }
 
-    @Override public void end() {
+    @Override
+    public void end() {
       whenOver.accept(() -> finish("complete", status));
     }
 
-    @Override public void refused(Response response) {
-      whenOver.accept(() -> {
-        comeBackMs = response.comeBackMs();
-        refusals.merge(response.faultType(), 1, Integer::sum);
-        finish("refused", response.status());
-      });
+    @Override
+    public void refused(Response response) {
+      whenOver.accept(
+          () -> {
+            comeBackMs = response.comeBackMs();
+            refusals.merge(response.faultType(), 1, Integer::sum);
+            finish("refused", response.status());
+          });
     }
 
-    @Override public void cut(Fault fault) {
+    @Override
+    public void cut(Fault fault) {
       whenOver.accept(() -> finish("cut", status));
     }
 
@@ -300,11 +367,20 @@
   }
 
   void endOne() {
-    batches.stream().filter(client -> client.accepted && !client.endAsked && client.known.size() < client.batch.items().size())
-        .findFirst().ifPresent(BatchClient::end);
+    batches.stream()
+        .filter(
+            client ->
+                client.accepted
+                    && !client.endAsked
+                    && client.known.size() < client.batch.items().size())
+        .findFirst()
+        .ifPresent(BatchClient::end);
   }
 
-  /** All batches are read from the start, with the bodies of what is not listed; done when the last has been read or is given up. */
+  /**
+   * All batches are read from the start, with the bodies of what is not listed; done when the last
+   * has been read or is given up.
+   */
   void close(long untilMs) {
     batches.forEach(client -> client.close(untilMs));
   }
@@ -334,15 +410,28 @@
       for (int index = 0; index < items; index++) {
         int tokens = 4 + simulation.random.nextInt(BATCH_TOKENS_MOST);
         String item = "x" + ++ids;
-        String mark = simulation.random.nextInt(40) == 0 ? OpaqueWorkers.IMPOSSIBLE : simulation.random.nextInt(15) == 0
-            ? OpaqueWorkers.FAILING : "plain";
+        String mark =
+            simulation.random.nextInt(40) == 0
+                ? OpaqueWorkers.IMPOSSIBLE
+                : simulation.random.nextInt(15) == 0 ? OpaqueWorkers.FAILING : "plain";
         String body = "body-" + item + "." + tokens;
         List<PromptPart> prompt = prompt(item);
         int promptTokens = prompt.stream().mapToInt(PromptPart::tokens).sum();
-        var row = new OpaqueBatch.Item(item, route.prefix() + mark + "/" + item, List.of(new Header("Content-Type", "text/plain")),
-            body.getBytes(UTF_8), promptTokens + tokens);
+        var row =
+            new OpaqueBatch.Item(
+                item,
+                route.prefix() + mark + "/" + item,
+                List.of(new Header("Content-Type", "text/plain")),
+                body.getBytes(UTF_8),
+                promptTokens + tokens);
         rows.add(row);
-        history.add(sentMs, Kind.OPAQUE_ITEM, id, item, row.tokens() + " POST " + route.host() + " " + row.target() + " " + body, tokens);
+        history.add(
+            sentMs,
+            Kind.OPAQUE_ITEM,
+            id,
+            item,
+            row.tokens() + " POST " + route.host() + " " + row.target() + " " + body,
+            tokens);
       }
       batch = new OpaqueBatch(id, route.host(), route.prefix() + id, rows);
     }
@@ -354,44 +443,72 @@
     void submit() {
       tries++;
       Process edge = fleet.anyEdge();
-      history.add(simulation.nowMs(), Kind.OPAQUE_SENT, batch.id(), edge.name, batch.host() + " " + batch.path(),
+      history.add(
+          simulation.nowMs(),
+          Kind.OPAQUE_SENT,
+          batch.id(),
+          edge.name,
+          batch.host() + " " + batch.path(),
           batch.items().stream().mapToLong(OpaqueBatch.Item::tokens).sum());
-      fleet.waitFor(edge, SUBMIT_PATIENCE_MS, (Consumer<Response> then) -> ((EdgeNode) edge.node()).submitOpaque(batch, then), response -> {
-        int status = response == null ? 0 : response.status();
-        history.add(simulation.nowMs(), Kind.OPAQUE_ANSWERED, batch.id(), response == null ? "" : response.faultType(), "", status);
-        if (status == 201) {
-          accepted = true;
-          acceptedMs = simulation.nowMs();
-          fleet.whenTold.accept("taken", (long) batches.stream().filter(client -> client.accepted).count());
-          read();
-        } else if (tries < SUBMIT_TRIES && (status == 0 || status == 429 || status >= 500)) {
-          simulation.afterMs(response == null ? 200 : 300 + response.comeBackMs(), this::submit);
-        }
-      });
+      fleet.waitFor(
+          edge,
+          SUBMIT_PATIENCE_MS,
+          (Consumer<Response> then) -> ((EdgeNode) edge.node()).submitOpaque(batch, then),
+          response -> {
+            int status = response == null ? 0 : response.status();
+            history.add(
+                simulation.nowMs(),
+                Kind.OPAQUE_ANSWERED,
+                batch.id(),
+                response == null ? "" : response.faultType(),
+                "",
+                status);
+            if (status == 201) {
+              accepted = true;
+              acceptedMs = simulation.nowMs();
+              fleet.whenTold.accept(
+                  "taken", (long) batches.stream().filter(client -> client.accepted).count());
+              read();
+            } else if (tries < SUBMIT_TRIES && (status == 0 || status == 429 || status >= 500)) {
+              simulation.afterMs(
+                  response == null ? 200 : 300 + response.comeBackMs(), this::submit);
+            }
+          });
     }
 
     private void read() {
       if (closing) {
         return;
       }
-      long from = known.isEmpty() || simulation.random.nextInt(4) > 0 ? known.size() : simulation.random.nextInt(known.size());
-      read(from, simulation.random.nextBoolean() ? HOLD_MS : 0, good -> {
-        if (!endAsked && simulation.random.nextInt(6) == 0) {
-          askBody();
-        }
-        if (known.size() < batch.items().size() && !(endAsked && simulation.random.nextInt(8) == 0)) {
-          simulation.afterMs(READ_EVERY_MS, this::read);
-        } else if (doneMs < 0 && known.size() == batch.items().size()) {
-          doneMs = simulation.nowMs();
-        }
-      });
+      long from =
+          known.isEmpty() || simulation.random.nextInt(4) > 0
+              ? known.size()
+              : simulation.random.nextInt(known.size());
+      read(
+          from,
+          simulation.random.nextBoolean() ? HOLD_MS : 0,
+          good -> {
+            if (!endAsked && simulation.random.nextInt(6) == 0) {
+              askBody();
+            }
+            if (known.size() < batch.items().size()
+                && !(endAsked && simulation.random.nextInt(8) == 0)) {
+              simulation.afterMs(READ_EVERY_MS, this::read);
+            } else if (doneMs < 0 && known.size() == batch.items().size()) {
+              doneMs = simulation.nowMs();
+            }
+          });
     }
 
     private void read(long from, long holdMs, Consumer<Long> then) {
       Process edge = fleet.anyEdge();
       long begunMs = simulation.nowMs();
-      fleet.waitFor(edge, READ_PATIENCE_MS + holdMs, (Consumer<Response> answer) ->
-          ((EdgeNode) edge.node()).opaqueResults(batch.id(), from, holdMs, answer), response -> {
+      fleet.waitFor(
+          edge,
+          READ_PATIENCE_MS + holdMs,
+          (Consumer<Response> answer) ->
+              ((EdgeNode) edge.node()).opaqueResults(batch.id(), from, holdMs, answer),
+          response -> {
             if (response == null) {
               then.accept(-1L);
               return;
@@ -405,28 +522,46 @@
                 boolean done = row.path("state").asText().equals("complete");
                 complete += firstSeen && done ? 1 : 0;
                 listed.add(row.path("id").asText());
-                history.add(simulation.nowMs(), Kind.OPAQUE_RESULT, batch.id(), row.path("id").asText() + " " + row.path("state").asText(),
-                    row.path("output").asText(""), position++);
+                history.add(
+                    simulation.nowMs(),
+                    Kind.OPAQUE_RESULT,
+                    batch.id(),
+                    row.path("id").asText() + " " + row.path("state").asText(),
+                    row.path("output").asText(""),
+                    position++);
               }
             }
-            history.add(simulation.nowMs(), Kind.OPAQUE_READ, batch.id(), edge.name, from + " " + next + " "
-                + page.path("total").asLong() + " " + begunMs, response.status());
+            history.add(
+                simulation.nowMs(),
+                Kind.OPAQUE_READ,
+                batch.id(),
+                edge.name,
+                from + " " + next + " " + page.path("total").asLong() + " " + begunMs,
+                response.status());
             then.accept(response.good() ? next : -1L);
           });
     }
 
     private void askBody() {
-      batch.items().stream().filter(item -> !listed.contains(item.id())).findFirst()
-          .ifPresent(item -> askBody(item.id(), status -> { }));
+      batch.items().stream()
+          .filter(item -> !listed.contains(item.id()))
+          .findFirst()
+          .ifPresent(item -> askBody(item.id(), status -> {}));
     }
 
     private void askBody(String item, Consumer<Integer> then) {
       Process edge = fleet.anyEdge();
-      fleet.waitFor(edge, READ_PATIENCE_MS, (Consumer<Response> answer) -> ((EdgeNode) edge.node()).opaqueItem(batch.id(), item, answer),
+      fleet.waitFor(
+          edge,
+          READ_PATIENCE_MS,
+          (Consumer<Response> answer) ->
+              ((EdgeNode) edge.node()).opaqueItem(batch.id(), item, answer),
           response -> {
             int status = response == null ? 0 : response.status();
             if (status == 200) {
-              String body = new String(Base64.getDecoder().decode(response.body().path("body").asText()), UTF_8);
+              String body =
+                  new String(
+                      Base64.getDecoder().decode(response.body().path("body").asText()), UTF_8);
               history.add(simulation.nowMs(), Kind.OPAQUE_BODY, batch.id(), item, body, status);
             }
             then.accept(status);
@@ -441,20 +576,25 @@
 
     private void tryEnd() {
       Process edge = fleet.anyEdge();
-      fleet.waitFor(edge, READ_PATIENCE_MS, (Consumer<Response> answer) -> ((EdgeNode) edge.node()).endOpaque(batch.id(), answer), response -> {
-        int status = response == null ? 0 : response.status();
-        history.add(simulation.nowMs(), Kind.OPAQUE_END_ANSWERED, batch.id(), "", "", status);
-        if (status == 200) {
-          fleet.whenTold.accept("stopped", 1L);
-        } else if (!closing) {
-          simulation.afterMs(300, this::tryEnd);
-        }
-      });
+      fleet.waitFor(
+          edge,
+          READ_PATIENCE_MS,
+          (Consumer<Response> answer) -> ((EdgeNode) edge.node()).endOpaque(batch.id(), answer),
+          response -> {
+            int status = response == null ? 0 : response.status();
+            history.add(simulation.nowMs(), Kind.OPAQUE_END_ANSWERED, batch.id(), "", "", status);
+            if (status == 200) {
+              fleet.whenTold.accept("stopped", 1L);
+            } else if (!closing) {
+              simulation.afterMs(300, this::tryEnd);
+            }
+          });
     }
 
     void close(long untilMs) {
       closing = true;
-      boolean kept = simulation.nowMs() < sentMs + Outside.KEEP_BATCHES_MS - (untilMs - simulation.nowMs());
+      boolean kept =
+          simulation.nowMs() < sentMs + Outside.KEEP_BATCHES_MS - (untilMs - simulation.nowMs());
       closed = !kept && known.size() == batch.items().size();
       if (accepted && !closed) {
         readAll(0, untilMs);
@@ -467,18 +607,23 @@
         closedWith("unread", from, 0);
         return;
       }
-      read(from, 0, next -> {
-        if (next < 0) {
-          simulation.afterMs(300, () -> readAll(from, untilMs));
-        } else if (next > from) {
-          readAll(next, untilMs);
-        } else {
-          if (!endAsked) {
-            batch.items().stream().filter(item -> !listed.contains(item.id())).forEach(item -> bodiesMissing.add(item.id()));
-          }
-          readBodies(from, untilMs);
-        }
-      });
+      read(
+          from,
+          0,
+          next -> {
+            if (next < 0) {
+              simulation.afterMs(300, () -> readAll(from, untilMs));
+            } else if (next > from) {
+              readAll(next, untilMs);
+            } else {
+              if (!endAsked) {
+                batch.items().stream()
+                    .filter(item -> !listed.contains(item.id()))
+                    .forEach(item -> bodiesMissing.add(item.id()));
+              }
+              readBodies(from, untilMs);
+            }
+          });
     }
 
     private void readBodies(long results, long untilMs) {
@@ -487,43 +632,91 @@
         return;
       }
       String item = bodiesMissing.iterator().next();
-      askBody(item, status -> {
-        if (status == 200) {
-          bodiesMissing.remove(item);
-          readBodies(results, untilMs);
-        } else {
-          // It may have been listed meanwhile.
-          simulation.afterMs(300, () -> read(results, 0, next -> {
-            bodiesMissing.removeAll(listed);
-            readBodies(Math.max(results, next), untilMs);
-          }));
-        }
-      });
+      askBody(
+          item,
+          status -> {
+            if (status == 200) {
+              bodiesMissing.remove(item);
+              readBodies(results, untilMs);
+            } else {
+              // It may have been listed meanwhile.
+              simulation.afterMs(
+                  300,
+                  () ->
+                      read(
+                          results,
+                          0,
+                          next -> {
+                            bodiesMissing.removeAll(listed);
+                            readBodies(Math.max(results, next), untilMs);
+                          }));
+            }
+          });
     }
 
     private void closedWith(String how, long results, int bodies) {
       if (!closed) {
         closed = true;
-        history.add(simulation.nowMs(), Kind.OPAQUE_CLOSED, batch.id(), how, Long.toString(results), bodies);
+        history.add(
+            simulation.nowMs(),
+            Kind.OPAQUE_CLOSED,
+            batch.id(),
+            how,
+            Long.toString(results),
+            bodies);
       }
     }
   }
 
   String summary() {
     StringBuilder line = new StringBuilder();
-    servedOf.forEach((type, counts) -> line.append(type).append(' ').append(counts[1]).append('/').append(counts[0]).append(", "));
+    servedOf.forEach(
+        (type, counts) ->
+            line.append(type)
+                .append(' ')
+                .append(counts[1])
+                .append('/')
+                .append(counts[0])
+                .append(", "));
     long accepted = batches.stream().filter(client -> client.accepted).count();
     long done = batches.stream().filter(client -> client.doneMs >= 0).count();
-    return line + "median " + SimulatedFleet.percentile(latencies, 50) + " p99 " + SimulatedFleet.percentile(latencies, 99)
-        + "; batches " + batches.size() + ", taken " + accepted + ", done " + done + ", items " + itemsDone() + "/" + itemsTaken()
-        + "; refusals " + refusals + "; changes " + operators.acknowledged + ", first yes " + operators.firstYesMs + " ms, slowest " + operators.slowestYesMs + " ms";
+    return line
+        + "median "
+        + SimulatedFleet.percentile(latencies, 50)
+        + " p99 "
+        + SimulatedFleet.percentile(latencies, 99)
+        + "; batches "
+        + batches.size()
+        + ", taken "
+        + accepted
+        + ", done "
+        + done
+        + ", items "
+        + itemsDone()
+        + "/"
+        + itemsTaken()
+        + "; refusals "
+        + refusals
+        + "; changes "
+        + operators.acknowledged
+        + ", first yes "
+        + operators.firstYesMs
+        + " ms, slowest "
+        + operators.slowestYesMs
+        + " ms";
   }
 
   long itemsTaken() {
-    return batches.stream().filter(client -> client.accepted && !client.endAsked).mapToLong(client -> client.batch.items().size()).sum();
+    return batches.stream()
+        .filter(client -> client.accepted && !client.endAsked)
+        .mapToLong(client -> client.batch.items().size())
+        .sum();
   }
 
   long itemsDone() {
-    return batches.stream().filter(client -> client.accepted && !client.endAsked).mapToLong(client -> client.known.size()).sum();
+    return batches.stream()
+        .filter(client -> client.accepted && !client.endAsked)
+        .mapToLong(client -> client.known.size())
+        .sum();
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueOutput.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueOutput.java
@@ -1,10 +1,13 @@
 package applespindle.testfleet;
 
-import java.util.zip.CRC32C;
-
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-/** What a simulated worker writes for what was asked: it names what it answers, its tokens and the run that made them. */
+import java.util.zip.CRC32C;
+
+/**
+ * What a simulated worker writes for what was asked: it names what it answers, its tokens and the
+ * run that made them.
+ */
 final class OpaqueOutput {
   /** A part of an output: tokens first to last of what was asked, made by a run. */
   record Part(String asked, int first, int last, String run) {
@@ -13,7 +16,9 @@
       String[] words = text.split("[.]");
       String[] ends = words.length == 3 ? words[1].split("-") : new String[0];
       try {
-        return ends.length != 2 ? null : new Part(words[0], Integer.parseInt(ends[0]), Integer.parseInt(ends[1]), words[2]);
+        return ends.length != 2
+            ? null
+            : new Part(words[0], Integer.parseInt(ends[0]), Integer.parseInt(ends[1]), words[2]);
       } catch (NumberFormatException fault) {
         return null;
       }
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueWorkers.java
@@ -1,5 +1,7 @@
 package applespindle.testfleet;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Fault;
 import applespindle.corelogic.OpaqueRequest;
 import applespindle.corelogic.OpaqueRequest.Head;
@@ -18,16 +20,28 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /**
- * Workers of opaque requests on simulated time. A worker is one life with its own id at an address that another may get
- * later; it works on so many at once, reads of a prompt what it does not keep, lets urgent ones take the place of others
- * and keeps its output to what it was asked.
+ * Workers of opaque requests on simulated time. A worker is one life with its own id at an address
+ * that another may get later; it works on so many at once, reads of a prompt what it does not keep,
+ * lets urgent ones take the place of others and keeps its output to what it was asked.
  */
 final class OpaqueWorkers {
-  /** GREY fails a part, ERRS answers a part with 500, LOSES runs and resets, SLOWS when nearly full. */
-  enum Condition { WELL, DARK, VANISHED, CUTS, GARBAGE, GREY, ERRS, LOSES, REFUSES, SLOW, SLOWS }
+  /**
+   * GREY fails a part, ERRS answers a part with 500, LOSES runs and resets, SLOWS when nearly full.
+   */
+  enum Condition {
+    WELL,
+    DARK,
+    VANISHED,
+    CUTS,
+    GARBAGE,
+    GREY,
+    ERRS,
+    LOSES,
+    REFUSES,
+    SLOW,
+    SLOWS
+  }
 
   static final int SLOTS = 8;
   private static final double WITHIN_ZONE_MS = 0.4;
@@ -42,8 +56,10 @@
   private static final int SLOW_BY = 8;
   private static final int TOKENS_AN_EVENT_MOST = 3;
   private static final int ONE_IN = 3;
+
   /** Marks in a body: items that fail a part of the time, and items that no worker can do. */
   static final String FAILING = "failing";
+
   static final String IMPOSSIBLE = "impossible";
 
   final class Worker {
@@ -94,12 +110,18 @@
       if (condition == Condition.DARK || over) {
         return;
       }
-      waiting.sort(Comparator.comparingInt((Run run) -> run.exchange.rank()).thenComparingLong(run -> run.number));
+      waiting.sort(
+          Comparator.comparingInt((Run run) -> run.exchange.rank())
+              .thenComparingLong(run -> run.number));
       while (!waiting.isEmpty()) {
         Run next = waiting.get(0);
         if (running.size() >= slots) {
-          Run given = running.stream().max(Comparator.comparingInt((Run run) -> run.exchange.rank())
-              .thenComparingLong(run -> run.number)).get();
+          Run given =
+              running.stream()
+                  .max(
+                      Comparator.comparingInt((Run run) -> run.exchange.rank())
+                          .thenComparingLong(run -> run.number))
+                  .get();
           if (given.exchange.rank() <= next.exchange.rank()) {
             return;
           }
@@ -149,12 +171,19 @@
     private boolean begun;
     private boolean headSent;
     private boolean over;
+
     /** The connection is gone. */
     private boolean deaf;
+
     /** Set by the caller's side: nothing more is told. */
     boolean cancelled;
 
-    Run(String edge, double wireMs, WorkerExchange exchange, ExchangeListener listener, BooleanSupplier callerDead) {
+    Run(
+        String edge,
+        double wireMs,
+        WorkerExchange exchange,
+        ExchangeListener listener,
+        BooleanSupplier callerDead) {
       OpaqueRequest request = exchange.request();
       this.number = ++runs;
       this.label = "r" + number;
@@ -164,10 +193,15 @@
       this.listener = listener;
       this.callerDead = callerDead;
       this.asked = asked(request);
-      this.stream = request.target().startsWith("/stream") || request.target().startsWith("/resumable")
-          || request.target().startsWith("/batch");
+      this.stream =
+          request.target().startsWith("/stream")
+              || request.target().startsWith("/resumable")
+              || request.target().startsWith("/batch");
       this.tokens = tokens(request);
-      String after = exchange.resumeAfter() == null || exchange.resumeAfter().isEmpty() ? request.resumeAfter() : exchange.resumeAfter();
+      String after =
+          exchange.resumeAfter() == null || exchange.resumeAfter().isEmpty()
+              ? request.resumeAfter()
+              : exchange.resumeAfter();
       this.resumeAfter = after == null || after.isEmpty() ? 0 : Long.parseLong(after);
       this.position = (int) resumeAfter;
     }
@@ -181,7 +215,9 @@
       }
       if (worker.condition == Condition.VANISHED) {
         over = true;
-        simulation.afterMs(CONNECT_TIMEOUT_MS, () -> listener.fault(new Fault.WorkerUnreachable(worker.id), false));
+        simulation.afterMs(
+            CONNECT_TIMEOUT_MS,
+            () -> listener.fault(new Fault.WorkerUnreachable(worker.id), false));
         return;
       }
       if (callerDead.getAsBoolean() || cancelled) {
@@ -201,23 +237,30 @@
     }
 
     private boolean full() {
-      return worker.running.size() >= worker.slots && worker.waiting.size() >= WAITING_MOST
+      return worker.running.size() >= worker.slots
+          && worker.waiting.size() >= WAITING_MOST
           && worker.running.stream().allMatch(run -> run.exchange.rank() <= exchange.rank());
     }
 
     private void seen(int status) {
-      simulation.history.add(simulation.nowMs(), Kind.RUN_ARRIVED, worker.id, exchange.request().id() + " " + edge + " " + label,
-          asked, status);
+      simulation.history.add(
+          simulation.nowMs(),
+          Kind.RUN_ARRIVED,
+          worker.id,
+          exchange.request().id() + " " + edge + " " + label,
+          asked,
+          status);
     }
 
     private void turnAway(int status) {
       over = true;
       seen(status);
       WorkerLoad load = worker.load();
-      tell(() -> {
-        listener.load(load);
-        listener.fault(new Fault.WorkerRefused(status), false);
-      });
+      tell(
+          () -> {
+            listener.load(load);
+            listener.fault(new Fault.WorkerRefused(status), false);
+          });
     }
 
     private void begin() {
@@ -227,13 +270,21 @@
         return;
       }
       begun = true;
-      simulation.history.add(simulation.nowMs(), Kind.RUN_BEGAN, worker.id, exchange.request().id(), label, resumeAfter);
+      simulation.history.add(
+          simulation.nowMs(),
+          Kind.RUN_BEGAN,
+          worker.id,
+          exchange.request().id(),
+          label,
+          resumeAfter);
       if (exchange.request().target().contains(IMPOSSIBLE)) {
         whole(422);
         return;
       }
       boolean fails = simulation.random.nextInt(ONE_IN) == 0;
-      if (fails && (worker.condition == Condition.ERRS || exchange.request().target().contains(FAILING))) {
+      if (fails
+          && (worker.condition == Condition.ERRS
+              || exchange.request().target().contains(FAILING))) {
         whole(500);
         return;
       }
@@ -265,13 +316,20 @@
     private void next(double waitMs) {
       int inRound = ++round;
       double crowd = 1 + CROWDED * worker.running.size();
-      boolean nearlyFull = worker.condition == Condition.SLOWS && worker.running.size() * 5 > worker.slots * 4;
-      double factor = worker.pace * crowd * (worker.condition == Condition.SLOW || nearlyFull ? SLOW_BY : 1);
-      simulation.afterMs(waitMs * factor, () -> {
-        if (!over && inRound == round && worker.running.contains(this) && worker.condition != Condition.DARK) {
-          event();
-        }
-      });
+      boolean nearlyFull =
+          worker.condition == Condition.SLOWS && worker.running.size() * 5 > worker.slots * 4;
+      double factor =
+          worker.pace * crowd * (worker.condition == Condition.SLOW || nearlyFull ? SLOW_BY : 1);
+      simulation.afterMs(
+          waitMs * factor,
+          () -> {
+            if (!over
+                && inRound == round
+                && worker.running.contains(this)
+                && worker.condition != Condition.DARK) {
+              event();
+            }
+          });
     }
 
     private void event() {
@@ -288,7 +346,10 @@
         return;
       }
       int first = position + 1;
-      position = Math.min(tokens, stream ? position + 1 + simulation.random.nextInt(TOKENS_AN_EVENT_MOST) : tokens);
+      position =
+          Math.min(
+              tokens,
+              stream ? position + 1 + simulation.random.nextInt(TOKENS_AN_EVENT_MOST) : tokens);
       int last = position;
       double took = stream ? 0 : TOKEN_MS * (tokens - first);
       if (stream && first <= last) {
@@ -300,11 +361,13 @@
         next(TOKEN_MS);
       } else if (took > 0) {
         int inRound = ++round;
-        simulation.afterMs(took * worker.pace, () -> {
-          if (!over && inRound == round && worker.condition != Condition.DARK) {
-            finish();
-          }
-        });
+        simulation.afterMs(
+            took * worker.pace,
+            () -> {
+              if (!over && inRound == round && worker.condition != Condition.DARK) {
+                finish();
+              }
+            });
       } else {
         finish();
       }
@@ -323,12 +386,19 @@
       if (!headSent) {
         headSent = true;
         WorkerLoad load = worker.load();
-        Head head = new Head(status, List.of(new Header("Content-Type", stream && status == 200 ? "text/event-stream" : "text/plain"),
-            new Header("Stamp", OpaqueOutput.stamp(asked, label))));
-        tell(() -> {
-          listener.load(load);
-          listener.head(head);
-        });
+        Head head =
+            new Head(
+                status,
+                List.of(
+                    new Header(
+                        "Content-Type",
+                        stream && status == 200 ? "text/event-stream" : "text/plain"),
+                    new Header("Stamp", OpaqueOutput.stamp(asked, label))));
+        tell(
+            () -> {
+              listener.load(load);
+              listener.head(head);
+            });
       }
     }
 
@@ -337,7 +407,10 @@
       boolean failure = status >= 300;
       sendHead(status);
       if (failure || !stream) {
-        String text = failure ? OpaqueChecker.failure(label, status) : OpaqueOutput.text(asked, 1, tokens, label);
+        String text =
+            failure
+                ? OpaqueChecker.failure(label, status)
+                : OpaqueOutput.text(asked, 1, tokens, label);
         int half = text.length() / 2;
         tell(() -> piece("", text.substring(0, half)));
         tell(() -> piece("", text.substring(half)));
@@ -357,10 +430,11 @@
       if (!begun) {
         leave();
         WorkerLoad load = worker.load();
-        tell(() -> {
-          listener.load(load);
-          listener.fault(new Fault.WorkerRefused(503), false);
-        });
+        tell(
+            () -> {
+              listener.load(load);
+              listener.fault(new Fault.WorkerRefused(503), false);
+            });
       } else if (headSent) {
         breakOff(new Fault.WorkerCut(worker.id));
       } else {
@@ -388,17 +462,20 @@
     private void ended(int status) {
       leave();
       if (begun) {
-        simulation.history.add(simulation.nowMs(), Kind.RUN_ENDED, worker.id, exchange.request().id(), label, status);
+        simulation.history.add(
+            simulation.nowMs(), Kind.RUN_ENDED, worker.id, exchange.request().id(), label, status);
       }
     }
 
     /** The caller closed the connection or died. */
     void dropped() {
-      simulation.afterMs(wireMs, () -> {
-        if (!over) {
-          ended(OpaqueChecker.DROPPED);
-        }
-      });
+      simulation.afterMs(
+          wireMs,
+          () -> {
+            if (!over) {
+              ended(OpaqueChecker.DROPPED);
+            }
+          });
     }
 
     /** The connection broke between both. */
@@ -428,9 +505,17 @@
     this.simulation = simulation;
   }
 
-  /** What a worker was asked, in one line; that it goes on behind some event changes nothing of it. */
+  /**
+   * What a worker was asked, in one line; that it goes on behind some event changes nothing of it.
+   */
   static String asked(OpaqueRequest request) {
-    return request.method() + " " + request.host() + " " + request.target() + " " + new String(request.body(), UTF_8);
+    return request.method()
+        + " "
+        + request.host()
+        + " "
+        + request.target()
+        + " "
+        + new String(request.body(), UTF_8);
   }
 
   /** The number of tokens put out stands at the end of a body, behind the last dot. */
@@ -455,7 +540,12 @@
     return byId.values().stream().filter(worker -> !worker.over).toList();
   }
 
-  Run run(String edge, String zone, WorkerExchange exchange, ExchangeListener listener, BooleanSupplier callerDead) {
+  Run run(
+      String edge,
+      String zone,
+      WorkerExchange exchange,
+      ExchangeListener listener,
+      BooleanSupplier callerDead) {
     Worker there = byAddress.get(exchange.address());
     double wireMs = there == null || there.zone.equals(zone) ? WITHIN_ZONE_MS : BETWEEN_ZONES_MS;
     Run run = new Run(edge, wireMs, exchange, listener, callerDead);
--- a/test-fleet/src/main/java/applespindle/testfleet/Outside.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Outside.java
@@ -3,7 +3,10 @@
 import applespindle.corelogic.Bounds;
 import applespindle.testfleet.History.Kind;
 
-/** The platform round a simulated fleet: its bounds, its workers of opaque requests and its list of them. */
+/**
+ * The platform round a simulated fleet: its bounds, its workers of opaque requests and its list of
+ * them.
+ */
 final class Outside {
   static final long DRAIN_MS = 3_000;
   static final long CANCEL_MS = 3_000;
@@ -29,7 +32,8 @@
     this.list = new WorkerListing(simulation, lagMs, callsPerS);
     simulation.bounds = bounds();
     simulation.foundedByMs = FOUNDED_BY_MS;
-    simulation.outsideList = (reader, token, whenRead, whenFaulty) -> list.read(token, whenRead, whenFaulty);
+    simulation.outsideList =
+        (reader, token, whenRead, whenFaulty) -> list.read(token, whenRead, whenFaulty);
   }
 
   /** Says to the history what the deployment tells its processes. */
@@ -55,8 +59,21 @@
   }
 
   private Bounds bounds() {
-    return new Bounds(losses, true, true, false, list.callsPerS, list.lagMs, DRAIN_MS, CANCEL_MS, GRACE_MS, APPLY_MS,
-        KEEP_BATCHES_MS, OVERSHOOT, DISK_BYTES, LINK_MEGABITS);
+    return new Bounds(
+        losses,
+        true,
+        true,
+        false,
+        list.callsPerS,
+        list.lagMs,
+        DRAIN_MS,
+        CANCEL_MS,
+        GRACE_MS,
+        APPLY_MS,
+        KEEP_BATCHES_MS,
+        OVERSHOOT,
+        DISK_BYTES,
+        LINK_MEGABITS);
   }
 
   OpaqueWorkers.Worker join(String pool, String zone) {
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.adapters.NumbersOnly;
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.Json;
@@ -24,20 +27,25 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BiConsumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** The brief's traffic against real processes, bounded in time, with all that its senders see put into a history. */
+/**
+ * The brief's traffic against real processes, bounded in time, with all that its senders see put
+ * into a history.
+ */
 final class RealTraffic {
   private static final int SUBMIT_TRIES = 6;
   private static final Duration PATIENCE = Duration.ofSeconds(12);
   private static final long POLL_MS = 300;
   private static final long READY_MS = 500;
   private static final long SETTLE_MS = 60_000;
-  private static final String SHARED = "In the usual form of the office, with greeting, place and hour of the event. "
-      .repeat(4);
+  private static final String SHARED =
+      "In the usual form of the office, with greeting, place and hour of the event. ".repeat(4);
 
-  record Plan(double checksPerSecond, double notesPerSecond, double oncePerSecond, long batchEveryMs, long lengthMs) {}
+  record Plan(
+      double checksPerSecond,
+      double notesPerSecond,
+      double oncePerSecond,
+      long batchEveryMs,
+      long lengthMs) {}
 
   private final class Sender {
     final String key;
@@ -55,7 +63,10 @@
       ArrayNode rows = input.putArray("items");
       for (int index = 0; index < fleet.deployment.batchItems; index++) {
         String prompt = SHARED + "Guest " + key + "/" + index;
-        rows.addObject().put("id", "i" + index).put("prompt", prompt).put("max_tokens", fleet.deployment.batchTokens);
+        rows.addObject()
+            .put("id", "i" + index)
+            .put("prompt", prompt)
+            .put("max_tokens", fleet.deployment.batchTokens);
         see(Kind.ITEM, key, "i" + index, prompt, fleet.deployment.batchTokens);
       }
       body = Json.bytes(input);
@@ -64,10 +75,20 @@
     void submit() {
       tries++;
       see(Kind.SUBMIT_SENT, key, "", "", fleet.deployment.batchItems);
-      call(HttpMethod.POST, anyEdge(), "/v1/batches", body,
-          Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"), (status, text) -> {
+      call(
+          HttpMethod.POST,
+          anyEdge(),
+          "/v1/batches",
+          body,
+          Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"),
+          (status, text) -> {
             JsonNode answer = tree(text);
-            see(Kind.SUBMIT_ANSWERED, key, answer.path("type").asText(""), EdgeNode.batchId("fleet", key), status);
+            see(
+                Kind.SUBMIT_ANSWERED,
+                key,
+                answer.path("type").asText(""),
+                EdgeNode.batchId("fleet", key),
+                status);
             if (status == 201) {
               batch = answer.path("batch").asText();
               acceptedAt = StandInWorkers.nowMs();
@@ -81,15 +102,27 @@
     }
 
     void poll() {
-      call(HttpMethod.GET, anyEdge(), "/v1/batches/" + batch + "/results?after=" + next, null, Map.of(),
+      call(
+          HttpMethod.GET,
+          anyEdge(),
+          "/v1/batches/" + batch + "/results?after=" + next,
+          null,
+          Map.of(),
           (status, text) -> {
             JsonNode page = tree(text);
-            String state = status == 200 ? page.path("state").asText() : page.path("type").asText("");
+            String state =
+                status == 200 ? page.path("state").asText() : page.path("type").asText("");
             see(Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), status);
             if (status == 200) {
-              page.path("results").forEach(row -> see(Kind.RESULT_READ, key,
-                  row.path("id").asText() + "|" + row.path("type").asText(), row.path("output").asText(""),
-                  row.path("n").asLong()));
+              page.path("results")
+                  .forEach(
+                      row ->
+                          see(
+                              Kind.RESULT_READ,
+                              key,
+                              row.path("id").asText() + "|" + row.path("type").asText(),
+                              row.path("output").asText(""),
+                              row.path("n").asLong()));
               next = page.path("next").asLong();
               if (state.equals("finished") && next >= fleet.deployment.batchItems) {
                 finishedAt = StandInWorkers.nowMs();
@@ -117,7 +150,12 @@
   RealTraffic(Fleet fleet, Plan plan) {
     this.fleet = fleet;
     this.plan = plan;
-    client = HttpClient.builder(eventloop, new NumbersOnly()).withNoKeepAlive().withReadWriteTimeout(PATIENCE).withConnectTimeout(Duration.ofSeconds(2)).build();
+    client =
+        HttpClient.builder(eventloop, new NumbersOnly())
+            .withNoKeepAlive()
+            .withReadWriteTimeout(PATIENCE)
+            .withConnectTimeout(Duration.ofSeconds(2))
+            .build();
   }
 
   /** Runs the whole plan and waits until every accepted batch is over, or long enough. */
@@ -126,18 +164,26 @@
     Thread thread = new Thread(eventloop, "traffic");
     thread.setDaemon(true);
     thread.start();
-    eventloop.execute(() -> {
-      endsAt = StandInWorkers.nowMs() + plan.lengthMs();
-      see(Kind.CEILING, "", "", "", tree(fleet.deployment.bundle(1)).at("/limits/batch/waitingItemsMost").asLong());
-      lookForReadyEdges();
-      eventloop.delay(READY_MS, () -> {
-        live("check", plan.checksPerSecond());
-        live("note", plan.notesPerSecond());
-        live("once", plan.oncePerSecond());
-        batches();
-      });
-      eventloop.delay(plan.lengthMs(), () -> waitForEnd(StandInWorkers.nowMs() + SETTLE_MS));
-    });
+    eventloop.execute(
+        () -> {
+          endsAt = StandInWorkers.nowMs() + plan.lengthMs();
+          see(
+              Kind.CEILING,
+              "",
+              "",
+              "",
+              tree(fleet.deployment.bundle(1)).at("/limits/batch/waitingItemsMost").asLong());
+          lookForReadyEdges();
+          eventloop.delay(
+              READY_MS,
+              () -> {
+                live("check", plan.checksPerSecond());
+                live("note", plan.notesPerSecond());
+                live("once", plan.oncePerSecond());
+                batches();
+              });
+          eventloop.delay(plan.lengthMs(), () -> waitForEnd(StandInWorkers.nowMs() + SETTLE_MS));
+        });
     done.await();
   }
 
@@ -164,16 +210,24 @@
   private void lookForReadyEdges() {
     List<Member> ready = new ArrayList<>();
     for (Member edge : fleet.ofRole("edge")) {
-      call(HttpMethod.GET, edge, "/ready", null, Map.of(), (status, text) -> {
-        if (status == 200) {
-          ready.add(edge);
-        }
-      });
+      call(
+          HttpMethod.GET,
+          edge,
+          "/ready",
+          null,
+          Map.of(),
+          (status, text) -> {
+            if (status == 200) {
+              ready.add(edge);
+            }
+          });
     }
-    eventloop.delay(READY_MS, () -> {
-      readyEdges = List.copyOf(ready);
-      lookForReadyEdges();
-    });
+    eventloop.delay(
+        READY_MS,
+        () -> {
+          readyEdges = List.copyOf(ready);
+          lookForReadyEdges();
+        });
   }
 
   private Member anyEdge() {
@@ -182,31 +236,48 @@
   }
 
   /** Status 0: no answer, or one that was cut. */
-  private void call(HttpMethod method, Member to, String path, byte[] body, Map<String, String> headers,
+  private void call(
+      HttpMethod method,
+      Member to,
+      String path,
+      byte[] body,
+      Map<String, String> headers,
       BiConsumer<Integer, String> then) {
     HttpRequest.Builder request = HttpRequest.builder(method, "http://" + to.http + path);
     headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
     if (body != null) {
       request.withBody(body);
     }
-    client.request(request.build()).then(response -> {
-      StringBuilder text = new StringBuilder();
-      return read(response.takeBodyStream(), text).map(whole -> {
-        then.accept(whole ? response.getCode() : -response.getCode(), text.toString());
-        return (Void) null;
-      });
-    }).whenException(fault -> then.accept(0, ""));
+    client
+        .request(request.build())
+        .then(
+            response -> {
+              StringBuilder text = new StringBuilder();
+              return read(response.takeBodyStream(), text)
+                  .map(
+                      whole -> {
+                        then.accept(
+                            whole ? response.getCode() : -response.getCode(), text.toString());
+                        return (Void) null;
+                      });
+            })
+        .whenException(fault -> then.accept(0, ""));
   }
 
-  private static Promise<Boolean> read(io.activej.csp.supplier.ChannelSupplier<io.activej.bytebuf.ByteBuf> stream,
+  private static Promise<Boolean> read(
+      io.activej.csp.supplier.ChannelSupplier<io.activej.bytebuf.ByteBuf> stream,
       StringBuilder text) {
-    return stream.get().then(chunk -> {
-      if (chunk == null) {
-        return Promise.of(true);
-      }
-      text.append(chunk.asString(UTF_8));
-      return read(stream, text);
-    }, fault -> Promise.of(false));
+    return stream
+        .get()
+        .then(
+            chunk -> {
+              if (chunk == null) {
+                return Promise.of(true);
+              }
+              text.append(chunk.asString(UTF_8));
+              return read(stream, text);
+            },
+            fault -> Promise.of(false));
   }
 
   private void batches() {
@@ -224,7 +295,8 @@
       return;
     }
     sendLive(trafficClass);
-    eventloop.delay((long) Math.max(1, -Math.log(1 - random.nextDouble()) * 1_000 / perSecond),
+    eventloop.delay(
+        (long) Math.max(1, -Math.log(1 - random.nextDouble()) * 1_000 / perSecond),
         () -> live(trafficClass, perSecond));
   }
 
@@ -236,7 +308,12 @@
     boolean stream = random.nextBoolean();
     see(Kind.LIVE_SENT, id, once, prompt, tokens);
     long sentAt = StandInWorkers.nowMs();
-    byte[] body = Json.bytes(JSON.createObjectNode().put("prompt", prompt).put("max_tokens", tokens).put("stream", stream));
+    byte[] body =
+        Json.bytes(
+            JSON.createObjectNode()
+                .put("prompt", prompt)
+                .put("max_tokens", tokens)
+                .put("stream", stream));
     Map<String, String> headers = new HashMap<>(Map.of("Applespindle-Class", trafficClass));
     if (!once.isEmpty()) {
       headers.put("Applespindle-Once", once);
@@ -244,15 +321,26 @@
     Member edge = anyEdge();
     see(Kind.LIVE_AT, id, edge.name, "", 0);
     see(Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
-    call(HttpMethod.POST, edge, "/v1/completions", body, headers, (status, text) -> {
-      String output = stream ? streamed(text) : tree(text).at("/choices/0/text").asText("");
-      boolean complete = status == 200 && (!stream || text.endsWith("data: [DONE]\n\n"));
-      String detail = complete ? "complete" : Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
-      see(Kind.LIVE_ANSWERED, id, detail, output, Math.abs(status));
-      if (complete) {
-        latencies.computeIfAbsent(trafficClass, unseen -> new ArrayList<>()).add(StandInWorkers.nowMs() - sentAt);
-      }
-    });
+    call(
+        HttpMethod.POST,
+        edge,
+        "/v1/completions",
+        body,
+        headers,
+        (status, text) -> {
+          String output = stream ? streamed(text) : tree(text).at("/choices/0/text").asText("");
+          boolean complete = status == 200 && (!stream || text.endsWith("data: [DONE]\n\n"));
+          String detail =
+              complete
+                  ? "complete"
+                  : Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
+          see(Kind.LIVE_ANSWERED, id, detail, output, Math.abs(status));
+          if (complete) {
+            latencies
+                .computeIfAbsent(trafficClass, unseen -> new ArrayList<>())
+                .add(StandInWorkers.nowMs() - sentAt);
+          }
+        });
   }
 
   private static String streamed(String text) {
@@ -266,15 +354,38 @@
   }
 
   String summary() {
-    List<Long> took = senders.stream().filter(sender -> sender.finishedAt >= 0)
-        .map(sender -> sender.finishedAt - sender.acceptedAt).toList();
-    StringBuilder text = new StringBuilder("batches sent " + senders.size() + ", finished " + took.size() + ", median "
-        + SimulatedFleet.percentile(took, 50) + " ms, slowest " + SimulatedFleet.percentile(took, 100) + " ms");
-    latencies.forEach((trafficClass, times) -> text.append("; ").append(trafficClass).append(' ').append(times.size())
-        .append(" served, median ").append(SimulatedFleet.percentile(times, 50)).append(" ms, p99 ")
-        .append(SimulatedFleet.percentile(times, 99)).append(" ms"));
+    List<Long> took =
+        senders.stream()
+            .filter(sender -> sender.finishedAt >= 0)
+            .map(sender -> sender.finishedAt - sender.acceptedAt)
+            .toList();
+    StringBuilder text =
+        new StringBuilder(
+            "batches sent "
+                + senders.size()
+                + ", finished "
+                + took.size()
+                + ", median "
+                + SimulatedFleet.percentile(took, 50)
+                + " ms, slowest "
+                + SimulatedFleet.percentile(took, 100)
+                + " ms");
+    latencies.forEach(
+        (trafficClass, times) ->
+            text.append("; ")
+                .append(trafficClass)
+                .append(' ')
+                .append(times.size())
+                .append(" served, median ")
+                .append(SimulatedFleet.percentile(times, 50))
+                .append(" ms, p99 ")
+                .append(SimulatedFleet.percentile(times, 99))
+                .append(" ms"));
     long answered = fleet.history.of(Kind.LIVE_ANSWERED).size();
-    long complete = fleet.history.of(Kind.LIVE_ANSWERED).stream().filter(seen -> seen.detail().equals("complete")).count();
+    long complete =
+        fleet.history.of(Kind.LIVE_ANSWERED).stream()
+            .filter(seen -> seen.detail().equals("complete"))
+            .count();
     return text + "; live complete " + complete + " of " + answered;
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
@@ -5,7 +5,10 @@
 import java.nio.file.Path;
 import java.util.List;
 
-/** Judges a recorded outside history by the never-rules. Exit status: 0 sound, 1 a rule was broken, 2 not readable. */
+/**
+ * Judges a recorded outside history by the never-rules. Exit status: 0 sound, 1 a rule was broken,
+ * 2 not readable.
+ */
 public final class ReplayProgram {
   public static void main(String[] arguments) {
     System.exit(arguments.length == 1 ? replay(Path.of(arguments[0])) : wrongUse());
@@ -20,9 +23,12 @@
     try {
       History history = History.fromLines(Files.readString(file));
       List<Checker.Violation> violations = Checker.check(history);
-      violations.forEach(violation -> System.out.println(violation.rule() + " at " + violation.atMs() + " ms: "
-          + violation.what()));
-      System.out.println(history.all().size() + " observations, " + violations.size() + " rules broken");
+      violations.forEach(
+          violation ->
+              System.out.println(
+                  violation.rule() + " at " + violation.atMs() + " ms: " + violation.what()));
+      System.out.println(
+          history.all().size() + " observations, " + violations.size() + " rules broken");
       return violations.isEmpty() ? 0 : 1;
     } catch (History.BrokenLine broken) {
       System.err.println(file + " " + broken.getMessage());
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
@@ -20,20 +20,35 @@
         continue;
       }
       Scenario scenario = Scenario.parse(Files.readString(Path.of(word)));
-      List<Long> seeds = seedsAt < 0 ? scenario.seeds()
-          : java.util.stream.LongStream.rangeClosed(Long.parseLong(words.get(seedsAt + 1)),
-              Long.parseLong(words.get(seedsAt + 2))).boxed().toList();
+      List<Long> seeds =
+          seedsAt < 0
+              ? scenario.seeds()
+              : java.util.stream.LongStream.rangeClosed(
+                      Long.parseLong(words.get(seedsAt + 1)),
+                      Long.parseLong(words.get(seedsAt + 2)))
+                  .boxed()
+                  .toList();
       for (long seed : seeds) {
         long begun = System.nanoTime();
         Scenario.Outcome outcome = scenario.run(seed, logging);
-        System.out.printf("%s seed %d: %s, %d steps, %d messages, %d ms%n", Path.of(word).getFileName(), seed,
-            outcome.faults().isEmpty() ? "good" : "BROKEN", outcome.steps(), outcome.messages(),
+        System.out.printf(
+            "%s seed %d: %s, %d steps, %d messages, %d ms%n",
+            Path.of(word).getFileName(),
+            seed,
+            outcome.faults().isEmpty() ? "good" : "BROKEN",
+            outcome.steps(),
+            outcome.messages(),
             (System.nanoTime() - begun) / 1_000_000);
         System.out.println("    " + outcome.fleet().summary());
         outcome.faults().stream().limit(10).forEach(fault -> System.out.println("    " + fault));
         if (!outcome.faults().isEmpty()) {
-          System.out.println("    broken: " + outcome.faults().stream().map(ScenarioProgram::ruleOf).distinct().sorted()
-              .collect(java.util.stream.Collectors.joining(" ")));
+          System.out.println(
+              "    broken: "
+                  + outcome.faults().stream()
+                      .map(ScenarioProgram::ruleOf)
+                      .distinct()
+                      .sorted()
+                      .collect(java.util.stream.Collectors.joining(" ")));
         }
         good &= outcome.faults().isEmpty();
         if (historyAt >= 0) {
@@ -45,7 +60,9 @@
   }
 
   private static String ruleOf(String fault) {
-    return fault.startsWith("invariant") ? "INVARIANT" : fault.matches("(?s)[A-Z_]+ at .*") ? fault.split(" ")[0] : "EXPECTATION";
+    return fault.startsWith("invariant")
+        ? "INVARIANT"
+        : fault.matches("(?s)[A-Z_]+ at .*") ? fault.split(" ")[0] : "EXPECTATION";
   }
 
   private ScenarioProgram() {}
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.BatchInput;
 import applespindle.corelogic.CoreNode;
 import applespindle.corelogic.EdgeNode;
@@ -23,25 +26,24 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** One deployment in the simulator, with its senders, its operators and its platform. */
 final class SimulatedFleet {
   private static final List<String> CORE = List.of("core-1", "core-2", "core-3");
   static final int SUBMIT_TRIES = 6;
   private static final long SENDER_PATIENCE_MS = 8_000;
   private static final long LIVE_PATIENCE_MS = 12_000;
+
   /** More families than one worker's cache holds, fewer than all caches together. */
   static final int FAMILIES = 200;
+
   private static final int FAMILY_CHARS = 320;
   private static final long POLL_MS = 400;
   private static final long READY_MS = 500;
   private static final int ONCE_TWINS_ONE_IN = 5;
   private static final int ONCE_REPEATS = 3;
   private static final double ONCE_AGAIN_MS = 400;
-  private static final String SHARED = "In the usual form of the office, with greeting, place and hour of the event. "
-      .repeat(4);
+  private static final String SHARED =
+      "In the usual form of the office, with greeting, place and hour of the event. ".repeat(4);
   private static final Signing.Keys KEYS = Signing.generate();
 
   /** One batch as its sender knows it. */
@@ -77,23 +79,35 @@
       tries++;
       simulation.history.add(simulation.nowMs(), Kind.SUBMIT_SENT, key, "", "", items);
       Process edge = anyEdge();
-      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
-          ((EdgeNode) edge.node()).submit("sender", key, BatchInput.read(body).value(), then), this::submitted);
+      waitFor(
+          edge,
+          SENDER_PATIENCE_MS,
+          (Consumer<Response> then) ->
+              ((EdgeNode) edge.node()).submit("sender", key, BatchInput.read(body).value(), then),
+          this::submitted);
     }
 
     /** Null: the connection broke, or patience ended. */
     private void submitted(Response response) {
       int status = response == null ? 0 : response.status();
-      String id = status == 201 ? response.body().path("batch").asText() : EdgeNode.batchId("sender", key);
-      simulation.history.add(simulation.nowMs(), Kind.SUBMIT_ANSWERED, key, response == null ? "" : response.faultType(),
-          id, status);
+      String id =
+          status == 201 ? response.body().path("batch").asText() : EdgeNode.batchId("sender", key);
+      simulation.history.add(
+          simulation.nowMs(),
+          Kind.SUBMIT_ANSWERED,
+          key,
+          response == null ? "" : response.faultType(),
+          id,
+          status);
       if (status == 201) {
         batch = id;
         acceptedAtMs = simulation.nowMs();
         whenTold.accept("accepted", ++acceptances);
         poll();
       } else if (tries < submitTries) {
-        simulation.afterMs(response == null ? 500 : 1000.0 * Math.max(1, response.comeBackSeconds()), this::submit);
+        simulation.afterMs(
+            response == null ? 500 : 1000.0 * Math.max(1, response.comeBackSeconds()),
+            this::submit);
       } else {
         over = true;
       }
@@ -105,8 +119,12 @@
       }
       Process edge = anyEdge();
       long after = next;
-      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
-          ((EdgeNode) edge.node()).readResults(batch, after, 100, then), response -> polled(response));
+      waitFor(
+          edge,
+          SENDER_PATIENCE_MS,
+          (Consumer<Response> then) ->
+              ((EdgeNode) edge.node()).readResults(batch, after, 100, then),
+          response -> polled(response));
     }
 
     private void polled(Response response) {
@@ -114,11 +132,17 @@
       if (response != null) {
         JsonNode page = response.body();
         String state = response.good() ? page.path("state").asText() : response.faultType();
-        simulation.history.add(now, Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), response.status());
+        simulation.history.add(
+            now, Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), response.status());
         if (response.good()) {
           for (JsonNode row : page.path("results")) {
-            simulation.history.add(now, Kind.RESULT_READ, key, row.path("id").asText() + "|" + row.path("type").asText(),
-                row.path("output").asText(""), row.path("n").asLong());
+            simulation.history.add(
+                now,
+                Kind.RESULT_READ,
+                key,
+                row.path("id").asText() + "|" + row.path("type").asText(),
+                row.path("output").asText(""),
+                row.path("n").asLong());
           }
           next = page.path("next").asLong();
           if (state.equals("finished") && finishedAtMs < 0) {
@@ -137,14 +161,22 @@
 
     private void reread(long after) {
       Process edge = anyEdge();
-      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) ->
-          ((EdgeNode) edge.node()).readResults(batch, after, 100, then), response -> {
+      waitFor(
+          edge,
+          SENDER_PATIENCE_MS,
+          (Consumer<Response> then) ->
+              ((EdgeNode) edge.node()).readResults(batch, after, 100, then),
+          response -> {
             if (response == null || !response.good()) {
               return;
             }
             for (JsonNode row : response.body().path("results")) {
-              simulation.history.add(simulation.nowMs(), Kind.RESULT_READ, key,
-                  row.path("id").asText() + "|" + row.path("type").asText(), row.path("output").asText(""),
+              simulation.history.add(
+                  simulation.nowMs(),
+                  Kind.RESULT_READ,
+                  key,
+                  row.path("id").asText() + "|" + row.path("type").asText(),
+                  row.path("output").asText(""),
                   row.path("n").asLong());
             }
           });
@@ -154,7 +186,10 @@
       endAsked = true;
       simulation.history.add(simulation.nowMs(), Kind.END_ASKED, key, "", "", 0);
       Process edge = anyEdge();
-      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<Response> then) -> ((EdgeNode) edge.node()).endBatch(batch, then),
+      waitFor(
+          edge,
+          SENDER_PATIENCE_MS,
+          (Consumer<Response> then) -> ((EdgeNode) edge.node()).endBatch(batch, then),
           response -> {
             int status = response == null ? 0 : response.status();
             simulation.history.add(simulation.nowMs(), Kind.END_ANSWERED, key, "", "", status);
@@ -174,18 +209,28 @@
   private final List<Process> edges = new ArrayList<>();
   private final List<Process> all = new ArrayList<>();
   private List<Process> readyEdges = List.of();
-  /** Told the moment a sender hears yes: of an acceptance or an end (how many so far), or of a bundle (its number). */
-  BiConsumer<String, Long> whenTold = (event, number) -> { };
+
+  /**
+   * Told the moment a sender hears yes: of an acceptance or an end (how many so far), or of a
+   * bundle (its number).
+   */
+  BiConsumer<String, Long> whenTold = (event, number) -> {};
+
   /** When not empty, callers use these edges whether the platform finds them ready or not. */
   List<Process> callersAt = List.of();
+
   boolean obedient;
   private final Set<String> cameBack = new HashSet<>();
+
   /** By fault type, the longest time from sending a live request to its refusal. */
   final Map<String, Long> refusedAfterMs = new TreeMap<>();
+
   int submitTries = SUBMIT_TRIES;
   long storageRefusals;
+
   /** Workers listed in the pool "spare" instead of "main". */
   List<String> spares = List.of();
+
   private long acceptances;
   private long ends;
   private long liveNumber;
@@ -193,13 +238,22 @@
   final List<Long> checkLatencies = new ArrayList<>();
   final List<Long> noteLatencies = new ArrayList<>();
 
-  /** The platform round the fleet, its operators and its clients; null where the fleet runs the product's own way. */
+  /**
+   * The platform round the fleet, its operators and its clients; null where the fleet runs the
+   * product's own way.
+   */
   Outside outside;
+
   OpaqueOperators operators;
   OpaqueClients clients;
 
   /** With opaque workers, listed outside, and nodes that bear so many losses at once. */
-  static SimulatedFleet withOutside(Deployment deployment, long seed, int losses, long lagMs, double listCallsPerS,
+  static SimulatedFleet withOutside(
+      Deployment deployment,
+      long seed,
+      int losses,
+      long lagMs,
+      double listCallsPerS,
       long waitingTokensMost) {
     SimulatedFleet fleet = new SimulatedFleet(deployment, seed);
     for (int more = CORE.size() + 1; more <= 2 * losses + 1; more++) {
@@ -228,7 +282,8 @@
       addWithDisk("storage-" + (zone + 1), "storage", zone);
     }
     for (int index = 0; index < deployment.edges; index++) {
-      Process edge = simulation.add("edge-" + (index + 1), "zone-" + index % 3, "edge", CORE, false);
+      Process edge =
+          simulation.add("edge-" + (index + 1), "zone-" + index % 3, "edge", CORE, false);
       edges.add(edge);
       all.add(edge);
     }
@@ -245,20 +300,33 @@
       simulation.atMs(3_000, this::lookForReadyEdges);
       return;
     }
-    simulation.atMs(1_500, () -> simulation.workers.all().values().stream().map(worker -> worker.id).sorted()
-        .forEach(this::listWorker));
+    simulation.atMs(
+        1_500,
+        () ->
+            simulation.workers.all().values().stream()
+                .map(worker -> worker.id)
+                .sorted()
+                .forEach(this::listWorker));
     simulation.atMs(1_500, () -> sendBundle(1, deployment.bundle(1), "core-1"));
     simulation.atMs(2_000, this::watchBundles);
     simulation.atMs(3_000, this::lookForReadyEdges);
-    simulation.history.add(0, Kind.CEILING, "", "", "", Simulation.tree(deployment.bundle(1).getBytes(UTF_8))
-        .at("/limits/batch/waitingItemsMost").asLong());
+    simulation.history.add(
+        0,
+        Kind.CEILING,
+        "",
+        "",
+        "",
+        Simulation.tree(deployment.bundle(1).getBytes(UTF_8))
+            .at("/limits/batch/waitingItemsMost")
+            .asLong());
   }
 
   // ---- callers
 
   /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
   Process anyEdge() {
-    List<Process> choice = !callersAt.isEmpty() ? callersAt : readyEdges.isEmpty() ? edges : readyEdges;
+    List<Process> choice =
+        !callersAt.isEmpty() ? callersAt : readyEdges.isEmpty() ? edges : readyEdges;
     return choice.get(simulation.random.nextInt(choice.size()));
   }
 
@@ -270,51 +338,69 @@
   private void lookForReadyEdges() {
     List<Process> ready = new ArrayList<>();
     for (Process edge : edges) {
-      waitFor(edge, READY_MS, (Consumer<String> then) -> then.accept(edge.node().notReadyBecause()), reason -> {
-        if ("".equals(reason)) {
-          ready.add(edge);
-        }
-      });
+      waitFor(
+          edge,
+          READY_MS,
+          (Consumer<String> then) -> then.accept(edge.node().notReadyBecause()),
+          reason -> {
+            if ("".equals(reason)) {
+              ready.add(edge);
+            }
+          });
     }
-    simulation.afterMs(READY_MS, () -> {
-      readyEdges = ready;
-      lookForReadyEdges();
-    });
+    simulation.afterMs(
+        READY_MS,
+        () -> {
+          readyEdges = ready;
+          lookForReadyEdges();
+        });
   }
 
-  <T> void waitFor(Process process, long patienceMs, Consumer<Consumer<T>> question, Consumer<T> then) {
+  <T> void waitFor(
+      Process process, long patienceMs, Consumer<Consumer<T>> question, Consumer<T> then) {
     boolean[] done = new boolean[1];
-    simulation.call(process, question, new Caller<T>() {
-      @Override public void answered(T answer) {
-        finish(answer);
-      }
+    simulation.call(
+        process,
+        question,
+        new Caller<T>() {
+          @Override
+          public void answered(T answer) {
+            finish(answer);
+          }
 
-      @Override public void broken(boolean neverReached) {
-        finish(null);
-      }
+          @Override
+          public void broken(boolean neverReached) {
+            finish(null);
+          }
 
-      private void finish(T answer) {
-        if (!done[0]) {
-          done[0] = true;
-          then.accept(answer);
-        }
-      }
-    });
-    simulation.afterMs(patienceMs, () -> {
-      if (!done[0]) {
-        done[0] = true;
-        then.accept(null);
-      }
-    });
+          private void finish(T answer) {
+            if (!done[0]) {
+              done[0] = true;
+              then.accept(answer);
+            }
+          }
+        });
+    simulation.afterMs(
+        patienceMs,
+        () -> {
+          if (!done[0]) {
+            done[0] = true;
+            then.accept(null);
+          }
+        });
   }
 
-  private void command(String coreName, String duty, String key, Object body, Consumer<Response> then) {
+  private void command(
+      String coreName, String duty, String key, Object body, Consumer<Response> then) {
     command(simulation.processes.get(coreName), SENDER_PATIENCE_MS, duty, key, body, then);
   }
 
   /** Any process that serves operators, whether it lives or not. */
   Process anyCore() {
-    List<Process> cores = simulation.processes.values().stream().filter(process -> process.role.equals("core") && !process.destroyed).toList();
+    List<Process> cores =
+        simulation.processes.values().stream()
+            .filter(process -> process.role.equals("core") && !process.destroyed)
+            .toList();
     return cores.get(simulation.random.nextInt(cores.size()));
   }
 
@@ -323,14 +409,28 @@
     return new SignedBundle(0, bytes, "operator", signature, buildsOn);
   }
 
-  void command(Process core, long patienceMs, String duty, String key, Object body, Consumer<Response> then) {
-    waitFor(core, patienceMs, (Consumer<Response> answer) ->
-        ((CoreNode) core.node()).command(duty, key, body, answer), then);
+  void command(
+      Process core,
+      long patienceMs,
+      String duty,
+      String key,
+      Object body,
+      Consumer<Response> then) {
+    waitFor(
+        core,
+        patienceMs,
+        (Consumer<Response> answer) -> ((CoreNode) core.node()).command(duty, key, body, answer),
+        then);
   }
 
   private String liveCore() {
-    List<String> live = CORE.stream().filter(name -> simulation.processes.get(name).alive()
-        && !simulation.processes.get(name).frozen()).toList();
+    List<String> live =
+        CORE.stream()
+            .filter(
+                name ->
+                    simulation.processes.get(name).alive()
+                        && !simulation.processes.get(name).frozen())
+            .toList();
     return live.isEmpty() ? CORE.get(0) : live.get(simulation.random.nextInt(live.size()));
   }
 
@@ -338,61 +438,110 @@
     String pool = spares.contains(id) ? "spare" : "main";
     simulation.history.add(simulation.nowMs(), Kind.WORKER_POOL, id, pool, "", 0);
     var input = new WorkerInput(id, SimulatedWorkers.address(id), pool, null);
-    command(liveCore(), "worker", "worker/" + id, CoreNode.workerListed(input), response -> {
-      if (response == null || !response.good()) {
-        simulation.afterMs(500, () -> listWorker(id));
-      }
-    });
+    command(
+        liveCore(),
+        "worker",
+        "worker/" + id,
+        CoreNode.workerListed(input),
+        response -> {
+          if (response == null || !response.good()) {
+            simulation.afterMs(500, () -> listWorker(id));
+          }
+        });
   }
 
   void markLeaving(String id) {
-    command(liveCore(), "worker", "worker/" + id, CoreNode.workerMarked(id, true), response -> {
-      int status = response == null ? 0 : response.status();
-      simulation.history.add(simulation.nowMs(), Kind.LEAVING_ANSWERED, id, "", "", status);
-      if (status != 200) {
-        simulation.afterMs(500, () -> markLeaving(id));
-      }
-    });
+    command(
+        liveCore(),
+        "worker",
+        "worker/" + id,
+        CoreNode.workerMarked(id, true),
+        response -> {
+          int status = response == null ? 0 : response.status();
+          simulation.history.add(simulation.nowMs(), Kind.LEAVING_ANSWERED, id, "", "", status);
+          if (status != 200) {
+            simulation.afterMs(500, () -> markLeaving(id));
+          }
+        });
   }
 
   /** Sends once; a sender that hears nothing certain asks again with the same bytes. */
   void sendBundle(long number, String content, String coreName) {
     byte[] bytes = content.getBytes(UTF_8);
     byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
-    simulation.history.add(simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
-    Deployment.pools(content).forEach((trafficClass, pool) -> simulation.history.add(simulation.nowMs(),
-        Kind.BUNDLE_WAY, Long.toString(number), trafficClass, pool, number));
-    command(coreName, "bundle", "bundle", new SignedBundle(0, bytes, "operator", signature), response -> {
-      int status = response == null ? 0 : response.status();
-      simulation.history.add(simulation.nowMs(), Kind.BUNDLE_ANSWERED, Long.toString(number),
-          response == null ? "" : response.faultType(), "", status);
-      if (status == 200) {
-        whenTold.accept("bundle", number);
-      }
-      if (status != 200 && status != 409) {
-        simulation.afterMs(700, () -> sendBundle(number, content, liveCore()));
-      }
-    });
+    simulation.history.add(
+        simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    Deployment.pools(content)
+        .forEach(
+            (trafficClass, pool) ->
+                simulation.history.add(
+                    simulation.nowMs(),
+                    Kind.BUNDLE_WAY,
+                    Long.toString(number),
+                    trafficClass,
+                    pool,
+                    number));
+    command(
+        coreName,
+        "bundle",
+        "bundle",
+        new SignedBundle(0, bytes, "operator", signature),
+        response -> {
+          int status = response == null ? 0 : response.status();
+          simulation.history.add(
+              simulation.nowMs(),
+              Kind.BUNDLE_ANSWERED,
+              Long.toString(number),
+              response == null ? "" : response.faultType(),
+              "",
+              status);
+          if (status == 200) {
+            whenTold.accept("bundle", number);
+          }
+          if (status != 200 && status != 409) {
+            simulation.afterMs(700, () -> sendBundle(number, content, liveCore()));
+          }
+        });
   }
 
   /** Reads the bundle back at the core, and sees what each ready edge has in force. */
   private void watchBundles() {
     long begunAt = simulation.nowMs();
-    command(liveCore(), "read", "bundle", new byte[] {'{', '}'}, response -> {
-      if (response != null && response.good() && !response.body().isNull()) {
-        simulation.history.add(simulation.nowMs(), Kind.BUNDLE_READ, "", "", Long.toString(begunAt),
-            response.body().path("number").asLong());
-      }
-    });
+    command(
+        liveCore(),
+        "read",
+        "bundle",
+        new byte[] {'{', '}'},
+        response -> {
+          if (response != null && response.good() && !response.body().isNull()) {
+            simulation.history.add(
+                simulation.nowMs(),
+                Kind.BUNDLE_READ,
+                "",
+                "",
+                Long.toString(begunAt),
+                response.body().path("number").asLong());
+          }
+        });
     for (Process edge : edges) {
-      waitFor(edge, SENDER_PATIENCE_MS, (Consumer<JsonNode> then) -> {
-        boolean ready = edge.node().notReadyBecause().isEmpty();
-        then.accept(ready ? edge.node().status() : null);
-      }, status -> {
-        if (status != null) {
-          simulation.history.add(simulation.nowMs(), Kind.EDGE_BUNDLE, edge.name, "", "", status.path("bundle").asLong());
-        }
-      });
+      waitFor(
+          edge,
+          SENDER_PATIENCE_MS,
+          (Consumer<JsonNode> then) -> {
+            boolean ready = edge.node().notReadyBecause().isEmpty();
+            then.accept(ready ? edge.node().status() : null);
+          },
+          status -> {
+            if (status != null) {
+              simulation.history.add(
+                  simulation.nowMs(),
+                  Kind.EDGE_BUNDLE,
+                  edge.name,
+                  "",
+                  "",
+                  status.path("bundle").asLong());
+            }
+          });
     }
     simulation.afterMs(500, this::watchBundles);
   }
@@ -400,7 +549,9 @@
   /** A new machine joins, in the zone and role its name tells. */
   void add(String name, String zone) {
     boolean edge = name.startsWith("edge");
-    Process process = simulation.add(name, zone, edge ? "edge" : name.startsWith("core") ? "core" : "storage", CORE, !edge);
+    Process process =
+        simulation.add(
+            name, zone, edge ? "edge" : name.startsWith("core") ? "core" : "storage", CORE, !edge);
     all.add(process);
     if (edge) {
       edges.add(process);
@@ -411,19 +562,28 @@
   void markStorage(String name, String state) {
     String core = liveCore();
     String id = ((CoreNode) simulation.processes.get(core).node()).storageId(name);
-    command(core, "storage", "storage/" + id, new StorageState(id, name, state), response -> {
-      if (response != null && response.status() == 409) {
-        storageRefusals++;
-      } else if (response == null || !response.good()) {
-        simulation.afterMs(500, () -> markStorage(name, state));
-      }
-    });
+    command(
+        core,
+        "storage",
+        "storage/" + id,
+        new StorageState(id, name, state),
+        response -> {
+          if (response != null && response.status() == 409) {
+            storageRefusals++;
+          } else if (response == null || !response.good()) {
+            simulation.afterMs(500, () -> markStorage(name, state));
+          }
+        });
   }
 
   JsonNode coreStatus() {
-    return simulation.processes.values().stream().filter(process -> process.role.equals("core") && process.alive())
-        .map(process -> process.node()).filter(node -> node.notReadyBecause().isEmpty()).findFirst()
-        .map(node -> (JsonNode) node.status()).orElse(JSON.nullNode());
+    return simulation.processes.values().stream()
+        .filter(process -> process.role.equals("core") && process.alive())
+        .map(process -> process.node())
+        .filter(node -> node.notReadyBecause().isEmpty())
+        .findFirst()
+        .map(node -> (JsonNode) node.status())
+        .orElse(JSON.nullNode());
   }
 
   // ---- traffic
@@ -445,7 +605,10 @@
     simulation.afterMs(gap, () -> nextLive(trafficClass, perSecond, untilMs));
   }
 
-  /** A sender of a once-request that hears nothing certain sends it again elsewhere; some are sent twice at once. */
+  /**
+   * A sender of a once-request that hears nothing certain sends it again elsewhere; some are sent
+   * twice at once.
+   */
   private void sendLive(String trafficClass, String once) {
     sendLive(trafficClass, once, 0);
     if (!once.isEmpty() && simulation.random.nextInt(ONCE_TWINS_ONE_IN) == 0) {
@@ -463,67 +626,133 @@
     long sentAt = simulation.nowMs();
     simulation.history.add(sentAt, Kind.LIVE_SENT, id, once, prompt, tokens);
     simulation.history.add(sentAt, Kind.LIVE_AT, id, edge.name, "", 0);
-    simulation.history.add(sentAt, Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
+    simulation.history.add(
+        sentAt, Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
     StringBuilder streamed = new StringBuilder();
     LiveDesk.Handle[] handle = new LiveDesk.Handle[1];
     boolean[] done = new boolean[1];
-    simulation.call(edge, (Consumer<Runnable> then) -> {
-      ObjectNode body = JSON.createObjectNode().put("prompt", prompt).put("max_tokens", tokens).put("stream", true);
-      var request = new LiveDesk.Request("sender", null, trafficClass, Map.of(), prompt, body, stream, once);
-      handle[0] = ((EdgeNode) edge.node()).complete(request, new LiveDesk.Listener() {
-        @Override public void text(String text) {
-          simulation.afterMs(0.3, () -> streamed.append(done[0] ? "" : text));
-        }
-
-        @Override public void end(String wholeOutput, String finishReason) {
-          then.accept(() -> liveAnswered(id, trafficClass, once, repeats, sentAt, done, 200, "complete",
-              stream ? streamed.toString() : wholeOutput));
-        }
-
-        @Override public void fault(Response response, boolean cut) {
-          if (!cut && response.comeBackSeconds() > 0) {
-            refusedAfterMs.merge(response.faultType(), simulation.nowMs() - sentAt, Math::max);
-            comeBack(id, response.comeBackSeconds(), trafficClass);
+    simulation.call(
+        edge,
+        (Consumer<Runnable> then) -> {
+          ObjectNode body =
+              JSON.createObjectNode()
+                  .put("prompt", prompt)
+                  .put("max_tokens", tokens)
+                  .put("stream", true);
+          var request =
+              new LiveDesk.Request(
+                  "sender", null, trafficClass, Map.of(), prompt, body, stream, once);
+          handle[0] =
+              ((EdgeNode) edge.node())
+                  .complete(
+                      request,
+                      new LiveDesk.Listener() {
+                        @Override
+                        public void text(String text) {
+                          simulation.afterMs(0.3, () -> streamed.append(done[0] ? "" : text));
+                        }
+
+                        @Override
+                        public void end(String wholeOutput, String finishReason) {
+                          then.accept(
+                              () ->
+                                  liveAnswered(
+                                      id,
+                                      trafficClass,
+                                      once,
+                                      repeats,
+                                      sentAt,
+                                      done,
+                                      200,
+                                      "complete",
+                                      stream ? streamed.toString() : wholeOutput));
+                        }
+
+                        @Override
+                        public void fault(Response response, boolean cut) {
+                          if (!cut && response.comeBackSeconds() > 0) {
+                            refusedAfterMs.merge(
+                                response.faultType(), simulation.nowMs() - sentAt, Math::max);
+                            comeBack(id, response.comeBackSeconds(), trafficClass);
+                          }
+                          then.accept(
+                              () ->
+                                  liveAnswered(
+                                      id,
+                                      trafficClass,
+                                      once,
+                                      repeats,
+                                      sentAt,
+                                      done,
+                                      cut ? 200 : response.status(),
+                                      cut ? "cut" : response.faultType(),
+                                      streamed.toString()));
+                        }
+                      });
+        },
+        new Caller<Runnable>() {
+          @Override
+          public void answered(Runnable answer) {
+            answer.run();
           }
-          then.accept(() -> liveAnswered(id, trafficClass, once, repeats, sentAt, done, cut ? 200 : response.status(),
-              cut ? "cut" : response.faultType(), streamed.toString()));
-        }
-      });
-    }, new Caller<Runnable>() {
-      @Override public void answered(Runnable answer) {
-        answer.run();
-      }
 
-      @Override public void broken(boolean neverReached) {
-        liveAnswered(id, trafficClass, once, repeats, sentAt, done, 0, neverReached ? "unreachable" : "cut", streamed.toString());
-      }
-    });
-    simulation.afterMs(LIVE_PATIENCE_MS, () -> {
-      if (!done[0]) {
-        liveAnswered(id, trafficClass, once, repeats, sentAt, done, 0, "cut", streamed.toString());
-        simulation.call(edge, (Consumer<Object> then) -> handle[0].cancel(), new Caller<>() {
-          @Override public void answered(Object answer) {}
-
-          @Override public void broken(boolean neverReached) {}
+          @Override
+          public void broken(boolean neverReached) {
+            liveAnswered(
+                id,
+                trafficClass,
+                once,
+                repeats,
+                sentAt,
+                done,
+                0,
+                neverReached ? "unreachable" : "cut",
+                streamed.toString());
+          }
+        });
+    simulation.afterMs(
+        LIVE_PATIENCE_MS,
+        () -> {
+          if (!done[0]) {
+            liveAnswered(
+                id, trafficClass, once, repeats, sentAt, done, 0, "cut", streamed.toString());
+            simulation.call(
+                edge,
+                (Consumer<Object> then) -> handle[0].cancel(),
+                new Caller<>() {
+                  @Override
+                  public void answered(Object answer) {}
+
+                  @Override
+                  public void broken(boolean neverReached) {}
+                });
+          }
         });
-      }
-    });
   }
 
-  /** A sender that was told when to come back does so then; how many such are served is expected of some scenarios. */
+  /**
+   * A sender that was told when to come back does so then; how many such are served is expected of
+   * some scenarios.
+   */
   private void comeBack(String id, int seconds, String trafficClass) {
     if (obedient && trafficClass.equals("check") && !cameBack.contains(id)) {
-      simulation.afterMs(1000.0 * seconds, () -> {
-        cameBack.add("l" + (liveNumber + 1));
-        sendLive(trafficClass, "", 0);
-      });
+      simulation.afterMs(
+          1000.0 * seconds,
+          () -> {
+            cameBack.add("l" + (liveNumber + 1));
+            sendLive(trafficClass, "", 0);
+          });
     }
   }
 
-  /** Percent of the senders that came back when told to and were served then; 100 if none had to. */
+  /**
+   * Percent of the senders that came back when told to and were served then; 100 if none had to.
+   */
   long cameBackPercent() {
-    long served = simulation.history.of(Kind.LIVE_ANSWERED).stream().filter(seen -> cameBack.contains(seen.subject())
-        && seen.detail().equals("complete")).count();
+    long served =
+        simulation.history.of(Kind.LIVE_ANSWERED).stream()
+            .filter(seen -> cameBack.contains(seen.subject()) && seen.detail().equals("complete"))
+            .count();
     return cameBack.isEmpty() ? 100 : 100 * served / cameBack.size();
   }
 
@@ -532,16 +761,28 @@
     return ("Case file " + family + ". " + SHARED).substring(0, FAMILY_CHARS) + "Ruling " + id;
   }
 
-  private void liveAnswered(String id, String trafficClass, String once, int repeats, long sentAt, boolean[] done,
-      int status, String detail, String text) {
+  private void liveAnswered(
+      String id,
+      String trafficClass,
+      String once,
+      int repeats,
+      long sentAt,
+      boolean[] done,
+      int status,
+      String detail,
+      String text) {
     if (!done[0]) {
-      if (!once.isEmpty() && !detail.equals("complete") && status != 409 && repeats < ONCE_REPEATS) {
+      if (!once.isEmpty()
+          && !detail.equals("complete")
+          && status != 409
+          && repeats < ONCE_REPEATS) {
         simulation.afterMs(ONCE_AGAIN_MS, () -> sendLive(trafficClass, once, repeats + 1));
       }
       done[0] = true;
       simulation.history.add(simulation.nowMs(), Kind.LIVE_ANSWERED, id, detail, text, status);
       if (detail.equals("complete")) {
-        (trafficClass.equals("note") ? noteLatencies : checkLatencies).add(simulation.nowMs() - sentAt);
+        (trafficClass.equals("note") ? noteLatencies : checkLatencies)
+            .add(simulation.nowMs() - sentAt);
       }
     }
   }
@@ -553,7 +794,12 @@
   }
 
   Sender submitOne() {
-    Sender sender = new Sender("batch-" + ++batchNumber, deployment.batchItems, deployment.batchTokens, deployment.dueMs);
+    Sender sender =
+        new Sender(
+            "batch-" + ++batchNumber,
+            deployment.batchItems,
+            deployment.batchTokens,
+            deployment.dueMs);
     senders.add(sender);
     sender.submit();
     return sender;
@@ -562,34 +808,71 @@
   /** One line of figures, in simulated milliseconds. */
   String summary() {
     if (outside != null) {
-      return clients.summary() + "; list calls " + outside.list.calls + ", refused " + outside.list.refusedCalls;
+      return clients.summary()
+          + "; list calls "
+          + outside.list.calls
+          + ", refused "
+          + outside.list.refusedCalls;
     }
-    List<Long> batches = senders.stream().filter(sender -> sender.finishedAtMs >= 0)
-        .map(sender -> sender.finishedAtMs - sender.acceptedAtMs).toList();
+    List<Long> batches =
+        senders.stream()
+            .filter(sender -> sender.finishedAtMs >= 0)
+            .map(sender -> sender.finishedAtMs - sender.acceptedAtMs)
+            .toList();
     long accepted = senders.stream().filter(sender -> sender.acceptedAtMs >= 0).count();
-    long received = simulation.history.of(Kind.WORKER_RECEIVED).stream().filter(seen -> !seen.detail().isEmpty()).count();
-    return "batches " + senders.size() + ", accepted " + accepted + ", done median " + percentile(batches, 50) + " most "
-        + percentile(batches, 100) + "; checks " + checkLatencies.size() + " median " + percentile(checkLatencies, 50)
-        + " p99 " + percentile(checkLatencies, 99) + "; notes " + noteLatencies.size() + " p99 "
-        + percentile(noteLatencies, 99) + "; item runs " + received + "; cache hits "
-        + cacheHitPercent() + "%";
+    long received =
+        simulation.history.of(Kind.WORKER_RECEIVED).stream()
+            .filter(seen -> !seen.detail().isEmpty())
+            .count();
+    return "batches "
+        + senders.size()
+        + ", accepted "
+        + accepted
+        + ", done median "
+        + percentile(batches, 50)
+        + " most "
+        + percentile(batches, 100)
+        + "; checks "
+        + checkLatencies.size()
+        + " median "
+        + percentile(checkLatencies, 50)
+        + " p99 "
+        + percentile(checkLatencies, 99)
+        + "; notes "
+        + noteLatencies.size()
+        + " p99 "
+        + percentile(noteLatencies, 99)
+        + "; item runs "
+        + received
+        + "; cache hits "
+        + cacheHitPercent()
+        + "%";
   }
 
   long cacheHitPercent() {
-    int looks = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
-    int hits = simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
+    int looks =
+        simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
+    int hits =
+        simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
     return looks == 0 ? 0 : 100 * hits / looks;
   }
 
   /** Batches of which a majority of the storage nodes knows that they were removed. */
   long removedBatches() {
-    return simulation.processes.values().stream().filter(process -> process.role.equals("storage") && process.alive())
-        .mapToLong(process -> process.node().status().path("removed").asLong()).sorted().skip(1).findFirst().orElse(0);
+    return simulation.processes.values().stream()
+        .filter(process -> process.role.equals("storage") && process.alive())
+        .mapToLong(process -> process.node().status().path("removed").asLong())
+        .sorted()
+        .skip(1)
+        .findFirst()
+        .orElse(0);
   }
 
   static long percentile(List<Long> values, int percent) {
     List<Long> sorted = values.stream().sorted().toList();
-    return sorted.isEmpty() ? -1 : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
+    return sorted.isEmpty()
+        ? -1
+        : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
   }
 
   // ---- targets of faults
@@ -605,14 +888,17 @@
       case "feeder" -> busiest("batchRunning");
       case "any-edge" -> anyEdge();
       case "any-core" -> simulation.processes.get(CORE.get(simulation.random.nextInt(3)));
-      case "any-storage" -> simulation.processes.get("storage-" + (1 + simulation.random.nextInt(3)));
+      case "any-storage" ->
+          simulation.processes.get("storage-" + (1 + simulation.random.nextInt(3)));
       default -> name.startsWith("owner:") ? ownerOf(name.substring(6)) : null;
     };
   }
 
   private Process ownerOf(String key) {
-    return CORE.stream().map(simulation.processes::get)
-        .filter(core -> core.alive() && core.node().status().path("owned").has(key)).findFirst()
+    return CORE.stream()
+        .map(simulation.processes::get)
+        .filter(core -> core.alive() && core.node().status().path("owned").has(key))
+        .findFirst()
         .orElse(simulation.processes.get(CORE.get(0)));
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
@@ -17,9 +17,21 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
-/** Workers on simulated time, with the same output and pace as the stand-ins, and with faults at will. */
+/**
+ * Workers on simulated time, with the same output and pace as the stand-ins, and with faults at
+ * will.
+ */
 public final class SimulatedWorkers {
-  public enum Condition { WELL, CRASHED, DARK, VANISHED, CUTS, GARBAGE, REFUSES, SLOW }
+  public enum Condition {
+    WELL,
+    CRASHED,
+    DARK,
+    VANISHED,
+    CUTS,
+    GARBAGE,
+    REFUSES,
+    SLOW
+  }
 
   private static final double WIRE_MS = 0.4;
   private static final int CACHE_PREFIXES = 64;
@@ -31,11 +43,13 @@
     Condition condition = Condition.WELL;
     boolean leaving;
     private final Set<Run> running = new LinkedHashSet<>();
-    private final Map<String, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true) {
-      @Override protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-        return size() > CACHE_PREFIXES;
-      }
-    };
+    private final Map<String, Boolean> cache =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > CACHE_PREFIXES;
+          }
+        };
     int cacheLooks;
     int cacheHits;
     int mostRunning;
@@ -91,19 +105,21 @@
           return;
         }
         case VANISHED -> {
-          simulation.afterMs(simulation.connectTimeoutMs(), () -> {
-            if (!over) {
-              over = true;
-              listener.fault(new Fault.WorkerUnreachable(worker.id), false);
-            }
-          });
+          simulation.afterMs(
+              simulation.connectTimeoutMs(),
+              () -> {
+                if (!over) {
+                  over = true;
+                  listener.fault(new Fault.WorkerUnreachable(worker.id), false);
+                }
+              });
           return;
         }
         case DARK -> {
           watch();
           return;
         }
-        default -> { }
+        default -> {}
       }
       if (worker.condition == Condition.REFUSES || worker.running.size() >= pace.capacity()) {
         over = true;
@@ -113,7 +129,9 @@
       simulation.history.add(simulation.nowMs(), Kind.WORKER_RECEIVED, worker.id, item, prompt, 0);
       worker.running.add(this);
       worker.mostRunning = Math.max(worker.mostRunning, worker.running.size());
-      boolean warm = worker.cache.put(prompt.substring(0, Math.min(prompt.length(), CACHE_PREFIX_CHARS)), true) != null;
+      boolean warm =
+          worker.cache.put(prompt.substring(0, Math.min(prompt.length(), CACHE_PREFIX_CHARS)), true)
+              != null;
       worker.cacheLooks++;
       worker.cacheHits += warm ? 1 : 0;
       watch();
@@ -122,8 +140,10 @@
 
     private void next(long waitMs) {
       long spread = Math.max(1, waitMs / 4);
-      simulation.afterMs((worker.condition == Condition.SLOW ? SLOW_BY * waitMs : waitMs)
-          + simulation.random.nextLong(spread), this::token);
+      simulation.afterMs(
+          (worker.condition == Condition.SLOW ? SLOW_BY * waitMs : waitMs)
+              + simulation.random.nextLong(spread),
+          this::token);
     }
 
     private void token() {
@@ -148,7 +168,8 @@
       if (position == tokens) {
         worker.running.remove(this);
         over = true;
-        simulation.history.add(simulation.nowMs(), Kind.WORKER_FINISHED, worker.id, item, prompt, 0);
+        simulation.history.add(
+            simulation.nowMs(), Kind.WORKER_FINISHED, worker.id, item, prompt, 0);
         simulation.afterMs(WIRE_MS, () -> listener.end("stop"));
         return;
       }
@@ -159,18 +180,20 @@
 
     /** The caller's side: silence and expiry end a run, as the real client does. */
     private void watch() {
-      simulation.afterMs(Constants.LOAD_POLL_MS, () -> {
-        if (over) {
-          return;
-        }
-        long now = simulation.nowMs();
-        if (now - heardAtMs > Constants.STREAM_SILENCE_MS || now > expiresAtMs) {
-          worker.running.remove(this);
-          fail(new Fault.WorkerSilent(worker.id));
-        } else {
-          watch();
-        }
-      });
+      simulation.afterMs(
+          Constants.LOAD_POLL_MS,
+          () -> {
+            if (over) {
+              return;
+            }
+            long now = simulation.nowMs();
+            if (now - heardAtMs > Constants.STREAM_SILENCE_MS || now > expiresAtMs) {
+              worker.running.remove(this);
+              fail(new Fault.WorkerSilent(worker.id));
+            } else {
+              watch();
+            }
+          });
     }
 
     private void fail(Fault fault) {
@@ -221,16 +244,21 @@
 
   void readLoad(String address, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
     Worker worker = workers.get(address);
-    simulation.afterMs(WIRE_MS, () -> {
-      switch (worker.condition) {
-        case CRASHED -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id));
-        case DARK, VANISHED -> simulation.afterMs(Constants.LOAD_STALE_MS,
-            () -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id)));
-        default -> {
-          WorkerLoad load = new WorkerLoad(worker.running.size(), 0, pace.capacity(), worker.leaving);
-          simulation.afterMs(WIRE_MS, () -> whenRead.accept(load));
-        }
-      }
-    });
+    simulation.afterMs(
+        WIRE_MS,
+        () -> {
+          switch (worker.condition) {
+            case CRASHED -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id));
+            case DARK, VANISHED ->
+                simulation.afterMs(
+                    Constants.LOAD_STALE_MS,
+                    () -> whenFaulty.accept(new Fault.WorkerUnreachable(worker.id)));
+            default -> {
+              WorkerLoad load =
+                  new WorkerLoad(worker.running.size(), 0, pace.capacity(), worker.leaving);
+              simulation.afterMs(WIRE_MS, () -> whenRead.accept(load));
+            }
+          }
+        });
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -1,5 +1,7 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+
 import applespindle.adapters.PeerCodec;
 import applespindle.adapters.UnreadableFrame;
 import applespindle.corelogic.Bounds;
@@ -32,26 +34,28 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-import static applespindle.corelogic.Json.JSON;
-
 /**
- * A whole fleet in one thread on simulated time: the nodes are the real logic, and network, disks, clocks and workers
- * are made up from one seed. After every step the invariants of the owned keys are checked on what the step touched.
+ * A whole fleet in one thread on simulated time: the nodes are the real logic, and network, disks,
+ * clocks and workers are made up from one seed. After every step the invariants of the owned keys
+ * are checked on what the step touched.
  */
 public final class Simulation {
   /** Microseconds, one way: within a zone, and between zones as the brief has it. */
   private static final long WITHIN_ZONE_US = 150;
+
   private static final long BETWEEN_ZONES_US = 1_000;
   private static final long JITTER_US = 300;
   private static final long SYNC_LEAST_US = 400;
   private static final long SYNC_SPREAD_US = 3_000;
   private static final long CONNECT_TIMEOUT_MS = 1_000;
   private static final long MS = 1_000;
+
   /** Between full checks only the newest committed entries of a touched key are looked at. */
   private static final int FULL_CHECK_EVERY = 200;
 
   private record Event(long atUs, long order, Runnable task) implements Comparable<Event> {
-    @Override public int compareTo(Event other) {
+    @Override
+    public int compareTo(Event other) {
       int byTime = Long.compare(atUs, other.atUs);
       return byTime != 0 ? byTime : Long.compare(order, other.order);
     }
@@ -84,20 +88,30 @@
     private int life;
     private boolean alive;
     private boolean frozen;
+
     /** Gone for good: not even the end of the run brings it back. */
     boolean destroyed;
+
     private long clockShiftMs;
-    /** Each task of a slowed process takes this long, one after the other; what waits then keeps its order. */
+
+    /**
+     * Each task of a slowed process takes this long, one after the other; what waits then keeps its
+     * order.
+     */
     private long taskUs;
+
     private long busyUntilUs;
+
     /** Rises when its connections are reset: what was under way on the old ones is lost. */
     private int connections;
+
     private long refusesWritesUntilUs;
     private boolean stopping;
     private final ArrayDeque<Runnable> whileFrozen = new ArrayDeque<>();
     private final List<DiskRecord> unsynced = new ArrayList<>();
     private final Set<SimulatedWorkers.Run> runs = new LinkedHashSet<>();
     private final Set<OpaqueWorkers.Run> opaqueRuns = new LinkedHashSet<>();
+
     /** Told when the process dies: callers that wait for it. */
     private final Set<Runnable> waitingCallers = new LinkedHashSet<>();
 
@@ -138,32 +152,49 @@
         incarnation = ++disk.incarnation;
       }
       var place = new Node.Place(id, incarnation, name, zone, role, name, name + "/http", seeds);
-      node = switch (role) {
-        case "core" -> new CoreNode(this, place, operatorKeys, bounds == Bounds.DEFAULT ? seeds : List.of(), bounds());
-        case "storage" -> new StorageNode(this, place, bounds());
-        default -> new EdgeNode(this, place, bounds());
-      };
+      node =
+          switch (role) {
+            case "core" ->
+                new CoreNode(
+                    this,
+                    place,
+                    operatorKeys,
+                    bounds == Bounds.DEFAULT ? seeds : List.of(),
+                    bounds());
+            case "storage" -> new StorageNode(this, place, bounds());
+            default -> new EdgeNode(this, place, bounds());
+          };
       if (disk != null) {
         disk.synced.forEach(node::recover);
       }
       node.start();
     }
 
-    /** Only the first start of all, with an empty disk, is told to found the core; a machine without a disk has no vote. */
+    /**
+     * Only the first start of all, with an empty disk, is told to found the core; a machine without
+     * a disk has no vote.
+     */
     private Bounds bounds() {
-      return bounds == Bounds.DEFAULT ? bounds : bounds.at(disk != null, life == 1 && nowMs() < foundedByMs);
+      return bounds == Bounds.DEFAULT
+          ? bounds
+          : bounds.at(disk != null, life == 1 && nowMs() < foundedByMs);
     }
 
     private String newId() {
       return String.format("%08x%04x", random.nextInt(), random.nextInt(1 << 16));
     }
 
-    /** The process dies; what was written but not synced may or may not have reached the disk, power loss takes it. */
+    /**
+     * The process dies; what was written but not synced may or may not have reached the disk, power
+     * loss takes it.
+     */
     void kill(boolean powerLoss) {
       kill(powerLoss, !powerLoss);
     }
 
-    /** keepsSome: of what was written and not synced, a part from the beginning may be found again. */
+    /**
+     * keepsSome: of what was written and not synced, a part from the beginning may be found again.
+     */
     void kill(boolean powerLoss, boolean keepsSome) {
       if (alive) {
         trouble(this, true, "down");
@@ -206,12 +237,13 @@
     void stopPolitely(long graceMs, Runnable whenEnded) {
       int inLife = life;
       toldToStop();
-      Runnable end = () -> {
-        if (alive && life == inLife) {
-          kill(false);
-          whenEnded.run();
-        }
-      };
+      Runnable end =
+          () -> {
+            if (alive && life == inLife) {
+              kill(false);
+              whenEnded.run();
+            }
+          };
       enter(inLife, () -> node.stop(() -> afterMs(1, end)));
       afterMs(graceMs, end);
     }
@@ -297,22 +329,30 @@
 
     // ---- ports
 
-    @Override public long now() {
+    @Override
+    public long now() {
       return nowUs / MS + 1_000_000 + clockShiftMs;
     }
 
-    @Override public Schedule after(long millis, Runnable task) {
+    @Override
+    public Schedule after(long millis, Runnable task) {
       int inLife = life;
       boolean[] cancelled = new boolean[1];
-      at(nowUs + millis * MS, () -> enter(inLife, () -> {
-        if (!cancelled[0]) {
-          task.run();
-        }
-      }));
+      at(
+          nowUs + millis * MS,
+          () ->
+              enter(
+                  inLife,
+                  () -> {
+                    if (!cancelled[0]) {
+                      task.run();
+                    }
+                  }));
       return () -> cancelled[0] = true;
     }
 
-    @Override public void send(String peerAddress, Envelope envelope) {
+    @Override
+    public void send(String peerAddress, Envelope envelope) {
       Process target = processes.get(peerAddress);
       tellPromise(this, envelope.message());
       if (target == null || cut(this, target) || !target.alive) {
@@ -330,19 +370,26 @@
       int sentOver = connections;
       int takenOver = target.connections;
       String link = name + ">" + peerAddress;
-      long arrives = Math.max(nowUs + latency(zone, target.zone, target == this), linkBusyUntil.getOrDefault(link, 0L) + 1);
+      long arrives =
+          Math.max(
+              nowUs + latency(zone, target.zone, target == this),
+              linkBusyUntil.getOrDefault(link, 0L) + 1);
       linkBusyUntil.put(link, arrives);
       messages++;
-      newsItems += envelope.message() instanceof applespindle.corelogic.Message.FeedNews news ? news.items().size() : 0;
-      Runnable arrival = () -> {
-        if (!cut(this, target) && connections == sentOver && target.connections == takenOver) {
-          target.enter(targetLife, () -> target.node.receive(carried));
-          if (struckByReceiving == carried) {
-            struckByReceiving = null;
-            instant.fall(target);
-          }
-        }
-      };
+      newsItems +=
+          envelope.message() instanceof applespindle.corelogic.Message.FeedNews news
+              ? news.items().size()
+              : 0;
+      Runnable arrival =
+          () -> {
+            if (!cut(this, target) && connections == sentOver && target.connections == takenOver) {
+              target.enter(targetLife, () -> target.node.receive(carried));
+              if (struckByReceiving == carried) {
+                struckByReceiving = null;
+                instant.fall(target);
+              }
+            }
+          };
       if (heldLinks.contains(link)) {
         held.add(arrival);
       } else {
@@ -350,66 +397,86 @@
       }
     }
 
-    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
       int inLife = life;
       unsynced.addAll(records);
-      long done = Math.max(Math.max(nowUs, disk.stalledUntilUs) + SYNC_LEAST_US + random.nextLong(SYNC_SPREAD_US),
-          disk.lastSyncUs + 1);
+      long done =
+          Math.max(
+              Math.max(nowUs, disk.stalledUntilUs)
+                  + SYNC_LEAST_US
+                  + random.nextLong(SYNC_SPREAD_US),
+              disk.lastSyncUs + 1);
       disk.lastSyncUs = done;
       sync(done, inLife, List.copyOf(records), whenSynced);
     }
 
     private void sync(long done, int inLife, List<DiskRecord> records, Runnable whenSynced) {
-      at(done, () -> {
-        if (!alive || life != inLife) {
-          return;
-        }
-        if (nowUs < disk.stalledUntilUs) {
-          sync(disk.stalledUntilUs + 1, inLife, records, whenSynced);
-          return;
-        }
-        disk.synced.addAll(records);
-        unsynced.subList(0, records.size()).clear();
-        enter(inLife, whenSynced);
-      });
-    }
-
-    @Override public boolean takesWrites() {
+      at(
+          done,
+          () -> {
+            if (!alive || life != inLife) {
+              return;
+            }
+            if (nowUs < disk.stalledUntilUs) {
+              sync(disk.stalledUntilUs + 1, inLife, records, whenSynced);
+              return;
+            }
+            disk.synced.addAll(records);
+            unsynced.subList(0, records.size()).clear();
+            enter(inLife, whenSynced);
+          });
+    }
+
+    @Override
+    public boolean takesWrites() {
       return nowUs >= refusesWritesUntilUs;
     }
 
-    @Override public WorkerRun exchange(WorkerExchange exchange, ExchangeListener listener) {
+    @Override
+    public WorkerRun exchange(WorkerExchange exchange, ExchangeListener listener) {
       int inLife = life;
       OpaqueWorkers.Run[] run = new OpaqueWorkers.Run[1];
-      run[0] = outside.workers.run(name, zone, exchange, new ExchangeListener() {
-        @Override public void head(OpaqueRequest.Head head) {
-          enter(inLife, () -> unlessCancelled(() -> listener.head(head)));
-        }
-
-        @Override public void piece(OpaqueRequest.Piece piece) {
-          enter(inLife, () -> unlessCancelled(() -> listener.piece(piece)));
-        }
-
-        @Override public void end() {
-          opaqueRuns.remove(run[0]);
-          enter(inLife, () -> unlessCancelled(listener::end));
-        }
-
-        @Override public void load(WorkerLoad load) {
-          enter(inLife, () -> unlessCancelled(() -> listener.load(load)));
-        }
-
-        @Override public void fault(Fault fault, boolean mayHaveRun) {
-          opaqueRuns.remove(run[0]);
-          enter(inLife, () -> unlessCancelled(() -> listener.fault(fault, mayHaveRun)));
-        }
-
-        private void unlessCancelled(Runnable telling) {
-          if (!run[0].cancelled) {
-            telling.run();
-          }
-        }
-      }, () -> !alive || life != inLife);
+      run[0] =
+          outside.workers.run(
+              name,
+              zone,
+              exchange,
+              new ExchangeListener() {
+                @Override
+                public void head(OpaqueRequest.Head head) {
+                  enter(inLife, () -> unlessCancelled(() -> listener.head(head)));
+                }
+
+                @Override
+                public void piece(OpaqueRequest.Piece piece) {
+                  enter(inLife, () -> unlessCancelled(() -> listener.piece(piece)));
+                }
+
+                @Override
+                public void end() {
+                  opaqueRuns.remove(run[0]);
+                  enter(inLife, () -> unlessCancelled(listener::end));
+                }
+
+                @Override
+                public void load(WorkerLoad load) {
+                  enter(inLife, () -> unlessCancelled(() -> listener.load(load)));
+                }
+
+                @Override
+                public void fault(Fault fault, boolean mayHaveRun) {
+                  opaqueRuns.remove(run[0]);
+                  enter(inLife, () -> unlessCancelled(() -> listener.fault(fault, mayHaveRun)));
+                }
+
+                private void unlessCancelled(Runnable telling) {
+                  if (!run[0].cancelled) {
+                    telling.run();
+                  }
+                }
+              },
+              () -> !alive || life != inLife);
       opaqueRuns.add(run[0]);
       return () -> {
         run[0].cancelled = true;
@@ -418,21 +485,29 @@
       };
     }
 
-    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
       int inLife = life;
-      SimulatedWorkers.Run run = workers.run(call, new WorkerListener() {
-        @Override public void text(String text) {
-          enter(inLife, () -> listener.text(text));
-        }
-
-        @Override public void end(String finishReason) {
-          enter(inLife, () -> listener.end(finishReason));
-        }
-
-        @Override public void fault(Fault fault, boolean mayHaveRun) {
-          enter(inLife, () -> listener.fault(fault, mayHaveRun));
-        }
-      }, () -> !alive || life != inLife);
+      SimulatedWorkers.Run run =
+          workers.run(
+              call,
+              new WorkerListener() {
+                @Override
+                public void text(String text) {
+                  enter(inLife, () -> listener.text(text));
+                }
+
+                @Override
+                public void end(String finishReason) {
+                  enter(inLife, () -> listener.end(finishReason));
+                }
+
+                @Override
+                public void fault(Fault fault, boolean mayHaveRun) {
+                  enter(inLife, () -> listener.fault(fault, mayHaveRun));
+                }
+              },
+              () -> !alive || life != inLife);
       runs.add(run);
       return () -> {
         runs.remove(run);
@@ -440,32 +515,51 @@
       };
     }
 
-    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
       int inLife = life;
-      workers.readLoad(workerAddress, load -> enter(inLife, () -> whenRead.accept(load)),
+      workers.readLoad(
+          workerAddress,
+          load -> enter(inLife, () -> whenRead.accept(load)),
           fault -> enter(inLife, () -> whenFaulty.accept(fault)));
     }
 
-    @Override public void listWorkers(String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
+    @Override
+    public void listWorkers(
+        String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
       int inLife = life;
-      outsideList.read(this, pageToken, page -> enter(inLife, () -> whenRead.accept(page)),
+      outsideList.read(
+          this,
+          pageToken,
+          page -> enter(inLife, () -> whenRead.accept(page)),
           fault -> enter(inLife, () -> whenFaulty.accept(fault)));
     }
 
-    @Override public RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
       return random;
     }
 
-    @Override public void log(String part, String sentence) {
+    @Override
+    public void log(String part, String sentence) {
       if (logging) {
         System.out.printf("%9.3f %-10s [%s] %s%n", nowUs / 1e6, name, part, sentence);
       }
     }
   }
 
-  /** A process dies at one step of a protocol: before or after it sends, or receives, the n-th message of a kind. */
+  /**
+   * A process dies at one step of a protocol: before or after it sends, or receives, the n-th
+   * message of a kind.
+   */
   final class Instant {
-    enum Position { SENDER_BEFORE, SENDER_AFTER, RECEIVER_BEFORE, RECEIVER_AFTER }
+    enum Position {
+      SENDER_BEFORE,
+      SENDER_AFTER,
+      RECEIVER_BEFORE,
+      RECEIVER_AFTER
+    }
 
     private final String kind;
     private final Position position;
@@ -476,7 +570,13 @@
     private boolean receiverNext;
     Process fallen;
 
-    Instant(String kind, int number, Position position, boolean powerLoss, long fromMs, long backAfterMs) {
+    Instant(
+        String kind,
+        int number,
+        Position position,
+        boolean powerLoss,
+        long fromMs,
+        long backAfterMs) {
       this.kind = kind;
       this.left = number;
       this.position = position;
@@ -486,7 +586,9 @@
     }
 
     static String kindOf(Message message) {
-      return message instanceof Message.Ask ask ? "Ask:" + ask.duty() : message.getClass().getSimpleName();
+      return message instanceof Message.Ask ask
+          ? "Ask:" + ask.duty()
+          : message.getClass().getSimpleName();
     }
 
     /** True if the message must not go out. */
@@ -508,28 +610,45 @@
         return;
       }
       fallen = process;
-      history.add(nowMs(), History.Kind.FAULT, (powerLoss ? "power-loss " : "kill ") + process.name, "", "", 0);
+      history.add(
+          nowMs(),
+          History.Kind.FAULT,
+          (powerLoss ? "power-loss " : "kill ") + process.name,
+          "",
+          "",
+          0);
       process.kill(powerLoss);
-      afterMs(backAfterMs, () -> {
-        if (!process.alive) {
-          process.start();
-        }
-      });
+      afterMs(
+          backAfterMs,
+          () -> {
+            if (!process.alive) {
+              process.start();
+            }
+          });
     }
   }
 
   /** The list of workers that is kept outside, as a process reads it. */
   interface OutsideList {
-    void read(Process reader, String pageToken, Consumer<Surroundings.WorkerPage> whenRead, Consumer<Fault> whenFaulty);
+    void read(
+        Process reader,
+        String pageToken,
+        Consumer<Surroundings.WorkerPage> whenRead,
+        Consumer<Fault> whenFaulty);
   }
 
   Bounds bounds = Bounds.DEFAULT;
+
   /** Processes first started before this are told to found the core. */
   long foundedByMs = 10_000;
-  OutsideList outsideList = (reader, token, whenRead, whenFaulty) -> whenFaulty.accept(new Fault.Overloaded("list"));
+
+  OutsideList outsideList =
+      (reader, token, whenRead, whenFaulty) -> whenFaulty.accept(new Fault.Overloaded("list"));
   Instant instant;
+
   /** The platform round the fleet, where there is one: opaque workers and the list of them. */
   Outside outside;
+
   private Envelope struckByReceiving;
   public final SplittableRandom random;
   public final Map<String, Process> processes = new LinkedHashMap<>();
@@ -540,18 +659,28 @@
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final PeerCodec codec = new PeerCodec();
   private final Map<String, Long> linkBusyUntil = new HashMap<>();
+
   /** Pairs of process names that can not reach each other, both orders. */
   private final Set<String> cutLinks = new HashSet<>();
+
   /** Whom a cut parts from a process with a disk. */
   private final Set<String> cutOff = new LinkedHashSet<>();
+
   private final Set<String> heldLinks = new HashSet<>();
   private final List<Runnable> held = new ArrayList<>();
+
   /** Key and sequence to epoch and content, for every entry any replica ever held as committed. */
   private final Map<String, String> committedEver = new HashMap<>();
+
   private final Map<String, Long> committedHighest = new TreeMap<>();
   private final Map<String, Epoch> promisedBefore = new HashMap<>();
-  /** By disk and key, the highest epoch that its holder told anyone to have promised: no loss of power excuses less. */
+
+  /**
+   * By disk and key, the highest epoch that its holder told anyone to have promised: no loss of
+   * power excuses less.
+   */
   private final Map<String, Epoch> promisedAloud = new HashMap<>();
+
   private final Map<String, Long> checkedUpTo = new HashMap<>();
   private long nowUs;
   private long order;
@@ -606,7 +735,8 @@
     if (self) {
       return 20;
     }
-    return (fromZone.equals(toZone) ? WITHIN_ZONE_US : BETWEEN_ZONES_US) + random.nextLong(JITTER_US);
+    return (fromZone.equals(toZone) ? WITHIN_ZONE_US : BETWEEN_ZONES_US)
+        + random.nextLong(JITTER_US);
   }
 
   private Envelope throughCodec(Envelope envelope) {
@@ -631,17 +761,29 @@
     cutLinks.add(from + " " + to);
     List<Process> ends = java.util.stream.Stream.of(from, to).map(processes::get).toList();
     if (ends.stream().anyMatch(end -> !end.role.equals("edge"))) {
-      ends.stream().filter(end -> ends.stream().allMatch(other -> other == end || !other.role.equals("edge")))
-          .filter(end -> cutOff.add(end.name)).forEach(end -> trouble(end, true, "cut"));
+      ends.stream()
+          .filter(
+              end -> ends.stream().allMatch(other -> other == end || !other.role.equals("edge")))
+          .filter(end -> cutOff.add(end.name))
+          .forEach(end -> trouble(end, true, "cut"));
     }
   }
 
   /** Seen from outside: something was done to a process, or undone. */
   void trouble(Process process, boolean began, String what) {
-    history.add(nowMs(), History.Kind.TROUBLE, process.name, (began ? "began " : "ended ") + what, process.role, 0);
-  }
-
-  /** What is sent from one to the other arrives only once the links are healed, as over a stalled connection. */
+    history.add(
+        nowMs(),
+        History.Kind.TROUBLE,
+        process.name,
+        (began ? "began " : "ended ") + what,
+        process.role,
+        0);
+  }
+
+  /**
+   * What is sent from one to the other arrives only once the links are healed, as over a stalled
+   * connection.
+   */
   public void holdLink(String from, String to) {
     heldLinks.add(from + ">" + to);
   }
@@ -659,12 +801,17 @@
   }
 
   public void isolate(String name) {
-    processes.keySet().stream().filter(other -> !other.equals(name)).forEach(other -> cutLink(name, other));
+    processes.keySet().stream()
+        .filter(other -> !other.equals(name))
+        .forEach(other -> cutLink(name, other));
   }
 
   // ---- callers from outside
 
-  /** What a caller sees of one call to a process: an answer, or that the connection broke or never stood. */
+  /**
+   * What a caller sees of one call to a process: an answer, or that the connection broke or never
+   * stood.
+   */
   public interface Caller<T> {
     void answered(T answer);
 
@@ -673,33 +820,44 @@
 
   /** Runs a question in a process on behalf of an outside caller. */
   public <T> void call(Process process, Consumer<Consumer<T>> question, Caller<T> caller) {
-    afterMs(0.3, () -> {
-      if (!process.alive) {
-        caller.broken(true);
-        return;
-      }
-      boolean[] done = new boolean[1];
-      Runnable whenDead = () -> {
-        if (!done[0]) {
-          done[0] = true;
-          caller.broken(false);
-        }
-      };
-      process.waitingCallers.add(whenDead);
-      process.enter(process.life, () -> question.accept(answer -> afterMs(0.3, () -> {
-        process.waitingCallers.remove(whenDead);
-        if (!done[0]) {
-          done[0] = true;
-          caller.answered(answer);
-        }
-      })));
-    });
+    afterMs(
+        0.3,
+        () -> {
+          if (!process.alive) {
+            caller.broken(true);
+            return;
+          }
+          boolean[] done = new boolean[1];
+          Runnable whenDead =
+              () -> {
+                if (!done[0]) {
+                  done[0] = true;
+                  caller.broken(false);
+                }
+              };
+          process.waitingCallers.add(whenDead);
+          process.enter(
+              process.life,
+              () ->
+                  question.accept(
+                      answer ->
+                          afterMs(
+                              0.3,
+                              () -> {
+                                process.waitingCallers.remove(whenDead);
+                                if (!done[0]) {
+                                  done[0] = true;
+                                  caller.answered(answer);
+                                }
+                              })));
+        });
   }
 
   // ---- invariants
 
   private KeyReplicas replicasOf(Process process) {
-    return process.node instanceof CoreNode core ? core.replicas()
+    return process.node instanceof CoreNode core
+        ? core.replicas()
         : process.node instanceof StorageNode storage ? storage.replicas() : null;
   }
 
@@ -709,16 +867,25 @@
 
   private void tellPromise(Process process, Message message) {
     if (message instanceof Message.KeyPromised told && told.verdict() == Message.Verdict.OK) {
-      promisedAloud.merge(holder(process, told.key()), told.asked(), (one, other) -> one.compareTo(other) < 0 ? other : one);
-    } else if (message instanceof Message.KeyAppended told && told.verdict() == Message.Verdict.OK) {
-      promisedAloud.merge(holder(process, told.key()), told.epoch(), (one, other) -> one.compareTo(other) < 0 ? other : one);
+      promisedAloud.merge(
+          holder(process, told.key()),
+          told.asked(),
+          (one, other) -> one.compareTo(other) < 0 ? other : one);
+    } else if (message instanceof Message.KeyAppended told
+        && told.verdict() == Message.Verdict.OK) {
+      promisedAloud.merge(
+          holder(process, told.key()),
+          told.epoch(),
+          (one, other) -> one.compareTo(other) < 0 ? other : one);
     }
   }
 
   /** What a process promised, told nobody and had not synced may be forgotten with its death. */
   private void forgetUntold(Process process) {
     String prefix = process.name + "/" + process.disk.id + " ";
-    promisedBefore.replaceAll((holder, epoch) -> holder.startsWith(prefix) ? promisedAloud.getOrDefault(holder, Epoch.NONE) : epoch);
+    promisedBefore.replaceAll(
+        (holder, epoch) ->
+            holder.startsWith(prefix) ? promisedAloud.getOrDefault(holder, Epoch.NONE) : epoch);
   }
 
   private void checkInvariants(Process process) {
@@ -731,32 +898,60 @@
     KeyReplicas.View view = replicas.view(key);
     Epoch before = promisedBefore.put(holder, view.promised());
     if (before != null && view.promised().compareTo(before) < 0) {
-      throw new InvariantBroken("epoch fell on " + holder + ": " + before + " to " + view.promised());
+      throw new InvariantBroken(
+          "epoch fell on " + holder + ": " + before + " to " + view.promised());
     }
     long checkedTo = steps % FULL_CHECK_EVERY == 0 ? 0 : checkedUpTo.getOrDefault(holder, 0L) - 1;
-    view.committedEntries().stream().filter(entry -> entry.sequence() > checkedTo).forEach(entry -> {
-      checkedUpTo.merge(holder, entry.sequence(), Math::max);
-      String place = key + " " + entry.sequence();
-      String content = entry.epoch() + " " + java.util.Arrays.hashCode(entry.event());
-      String known = committedEver.putIfAbsent(place, content);
-      if (known != null && !known.equals(content)) {
-        throw new InvariantBroken("two committed values at " + place + " on " + holder + ": " + known + ", " + content);
-      }
-      committedHighest.merge(key, entry.sequence(), Math::max);
-    });
-  }
-
-  /** At the end, with the fleet healed: whatever was committed stands on at least one replica that lives. */
+    view.committedEntries().stream()
+        .filter(entry -> entry.sequence() > checkedTo)
+        .forEach(
+            entry -> {
+              checkedUpTo.merge(holder, entry.sequence(), Math::max);
+              String place = key + " " + entry.sequence();
+              String content = entry.epoch() + " " + java.util.Arrays.hashCode(entry.event());
+              String known = committedEver.putIfAbsent(place, content);
+              if (known != null && !known.equals(content)) {
+                throw new InvariantBroken(
+                    "two committed values at "
+                        + place
+                        + " on "
+                        + holder
+                        + ": "
+                        + known
+                        + ", "
+                        + content);
+              }
+              committedHighest.merge(key, entry.sequence(), Math::max);
+            });
+  }
+
+  /**
+   * At the end, with the fleet healed: whatever was committed stands on at least one replica that
+   * lives.
+   */
   public void checkNothingVanished() {
-    committedHighest.forEach((key, sequence) -> {
-      String content = committedEver.get(key + " " + sequence);
-      boolean stands = processes.values().stream().filter(Process::alive).map(this::replicasOf)
-          .filter(replicas -> replicas != null).anyMatch(replicas -> replicas.holds(key, sequence, entry ->
-              content.equals(entry.epoch() + " " + java.util.Arrays.hashCode(entry.event()))));
-      if (!stands) {
-        throw new InvariantBroken("committed entry vanished: " + key + " " + sequence);
-      }
-    });
+    committedHighest.forEach(
+        (key, sequence) -> {
+          String content = committedEver.get(key + " " + sequence);
+          boolean stands =
+              processes.values().stream()
+                  .filter(Process::alive)
+                  .map(this::replicasOf)
+                  .filter(replicas -> replicas != null)
+                  .anyMatch(
+                      replicas ->
+                          replicas.holds(
+                              key,
+                              sequence,
+                              entry ->
+                                  content.equals(
+                                      entry.epoch()
+                                          + " "
+                                          + java.util.Arrays.hashCode(entry.event()))));
+          if (!stands) {
+            throw new InvariantBroken("committed entry vanished: " + key + " " + sequence);
+          }
+        });
   }
 
   /** Values of keys sent as news so far. */
--- a/test-fleet/src/main/java/applespindle/testfleet/StandInOutput.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInOutput.java
@@ -1,10 +1,13 @@
 package applespindle.testfleet;
 
-import java.util.zip.CRC32C;
-
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-/** What a stand-in worker writes for a prompt: the same for the same prompt, so that a checker can tell a whole output. */
+import java.util.zip.CRC32C;
+
+/**
+ * What a stand-in worker writes for a prompt: the same for the same prompt, so that a checker can
+ * tell a whole output.
+ */
 public final class StandInOutput {
   public static final int TOKENS_UNLESS_TOLD = 8;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Json;
 import applespindle.testfleet.History.Kind;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -21,13 +24,13 @@
 import java.util.List;
 import java.util.Map;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** Language workers that are none: they stream a made-up output at a set pace and report their load. */
+/**
+ * Language workers that are none: they stream a made-up output at a set pace and report their load.
+ */
 public final class StandInWorkers {
   /** Prefixes a worker's cache holds; beyond that the one used longest ago goes. */
   private static final int CACHE_PREFIXES = 64;
+
   private static final int CACHE_PREFIX_CHARS = 256;
 
   public record Pace(int capacity, long firstTokenMs, long tokenMs, long coldPrefixMs) {}
@@ -43,11 +46,13 @@
     volatile boolean refuses;
     private int cacheHits;
     private int cacheLooks;
-    private final Map<String, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true) {
-      @Override protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-        return size() > CACHE_PREFIXES;
-      }
-    };
+    private final Map<String, Boolean> cache =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > CACHE_PREFIXES;
+          }
+        };
 
     Worker(String id, String address) {
       this.id = id;
@@ -59,8 +64,12 @@
         return new SettablePromise<>();
       }
       if (request.getMethod() == HttpMethod.GET && request.getPath().equals("/load")) {
-        ObjectNode load = JSON.createObjectNode().put("running", running).put("queued", 0)
-            .put("capacity", pace.capacity()).put("leaving", leaving);
+        ObjectNode load =
+            JSON.createObjectNode()
+                .put("running", running)
+                .put("queued", 0)
+                .put("capacity", pace.capacity())
+                .put("leaving", leaving);
         return Promise.of(HttpResponse.ok200().withJson(load.toString()).build());
       }
       if (request.getMethod() != HttpMethod.POST || !request.getPath().equals("/v1/completions")) {
@@ -82,8 +91,10 @@
       cacheLooks++;
       cacheHits += warm ? 1 : 0;
       int tokens = body.path("max_tokens").asInt(StandInOutput.TOKENS_UNLESS_TOLD);
-      return HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
-          .withBodyStream(new Output(prompt, item, tokens, warm ? 0 : pace.coldPrefixMs())).build();
+      return HttpResponse.ok200()
+          .withHeader(HttpHeaders.CONTENT_TYPE, "text/event-stream")
+          .withBodyStream(new Output(prompt, item, tokens, warm ? 0 : pace.coldPrefixMs()))
+          .build();
     }
 
     private final class Output extends AbstractChannelSupplier<ByteBuf> {
@@ -101,13 +112,15 @@
         this.coldMs = coldMs;
       }
 
-      @Override protected Promise<ByteBuf> doGet() {
+      @Override
+      protected Promise<ByteBuf> doGet() {
         if (position > tokens) {
           leave();
           return Promise.of(null);
         }
         SettablePromise<ByteBuf> promise = new SettablePromise<>();
-        long wait = position == 0 ? pace.firstTokenMs() + coldMs : position == tokens ? 0 : pace.tokenMs();
+        long wait =
+            position == 0 ? pace.firstTokenMs() + coldMs : position == tokens ? 0 : pace.tokenMs();
         eventloop.delay(wait, () -> next(promise));
         return promise;
       }
@@ -133,8 +146,15 @@
           history.add(nowMs(), Kind.WORKER_FINISHED, id, item, prompt, 0);
         }
         ObjectNode data = JSON.createObjectNode();
-        data.putArray("choices").addObject().put("text", text).put("finish_reason", last ? "stop" : null);
-        String event = "data: " + new String(Json.bytes(data), UTF_8) + "\n\n" + (last ? "data: [DONE]\n\n" : "");
+        data.putArray("choices")
+            .addObject()
+            .put("text", text)
+            .put("finish_reason", last ? "stop" : null);
+        String event =
+            "data: "
+                + new String(Json.bytes(data), UTF_8)
+                + "\n\n"
+                + (last ? "data: [DONE]\n\n" : "");
         promise.trySet(ByteBuf.wrapForReading(event.getBytes(UTF_8)));
       }
 
@@ -145,7 +165,8 @@
         }
       }
 
-      @Override protected void onClosed(Exception fault) {
+      @Override
+      protected void onClosed(Exception fault) {
         leave();
       }
     }
@@ -173,8 +194,11 @@
     Worker worker = new Worker(id, address);
     int colon = address.lastIndexOf(':');
     HttpServer.builder(eventloop, worker::serve)
-        .withListenAddress(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
-        .build().listen();
+        .withListenAddress(
+            new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))))
+        .build()
+        .listen();
     workers.add(worker);
     return worker;
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/Touch.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Touch.java
@@ -10,16 +10,21 @@
 import java.util.TreeMap;
 
 /**
- * Which machines are bound by time limits at a moment: those without trouble for a while, before a settled core. Read
- * from what was done to the fleet, never from what a node says of itself.
+ * Which machines are bound by time limits at a moment: those without trouble for a while, before a
+ * settled core. Read from what was done to the fleet, never from what a node says of itself.
  */
 final class Touch {
   private static final Set<String> CORE_ROLES = Set.of("core", "storage");
-  /** A core is settled though a minority of it is down or frozen; any other open trouble unsettles it. */
+
+  /**
+   * A core is settled though a minority of it is down or frozen; any other open trouble unsettles
+   * it.
+   */
   private static final Set<String> BORNE = Set.of("down", "frozen");
 
   /** By process, the times at which its trouble changed, with what was then open. */
   private final Map<String, TreeMap<Long, Set<String>>> open = new HashMap<>();
+
   private final TreeMap<Long, Boolean> coreSettled = new TreeMap<>();
   private final long contactMs;
 
@@ -31,8 +36,10 @@
         continue;
       }
       String[] words = each.detail().split(" ");
-      TreeMap<Long, Set<String>> ofProcess = open.computeIfAbsent(each.subject(), unseen -> new TreeMap<>());
-      Set<String> now = new HashSet<>(ofProcess.isEmpty() ? Set.of() : ofProcess.lastEntry().getValue());
+      TreeMap<Long, Set<String>> ofProcess =
+          open.computeIfAbsent(each.subject(), unseen -> new TreeMap<>());
+      Set<String> now =
+          new HashSet<>(ofProcess.isEmpty() ? Set.of() : ofProcess.lastEntry().getValue());
       if (words[0].equals("began")) {
         now.add(words[1]);
       } else {
@@ -63,14 +70,17 @@
     TreeMap<Long, Set<String>> ofProcess = open.getOrDefault(process, new TreeMap<>());
     Map.Entry<Long, Set<String>> before = ofProcess.floorEntry(fromMs - contactMs);
     return (before == null || planned.containsAll(before.getValue()))
-        && ofProcess.subMap(fromMs - contactMs, false, untilMs, true).values().stream().allMatch(planned::containsAll);
+        && ofProcess.subMap(fromMs - contactMs, false, untilMs, true).values().stream()
+            .allMatch(planned::containsAll);
   }
 
   /** Whether a life of the process ended or began between two times. */
   boolean oneLife(String process, long fromMs, long untilMs) {
     TreeMap<Long, Set<String>> ofProcess = open.getOrDefault(process, new TreeMap<>());
-    return ofProcess.subMap(fromMs, true, untilMs, true).values().stream().noneMatch(now -> now.contains("down"))
-        && (ofProcess.floorEntry(fromMs) == null || !ofProcess.floorEntry(fromMs).getValue().contains("down"));
+    return ofProcess.subMap(fromMs, true, untilMs, true).values().stream()
+            .noneMatch(now -> now.contains("down"))
+        && (ofProcess.floorEntry(fromMs) == null
+            || !ofProcess.floorEntry(fromMs).getValue().contains("down"));
   }
 
   private boolean calm(TreeMap<Long, Set<String>> ofProcess, long atMs) {
