--- a/test-fleet/src/main/java/applespindle/testfleet/WorkerListing.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/WorkerListing.java
@@ -12,9 +12,20 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** The list of workers that is kept outside: it lags, comes in pages, takes so many calls a second, and has its troubles. */
+/**
+ * The list of workers that is kept outside: it lags, comes in pages, takes so many calls a second,
+ * and has its troubles.
+ */
 final class WorkerListing {
-  enum Condition { WELL, DOWN, REFUSES, EMPTY, CUT, STALE, SLOW }
+  enum Condition {
+    WELL,
+    DOWN,
+    REFUSES,
+    EMPTY,
+    CUT,
+    STALE,
+    SLOW
+  }
 
   private static final int PAGE = 4;
   private static final double WIRE_MS = 1;
@@ -27,8 +38,10 @@
   final double callsPerS;
   private Condition condition = Condition.WELL;
   private final Map<String, ListedWorker> present = new LinkedHashMap<>();
+
   /** By time, the whole list from then on. */
   private final TreeMap<Long, List<ListedWorker>> shown = new TreeMap<>();
+
   private final LinkedList<String> freed = new LinkedList<>();
   private int addresses;
   private double room;
@@ -47,7 +60,13 @@
   void become(Condition next) {
     boolean troubled = next != Condition.WELL;
     if (troubled != (condition != Condition.WELL)) {
-      simulation.history.add(simulation.nowMs(), Kind.LIST_TROUBLE, "", troubled ? "began" : "ended", next.toString(), 0);
+      simulation.history.add(
+          simulation.nowMs(),
+          Kind.LIST_TROUBLE,
+          "",
+          troubled ? "began" : "ended",
+          next.toString(),
+          0);
     }
     condition = next;
   }
@@ -62,39 +81,56 @@
   }
 
   void put(OpaqueWorkers.Worker worker, String state, long listedOnMs) {
-    simulation.afterMs(listedOnMs, () -> {
-      if (state.equals("gone")) {
-        present.remove(worker.id);
-      } else {
-        present.put(worker.id, new ListedWorker(worker.id, worker.address, worker.pool, worker.zone, worker.slots,
-            state.equals("leaving"), 0));
-      }
-      long shownAt = simulation.nowMs() + lagMs;
-      shown.put(shownAt, List.copyOf(present.values()));
-      simulation.afterMs(lagMs, () ->
-          simulation.history.add(simulation.nowMs(), Kind.WORKER_LISTED, worker.id, worker.pool, state, 0));
-    });
+    simulation.afterMs(
+        listedOnMs,
+        () -> {
+          if (state.equals("gone")) {
+            present.remove(worker.id);
+          } else {
+            present.put(
+                worker.id,
+                new ListedWorker(
+                    worker.id,
+                    worker.address,
+                    worker.pool,
+                    worker.zone,
+                    worker.slots,
+                    state.equals("leaving"),
+                    0));
+          }
+          long shownAt = simulation.nowMs() + lagMs;
+          shown.put(shownAt, List.copyOf(present.values()));
+          simulation.afterMs(
+              lagMs,
+              () ->
+                  simulation.history.add(
+                      simulation.nowMs(), Kind.WORKER_LISTED, worker.id, worker.pool, state, 0));
+        });
   }
 
   void read(String pageToken, Consumer<WorkerPage> whenRead, Consumer<Fault> whenFaulty) {
     calls++;
-    simulation.afterMs(condition == Condition.SLOW ? SLOW_MS : WIRE_MS, () -> {
-      switch (condition) {
-        case DOWN -> simulation.afterMs(DOWN_MS, () -> whenFaulty.accept(new Fault.WorkerSilent("list")));
-        case REFUSES -> answer(() -> whenFaulty.accept(new Fault.Overloaded("list")));
-        case CUT -> answer(() -> whenFaulty.accept(new Fault.WorkerCut("list")));
-        case EMPTY -> answer(() -> whenRead.accept(new WorkerPage(List.of(), "")));
-        default -> {
-          if (takesCall()) {
-            WorkerPage page = page(pageToken);
-            answer(() -> whenRead.accept(page));
-          } else {
-            refusedCalls++;
-            answer(() -> whenFaulty.accept(new Fault.Overloaded("list")));
+    simulation.afterMs(
+        condition == Condition.SLOW ? SLOW_MS : WIRE_MS,
+        () -> {
+          switch (condition) {
+            case DOWN ->
+                simulation.afterMs(
+                    DOWN_MS, () -> whenFaulty.accept(new Fault.WorkerSilent("list")));
+            case REFUSES -> answer(() -> whenFaulty.accept(new Fault.Overloaded("list")));
+            case CUT -> answer(() -> whenFaulty.accept(new Fault.WorkerCut("list")));
+            case EMPTY -> answer(() -> whenRead.accept(new WorkerPage(List.of(), "")));
+            default -> {
+              if (takesCall()) {
+                WorkerPage page = page(pageToken);
+                answer(() -> whenRead.accept(page));
+              } else {
+                refusedCalls++;
+                answer(() -> whenFaulty.accept(new Fault.Overloaded("list")));
+              }
+            }
           }
-        }
-      }
-    });
+        });
   }
 
   private void answer(Runnable answer) {
@@ -112,11 +148,15 @@
     return true;
   }
 
-  /** Each page is of the list as it is shown at that moment; a worker may so be missed or seen twice between pages. */
+  /**
+   * Each page is of the list as it is shown at that moment; a worker may so be missed or seen twice
+   * between pages.
+   */
   private WorkerPage page(String pageToken) {
     long at = simulation.nowMs() - (condition == Condition.STALE ? STALE_MS : 0);
     List<ListedWorker> all = shown.floorEntry(Math.max(0, at)).getValue();
-    int from = pageToken.isEmpty() ? 0 : Math.min(all.size(), Integer.parseInt(pageToken.substring(2)));
+    int from =
+        pageToken.isEmpty() ? 0 : Math.min(all.size(), Integer.parseInt(pageToken.substring(2)));
     int to = Math.min(all.size(), from + PAGE);
     return new WorkerPage(new ArrayList<>(all.subList(from, to)), to < all.size() ? "p-" + to : "");
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowHost.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowHost.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet.capacity;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.adapters.PeerCodec;
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.EdgeNode;
@@ -30,18 +33,19 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /**
- * Many hollow edges in one process: the real logic of an edge and real peer frames over TCP, one thread for all, no HTTP, no
- * disk and no workers that answer. Takes a command a line, answers each by one line of JSON.
+ * Many hollow edges in one process: the real logic of an edge and real peer frames over TCP, one
+ * thread for all, no HTTP, no disk and no workers that answer. Takes a command a line, answers each
+ * by one line of JSON.
  */
 public final class HollowHost {
   /** Nodes come up this far apart, so that their beats do not fall on one instant. */
   private static final long START_APART_MS = 3;
 
-  /** The fleet as all hosts know it: node i lives at firstPort + i, in zone i mod zones; two zones to a region. */
+  /**
+   * The fleet as all hosts know it: node i lives at firstPort + i, in zone i mod zones; two zones
+   * to a region.
+   */
   record Layout(int nodes, int firstPort, int zones, List<String> seeds) {
     static final String HOST = "127.0.0.1";
 
@@ -81,9 +85,18 @@
     void start() {
       up = true;
       life++;
-      node = new EdgeNode(this, new Node.Place(String.format("%04x%04x%04x", index, life, random.nextInt(1 << 16)), 1,
-          "hollow-" + index, "zone-" + layout.zone(index), "edge", layout.address(index), layout.address(index),
-          layout.seeds));
+      node =
+          new EdgeNode(
+              this,
+              new Node.Place(
+                  String.format("%04x%04x%04x", index, life, random.nextInt(1 << 16)),
+                  1,
+                  "hollow-" + index,
+                  "zone-" + layout.zone(index),
+                  "edge",
+                  layout.address(index),
+                  layout.address(index),
+                  layout.seeds));
       node.start();
     }
 
@@ -93,7 +106,8 @@
     }
 
     private boolean apart(String address) {
-      return cutRegion >= 0 && (layout.region(index) == cutRegion) != (layout.regionOf(address) == cutRegion);
+      return cutRegion >= 0
+          && (layout.region(index) == cutRegion) != (layout.regionOf(address) == cutRegion);
     }
 
     private void received(Envelope envelope) {
@@ -104,29 +118,39 @@
       if (envelope.message() instanceof FeedNews news) {
         for (FeedItem item : news.items()) {
           if (item.key().equals("bundle")) {
-            long number = numbers.computeIfAbsent(Arrays.hashCode(item.value()),
-                unseen -> Json.read(item.value(), SignedBundle.class).number());
-            knownAt.computeIfAbsent(number, unseen -> new HashMap<>()).putIfAbsent(index, System.nanoTime());
+            long number =
+                numbers.computeIfAbsent(
+                    Arrays.hashCode(item.value()),
+                    unseen -> Json.read(item.value(), SignedBundle.class).number());
+            knownAt
+                .computeIfAbsent(number, unseen -> new HashMap<>())
+                .putIfAbsent(index, System.nanoTime());
           }
         }
       }
     }
 
-    @Override public long now() {
+    @Override
+    public long now() {
       return System.nanoTime() / 1_000_000L;
     }
 
-    @Override public Schedule after(long millis, Runnable task) {
+    @Override
+    public Schedule after(long millis, Runnable task) {
       int inLife = life;
-      ScheduledRunnable planned = loop.delay(millis, () -> {
-        if (up && life == inLife) {
-          task.run();
-        }
-      });
+      ScheduledRunnable planned =
+          loop.delay(
+              millis,
+              () -> {
+                if (up && life == inLife) {
+                  task.run();
+                }
+              });
       return planned::cancel;
     }
 
-    @Override public void send(String peerAddress, Envelope envelope) {
+    @Override
+    public void send(String peerAddress, Envelope envelope) {
       if (peerAddress.equals(layout.address(index))) {
         after(0, () -> node.receive(envelope));
       } else if (!apart(peerAddress)) {
@@ -134,26 +158,33 @@
       }
     }
 
-    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
       throw new IllegalStateException("an edge keeps no records");
     }
 
-    @Override public boolean takesWrites() {
+    @Override
+    public boolean takesWrites() {
       return false;
     }
 
-    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
       throw new IllegalStateException("a hollow node serves nothing");
     }
 
     /** Never answered: reads of load are HTTP and counted by the slopes. */
-    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
 
-    @Override public RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
       return random;
     }
 
-    @Override public void log(String part, String sentence) {}
+    @Override
+    public void log(String part, String sentence) {}
   }
 
   private final Eventloop loop = Eventloop.builder().withThreadName("hollow").build();
@@ -161,8 +192,10 @@
   private final Layout layout;
   private final List<Hollow> hollows = new ArrayList<>();
   private final Map<Integer, Long> numbers = new HashMap<>();
+
   /** By bundle number and node, when its news was folded; on the machine's own steady clock. */
   private final Map<Long, Map<Integer, Long>> knownAt = new HashMap<>();
+
   private int cutRegion = -1;
 
   private HollowHost(Layout layout, int first, int count) throws IOException {
@@ -176,7 +209,9 @@
   public static void main(String[] arguments) throws IOException {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     int[] numbers = Arrays.stream(arguments).limit(5).mapToInt(Integer::parseInt).toArray();
-    var layout = new Layout(numbers[0], numbers[1], numbers[2], List.of(arguments).subList(5, arguments.length));
+    var layout =
+        new Layout(
+            numbers[0], numbers[1], numbers[2], List.of(arguments).subList(5, arguments.length));
     HollowHost host = new HollowHost(layout, numbers[3], numbers[4]);
     host.loop.keepAlive(true);
     Thread thread = new Thread(host.loop, "hollow");
@@ -184,18 +219,22 @@
     try (BufferedReader lines = new BufferedReader(new InputStreamReader(System.in, UTF_8))) {
       for (String line = lines.readLine(); line != null; line = lines.readLine()) {
         String command = line;
-        host.loop.execute(() -> {
-          System.out.println(host.obey(command.split(" ")));
-          System.out.flush();
-        });
+        host.loop.execute(
+            () -> {
+              System.out.println(host.obey(command.split(" ")));
+              System.out.flush();
+            });
       }
     }
     System.exit(0);
   }
 
   private List<Hollow> named(String[] words) {
-    List<Integer> indexes = IntStream.range(1, words.length).mapToObj(word -> Integer.parseInt(words[word])).toList();
-    return hollows.stream().filter(hollow -> words.length == 1 || indexes.contains(hollow.index)).toList();
+    List<Integer> indexes =
+        IntStream.range(1, words.length).mapToObj(word -> Integer.parseInt(words[word])).toList();
+    return hollows.stream()
+        .filter(hollow -> words.length == 1 || indexes.contains(hollow.index))
+        .toList();
   }
 
   private ObjectNode obey(String[] words) {
@@ -207,17 +246,27 @@
       }
       case "kill" -> named(words).forEach(Hollow::kill);
       case "cut" -> cutRegion = Integer.parseInt(words[1]);
-      case "ready" -> answer.put("ready", hollows.stream().filter(hollow -> hollow.up
-          && hollow.node.notReadyBecause().isEmpty()).count());
+      case "ready" ->
+          answer.put(
+              "ready",
+              hollows.stream()
+                  .filter(hollow -> hollow.up && hollow.node.notReadyBecause().isEmpty())
+                  .count());
       case "known" -> {
         ArrayNode rows = answer.putArray("known");
         Map<Integer, Long> known = knownAt.getOrDefault(Long.parseLong(words[1]), Map.of());
-        hollows.stream().filter(hollow -> hollow.up).forEach(hollow -> rows.add(known.getOrDefault(hollow.index, -1L)));
+        hollows.stream()
+            .filter(hollow -> hollow.up)
+            .forEach(hollow -> rows.add(known.getOrDefault(hollow.index, -1L)));
       }
-      case "meter" -> answer.put("processorNanos",
-              ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean()).getProcessCpuTime())
-          .put("sent", hollows.stream().mapToLong(hollow -> hollow.peers.sent).sum())
-          .put("received", hollows.stream().mapToLong(hollow -> hollow.peers.received).sum());
+      case "meter" ->
+          answer
+              .put(
+                  "processorNanos",
+                  ((OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                      .getProcessCpuTime())
+              .put("sent", hollows.stream().mapToLong(hollow -> hollow.peers.sent).sum())
+              .put("received", hollows.stream().mapToLong(hollow -> hollow.peers.received).sum());
       case "heap" -> {
         System.gc();
         answer.put("heap", ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowPeers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowPeers.java
@@ -20,7 +20,10 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** The peer frames of one hollow node over TCP, on a loop that many such nodes share. Counts what goes by. */
+/**
+ * The peer frames of one hollow node over TCP, on a loop that many such nodes share. Counts what
+ * goes by.
+ */
 final class HollowPeers {
   private static final int HEAD_BYTES = 4;
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
@@ -52,30 +55,35 @@
         write();
       } else if (!connecting) {
         connecting = true;
-        TcpSocket.connect(loop, socketAddress(address), CONNECT_TIMEOUT, null).whenComplete((connected, fault) -> {
-          connecting = false;
-          if (fault != null) {
-            dropWaiting();
-          } else {
-            socket = connected;
-            watch(connected);
-            write();
-          }
-        });
+        TcpSocket.connect(loop, socketAddress(address), CONNECT_TIMEOUT, null)
+            .whenComplete(
+                (connected, fault) -> {
+                  connecting = false;
+                  if (fault != null) {
+                    dropWaiting();
+                  } else {
+                    socket = connected;
+                    watch(connected);
+                    write();
+                  }
+                });
       }
     }
 
     /** At most signs of life come back. */
     private void watch(ITcpSocket connected) {
-      connected.read().whenComplete((bytes, fault) -> {
-        if (bytes == null) {
-          lose(connected);
-        } else {
-          received += bytes.readRemaining();
-          bytes.recycle();
-          watch(connected);
-        }
-      });
+      connected
+          .read()
+          .whenComplete(
+              (bytes, fault) -> {
+                if (bytes == null) {
+                  lose(connected);
+                } else {
+                  received += bytes.readRemaining();
+                  bytes.recycle();
+                  watch(connected);
+                }
+              });
     }
 
     private void write() {
@@ -88,15 +96,18 @@
       dropWaiting();
       writing = true;
       ITcpSocket present = socket;
-      present.write(ByteBuf.wrapForReading(all.array())).whenComplete((done, fault) -> {
-        writing = false;
-        if (fault != null) {
-          lose(present);
-        } else {
-          sent += size;
-          write();
-        }
-      });
+      present
+          .write(ByteBuf.wrapForReading(all.array()))
+          .whenComplete(
+              (done, fault) -> {
+                writing = false;
+                if (fault != null) {
+                  lose(present);
+                } else {
+                  sent += size;
+                  write();
+                }
+              });
     }
 
     private void dropWaiting() {
@@ -125,22 +136,25 @@
     }
 
     private void readOn() {
-      socket.read().whenComplete((chunk, fault) -> {
-        if (fault != null || chunk == null) {
-          socket.close();
-          return;
-        }
-        int size = chunk.readRemaining();
-        received += size;
-        if (length + size > bytes.length) {
-          bytes = Arrays.copyOf(bytes, Math.max(bytes.length * 2, length + size));
-        }
-        System.arraycopy(chunk.array(), chunk.head(), bytes, length, size);
-        chunk.recycle();
-        length += size;
-        takeFrames();
-        readOn();
-      });
+      socket
+          .read()
+          .whenComplete(
+              (chunk, fault) -> {
+                if (fault != null || chunk == null) {
+                  socket.close();
+                  return;
+                }
+                int size = chunk.readRemaining();
+                received += size;
+                if (length + size > bytes.length) {
+                  bytes = Arrays.copyOf(bytes, Math.max(bytes.length * 2, length + size));
+                }
+                System.arraycopy(chunk.array(), chunk.head(), bytes, length, size);
+                chunk.recycle();
+                length += size;
+                takeFrames();
+                readOn();
+              });
     }
 
     private void takeFrames() {
@@ -158,8 +172,11 @@
           continue;
         }
         try {
-          receiver.accept(codec.decode(head == size ? Arrays.copyOfRange(bytes, at - size, at)
-              : deflation.inflate(bytes, at - size, size)));
+          receiver.accept(
+              codec.decode(
+                  head == size
+                      ? Arrays.copyOfRange(bytes, at - size, at)
+                      : deflation.inflate(bytes, at - size, size)));
         } catch (UnreadableFrame broken) {
           throw new IllegalStateException(broken);
         }
@@ -177,22 +194,32 @@
   long sent;
   long received;
 
-  HollowPeers(Eventloop loop, PeerCodec codec, String address, Consumer<Envelope> receiver) throws IOException {
+  HollowPeers(Eventloop loop, PeerCodec codec, String address, Consumer<Envelope> receiver)
+      throws IOException {
     this.loop = loop;
     this.codec = codec;
     this.receiver = receiver;
-    SimpleServer.builder(loop, Inbound::new).withListenAddress(socketAddress(address)).build().listen();
+    SimpleServer.builder(loop, Inbound::new)
+        .withListenAddress(socketAddress(address))
+        .build()
+        .listen();
   }
 
   private static InetSocketAddress socketAddress(String address) {
     int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
   void send(String address, Envelope envelope) {
     byte[] frame = codec.encode(envelope);
-    byte[] deflated = frame.length < Constants.PEER_DEFLATE_BYTES ? frame : deflation.deflate(frame);
-    outbound.computeIfAbsent(address, Outbound::new).add(deflated.length < frame.length
-        ? new Frame(deflated.length | FrameDeflation.DEFLATED, deflated) : new Frame(frame.length, frame));
+    byte[] deflated =
+        frame.length < Constants.PEER_DEFLATE_BYTES ? frame : deflation.deflate(frame);
+    outbound
+        .computeIfAbsent(address, Outbound::new)
+        .add(
+            deflated.length < frame.length
+                ? new Frame(deflated.length | FrameDeflation.DEFLATED, deflated)
+                : new Frame(frame.length, frame));
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
@@ -1,5 +1,7 @@
 package applespindle.testfleet.capacity;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.adapters.PeerCodec;
 import applespindle.adapters.UnreadableFrame;
 import applespindle.corelogic.CoreNode;
@@ -32,12 +34,11 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /**
- * A fleet of the real logic on simulated time, in which every node's cost is metered: each message goes through the real
- * codec on both sides, and the processor time of a node is that of this thread while it runs the node. Links have a fixed
- * delay and nothing is lost but by a cut. No invariants are checked here; the simulator does that.
+ * A fleet of the real logic on simulated time, in which every node's cost is metered: each message
+ * goes through the real codec on both sides, and the processor time of a node is that of this
+ * thread while it runs the node. Links have a fixed delay and nothing is lost but by a cut. No
+ * invariants are checked here; the simulator does that.
  */
 final class MeasuredFleet {
   private static final long MS = 1_000;
@@ -46,8 +47,10 @@
   private static final long BETWEEN_REGIONS_US = 30_000;
   private static final long SYNC_US = 3_000;
   private static final long LOAD_READ_MS = 1;
+
   /** Machines come up over this long, so that their beats do not fall on one instant. */
   private static final long START_SPREAD_MS = 500;
+
   private static final int LISTED_AT_ONCE = 10;
   private static final int FRAME_HEAD_BYTES = 4;
   private static final int DISK_HEAD_BYTES = 8;
@@ -55,14 +58,16 @@
   private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
   /** regions x zonesEach zones; reports: whether workers answer reads of their load. */
-  record Shape(int edges, int regions, int zonesEach, boolean reports, int workerSlots, long runMs) {
+  record Shape(
+      int edges, int regions, int zonesEach, boolean reports, int workerSlots, long runMs) {
     static Shape of(int edges) {
       return new Shape(edges, 1, 3, false, 8, 20);
     }
   }
 
   private record Event(long atUs, long order, Runnable task) implements Comparable<Event> {
-    @Override public int compareTo(Event other) {
+    @Override
+    public int compareTo(Event other) {
       int byTime = Long.compare(atUs, other.atUs);
       return byTime != 0 ? byTime : Long.compare(order, other.order);
     }
@@ -92,13 +97,22 @@
     void start() {
       up = true;
       life++;
-      var place = new Node.Place(name + "-" + life + "-" + Integer.toHexString(random.nextInt(1 << 20)), life, name, zone, role,
-          name, name + "/http", CORE);
-      node = switch (role) {
-        case "core" -> new CoreNode(this, place, Map.of("operator", KEYS.publicKey()), CORE);
-        case "storage" -> new StorageNode(this, place);
-        default -> new EdgeNode(this, place);
-      };
+      var place =
+          new Node.Place(
+              name + "-" + life + "-" + Integer.toHexString(random.nextInt(1 << 20)),
+              life,
+              name,
+              zone,
+              role,
+              name,
+              name + "/http",
+              CORE);
+      node =
+          switch (role) {
+            case "core" -> new CoreNode(this, place, Map.of("operator", KEYS.publicKey()), CORE);
+            case "storage" -> new StorageNode(this, place);
+            default -> new EdgeNode(this, place);
+          };
       enter(node::start);
     }
 
@@ -122,22 +136,27 @@
       }
     }
 
-    @Override public long now() {
+    @Override
+    public long now() {
       return nowUs / MS + 1_000_000;
     }
 
-    @Override public Schedule after(long millis, Runnable task) {
+    @Override
+    public Schedule after(long millis, Runnable task) {
       int inLife = life;
       boolean[] cancelled = new boolean[1];
-      at(nowUs + millis * MS, () -> {
-        if (!cancelled[0]) {
-          enter(inLife, task);
-        }
-      });
+      at(
+          nowUs + millis * MS,
+          () -> {
+            if (!cancelled[0]) {
+              enter(inLife, task);
+            }
+          });
       return () -> cancelled[0] = true;
     }
 
-    @Override public void send(String peerAddress, Envelope envelope) {
+    @Override
+    public void send(String peerAddress, Envelope envelope) {
       Machine target = machines.get(peerAddress);
       if (target == this) {
         at(nowUs + 1, () -> enter(life, () -> node.receive(envelope)));
@@ -150,15 +169,21 @@
         return;
       }
       int targetLife = target.life;
-      at(nowUs + delayUs(this, target), () -> target.enter(targetLife, () -> {
-        target.meter.receivedBytes += frame.length + FRAME_HEAD_BYTES;
-        decode(frame);
-        target.node.receive(envelope);
-        noteBundle(target, envelope.message());
-      }));
+      at(
+          nowUs + delayUs(this, target),
+          () ->
+              target.enter(
+                  targetLife,
+                  () -> {
+                    target.meter.receivedBytes += frame.length + FRAME_HEAD_BYTES;
+                    decode(frame);
+                    target.node.receive(envelope);
+                    noteBundle(target, envelope.message());
+                  }));
     }
 
-    @Override public void write(List<DiskRecord> records, Runnable whenSynced) {
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
       for (DiskRecord record : records) {
         meter.diskBytes += codec.encode(record).length + DISK_HEAD_BYTES;
       }
@@ -166,42 +191,62 @@
       at(nowUs + SYNC_US, () -> enter(inLife, whenSynced));
     }
 
-    @Override public boolean takesWrites() {
+    @Override
+    public boolean takesWrites() {
       return true;
     }
 
-    @Override public WorkerRun run(WorkerCall call, WorkerListener listener) {
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
       int inLife = life;
       boolean[] cancelled = new boolean[1];
       running.merge(call.workerAddress(), 1, Integer::sum);
-      at(nowUs + shape.runMs * MS, () -> {
-        running.merge(call.workerAddress(), -1, Integer::sum);
-        if (!cancelled[0]) {
-          enter(inLife, () -> {
-            for (String text : workerOutput) {
-              listener.text(text);
+      at(
+          nowUs + shape.runMs * MS,
+          () -> {
+            running.merge(call.workerAddress(), -1, Integer::sum);
+            if (!cancelled[0]) {
+              enter(
+                  inLife,
+                  () -> {
+                    for (String text : workerOutput) {
+                      listener.text(text);
+                    }
+                    listener.end("stop");
+                  });
             }
-            listener.end("stop");
           });
-        }
-      });
       return () -> cancelled[0] = true;
     }
 
-    @Override public void readLoad(String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {
       meter.loadReads++;
       if (shape.reports) {
         int inLife = life;
-        at(nowUs + LOAD_READ_MS * MS, () -> enter(inLife, () -> whenRead.accept(
-            new WorkerLoad(running.getOrDefault(workerAddress, 0), 0, shape.workerSlots, false))));
+        at(
+            nowUs + LOAD_READ_MS * MS,
+            () ->
+                enter(
+                    inLife,
+                    () ->
+                        whenRead.accept(
+                            new WorkerLoad(
+                                running.getOrDefault(workerAddress, 0),
+                                0,
+                                shape.workerSlots,
+                                false))));
       }
     }
 
-    @Override public RandomGenerator random() {
+    @Override
+    public RandomGenerator random() {
       return random;
     }
 
-    @Override public void log(String part, String sentence) {}
+    @Override
+    public void log(String part, String sentence) {}
   }
 
   record Link(Machine from, Machine to) {}
@@ -210,17 +255,23 @@
   final Map<String, Machine> machines = new LinkedHashMap<>();
   final List<Machine> edges = new ArrayList<>();
   final Shape shape;
+
   /** Which links carry nothing now. */
   Predicate<Link> cut = link -> false;
-  BiConsumer<Machine, Envelope> sentFrames = (from, envelope) -> { };
+
+  BiConsumer<Machine, Envelope> sentFrames = (from, envelope) -> {};
+
   /** What a worker puts out for each run, in pieces. */
   List<String> workerOutput = List.of("word ".repeat(40));
+
   private final Map<String, Integer> running = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final PeerCodec codec = new PeerCodec();
   private final SplittableRandom random;
+
   /** By bundle number and machine, when news of it was first folded there. */
   private final Map<Long, Map<Machine, Long>> bundleKnownAtUs = new HashMap<>();
+
   private long nowUs;
   private long order;
 
@@ -241,20 +292,28 @@
   }
 
   Machine add(String name, int zone, String role) {
-    Machine machine = new Machine(name, "region-" + zone / shape.zonesEach, "zone-" + zone, role, random.split());
+    Machine machine =
+        new Machine(name, "region-" + zone / shape.zonesEach, "zone-" + zone, role, random.split());
     machines.put(name, machine);
     return machine;
   }
 
   static String kindOf(Message message) {
-    return message instanceof Message.Ask ask ? "Ask:" + ask.duty()
-        : message instanceof FeedNews news ? news.items().isEmpty() ? "FeedNews:none"
-            : news.relayed() ? "FeedNews:relayed" : news.checkpoint() ? "FeedNews:checkpoint" : "FeedNews:changes"
-        : message.getClass().getSimpleName();
+    return message instanceof Message.Ask ask
+        ? "Ask:" + ask.duty()
+        : message instanceof FeedNews news
+            ? news.items().isEmpty()
+                ? "FeedNews:none"
+                : news.relayed()
+                    ? "FeedNews:relayed"
+                    : news.checkpoint() ? "FeedNews:checkpoint" : "FeedNews:changes"
+            : message.getClass().getSimpleName();
   }
 
   private static long delayUs(Machine from, Machine to) {
-    return from.zone.equals(to.zone) ? WITHIN_ZONE_US : from.region.equals(to.region) ? WITHIN_REGION_US : BETWEEN_REGIONS_US;
+    return from.zone.equals(to.zone)
+        ? WITHIN_ZONE_US
+        : from.region.equals(to.region) ? WITHIN_REGION_US : BETWEEN_REGIONS_US;
   }
 
   private void decode(byte[] frame) {
@@ -270,7 +329,9 @@
       for (FeedItem item : news.items()) {
         if (item.key().equals("bundle")) {
           long number = numberOf(item.value());
-          bundleKnownAtUs.computeIfAbsent(number, unseen -> new HashMap<>()).putIfAbsent(machine, nowUs);
+          bundleKnownAtUs
+              .computeIfAbsent(number, unseen -> new HashMap<>())
+              .putIfAbsent(machine, nowUs);
         }
       }
     }
@@ -279,7 +340,8 @@
   private final Map<Integer, Long> numbersByHash = new HashMap<>();
 
   private long numberOf(byte[] value) {
-    return numbersByHash.computeIfAbsent(java.util.Arrays.hashCode(value),
+    return numbersByHash.computeIfAbsent(
+        java.util.Arrays.hashCode(value),
         unseen -> applespindle.corelogic.Json.read(value, SignedBundle.class).number());
   }
 
@@ -303,7 +365,10 @@
     nowUs = untilUs;
   }
 
-  /** Runs until the condition holds, looked at every 100 simulated ms; false if it does not within the limit. */
+  /**
+   * Runs until the condition holds, looked at every 100 simulated ms; false if it does not within
+   * the limit.
+   */
   boolean runUntil(java.util.function.BooleanSupplier condition, long mostMs) {
     long endsAt = nowMs() + mostMs;
     while (!condition.getAsBoolean()) {
@@ -318,22 +383,40 @@
   // ---- what operators do
 
   private CoreNode core() {
-    return (CoreNode) machines.values().stream().filter(machine -> machine.role.equals("core") && machine.up
-        && machine.node.notReadyBecause().isEmpty()).map(machine -> machine.node).findFirst()
-        .orElseThrow(() -> new IllegalStateException("no core node is ready"));
+    return (CoreNode)
+        machines.values().stream()
+            .filter(
+                machine ->
+                    machine.role.equals("core")
+                        && machine.up
+                        && machine.node.notReadyBecause().isEmpty())
+            .map(machine -> machine.node)
+            .findFirst()
+            .orElseThrow(() -> new IllegalStateException("no core node is ready"));
   }
 
   /** Sends again, as an operator does, until something certain is said. */
   private void command(String duty, String key, Object body, Consumer<Response> then) {
     CoreNode core = core();
     Machine machine = machines.get(core.place().name());
-    machine.enter(() -> core.command(duty, key, body, response -> at(nowUs, () -> {
-      if (response.good() || response.status() == 409 || response.status() == 400) {
-        then.accept(response);
-      } else {
-        at(nowUs + 300 * MS, () -> command(duty, key, body, then));
-      }
-    })));
+    machine.enter(
+        () ->
+            core.command(
+                duty,
+                key,
+                body,
+                response ->
+                    at(
+                        nowUs,
+                        () -> {
+                          if (response.good()
+                              || response.status() == 409
+                              || response.status() == 400) {
+                            then.accept(response);
+                          } else {
+                            at(nowUs + 300 * MS, () -> command(duty, key, body, then));
+                          }
+                        })));
   }
 
   /** One change: when it was sent, when it was acknowledged (-1 not yet), and its number. */
@@ -348,20 +431,31 @@
     change.number = number;
     change.sentAtMs = nowMs();
     byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
-    command("bundle", "bundle", new SignedBundle(0, bytes, "operator", signature), response -> {
-      if (!response.good()) {
-        throw new IllegalStateException("bundle " + number + " was refused: " + response.faultType());
-      }
-      change.acknowledgedAtMs = nowMs();
-    });
+    command(
+        "bundle",
+        "bundle",
+        new SignedBundle(0, bytes, "operator", signature),
+        response -> {
+          if (!response.good()) {
+            throw new IllegalStateException(
+                "bundle " + number + " was refused: " + response.faultType());
+          }
+          change.acknowledgedAtMs = nowMs();
+        });
     return change;
   }
 
-  /** Delays from sending to being folded, one for each edge that is up; an edge that does not know it yet counts as -1. */
+  /**
+   * Delays from sending to being folded, one for each edge that is up; an edge that does not know
+   * it yet counts as -1.
+   */
   List<Long> delaysOf(Change change) {
     Map<Machine, Long> known = bundleKnownAtUs.getOrDefault(change.number, Map.of());
-    return edges.stream().filter(machine -> machine.up)
-        .map(machine -> known.containsKey(machine) ? known.get(machine) / MS - change.sentAtMs : -1L).toList();
+    return edges.stream()
+        .filter(machine -> machine.up)
+        .map(
+            machine -> known.containsKey(machine) ? known.get(machine) / MS - change.sentAtMs : -1L)
+        .toList();
   }
 
   boolean knownEverywhere(Change change) {
@@ -373,30 +467,64 @@
     int[] answered = new int[1];
     int[] sent = new int[1];
     Runnable[] next = new Runnable[1];
-    next[0] = () -> {
-      if (sent[0] < count) {
-        int index = ++sent[0];
-        var input = new WorkerInput("w" + index, "10.0." + index / 250 + "." + index % 250 + ":8000", "main", "ready");
-        command("worker", "worker/" + input.id(), CoreNode.workerListed(input), response -> {
-          answered[0]++;
-          next[0].run();
-        });
-      }
-    };
+    next[0] =
+        () -> {
+          if (sent[0] < count) {
+            int index = ++sent[0];
+            var input =
+                new WorkerInput(
+                    "w" + index,
+                    "10.0." + index / 250 + "." + index % 250 + ":8000",
+                    "main",
+                    "ready");
+            command(
+                "worker",
+                "worker/" + input.id(),
+                CoreNode.workerListed(input),
+                response -> {
+                  answered[0]++;
+                  next[0].run();
+                });
+          }
+        };
     IntStream.range(0, LISTED_AT_ONCE).forEach(each -> next[0].run());
-    require(runUntil(() -> answered[0] == count, mostMs), "not every worker was listed in " + mostMs + " ms");
+    require(
+        runUntil(() -> answered[0] == count, mostMs),
+        "not every worker was listed in " + mostMs + " ms");
   }
 
   /** Brings the fleet up: roster, members, workers, first bundle, every edge ready. */
   void open(int workers, byte[] firstBundle) {
-    require(runUntil(() -> machines.values().stream().anyMatch(machine -> machine.role.equals("core") && machine.up
-        && machine.node.notReadyBecause().isEmpty()), 60_000), "the core did not form");
-    require(runUntil(() -> machines.values().stream().filter(machine -> machine.up && !machine.role.equals("core"))
-        .allMatch(machine -> !machine.node.notReadyBecause().contains("grant")), 120_000), "not every node was granted its place");
+    require(
+        runUntil(
+            () ->
+                machines.values().stream()
+                    .anyMatch(
+                        machine ->
+                            machine.role.equals("core")
+                                && machine.up
+                                && machine.node.notReadyBecause().isEmpty()),
+            60_000),
+        "the core did not form");
+    require(
+        runUntil(
+            () ->
+                machines.values().stream()
+                    .filter(machine -> machine.up && !machine.role.equals("core"))
+                    .allMatch(machine -> !machine.node.notReadyBecause().contains("grant")),
+            120_000),
+        "not every node was granted its place");
     sendBundle(1, firstBundle);
-    require(runUntil(() -> edges.stream().allMatch(machine -> machine.node.notReadyBecause().isEmpty()), 120_000),
-        "not every edge became ready: " + edges.stream().map(machine -> machine.node.notReadyBecause())
-            .filter(reason -> !reason.isEmpty()).findFirst().orElse(""));
+    require(
+        runUntil(
+            () -> edges.stream().allMatch(machine -> machine.node.notReadyBecause().isEmpty()),
+            120_000),
+        "not every edge became ready: "
+            + edges.stream()
+                .map(machine -> machine.node.notReadyBecause())
+                .filter(reason -> !reason.isEmpty())
+                .findFirst()
+                .orElse(""));
     listWorkers(workers, 3_600_000);
     runFor(3_000);
   }
@@ -417,19 +545,33 @@
 
   /** A bundle with one rule for each tenant and the given number of rules beside. */
   static byte[] bundle(long number, int rules, int tenants) {
-    StringBuilder text = new StringBuilder("{\"number\":" + number
-        + ",\"pools\":{\"main\":{\"prefixBlockChars\":64,\"prefixBlocks\":4,\"loadFactor\":1.5}},\"rules\":[");
+    StringBuilder text =
+        new StringBuilder(
+            "{\"number\":"
+                + number
+                + ",\"pools\":{\"main\":{\"prefixBlockChars\":64,\"prefixBlocks\":4,\"loadFactor\":1.5}},\"rules\":[");
     for (int index = 0; index < rules; index++) {
-      text.append("{\"name\":\"rule-").append(index).append("\",\"match\":{\"headers\":{\"Host\":\"host-").append(index)
-          .append(".example\"}},\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}},");
+      text.append("{\"name\":\"rule-")
+          .append(index)
+          .append("\",\"match\":{\"headers\":{\"Host\":\"host-")
+          .append(index)
+          .append(
+              ".example\"}},\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}},");
     }
     for (int index = 0; index < tenants; index++) {
-      text.append("{\"name\":\"tenant-").append(index).append("\",\"match\":{\"sender\":\"tenant-").append(index)
-          .append("\"},\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}},");
+      text.append("{\"name\":\"tenant-")
+          .append(index)
+          .append("\",\"match\":{\"sender\":\"tenant-")
+          .append(index)
+          .append(
+              "\"},\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}},");
     }
-    return text.append("{\"name\":\"rest\",\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}}],"
-        + "\"limits\":{\"classes\":{\"note\":{\"rank\":1,\"queueMost\":1000}},\"batch\":{\"pool\":\"main\","
-        + "\"waitingItemsMost\":100000000,\"perWorkerMost\":8,\"liveReserve\":0,\"cancelForLive\":false,"
-        + "\"itemExpiryMs\":30000,\"retentionMs\":86400000}}}").toString().getBytes(UTF_8);
+    return text.append(
+            "{\"name\":\"rest\",\"way\":{\"pool\":\"main\",\"trafficClass\":\"note\",\"expiryMs\":10000,\"retries\":2}}],"
+                + "\"limits\":{\"classes\":{\"note\":{\"rank\":1,\"queueMost\":1000}},\"batch\":{\"pool\":\"main\","
+                + "\"waitingItemsMost\":100000000,\"perWorkerMost\":8,\"liveReserve\":0,\"cancelForLive\":false,"
+                + "\"itemExpiryMs\":30000,\"retentionMs\":86400000}}}")
+        .toString()
+        .getBytes(UTF_8);
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet.capacity;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
@@ -12,17 +15,23 @@
 import java.util.Locale;
 import java.util.Map;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** Rows of figures and where they come from; a file of them is written whole or not at all. */
 final class Measurements {
   /** Where, when and on what the figures were made. */
   record Made(String commit, String at, String java, int processors, String command) {}
 
   /** One figure at one size: the median, least and most of its runs. */
-  record Row(String experiment, String role, String metric, String unit, String variable, double size, double median,
-      double least, double most, int runs) {}
+  record Row(
+      String experiment,
+      String role,
+      String metric,
+      String unit,
+      String variable,
+      double size,
+      double median,
+      double least,
+      double most,
+      int runs) {}
 
   record File(Made made, List<Row> rows) {}
 
@@ -34,41 +43,75 @@
   }
 
   /**
-   * The figure against the size: y = offset + slope x, and the exponent of a power law through the sizes above 0, which
-   * tells a square from a line.
+   * The figure against the size: y = offset + slope x, and the exponent of a power law through the
+   * sizes above 0, which tells a square from a line.
    */
   record Slope(double offset, double slope, double exponent) {}
 
-  private record Point(String experiment, String role, String metric, String unit, String variable, double size) {}
+  private record Point(
+      String experiment, String role, String metric, String unit, String variable, double size) {}
 
   private final Map<Point, List<Double>> values = new LinkedHashMap<>();
 
-  void add(String experiment, String role, String metric, String unit, String variable, double size, double value) {
-    values.computeIfAbsent(new Point(experiment, role, metric, unit, variable, size), unseen -> new ArrayList<>()).add(value);
+  void add(
+      String experiment,
+      String role,
+      String metric,
+      String unit,
+      String variable,
+      double size,
+      double value) {
+    values
+        .computeIfAbsent(
+            new Point(experiment, role, metric, unit, variable, size), unseen -> new ArrayList<>())
+        .add(value);
   }
 
   List<Row> rows() {
-    return values.entrySet().stream().map(each -> {
-      Point point = each.getKey();
-      List<Double> sorted = each.getValue().stream().sorted().toList();
-      return new Row(point.experiment, point.role, point.metric, point.unit, point.variable, point.size,
-          sorted.get(sorted.size() / 2), sorted.get(0), sorted.get(sorted.size() - 1), sorted.size());
-    }).toList();
+    return values.entrySet().stream()
+        .map(
+            each -> {
+              Point point = each.getKey();
+              List<Double> sorted = each.getValue().stream().sorted().toList();
+              return new Row(
+                  point.experiment,
+                  point.role,
+                  point.metric,
+                  point.unit,
+                  point.variable,
+                  point.size,
+                  sorted.get(sorted.size() / 2),
+                  sorted.get(0),
+                  sorted.get(sorted.size() - 1),
+                  sorted.size());
+            })
+        .toList();
   }
 
   static Map<String, List<Row>> bySeries(List<Row> rows) {
     Map<String, List<Row>> series = new LinkedHashMap<>();
-    rows.forEach(row -> series.computeIfAbsent(row.experiment() + " | " + row.role() + " | " + row.metric(),
-        unseen -> new ArrayList<>()).add(row));
+    rows.forEach(
+        row ->
+            series
+                .computeIfAbsent(
+                    row.experiment() + " | " + row.role() + " | " + row.metric(),
+                    unseen -> new ArrayList<>())
+                .add(row));
     return series;
   }
 
   static Slope slope(List<Row> series) {
-    double[] line = line(series.stream().mapToDouble(Row::size).toArray(), series.stream().mapToDouble(Row::median).toArray());
+    double[] line =
+        line(
+            series.stream().mapToDouble(Row::size).toArray(),
+            series.stream().mapToDouble(Row::median).toArray());
     List<Row> positive = series.stream().filter(row -> row.size() > 0 && row.median() > 0).toList();
-    double exponent = positive.size() < 2 ? Double.NaN
-        : line(positive.stream().mapToDouble(row -> Math.log(row.size())).toArray(),
-            positive.stream().mapToDouble(row -> Math.log(row.median())).toArray())[1];
+    double exponent =
+        positive.size() < 2
+            ? Double.NaN
+            : line(
+                positive.stream().mapToDouble(row -> Math.log(row.size())).toArray(),
+                positive.stream().mapToDouble(row -> Math.log(row.median())).toArray())[1];
     return new Slope(line[0], line[1], exponent);
   }
 
@@ -87,15 +130,30 @@
   }
 
   static String csv(List<Row> rows) {
-    StringBuilder text = new StringBuilder("experiment,role,metric,unit,variable,size,median,least,most,runs\n");
-    rows.forEach(row -> text.append(String.join(",", row.experiment(), row.role(), row.metric(), row.unit(), row.variable(),
-        number(row.size()), number(row.median()), number(row.least()), number(row.most()), Integer.toString(row.runs())))
-        .append('\n'));
+    StringBuilder text =
+        new StringBuilder("experiment,role,metric,unit,variable,size,median,least,most,runs\n");
+    rows.forEach(
+        row ->
+            text.append(
+                    String.join(
+                        ",",
+                        row.experiment(),
+                        row.role(),
+                        row.metric(),
+                        row.unit(),
+                        row.variable(),
+                        number(row.size()),
+                        number(row.median()),
+                        number(row.least()),
+                        number(row.most()),
+                        Integer.toString(row.runs())))
+                .append('\n'));
     return text.toString();
   }
 
   static String number(double value) {
-    return value == Math.rint(value) && Math.abs(value) < 1e12 ? Long.toString((long) value)
+    return value == Math.rint(value) && Math.abs(value) < 1e12
+        ? Long.toString((long) value)
         : String.format(Locale.ROOT, Math.abs(value) < 1 ? "%.5f" : "%.2f", value);
   }
 
@@ -111,10 +169,12 @@
   static void writeWhole(Path file, byte[] bytes) throws IOException {
     Path folder = file.toAbsolutePath().getParent();
     Files.createDirectories(folder);
-    Path unfinished = folder.resolve(file.getFileName() + "." + ProcessHandle.current().pid() + ".unfinished");
+    Path unfinished =
+        folder.resolve(file.getFileName() + "." + ProcessHandle.current().pid() + ".unfinished");
     try {
       Files.write(unfinished, bytes);
-      Files.move(unfinished, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+      Files.move(
+          unfinished, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
     } finally {
       Files.deleteIfExists(unfinished);
     }
@@ -134,12 +194,23 @@
     } catch (IOException unreadable) {
       throw new Unusable(file + " can not be read");
     }
-    if (read == null || read.made() == null || read.made().commit() == null || read.rows() == null || read.rows().isEmpty()) {
+    if (read == null
+        || read.made() == null
+        || read.made().commit() == null
+        || read.rows() == null
+        || read.rows().isEmpty()) {
       throw new Unusable(file + " is not a result file: made and rows are wanted");
     }
     for (Row row : read.rows()) {
-      if (row == null || row.experiment() == null || row.role() == null || row.metric() == null || row.unit() == null
-          || row.variable() == null || row.runs() < 1 || !Double.isFinite(row.size()) || !Double.isFinite(row.median())) {
+      if (row == null
+          || row.experiment() == null
+          || row.role() == null
+          || row.metric() == null
+          || row.unit() == null
+          || row.variable() == null
+          || row.runs() < 1
+          || !Double.isFinite(row.size())
+          || !Double.isFinite(row.median())) {
         throw new Unusable(file + " is not a result file: a row lacks a field or a figure");
       }
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Plots.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Plots.java
@@ -19,7 +19,10 @@
 import org.jfree.data.xy.YIntervalSeries;
 import org.jfree.data.xy.YIntervalSeriesCollection;
 
-/** One picture for each experiment and unit, both axes logarithmic: a line of slope 1 grows with the size, of 2 with its square. */
+/**
+ * One picture for each experiment and unit, both axes logarithmic: a line of slope 1 grows with the
+ * size, of 2 with its square.
+ */
 final class Plots {
   private static final int WIDTH = 760;
   private static final int HEIGHT = 440;
@@ -30,7 +33,9 @@
     for (Row row : rows) {
       if (row.size() > 0 && row.median() > 0) {
         String unit = row.unit().replaceAll("[^A-Za-z0-9]+", "-").replaceAll("^-|-$", "");
-        pictures.computeIfAbsent(row.experiment() + "-" + unit + ".png", unseen -> new ArrayList<>()).add(row);
+        pictures
+            .computeIfAbsent(row.experiment() + "-" + unit + ".png", unseen -> new ArrayList<>())
+            .add(row);
       }
     }
     return pictures;
@@ -50,13 +55,22 @@
     Map<String, YIntervalSeries> series = new LinkedHashMap<>();
     for (Row row : rows) {
       double least = Math.max(row.least(), row.median() / 100);
-      series.computeIfAbsent(row.role() + ": " + row.metric(), YIntervalSeries::new)
+      series
+          .computeIfAbsent(row.role() + ": " + row.metric(), YIntervalSeries::new)
           .add(row.size(), row.median(), least, row.most());
     }
     series.values().forEach(data::addSeries);
     Row first = rows.get(0);
-    JFreeChart chart = ChartFactory.createScatterPlot(first.experiment(), first.variable(), first.unit(), data,
-        PlotOrientation.VERTICAL, true, false, false);
+    JFreeChart chart =
+        ChartFactory.createScatterPlot(
+            first.experiment(),
+            first.variable(),
+            first.unit(),
+            data,
+            PlotOrientation.VERTICAL,
+            true,
+            false,
+            false);
     XYPlot plot = chart.getXYPlot();
     plot.setDomainAxis(new LogAxis(first.variable()));
     plot.setRangeAxis(new LogAxis(first.unit()));
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet.capacity;
 
+import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.operatortool.HttpCaller.Result;
 import applespindle.testfleet.Deployment;
 import applespindle.testfleet.Fleet;
@@ -21,20 +24,26 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-import static applespindle.corelogic.Json.JSON;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-/** One scale run on real time: a small fleet of real processes, and hollow edges by the hundred in a few processes beside it. */
+/**
+ * One scale run on real time: a small fleet of real processes, and hollow edges by the hundred in a
+ * few processes beside it.
+ */
 final class ProcessScale implements AutoCloseable {
   /** A change that is not in force everywhere by then counts as this long. */
   private static final long GIVEN_UP_MS = 60_000;
+
   private static final long JOIN_MS = 180_000;
   private static final int ZONES = 12;
   private static final int RACK_NODES = 20;
   private static final int CUT_REGION = 1;
   private static final int ZONE = 3;
-  /** Below the range that outgoing connections take their ports from; each run has its own, as sockets linger. */
+
+  /**
+   * Below the range that outgoing connections take their ports from; each run has its own, as
+   * sockets linger.
+   */
   private static final int PORTS_FROM = 10_000;
+
   private static final int PORTS_OF_A_RUN = 2_200;
   private static final int RUNS_OF_PORTS = 10;
   private static final int PORTS_OF_FLEET = 100;
@@ -78,8 +87,18 @@
   private final HollowHost.Layout layout;
   private long bundleNumber = 1;
 
-  ProcessScale(Measurements measured, int nodes, long phaseMs, int changesAMinute, int hostCount, int coreHeapMegabytes,
-      int cutMost, Path folder, String classPath, int run) throws IOException {
+  ProcessScale(
+      Measurements measured,
+      int nodes,
+      long phaseMs,
+      int changesAMinute,
+      int hostCount,
+      int coreHeapMegabytes,
+      int cutMost,
+      Path folder,
+      String classPath,
+      int run)
+      throws IOException {
     this.measured = measured;
     this.nodes = nodes;
     this.phaseMs = phaseMs;
@@ -95,13 +114,30 @@
     int each = (nodes + hostCount - 1) / hostCount;
     for (int first = 0; first < nodes; first += each) {
       int count = Math.min(each, nodes - first);
-      List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"),
-          "-Xmx" + hostHeapMegabytes(nodes, count) + "m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-          "-XX:+ExitOnOutOfMemoryError", "-cp", classPath, HollowHost.class.getName(), Integer.toString(nodes), Integer.toString(layout.firstPort()), Integer.toString(ZONES),
-          Integer.toString(first), Integer.toString(count)));
+      List<String> command =
+          new ArrayList<>(
+              List.of(
+                  ProcessHandle.current().info().command().orElse("java"),
+                  "-Xmx" + hostHeapMegabytes(nodes, count) + "m",
+                  "-XX:+UseSerialGC",
+                  "-XX:TieredStopAtLevel=1",
+                  "-XX:+ExitOnOutOfMemoryError",
+                  "-cp",
+                  classPath,
+                  HollowHost.class.getName(),
+                  Integer.toString(nodes),
+                  Integer.toString(layout.firstPort()),
+                  Integer.toString(ZONES),
+                  Integer.toString(first),
+                  Integer.toString(count)));
       command.addAll(layout.seeds());
-      hosts.add(new Host(new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(
-          folder.resolve("hollow-" + first + ".log").toFile())).start()));
+      hosts.add(
+          new Host(
+              new ProcessBuilder(command)
+                  .redirectError(
+                      ProcessBuilder.Redirect.appendTo(
+                          folder.resolve("hollow-" + first + ".log").toFile()))
+                  .start()));
     }
   }
 
@@ -119,18 +155,44 @@
     long begunAt = System.nanoTime();
     tell("start");
     long joined = waitReady(nodes, JOIN_MS);
-    add("join", "edge", "all ready after", "ms", joined < nodes ? JOIN_MS : (System.nanoTime() - begunAt) / 1e6);
+    add(
+        "join",
+        "edge",
+        "all ready after",
+        "ms",
+        joined < nodes ? JOIN_MS : (System.nanoTime() - begunAt) / 1e6);
     add("join", "edge", "not ready by then", "nodes", nodes - joined);
     pause(5_000);
     Map<String, double[]> before = meters();
     pause(phaseMs);
     rates("rest", before);
-    add("rest", "edge", "heap", "B", tell("heap").stream().mapToLong(answer -> answer.path("heap").asLong()).sum() / (double) nodes);
-    add("rest", "core", "memory", "MB", fleet.ofRole("core").stream().mapToLong(ProcessScale::residentMegabytes).max().orElse(0));
-    add("rest", "real edge", "memory", "MB", fleet.ofRole("edge").stream().mapToLong(ProcessScale::residentMegabytes).max().orElse(0));
+    add(
+        "rest",
+        "edge",
+        "heap",
+        "B",
+        tell("heap").stream().mapToLong(answer -> answer.path("heap").asLong()).sum()
+            / (double) nodes);
+    add(
+        "rest",
+        "core",
+        "memory",
+        "MB",
+        fleet.ofRole("core").stream().mapToLong(ProcessScale::residentMegabytes).max().orElse(0));
+    add(
+        "rest",
+        "real edge",
+        "memory",
+        "MB",
+        fleet.ofRole("edge").stream().mapToLong(ProcessScale::residentMegabytes).max().orElse(0));
     changes("changes");
     lose("machines", node -> node % 100 == 0);
-    List<Integer> rack = IntStream.range(0, nodes).filter(node -> layout.zone(node) == ZONE).limit(RACK_NODES).boxed().toList();
+    List<Integer> rack =
+        IntStream.range(0, nodes)
+            .filter(node -> layout.zone(node) == ZONE)
+            .limit(RACK_NODES)
+            .boxed()
+            .toList();
     lose("rack", rack::contains);
     lose("zone", node -> layout.zone(node) == ZONE);
     if (nodes <= cutMost) {
@@ -140,7 +202,9 @@
 
   private void add(String experiment, String role, String metric, String unit, double value) {
     measured.add(experiment, role, metric, unit, "nodes", nodes, value);
-    System.out.printf("%-10s %5d %-10s %-44s %12s %s%n", experiment, nodes, role, metric, Measurements.number(value), unit);
+    System.out.printf(
+        "%-10s %5d %-10s %-44s %12s %s%n",
+        experiment, nodes, role, metric, Measurements.number(value), unit);
   }
 
   private List<JsonNode> tell(String command) {
@@ -172,43 +236,75 @@
   // ---- meters
 
   private static long processorNanos(Member member) {
-    return ProcessHandle.of(member.pid()).flatMap(handle -> handle.info().totalCpuDuration()).map(Duration::toNanos).orElse(0L);
+    return ProcessHandle.of(member.pid())
+        .flatMap(handle -> handle.info().totalCpuDuration())
+        .map(Duration::toNanos)
+        .orElse(0L);
   }
 
   private static long residentMegabytes(Member member) {
     try {
-      return Files.readAllLines(Path.of("/proc/" + member.pid() + "/status")).stream().filter(line -> line.startsWith("VmRSS"))
-          .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) >> 10).findFirst().orElse(0);
+      return Files.readAllLines(Path.of("/proc/" + member.pid() + "/status")).stream()
+          .filter(line -> line.startsWith("VmRSS"))
+          .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) >> 10)
+          .findFirst()
+          .orElse(0);
     } catch (IOException gone) {
       return 0;
     }
   }
 
-  /** By role: processor nanoseconds and bytes carried, each as a sum; the last figure is the time. */
+  /**
+   * By role: processor nanoseconds and bytes carried, each as a sum; the last figure is the time.
+   */
   private Map<String, double[]> meters() {
     Map<String, double[]> figures = new LinkedHashMap<>();
     List<JsonNode> answers = tell("meter");
-    figures.put("edge", new double[] {answers.stream().mapToDouble(answer -> answer.path("processorNanos").asDouble()).sum(),
-        answers.stream().mapToDouble(answer -> answer.path("sent").asDouble() + answer.path("received").asDouble()).sum(),
-        System.nanoTime()});
+    figures.put(
+        "edge",
+        new double[] {
+          answers.stream().mapToDouble(answer -> answer.path("processorNanos").asDouble()).sum(),
+          answers.stream()
+              .mapToDouble(
+                  answer -> answer.path("sent").asDouble() + answer.path("received").asDouble())
+              .sum(),
+          System.nanoTime()
+        });
     for (String role : List.of("core", "edge", "storage")) {
-      figures.put("real " + role, new double[] {
-          fleet.ofRole(role).stream().mapToDouble(ProcessScale::processorNanos).sum(), 0, System.nanoTime()});
+      figures.put(
+          "real " + role,
+          new double[] {
+            fleet.ofRole(role).stream().mapToDouble(ProcessScale::processorNanos).sum(),
+            0,
+            System.nanoTime()
+          });
     }
     return figures;
   }
 
   private void rates(String experiment, Map<String, double[]> before) {
     Map<String, double[]> after = meters();
-    after.forEach((role, figures) -> {
-      double seconds = (figures[2] - before.get(role)[2]) / 1e9;
-      int count = role.equals("edge") ? nodes : fleet.ofRole(role.substring(5)).size();
-      String shown = role.equals("real core") ? "core" : role.equals("real storage") ? "storage" : role;
-      add(experiment, shown, "processor", "ms/s", (figures[0] - before.get(role)[0]) / 1e6 / seconds / count);
-      if (role.equals("edge")) {
-        add(experiment, shown, "sent and received", "B/s", (figures[1] - before.get(role)[1]) / seconds / count);
-      }
-    });
+    after.forEach(
+        (role, figures) -> {
+          double seconds = (figures[2] - before.get(role)[2]) / 1e9;
+          int count = role.equals("edge") ? nodes : fleet.ofRole(role.substring(5)).size();
+          String shown =
+              role.equals("real core") ? "core" : role.equals("real storage") ? "storage" : role;
+          add(
+              experiment,
+              shown,
+              "processor",
+              "ms/s",
+              (figures[0] - before.get(role)[0]) / 1e6 / seconds / count);
+          if (role.equals("edge")) {
+            add(
+                experiment,
+                shown,
+                "sent and received",
+                "B/s",
+                (figures[1] - before.get(role)[1]) / seconds / count);
+          }
+        });
   }
 
   // ---- what is done to the fleet
@@ -229,7 +325,10 @@
     return new Sent(bundleNumber, begunAt, GIVEN_UP_MS);
   }
 
-  /** Changes at the target's pace for a phase, each sent at its time or once the one before was acknowledged. */
+  /**
+   * Changes at the target's pace for a phase, each sent at its time or once the one before was
+   * acknowledged.
+   */
   private void changes(String experiment) {
     int count = (int) Math.max(1, changesAMinute * phaseMs / 60_000);
     Map<String, double[]> before = meters();
@@ -259,18 +358,37 @@
     add(experiment, "edge", "known after, 99th", "ms", SimulatedScale.percentile(delays, 99));
     add(experiment, "edge", "known after, slowest", "ms", SimulatedScale.percentile(delays, 100));
     add(experiment, "edge", "never known by then", "changes x nodes", unknown);
-    add(experiment, "core", "acknowledged after, median", "ms", SimulatedScale.percentile(acknowledged, 50));
-    add(experiment, "core", "acknowledged after, slowest", "ms", SimulatedScale.percentile(acknowledged, 100));
+    add(
+        experiment,
+        "core",
+        "acknowledged after, median",
+        "ms",
+        SimulatedScale.percentile(acknowledged, 50));
+    add(
+        experiment,
+        "core",
+        "acknowledged after, slowest",
+        "ms",
+        SimulatedScale.percentile(acknowledged, 100));
   }
 
   private void lose(String experiment, IntPredicate lost) {
-    String names = IntStream.range(0, nodes).filter(lost).mapToObj(Integer::toString).collect(Collectors.joining(" "));
+    String names =
+        IntStream.range(0, nodes)
+            .filter(lost)
+            .mapToObj(Integer::toString)
+            .collect(Collectors.joining(" "));
     tell("kill " + names);
     changes(experiment);
     tell("start " + names);
     long begunAt = System.nanoTime();
     long ready = waitReady(nodes, GIVEN_UP_MS);
-    add(experiment, "edge", "ready again after, slowest", "ms", ready < nodes ? GIVEN_UP_MS : (System.nanoTime() - begunAt) / 1e6);
+    add(
+        experiment,
+        "edge",
+        "ready again after, slowest",
+        "ms",
+        ready < nodes ? GIVEN_UP_MS : (System.nanoTime() - begunAt) / 1e6);
     pause(3_000);
   }
 
@@ -281,10 +399,16 @@
     tell("cut -1");
     long begunAt = System.nanoTime();
     long ready = waitReady(nodes, GIVEN_UP_MS);
-    add("region-cut", "edge", "all ready after it healed", "ms", ready < nodes ? GIVEN_UP_MS : (System.nanoTime() - begunAt) / 1e6);
+    add(
+        "region-cut",
+        "edge",
+        "all ready after it healed",
+        "ms",
+        ready < nodes ? GIVEN_UP_MS : (System.nanoTime() - begunAt) / 1e6);
   }
 
-  @Override public void close() {
+  @Override
+  public void close() {
     hosts.forEach(host -> host.process.destroyForcibly());
     fleet.close();
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/SimulatedScale.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/SimulatedScale.java
@@ -12,12 +12,16 @@
   private static final int REGIONS = 6;
   private static final int ZONES_EACH = 2;
   private static final int RACK_NODES = 20;
+
   /** A region without a core node: the core's three stand in the zones 0, 4 and 8. */
   private static final String CUT_REGION = "region-1";
+
   private static final long RECOVERY_MS = 120_000;
   private static final long HEAP_BASE_BYTES = 64L << 20;
+
   /** Measured by the slopes' joins and places, rounded up; see docs/CAPACITY.md. */
   private static final long HEAP_A_NODE_BYTES = 300_000;
+
   private static final long HEAP_A_PAIR_BYTES = 500;
 
   private final Measurements measured;
@@ -28,7 +32,8 @@
   private final int changesAMinute;
   private long bundleNumber = 1;
 
-  SimulatedScale(Measurements measured, int nodes, int workers, long phaseMs, int changesAMinute, long seed) {
+  SimulatedScale(
+      Measurements measured, int nodes, int workers, long phaseMs, int changesAMinute, long seed) {
     this.measured = measured;
     this.nodes = nodes;
     this.workers = workers;
@@ -37,9 +42,13 @@
     this.fleet = new MeasuredFleet(new Shape(nodes, REGIONS, ZONES_EACH, false, 8, 20), seed);
   }
 
-  /** What a run needs: a table in every node, and in each core node what every node says it knows. */
+  /**
+   * What a run needs: a table in every node, and in each core node what every node says it knows.
+   */
   static long heapBytes(int nodes, int workers) {
-    return HEAP_BASE_BYTES + nodes * HEAP_A_NODE_BYTES + (long) nodes * (nodes + 3L * workers) * HEAP_A_PAIR_BYTES;
+    return HEAP_BASE_BYTES
+        + nodes * HEAP_A_NODE_BYTES
+        + (long) nodes * (nodes + 3L * workers) * HEAP_A_PAIR_BYTES;
   }
 
   void run() {
@@ -51,7 +60,12 @@
     rest();
     changes("changes");
     lose("machines", everyNth(fleet.edges, 100));
-    lose("rack", fleet.edges.stream().filter(machine -> machine.zone.equals("zone-3")).limit(Math.min(RACK_NODES, nodes / 12)).toList());
+    lose(
+        "rack",
+        fleet.edges.stream()
+            .filter(machine -> machine.zone.equals("zone-3"))
+            .limit(Math.min(RACK_NODES, nodes / 12))
+            .toList());
     lose("zone", fleet.edges.stream().filter(machine -> machine.zone.equals("zone-3")).toList());
     cutRegion();
   }
@@ -68,17 +82,40 @@
 
   private void rates(String experiment, long millis, List<Machine> edges) {
     double seconds = millis / 1000.0;
-    add(experiment, "edge", "processor", "ms/s", mean(edges, meter -> meter.processorNanos / 1e6) / seconds);
-    add(experiment, "edge", "sent and received", "B/s", mean(edges, meter -> meter.sentBytes() + meter.receivedBytes) / seconds);
+    add(
+        experiment,
+        "edge",
+        "processor",
+        "ms/s",
+        mean(edges, meter -> meter.processorNanos / 1e6) / seconds);
+    add(
+        experiment,
+        "edge",
+        "sent and received",
+        "B/s",
+        mean(edges, meter -> meter.sentBytes() + meter.receivedBytes) / seconds);
     List<Machine> core = fleet.ofRole("core");
-    add(experiment, "core", "processor", "ms/s", mean(core, meter -> meter.processorNanos / 1e6) / seconds);
-    add(experiment, "core", "sent and received", "B/s", mean(core, meter -> meter.sentBytes() + meter.receivedBytes) / seconds);
+    add(
+        experiment,
+        "core",
+        "processor",
+        "ms/s",
+        mean(core, meter -> meter.processorNanos / 1e6) / seconds);
+    add(
+        experiment,
+        "core",
+        "sent and received",
+        "B/s",
+        mean(core, meter -> meter.sentBytes() + meter.receivedBytes) / seconds);
     add(experiment, "core", "messages sent", "1/s", mean(core, Meter::sentMessages) / seconds);
     add(experiment, "core", "disk", "B/s", mean(core, meter -> meter.diskBytes) / seconds);
   }
 
   private static double mean(List<Machine> machines, ToDoubleFunction<Meter> figure) {
-    return machines.stream().mapToDouble(machine -> figure.applyAsDouble(machine.meter)).average().orElse(0);
+    return machines.stream()
+        .mapToDouble(machine -> figure.applyAsDouble(machine.meter))
+        .average()
+        .orElse(0);
   }
 
   private static List<Machine> everyNth(List<Machine> machines, int step) {
@@ -104,7 +141,8 @@
       fleet.runFor(phaseMs / count);
     }
     rates(experiment, phaseMs, fleet.edges);
-    fleet.runUntil(() -> sent.stream().allMatch(change -> change.acknowledgedAtMs >= 0), RECOVERY_MS);
+    fleet.runUntil(
+        () -> sent.stream().allMatch(change -> change.acknowledgedAtMs >= 0), RECOVERY_MS);
     delays(experiment, sent);
   }
 
@@ -120,7 +158,8 @@
           delays.add(delay);
         }
       }
-      acknowledged.add(change.acknowledgedAtMs < 0 ? RECOVERY_MS : change.acknowledgedAtMs - change.sentAtMs);
+      acknowledged.add(
+          change.acknowledgedAtMs < 0 ? RECOVERY_MS : change.acknowledgedAtMs - change.sentAtMs);
     }
     add(experiment, "edge", "known after, median", "ms", percentile(delays, 50));
     add(experiment, "edge", "known after, 99th", "ms", percentile(delays, 99));
@@ -132,7 +171,9 @@
 
   static long percentile(List<Long> values, int percent) {
     List<Long> sorted = values.stream().sorted().toList();
-    return sorted.isEmpty() ? -1 : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
+    return sorted.isEmpty()
+        ? -1
+        : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
   }
 
   /** Machines lose power at once; a change is sent beside it; they come back after a phase. */
@@ -141,33 +182,82 @@
     changes(experiment);
     lost.forEach(Machine::start);
     long begunAt = fleet.nowMs();
-    boolean back = fleet.runUntil(() -> lost.stream().allMatch(machine -> machine.node.notReadyBecause().isEmpty()), RECOVERY_MS);
-    add(experiment, "edge", "ready again after, slowest", "ms", back ? fleet.nowMs() - begunAt : RECOVERY_MS);
+    boolean back =
+        fleet.runUntil(
+            () -> lost.stream().allMatch(machine -> machine.node.notReadyBecause().isEmpty()),
+            RECOVERY_MS);
+    add(
+        experiment,
+        "edge",
+        "ready again after, slowest",
+        "ms",
+        back ? fleet.nowMs() - begunAt : RECOVERY_MS);
     fleet.runFor(3_000);
   }
 
-  /** One region of nodes without a core node loses the others; changes go on; then the way is back. */
+  /**
+   * One region of nodes without a core node loses the others; changes go on; then the way is back.
+   */
   private void cutRegion() {
-    List<Machine> inside = fleet.edges.stream().filter(machine -> machine.region.equals(CUT_REGION)).toList();
-    fleet.cut = link -> link.from().region.equals(CUT_REGION) != link.to().region.equals(CUT_REGION);
+    List<Machine> inside =
+        fleet.edges.stream().filter(machine -> machine.region.equals(CUT_REGION)).toList();
+    fleet.cut =
+        link -> link.from().region.equals(CUT_REGION) != link.to().region.equals(CUT_REGION);
     fleet.runFor(1_500);
     fleet.resetMeters();
     Change change = send();
     fleet.runFor(phaseMs);
     double seconds = phaseMs / 1000.0;
-    add("region-cut", "edge", "sent and received, inside", "B/s",
+    add(
+        "region-cut",
+        "edge",
+        "sent and received, inside",
+        "B/s",
         mean(inside, meter -> meter.sentBytes() + meter.receivedBytes) / seconds);
-    add("region-cut", "edge", "processor, inside", "ms/s", mean(inside, meter -> meter.processorNanos / 1e6) / seconds);
-    add("region-cut", "core", "acknowledged after", "ms",
+    add(
+        "region-cut",
+        "edge",
+        "processor, inside",
+        "ms/s",
+        mean(inside, meter -> meter.processorNanos / 1e6) / seconds);
+    add(
+        "region-cut",
+        "core",
+        "acknowledged after",
+        "ms",
         change.acknowledgedAtMs < 0 ? RECOVERY_MS : change.acknowledgedAtMs - change.sentAtMs);
-    add("region-cut", "edge", "isolated inside: nothing new is begun", "nodes",
-        inside.stream().filter(machine -> machine.node.status().path("isolated").asBoolean()).count());
-    add("region-cut", "edge", "isolated outside", "nodes", fleet.edges.stream().filter(machine -> !inside.contains(machine)
-        && machine.node.status().path("isolated").asBoolean()).count());
+    add(
+        "region-cut",
+        "edge",
+        "isolated inside: nothing new is begun",
+        "nodes",
+        inside.stream()
+            .filter(machine -> machine.node.status().path("isolated").asBoolean())
+            .count());
+    add(
+        "region-cut",
+        "edge",
+        "isolated outside",
+        "nodes",
+        fleet.edges.stream()
+            .filter(
+                machine ->
+                    !inside.contains(machine) && machine.node.status().path("isolated").asBoolean())
+            .count());
     fleet.cut = link -> false;
     long healedAt = fleet.nowMs();
-    boolean known = fleet.runUntil(() -> fleet.knownEverywhere(change)
-        && inside.stream().allMatch(machine -> machine.node.notReadyBecause().isEmpty()), RECOVERY_MS);
-    add("region-cut", "edge", "known and ready inside, after it healed", "ms", known ? fleet.nowMs() - healedAt : RECOVERY_MS);
+    boolean known =
+        fleet.runUntil(
+            () ->
+                fleet.knownEverywhere(change)
+                    && inside.stream()
+                        .allMatch(machine -> machine.node.notReadyBecause().isEmpty()),
+            RECOVERY_MS);
+    add(
+        "region-cut",
+        "edge",
+        "known and ready inside, after it healed",
+        "ms",
+        known ? fleet.nowMs() - healedAt : RECOVERY_MS);
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/CoreCostTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/CoreCostTest.java
@@ -12,9 +12,13 @@
 class CoreCostTest {
   private static final List<String> SEEDS = List.of("core-0", "core-1", "core-2");
 
-  @Test void anIdleFleetIsQuiet() {
+  @Test
+  void anIdleFleetIsQuiet() {
     Simulation simulation = new Simulation(1, Map.of(), Deployment.AUTHORITY.pace);
-    simulation.bounds = new Bounds(1, true, true, false, 0, 800, 3_000, 3_000, 8_000, 2_000, 120_000, 0.1, 64 << 20, 1_000);
+    simulation.bounds =
+        new Bounds(
+            1, true, true, false, 0, 800, 3_000, 3_000, 8_000, 2_000, 120_000, 0.1, 64 << 20,
+            1_000);
     List<Simulation.Process> all = new ArrayList<>();
     for (int index = 0; index < 3; index++) {
       all.add(simulation.add("core-" + index, "zone-" + index, "core", SEEDS, true));
@@ -32,10 +36,17 @@
     assertWithMessage("messages a second, all processes").that(perSecond).isAtMost(350);
   }
 
-  /** Each edge asks each fellow three times a second then; with hundreds of routes whole tables were megabytes each time. */
-  @Test void withoutTheCoreEdgesThatKnowTheSameSendNoTables() {
+  /**
+   * Each edge asks each fellow three times a second then; with hundreds of routes whole tables were
+   * megabytes each time.
+   */
+  @Test
+  void withoutTheCoreEdgesThatKnowTheSameSendNoTables() {
     Simulation simulation = new Simulation(1, Map.of(), Deployment.AUTHORITY.pace);
-    simulation.bounds = new Bounds(1, true, true, false, 0, 800, 3_000, 3_000, 8_000, 2_000, 120_000, 0.1, 64 << 20, 1_000);
+    simulation.bounds =
+        new Bounds(
+            1, true, true, false, 0, 800, 3_000, 3_000, 8_000, 2_000, 120_000, 0.1, 64 << 20,
+            1_000);
     List<Simulation.Process> core = new ArrayList<>();
     List<Simulation.Process> all = new ArrayList<>();
     for (int index = 0; index < 3; index++) {
@@ -52,7 +63,9 @@
     long before = simulation.newsItems;
     long messagesBefore = simulation.messages();
     simulation.runUntil(20_000);
-    assertWithMessage("messages while the core is away").that(simulation.messages() - messagesBefore).isAtLeast(9 * 8 * 10);
+    assertWithMessage("messages while the core is away")
+        .that(simulation.messages() - messagesBefore)
+        .isAtLeast(9 * 8 * 10);
     assertWithMessage("values sent as news").that(simulation.newsItems - before).isEqualTo(0);
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/CoreOnSeedsTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/CoreOnSeedsTest.java
@@ -1,5 +1,9 @@
 package applespindle.testfleet;
 
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import applespindle.corelogic.Bounds;
 import applespindle.corelogic.CoreNode;
 import applespindle.corelogic.EdgeNode;
@@ -22,10 +26,6 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 /** A fleet whose processes are told three seeds and their bounds, and nothing of the others. */
 class CoreOnSeedsTest {
   private static final int CALLS_PER_S = 40;
@@ -37,28 +37,57 @@
   private final List<Integer> missingPages = new ArrayList<>();
 
   CoreOnSeedsTest() {
-    simulation.outsideList = (reader, token, whenRead, whenFaulty) -> {
-      calls++;
-      int from = token.isEmpty() ? 0 : Integer.parseInt(token);
-      boolean faulty = listDown || missingPages.contains(from);
-      int to = Math.min(listed.size(), from + pageSize);
-      WorkerPage page = new WorkerPage(List.copyOf(listed.subList(from, to)), to < listed.size() ? Integer.toString(to) : "");
-      simulation.afterMs(5, () -> {
-        if (faulty) {
-          whenFaulty.accept(new Fault.Overloaded("list"));
-        } else {
-          whenRead.accept(page);
-        }
-      });
-    };
+    simulation.outsideList =
+        (reader, token, whenRead, whenFaulty) -> {
+          calls++;
+          int from = token.isEmpty() ? 0 : Integer.parseInt(token);
+          boolean faulty = listDown || missingPages.contains(from);
+          int to = Math.min(listed.size(), from + pageSize);
+          WorkerPage page =
+              new WorkerPage(
+                  List.copyOf(listed.subList(from, to)),
+                  to < listed.size() ? Integer.toString(to) : "");
+          simulation.afterMs(
+              5,
+              () -> {
+                if (faulty) {
+                  whenFaulty.accept(new Fault.Overloaded("list"));
+                } else {
+                  whenRead.accept(page);
+                }
+              });
+        };
   }
 
   private static Bounds bounds(int losses) {
-    return new Bounds(losses, true, true, false, CALLS_PER_S, 800, 3_000, 3_000, 8_000, 2_000, 120_000, 0.1, 64 << 20, 1_000);
-  }
-
-  /** Voters and others in three zones, edges and storage beside them; started within the given time. */
-  private void start(int losses, int voters, int others, int edges, int storage, long spreadMs, List<String> seeds) {
+    return new Bounds(
+        losses,
+        true,
+        true,
+        false,
+        CALLS_PER_S,
+        800,
+        3_000,
+        3_000,
+        8_000,
+        2_000,
+        120_000,
+        0.1,
+        64 << 20,
+        1_000);
+  }
+
+  /**
+   * Voters and others in three zones, edges and storage beside them; started within the given time.
+   */
+  private void start(
+      int losses,
+      int voters,
+      int others,
+      int edges,
+      int storage,
+      long spreadMs,
+      List<String> seeds) {
     simulation.bounds = bounds(losses);
     List<Process> all = new ArrayList<>();
     for (int index = 0; index < voters; index++) {
@@ -92,13 +121,23 @@
 
   private Response[] send(String core, long number, long buildsOn, String content) {
     Response[] answer = new Response[1];
-    simulation.call(simulation.processes.get(core), (Consumer<Response> then) -> core(core).command("bundle", "bundle",
-        new SignedBundle(0, content.getBytes(UTF_8), null, null, buildsOn), then), new Caller<>() {
-          @Override public void answered(Response response) {
+    simulation.call(
+        simulation.processes.get(core),
+        (Consumer<Response> then) ->
+            core(core)
+                .command(
+                    "bundle",
+                    "bundle",
+                    new SignedBundle(0, content.getBytes(UTF_8), null, null, buildsOn),
+                    then),
+        new Caller<>() {
+          @Override
+          public void answered(Response response) {
             answer[0] = response;
           }
 
-          @Override public void broken(boolean neverReached) {}
+          @Override
+          public void broken(boolean neverReached) {}
         });
     return answer;
   }
@@ -119,15 +158,23 @@
 
   // ---- founding
 
-  @Test void votersOfAllZonesFoundTheCoreAndEveryoneFindsIt() {
+  @Test
+  void votersOfAllZonesFoundTheCoreAndEveryoneFindsIt() {
     start(1, 3, 6, 9, 3, 1_500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(5_000);
     assertThat(rosterNames("core-0")).containsExactly("core-0", "core-1", "core-2");
-    simulation.processes.values().forEach(process ->
-        assertWithMessage(process.name).that(process.node().status().at("/roster/number").asLong()).isAtLeast(1));
-  }
-
-  @Test void twoLossesAreBorneByFiveMembersOverAllZones() {
+    simulation
+        .processes
+        .values()
+        .forEach(
+            process ->
+                assertWithMessage(process.name)
+                    .that(process.node().status().at("/roster/number").asLong())
+                    .isAtLeast(1));
+  }
+
+  @Test
+  void twoLossesAreBorneByFiveMembersOverAllZones() {
     start(2, 9, 3, 9, 6, 1_500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(5_000);
     assertThat(rosterNames("core-8")).hasSize(5);
@@ -136,15 +183,18 @@
     assertThat(zones).hasSize(3);
   }
 
-  @Test void seedsWithoutDisksCoordinateAndAreNoMembers() {
+  @Test
+  void seedsWithoutDisksCoordinateAndAreNoMembers() {
     start(1, 3, 6, 3, 3, 1_500, List.of("door-0", "door-1", "door-2"));
     simulation.runUntil(5_000);
     assertThat(rosterNames("door-5")).containsExactly("core-0", "core-1", "core-2");
   }
 
-  @Test void aSlowVoterIsWaitedFor() {
+  @Test
+  void aSlowVoterIsWaitedFor() {
     start(1, 2, 1, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
-    Process late = simulation.add("core-2", "zone-2", "core", List.of("core-0", "core-1", "core-2"), true);
+    Process late =
+        simulation.add("core-2", "zone-2", "core", List.of("core-0", "core-1", "core-2"), true);
     simulation.atMs(6_000, late::start);
     simulation.runUntil(5_500);
     assertThat(roster("core-0").path("number").asLong()).isEqualTo(0);
@@ -152,24 +202,36 @@
     assertThat(rosterNames("core-1")).containsExactly("core-0", "core-1", "core-2");
   }
 
-  @Test void aMemberThatDiesBeforeItAcceptsIsNotDoneWithout() {
+  @Test
+  void aMemberThatDiesBeforeItAcceptsIsNotDoneWithout() {
     start(1, 4, 0, 0, 0, 300, List.of("core-0", "core-1", "core-2"));
     simulation.atMs(1_200, () -> simulation.processes.get("core-1").kill(true));
     simulation.atMs(4_000, () -> simulation.processes.get("core-1").start());
     simulation.runUntil(8_000);
     Set<String> first = rosterNames("core-0");
     assertThat(first).hasSize(3);
-    List.of("core-1", "core-2", "core-3").forEach(name -> assertThat(rosterNames(name)).isEqualTo(first));
+    List.of("core-1", "core-2", "core-3")
+        .forEach(name -> assertThat(rosterNames(name)).isEqualTo(first));
   }
 
-  @Test void afterAllLosePowerTheCoreIsBackAndSeedsWithoutDisksKnowIt() {
+  @Test
+  void afterAllLosePowerTheCoreIsBackAndSeedsWithoutDisksKnowIt() {
     start(1, 3, 3, 3, 3, 500, List.of("door-0", "door-1", "door-2"));
     simulation.runUntil(6_000);
     simulation.processes.values().forEach(process -> process.kill(true));
-    simulation.processes.values().forEach(process -> simulation.afterMs(simulation.random.nextInt(1_000), process::start));
+    simulation
+        .processes
+        .values()
+        .forEach(process -> simulation.afterMs(simulation.random.nextInt(1_000), process::start));
     simulation.runUntil(12_000);
-    simulation.processes.values().forEach(process ->
-        assertWithMessage(process.name).that(process.node().status().at("/roster/number").asLong()).isAtLeast(1));
+    simulation
+        .processes
+        .values()
+        .forEach(
+            process ->
+                assertWithMessage(process.name)
+                    .that(process.node().status().at("/roster/number").asLong())
+                    .isAtLeast(1));
   }
 
   // ---- how fast a node is back
@@ -178,13 +240,15 @@
     long from = simulation.nowMs();
     while (!simulation.processes.get(process).node().notReadyBecause().isEmpty()) {
       assertWithMessage(process + ": " + simulation.processes.get(process).node().notReadyBecause())
-          .that(simulation.nowMs() - from).isAtMost(mostMs);
+          .that(simulation.nowMs() - from)
+          .isAtMost(mostMs);
       simulation.runUntil(simulation.nowMs() + 1);
     }
     return simulation.nowMs() - from;
   }
 
-  @Test void anEdgeThatStartsAgainIsReadyAtOnce() {
+  @Test
+  void anEdgeThatStartsAgainIsReadyAtOnce() {
     start(1, 3, 3, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     sendAndWait("core-0", 1, 0, bundle(1));
@@ -199,17 +263,22 @@
   private static final class Heard implements OpaqueListener {
     private Response refused;
 
-    @Override public void head(OpaqueRequest.Head head) {}
+    @Override
+    public void head(OpaqueRequest.Head head) {}
 
-    @Override public void piece(OpaqueRequest.Piece piece) {}
+    @Override
+    public void piece(OpaqueRequest.Piece piece) {}
 
-    @Override public void end() {}
+    @Override
+    public void end() {}
 
-    @Override public void refused(Response response) {
+    @Override
+    public void refused(Response response) {
       refused = response;
     }
 
-    @Override public void cut(Fault fault) {}
+    @Override
+    public void cut(Fault fault) {}
   }
 
   private Heard passAtStart(Process edge) {
@@ -217,26 +286,46 @@
     simulation.runUntil(simulation.nowMs() + 700);
     edge.start();
     Heard heard = new Heard();
-    ((EdgeNode) edge.node()).pass(new OpaqueRequest("r", "POST", "/none/1", "none.example", List.of(), new byte[0], 2_000, "m", 1,
-        1, List.of(), ""), heard);
+    ((EdgeNode) edge.node())
+        .pass(
+            new OpaqueRequest(
+                "r",
+                "POST",
+                "/none/1",
+                "none.example",
+                List.of(),
+                new byte[0],
+                2_000,
+                "m",
+                1,
+                1,
+                List.of(),
+                ""),
+            heard);
     assertThat(heard.refused).isNull();
     return heard;
   }
 
-  @Test void aRequestThatComesToAStartingEdgeWaitsForTheCoresNews() {
+  @Test
+  void aRequestThatComesToAStartingEdgeWaitsForTheCoresNews() {
     start(1, 3, 3, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     sendAndWait("core-0", 1, 0, bundle(1));
     Heard heard = passAtStart(simulation.processes.get("edge-4"));
     readyWithin("edge-4", 30);
-    assertWithMessage("only the bundle tells that no route fits").that(heard.refused.faultType()).isEqualTo("NoMatchingRule");
+    assertWithMessage("only the bundle tells that no route fits")
+        .that(heard.refused.faultType())
+        .isEqualTo("NoMatchingRule");
   }
 
-  @Test void withoutTheCoreItIsRefusedAfterAMoment() {
+  @Test
+  void withoutTheCoreItIsRefusedAfterAMoment() {
     start(1, 3, 3, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     sendAndWait("core-0", 1, 0, bundle(1));
-    simulation.processes.values().stream().filter(process -> process.role.equals("core")).forEach(process -> process.kill(false));
+    simulation.processes.values().stream()
+        .filter(process -> process.role.equals("core"))
+        .forEach(process -> process.kill(false));
     Heard heard = passAtStart(simulation.processes.get("edge-4"));
     simulation.runUntil(simulation.nowMs() + 550);
     assertThat(heard.refused.status()).isEqualTo(503);
@@ -253,38 +342,51 @@
     assertThat(answer[0].status()).isEqualTo(200);
     simulation.processes.values().forEach(process -> process.kill(powerLoss));
     simulation.runUntil(simulation.nowMs() + 700);
-    simulation.processes.values().stream().filter(process -> !process.role.equals("core")).forEach(Process::start);
+    simulation.processes.values().stream()
+        .filter(process -> !process.role.equals("core"))
+        .forEach(Process::start);
     simulation.runUntil(simulation.nowMs() + 300);
-    simulation.processes.values().stream().filter(process -> process.role.equals("core")).forEach(Process::start);
+    simulation.processes.values().stream()
+        .filter(process -> process.role.equals("core"))
+        .forEach(Process::start);
     for (int index = 0; index < 9; index++) {
       readyWithin("edge-" + index, 250);
-      assertThat(simulation.processes.get("edge-" + index).node().status().path("bundle").asLong()).isEqualTo(1);
+      assertThat(simulation.processes.get("edge-" + index).node().status().path("bundle").asLong())
+          .isEqualTo(1);
     }
   }
 
-  @Test void afterAllProcessesAreKilledEdgesAreReadySoonAfterTheCoreIs() {
+  @Test
+  void afterAllProcessesAreKilledEdgesAreReadySoonAfterTheCoreIs() {
     allAreBack(false);
   }
 
-  @Test void afterAllMachinesLosePowerEdgesAreReadySoonAfterTheCoreIs() {
+  @Test
+  void afterAllMachinesLosePowerEdgesAreReadySoonAfterTheCoreIs() {
     allAreBack(true);
   }
 
   // ---- bundles
 
-  @Test void aChangeBuildsOnTheNumberInForce() {
+  @Test
+  void aChangeBuildsOnTheNumberInForce() {
     start(1, 3, 6, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     assertThat(sendAndWait("door-4", 3, 0, bundle(3)).status()).isEqualTo(200);
     assertThat(sendAndWait("core-1", 7, 3, bundle(7)).status()).isEqualTo(200);
     assertThat(sendAndWait("core-2", 9, 3, bundle(9)).faultType()).isEqualTo("VersionConflict");
-    assertThat(sendAndWait("core-2", 7, 7, bundle(7, "other")).faultType()).isEqualTo("BundleConflict");
-    assertThat(sendAndWait("core-2", 8, 7, "{\"number\": 8").faultType()).isEqualTo("InvalidBundle");
-    assertWithMessage("taken earlier, another in force now").that(sendAndWait("door-0", 3, 0, bundle(3)).status()).isEqualTo(200);
+    assertThat(sendAndWait("core-2", 7, 7, bundle(7, "other")).faultType())
+        .isEqualTo("BundleConflict");
+    assertThat(sendAndWait("core-2", 8, 7, "{\"number\": 8").faultType())
+        .isEqualTo("InvalidBundle");
+    assertWithMessage("taken earlier, another in force now")
+        .that(sendAndWait("door-0", 3, 0, bundle(3)).status())
+        .isEqualTo(200);
     assertThat(core("core-0").status().path("bundle").asLong()).isEqualTo(7);
   }
 
-  @Test void ofTwoChangesAtOnceOnOneBaseOneWins() {
+  @Test
+  void ofTwoChangesAtOnceOnOneBaseOneWins() {
     start(1, 3, 6, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     Response[] one = send("door-0", 1, 0, bundle(1));
@@ -293,7 +395,8 @@
     assertThat(List.of(one[0].status(), other[0].status())).containsExactly(200, 409);
   }
 
-  @Test void edgesThatAreDownFrozenOrCutOffHoldNoYesBack() {
+  @Test
+  void edgesThatAreDownFrozenOrCutOffHoldNoYesBack() {
     start(1, 3, 6, 9, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     for (int index = 0; index < 7; index++) {
@@ -311,10 +414,12 @@
     simulation.runUntil(10_500);
     assertThat(answer[0]).isNotNull();
     assertThat(answer[0].status()).isEqualTo(200);
-    assertThat(simulation.processes.get("edge-8").node().status().path("bundle").asLong()).isEqualTo(1);
+    assertThat(simulation.processes.get("edge-8").node().status().path("bundle").asLong())
+        .isEqualTo(1);
   }
 
-  @Test void aCoreWithoutAMajorityGivesNoYes() {
+  @Test
+  void aCoreWithoutAMajorityGivesNoYes() {
     start(1, 3, 0, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     simulation.isolate("core-0");
@@ -326,12 +431,24 @@
   // ---- the outside list of workers
 
   private static ListedWorker worker(int number, boolean leaving) {
-    return new ListedWorker("i-" + number, SimulatedWorkers.address("i-" + number), "main", "zone-" + number % 3, 24, leaving, 0);
+    return new ListedWorker(
+        "i-" + number,
+        SimulatedWorkers.address("i-" + number),
+        "main",
+        "zone-" + number % 3,
+        24,
+        leaving,
+        0);
   }
 
   private List<String> workersAt(String process) {
     List<String> rows = new ArrayList<>();
-    simulation.processes.get(process).node().status().path("workers")
+    simulation
+        .processes
+        .get(process)
+        .node()
+        .status()
+        .path("workers")
         .forEach(row -> rows.add(row.path("id").asText() + " " + row.path("state").asText()));
     return rows;
   }
@@ -343,7 +460,8 @@
     }
   }
 
-  @Test void theListIsKnownBeforeAnyBundleAndFollowed() {
+  @Test
+  void theListIsKnownBeforeAnyBundleAndFollowed() {
     listOf(8);
     start(1, 3, 3, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(5_000);
@@ -355,10 +473,13 @@
     assertThat(workersAt("edge-1")).contains("i-1 leaving");
     listed.set(0, worker(1, false));
     simulation.runUntil(8_000);
-    assertWithMessage("a leaving one does not come back").that(workersAt("edge-1")).contains("i-1 leaving");
+    assertWithMessage("a leaving one does not come back")
+        .that(workersAt("edge-1"))
+        .contains("i-1 leaving");
   }
 
-  @Test void callsAreFewInCalm() {
+  @Test
+  void callsAreFewInCalm() {
     listOf(8);
     start(1, 3, 3, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(10_000);
@@ -367,7 +488,8 @@
     assertThat(calls).isAtMost(15);
   }
 
-  @Test void aReadThatIsNotWholeChangesNothing() {
+  @Test
+  void aReadThatIsNotWholeChangesNothing() {
     pageSize = 3;
     listOf(8);
     start(1, 3, 3, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
@@ -382,7 +504,8 @@
     assertThat(workersAt("edge-0")).hasSize(7);
   }
 
-  @Test void anEmptyListIsBelievedOnlyTwice() {
+  @Test
+  void anEmptyListIsBelievedOnlyTwice() {
     listOf(8);
     start(1, 3, 3, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
@@ -401,16 +524,23 @@
   }
 
   private String owner() {
-    return simulation.processes.values().stream().filter(process -> process.role.equals("core") && process.alive())
-        .filter(process -> process.node().status().path("owned").has("workers")).findFirst().get().name;
+    return simulation.processes.values().stream()
+        .filter(process -> process.role.equals("core") && process.alive())
+        .filter(process -> process.node().status().path("owned").has("workers"))
+        .findFirst()
+        .get()
+        .name;
   }
 
-  @Test void aLeavingWorkerIsKnownInTimeWhateverHappensToTheOneOnDuty() {
+  @Test
+  void aLeavingWorkerIsKnownInTimeWhateverHappensToTheOneOnDuty() {
     listOf(8);
     start(1, 3, 3, 3, 3, 500, List.of("core-0", "core-1", "core-2"));
     simulation.runUntil(6_000);
     leaves(1, () -> simulation.processes.get(owner()).kill(false));
-    simulation.processes.values().stream().filter(process -> !process.alive()).forEach(Process::start);
+    simulation.processes.values().stream()
+        .filter(process -> !process.alive())
+        .forEach(Process::start);
     simulation.runUntil(simulation.nowMs() + 3_000);
     leaves(2, () -> simulation.processes.get(owner()).freeze());
     simulation.processes.values().forEach(Process::wake);
@@ -420,22 +550,28 @@
     simulation.runUntil(simulation.nowMs() + 3_000);
     String cutOff = owner();
     Simulation.OutsideList list = simulation.outsideList;
-    simulation.outsideList = (reader, token, whenRead, whenFaulty) -> {
-      if (!reader.name.equals(cutOff)) {
-        list.read(reader, token, whenRead, whenFaulty);
-      }
-    };
-    leaves(4, () -> { });
+    simulation.outsideList =
+        (reader, token, whenRead, whenFaulty) -> {
+          if (!reader.name.equals(cutOff)) {
+            list.read(reader, token, whenRead, whenFaulty);
+          }
+        };
+    leaves(4, () -> {});
     assertThat(owner()).isNotEqualTo(cutOff);
   }
 
-  /** The list shows a worker as leaving just when something happens; every edge has it before the time is over. */
+  /**
+   * The list shows a worker as leaving just when something happens; every edge has it before the
+   * time is over.
+   */
   private void leaves(int number, Runnable trouble) {
     trouble.run();
     listed.set(number - 1, worker(number, true));
     simulation.runUntil(simulation.nowMs() + 2_800);
     for (int edge = 0; edge < 3; edge++) {
-      assertWithMessage("worker " + number + " at edge " + edge).that(workersAt("edge-" + edge)).contains("i-" + number + " leaving");
+      assertWithMessage("worker " + number + " at edge " + edge)
+          .that(workersAt("edge-" + edge))
+          .contains("i-" + number + " leaving");
     }
   }
 
@@ -459,8 +595,13 @@
   }
 
   private JsonNode core() {
-    return simulation.processes.values().stream().filter(process -> process.role.equals("core") && process.alive())
-        .filter(process -> process.node().notReadyBecause().isEmpty()).findFirst().get().node().status();
+    return simulation.processes.values().stream()
+        .filter(process -> process.role.equals("core") && process.alive())
+        .filter(process -> process.node().notReadyBecause().isEmpty())
+        .findFirst()
+        .get()
+        .node()
+        .status();
   }
 
   private void assertShardsAt(String... names) {
@@ -468,15 +609,17 @@
     List.of(names).forEach(name -> wanted.add(idOf(name)));
     JsonNode shards = core().path("shards");
     assertThat(shards).hasSize(16);
-    shards.forEach(shard -> {
-      Set<String> ids = new TreeSet<>();
-      shard.path("replicas").forEach(replica -> ids.add(replica.path("id").asText()));
-      assertThat(ids).isEqualTo(wanted);
-      assertThat(shard.path("next")).isEmpty();
-    });
+    shards.forEach(
+        shard -> {
+          Set<String> ids = new TreeSet<>();
+          shard.path("replicas").forEach(replica -> ids.add(replica.path("id").asText()));
+          assertThat(ids).isEqualTo(wanted);
+          assertThat(shard.path("next")).isEmpty();
+        });
   }
 
-  @Test void oneCoreMemberAfterTheOtherLosesItsDisk() {
+  @Test
+  void oneCoreMemberAfterTheOtherLosesItsDisk() {
     start(1, 3, 3, 3, 3, 500, SEEDS);
     simulation.runUntil(12_000);
     assertThat(sendAndWait("door-0", 1, 0, bundle(1)).status()).isEqualTo(200);
@@ -492,7 +635,8 @@
     simulation.checkNothingVanished();
   }
 
-  @Test void aStorageNodeThatLostItsDiskIsInAllSetsAgainWithinThreeSeconds() {
+  @Test
+  void aStorageNodeThatLostItsDiskIsInAllSetsAgainWithinThreeSeconds() {
     start(1, 3, 3, 3, 3, 500, SEEDS);
     simulation.runUntil(12_000);
     assertShardsAt("storage-0", "storage-1", "storage-2");
@@ -504,7 +648,8 @@
     assertShardsAt("storage-0", "storage-1", "storage-2");
   }
 
-  @Test void aStorageNodeAtAnotherAddressTakesTheLostOnesPlace() {
+  @Test
+  void aStorageNodeAtAnotherAddressTakesTheLostOnesPlace() {
     start(1, 3, 3, 3, 3, 500, SEEDS);
     simulation.runUntil(12_000);
     Process lost = simulation.processes.get("storage-1");
@@ -515,7 +660,8 @@
     assertShardsAt("storage-0", "storage-9", "storage-2");
   }
 
-  @Test void aCoreMemberAtAnotherAddressTakesTheLostOnesPlace() {
+  @Test
+  void aCoreMemberAtAnotherAddressTakesTheLostOnesPlace() {
     start(1, 3, 3, 3, 3, 500, SEEDS);
     simulation.runUntil(12_000);
     simulation.processes.get("core-1").kill(true);
@@ -524,46 +670,73 @@
     assertThat(rosterNames("core-0")).containsExactly("core-0", "core-2", "core-9");
   }
 
-  @Test void whereTwoLossesAreBorneEveryShardHasFiveReplicas() {
+  @Test
+  void whereTwoLossesAreBorneEveryShardHasFiveReplicas() {
     start(2, 6, 3, 3, 6, 500, SEEDS);
     simulation.runUntil(8_000);
     core().path("shards").forEach(shard -> assertThat(shard.path("replicas")).hasSize(5));
     loseDisk("storage-1", 1_000);
     loseDisk("core-1", 1_000);
     run(1_000 + 4_000);
-    core().path("shards").forEach(shard -> {
-      assertThat(shard.path("replicas")).hasSize(5);
-      assertThat(shard.path("next")).isEmpty();
-    });
+    core()
+        .path("shards")
+        .forEach(
+            shard -> {
+              assertThat(shard.path("replicas")).hasSize(5);
+              assertThat(shard.path("next")).isEmpty();
+            });
     assertThat(rosterNames("core-0")).hasSize(5);
   }
 
   private Response ask(String core, Consumer<Consumer<Response>> question) {
     Response[] answer = new Response[1];
-    simulation.call(simulation.processes.get(core), question, new Caller<>() {
-      @Override public void answered(Response response) {
-        answer[0] = response;
-      }
+    simulation.call(
+        simulation.processes.get(core),
+        question,
+        new Caller<>() {
+          @Override
+          public void answered(Response response) {
+            answer[0] = response;
+          }
 
-      @Override public void broken(boolean neverReached) {}
-    });
+          @Override
+          public void broken(boolean neverReached) {}
+        });
     run(1_500);
     return answer[0];
   }
 
-  @Test void aStorageNodeIsEmptiedOntoOthersAndThenTakenAway() {
+  @Test
+  void aStorageNodeIsEmptiedOntoOthersAndThenTakenAway() {
     start(1, 3, 3, 3, 3, 500, SEEDS);
     simulation.runUntil(12_000);
-    assertThat(ask("door-0", then -> core("door-0").emptyStorage("storage-7", 5_000, then)).faultType()).isEqualTo("NoSuchStorage");
-    assertThat(ask("door-0", then -> core("door-0").emptyStorage("storage-1", 5_000, then)).faultType()).isEqualTo("TooFewCopies");
+    assertThat(
+            ask("door-0", then -> core("door-0").emptyStorage("storage-7", 5_000, then))
+                .faultType())
+        .isEqualTo("NoSuchStorage");
+    assertThat(
+            ask("door-0", then -> core("door-0").emptyStorage("storage-1", 5_000, then))
+                .faultType())
+        .isEqualTo("TooFewCopies");
     simulation.add("storage-3", "zone-1", "storage", SEEDS, true).start();
     run(3_000);
-    assertThat(ask("door-0", then -> core("door-0").storagePlace("storage-1", then)).body().path("complete").asBoolean()).isFalse();
+    assertThat(
+            ask("door-0", then -> core("door-0").storagePlace("storage-1", then))
+                .body()
+                .path("complete")
+                .asBoolean())
+        .isFalse();
     for (String door : List.of("door-1", "core-2")) {
-      assertThat(ask(door, then -> core(door).emptyStorage("storage-1", 5_000, then)).status()).isEqualTo(200);
+      assertThat(ask(door, then -> core(door).emptyStorage("storage-1", 5_000, then)).status())
+          .isEqualTo(200);
     }
     run(3_000);
-    assertThat(ask("door-2", then -> core("door-2").storagePlace("storage-1", then)).body().path("complete").asBoolean()).isTrue();
+    assertThat(
+            ask("door-2", then -> core("door-2").storagePlace("storage-1", then))
+                .body()
+                .path("complete")
+                .asBoolean())
+        .isTrue();
     assertShardsAt("storage-0", "storage-2", "storage-3");
     simulation.processes.get("storage-1").kill(true);
     loseDisk("storage-0", 500);
--- a/test-fleet/src/test/java/applespindle/testfleet/InstantsTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/InstantsTest.java
@@ -1,5 +1,7 @@
 package applespindle.testfleet;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.testfleet.Instants.Case;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,9 +14,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import static com.google.common.truth.Truth.assertThat;
-
-/** Power fails at the second message of each kind, at each of the four instants about it. The long sweep is a program. */
+/**
+ * Power fails at the second message of each kind, at each of the four instants about it. The long
+ * sweep is a program.
+ */
 @Execution(ExecutionMode.CONCURRENT)
 class InstantsTest {
   private static final long SEED = 1;
@@ -37,9 +40,11 @@
     assertThat(instant.run(scenario(), SEED).faults()).isEmpty();
   }
 
-  @Test void strikes() {
-    Scenario.Outcome outcome = new Case("KeyAppend", 2, Simulation.Instant.Position.RECEIVER_AFTER, true)
-        .run(scenario(), SEED);
+  @Test
+  void strikes() {
+    Scenario.Outcome outcome =
+        new Case("KeyAppend", 2, Simulation.Instant.Position.RECEIVER_AFTER, true)
+            .run(scenario(), SEED);
     assertThat(outcome.fleet().simulation.instant.fallen).isNotNull();
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/KnownRedTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/KnownRedTest.java
@@ -1,5 +1,10 @@
 package applespindle.testfleet;
 
+import static applespindle.testfleet.KnownRed.Outcome.FAILED;
+import static applespindle.testfleet.KnownRed.Outcome.PASSED;
+import static applespindle.testfleet.KnownRed.Outcome.SKIPPED;
+import static com.google.common.truth.Truth.assertThat;
+
 import applespindle.testfleet.KnownRed.Outcome;
 import applespindle.testfleet.KnownRed.Verdict;
 import java.io.IOException;
@@ -10,11 +15,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-import static applespindle.testfleet.KnownRed.Outcome.FAILED;
-import static applespindle.testfleet.KnownRed.Outcome.PASSED;
-import static applespindle.testfleet.KnownRed.Outcome.SKIPPED;
-import static com.google.common.truth.Truth.assertThat;
-
 class KnownRedTest {
   private static final String LINE = "a.BTest.holds(), the owner forgets, issue 7";
 
@@ -22,47 +22,63 @@
     return KnownRed.judge(results, List.of(), List.of(lines));
   }
 
-  @Test void passesWhereAllPassAndNothingIsListed() {
+  @Test
+  void passesWhereAllPassAndNothingIsListed() {
     assertThat(judge(Map.of("a.BTest.holds()", PASSED)).passes()).isTrue();
     assertThat(judge(Map.of("a.BTest.holds()", PASSED), "", "  ").passes()).isTrue();
   }
 
-  @Test void failsForAFailureThatIsNotListed() {
+  @Test
+  void failsForAFailureThatIsNotListed() {
     assertThat(judge(Map.of("a.BTest.holds()", FAILED)).passes()).isFalse();
     assertThat(judge(Map.of("a.BTest.holds()", FAILED, "a.BTest.other()", FAILED), LINE).reasons())
         .containsExactly("failed: a.BTest.other()");
   }
 
-  @Test void letsAListedFailureThroughAndTellsIt() {
+  @Test
+  void letsAListedFailureThroughAndTellsIt() {
     Verdict verdict = judge(Map.of("a.BTest.holds()", FAILED, "a.BTest.other()", PASSED), LINE);
     assertThat(verdict.passes()).isTrue();
     assertThat(verdict.known()).containsExactly(LINE);
   }
 
-  @Test void failsForAListedTestThatPassesOrIsSkippedOrDoesNotExist() {
+  @Test
+  void failsForAListedTestThatPassesOrIsSkippedOrDoesNotExist() {
     assertThat(judge(Map.of("a.BTest.holds()", PASSED), LINE).passes()).isFalse();
     assertThat(judge(Map.of("a.BTest.holds()", SKIPPED), LINE).passes()).isFalse();
     assertThat(judge(Map.of("a.BTest.other()", PASSED), LINE).passes()).isFalse();
   }
 
-  @Test void knowsATestWhoseNameHoldsCommasAndBeginsAnothers() {
+  @Test
+  void knowsATestWhoseNameHoldsCommasAndBeginsAnothers() {
     String longer = "a.BTest.holds(String, long) quiet.txt seed 11";
-    Map<String, Outcome> results = Map.of("a.BTest.holds(String, long) quiet.txt seed 1", PASSED, longer, FAILED);
+    Map<String, Outcome> results =
+        Map.of("a.BTest.holds(String, long) quiet.txt seed 1", PASSED, longer, FAILED);
     assertThat(judge(results, longer + ", a cause, with a comma, issue 7").passes()).isTrue();
-    assertThat(judge(results, "a.BTest.holds(String, long) quiet.txt seed 1, a cause, issue 7").passes()).isFalse();
+    assertThat(
+            judge(results, "a.BTest.holds(String, long) quiet.txt seed 1, a cause, issue 7")
+                .passes())
+        .isFalse();
   }
 
-  @Test void failsForALineWithoutCauseOrIssueAndForOneListedTwice() {
-    assertThat(judge(Map.of("a.BTest.holds()", FAILED), "a.BTest.holds(), a cause").passes()).isFalse();
+  @Test
+  void failsForALineWithoutCauseOrIssueAndForOneListedTwice() {
+    assertThat(judge(Map.of("a.BTest.holds()", FAILED), "a.BTest.holds(), a cause").passes())
+        .isFalse();
     assertThat(judge(Map.of("a.BTest.holds()", FAILED), LINE, LINE).passes()).isFalse();
   }
 
-  @Test void failsWhereTestsWereNotRun() {
+  @Test
+  void failsWhereTestsWereNotRun() {
     assertThat(judge(Map.of()).passes()).isFalse();
-    assertThat(KnownRed.judge(Map.of("a.BTest.holds()", PASSED), List.of("a.CTest"), List.of()).passes()).isFalse();
+    assertThat(
+            KnownRed.judge(Map.of("a.BTest.holds()", PASSED), List.of("a.CTest"), List.of())
+                .passes())
+        .isFalse();
   }
 
-  @Test void readsReportsAndList(@TempDir Path root) throws Exception {
+  @Test
+  void readsReportsAndList(@TempDir Path root) throws Exception {
     report(root, "<testcase classname=\"a.BTest\" name=\"holds()\"><failure/></testcase>");
     assertThat(KnownRedProgram.run(root)).isEqualTo(1);
     Files.writeString(root.resolve("KNOWN-RED.txt"), LINE + "\n");
@@ -72,7 +88,8 @@
     assertThat(KnownRedProgram.run(root)).isEqualTo(1);
   }
 
-  @Test void failsForAReportThatCanNotBeRead(@TempDir Path root) throws Exception {
+  @Test
+  void failsForAReportThatCanNotBeRead(@TempDir Path root) throws Exception {
     report(root, "<testcase classname=\"a.BTest\" name=\"holds()\"/>");
     assertThat(KnownRedProgram.run(root)).isEqualTo(0);
     report(root, "<testcase");
@@ -83,6 +100,8 @@
     Path module = root.resolve("module");
     Files.createDirectories(module.resolve("target/surefire-reports"));
     Files.writeString(module.resolve("pom.xml"), "");
-    Files.writeString(module.resolve("target/surefire-reports/TEST-a.BTest.xml"), "<testsuite>" + cases + "</testsuite>");
+    Files.writeString(
+        module.resolve("target/surefire-reports/TEST-a.BTest.xml"),
+        "<testsuite>" + cases + "</testsuite>");
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/OpaqueCheckerTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/OpaqueCheckerTest.java
@@ -1,11 +1,5 @@
 package applespindle.testfleet;
 
-import applespindle.testfleet.Checker.Rule;
-import applespindle.testfleet.History.Kind;
-import java.util.List;
-import java.util.function.Consumer;
-import org.junit.jupiter.api.Test;
-
 import static applespindle.testfleet.Checker.Rule.ACCEPTED_BATCH_LOST;
 import static applespindle.testfleet.Checker.Rule.BUNDLE_NOT_IN_FORCE;
 import static applespindle.testfleet.Checker.Rule.CEILING_OVERSHOT;
@@ -48,7 +42,16 @@
 import static applespindle.testfleet.History.Kind.WORKER_LISTED;
 import static com.google.common.truth.Truth.assertThat;
 
-/** The checker takes a sound history of opaque requests and batches, and rejects a doctored one for each rule. */
+import applespindle.testfleet.Checker.Rule;
+import applespindle.testfleet.History.Kind;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The checker takes a sound history of opaque requests and batches, and rejects a doctored one for
+ * each rule.
+ */
 class OpaqueCheckerTest {
   private static final String ONCE = "POST h /once/1 body-1";
   private static final String FREE = "POST h /free/2 body-2";
@@ -56,7 +59,14 @@
   private static final String RESUMED = "POST h /resumed/4 body-4";
   private static final String ITEM = "POST h /batch/9 body-i";
 
-  private static void add(History history, long at, Kind kind, String subject, String detail, String text, long number) {
+  private static void add(
+      History history,
+      long at,
+      Kind kind,
+      String subject,
+      String detail,
+      String text,
+      long number) {
     history.add(at, kind, subject, detail, text, number);
   }
 
@@ -64,21 +74,46 @@
     return OpaqueOutput.text(asked, first, last, run);
   }
 
-  private static void arrives(History history, long at, String worker, String id, String asked, String run) {
+  private static void arrives(
+      History history, long at, String worker, String id, String asked, String run) {
     add(history, at, RUN_ARRIVED, worker, id + " edge-1 " + run, asked, 0);
   }
 
-  private static void runs(History history, long at, String worker, String id, String asked, String run, long behind, int status) {
+  private static void runs(
+      History history,
+      long at,
+      String worker,
+      String id,
+      String asked,
+      String run,
+      long behind,
+      int status) {
     arrives(history, at, worker, id, asked, run);
     add(history, at, RUN_BEGAN, worker, id, run, behind);
     add(history, at + 50, RUN_ENDED, worker, id, run, status);
   }
 
-  private static void answered(History history, long at, String id, String detail, String asked, String run, String body, int status) {
-    add(history, at, REQUEST_ANSWERED, id, detail, OpaqueOutput.stamp(asked, run) + "\n" + body, status);
-  }
-
-  private static void change(History history, long at, String id, long number, long buildsOn, String pool) {
+  private static void answered(
+      History history,
+      long at,
+      String id,
+      String detail,
+      String asked,
+      String run,
+      String body,
+      int status) {
+    add(
+        history,
+        at,
+        REQUEST_ANSWERED,
+        id,
+        detail,
+        OpaqueOutput.stamp(asked, run) + "\n" + body,
+        status);
+  }
+
+  private static void change(
+      History history, long at, String id, long number, long buildsOn, String pool) {
     add(history, at, CHANGE_SENT, id, "valid", Long.toString(buildsOn), number);
     for (String type : List.of("once", "free", "stream", "resumed")) {
       add(history, at, CHANGE_ROUTE, id, type, "h /" + type + "/ " + type + " 2 0 " + pool, number);
@@ -103,17 +138,37 @@
     answered(history, 5_230, "q2", "complete", FREE, "r3", part(FREE, 1, 4, "r3"), 200);
     add(history, 5_300, REQUEST_SENT, "q3", "stream edge-1", STREAM, 4);
     runs(history, 5_310, "i-1", "q3", STREAM, "r4", 0, 200);
-    answered(history, 5_370, "q3", "complete", STREAM, "r4",
-        "1:" + part(STREAM, 1, 1, "r4") + "\n4:" + part(STREAM, 2, 4, "r4") + "\n", 200);
+    answered(
+        history,
+        5_370,
+        "q3",
+        "complete",
+        STREAM,
+        "r4",
+        "1:" + part(STREAM, 1, 1, "r4") + "\n4:" + part(STREAM, 2, 4, "r4") + "\n",
+        200);
     add(history, 5_400, REQUEST_SENT, "q4", "resumable edge-1", RESUMED, 4);
     runs(history, 5_410, "i-1", "q4", RESUMED, "r5", 0, 0);
     runs(history, 5_470, "i-1", "q4", RESUMED, "r6", 2, 200);
-    answered(history, 5_530, "q4", "complete", RESUMED, "r5",
-        "2:" + part(RESUMED, 1, 2, "r5") + "\n4:" + part(RESUMED, 3, 4, "r6") + "\n", 200);
+    answered(
+        history,
+        5_530,
+        "q4",
+        "complete",
+        RESUMED,
+        "r5",
+        "2:" + part(RESUMED, 1, 2, "r5") + "\n4:" + part(RESUMED, 3, 4, "r6") + "\n",
+        200);
     batch(history, 6_000, "b1", "x1", 60);
     add(history, 6_050, OPAQUE_ANSWERED, "b1", "", "", 201);
     runs(history, 6_100, "i-1", "x1", ITEM, "r7", 0, 200);
-    listed(history, 7_000, "b1", "x1 complete", part(ITEM, 1, 3, "r7") + "\n" + part(ITEM, 4, 4, "r7"), 0);
+    listed(
+        history,
+        7_000,
+        "b1",
+        "x1 complete",
+        part(ITEM, 1, 3, "r7") + "\n" + part(ITEM, 4, 4, "r7"),
+        0);
     add(history, 9_000, OPAQUE_CLOSED, "b1", "read", "1", 0);
     return history;
   }
@@ -123,7 +178,8 @@
     add(history, at, OPAQUE_SENT, batch, "edge-1", "h /batch/" + batch, tokens);
   }
 
-  private static void listed(History history, long at, String batch, String detail, String output, long position) {
+  private static void listed(
+      History history, long at, String batch, String detail, String output, long position) {
     add(history, at, OPAQUE_RESULT, batch, detail, output, position);
     add(history, at, OPAQUE_READ, batch, "edge-1", "0 1 1 " + (at - 5), 200);
   }
@@ -131,7 +187,8 @@
   private static void rejects(Rule rule, Consumer<History> doctoring) {
     History history = sound();
     doctoring.accept(history);
-    assertThat(Checker.check(history).stream().map(Checker.Violation::rule).distinct().toList()).containsExactly(rule);
+    assertThat(Checker.check(history).stream().map(Checker.Violation::rule).distinct().toList())
+        .containsExactly(rule);
   }
 
   private static void accepts(Consumer<History> doctoring) {
@@ -140,249 +197,370 @@
     assertThat(Checker.check(history)).isEmpty();
   }
 
-  @Test void acceptsASoundHistory() {
+  @Test
+  void acceptsASoundHistory() {
     assertThat(Checker.check(sound())).isEmpty();
   }
 
   // ---- answers
 
-  @Test void rejectsASuccessWithoutItsStamp() {
-    rejects(WRONG_OR_CUT_ANSWER, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "repeatable edge-1", FREE, 4);
-      add(history, 5_700, REQUEST_ANSWERED, "q9", "complete", "\n" + part(FREE, 1, 4, "r3"), 200);
-    });
-  }
-
-  @Test void rejectsAnothersAnswer() {
-    rejects(WRONG_OR_CUT_ANSWER, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "repeatable edge-1", FREE, 4);
-      answered(history, 5_700, "q9", "complete", FREE, "r3", part(FREE, 1, 4, "r3"), 200);
-    });
-    rejects(WRONG_OR_CUT_ANSWER, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "stream edge-1", STREAM, 4);
-      runs(history, 5_610, "i-1", "q9", STREAM, "r9", 0, 200);
-      answered(history, 5_700, "q9", "complete", STREAM, "r9", "4:" + part(STREAM, 1, 4, "r4") + "\n", 200);
-    });
-  }
-
-  @Test void rejectsACutAnswerThatLooksWhole() {
-    rejects(WRONG_OR_CUT_ANSWER, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 0);
-      answered(history, 5_700, "q9", "complete", ONCE, "r9", part(ONCE, 1, 4, "r9").substring(0, 3), 200);
-    });
-  }
-
-  @Test void rejectsAFailureShownAsASuccess() {
-    rejects(WRONG_OR_CUT_ANSWER, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 500);
-      answered(history, 5_700, "q9", "complete", ONCE, "r9", "failed 500 r9", 200);
-    });
-  }
-
-  @Test void acceptsAWorkersOwnFailureUnchanged() {
-    accepts(history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 500);
-      answered(history, 5_700, "q9", "complete", ONCE, "r9", "failed 500 r9", 500);
-    });
+  @Test
+  void rejectsASuccessWithoutItsStamp() {
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "repeatable edge-1", FREE, 4);
+          add(
+              history,
+              5_700,
+              REQUEST_ANSWERED,
+              "q9",
+              "complete",
+              "\n" + part(FREE, 1, 4, "r3"),
+              200);
+        });
+  }
+
+  @Test
+  void rejectsAnothersAnswer() {
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "repeatable edge-1", FREE, 4);
+          answered(history, 5_700, "q9", "complete", FREE, "r3", part(FREE, 1, 4, "r3"), 200);
+        });
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "stream edge-1", STREAM, 4);
+          runs(history, 5_610, "i-1", "q9", STREAM, "r9", 0, 200);
+          answered(
+              history,
+              5_700,
+              "q9",
+              "complete",
+              STREAM,
+              "r9",
+              "4:" + part(STREAM, 1, 4, "r4") + "\n",
+              200);
+        });
+  }
+
+  @Test
+  void rejectsACutAnswerThatLooksWhole() {
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 0);
+          answered(
+              history,
+              5_700,
+              "q9",
+              "complete",
+              ONCE,
+              "r9",
+              part(ONCE, 1, 4, "r9").substring(0, 3),
+              200);
+        });
+  }
+
+  @Test
+  void rejectsAFailureShownAsASuccess() {
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 500);
+          answered(history, 5_700, "q9", "complete", ONCE, "r9", "failed 500 r9", 200);
+        });
+  }
+
+  @Test
+  void acceptsAWorkersOwnFailureUnchanged() {
+    accepts(
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 5_610, "i-1", "q9", ONCE, "r9", 0, 500);
+          answered(history, 5_700, "q9", "complete", ONCE, "r9", "failed 500 r9", 500);
+        });
   }
 
   // ---- runs
 
-  @Test void rejectsARunThatNobodyAskedForOrThatWasChanged() {
+  @Test
+  void rejectsARunThatNobodyAskedForOrThatWasChanged() {
     rejects(UNASKED_RUN, history -> runs(history, 5_600, "i-1", "q9", ONCE, "r9", 0, 200));
     rejects(UNASKED_RUN, history -> runs(history, 5_600, "i-1", "q2", FREE + "!", "r9", 0, 200));
   }
 
-  @Test void rejectsASecondRunOfWhatMayRunOnce() {
+  @Test
+  void rejectsASecondRunOfWhatMayRunOnce() {
     rejects(RAN_TWICE, history -> runs(history, 5_600, "i-1", "q1", ONCE, "r9", 0, 200));
     rejects(RAN_TWICE, history -> runs(history, 5_600, "i-1", "q3", STREAM, "r9", 0, 200));
   }
 
-  @Test void rejectsARefusedRequestThatRuns() {
-    rejects(REFUSED_REQUEST_RAN, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      add(history, 5_610, REQUEST_ANSWERED, "q9", "refused", "", 503);
-      runs(history, 5_800, "i-1", "q9", ONCE, "r9", 0, 200);
-    });
+  @Test
+  void rejectsARefusedRequestThatRuns() {
+    rejects(
+        REFUSED_REQUEST_RAN,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          add(history, 5_610, REQUEST_ANSWERED, "q9", "refused", "", 503);
+          runs(history, 5_800, "i-1", "q9", ONCE, "r9", 0, 200);
+        });
   }
 
-  @Test void rejectsAPoolThatNoChangeEverNamed() {
+  @Test
+  void rejectsAPoolThatNoChangeEverNamed() {
     rejects(WRONG_POOL, history -> runs(history, 5_600, "i-2", "q2", FREE, "r9", 0, 200));
-    rejects(WRONG_POOL, history -> {
-      runs(history, 6_600, "i-2", "x1", ITEM, "r9", 0, -1);
-      change(history, 6_700, "c2", 6, 5, "beta");
-    });
-  }
-
-  @Test void rejectsARunAtAWorkerThatWasShownToLeave() {
-    rejects(WORK_TO_LEAVING_WORKER, history -> {
-      add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
-      add(history, 9_100, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      arrives(history, 9_101, "i-1", "q9", ONCE, "r9");
-    });
-  }
-
-  @Test void acceptsARunAtALeavingWorkerWhileTheListWasAwayOrTheNodeOutOfTouch() {
-    accepts(history -> {
-      add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
-      add(history, 6_100, LIST_TROUBLE, "", "began", "", 0);
-      add(history, 6_600, LIST_TROUBLE, "", "ended", "", 0);
-      arrives(history, 9_101, "i-1", "q1", ONCE, "r9");
-    });
-    accepts(history -> {
-      add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
-      add(history, 6_100, TROUBLE, "edge-1", "began cut", "edge", 0);
-      add(history, 6_600, TROUBLE, "edge-1", "ended cut", "edge", 0);
-      arrives(history, 9_101, "i-1", "q1", ONCE, "r9");
-    });
+    rejects(
+        WRONG_POOL,
+        history -> {
+          runs(history, 6_600, "i-2", "x1", ITEM, "r9", 0, -1);
+          change(history, 6_700, "c2", 6, 5, "beta");
+        });
+  }
+
+  @Test
+  void rejectsARunAtAWorkerThatWasShownToLeave() {
+    rejects(
+        WORK_TO_LEAVING_WORKER,
+        history -> {
+          add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
+          add(history, 9_100, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          arrives(history, 9_101, "i-1", "q9", ONCE, "r9");
+        });
+  }
+
+  @Test
+  void acceptsARunAtALeavingWorkerWhileTheListWasAwayOrTheNodeOutOfTouch() {
+    accepts(
+        history -> {
+          add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
+          add(history, 6_100, LIST_TROUBLE, "", "began", "", 0);
+          add(history, 6_600, LIST_TROUBLE, "", "ended", "", 0);
+          arrives(history, 9_101, "i-1", "q1", ONCE, "r9");
+        });
+    accepts(
+        history -> {
+          add(history, 6_000, WORKER_LISTED, "i-1", "alpha", "leaving", 0);
+          add(history, 6_100, TROUBLE, "edge-1", "began cut", "edge", 0);
+          add(history, 6_600, TROUBLE, "edge-1", "ended cut", "edge", 0);
+          arrives(history, 9_101, "i-1", "q1", ONCE, "r9");
+        });
   }
 
   // ---- streams
 
-  @Test void rejectsAStreamThatLacksOrRepeatsAPieceOrEndsEarly() {
-    for (String body : List.of("1:" + part(STREAM, 1, 1, "r9") + "\n4:" + part(STREAM, 3, 4, "r9"),
-        "2:" + part(STREAM, 1, 2, "r9") + "\n4:" + part(STREAM, 2, 4, "r9"), "3:" + part(STREAM, 1, 3, "r9"))) {
-      rejects(STREAM_BROKEN, history -> {
-        add(history, 5_600, REQUEST_SENT, "q9", "stream edge-1", STREAM, 4);
-        runs(history, 5_610, "i-1", "q9", STREAM, "r9", 0, 200);
-        answered(history, 5_700, "q9", "complete", STREAM, "r9", body, 200);
-      });
+  @Test
+  void rejectsAStreamThatLacksOrRepeatsAPieceOrEndsEarly() {
+    for (String body :
+        List.of(
+            "1:" + part(STREAM, 1, 1, "r9") + "\n4:" + part(STREAM, 3, 4, "r9"),
+            "2:" + part(STREAM, 1, 2, "r9") + "\n4:" + part(STREAM, 2, 4, "r9"),
+            "3:" + part(STREAM, 1, 3, "r9"))) {
+      rejects(
+          STREAM_BROKEN,
+          history -> {
+            add(history, 5_600, REQUEST_SENT, "q9", "stream edge-1", STREAM, 4);
+            runs(history, 5_610, "i-1", "q9", STREAM, "r9", 0, 200);
+            answered(history, 5_700, "q9", "complete", STREAM, "r9", body, 200);
+          });
     }
   }
 
-  @Test void rejectsAStreamJoinedWithARunThatBeganElsewhere() {
-    rejects(STREAM_BROKEN, history -> {
-      add(history, 5_600, REQUEST_SENT, "q9", "resumable edge-1", RESUMED, 4);
-      runs(history, 5_610, "i-1", "q9", RESUMED, "r8", 0, 0);
-      runs(history, 5_670, "i-1", "q9", RESUMED, "r9", 0, 200);
-      answered(history, 5_730, "q9", "complete", RESUMED, "r8",
-          "2:" + part(RESUMED, 1, 2, "r8") + "\n4:" + part(RESUMED, 3, 4, "r9") + "\n", 200);
-    });
+  @Test
+  void rejectsAStreamJoinedWithARunThatBeganElsewhere() {
+    rejects(
+        STREAM_BROKEN,
+        history -> {
+          add(history, 5_600, REQUEST_SENT, "q9", "resumable edge-1", RESUMED, 4);
+          runs(history, 5_610, "i-1", "q9", RESUMED, "r8", 0, 0);
+          runs(history, 5_670, "i-1", "q9", RESUMED, "r9", 0, 200);
+          answered(
+              history,
+              5_730,
+              "q9",
+              "complete",
+              RESUMED,
+              "r8",
+              "2:" + part(RESUMED, 1, 2, "r8") + "\n4:" + part(RESUMED, 3, 4, "r9") + "\n",
+              200);
+        });
   }
 
   // ---- changes
 
-  @Test void rejectsARequestHandledByAnOlderChange() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      change(history, 6_000, "c2", 7, 5, "beta");
-      add(history, 6_100, CHANGE_ANSWERED, "c2", "", "", 200);
-      add(history, 8_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 8_210, "i-1", "q9", ONCE, "r9", 0, 200);
-    });
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      add(history, 8_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      add(history, 8_210, REQUEST_ANSWERED, "q9", "refused", "", 404);
-    });
-  }
-
-  @Test void rejectsANodeThatGoesBack() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      change(history, 6_000, "c2", 7, 5, "beta");
-      add(history, 6_010, REQUEST_SENT, "q8", "once edge-1", ONCE, 4);
-      runs(history, 6_020, "i-2", "q8", ONCE, "r8", 0, 200);
-      add(history, 6_400, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 6_410, "i-1", "q9", ONCE, "r9", 0, 200);
-    });
-  }
-
-  @Test void rejectsAnInvalidChangeAcknowledged() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      add(history, 8_000, CHANGE_SENT, "c2", "invalid", "5", 7);
-      add(history, 8_100, CHANGE_ANSWERED, "c2", "", "", 200);
-    });
-  }
-
-  @Test void rejectsTwoChangesOnOneVersion() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      change(history, 8_000, "c2", 7, 5, "alpha");
-      change(history, 8_000, "c3", 8, 5, "alpha");
-      add(history, 8_100, CHANGE_ANSWERED, "c2", "", "", 200);
-      add(history, 8_100, CHANGE_ANSWERED, "c3", "", "", 200);
-    });
-  }
-
-  @Test void rejectsALostRaceInForce() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      change(history, 6_000, "c2", 7, 5, "beta");
-      add(history, 6_100, CHANGE_ANSWERED, "c2", "VersionConflict", "", 412);
-      add(history, 6_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      runs(history, 6_210, "i-2", "q9", ONCE, "r9", 0, 200);
-    });
-  }
-
-  @Test void rejectsAReadOfAnOlderOrAnUnsentChange() {
-    rejects(BUNDLE_NOT_IN_FORCE, history -> {
-      change(history, 6_000, "c2", 7, 5, "alpha");
-      add(history, 6_100, CHANGE_ANSWERED, "c2", "", "", 200);
-      add(history, 6_300, CHANGE_READ, "c1", "", "6200", 5);
-    });
-    rejects(BUNDLE_NOT_IN_FORCE, history -> add(history, 6_300, CHANGE_READ, "none", "", "6200", 5));
+  @Test
+  void rejectsARequestHandledByAnOlderChange() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          change(history, 6_000, "c2", 7, 5, "beta");
+          add(history, 6_100, CHANGE_ANSWERED, "c2", "", "", 200);
+          add(history, 8_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 8_210, "i-1", "q9", ONCE, "r9", 0, 200);
+        });
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          add(history, 8_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          add(history, 8_210, REQUEST_ANSWERED, "q9", "refused", "", 404);
+        });
+  }
+
+  @Test
+  void rejectsANodeThatGoesBack() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          change(history, 6_000, "c2", 7, 5, "beta");
+          add(history, 6_010, REQUEST_SENT, "q8", "once edge-1", ONCE, 4);
+          runs(history, 6_020, "i-2", "q8", ONCE, "r8", 0, 200);
+          add(history, 6_400, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 6_410, "i-1", "q9", ONCE, "r9", 0, 200);
+        });
+  }
+
+  @Test
+  void rejectsAnInvalidChangeAcknowledged() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          add(history, 8_000, CHANGE_SENT, "c2", "invalid", "5", 7);
+          add(history, 8_100, CHANGE_ANSWERED, "c2", "", "", 200);
+        });
+  }
+
+  @Test
+  void rejectsTwoChangesOnOneVersion() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          change(history, 8_000, "c2", 7, 5, "alpha");
+          change(history, 8_000, "c3", 8, 5, "alpha");
+          add(history, 8_100, CHANGE_ANSWERED, "c2", "", "", 200);
+          add(history, 8_100, CHANGE_ANSWERED, "c3", "", "", 200);
+        });
+  }
+
+  @Test
+  void rejectsALostRaceInForce() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          change(history, 6_000, "c2", 7, 5, "beta");
+          add(history, 6_100, CHANGE_ANSWERED, "c2", "VersionConflict", "", 412);
+          add(history, 6_200, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          runs(history, 6_210, "i-2", "q9", ONCE, "r9", 0, 200);
+        });
+  }
+
+  @Test
+  void rejectsAReadOfAnOlderOrAnUnsentChange() {
+    rejects(
+        BUNDLE_NOT_IN_FORCE,
+        history -> {
+          change(history, 6_000, "c2", 7, 5, "alpha");
+          add(history, 6_100, CHANGE_ANSWERED, "c2", "", "", 200);
+          add(history, 6_300, CHANGE_READ, "c1", "", "6200", 5);
+        });
+    rejects(
+        BUNDLE_NOT_IN_FORCE, history -> add(history, 6_300, CHANGE_READ, "none", "", "6200", 5));
   }
 
   // ---- planned ends and service
 
-  @Test void rejectsAnAnswerCutOffByAPoliteEnd() {
-    rejects(RESPONSE_LOST, history -> {
-      add(history, 9_000, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
-      arrives(history, 9_001, "i-1", "q9", ONCE, "r9");
-      add(history, 9_001, RUN_BEGAN, "i-1", "q9", "r9", 0);
-      add(history, 9_010, TROUBLE, "edge-1", "began stopping", "edge", 0);
-      add(history, 9_100, RUN_ENDED, "i-1", "q9", "r9", -1);
-      add(history, 9_100, REQUEST_ANSWERED, "q9", "broken", "", 0);
-    });
-  }
-
-  @Test void rejectsANodeThatServesNobody() {
-    rejects(SERVICE_NOT_BACK, history -> {
-      for (int number = 10; number < 30; number++) {
-        add(history, number * 1_000L, REQUEST_SENT, "p" + number, "repeatable edge-1", FREE, 4);
-        add(history, number * 1_000L + 5, REQUEST_ANSWERED, "p" + number, "refused", "", 503);
-      }
-    });
+  @Test
+  void rejectsAnAnswerCutOffByAPoliteEnd() {
+    rejects(
+        RESPONSE_LOST,
+        history -> {
+          add(history, 9_000, REQUEST_SENT, "q9", "once edge-1", ONCE, 4);
+          arrives(history, 9_001, "i-1", "q9", ONCE, "r9");
+          add(history, 9_001, RUN_BEGAN, "i-1", "q9", "r9", 0);
+          add(history, 9_010, TROUBLE, "edge-1", "began stopping", "edge", 0);
+          add(history, 9_100, RUN_ENDED, "i-1", "q9", "r9", -1);
+          add(history, 9_100, REQUEST_ANSWERED, "q9", "broken", "", 0);
+        });
+  }
+
+  @Test
+  void rejectsANodeThatServesNobody() {
+    rejects(
+        SERVICE_NOT_BACK,
+        history -> {
+          for (int number = 10; number < 30; number++) {
+            add(history, number * 1_000L, REQUEST_SENT, "p" + number, "repeatable edge-1", FREE, 4);
+            add(history, number * 1_000L + 5, REQUEST_ANSWERED, "p" + number, "refused", "", 503);
+          }
+        });
   }
 
   // ---- batches
 
-  @Test void rejectsALostBatch() {
-    rejects(ACCEPTED_BATCH_LOST, history -> {
-      batch(history, 7_000, "b2", "x2", 1);
-      add(history, 7_050, OPAQUE_ANSWERED, "b2", "", "", 201);
-      add(history, 9_000, OPAQUE_CLOSED, "b2", "unread", "0", 0);
-    });
-    rejects(ACCEPTED_BATCH_LOST, history -> add(history, 9_100, OPAQUE_CLOSED, "b1", "read", "0", 0));
-    rejects(ACCEPTED_BATCH_LOST, history -> add(history, 9_100, OPAQUE_CLOSED, "b1", "read", "1", 1));
-  }
-
-  @Test void rejectsABatchOrAPositionReportedMissing() {
-    rejects(REPORTED_MISSING, history -> add(history, 8_000, OPAQUE_READ, "b1", "edge-1", "0 0 0 7990", 404));
-    rejects(REPORTED_MISSING, history -> add(history, 8_100, OPAQUE_READ, "b1", "edge-1", "0 0 1 8050", 200));
-  }
-
-  @Test void rejectsAnItemAtTwoPositionsAndAChangedPosition() {
+  @Test
+  void rejectsALostBatch() {
+    rejects(
+        ACCEPTED_BATCH_LOST,
+        history -> {
+          batch(history, 7_000, "b2", "x2", 1);
+          add(history, 7_050, OPAQUE_ANSWERED, "b2", "", "", 201);
+          add(history, 9_000, OPAQUE_CLOSED, "b2", "unread", "0", 0);
+        });
+    rejects(
+        ACCEPTED_BATCH_LOST, history -> add(history, 9_100, OPAQUE_CLOSED, "b1", "read", "0", 0));
+    rejects(
+        ACCEPTED_BATCH_LOST, history -> add(history, 9_100, OPAQUE_CLOSED, "b1", "read", "1", 1));
+  }
+
+  @Test
+  void rejectsABatchOrAPositionReportedMissing() {
+    rejects(
+        REPORTED_MISSING,
+        history -> add(history, 8_000, OPAQUE_READ, "b1", "edge-1", "0 0 0 7990", 404));
+    rejects(
+        REPORTED_MISSING,
+        history -> add(history, 8_100, OPAQUE_READ, "b1", "edge-1", "0 0 1 8050", 200));
+  }
+
+  @Test
+  void rejectsAnItemAtTwoPositionsAndAChangedPosition() {
     String output = part(ITEM, 1, 3, "r7") + "\n" + part(ITEM, 4, 4, "r7");
-    rejects(RESULT_TWICE_OR_CHANGED, history -> add(history, 7_100, OPAQUE_RESULT, "b1", "x1 complete", output, 1));
-    rejects(RESULT_TWICE_OR_CHANGED, history -> add(history, 7_100, OPAQUE_RESULT, "b1", "x1 expired", "", 0));
+    rejects(
+        RESULT_TWICE_OR_CHANGED,
+        history -> add(history, 7_100, OPAQUE_RESULT, "b1", "x1 complete", output, 1));
+    rejects(
+        RESULT_TWICE_OR_CHANGED,
+        history -> add(history, 7_100, OPAQUE_RESULT, "b1", "x1 expired", "", 0));
   }
 
-  @Test void rejectsAnOutputThatIsNotWholeOrNotJoined() {
+  @Test
+  void rejectsAnOutputThatIsNotWholeOrNotJoined() {
     rejects(RESULT_NOT_WHOLE, history -> withSecond(history, part(ITEM, 1, 3, "r9"), "complete"));
-    rejects(STREAM_BROKEN, history -> withSecond(history, part(ITEM, 1, 2, "r9") + "\n" + part(ITEM, 4, 4, "r9"), "complete"));
-    rejects(STREAM_BROKEN, history -> {
-      runs(history, 7_030, "i-1", "x2", ITEM, "r10", 0, 200);
-      withSecond(history, part(ITEM, 1, 2, "r9") + "\n" + part(ITEM, 3, 4, "r10"), "complete");
-    });
+    rejects(
+        STREAM_BROKEN,
+        history ->
+            withSecond(
+                history, part(ITEM, 1, 2, "r9") + "\n" + part(ITEM, 4, 4, "r9"), "complete"));
+    rejects(
+        STREAM_BROKEN,
+        history -> {
+          runs(history, 7_030, "i-1", "x2", ITEM, "r10", 0, 200);
+          withSecond(history, part(ITEM, 1, 2, "r9") + "\n" + part(ITEM, 3, 4, "r10"), "complete");
+        });
     rejects(RESULT_NOT_WHOLE, history -> withSecond(history, part(ITEM, 1, 4, "r7"), "complete"));
   }
 
-  @Test void rejectsAnItemGivenUpTooEarly() {
+  @Test
+  void rejectsAnItemGivenUpTooEarly() {
     rejects(RESULT_NOT_WHOLE, history -> withSecond(history, "", "expired"));
-    accepts(history -> {
-      add(history, 7_000, OPAQUE_END_ASKED, "b2", "", "", 0);
-      withSecond(history, "", "expired");
-    });
+    accepts(
+        history -> {
+          add(history, 7_000, OPAQUE_END_ASKED, "b2", "", "", 0);
+          withSecond(history, "", "expired");
+        });
   }
 
   private static void withSecond(History history, String output, String state) {
@@ -393,35 +571,49 @@
     add(history, 9_000, OPAQUE_CLOSED, "b2", "read", "1", 0);
   }
 
-  @Test void rejectsAWrongTotalAndAChangedBody() {
-    rejects(RESULT_NOT_WHOLE, history -> add(history, 7_100, OPAQUE_READ, "b1", "edge-1", "0 1 2 7050", 200));
-    rejects(WRONG_OR_CUT_ANSWER, history -> add(history, 6_200, OPAQUE_BODY, "b1", "x1", "body-other", 200));
-  }
-
-  @Test void rejectsARefusedBatchThatRuns() {
-    rejects(REFUSED_BATCH_RAN, history -> {
-      batch(history, 7_000, "b2", "x2", 1);
-      add(history, 7_010, OPAQUE_ANSWERED, "b2", "NoRoom", "", 429);
-      runs(history, 7_500, "i-1", "x2", ITEM, "r9", 0, 200);
-    });
-  }
-
-  @Test void rejectsARunAfterTheEndOfItsBatch() {
-    rejects(RAN_AFTER_END, history -> {
-      add(history, 6_300, OPAQUE_END_ASKED, "b1", "", "", 0);
-      add(history, 6_400, OPAQUE_END_ANSWERED, "b1", "", "", 200);
-      arrives(history, 9_500, "i-1", "x1", ITEM, "r9");
-    });
-  }
-
-  @Test void rejectsMoreWaitingTokensThanMay() {
-    rejects(CEILING_OVERSHOT, history -> {
-      batch(history, 7_000, "b2", "x2", 80);
-      add(history, 7_010, OPAQUE_ANSWERED, "b2", "", "", 201);
-      batch(history, 7_020, "b3", "x3", 80);
-      add(history, 7_030, OPAQUE_ANSWERED, "b3", "", "", 201);
-      add(history, 9_000, OPAQUE_CLOSED, "b2", "read", "0", 0);
-      add(history, 9_000, OPAQUE_CLOSED, "b3", "read", "0", 0);
-    });
+  @Test
+  void rejectsAWrongTotalAndAChangedBody() {
+    rejects(
+        RESULT_NOT_WHOLE,
+        history -> add(history, 7_100, OPAQUE_READ, "b1", "edge-1", "0 1 2 7050", 200));
+    rejects(
+        WRONG_OR_CUT_ANSWER,
+        history -> add(history, 6_200, OPAQUE_BODY, "b1", "x1", "body-other", 200));
+  }
+
+  @Test
+  void rejectsARefusedBatchThatRuns() {
+    rejects(
+        REFUSED_BATCH_RAN,
+        history -> {
+          batch(history, 7_000, "b2", "x2", 1);
+          add(history, 7_010, OPAQUE_ANSWERED, "b2", "NoRoom", "", 429);
+          runs(history, 7_500, "i-1", "x2", ITEM, "r9", 0, 200);
+        });
+  }
+
+  @Test
+  void rejectsARunAfterTheEndOfItsBatch() {
+    rejects(
+        RAN_AFTER_END,
+        history -> {
+          add(history, 6_300, OPAQUE_END_ASKED, "b1", "", "", 0);
+          add(history, 6_400, OPAQUE_END_ANSWERED, "b1", "", "", 200);
+          arrives(history, 9_500, "i-1", "x1", ITEM, "r9");
+        });
+  }
+
+  @Test
+  void rejectsMoreWaitingTokensThanMay() {
+    rejects(
+        CEILING_OVERSHOT,
+        history -> {
+          batch(history, 7_000, "b2", "x2", 80);
+          add(history, 7_010, OPAQUE_ANSWERED, "b2", "", "", 201);
+          batch(history, 7_020, "b3", "x3", 80);
+          add(history, 7_030, OPAQUE_ANSWERED, "b3", "", "", 201);
+          add(history, 9_000, OPAQUE_CLOSED, "b2", "read", "0", 0);
+          add(history, 9_000, OPAQUE_CLOSED, "b3", "read", "0", 0);
+        });
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/ScenarioTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/ScenarioTest.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,9 +15,6 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-
 /** Runs every scenario file over its seeds on simulated time. */
 @Execution(ExecutionMode.CONCURRENT)
 class ScenarioTest {
@@ -23,8 +23,11 @@
   static Stream<Arguments> scenarios() throws IOException {
     try (Stream<Path> files = Files.list(FOLDER)) {
       List<Path> sorted = files.sorted().toList();
-      return sorted.stream().flatMap(file -> read(file).seeds().stream()
-          .map(seed -> Arguments.of(file.getFileName().toString(), seed)));
+      return sorted.stream()
+          .flatMap(
+              file ->
+                  read(file).seeds().stream()
+                      .map(seed -> Arguments.of(file.getFileName().toString(), seed)));
     }
   }
 
@@ -42,11 +45,14 @@
     assertThat(read(FOLDER.resolve(file)).run(seed, false).faults()).isEmpty();
   }
 
-  @Test void repeatsItselfExactly() {
+  @Test
+  void repeatsItselfExactly() {
     Scenario scenario = read(FOLDER.resolve("leader-killed.txt"));
     Scenario.Outcome first = scenario.run(7, false);
     Scenario.Outcome second = scenario.run(7, false);
     assertThat(second.steps()).isEqualTo(first.steps());
-    assertWithMessage("history").that(second.history().toLines()).isEqualTo(first.history().toLines());
+    assertWithMessage("history")
+        .that(second.history().toLines())
+        .isEqualTo(first.history().toLines());
   }
 }
--- a/test-fleet/src/test/java/applespindle/testfleet/WeakeningTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/WeakeningTest.java
@@ -1,5 +1,8 @@
 package applespindle.testfleet;
 
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,10 +12,10 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
-import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
-
-/** Each weakening names a rule and a scenario that exist, still fits the code, and together they cover every rule. */
+/**
+ * Each weakening names a rule and a scenario that exist, still fits the code, and together they
+ * cover every rule.
+ */
 class WeakeningTest {
   private static final Path FOLDER = Path.of("weakenings");
   private static final Path SCENARIOS = Path.of("src/test/resources/scenarios");
@@ -24,16 +27,22 @@
   }
 
   private static String field(List<String> lines, String name) {
-    return lines.stream().filter(line -> line.startsWith(name + ": ")).findFirst()
-        .map(line -> line.substring(name.length() + 2)).orElse("");
+    return lines.stream()
+        .filter(line -> line.startsWith(name + ": "))
+        .findFirst()
+        .map(line -> line.substring(name.length() + 2))
+        .orElse("");
   }
 
-  @Test void namesWhatExists() throws IOException {
+  @Test
+  void namesWhatExists() throws IOException {
     Set<String> broken = new TreeSet<>();
     for (Path patch : patches()) {
       List<String> lines = Files.readAllLines(patch);
       broken.add(field(lines, "breaks"));
-      assertWithMessage(patch + " names a scenario").that(Files.exists(SCENARIOS.resolve(field(lines, "scenario")))).isTrue();
+      assertWithMessage(patch + " names a scenario")
+          .that(Files.exists(SCENARIOS.resolve(field(lines, "scenario"))))
+          .isTrue();
       assertWithMessage(patch + " names seeds").that(field(lines, "seeds")).matches("\\d+ \\d+");
     }
     for (Checker.Rule rule : Checker.Rule.values()) {
@@ -43,7 +52,8 @@
     assertThat(broken).hasSize(Checker.Rule.values().length);
   }
 
-  @Test void stillFitsTheCode() throws IOException {
+  @Test
+  void stillFitsTheCode() throws IOException {
     for (Path patch : patches()) {
       String code = "";
       StringBuilder before = new StringBuilder();
@@ -54,7 +64,8 @@
         if (line.startsWith("@@") || line.startsWith("diff ")) {
           assertWithMessage(patch.toString()).that(code).contains(before.toString());
           before.setLength(0);
-        } else if (!code.isEmpty() && (line.startsWith(" ") || line.startsWith("-") && !line.startsWith("---"))) {
+        } else if (!code.isEmpty()
+            && (line.startsWith(" ") || line.startsWith("-") && !line.startsWith("---"))) {
           before.append(line.substring(1)).append('\n');
         }
       }
