Apply every committed entry at the leader, however late it commits

Cause: OwnedKey.append had one callback both for applying a committed entry and for answering its caller. After the caller's 2.5 s the entry of an expired command was never applied, though it stayed in the log and committed once a majority was back. The leader's view then lacked an entry that the next leader folded: results that were read moved to other positions and items ran again. Ruled out: the logs on disk. Change: effects are queued by sequence without a time limit and run in log order before callers are answered; bookkeeping of what is in flight lasts until the commit or the loss of the leadership. A batch whose acceptance is in flight is not reported as refused any more.

--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -82,6 +82,8 @@
   static final String PART = new Fault.WorkerCut("").type();
 
   private static final String IMPOSSIBLE = new Fault.ItemImpossible().type();
+  private static final Consumer<Fault> NO_CALLER = fault -> {};
+  private static final Runnable NOTHING_MORE = () -> {};
 
   private final Surroundings surroundings;
   private final Edge edge;
@@ -171,17 +173,26 @@
     return ageAtBirthMs + surroundings.now() - bornAt;
   }
 
-  private void append(BatchEvent event, Consumer<Fault> then) {
+  /**
+   * Appends an event to the batch's log. Once it is committed it is folded into the view, then
+   * whenCommitted runs; this has no time limit, so that the view holds every committed entry in log
+   * order, as the next leader's will. Only the answer to a caller has a time limit.
+   */
+  private void append(BatchEvent event, Runnable whenCommitted, Consumer<Fault> answer) {
     byte[] bytes = Json.bytes(event);
     key.append(
         event.kind().equals(BatchEvent.REMOVED),
         bytes,
-        fault -> {
-          if (fault == null) {
-            view.fold(bytes);
-          }
-          then.accept(fault);
-        });
+        () -> {
+          view.fold(bytes);
+          whenCommitted.run();
+        },
+        answer);
+  }
+
+  /** The same for an event that no caller waits for. */
+  private void append(BatchEvent event, Runnable whenCommitted) {
+    append(event, whenCommitted, NO_CALLER);
   }
 
   // ---- acceptance and end
@@ -204,13 +215,11 @@
     accepting = true;
     append(
         BatchEvent.accepted(accepted),
-        fault -> {
+        () -> {
           accepting = false;
-          if (fault == null) {
-            edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
-          }
-          then.accept(fault == null ? Response.of(201, summary()) : unknown(fault));
-        });
+          edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
+        },
+        fault -> then.accept(fault == null ? Response.of(201, summary()) : unknown(fault)));
     layOut(accepted.items().size());
   }
 
@@ -230,19 +239,23 @@
     int ranges = (items + Constants.RANGE_ITEMS - 1) / Constants.RANGE_ITEMS;
     List<Integer> order = IntStream.range(0, ranges).boxed().collect(Collectors.toList());
     Collections.shuffle(order, new Random(surroundings.random().nextLong()));
-    append(BatchEvent.ordered(order, Constants.RANGE_ITEMS), fault -> offer());
+    append(BatchEvent.ordered(order, Constants.RANGE_ITEMS), this::offer);
   }
 
   /**
-   * Makes sure that nothing of this batch can be accepted by an older owner, and says so in the
-   * record.
+   * Makes sure that nothing of this batch can be accepted by an older leader, and says so in the
+   * record. A fault if the batch was accepted, or may be.
    */
   void refuse(Consumer<Fault> then) {
-    if (view.accepted != null || view.refused || accepting) {
+    if (view.accepted != null || accepting) {
+      then.accept(new Fault.OutcomeUnknown(batch));
+      return;
+    }
+    if (view.refused) {
       then.accept(null);
       return;
     }
-    append(BatchEvent.plain(BatchEvent.REFUSED, 0), then);
+    append(BatchEvent.plain(BatchEvent.REFUSED, 0), NOTHING_MORE, then);
   }
 
   /**
@@ -253,6 +266,7 @@
     if (view.accepted != null && !view.open()) {
       append(
           BatchEvent.plain(BatchEvent.REMOVED, 0),
+          NOTHING_MORE,
           fault -> then.accept(fault == null ? Response.of(200, summary()) : unknown(fault)));
     } else {
       then.accept(Response.of(200, summary()));
@@ -274,17 +288,15 @@
     ending = true;
     append(
         BatchEvent.plain(BatchEvent.ENDED, ageMs()),
-        fault -> {
+        () -> {
           ending = false;
-          if (fault == null) {
-            grants.clear();
-            edge.toAllEdges(new Message.BatchEnded(batch));
-            edge.log("Batch ended: " + batch + ".");
-            reportRoom(true);
-            answerReads();
-          }
-          then.accept(fault == null ? Response.of(200, summary()) : unknown(fault));
-        });
+          grants.clear();
+          edge.toAllEdges(new Message.BatchEnded(batch));
+          edge.log("Batch ended: " + batch + ".");
+          reportRoom(true);
+          answerReads();
+        },
+        fault -> then.accept(fault == null ? Response.of(200, summary()) : unknown(fault)));
   }
 
   // ---- reading
@@ -457,9 +469,9 @@
     grants.put(range, surroundings.now() + Constants.COMMAND_EXPIRY_MS + Constants.RANGE_GRANT_MS);
     append(
         BatchEvent.assigned(ageMs(), new Assigned(range, rangeEpoch, fromId, pull.worker())),
-        fault -> {
+        () -> {
           busyRanges.remove(range);
-          if (fault != null || !view.open()) {
+          if (!view.open()) {
             return;
           }
           grants.put(range, surroundings.now() + Constants.RANGE_GRANT_MS);
@@ -524,18 +536,16 @@
       append(
           BatchEvent.recorded(
               ageMs(), new Recorded(report.range(), report.rangeEpoch(), results, attempts)),
-          fault -> {
+          () -> {
             results.forEach(result -> itemsBeingRecorded.remove(result.index()));
-            if (fault == null) {
-              answerReads();
-              finishIfDone();
-            }
+            answerReads();
+            finishIfDone();
           });
     }
     if (report.giveBack() && current) {
       append(
           BatchEvent.returned(ageMs(), new Returned(report.range(), report.rangeEpoch())),
-          fault -> {
+          () -> {
             grants.remove(report.range());
             offer();
           });
@@ -653,13 +663,11 @@
     finishing = true;
     append(
         BatchEvent.plain(BatchEvent.FINISHED, ageMs()),
-        fault -> {
+        () -> {
           finishing = false;
-          if (fault == null) {
-            edge.log("Batch finished: " + batch + ", after " + ageMs() + " ms.");
-            reportRoom(true);
-            answerReads();
-          }
+          edge.log("Batch finished: " + batch + ", after " + ageMs() + " ms.");
+          reportRoom(true);
+          answerReads();
         });
   }
 
@@ -699,7 +707,7 @@
         busyRanges.add(range);
         append(
             BatchEvent.returned(ageMs(), new Returned(range, each.epoch)),
-            fault -> {
+            () -> {
               busyRanges.remove(silentRange);
               offer();
             });
@@ -717,12 +725,10 @@
     if (!results.isEmpty()) {
       append(
           BatchEvent.recorded(ageMs(), new Recorded(-1, 0, results, List.of())),
-          fault -> {
+          () -> {
             results.forEach(result -> itemsBeingRecorded.remove(result.index()));
-            if (fault == null) {
-              edge.toAllEdges(new Message.BatchEnded(batch));
-              answerReads();
-            }
+            edge.toAllEdges(new Message.BatchEnded(batch));
+            answerReads();
             finishIfDone();
           });
     }
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -74,6 +74,11 @@
 
   private record Waiting(long mark, long expiresAt, Consumer<Fault> then) {}
 
+  /** A committed entry's effect on the state machine of this leader. */
+  private record Applying(long sequence, Runnable whenCommitted) {}
+
+  private static final Runnable NO_EFFECT = () -> {};
+
   private final Surroundings surroundings;
   private final String nodeId;
   private final KeyReplicas.Replies sender;
@@ -112,6 +117,14 @@
   private long committed;
 
   private long round;
+
+  /**
+   * By sequence, what each uncommitted entry changes here once it is committed. Invariant: while
+   * this node leads, every committed entry is applied exactly once and in log order, however long
+   * its commit takes; only a caller's wait for it has a time limit.
+   */
+  private final ArrayDeque<Applying> waitingToApply = new ArrayDeque<>();
+
   private final ArrayDeque<Waiting> waitingForCommit = new ArrayDeque<>();
   private final ArrayDeque<Waiting> waitingForRound = new ArrayDeque<>();
   private boolean flushPlanned;
@@ -308,14 +321,32 @@
     listener.accept(outcome);
   }
 
-  /** Appends an event; the callback gets null once a majority has synced it, else a fault. */
+  /**
+   * Appends an event whose state is kept by the caller already; see {@link #append(boolean, byte[],
+   * Runnable, Consumer)}.
+   */
   long append(boolean whole, byte[] event, Consumer<Fault> then) {
+    return append(whole, event, NO_EFFECT, then);
+  }
+
+  /**
+   * Appends an event.
+   *
+   * @param whenCommitted applies the event: runs once a majority has synced the entry, after those
+   *     of all earlier entries; without a time limit, but never after the leadership was lost
+   * @param then answers the caller: gets null right after that, or a fault when the wait was too
+   *     long or the leadership was lost. {@link Fault.OutcomeUnknown} does not mean that the entry
+   *     is not committed later
+   * @return the entry's sequence, or 0 if this node does not lead
+   */
+  long append(boolean whole, byte[] event, Runnable whenCommitted, Consumer<Fault> then) {
     if (state != State.OWNED) {
       then.accept(new Fault.NotOwner(key));
       return 0;
     }
     long sequence = lastSequence() + 1;
     entries.add(new Entry(sequence, epoch, whole, event));
+    waitingToApply.add(new Applying(sequence, whenCommitted));
     waitingForCommit.add(
         new Waiting(sequence, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
     planFlush();
@@ -451,11 +482,9 @@
       KeyReplicas.trim(entries, committed);
       planFlush();
     }
-    while (!waitingForCommit.isEmpty() && waitingForCommit.peek().mark() <= committed) {
-      waitingForCommit.poll().then().accept(null);
-      if (state == State.LOST) {
-        return;
-      }
+    answerCommitted();
+    if (state == State.LOST) {
+      return;
     }
     long majorityRound = sets.reached(id -> progress.get(id).heardRound);
     while (!waitingForRound.isEmpty() && waitingForRound.peek().mark() <= majorityRound) {
@@ -466,6 +495,24 @@
     }
   }
 
+  /**
+   * Applies what is committed in log order; each caller is answered once its own entry is applied.
+   */
+  private void answerCommitted() {
+    while (state != State.LOST) {
+      if (!waitingToApply.isEmpty()
+          && waitingToApply.peek().sequence() <= committed
+          && (waitingForCommit.isEmpty()
+              || waitingToApply.peek().sequence() <= waitingForCommit.peek().mark())) {
+        waitingToApply.poll().whenCommitted().run();
+      } else if (!waitingForCommit.isEmpty() && waitingForCommit.peek().mark() <= committed) {
+        waitingForCommit.poll().then().accept(null);
+      } else {
+        return;
+      }
+    }
+  }
+
   private void beat() {
     if (state != State.OWNED && state != State.SETTLING) {
       return;
@@ -523,6 +570,7 @@
     claimRound.cancel();
     List<Waiting> unanswered = new ArrayList<>(waitingForCommit);
     List<Waiting> unconfirmed = new ArrayList<>(waitingForRound);
+    waitingToApply.clear();
     waitingForCommit.clear();
     waitingForRound.clear();
     unanswered.forEach(each -> each.then().accept(new Fault.OutcomeUnknown(key)));
