Never replace committed entries of a replica by an overtaken append

Cause: an append that begins the log (previous 0) was placed even below what the replica had committed and trimmed to. Delivered late, over an older connection of the same leader, it emptied the log and left only the older entries, though the replica had answered for the newer ones. With one more loss a committed entry was gone. Change: entries at or below the committed sequence are held already and are passed over. Figures: KeyReplicasTest.anOvertakenAppendDoesNotDropCommittedEntries fails before, passes after.

--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -324,8 +324,7 @@
       return;
     }
     for (Entry entry : message.entries()) {
-      Entry present = copy.at(entry.sequence());
-      if (present != null && present.epoch().equals(entry.epoch())) {
+      if (holdsAlready(copy, entry)) {
         continue;
       }
       place(copy, entry);
@@ -456,8 +455,7 @@
     }
     if (OwnedKey.newer(other.entries(), copy.entries)) {
       for (Entry entry : other.entries()) {
-        Entry present = copy.at(entry.sequence());
-        if (present == null || !present.epoch().equals(entry.epoch())) {
+        if (!holdsAlready(copy, entry)) {
           place(copy, entry);
           records.add(record(other.key(), entry));
         }
@@ -475,6 +473,19 @@
     return true;
   }
 
+  /**
+   * Whether this log has the entry, or is committed beyond it. What is committed here is never
+   * replaced: an append that was overtaken on its way may begin with entries that a whole one
+   * stands for by now, and taking them would drop what follows.
+   */
+  private static boolean holdsAlready(Copy copy, Entry entry) {
+    if (entry.sequence() <= copy.committed) {
+      return true;
+    }
+    Entry present = copy.at(entry.sequence());
+    return present != null && present.epoch().equals(entry.epoch());
+  }
+
   private static DiskRecord record(String key, Entry entry) {
     return new DiskRecord(
         Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.whole(), entry.event());
--- a/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
@@ -175,4 +175,26 @@
     assertThat(replicas.absorb(beyond, () -> {})).isFalse();
     assertThat(copied(Map.of())).containsExactly(1L, 2L, 3L).inOrder();
   }
+
+  /** Two connections from one leader may deliver out of order: the log must not fall back. */
+  @Test
+  void anOvertakenAppendDoesNotDropCommittedEntries() {
+    append(FIRST, 0, Epoch.NONE, 0, entry(1, FIRST), entry(2, FIRST));
+    append(FIRST, 2, FIRST, 2, entry(3, FIRST));
+    append(FIRST, 3, FIRST, 3);
+    append(FIRST, 0, Epoch.NONE, 0, entry(1, FIRST), entry(2, FIRST));
+    assertThat(replicas.heldOf("set", "")).containsExactly(KEY, held(3, FIRST));
+    assertThat(replicas.view(KEY).committedEntries()).hasSize(1);
+  }
+
+  @Test
+  void anOvertakenCopyDoesNotDropCommittedEntries() {
+    append(FIRST, 0, Epoch.NONE, 0, entry(1, FIRST), entry(2, FIRST));
+    append(FIRST, 2, FIRST, 2, entry(3, FIRST));
+    append(FIRST, 3, FIRST, 3);
+    var older =
+        new KeyReplicas.Copied(KEY, FIRST, 2, false, List.of(entry(1, FIRST), entry(2, FIRST)));
+    assertThat(replicas.absorb(older, () -> {})).isTrue();
+    assertThat(replicas.heldOf("set", "")).containsExactly(KEY, held(3, FIRST));
+  }
 }
