Model check of the replicated register over the real classes

Change: a model checker in core-logic's tests. It drives OwnedKey, KeyClaims, KeyReplicas and ReplicaCopier with three replicas, a newcomer and two claimants: messages delivered in any order, never or twice, timers at any time, slow disks, crashes with any prefix of the unsynced records kept, one change of the set with its copy. Breadth first with hashed states, or seeded random walks whose counterexamples are shortened. Five invariants: one value at a sequence; an acknowledged value is recoverable on a majority; promises never fall; a confirmed read sees what was seen before; a leader's view is the log. Ruled out: copies of states by serialization (the logic holds lambdas); a run is repeated instead.

--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/InvariantBroken.java
@@ -0,0 +1,31 @@
+package applespindle.corelogic;
+
+/** A run of the model reached a state that the replicated register must never be in. */
+final class InvariantBroken extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  /** What must hold in every state. */
+  enum Invariant {
+    /** At most one value is committed at a sequence number. */
+    ONE_VALUE,
+    /** An acknowledged value is in the recoverable state of a majority of the set in force. */
+    ACKNOWLEDGED_KEPT,
+    /** A replica's promised epoch never falls, and a restart keeps what was told. */
+    PROMISE_KEPT,
+    /** A confirmed read sees all that was acknowledged or read before it began. */
+    READ_CURRENT,
+    /** A leader's view holds each value of the log at its position, in order. */
+    VIEW_IS_LOG
+  }
+
+  private final transient Invariant invariant;
+
+  InvariantBroken(Invariant invariant, String detail) {
+    super(invariant + ": " + detail);
+    this.invariant = invariant;
+  }
+
+  Invariant invariant() {
+    return invariant;
+  }
+}
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/ModelHistory.java
@@ -0,0 +1,121 @@
+package applespindle.corelogic;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import applespindle.corelogic.InvariantBroken.Invariant;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.Message.Verdict;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What was told and seen in a run so far, and the invariants that are judged as it happens. */
+final class ModelHistory {
+  /** By sequence, the entry that some process called committed. */
+  private final TreeMap<Long, Entry> committed = new TreeMap<>();
+
+  private final TreeMap<Long, Entry> acknowledged = new TreeMap<>();
+
+  /** By replica, the highest epoch that it has told somebody it would stand by. */
+  private final Map<String, Epoch> told = new TreeMap<>();
+
+  /** The last sequence that was acknowledged or in the view of a confirmed read. */
+  private long lastSeen;
+
+  long lastSeen() {
+    return lastSeen;
+  }
+
+  TreeMap<Long, Entry> acknowledged() {
+    return acknowledged;
+  }
+
+  Epoch told(String replica) {
+    return told.getOrDefault(replica, Epoch.NONE);
+  }
+
+  static boolean same(Entry one, Entry other) {
+    return one.epoch().equals(other.epoch()) && Arrays.equals(one.event(), other.event());
+  }
+
+  void committed(String by, Entry entry) {
+    Entry present = committed.putIfAbsent(entry.sequence(), entry);
+    if (present != null && !same(present, entry)) {
+      throw new InvariantBroken(
+          Invariant.ONE_VALUE,
+          by + " has " + text(entry) + " where " + text(present) + " was committed");
+    }
+  }
+
+  void acknowledged(Entry entry) {
+    committed("a client", entry);
+    acknowledged.put(entry.sequence(), entry);
+    lastSeen = Math.max(lastSeen, entry.sequence());
+  }
+
+  void sent(Envelope envelope) {
+    if (envelope.message() instanceof KeyPromised promised && promised.verdict() == Verdict.OK) {
+      told.merge(envelope.fromId(), promised.asked(), ModelHistory::higher);
+    } else if (envelope.message() instanceof KeyAppended appended
+        && appended.verdict() == Verdict.OK) {
+      told.merge(envelope.fromId(), appended.epoch(), ModelHistory::higher);
+    }
+  }
+
+  private static Epoch higher(Epoch one, Epoch other) {
+    return one.below(other) ? other : one;
+  }
+
+  /** A leader is about to add an entry to its view. */
+  void folded(String leader, List<Entry> log, List<Entry> view, Entry entry) {
+    committed(leader + "'s view", entry);
+    long last = lastOf(view);
+    if (entry.sequence() <= last) {
+      throw new InvariantBroken(
+          Invariant.VIEW_IS_LOG, leader + " folds " + text(entry) + " after sequence " + last);
+    }
+    if (entry.whole()) {
+      return;
+    }
+    for (Entry each : log) {
+      if (!each.isTakeover() && each.sequence() > last && each.sequence() < entry.sequence()) {
+        throw new InvariantBroken(
+            Invariant.VIEW_IS_LOG,
+            leader + " folds " + text(entry) + " and has never folded " + text(each));
+      }
+    }
+  }
+
+  /**
+   * A read was confirmed. before: what had been seen when it began; last: the last value in the
+   * leader's log then.
+   */
+  void read(String leader, List<Entry> view, long before, long last) {
+    long seen = lastOf(view);
+    if (seen < before) {
+      throw new InvariantBroken(
+          Invariant.READ_CURRENT,
+          leader + " reads up to " + seen + " where " + before + " was seen");
+    }
+    if (seen < last) {
+      throw new InvariantBroken(
+          Invariant.VIEW_IS_LOG, leader + " reads up to " + seen + " of a log up to " + last);
+    }
+    lastSeen = Math.max(lastSeen, seen);
+  }
+
+  private static long lastOf(List<Entry> entries) {
+    return entries.isEmpty() ? 0 : entries.get(entries.size() - 1).sequence();
+  }
+
+  static String text(Entry entry) {
+    return entry.sequence()
+        + "="
+        + (entry.isTakeover() ? "takeover" : new String(entry.event(), UTF_8))
+        + " of epoch "
+        + entry.epoch().counter()
+        + entry.epoch().node();
+  }
+}
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/ModelReplica.java
@@ -0,0 +1,100 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.Ask;
+import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyPromise;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+
+/** One life of a replica's process: the replica's and the copier's own classes, nothing else. */
+final class ModelReplica extends Node implements StateText.Named {
+  /** What a replica's messages are wired to; the rest of what a node does is not modelled. */
+  private final KeyReplicas replicas;
+
+  private final ReplicaCopier copier;
+  private final ModelRuntime runtime;
+  private boolean copied;
+
+  ModelReplica(
+      ModelRuntime runtime, String id, String setName, BiConsumer<String, Entry> whenCommitted) {
+    super(runtime, new Place(id, 0, id, "", "", id, "", List.of()));
+    this.runtime = runtime;
+    replicas = new KeyReplicas(runtime, this::send, whenCommitted, key -> setName);
+    copier = new ReplicaCopier(runtime, this, replicas, new HashMap<>(), key -> setName);
+  }
+
+  KeyReplicas replicas() {
+    return replicas;
+  }
+
+  ModelRuntime runtime() {
+    return runtime;
+  }
+
+  /** Whether this life has told that its copy is whole. */
+  boolean copied() {
+    return copied;
+  }
+
+  /** Learns of the pending set that it is to join, and begins to copy. */
+  void copyIn(
+      String setName, long number, List<OwnedKey.Replica> sources, LongSupplier numberInForce) {
+    replicas.learnSet(
+        setName,
+        number,
+        () ->
+            copier.copyIn(
+                setName,
+                number,
+                sources,
+                () -> numberInForce.getAsLong() == number,
+                () -> copied = true));
+  }
+
+  void addTo(StateText text) {
+    text.addFields(this);
+    runtime.addTo(text);
+  }
+
+  @Override
+  public String stateName() {
+    return place().id();
+  }
+
+  @Override
+  protected void handle(Message message, String fromId, String fromAddress) {
+    if (message instanceof KeyAppend append) {
+      replicas.append(append, fromId, fromAddress);
+    } else if (message instanceof KeyPromise promise) {
+      replicas.promise(promise, fromId, fromAddress);
+    }
+  }
+
+  @Override
+  protected void handleAsk(Ask ask) {
+    copier.copyOut(ask);
+  }
+
+  @Override
+  public void start() {
+    replicas.recovered();
+  }
+
+  @Override
+  public void stop(Runnable whenDone) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public String notReadyBecause() {
+    return "";
+  }
+
+  @Override
+  public ObjectNode status() {
+    return commonStatus();
+  }
+}
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/ModelSearch.java
@@ -0,0 +1,258 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.RegisterModel.Step;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Searches the runs of a model within bounds: breadth first with hashed states, or by seeded random
+ * walks. A state is reached anew by repeating the steps that led to it.
+ */
+final class ModelSearch {
+  /** How a search ended. */
+  enum End {
+    /** Every state within the bounds was reached. */
+    EXHAUSTED,
+    /** The states or the time allowed were used up. */
+    LIMIT,
+    /** A state broke an invariant. */
+    BROKEN
+  }
+
+  /** A broken invariant and the steps that lead to it. */
+  record Counterexample(InvariantBroken broken, List<String> steps) {}
+
+  /**
+   * What a search has done.
+   *
+   * @param states distinct states reached
+   * @param steps steps taken from one state to the next, repetitions not counted
+   * @param depth the most steps from the start to a state that was reached
+   */
+  record Outcome(
+      End end, long states, long steps, int depth, Optional<Counterexample> counterexample) {}
+
+  private final ModelBounds bounds;
+  private final long statesMost;
+  private final long endsAtNanos;
+  private final int threads;
+  private final StateHashes seen = new StateHashes();
+  private final AtomicReference<byte[]> brokenPath = new AtomicReference<>();
+
+  ModelSearch(ModelBounds bounds, long statesMost, long secondsMost, int threads) {
+    this.bounds = bounds;
+    this.statesMost = statesMost;
+    this.endsAtNanos = System.nanoTime() + secondsMost * 1_000_000_000L;
+    this.threads = threads;
+  }
+
+  private boolean spent() {
+    return seen.size() >= statesMost || System.nanoTime() >= endsAtNanos;
+  }
+
+  /** Reaches every state within the bounds, those of fewer steps first. */
+  Outcome breadthFirst() {
+    seen.add(new RegisterModel(bounds).stateHash());
+    List<byte[]> frontier = List.of(new byte[0]);
+    long steps = 0;
+    int depth = 0;
+    while (!frontier.isEmpty()) {
+      ConcurrentLinkedQueue<byte[]> next = new ConcurrentLinkedQueue<>();
+      steps += expandAll(frontier, next);
+      if (brokenPath.get() != null) {
+        return broken(steps, brokenPath.get());
+      }
+      if (spent()) {
+        return new Outcome(End.LIMIT, seen.size(), steps, depth, Optional.empty());
+      }
+      frontier = List.copyOf(next);
+      depth += frontier.isEmpty() ? 0 : 1;
+    }
+    return new Outcome(End.EXHAUSTED, seen.size(), steps, depth, Optional.empty());
+  }
+
+  /** Expands a level's states, each thread a part of them; returns the steps taken. */
+  private long expandAll(List<byte[]> frontier, ConcurrentLinkedQueue<byte[]> next) {
+    long[] steps = new long[threads];
+    List<Thread> workers = new ArrayList<>();
+    for (int part = 0; part < threads; part++) {
+      int first = part;
+      Thread worker =
+          new Thread(
+              () -> {
+                for (int index = first; index < frontier.size(); index += threads) {
+                  if (spent() || brokenPath.get() != null) {
+                    return;
+                  }
+                  steps[first] += expand(frontier.get(index), next);
+                }
+              });
+      workers.add(worker);
+      worker.start();
+    }
+    workers.forEach(ModelSearch::join);
+    return Arrays.stream(steps).sum();
+  }
+
+  private static void join(Thread thread) {
+    try {
+      thread.join();
+    } catch (InterruptedException interrupted) {
+      throw new IllegalStateException(interrupted);
+    }
+  }
+
+  private long expand(byte[] path, ConcurrentLinkedQueue<byte[]> next) {
+    RegisterModel model = repeat(path);
+    List<Step> enabled = model.enabled();
+    int choices = enabled.size();
+    Set<String> offered = new HashSet<>();
+    List<Boolean> first = enabled.stream().map(each -> offered.add(each.label().get())).toList();
+    for (int choice = 0; choice < choices; choice++) {
+      if (!first.get(choice)) {
+        continue;
+      }
+      RegisterModel successor = choice == 0 ? model : repeat(path);
+      byte[] longer = Arrays.copyOf(path, path.length + 1);
+      longer[path.length] = (byte) choice;
+      try {
+        successor.enabled().get(choice).effect().run();
+        successor.check();
+      } catch (InvariantBroken broken) {
+        brokenPath.compareAndSet(null, longer);
+        return choice + 1;
+      }
+      if (seen.add(successor.stateHash())) {
+        next.add(longer);
+      }
+    }
+    return choices;
+  }
+
+  private RegisterModel repeat(byte[] path) {
+    RegisterModel model = new RegisterModel(bounds);
+    for (byte choice : path) {
+      model.enabled().get(choice & 0xff).effect().run();
+    }
+    return model;
+  }
+
+  private Outcome broken(long steps, byte[] path) {
+    RegisterModel model = new RegisterModel(bounds);
+    List<String> labels = new ArrayList<>();
+    for (byte choice : path) {
+      Step step = model.enabled().get(choice & 0xff);
+      labels.add(step.label().get());
+      try {
+        step.effect().run();
+        model.check();
+      } catch (InvariantBroken broken) {
+        return new Outcome(
+            End.BROKEN,
+            seen.size(),
+            steps,
+            path.length,
+            Optional.of(new Counterexample(broken, labels)));
+      }
+    }
+    throw new IllegalStateException("a run did not repeat itself");
+  }
+
+  /** Takes random runs until the limits are reached, each from a seed of its own. */
+  Outcome randomWalks(long firstSeed, int stepsMost) {
+    long steps = 0;
+    int depth = 0;
+    for (long seed = firstSeed; !spent(); seed++) {
+      List<String> labels = new ArrayList<>();
+      Optional<InvariantBroken> broken = walk(new Random(seed), stepsMost, labels);
+      steps += labels.size();
+      depth = Math.max(depth, labels.size());
+      if (broken.isPresent()) {
+        Counterexample shortened = shorten(new Counterexample(broken.get(), labels));
+        return new Outcome(End.BROKEN, seen.size(), steps, depth, Optional.of(shortened));
+      }
+    }
+    return new Outcome(End.LIMIT, seen.size(), steps, depth, Optional.empty());
+  }
+
+  private Optional<InvariantBroken> walk(Random random, int stepsMost, List<String> labels) {
+    RegisterModel model = new RegisterModel(bounds);
+    double usualPart = random.nextDouble();
+    double inOrderPart = random.nextDouble();
+    for (int count = 0; count < stepsMost; count++) {
+      List<Step> enabled = model.enabled();
+      if (enabled.isEmpty()) {
+        break;
+      }
+      Step step = choose(enabled, random, usualPart, inOrderPart);
+      labels.add(step.label().get());
+      try {
+        step.effect().run();
+        model.check();
+      } catch (InvariantBroken broken) {
+        return Optional.of(broken);
+      }
+      seen.add(model.stateHash());
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Of a walk's steps, one part is left to messages and disks, and of these one part is taken in
+   * order: a run in which trouble is rare comes further.
+   */
+  private static Step choose(
+      List<Step> enabled, Random random, double usualPart, double inOrderPart) {
+    List<Step> usual = enabled.stream().filter(Step::usual).toList();
+    if (usual.isEmpty() || random.nextDouble() >= usualPart) {
+      return enabled.get(random.nextInt(enabled.size()));
+    }
+    boolean inOrder = random.nextDouble() < inOrderPart;
+    return usual.get(inOrder ? 0 : random.nextInt(usual.size()));
+  }
+
+  /** Leaves out each step without which the run still breaks an invariant. */
+  private Counterexample shorten(Counterexample found) {
+    Counterexample shortest = found;
+    for (int left = shortest.steps().size() - 1; left >= 0; left--) {
+      List<String> fewer = new ArrayList<>(shortest.steps());
+      if (left >= fewer.size()) {
+        continue;
+      }
+      fewer.remove(left);
+      Optional<Counterexample> again = follow(fewer);
+      if (again.isPresent()) {
+        shortest = again.get();
+      }
+    }
+    return shortest;
+  }
+
+  /** Takes the steps of these labels, passing over those that aren't enabled. */
+  private Optional<Counterexample> follow(List<String> labels) {
+    RegisterModel model = new RegisterModel(bounds);
+    List<String> taken = new ArrayList<>();
+    for (String label : labels) {
+      Optional<Step> step =
+          model.enabled().stream().filter(each -> each.label().get().equals(label)).findFirst();
+      if (step.isEmpty()) {
+        continue;
+      }
+      taken.add(label);
+      try {
+        step.get().effect().run();
+        model.check();
+      } catch (InvariantBroken broken) {
+        return Optional.of(new Counterexample(broken, taken));
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/RegisterModel.java
@@ -0,0 +1,439 @@
+package applespindle.corelogic;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import applespindle.corelogic.InvariantBroken.Invariant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/**
+ * One run of the replicated register over the real classes: three replicas, one newcomer, two
+ * claimants, the messages in flight. The run is a sequence of steps, each chosen from those that
+ * are enabled; the same choices give the same run.
+ */
+final class RegisterModel implements StateText.Named {
+  /**
+   * One thing that may happen next.
+   *
+   * @param label the same whenever the same thing may happen
+   * @param usual whether it needs no trouble and no client: a message arrives, a write is synced
+   */
+  record Step(Supplier<String> label, boolean usual, Runnable effect) {}
+
+  private static final String KEY = "register";
+  private static final String SET = "set";
+  private static final long PENDING_SET = 2;
+  private static final List<String> CLAIMANTS = List.of("a", "b");
+  private static final ReplicaSets FIRST =
+      new ReplicaSets(1, replicas("r1", "r2", "r3"), List.of());
+  private static final ReplicaSets PENDING =
+      new ReplicaSets(PENDING_SET, FIRST.present(), replicas("r1", "r2", "r4"));
+  private static final ReplicaSets CHANGED = new ReplicaSets(3, PENDING.next(), List.of());
+  private static final ReplicaSets CALLED_OFF = new ReplicaSets(3, FIRST.present(), List.of());
+
+  private static List<OwnedKey.Replica> replicas(String... ids) {
+    return List.of(ids).stream().map(id -> new OwnedKey.Replica(id, id)).toList();
+  }
+
+  /** A message on its way. */
+  private static final class InFlight {
+    final String to;
+    final Envelope envelope;
+    private String text;
+
+    InFlight(String to, Envelope envelope) {
+      this.to = to;
+      this.envelope = envelope;
+    }
+
+    /** Two messages of the same text are the same; made when asked for, as it takes long. */
+    String text() {
+      if (text == null) {
+        text = to + " " + StateText.of(envelope);
+      }
+      return text;
+    }
+  }
+
+  private final ModelBounds bounds;
+  private final ModelHistory history = new ModelHistory();
+  private final Map<String, ModelDisk> disks = new TreeMap<>();
+  private final Map<String, ModelReplica> replicas = new TreeMap<>();
+  private final Map<String, ModelClaimant> claimants = new TreeMap<>();
+  private final Map<String, Epoch> promisedBefore = new TreeMap<>();
+  private final List<InFlight> inFlight = new ArrayList<>();
+
+  /** By ordinal of the event, how often it has happened. */
+  private final int[] taken = new int[ModelEvent.values().length];
+
+  /** The sets in force: what the control plane has committed. */
+  private ReplicaSets inForce = FIRST;
+
+  /** By claimant, the sets that it knows. Kept over its crashes, as it asks before it claims. */
+  private final Map<String, ReplicaSets> known = new TreeMap<>();
+
+  /** The lives of the newcomer that have begun to copy. */
+  private final Set<ModelReplica> copying = new HashSet<>();
+
+  RegisterModel(ModelBounds bounds) {
+    this.bounds = bounds;
+    for (OwnedKey.Replica replica : PENDING.all()) {
+      boolean member = FIRST.present().contains(replica);
+      if (member || bounds.most(ModelEvent.SET_CHANGE) > 0) {
+        disks.put(replica.id(), new ModelDisk(bounds.slowDisks(), SET));
+        startReplica(replica.id());
+      }
+    }
+    for (String claimant : CLAIMANTS.subList(0, bounds.claimants())) {
+      known.put(claimant, FIRST);
+      startClaimant(claimant);
+    }
+    if (bounds.leaderAtStart()) {
+      beginWithLeader();
+    }
+  }
+
+  private void startReplica(String id) {
+    ModelRuntime runtime = new ModelRuntime(id, disks.get(id), this::send);
+    ModelReplica replica =
+        new ModelReplica(runtime, id, SET, (key, entry) -> history.committed(id, entry));
+    disks.get(id).synced().forEach(replica.replicas()::recover);
+    replica.start();
+    replicas.put(id, replica);
+  }
+
+  private void startClaimant(String id) {
+    ModelRuntime runtime = new ModelRuntime(id, null, this::send);
+    claimants.put(
+        id,
+        new ModelClaimant(runtime, id, KEY, bounds.snapshotValues(), () -> known.get(id), history));
+  }
+
+  /** The first claimant leads, and one value is known as committed everywhere. */
+  private void beginWithLeader() {
+    ModelClaimant first = claimants.get(CLAIMANTS.get(0));
+    act(first.runtime(), first::claim);
+    settle();
+    act(first.runtime(), () -> first.append(value(0)));
+    settle();
+  }
+
+  private void settle() {
+    while (!inFlight.isEmpty() || disks.values().stream().anyMatch(ModelDisk::hasUnsynced)) {
+      disks.keySet().forEach(this::syncAll);
+      if (!inFlight.isEmpty()) {
+        deliver(inFlight.remove(0));
+      }
+    }
+  }
+
+  private void syncAll(String id) {
+    while (disks.get(id).hasUnsynced()) {
+      act(replicas.get(id).runtime(), disks.get(id)::syncOne);
+    }
+  }
+
+  private static byte[] value(int number) {
+    return ("v" + number).getBytes(UTF_8);
+  }
+
+  private static void act(ModelRuntime runtime, Runnable action) {
+    action.run();
+    runtime.runImmediate();
+  }
+
+  private void send(String to, Envelope envelope) {
+    history.sent(envelope);
+    inFlight.add(new InFlight(to, envelope));
+  }
+
+  private void deliver(InFlight message) {
+    ModelReplica replica = replicas.get(message.to);
+    ModelClaimant claimant = claimants.get(message.to);
+    if (replica != null) {
+      act(replica.runtime(), () -> replica.receive(message.envelope));
+    } else if (claimant != null) {
+      act(claimant.runtime(), () -> claimant.receive(message.envelope));
+    }
+  }
+
+  // ---- steps
+
+  /** All that may happen next, in an order that depends on the run so far only. */
+  List<Step> enabled() {
+    List<Step> steps = new ArrayList<>();
+    addMessages(steps);
+    addDisks(steps);
+    addClients(steps);
+    addTimers(steps);
+    addCrashes(steps);
+    addSetChange(steps);
+    return steps;
+  }
+
+  private boolean left(ModelEvent event) {
+    return taken[event.ordinal()] < bounds.most(event);
+  }
+
+  private Runnable counting(ModelEvent event, Runnable effect) {
+    return () -> {
+      taken[event.ordinal()]++;
+      effect.run();
+    };
+  }
+
+  private void addMessages(List<Step> steps) {
+    for (InFlight message : inFlight) {
+      steps.add(
+          new Step(
+              () -> "deliver to " + message.text(),
+              true,
+              () -> {
+                inFlight.remove(message);
+                deliver(message);
+              }));
+      if (left(ModelEvent.DUPLICATE)) {
+        steps.add(
+            new Step(
+                () -> "deliver twice to " + message.text(),
+                false,
+                counting(ModelEvent.DUPLICATE, () -> deliver(message))));
+      }
+    }
+  }
+
+  private void addDisks(List<Step> steps) {
+    disks.forEach(
+        (id, disk) -> {
+          if (disk.hasUnsynced()) {
+            steps.add(
+                new Step(
+                    () -> "sync at " + id,
+                    true,
+                    () -> act(replicas.get(id).runtime(), disk::syncOne)));
+          }
+        });
+  }
+
+  private void addClients(List<Step> steps) {
+    claimants.forEach(
+        (id, claimant) -> {
+          if (claimant.idle() && left(ModelEvent.CLAIM)) {
+            steps.add(step("claim by " + id, ModelEvent.CLAIM, claimant, claimant::claim));
+          }
+          if (!claimant.leads()) {
+            return;
+          }
+          if (left(ModelEvent.APPEND)) {
+            int number = taken[ModelEvent.APPEND.ordinal()] + 1;
+            steps.add(
+                step(
+                    "append by " + id,
+                    ModelEvent.APPEND,
+                    claimant,
+                    () -> claimant.append(value(number))));
+          }
+          if (left(ModelEvent.READ)) {
+            steps.add(step("read by " + id, ModelEvent.READ, claimant, claimant::read));
+          }
+          if (left(ModelEvent.RELEASE)) {
+            steps.add(step("release by " + id, ModelEvent.RELEASE, claimant, claimant::release));
+          }
+        });
+  }
+
+  private Step step(String label, ModelEvent event, ModelClaimant claimant, Runnable action) {
+    return new Step(() -> label, false, counting(event, () -> act(claimant.runtime(), action)));
+  }
+
+  private void addTimers(List<Step> steps) {
+    claimants.forEach((id, claimant) -> addTimers(steps, id, claimant.runtime()));
+    replicas.forEach((id, replica) -> addTimers(steps, id, replica.runtime()));
+    claimants.forEach(
+        (id, claimant) -> {
+          if (!claimant.idle() && left(ModelEvent.CLOCK_JUMP)) {
+            steps.add(
+                step(
+                    "clock jump at " + id,
+                    ModelEvent.CLOCK_JUMP,
+                    claimant,
+                    () -> claimant.runtime().jumpClock(Constants.COMMAND_EXPIRY_MS)));
+          }
+        });
+  }
+
+  private void addTimers(List<Step> steps, String id, ModelRuntime runtime) {
+    if (!left(ModelEvent.TIMER)) {
+      return;
+    }
+    for (int index = 0; index < runtime.timers.size(); index++) {
+      ModelRuntime.Timer timer = runtime.timers.get(index);
+      int number = index;
+      steps.add(
+          new Step(
+              () -> "timer " + number + " at " + id,
+              false,
+              counting(ModelEvent.TIMER, () -> runtime.fire(timer))));
+    }
+  }
+
+  private void addCrashes(List<Step> steps) {
+    if (left(ModelEvent.REPLICA_CRASH)) {
+      disks.forEach(
+          (id, disk) -> {
+            for (int kept = 0; kept <= disk.unsyncedRecords(); kept++) {
+              int records = kept;
+              steps.add(
+                  new Step(
+                      () -> "crash of " + id + ", unsynced records kept: " + records,
+                      false,
+                      counting(ModelEvent.REPLICA_CRASH, () -> crashReplica(id, records))));
+            }
+          });
+    }
+    if (left(ModelEvent.CLAIMANT_CRASH)) {
+      claimants.forEach(
+          (id, claimant) -> {
+            if (!claimant.idle()) {
+              steps.add(
+                  new Step(
+                      () -> "crash of " + id,
+                      false,
+                      counting(
+                          ModelEvent.CLAIMANT_CRASH,
+                          () -> {
+                            claimant.runtime().end();
+                            startClaimant(id);
+                          })));
+            }
+          });
+    }
+  }
+
+  private void crashReplica(String id, int kept) {
+    replicas.get(id).runtime().end();
+    disks.get(id).crash(kept);
+    promisedBefore.remove(id);
+    startReplica(id);
+  }
+
+  private void addSetChange(List<Step> steps) {
+    if (left(ModelEvent.SET_CHANGE)) {
+      if (inForce == FIRST) {
+        steps.add(change("pending set in force", PENDING));
+      } else if (inForce == PENDING) {
+        if (replicas.get("r4").copied()) {
+          steps.add(change("new set in force", CHANGED));
+        }
+        steps.add(change("change of set called off", CALLED_OFF));
+      }
+    }
+    claimants.forEach(
+        (id, claimant) -> {
+          if (known.get(id).number() < inForce.number()) {
+            steps.add(
+                new Step(
+                    () -> id + " learns set " + inForce.number(),
+                    false,
+                    () -> {
+                      known.put(id, inForce);
+                      act(claimant.runtime(), () -> claimant.changeSets(inForce));
+                    }));
+          }
+        });
+    if (inForce == PENDING && !newcomerKnows()) {
+      steps.add(new Step(() -> "r4 learns set " + inForce.number(), false, this::copyIn));
+    }
+  }
+
+  private Step change(String label, ReplicaSets sets) {
+    return new Step(() -> label, false, counting(ModelEvent.SET_CHANGE, () -> inForce = sets));
+  }
+
+  private boolean newcomerKnows() {
+    return copying.contains(replicas.get("r4"));
+  }
+
+  private void copyIn() {
+    ModelReplica newcomer = replicas.get("r4");
+    copying.add(newcomer);
+    act(
+        newcomer.runtime(),
+        () -> newcomer.copyIn(SET, PENDING_SET, FIRST.present(), () -> inForce.number()));
+  }
+
+  // ---- invariants and state
+
+  /** Judges the state after a step. */
+  void check() {
+    replicas.forEach(this::checkPromised);
+    for (Entry entry : history.acknowledged().values()) {
+      checkKept(entry);
+    }
+  }
+
+  private void checkPromised(String id, ModelReplica replica) {
+    Epoch promised = promised(replica.replicas());
+    Epoch before = promisedBefore.put(id, promised);
+    if (before != null && promised.below(before)) {
+      throw new InvariantBroken(Invariant.PROMISE_KEPT, id + " fell to " + promised);
+    }
+    Epoch told = history.told(id);
+    if (promised.below(told) || promised(disks.get(id).recoverable()).below(told)) {
+      throw new InvariantBroken(
+          Invariant.PROMISE_KEPT, id + " has promised " + promised + " and told " + told);
+    }
+  }
+
+  private static Epoch promised(KeyReplicas replicas) {
+    KeyReplicas.Copy copy = replicas.copies().get(KEY);
+    return copy == null ? Epoch.NONE : copy.promised;
+  }
+
+  private void checkKept(Entry entry) {
+    Set<String> holders = new HashSet<>();
+    disks.forEach(
+        (id, disk) -> {
+          if (disk.recoverable()
+              .holds(KEY, entry.sequence(), other -> ModelHistory.same(other, entry))) {
+            holders.add(id);
+          }
+        });
+    ReplicaSets counted = new ReplicaSets(inForce.number(), inForce.present(), List.of());
+    if (!counted.quorum(holders)) {
+      throw new InvariantBroken(
+          Invariant.ACKNOWLEDGED_KEPT,
+          ModelHistory.text(entry) + " is recoverable at " + holders + " only");
+    }
+  }
+
+  /** A hash of all that may matter for what comes. */
+  long stateHash() {
+    return stateText().hash();
+  }
+
+  StateText stateText() {
+    StateText text = new StateText();
+    replicas.values().forEach(replica -> replica.addTo(text));
+    disks.values().forEach(disk -> disk.addTo(text));
+    claimants.values().forEach(claimant -> claimant.addTo(text));
+    text.add(inFlight.stream().map(InFlight::text).sorted().toList());
+    text.add(taken).add(inForce.number()).add(inForce.present()).add(newcomerPending());
+    known.values().forEach(sets -> text.add(sets.number()));
+    return text.add(history).add(promisedBefore);
+  }
+
+  @Override
+  public String stateName() {
+    return "model";
+  }
+
+  private boolean newcomerPending() {
+    return inForce == PENDING && newcomerKnows();
+  }
+}
