A replica's reply waits for its set number; a commit mark follows its entries

Cause: two ways in which a replica's disk could say less, or more, than it answered for. 1. A message with a newer set number recorded it in memory and queued the write; a reply without records of its own left before that record was synced. 2. The record of how far a log is committed was written before the entries of the same message. After a loss of power between the two, a tail that those entries replace counted as committed; replayed whole, a tail with a whole entry even dropped what stood before it.

Ruled out: that a change of replicas relied on (1): the newcomer's sources sync the number before their first page, and a majority of them meets every owner under an older number. Once-claims that a newcomer takes from two sources may differ, but a token that lost is never claimed under again.

Change: replies wait while any set number is unsynced; the mark is written behind the entries.

Conclusion: every prefix of what a replica writes is a sound state, and it answers only for it.

--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -68,6 +68,11 @@
    */
   private final Map<String, Long> setNumbers = new TreeMap<>();
 
+  /**
+   * Set numbers that are recorded in memory and not yet synced; no reply leaves before they are.
+   */
+  private long unsyncedSets;
+
   private final UnaryOperator<String> setNameOf;
   private final Replies replies;
   private String lastTouched = "";
@@ -201,8 +206,7 @@
           for (Entry entry : copy.entries) {
             records.add(record(key, entry));
           }
-          records.add(
-              new DiskRecord(Kind.COMMITTED, key, Epoch.NONE, copy.committed, false, new byte[0]));
+          records.add(committedRecord(key, copy.committed));
         });
     return records;
   }
@@ -216,12 +220,18 @@
    * it is synced.
    */
   void learnSet(String name, long number, Runnable whenSynced) {
-    List<DiskRecord> records = List.of();
-    if (number > setNumbers.getOrDefault(name, 0L)) {
-      setNumbers.put(name, number);
-      records = List.of(setRecord(name, number));
+    if (number <= setNumber(name)) {
+      surroundings.write(List.of(), whenSynced);
+      return;
     }
-    surroundings.write(records, whenSynced);
+    setNumbers.put(name, number);
+    unsyncedSets++;
+    surroundings.write(
+        List.of(setRecord(name, number)),
+        () -> {
+          unsyncedSets--;
+          whenSynced.run();
+        });
   }
 
   long setNumber(String name) {
@@ -230,14 +240,13 @@
 
   /**
    * True if the message speaks of an older set than the one known here; a newer one is recorded at
-   * once.
+   * once, and afterSync holds the reply back until that record is synced.
    */
   private boolean oldSet(String key, long setNumber) {
     String name = setNameOf.apply(key);
     long known = setNumber(name);
     if (setNumber > known) {
-      setNumbers.put(name, setNumber);
-      surroundings.write(List.of(setRecord(name, setNumber)), () -> {});
+      learnSet(name, setNumber, () -> {});
     }
     return setNumber < known;
   }
@@ -324,27 +333,15 @@
       return;
     }
     for (Entry entry : message.entries()) {
-      if (holdsAlready(copy, entry)) {
-        continue;
+      if (!holdsAlready(copy, entry)) {
+        place(copy, entry);
+        records.add(record(message.key(), entry));
       }
-      place(copy, entry);
-      records.add(record(message.key(), entry));
     }
     long matched =
         message.entries().isEmpty()
             ? previous
             : message.entries().get(message.entries().size() - 1).sequence();
-    long committed = Math.min(message.committed(), matched);
-    if (committed > copy.committed) {
-      copy.committed = committed;
-      surroundings.write(
-          List.of(
-              new DiskRecord(
-                  Kind.COMMITTED, message.key(), Epoch.NONE, committed, false, new byte[0])),
-          () -> {});
-      announce(message.key(), copy);
-      trim(copy);
-    }
     afterSync(
         copy,
         records,
@@ -355,6 +352,26 @@
               fromId,
               appended(message, overtaken ? REFUSED : OK, copy.promised, matched));
         });
+    commit(message.key(), copy, Math.min(message.committed(), matched));
+  }
+
+  /**
+   * Notes how far the log is committed, behind the entries that this speaks of: a power loss
+   * between the two must not leave a mark that covers a tail which those entries replace. No reply
+   * speaks of the mark, so none waits for it.
+   */
+  private void commit(String key, Copy copy, long committed) {
+    if (committed <= copy.committed) {
+      return;
+    }
+    copy.committed = committed;
+    surroundings.write(List.of(committedRecord(key, committed)), () -> {});
+    announce(key, copy);
+    trim(copy);
+  }
+
+  private static DiskRecord committedRecord(String key, long committed) {
+    return new DiskRecord(Kind.COMMITTED, key, Epoch.NONE, committed, false, new byte[0]);
   }
 
   private KeyAppended appended(KeyAppend message, Verdict verdict, Epoch promised, long matched) {
@@ -367,7 +384,7 @@
    * one.
    */
   private void afterSync(Copy copy, List<DiskRecord> records, Runnable reply) {
-    if (records.isEmpty() && copy.unsynced == 0) {
+    if (records.isEmpty() && copy.unsynced == 0 && unsyncedSets == 0) {
       reply.run();
       return;
     }
@@ -464,8 +481,7 @@
     long committed = Math.min(other.committed(), copy.lastSequence());
     if (committed > copy.committed) {
       copy.committed = committed;
-      records.add(
-          new DiskRecord(Kind.COMMITTED, other.key(), Epoch.NONE, committed, false, new byte[0]));
+      records.add(committedRecord(other.key(), committed));
       announce(other.key(), copy);
       trim(copy);
     }
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
@@ -0,0 +1,224 @@
+package applespindle.corelogic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import applespindle.corelogic.DiskRecord.Kind;
+import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyPromise;
+import applespindle.corelogic.Message.KeyPromised;
+import applespindle.corelogic.Message.Verdict;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A replica on a disk that syncs only when told to and may lose power after any record: replies
+ * wait for what they speak of, and every prefix of what was written is a sound state.
+ */
+final class ReplicaDiskTest {
+  private static final String KEY = "batch/1";
+  private static final String SET = "shard/1";
+  private static final Epoch FIRST = new Epoch(1, "a");
+  private static final Epoch SECOND = new Epoch(2, "b");
+
+  /** Keeps what is written in order; callbacks wait for {@link #sync}. */
+  private static final class SlowDisk implements Surroundings {
+    final List<DiskRecord> written = new ArrayList<>();
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+
+    /** Syncs the oldest write that still waits. */
+    void sync() {
+      waiting.remove().run();
+    }
+
+    void syncAll() {
+      while (!waiting.isEmpty()) {
+        sync();
+      }
+    }
+
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
+      written.addAll(records);
+      waiting.add(whenSynced);
+    }
+
+    @Override
+    public long now() {
+      return 0;
+    }
+
+    @Override
+    public Schedule after(long millis, Runnable task) {
+      return () -> {};
+    }
+
+    @Override
+    public void send(String peerAddress, Envelope envelope) {}
+
+    @Override
+    public boolean takesWrites() {
+      return true;
+    }
+
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
+      return () -> {};
+    }
+
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
+
+    @Override
+    public RandomGenerator random() {
+      return RandomGenerator.getDefault();
+    }
+
+    @Override
+    public void log(String part, String sentence) {}
+  }
+
+  private final SlowDisk disk = new SlowDisk();
+  private final List<Message> replies = new ArrayList<>();
+  private final KeyReplicas replicas =
+      new KeyReplicas(
+          disk, (address, id, message) -> replies.add(message), (key, entry) -> {}, key -> SET);
+
+  private static Entry entry(long sequence, Epoch epoch) {
+    return new Entry(sequence, epoch, false, ("event " + sequence).getBytes(UTF_8));
+  }
+
+  private static Entry whole(long sequence, Epoch epoch) {
+    return new Entry(sequence, epoch, true, ("state " + sequence).getBytes(UTF_8));
+  }
+
+  private void append(
+      long setNumber,
+      Epoch epoch,
+      long previous,
+      Epoch previousEpoch,
+      long committed,
+      Entry... entries) {
+    replicas.append(
+        new KeyAppend(
+            KEY, epoch, setNumber, 1, previous, previousEpoch, committed, List.of(entries)),
+        epoch.node(),
+        "");
+  }
+
+  private static List<Long> sequences(List<Entry> entries) {
+    return entries.stream().map(Entry::sequence).toList();
+  }
+
+  @Test
+  void aReplyUnderANewSetNumberWaitsForItsRecord() {
+    append(1, FIRST, 0, Epoch.NONE, 0, entry(1, FIRST));
+    disk.syncAll();
+    replies.clear();
+    append(2, FIRST, 1, FIRST, 0);
+    assertThat(replies).isEmpty();
+    disk.syncAll();
+    assertThat(replies).hasSize(1);
+    assertThat(((KeyAppended) replies.get(0)).verdict()).isEqualTo(Verdict.OK);
+  }
+
+  @Test
+  void aReplyForAnotherKeyOfTheSetWaitsForThatRecordToo() {
+    append(1, FIRST, 0, Epoch.NONE, 0, entry(1, FIRST));
+    disk.syncAll();
+    replies.clear();
+    replicas.learnSet(SET, 2, () -> {});
+    append(2, FIRST, 1, FIRST, 0);
+    assertThat(replies).isEmpty();
+    disk.syncAll();
+    assertThat(replies).hasSize(1);
+  }
+
+  @Test
+  void aRefusedPromiseUnderANewSetNumberWaitsForItsRecord() {
+    append(1, SECOND, 0, Epoch.NONE, 0, entry(1, SECOND));
+    disk.syncAll();
+    replies.clear();
+    replicas.promise(new KeyPromise(KEY, FIRST, 2, false), FIRST.node(), "");
+    assertThat(replies).isEmpty();
+    disk.syncAll();
+    assertThat(((KeyPromised) replies.get(0)).verdict()).isEqualTo(Verdict.REFUSED);
+  }
+
+  @Test
+  void noLossOfPowerMakesAReplacedTailCommitted() {
+    append(1, FIRST, 0, Epoch.NONE, 3, entry(1, FIRST), entry(2, FIRST), entry(3, FIRST));
+    append(1, FIRST, 3, FIRST, 3, entry(4, FIRST), entry(5, FIRST));
+    append(1, SECOND, 3, FIRST, 6, entry(4, SECOND), entry(5, SECOND), entry(6, SECOND));
+    for (int kept = 0; kept <= disk.written.size(); kept++) {
+      KeyReplicas again =
+          new KeyReplicas(
+              new SlowDisk(), (address, id, message) -> {}, (key, entry) -> {}, key -> SET);
+      disk.written.subList(0, kept).forEach(again::recover);
+      again.recovered();
+      if (!again.copies().containsKey(KEY)) {
+        continue;
+      }
+      assertWithMessage("after " + kept + " records")
+          .that(
+              again.view(KEY).committedEntries().stream()
+                  .filter(entry -> entry.sequence() > 3 && entry.epoch().equals(FIRST))
+                  .toList())
+          .isEmpty();
+    }
+  }
+
+  @Test
+  void aReplacedTailWithAWholeEntryDropsNothingBeforeIt() {
+    append(1, FIRST, 0, Epoch.NONE, 3, entry(1, FIRST), entry(2, FIRST), entry(3, FIRST));
+    append(1, FIRST, 3, FIRST, 3, entry(4, FIRST), whole(5, FIRST));
+    append(1, SECOND, 3, FIRST, 6, entry(4, SECOND), entry(5, SECOND), entry(6, SECOND));
+    KeyReplicas again =
+        new KeyReplicas(
+            new SlowDisk(), (address, id, message) -> {}, (key, entry) -> {}, key -> SET);
+    disk.written.forEach(again::recover);
+    again.recovered();
+    assertThat(sequences(again.copies().get(KEY).entries)).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
+  }
+
+  @Test
+  void aMessageThatComesTwiceTakesNothingFromATrimmedLog() {
+    Entry[] start = {entry(1, FIRST), entry(2, FIRST)};
+    append(1, FIRST, 0, Epoch.NONE, 0, start);
+    append(1, FIRST, 2, FIRST, 3, whole(3, FIRST), entry(4, FIRST));
+    disk.syncAll();
+    assertThat(sequences(replicas.copies().get(KEY).entries)).containsExactly(3L, 4L).inOrder();
+    append(1, FIRST, 0, Epoch.NONE, 0, start);
+    disk.syncAll();
+    assertThat(sequences(replicas.copies().get(KEY).entries)).containsExactly(3L, 4L).inOrder();
+  }
+
+  @Test
+  void aCopyOfALogThatBeginsEarlierTakesNothingFromATrimmedOne() {
+    append(1, FIRST, 0, Epoch.NONE, 3, entry(1, FIRST), entry(2, FIRST), whole(3, FIRST));
+    KeyReplicas.Copied longer =
+        new KeyReplicas.Copied(
+            KEY,
+            SECOND,
+            3,
+            false,
+            List.of(entry(1, FIRST), entry(2, FIRST), whole(3, FIRST), entry(4, SECOND)));
+    assertThat(replicas.absorb(longer, () -> {})).isTrue();
+    assertThat(sequences(replicas.copies().get(KEY).entries)).containsExactly(3L, 4L).inOrder();
+  }
+
+  @Test
+  void theMarkOfWhatIsCommittedFollowsItsEntries() {
+    append(1, FIRST, 0, Epoch.NONE, 2, entry(1, FIRST), entry(2, FIRST));
+    assertThat(disk.written.stream().map(DiskRecord::kind).toList())
+        .containsExactly(Kind.SET, Kind.PROMISE, Kind.ENTRY, Kind.ENTRY, Kind.COMMITTED)
+        .inOrder();
+  }
+}
