The disk log relies on no file name before its folder was synced

Cause: three gaps in DiskLog, found by a model in which each name that was made, renamed or removed without a sync of its folder is as before or as now, by itself. 1. A new segment whose folder sync was refused came into use all the same, at the place where the segment before it ended: what was appended then and answered for lay behind a hole and was lost. 2. Power lost while a corrupt folder was set aside left segments without the identity and the checkpoint before them; the next start read them as a new node's log, in part. 3. The identity was one file that each start renamed over: a renamed file that is lost takes the node's name, and with it its replicas, although the log is there.

Ruled out: checkpoints (synced before their rename, the rename before the removals), torn tails and holes within a segment, the removal of covered files: two ends at every pair of steps of start, append and checkpoint, three at every triple of a stride, also passed before this change.

Change: a segment is used once its name is synced, and no number is tried twice; the identity is set aside first, and a folder with segments and no identity is set aside whole; each start writes its identity to a file of its own. The identity of earlier versions is taken over. A data folder that is made is synced into its parent. VolatileFolder no longer lets a forced file keep its name.

Conclusion: each start reads all that was answered for, or nothing.

--- a/adapters/src/main/java/applespindle/adapters/DiskFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskFolder.java
@@ -7,8 +7,8 @@
 
 /**
  * The files of one data folder, as the log uses them. After a loss of power a file holds what its
- * last force covered, and each later write is there, missing or torn; renames and removals last
- * once the folder was synced.
+ * last force covered, and each later write is there, missing or torn; until the folder was synced,
+ * each name that was made, renamed or removed may be as it was before, by itself.
  */
 interface DiskFolder {
   /** Names of all plain files, sorted. */
@@ -29,8 +29,8 @@
 
   void sync() throws IOException;
 
-  /** Moves all plain files out of the way, so that the folder is as new. */
-  void setAside() throws IOException;
+  /** Moves a file out of the way, for somebody to look at. */
+  void setAside(String name) throws IOException;
 
   long bytesLeft();
 
--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -13,6 +13,8 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.locks.LockSupport;
@@ -24,7 +26,9 @@
  * to N. Every start and every checkpoint opens a new segment; an old file is never written to
  * again, only cut or deleted. Invariants: what was replayed at the start is synced, also what a
  * killed process left unsynced; when a segment is opened, all before it are synced whole, so that
- * only the newest can end torn.
+ * only the newest can end torn. Nothing relies on a file's name before the folder was synced: each
+ * start writes its identity to a file of its own, before any segment, and the one before is removed
+ * after that.
  */
 public final class DiskLog implements AutoCloseable {
   /** length, CRC32C of type and payload, type. */
@@ -33,6 +37,11 @@
   private static final byte TYPE_RECORD = 1;
   private static final byte TYPE_END_OF_CHECKPOINT = 2;
 
+  private static final String IDENTITY = "identity-";
+
+  /** Where earlier versions kept the identity of all starts. */
+  private static final String FORMER_IDENTITY = "identity.json";
+
   private final DiskFolder folder;
   private final DiskSizes sizes;
   private final Consumer<String> log;
@@ -46,6 +55,9 @@
   private DiskFile file;
   private long segment;
 
+  /** The highest number of a segment that was opened or tried to be. */
+  private long segmentTried;
+
   /** The newest checkpoint stands for all segments up to this one. */
   private long covered;
 
@@ -95,7 +107,7 @@
         throw fault;
       }
       log.accept("Data folder is corrupt and was set aside: " + fault.getMessage() + ".");
-      folder.setAside();
+      opened.setAside();
       records.clear();
       opened = new DiskLog(folder, sizes, log);
       opened.readIdentity();
@@ -114,6 +126,23 @@
     return incarnation;
   }
 
+  /**
+   * Moves all files out of the way, so that the folder is as new. The identity goes first: whatever
+   * is left without one is set aside by the next start.
+   */
+  private void setAside() throws IOException {
+    for (String name : folder.names()) {
+      if (name.startsWith(IDENTITY) || name.equals(FORMER_IDENTITY)) {
+        folder.setAside(name);
+      }
+    }
+    folder.sync();
+    for (String name : folder.names()) {
+      folder.setAside(name);
+    }
+    folder.sync();
+  }
+
   private List<String> files(String prefix) throws IOException {
     return folder.names().stream().filter(name -> name.startsWith(prefix)).toList();
   }
@@ -123,23 +152,46 @@
   }
 
   private static String name(String prefix, long number) {
+    return name(prefix, number, ".log");
+  }
+
+  private static String name(String prefix, long number, String suffix) {
     String digits = Long.toString(number);
-    return prefix + "0".repeat(Math.max(0, 12 - digits.length())) + digits + ".log";
+    return prefix + "0".repeat(Math.max(0, 12 - digits.length())) + digits + suffix;
   }
 
   // ---- identity
 
+  /**
+   * The newest identity that is whole: one that a start was still writing when power was lost was
+   * never used. Segments without any can't be told from another node's.
+   */
   private void readIdentity() throws IOException {
-    if (!folder.names().contains("identity.json")) {
-      id = UUID.randomUUID().toString().replace("-", "").substring(0, 12);
-      return;
+    List<String> newestFirst = new ArrayList<>(files(IDENTITY));
+    Collections.reverse(newestFirst);
+    if (folder.names().contains(FORMER_IDENTITY)) {
+      newestFirst.add(FORMER_IDENTITY);
     }
-    try (var bytes = folder.read("identity.json")) {
+    for (String name : newestFirst) {
+      if (readIdentity(name)) {
+        return;
+      }
+    }
+    if (!files("segment-").isEmpty() || !files("checkpoint-").isEmpty()) {
+      throw new DiskFault(DiskFault.Kind.CORRUPT, "no identity", null);
+    }
+    id = UUID.randomUUID().toString().replace("-", "").substring(0, 12);
+  }
+
+  private boolean readIdentity(String name) {
+    try (var bytes = folder.read(name)) {
       JsonNode identity = JSON.readTree(bytes.readAllBytes());
-      id = identity.get("id").asText();
+      String known = identity.get("id").asText();
       incarnation = identity.get("incarnation").asLong();
-    } catch (IOException | RuntimeException fault) {
-      throw new DiskFault(DiskFault.Kind.CORRUPT, "identity.json", fault);
+      id = known;
+      return true;
+    } catch (IOException | RuntimeException torn) {
+      return false;
     }
   }
 
@@ -151,7 +203,7 @@
     for (int tries = 1; ; tries++) {
       try {
         writeIdentity();
-        openSegment(segment + 1);
+        openSegment();
         dropCovered();
         return;
       } catch (IOException refused) {
@@ -166,14 +218,22 @@
 
   private void writeIdentity() throws IOException {
     dropUnfinished();
+    String name = name(IDENTITY, incarnation, ".json");
+    if (folder.names().contains(name)) {
+      folder.delete(name);
+    }
     byte[] bytes =
         Json.bytes(JSON.createObjectNode().put("id", id).put("incarnation", incarnation));
-    try (DiskFile written = folder.create("new-identity.json")) {
+    try (DiskFile written = folder.create(name)) {
       written.write(ByteBuffer.wrap(bytes), 0);
       written.force();
     }
-    folder.rename("new-identity.json", "identity.json");
     folder.sync();
+    for (String former : folder.names()) {
+      if (former.startsWith(IDENTITY) && !former.equals(name) || former.equals(FORMER_IDENTITY)) {
+        folder.delete(former);
+      }
+    }
   }
 
   // ---- reading
@@ -188,11 +248,13 @@
     }
     List<String> segments = files("segment-");
     segment = covered;
+    segmentTried = covered;
     for (int index = 0; index < segments.size(); index++) {
       String name = segments.get(index);
       if (number(name) > covered) {
         readFile(name, replay, index == segments.size() - 1, false);
         segment = number(name);
+        segmentTried = segment;
         bytesSinceCheckpoint += folder.size(name);
       }
     }
@@ -231,8 +293,7 @@
         if (content[0] == TYPE_END_OF_CHECKPOINT) {
           ended = true;
         } else {
-          replay.accept(
-              codec.decodeRecord(java.util.Arrays.copyOfRange(content, 1, content.length)));
+          replay.accept(codec.decodeRecord(Arrays.copyOfRange(content, 1, content.length)));
         }
         good += HEAD_BYTES - 1 + content.length;
       }
@@ -282,9 +343,20 @@
 
   // ---- writing, on the disk thread only
 
-  private void openSegment(long number) throws IOException {
-    file = folder.create(name("segment-", number));
-    folder.sync();
+  /**
+   * Goes on in a new segment. If that fails, the present one stays in use; what may be left of the
+   * new one is empty, and its number is not used again.
+   */
+  private void openSegment() throws IOException {
+    long number = ++segmentTried;
+    DiskFile opened = folder.create(name("segment-", number));
+    try {
+      folder.sync();
+    } catch (IOException refused) {
+      opened.close();
+      throw refused;
+    }
+    file = opened;
     segment = number;
     segmentBytes = 0;
   }
@@ -402,7 +474,7 @@
     bytesSinceCheckpoint = 0;
     DiskFile before = file;
     try {
-      openSegment(last + 1);
+      openSegment();
       before.close();
     } catch (IOException refused) {
       log.accept("No checkpoint, as no segment can be opened: " + refused.getMessage() + ".");
--- a/adapters/src/main/java/applespindle/adapters/PlainFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/PlainFolder.java
@@ -23,6 +23,9 @@
   private final FileChannel lock;
   private final FileStore store;
 
+  /** Where files are set aside; null before the first one is. */
+  private Path aside;
+
   private PlainFolder(Path folder, FileChannel lock) throws IOException {
     this.folder = folder;
     this.lock = lock;
@@ -31,7 +34,10 @@
 
   /** One process a folder: a second one would write a second truth. */
   static PlainFolder open(Path folder) throws IOException {
-    Files.createDirectories(folder);
+    if (!Files.isDirectory(folder)) {
+      Files.createDirectories(folder);
+      sync(folder.toAbsolutePath().getParent());
+    }
     FileChannel channel =
         FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     boolean free;
@@ -100,22 +106,29 @@
 
   @Override
   public void sync() throws IOException {
+    sync(folder);
+  }
+
+  private static void sync(Path folder) throws IOException {
     try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
       directory.force(true);
     }
   }
 
   @Override
-  public void setAside() throws IOException {
+  public void setAside(String name) throws IOException {
+    if (aside == null) {
+      aside = Files.createDirectory(firstFree("corrupt-"));
+    }
+    Files.move(folder.resolve(name), aside.resolve(name));
+  }
+
+  private Path firstFree(String prefix) {
     int number = 1;
-    while (Files.exists(folder.resolve("corrupt-" + number))) {
+    while (Files.exists(folder.resolve(prefix + number))) {
       number++;
     }
-    Path aside = Files.createDirectory(folder.resolve("corrupt-" + number));
-    for (String name : names()) {
-      Files.move(folder.resolve(name), aside.resolve(name));
-    }
-    sync();
+    return folder.resolve(prefix + number);
   }
 
   @Override
--- a/adapters/src/test/java/applespindle/adapters/VolatileFolder.java
+++ b/adapters/src/test/java/applespindle/adapters/VolatileFolder.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * A folder on a disk that loses power: a file keeps what its last force covered, each later write
- * is there, missing or torn, or all of them are gone; a new file lasts once it was forced itself,
- * renames and removals once the folder was synced, and before that each may have lasted or not.
+ * is there, missing or torn, or all of them are gone; until the folder was synced, each name that
+ * was made, renamed or removed is as it was or as it is now, by itself.
  */
 final class VolatileFolder implements DiskFolder {
   private record Write(long at, byte[] bytes) {}
@@ -36,7 +38,7 @@
   private final Random random;
   private Map<String, Content> files = new TreeMap<>();
 
-  /** The names as they stood at the last sync; files forced since are added to it. */
+  /** The names as they stood at the last sync. */
   private Map<String, Content> lasting = new TreeMap<>();
 
   int asides;
@@ -44,6 +46,12 @@
   /** Writes still refused. */
   int refusals;
 
+  /** Syncs of the folder still refused. */
+  int syncRefusals;
+
+  /** Steps done since the folder was made. */
+  int steps;
+
   /** Steps until power is lost, in the midst of whatever is done; negative: never. */
   int stepsLeft = -1;
 
@@ -54,6 +62,7 @@
   }
 
   private void step() {
+    steps++;
     if (stepsLeft >= 0 && stepsLeft-- == 0) {
       throw new PowerLost();
     }
@@ -61,18 +70,15 @@
 
   void losePower() {
     stepsLeft = -1;
-    Map<String, Content> left = new TreeMap<>(lasting);
-    for (String name : files.keySet()) {
-      Content content = files.get(name);
-      if (random.nextBoolean() && (content.forced != null || random.nextBoolean())) {
+    Set<String> names = new TreeSet<>(files.keySet());
+    names.addAll(lasting.keySet());
+    Map<String, Content> left = new TreeMap<>();
+    for (String name : names) {
+      Content content = random.nextBoolean() ? files.get(name) : lasting.get(name);
+      if (content != null) {
         left.put(name, content);
       }
     }
-    for (String name : lasting.keySet()) {
-      if (!files.containsKey(name) && random.nextBoolean()) {
-        left.remove(name);
-      }
-    }
     boolean allGone = random.nextInt(3) == 0;
     for (Content content : left.values()) {
       List<Write> later = List.copyOf(content.later);
@@ -151,9 +157,6 @@
         step();
         content.forced = content.bytes.clone();
         content.later.clear();
-        if (files.get(name) == content) {
-          lasting.put(name, content);
-        }
         step();
       }
 
@@ -177,17 +180,27 @@
   }
 
   @Override
-  public void sync() {
+  public void sync() throws IOException {
     step();
+    if (syncRefusals > 0) {
+      syncRefusals--;
+      throw new IOException("refused");
+    }
     lasting = new TreeMap<>(files);
     step();
   }
 
   @Override
-  public void setAside() {
+  public void setAside(String name) {
     asides++;
-    files.clear();
-    sync();
+    delete(name);
+  }
+
+  /** Turns one byte of a file into another, as a faulty disk does. */
+  void corrupt(String name, int at) {
+    Content content = files.get(name);
+    content.bytes[at] ^= 1;
+    content.forced = content.bytes.clone();
   }
 
   @Override
