Emptying never shrinks a set; the status tells how many more losses can be borne

Cause: emptying by id went down to two replicas without a spare. A majority of two is two, so the next loss stopped the shard although the fleet promises to bear it, and what the leaver alone held of an append in flight was gone. Nothing told for how long fewer losses could be borne than asked. And a core member that had not heard the end of a roster change took news from a majority of the former members for fresh, although the next ones may already decide without it.

Change: emptying is refused unless as many others remain as a shard has replicas, and else waits; StorageState.keepsCopies and the least of two are gone. LossMargin counts, for the core and the worst shard, the replicas that may go while a majority of the present and of the pending set is left; a newcomer counts once its change is done. feedAge needs both majorities during a change.

--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -244,9 +244,6 @@
    */
   public static final long STORAGE_SILENT_MS = 500;
 
-  /** Fewest replicas a shard is ever brought down to by hand: one disk may still die. */
-  public static final int SHARD_REPLICAS_LEAST = 2;
-
   /**
    * Shards one core node has under change at once: with three owners a few rounds move all of them
    * within seconds.
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -173,6 +173,7 @@
   private final NewsInForce inForce;
   private final RoomPace roomPace;
   private final EdgeListing edgeListing;
+  private final LossMargin lossMargin;
 
   public CoreNode(
       Surroundings surroundings,
@@ -208,6 +209,7 @@
         new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin, true);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
     this.edgeListing = new EdgeListing(surroundings);
+    this.lossMargin = new LossMargin(bounds.lossesToBear());
     this.roomPace = new RoomPace(surroundings);
     this.inForce =
         new NewsInForce(
@@ -381,6 +383,10 @@
       listWorkers();
       storage.tick();
       auditRoom();
+      lossMargin.look(
+          LossMargin.bearable(coreSets(), liveCore()::contains),
+          storage.lossesBearable(),
+          surroundings.now());
     }
     inForce.tick();
   }
@@ -766,16 +772,25 @@
 
   /**
    * How old this node's view may be: the time since it last had news from a majority of the core,
-   * itself included. Nodes that lack a decision do not count: what they are not sure of may have
-   * been acknowledged.
+   * itself included, and while its members change from a majority of the next ones too: the change
+   * may be done without this node having heard so.
    */
   private long feedAge() {
     if (!isMember()) {
       return Long.MAX_VALUE / 4;
     }
+    long ofMembers = newsAge(roster.members());
+    return roster.next().isEmpty() ? ofMembers : Math.max(ofMembers, newsAge(roster.next()));
+  }
+
+  /**
+   * The time since the last news from a majority of these. Nodes that lack a decision do not count:
+   * what they are not sure of may have been acknowledged.
+   */
+  private long newsAge(List<CoreMember> members) {
     long now = surroundings.now();
     long[] ages =
-        roster.members().stream()
+        members.stream()
             .mapToLong(
                 member -> {
                   Peer peer = peers.get(member.peerAddress());
@@ -856,11 +871,17 @@
 
   /** Core nodes follow each other's feeds: the repair of whatever one of them missed. */
   private void followPeers() {
-    roster.members().forEach(member -> followPeer(member.peerAddress()));
+    membersAndNewcomers().forEach(member -> followPeer(member.peerAddress()));
+  }
+
+  private Set<CoreMember> membersAndNewcomers() {
+    Set<CoreMember> all = new LinkedHashSet<>(roster.members());
+    all.addAll(roster.next());
+    return all;
   }
 
   private void followPeer(String address) {
-    for (CoreMember member : roster.members()) {
+    for (CoreMember member : membersAndNewcomers()) {
       if (member.peerAddress().equals(address) && !member.id().equals(place.id())) {
         Peer peer = peers.computeIfAbsent(address, unseen -> new Peer());
         send(
@@ -1346,7 +1367,7 @@
             command(
                 "storage",
                 CoreTable.STORAGE + id,
-                new StorageState(id, name, StorageState.EMPTYING, true),
+                new StorageState(id, name, StorageState.EMPTYING),
                 then));
   }
 
@@ -1465,6 +1486,7 @@
     status.set("storage", storageNodes());
     status.put("replicas", bounds.replicas());
     status.put("shardsWithReducedRedundancy", storage.reduced());
+    lossMargin.show(status, surroundings.now());
     Owned room = owned.get(ROOM);
     if (room != null) {
       status.put("waitingBatchItems", room.room.values().stream().mapToLong(Long::longValue).sum());
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -478,9 +478,11 @@
   /** The replica sets of the shard a key belongs to; none while the shard has none. */
   ReplicaSets setsOf(String key) {
     Shard shard = shards.get(shardOf(key));
-    return shard == null
-        ? ReplicaSets.NONE
-        : new ReplicaSets(shard.number(), replicas(shard.replicas()), replicas(shard.next()));
+    return shard == null ? ReplicaSets.NONE : sets(shard);
+  }
+
+  static ReplicaSets sets(Shard shard) {
+    return new ReplicaSets(shard.number(), replicas(shard.replicas()), replicas(shard.next()));
   }
 
   static List<OwnedKey.Replica> replicas(List<StorageReplica> replicas) {
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -199,7 +199,9 @@
         OldReplicaSet.class,
         new Row(503, true, "The replica set has changed; nothing was done.", TAKEOVER_S));
     rows.put(NoSuchStorage.class, new Row(404, false, "There is no such storage node."));
-    rows.put(TooFewCopies.class, new Row(409, false, "This would leave fewer than two copies."));
+    rows.put(
+        TooFewCopies.class,
+        new Row(409, false, "This would leave fewer nodes than a shard has replicas."));
     rows.put(StorageRetired.class, new Row(409, false, "The storage node is retired already."));
     rows.put(StorageNotEmpty.class, new Row(409, true, "The storage node still holds shards."));
     rows.put(
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -106,18 +106,14 @@
 
   /**
    * A storage machine's place in life, as operators have it: emptying, retired; no record means
-   * active. keepsCopies: it is emptied only onto others, so that every shard has all of its
-   * replicas again when it is done.
+   * active. It is emptied only onto others, so that every shard has all of its replicas when it is
+   * done.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
-  public record StorageState(String id, String name, String state, boolean keepsCopies) {
+  public record StorageState(String id, String name, String state) {
     public static final String ACTIVE = "active";
     public static final String EMPTYING = "emptying";
     public static final String RETIRED = "retired";
-
-    public StorageState(String id, String name, String state) {
-      this(id, name, state, false);
-    }
   }
 
   @JsonIgnoreProperties(ignoreUnknown = true)
--- a/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
@@ -225,7 +225,7 @@
 
   /**
    * The set that should be next, differing in one member, or null if nothing is dead, leaving or
-   * missing.
+   * missing, or if no spare is there: a set never shrinks, as it would bear fewer losses then.
    */
   private List<StorageReplica> repaired(
       String key,
@@ -259,28 +259,19 @@
             .sorted(Comparator.comparing((StorageReplica each) -> live.containsKey(each.id())))
             .toList();
     List<Member> candidates = ShardPlacement.candidates(key, shard, leaving, spares, holding);
-    if (!leaving.isEmpty()) {
-      if (!candidates.isEmpty()) {
-        return ShardPlacement.replaced(shard, leaving.get(0), candidates.get(0));
-      }
-      StorageState state = table.storageState(leaving.get(0).id());
-      boolean byHand = !state.state().equals(StorageState.ACTIVE) && !state.keepsCopies();
-      return byHand
-              && shard.replicas().size() > Constants.SHARD_REPLICAS_LEAST
-              && shard.replicas().stream()
-                  .filter(each -> !each.equals(leaving.get(0)))
-                  .allMatch(each -> live.containsKey(each.id()))
-          ? ShardPlacement.replaced(shard, leaving.get(0), null)
-          : null;
+    boolean lacksOne = leaving.isEmpty() && shard.replicas().size() < replicas;
+    if (candidates.isEmpty() || leaving.isEmpty() && !lacksOne) {
+      return null;
     }
-    return candidates.isEmpty() || shard.replicas().size() >= replicas
-        ? null
-        : ShardPlacement.replaced(shard, null, candidates.get(0));
+    return ShardPlacement.replaced(shard, lacksOne ? null : leaving.get(0), candidates.get(0));
   }
 
   // ---- what operators ask
 
-  /** Marks a storage node as emptying or retired. The same mark again gets the same answer. */
+  /**
+   * Marks a storage node as emptying or retired. The same mark again gets the same answer. Emptying
+   * is refused unless as many others remain as a shard has replicas; if fewer do later, it waits.
+   */
   void mark(Ask ask, Owned state, StorageState sent) {
     StorageState known = state.as(StorageState.class);
     int shards =
@@ -289,12 +280,11 @@
     if (known == null && !table.has(CoreTable.MEMBER + sent.id())) {
       refusal = new Fault.NoSuchStorage(sent.id());
     } else if (sent.state().equals(StorageState.EMPTYING)) {
-      int others = othersThan(sent);
-      int least = sent.keepsCopies() ? replicas : Constants.SHARD_REPLICAS_LEAST;
+      int others = othersThan(sent.id());
       refusal =
           known != null && known.state().equals(StorageState.RETIRED)
               ? new Fault.StorageRetired(sent.id())
-              : known == null && others < least ? new Fault.TooFewCopies(others) : null;
+              : known == null && others < replicas ? new Fault.TooFewCopies(others) : null;
     } else if (shards > 0 || known == null) {
       refusal = new Fault.StorageNotEmpty(shards);
     }
@@ -311,19 +301,14 @@
     }
   }
 
-  /**
-   * Active nodes besides this one. Where no copy may be lacking, one that is silent for a moment
-   * counts: it is waited for.
-   */
-  private int othersThan(StorageState sent) {
+  /** Active nodes besides this one. One that is silent for a moment counts: it is waited for. */
+  private int othersThan(String id) {
     Set<String> others = new HashSet<>();
     spares().forEach(member -> others.add(member.id()));
-    if (sent.keepsCopies()) {
-      held().keySet().stream()
-          .filter(id -> table.active(id) && !table.displaced(id))
-          .forEach(others::add);
-    }
-    others.remove(sent.id());
+    held().keySet().stream()
+        .filter(each -> table.active(each) && !table.displaced(each))
+        .forEach(others::add);
+    others.remove(id);
     return others.size();
   }
 
@@ -414,9 +399,7 @@
     Map<String, Long> holding = held();
     List<Member> spares = spares().stream().filter(member -> !member.id().equals(id)).toList();
     ObjectNode plan =
-        JSON.createObjectNode()
-            .put("node", id)
-            .put("refused", spares.size() < Constants.SHARD_REPLICAS_LEAST);
+        JSON.createObjectNode().put("node", id).put("refused", othersThan(id) < replicas);
     ArrayNode moves = plan.putArray("moves");
     table
         .shards()
@@ -438,7 +421,7 @@
                               .addObject()
                               .put("shard", key)
                               .put("to", to)
-                              .put("reducedRedundancy", candidates.isEmpty());
+                              .put("waits", candidates.isEmpty());
                         }));
     return plan;
   }
@@ -448,6 +431,15 @@
         || shard.next().stream().anyMatch(each -> each.id().equals(id));
   }
 
+  /** How many more storage nodes the worst shard may lose; all of them while there is no shard. */
+  int lossesBearable() {
+    Set<String> live = live().keySet();
+    return table.shards().values().stream()
+        .mapToInt(shard -> LossMargin.bearable(DataNode.sets(shard), live::contains))
+        .min()
+        .orElse(replicas / 2);
+  }
+
   long reduced() {
     return table.shards().values().stream()
         .filter(shard -> shard.replicas().size() < replicas)
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/LossMarginTest.java
@@ -0,0 +1,61 @@
+package applespindle.corelogic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import applespindle.corelogic.OwnedKey.Replica;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** What a deployment still bears, with members gone and changes of members under way. */
+final class LossMarginTest {
+  private static List<Replica> set(String... ids) {
+    return Arrays.stream(ids).map(id -> new Replica(id, id)).toList();
+  }
+
+  private static int bearable(List<Replica> present, List<Replica> next, String... alive) {
+    return LossMargin.bearable(new ReplicaSets(1, present, next), Set.of(alive)::contains);
+  }
+
+  @Test
+  void aWholeSetBearsAMinority() {
+    assertThat(bearable(set("a", "b", "c"), List.of(), "a", "b", "c")).isEqualTo(1);
+    assertThat(bearable(set("a", "b", "c", "d", "e"), List.of(), "a", "b", "c", "d", "e"))
+        .isEqualTo(2);
+    assertThat(bearable(set("a", "b", "c", "d", "e"), List.of(), "a", "b", "c", "d")).isEqualTo(1);
+    assertThat(bearable(set("a", "b"), List.of(), "a", "b")).isEqualTo(0);
+  }
+
+  @Test
+  void neverFewerThanNone() {
+    assertThat(bearable(set("a", "b", "c"), List.of(), "a")).isEqualTo(0);
+    assertThat(bearable(List.of(), List.of())).isEqualTo(0);
+  }
+
+  @Test
+  void aNewcomerDoesNotCountBeforeTheChangeIsDone() {
+    assertThat(bearable(set("a", "b", "c"), set("a", "b", "d"), "a", "b", "d")).isEqualTo(0);
+    assertThat(bearable(set("a", "b", "c"), set("a", "b", "d"), "a", "b", "c", "d")).isEqualTo(0);
+    assertThat(bearable(set("a", "b", "d"), List.of(), "a", "b", "d")).isEqualTo(1);
+  }
+
+  @Test
+  void tellsHowLongItHasBeenFewerThanAsked() {
+    LossMargin margin = new LossMargin(1);
+    margin.look(1, 0, 1_000);
+    margin.look(1, 0, 3_000);
+    ObjectNode status = Json.JSON.createObjectNode();
+    margin.show(status, 4_000);
+    assertThat(status.path("lossesAsked").asInt()).isEqualTo(1);
+    assertThat(status.path("coreLossesBearable").asInt()).isEqualTo(1);
+    assertThat(status.path("coreFewerForMs").asLong()).isEqualTo(0);
+    assertThat(status.path("shardLossesBearable").asInt()).isEqualTo(0);
+    assertThat(status.path("shardFewerForMs").asLong()).isEqualTo(3_000);
+    margin.look(0, 1, 5_000);
+    margin.show(status, 5_500);
+    assertThat(status.path("coreFewerForMs").asLong()).isEqualTo(500);
+    assertThat(status.path("shardFewerForMs").asLong()).isEqualTo(0);
+  }
+}
