A second roster 1 takes more than a first seed that forgot the first

Cause: the first seed proposes roster 1. One without a disk that starts again, is told again that this is the first start, and reaches only voters that know no roster, proposed another: a voter that was no member kept no roster over its start, and one whose disk was emptied accepted like a new one. A first seed with a disk could be left out of its own proposal and so forget it; and one that died before it proposed came back without the right to, so that nobody founded the fleet.

Change: a first seed that votes is always among the proposed, so its acceptance is synced before roster 1 can be formed; a voter notes the fleet's first start on its disk, and only with that note, or told so, proposes, accepts and counts as blank; voters keep the newest roster they heard on their disks also where they are no members, and greet its members after a start; a checkpoint keeps an acceptance that is still on its way.

Ruled out: start orders within 0.3 s and stale, cut off or dead seeds of a later start. Conclusion: what is left needs two first starts of a seed without a disk within the founding second.

--- a/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
@@ -17,13 +17,17 @@
 
 /**
  * Forms roster 1 where nobody is told who the first members are. The first seed proposes members
- * among the blank voters it hears; each of them accepts one proposal ever, on its synced disk;
- * roster 1 is formed by whoever hears that all of its members accepted it. So two rosters with a
- * member in common can't both be formed.
+ * among the blank voters it hears, itself always if it votes; each of them accepts one proposal
+ * ever, on its synced disk; roster 1 is formed by whoever hears that all of its members accepted
+ * it. So two rosters with a member in common can't both be formed. Only voters of the fleet's first
+ * start accept: a disk that was emptied later never founds anything.
  */
 final class CoreFounding {
   /** The key of the record of an accepted proposal; the roster in use has its own. */
-  static final String RECORD = "founding";
+  private static final String ACCEPTED = "founding";
+
+  /** The key of the record which says that this disk was there at the fleet's first start. */
+  private static final String FIRST_START = "first-start";
 
   private static final String PART = "core";
 
@@ -38,10 +42,13 @@
   /** What this process proposes or passes on; only a member of it accepts it. */
   private Roster proposal;
 
-  /** Synced on this disk; never replaced by another. */
+  /** On its way to this disk, or synced there; never replaced by another. */
+  private Roster accepting;
+
+  /** Synced on this disk. */
   private Roster accepted;
 
-  private boolean accepting;
+  private boolean firstStart;
   private Set<String> heard = Set.of();
   private long heardChangedAt;
   private long startedAt;
@@ -62,25 +69,60 @@
     this.alive = alive;
     this.whenFormed = whenFormed;
     this.startedAt = surroundings.now();
+    this.firstStart = bounds.bootstrap();
+  }
+
+  /** Whether the record is one of founding; the roster in use has its own. */
+  static boolean owns(DiskRecord record) {
+    return record.kind() == Kind.ROSTER
+        && (record.key().equals(ACCEPTED) || record.key().equals(FIRST_START));
   }
 
   void recover(DiskRecord record) {
-    accepted = Json.read(record.payload(), Roster.class);
-    proposal = accepted;
+    firstStart = true;
+    if (record.key().equals(ACCEPTED)) {
+      accepted = Json.read(record.payload(), Roster.class);
+      accepting = accepted;
+      proposal = accepted;
+    }
+  }
+
+  /** Notes on the disk that it was there at the first start. */
+  void start() {
+    if (firstStart && bounds.voter()) {
+      surroundings.write(List.of(firstStartRecord()), () -> {});
+    }
   }
 
-  DiskRecord record() {
-    return accepted == null ? null : record(accepted);
+  /** What a checkpoint keeps while no roster is known. */
+  List<DiskRecord> records() {
+    List<DiskRecord> records = new ArrayList<>();
+    if (firstStart) {
+      records.add(firstStartRecord());
+    }
+    if (accepting != null) {
+      records.add(acceptedRecord(accepting));
+    }
+    return records;
   }
 
-  private static DiskRecord record(Roster roster) {
+  private static DiskRecord firstStartRecord() {
+    return new DiskRecord(Kind.ROSTER, FIRST_START, Epoch.NONE, 0, true, new byte[0]);
+  }
+
+  private static DiskRecord acceptedRecord(Roster roster) {
     return new DiskRecord(
-        Kind.ROSTER, RECORD, Epoch.NONE, roster.number(), true, Json.bytes(roster));
+        Kind.ROSTER, ACCEPTED, Epoch.NONE, roster.number(), true, Json.bytes(roster));
+  }
+
+  /** Told to be part of the fleet's first start, now or when its disk was first used. */
+  boolean mayFound() {
+    return firstStart;
   }
 
   /** Only this process ever proposes; it needs no disk for that. */
   boolean coordinates() {
-    return bounds.bootstrap()
+    return mayFound()
         && !place.seeds().isEmpty()
         && place.seeds().get(0).equals(place.peerAddress());
   }
@@ -123,12 +165,11 @@
   }
 
   private void accept() {
-    if (accepted != null || accepting || !names(proposal) || !bounds.voter()) {
+    if (accepting != null || !mayFound() || !names(proposal) || !bounds.voter()) {
       return;
     }
-    accepting = true;
-    Roster taken = proposal;
-    surroundings.write(List.of(record(taken)), () -> accepted = taken);
+    accepting = proposal;
+    surroundings.write(List.of(acceptedRecord(accepting)), () -> accepted = accepting);
   }
 
   private boolean hasAccepted(CoreMember member) {
@@ -178,11 +219,21 @@
         "Roster 1 proposed: " + proposal.members().stream().map(CoreMember::name).toList() + ".");
   }
 
-  /** As many zones as can be: one of each zone in turn, by name. */
-  private static List<CoreMember> spread(List<CoreMember> blanks, int count) {
-    Map<String, List<CoreMember>> byZone = new TreeMap<>();
+  /**
+   * As many zones as can be: one of each zone in turn, by name. This process comes first if it
+   * votes: what it proposed is then on its own disk before it can be formed, and it proposes
+   * nothing else after a start.
+   */
+  private List<CoreMember> spread(List<CoreMember> blanks, int count) {
+    Map<String, List<CoreMember>> byZone =
+        new TreeMap<>(
+            Comparator.comparing((String zone) -> !zone.equals(self.zone()))
+                .thenComparing(Comparator.naturalOrder()));
     blanks.stream()
-        .sorted(Comparator.comparing(CoreMember::name).thenComparing(CoreMember::id))
+        .sorted(
+            Comparator.comparing((CoreMember member) -> !member.equals(self))
+                .thenComparing(CoreMember::name)
+                .thenComparing(CoreMember::id))
         .forEach(
             member ->
                 byZone.computeIfAbsent(member.zone(), unseen -> new ArrayList<>()).add(member));
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -231,7 +231,7 @@
 
   @Override
   public void recover(DiskRecord record) {
-    if (record.kind() == Kind.ROSTER && record.key().equals(CoreFounding.RECORD)) {
+    if (CoreFounding.owns(record)) {
       founding.recover(record);
     } else if (record.kind() == Kind.ROSTER) {
       learnRoster(Json.read(record.payload(), Roster.class));
@@ -243,10 +243,10 @@
   @Override
   public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
-    if (isReplica()) {
+    if (roster.number() > 0) {
       records.add(rosterRecord());
-    } else if (roster.number() == 0 && founding.record() != null) {
-      records.add(founding.record());
+    } else {
+      records.addAll(founding.records());
     }
     records.addAll(replicas.checkpoint());
     return records;
@@ -288,25 +288,27 @@
     if (roster.number() == before || !started) {
       return;
     }
-    roster
-        .members()
-        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
-    roster
-        .next()
-        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
-    peers.remove(place.peerAddress());
+    meetRoster();
     peers.entrySet().removeIf(each -> !inRoster(each.getKey()) && !alive(each.getValue()));
+    if (isReplica() || bounds.voter()) {
+      surroundings.write(List.of(rosterRecord()), () -> {});
+    }
     if (!isReplica()) {
       List.copyOf(owned.values()).forEach(state -> state.key.stop());
       owned.clear();
       return;
     }
-    surroundings.write(List.of(rosterRecord()), () -> {});
     replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
     List.copyOf(owned.values()).forEach(state -> state.key.changeSets(coreSets()));
     claims.changeSets();
   }
 
+  private void meetRoster() {
+    membersAndNewcomers()
+        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    peers.remove(place.peerAddress());
+  }
+
   private boolean inRoster(String peerAddress) {
     return roster.members().stream().anyMatch(member -> member.peerAddress().equals(peerAddress))
         || roster.next().stream().anyMatch(member -> member.peerAddress().equals(peerAddress));
@@ -353,6 +355,10 @@
         peers.put(address, new Peer());
       }
     }
+    meetRoster();
+    if (founders.isEmpty() && roster.number() == 0) {
+      founding.start();
+    }
     if (isMember()) {
       ping();
       followPeers();
@@ -398,7 +404,7 @@
   private void ping(List<String> addresses) {
     ObjectNode ping = JSON.createObjectNode();
     ping.set("member", JSON.valueToTree(self()));
-    ping.put("blank", roster.number() == 0)
+    ping.put("blank", roster.number() == 0 && (!founders.isEmpty() || founding.mayFound()))
         .put("candidate", roster.number() > 0 && !isReplica() && bounds.voter())
         .put("voter", bounds.voter());
     if (roster.number() == 0 && founding.proposal() != null) {
@@ -434,7 +440,9 @@
           .filter(seed -> !inRoster(seed) && !seed.equals(place.peerAddress()))
           .forEach(seed -> send(seed, "", new Message.CoreIs(roster.number(), Json.bytes(roster))));
     }
-    boolean lost = roster.number() == 0 || isMember() && feedAge() > Constants.CORE_SILENT_MS;
+    boolean unheard =
+        isMember() ? feedAge() > Constants.CORE_SILENT_MS : bounds.voter() && liveCore().isEmpty();
+    boolean lost = roster.number() == 0 || unheard;
     if (lost || !isMember() && oneInSome) {
       Set<String> known = new LinkedHashSet<>(seeds);
       roster.members().forEach(member -> known.add(member.peerAddress()));
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -171,13 +171,13 @@
     }
 
     /**
-     * Only the first start of all, with an empty disk, is told to found the core; a machine without
-     * a disk has no vote.
+     * Only the first start of all, with an empty disk, is told to found the core, unless its
+     * settings stay as they were; a machine without a disk has no vote.
      */
     private Bounds bounds() {
       return bounds == Bounds.DEFAULT
           ? bounds
-          : bounds.at(disk != null, life == 1 && nowMs() < foundedByMs);
+          : bounds.at(disk != null, (life == 1 || bootstrapStays) && nowMs() < foundedByMs);
     }
 
     private String newId() {
@@ -642,6 +642,9 @@
   /** Processes first started before this are told to found the core. */
   long foundedByMs = 10_000;
 
+  /** A later start before foundedByMs is told to found the fleet too, as its settings stayed. */
+  boolean bootstrapStays;
+
   OutsideList outsideList =
       (reader, token, whenRead, whenFaulty) -> whenFaulty.accept(new Fault.Overloaded("list"));
   Instant instant;
