--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -173,6 +173,7 @@
   private final NewsInForce inForce;
   private final RoomPace roomPace;
   private final EdgeListing edgeListing;
+  private final LossMargin lossMargin;
 
   public CoreNode(
       Surroundings surroundings,
@@ -208,6 +209,7 @@
         new KeyClaims(surroundings, place.id(), this::send, key -> coreSets(), this::begin, true);
     this.copier = new ReplicaCopier(surroundings, this, replicas, new HashMap<>(), id -> "");
     this.edgeListing = new EdgeListing(surroundings);
+    this.lossMargin = new LossMargin(bounds.lossesToBear());
     this.roomPace = new RoomPace(surroundings);
     this.inForce =
         new NewsInForce(
@@ -229,7 +231,7 @@
 
   @Override
   public void recover(DiskRecord record) {
-    if (record.kind() == Kind.ROSTER && record.key().equals(CoreFounding.RECORD)) {
+    if (CoreFounding.owns(record)) {
       founding.recover(record);
     } else if (record.kind() == Kind.ROSTER) {
       learnRoster(Json.read(record.payload(), Roster.class));
@@ -241,10 +243,10 @@
   @Override
   public List<DiskRecord> checkpoint() {
     List<DiskRecord> records = new ArrayList<>();
-    if (isReplica()) {
+    if (roster.number() > 0) {
       records.add(rosterRecord());
-    } else if (roster.number() == 0 && founding.record() != null) {
-      records.add(founding.record());
+    } else {
+      records.addAll(founding.records());
     }
     records.addAll(replicas.checkpoint());
     return records;
@@ -286,25 +288,27 @@
     if (roster.number() == before || !started) {
       return;
     }
-    roster
-        .members()
-        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
-    roster
-        .next()
-        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
-    peers.remove(place.peerAddress());
+    meetRoster();
     peers.entrySet().removeIf(each -> !inRoster(each.getKey()) && !alive(each.getValue()));
+    if (isReplica() || bounds.voter()) {
+      surroundings.write(List.of(rosterRecord()), () -> {});
+    }
     if (!isReplica()) {
       List.copyOf(owned.values()).forEach(state -> state.key.stop());
       owned.clear();
       return;
     }
-    surroundings.write(List.of(rosterRecord()), () -> {});
     replicas.learnSet(CORE_SET, roster.number(), this::copyIfNewcomer);
     List.copyOf(owned.values()).forEach(state -> state.key.changeSets(coreSets()));
     claims.changeSets();
   }
 
+  private void meetRoster() {
+    membersAndNewcomers()
+        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+    peers.remove(place.peerAddress());
+  }
+
   private boolean inRoster(String peerAddress) {
     return roster.members().stream().anyMatch(member -> member.peerAddress().equals(peerAddress))
         || roster.next().stream().anyMatch(member -> member.peerAddress().equals(peerAddress));
@@ -351,6 +355,10 @@
         peers.put(address, new Peer());
       }
     }
+    meetRoster();
+    if (founders.isEmpty() && roster.number() == 0) {
+      founding.start();
+    }
     if (isMember()) {
       ping();
       followPeers();
@@ -381,6 +389,10 @@
       listWorkers();
       storage.tick();
       auditRoom();
+      lossMargin.look(
+          LossMargin.bearable(coreSets(), liveCore()::contains),
+          storage.lossesBearable(),
+          surroundings.now());
     }
     inForce.tick();
   }
@@ -392,7 +404,7 @@
   private void ping(List<String> addresses) {
     ObjectNode ping = JSON.createObjectNode();
     ping.set("member", JSON.valueToTree(self()));
-    ping.put("blank", roster.number() == 0)
+    ping.put("blank", roster.number() == 0 && (!founders.isEmpty() || founding.mayFound()))
         .put("candidate", roster.number() > 0 && !isReplica() && bounds.voter())
         .put("voter", bounds.voter());
     if (roster.number() == 0 && founding.proposal() != null) {
@@ -428,7 +440,9 @@
           .filter(seed -> !inRoster(seed) && !seed.equals(place.peerAddress()))
           .forEach(seed -> send(seed, "", new Message.CoreIs(roster.number(), Json.bytes(roster))));
     }
-    boolean lost = roster.number() == 0 || isMember() && feedAge() > Constants.CORE_SILENT_MS;
+    boolean unheard =
+        isMember() ? feedAge() > Constants.CORE_SILENT_MS : bounds.voter() && liveCore().isEmpty();
+    boolean lost = roster.number() == 0 || unheard;
     if (lost || !isMember() && oneInSome) {
       Set<String> known = new LinkedHashSet<>(seeds);
       roster.members().forEach(member -> known.add(member.peerAddress()));
@@ -766,16 +780,25 @@
 
   /**
    * How old this node's view may be: the time since it last had news from a majority of the core,
-   * itself included. Nodes that lack a decision do not count: what they are not sure of may have
-   * been acknowledged.
+   * itself included, and while its members change from a majority of the next ones too: the change
+   * may be done without this node having heard so.
    */
   private long feedAge() {
     if (!isMember()) {
       return Long.MAX_VALUE / 4;
     }
+    long ofMembers = newsAge(roster.members());
+    return roster.next().isEmpty() ? ofMembers : Math.max(ofMembers, newsAge(roster.next()));
+  }
+
+  /**
+   * The time since the last news from a majority of these. Nodes that lack a decision do not count:
+   * what they are not sure of may have been acknowledged.
+   */
+  private long newsAge(List<CoreMember> members) {
     long now = surroundings.now();
     long[] ages =
-        roster.members().stream()
+        members.stream()
             .mapToLong(
                 member -> {
                   Peer peer = peers.get(member.peerAddress());
@@ -856,11 +879,17 @@
 
   /** Core nodes follow each other's feeds: the repair of whatever one of them missed. */
   private void followPeers() {
-    roster.members().forEach(member -> followPeer(member.peerAddress()));
+    membersAndNewcomers().forEach(member -> followPeer(member.peerAddress()));
+  }
+
+  private Set<CoreMember> membersAndNewcomers() {
+    Set<CoreMember> all = new LinkedHashSet<>(roster.members());
+    all.addAll(roster.next());
+    return all;
   }
 
   private void followPeer(String address) {
-    for (CoreMember member : roster.members()) {
+    for (CoreMember member : membersAndNewcomers()) {
       if (member.peerAddress().equals(address) && !member.id().equals(place.id())) {
         Peer peer = peers.computeIfAbsent(address, unseen -> new Peer());
         send(
@@ -1346,7 +1375,7 @@
             command(
                 "storage",
                 CoreTable.STORAGE + id,
-                new StorageState(id, name, StorageState.EMPTYING, true),
+                new StorageState(id, name, StorageState.EMPTYING),
                 then));
   }
 
@@ -1465,6 +1494,7 @@
     status.set("storage", storageNodes());
     status.put("replicas", bounds.replicas());
     status.put("shardsWithReducedRedundancy", storage.reduced());
+    lossMargin.show(status, surroundings.now());
     Owned room = owned.get(ROOM);
     if (room != null) {
       status.put("waitingBatchItems", room.room.values().stream().mapToLong(Long::longValue).sum());
