Remember accepted configurations in 16 bytes each and never refuse a forgotten one

Cause: the leader of the bundle's key kept the last 400 accepted numbers and digests as JSON in the value, and refused with a conflict any configuration that it had forgotten, though it may have been accepted. Core nodes kept up to 4,096 whole old values for followers. A read could answer a value appended while the read was being confirmed, which a change of leader may take back.

Ruled out: change entries with a whole state every N: a claim would carry N configurations, each larger than the whole memory; a key of its own: its value and the configuration's could not be committed together.

Change: a packed memory that knows from which number on it is complete; what is older and not remembered gets an unknown outcome. The feed keeps the last change of each key only. A read answers the value that stood when it was asked.

--- a/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
@@ -1,16 +1,12 @@
 package applespindle.corelogic;
 
-import static applespindle.corelogic.Json.JSON;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.corelogic.AcceptedRevisions.Standing;
 import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.SignedBundle;
-import applespindle.corelogic.Records.TakenBundle;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
-import java.util.HexFormat;
-import java.util.List;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -43,44 +39,73 @@
       return;
     }
     long number = checked.bundle().number();
-    SignedBundle inForce =
-        state.value.isNull() ? null : JSON.convertValue(state.value, SignedBundle.class);
-    long present = inForce == null ? 0 : inForce.number();
-    TakenBundle taken = new TakenBundle(number, digest(sent.bytes()));
-    if (inForce != null && inForce.taken().contains(taken)) {
+    byte[] content = content(checked.bundle(), sent);
+    SignedBundle inForce = state.as(SignedBundle.class);
+    AcceptedRevisions accepted = acceptedSoFar(inForce);
+    Standing standing = accepted.standing(number, content);
+    if (standing == Standing.ACCEPTED) {
       state.key.confirm(fault -> outcome.accept(number, fault));
       return;
     }
-    Fault conflict =
-        sent.buildsOn() != null && sent.buildsOn() != present
-            ? new Fault.VersionConflict(present)
-            : present >= number ? new Fault.BundleConflict(present) : null;
-    if (conflict != null) {
-      state.key.confirm(fault -> outcome.refuse(fault == null ? conflict : fault));
+    Fault refusal = refusal(state.key.key, sent.buildsOn(), number, inForce, standing);
+    if (refusal != null) {
+      state.key.confirm(fault -> outcome.refuse(fault == null ? refusal : fault));
       return;
     }
-    List<TakenBundle> all = new ArrayList<>(inForce == null ? List.of() : inForce.taken());
-    all.add(taken);
-    List<TakenBundle> kept =
-        all.subList(Math.max(0, all.size() - Constants.BUNDLES_REMEMBERED), all.size());
     put.put(
         state,
         new SignedBundle(
-            number, sent.bytes(), sent.keyId(), sent.signature(), sent.buildsOn(), kept),
+            number,
+            sent.bytes(),
+            sent.keyId(),
+            sent.signature(),
+            sent.buildsOn(),
+            accepted.with(number, content)),
         fault -> outcome.accept(number, fault));
   }
 
-  /** Appends the key's new value. */
-  interface PutValue {
-    void put(Owned state, Object value, Consumer<Fault> then);
+  /**
+   * What makes two sent bundles the same: the operator's own text where the bundle was made from
+   * it, so that it does not matter which release made it.
+   */
+  private byte[] content(Bundle bundle, SignedBundle sent) {
+    boolean madeHere = !bounds.signedBundles() && bundle.origin() != null;
+    return madeHere ? bundle.origin().getBytes(UTF_8) : sent.bytes();
   }
 
-  private static String digest(byte[] bytes) {
-    try {
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes), 0, 16);
-    } catch (NoSuchAlgorithmException fault) {
-      throw new IllegalStateException(fault);
+  private AcceptedRevisions acceptedSoFar(SignedBundle inForce) {
+    if (inForce == null) {
+      return AcceptedRevisions.NONE;
+    }
+    if (inForce.accepted() != null) {
+      return inForce.accepted();
     }
+    Bundle bundle = Bundle.check(inForce.bytes()).bundle();
+    byte[] content = bundle == null ? inForce.bytes() : content(bundle, inForce);
+    return AcceptedRevisions.startingWith(inForce.number(), content);
+  }
+
+  /**
+   * Null if the bundle may be taken. One that may have been accepted before the memory begins can
+   * not be told from one that lost: neither is refused. Whoever builds on its own number or a
+   * higher one was never accepted.
+   */
+  private static Fault refusal(
+      String key, Long buildsOn, long number, SignedBundle inForce, Standing standing) {
+    long present = inForce == null ? 0 : inForce.number();
+    boolean mayHaveBuiltOn = buildsOn == null || buildsOn < number;
+    if (standing == Standing.FORGOTTEN && mayHaveBuiltOn) {
+      return new Fault.OutcomeUnknown(key);
+    }
+    if (buildsOn != null && buildsOn != present) {
+      return new Fault.VersionConflict(present);
+    }
+    return present >= number ? new Fault.BundleConflict(present) : null;
+  }
+
+  /** Appends the key's new value. */
+  interface PutValue {
+    void put(Owned state, Object value, Consumer<Fault> then);
   }
 
   /**
@@ -88,8 +113,7 @@
    */
   static byte[] forFeed(byte[] event) {
     JsonNode value = Json.tree(event);
-    if (value instanceof com.fasterxml.jackson.databind.node.ObjectNode object
-        && object.remove("taken") != null) {
+    if (value instanceof ObjectNode object && object.remove("accepted") != null) {
       return Json.bytes(object);
     }
     return event;
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -93,10 +93,10 @@
 
   // --- bundles
   /**
-   * Bundles remembered by number and digest: far more than a sender that heard nothing can lag
-   * behind.
+   * Accepted configurations that are remembered, 16 bytes each: more than are accepted while a
+   * sender that heard nothing still tries. Of older ones the outcome is not known.
    */
-  public static final int BUNDLES_REMEMBERED = 400;
+  public static final int REVISIONS_REMEMBERED = 400;
 
   // --- owned keys
   /** How often an owner repeats itself to its replicas; also resends what a replica lacks. */
@@ -192,9 +192,6 @@
   /** And at the latest after this. */
   public static final long CHECKPOINT_KEPT_MS = 1_000;
 
-  /** Changes a core node keeps for followers; older places get a checkpoint instead. */
-  public static final int FEED_KEPT = 4_096;
-
   /**
    * How long an acknowledgement waits for every edge before a majority of them is enough: the
    * brief's 2 s.
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -31,7 +31,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -161,10 +160,7 @@
 
   final CoreTable table = new CoreTable();
 
-  /** Invariant: feed holds the last changes, numbered up to feedNumber without a gap. */
-  private final ArrayDeque<FeedItem> feed = new ArrayDeque<>();
-
-  private long feedNumber;
+  private final Feed feed = new Feed();
   private boolean started;
   private long searches;
   private final Map<String, Long> coreSilentSince = new HashMap<>();
@@ -731,11 +727,7 @@
         && (item.key().startsWith(CoreTable.MEMBER) || item.key().startsWith(CoreTable.STORAGE))) {
       storage.lookSoon();
     }
-    if (feed.size() == Constants.FEED_KEPT) {
-      feed.removeFirst();
-    }
     feed.add(item);
-    feedNumber++;
     journal.add("committed", item.key(), "sequence " + item.sequence());
     long now = surroundings.now();
     followers.values().removeIf(follower -> follower.until() < now);
@@ -746,8 +738,8 @@
           new FeedNews(
               place.id(),
               place.incarnation(),
-              feedNumber - 1,
-              feedNumber,
+              feed.number() - 1,
+              feed.number(),
               false,
               false,
               feedAge(),
@@ -802,12 +794,8 @@
     boolean known =
         follow.coreId().equals(place.id())
             && follow.incarnation() == place.incarnation()
-            && follow.number() <= feedNumber
-            && follow.number() >= feedNumber - feed.size();
-    List<FeedItem> news =
-        known
-            ? feed.stream().skip(feed.size() - (feedNumber - follow.number())).toList()
-            : List.copyOf(table.all());
+            && follow.number() <= feed.number();
+    List<FeedItem> news = known ? feed.after(follow.number()) : List.copyOf(table.all());
     if (!known && sentOfLate(fromId)) {
       return;
     }
@@ -819,7 +807,7 @@
             place.id(),
             place.incarnation(),
             known ? follow.number() : 0,
-            feedNumber,
+            feed.number(),
             !known,
             false,
             feedAge(),
@@ -1029,14 +1017,21 @@
       case "copied" -> copied(ask, state, Json.tree(ask.body()));
       case "storage" -> storage.mark(ask, state, Json.read(ask.body(), StorageState.class));
       case "storage-place" -> storage.place(ask, state);
-      case "read" ->
-          state.key.confirm(
-              fault ->
-                  respond(ask, fault == null ? Response.of(200, state.value) : Response.of(fault)));
+      case "read" -> read(ask, state);
       default -> respond(ask, Response.of(new Fault.UnknownDuty(ask.duty())));
     }
   }
 
+  /**
+   * The value as it was when the ask came: all of it is committed once that is confirmed, which
+   * can't be said of what is appended meanwhile.
+   */
+  private void read(Ask ask, Owned state) {
+    JsonNode value = state.value;
+    state.key.confirm(
+        fault -> respond(ask, fault == null ? Response.of(200, value) : Response.of(fault)));
+  }
+
   private void copied(Ask ask, Owned state, JsonNode body) {
     state.copied.put(body.path("id").asText(), body.path("number").asLong());
     respond(ask, Response.of(200, body));
@@ -1444,7 +1439,7 @@
   @Override
   public ObjectNode status() {
     ObjectNode status = commonStatus();
-    status.put("feedNumber", feedNumber).put("feedAgeMs", feedAge());
+    status.put("feedNumber", feed.number()).put("feedAgeMs", feedAge());
     ArrayNode live = status.putArray("liveCore");
     liveCore().forEach(live::add);
     ObjectNode keys = status.putObject("owned");
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -69,8 +69,8 @@
 
   /**
    * A bundle as kept: the exact bytes that were sent. buildsOn: the number it was made from, where
-   * that is checked. taken: the last ones that were taken, itself included; only its owner keeps
-   * these, the feed does not carry them.
+   * that is checked. accepted: the last ones that were accepted, itself included; only the replicas
+   * of its key keep these, the feed does not carry them. Null in what is sent and in the feed.
    */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record SignedBundle(
@@ -79,11 +79,7 @@
       String keyId,
       byte[] signature,
       Long buildsOn,
-      List<TakenBundle> taken) {
-    public SignedBundle {
-      taken = taken == null ? List.of() : taken;
-    }
-
+      AcceptedRevisions accepted) {
     public SignedBundle(long number, byte[] bytes, String keyId, byte[] signature, Long buildsOn) {
       this(number, bytes, keyId, signature, buildsOn, null);
     }
@@ -93,13 +89,6 @@
     }
   }
 
-  /**
-   * A bundle that was in force at some time, by number and digest of its bytes: sent again, it is
-   * acknowledged again.
-   */
-  @JsonIgnoreProperties(ignoreUnknown = true)
-  public record TakenBundle(long number, String digest) {}
-
   @JsonIgnoreProperties(ignoreUnknown = true)
   /** A shard's replicas; next is empty unless a change of one member is under way. */
   public record Shard(long number, List<StorageReplica> replicas, List<StorageReplica> next) {}
