--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -87,7 +87,10 @@
      * pools; number: the change's.
      */
     CHANGE_ROUTE,
-    /** subject: change; detail: fault type; number: status, 0 for none. */
+    /**
+     * subject: change; detail: fault type; text: when this call began, empty for the first; number:
+     * status, 0 for none.
+     */
     CHANGE_ANSWERED,
     /**
      * subject: the change of just these bytes, or none; text: when the read began; number: the
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
@@ -124,6 +124,7 @@
     checker.answers();
     checker.leaving();
     checker.changes();
+    checker.register();
     checker.effects();
     checker.cutInOrder();
     checker.batches();
@@ -550,6 +551,13 @@
     }
   }
 
+  /** All that operators were told fits one register. */
+  private void register() {
+    LinearizabilityChecker.check(seen)
+        .ifPresent(
+            what -> violated(Rule.BUNDLE_NOT_IN_FORCE, seen.get(seen.size() - 1).atMs(), what));
+  }
+
   private long acknowledgedBefore(long timeMs) {
     return acknowledgedMs.entrySet().stream()
         .filter(entry -> entry.getValue() < timeMs)
