Scenario of two operators with eight orders under way and calls lost in every place

Calls are lost, late, or lose their answers; two orders may bear one number; old orders are sent again. Each call's own beginning stands in the history, as the linearizability checker needs it.

--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueOperators.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueOperators.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.Json;
+import applespindle.corelogic.Response;
 import applespindle.testfleet.History.Kind;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -13,10 +14,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
- * Operators who send changes of the routes, each on top of a number, sometimes two at once,
- * sometimes faulty ones.
+ * Two operators who send changes of the routes, each on top of the number that it knows of,
+ * sometimes at once, sometimes under one number, sometimes faulty ones. What gets no clear answer
+ * is sent again as it was, to any node.
  */
 final class OpaqueOperators {
   static final long RETENTION_MS = 60_000;
@@ -29,13 +32,39 @@
   private static final double PAUSE_MS = 200;
   private static final long READ_EVERY_MS = 700;
   private static final int ADDED_KEPT = 2;
+  private static final int OPERATORS = 2;
+  private static final int UNDER_WAY_MOST = 8;
+
+  /** How often an old order is sent again before its operator leaves it at no clear answer. */
+  private static final int RESEND_TRIES = 4;
+
+  private static final long LATE_MS = 5_000;
+  private static final int SAME_NUMBER_ONE_IN = 4;
 
   /** A route as the operators keep it; pools with their weights. */
   record Route(String name, String host, String prefix, String type, Map<String, Integer> pools) {}
 
+  /** One change, sent in the same words each time. */
+  private record Order(String id, int operator, long number, long buildsOn, byte[] bytes) {}
+
+  /** What becomes of one call on its way, besides what the fleet does to it. */
+  private enum Passage {
+    WHOLE,
+    LOST,
+    LATE,
+    ANSWER_LOST
+  }
+
   private final SimulatedFleet fleet;
   private final Simulation simulation;
   private final long waitingTokensMost;
+
+  /** So many of 100 calls are lost, late, or lose their answer. */
+  int callsLostPercent;
+
+  private final List<Order> orders = new ArrayList<>();
+  private final long[] knownTo = new long[OPERATORS];
+  private int underWay;
   private final Map<String, Route> routes = new TreeMap<>();
 
   /** Content of every change sent, by its bytes. */
@@ -115,6 +144,29 @@
     send(true);
   }
 
+  /** Orders of either operator at a pace, as long as no more are under way than may be. */
+  void orders(int count, long everyMs) {
+    for (int index = 0; index < count; index++) {
+      simulation.afterMs(index * everyMs, this::orderUnlessBusy);
+    }
+  }
+
+  private void orderUnlessBusy() {
+    if (underWay < UNDER_WAY_MOST) {
+      int operator = simulation.random.nextInt(OPERATORS);
+      alter();
+      begin(order(operator, knownTo[operator], false));
+    }
+  }
+
+  /** Old orders, whatever became of them, as they were: an operator that has lost track. */
+  void resend(int count) {
+    for (int index = 0; index < count; index++) {
+      Order old = orders.get(simulation.random.nextInt(orders.size()));
+      trySend(old, simulation.nowMs(), 0, RESEND_TRIES);
+    }
+  }
+
   private void alter() {
     List<Route> all = List.copyOf(routes.values());
     Route moved = all.get(simulation.random.nextInt(all.size()));
@@ -149,13 +201,27 @@
   }
 
   private void send(boolean invalid) {
-    String id = "c" + ++changes;
+    begin(order(0, current, invalid));
+  }
+
+  private long nextNumber(long base) {
+    Order last = orders.isEmpty() ? null : orders.get(orders.size() - 1);
+    if (last != null
+        && last.buildsOn() == base
+        && simulation.random.nextInt(SAME_NUMBER_ONE_IN) == 0) {
+      return last.number();
+    }
     newest += 1 + simulation.random.nextInt(3);
-    long number = newest;
-    byte[] bytes = Json.bytes(bundle(number, invalid));
-    changeOfBytes.put(new String(bytes, UTF_8), id);
+    return newest;
+  }
+
+  private Order order(int operator, long base, boolean invalid) {
+    String id = "c" + ++changes;
+    long number = nextNumber(base);
+    Order order = new Order(id, operator, number, base, Json.bytes(bundle(number, invalid)));
+    orders.add(order);
+    changeOfBytes.put(new String(order.bytes(), UTF_8), id);
     routesOf.put(id, List.copyOf(routes.values()));
-    long base = current;
     simulation.history.add(
         simulation.nowMs(),
         Kind.CHANGE_SENT,
@@ -184,47 +250,103 @@
                         + " "
                         + String.join(",", route.pools().keySet()),
                     number));
-    trySend(id, number, base, bytes, simulation.nowMs(), 0);
+    return order;
   }
 
-  private void trySend(String id, long number, long base, byte[] bytes, long begunMs, int tries) {
-    fleet.command(
-        fleet.anyCore(),
-        SILENCE_MS * (1 + tries / 3),
-        "bundle",
-        "bundle",
-        fleet.signed(bytes, base),
+  private void begin(Order order) {
+    underWay++;
+    trySend(order, simulation.nowMs(), 0, Integer.MAX_VALUE);
+  }
+
+  private void trySend(Order order, long begunMs, int tries, int triesMost) {
+    long sentMs = simulation.nowMs();
+    call(
+        order,
+        SILENCE_MS * (1 + Math.min(tries, 12) / 3),
         response -> {
           int status = response == null ? 0 : response.status();
           simulation.history.add(
               simulation.nowMs(),
               Kind.CHANGE_ANSWERED,
-              id,
+              order.id(),
               response == null ? "" : response.faultType(),
-              "",
+              Long.toString(sentMs),
               status);
-          if (status == 200) {
-            acknowledged++;
-            if (acknowledged == 1) {
-              firstYesMs = simulation.nowMs() - begunMs;
-            } else {
-              slowestYesMs = Math.max(slowestYesMs, simulation.nowMs() - begunMs);
-            }
-            if (number > current) {
-              current = number;
-              inUse = routesOf.get(id);
-            }
-            fleet.whenTold.accept("change", (long) acknowledged);
-          } else if (status == 0 || status >= 500 || status == 408 || status == 429) {
+          boolean clear = status > 0 && status < 500 && status != 408 && status != 429;
+          if (!clear && tries + 1 < triesMost) {
             simulation.afterMs(
                 PAUSE_MS * Math.min(8, tries + 1),
-                () -> trySend(id, number, base, bytes, begunMs, tries + 1));
-          } else {
+                () -> trySend(order, begunMs, tries + 1, triesMost));
+            return;
+          }
+          if (triesMost == Integer.MAX_VALUE) {
+            underWay--;
+          }
+          if (status == 200) {
+            acknowledged(order, begunMs);
+          } else if (clear) {
             refused++;
+            lookForNewest(order.operator());
           }
         });
   }
 
+  private void acknowledged(Order order, long begunMs) {
+    acknowledged++;
+    if (acknowledged == 1) {
+      firstYesMs = simulation.nowMs() - begunMs;
+    } else {
+      slowestYesMs = Math.max(slowestYesMs, simulation.nowMs() - begunMs);
+    }
+    knownTo[order.operator()] = Math.max(knownTo[order.operator()], order.number());
+    if (order.number() > current) {
+      current = order.number();
+      inUse = routesOf.get(order.id());
+    }
+    fleet.whenTold.accept("change", (long) acknowledged);
+  }
+
+  /** Gives the answer, or null if none comes in time. */
+  private void call(Order order, long patienceMs, Consumer<Response> then) {
+    Passage passage = passage();
+    boolean[] over = new boolean[1];
+    Consumer<Response> once =
+        response -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.accept(response);
+          }
+        };
+    if (passage != Passage.WHOLE) {
+      simulation.afterMs(patienceMs, () -> once.accept(null));
+    }
+    if (passage == Passage.LOST) {
+      return;
+    }
+    long delayMs = passage == Passage.LATE ? simulation.random.nextLong(LATE_MS) : 0;
+    Runnable deliver =
+        () ->
+            fleet.command(
+                fleet.anyCore(),
+                patienceMs,
+                "bundle",
+                "bundle",
+                fleet.signed(order.bytes(), order.buildsOn()),
+                passage == Passage.ANSWER_LOST ? response -> {} : once);
+    if (delayMs > 0) {
+      simulation.afterMs(delayMs, deliver);
+    } else {
+      deliver.run();
+    }
+  }
+
+  private Passage passage() {
+    if (callsLostPercent == 0 || simulation.random.nextInt(100) >= callsLostPercent) {
+      return Passage.WHOLE;
+    }
+    return Passage.values()[1 + simulation.random.nextInt(Passage.values().length - 1)];
+  }
+
   private ObjectNode bundle(long number, boolean invalid) {
     ObjectNode bundle = JSON.createObjectNode().put("number", number);
     ObjectNode pools = bundle.putObject("pools");
@@ -281,6 +403,16 @@
   }
 
   private void readBack() {
+    read(number -> {});
+    simulation.afterMs(READ_EVERY_MS, this::readBack);
+  }
+
+  /** An operator that was refused builds on what is in force now. */
+  private void lookForNewest(int operator) {
+    read(number -> knownTo[operator] = Math.max(knownTo[operator], number));
+  }
+
+  private void read(Consumer<Long> whenRead) {
     long begunMs = simulation.nowMs();
     fleet.command(
         fleet.anyCore(),
@@ -293,15 +425,16 @@
             String bytes =
                 new String(
                     Base64.getDecoder().decode(response.body().path("bytes").asText()), UTF_8);
+            long number = response.body().path("number").asLong();
             simulation.history.add(
                 simulation.nowMs(),
                 Kind.CHANGE_READ,
                 changeOfBytes.getOrDefault(bytes, "none"),
                 "",
                 Long.toString(begunMs),
-                response.body().path("number").asLong());
+                number);
+            whenRead.accept(number);
           }
         });
-    simulation.afterMs(READ_EVERY_MS, this::readBack);
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -557,6 +557,9 @@
       case "change" -> fleet.operators.change();
       case "change-race" -> fleet.operators.race();
       case "change-invalid" -> fleet.operators.invalid();
+      case "orders" -> fleet.operators.orders(Integer.parseInt(words[1]), Long.parseLong(words[2]));
+      case "orders-again" -> fleet.operators.resend(Integer.parseInt(words[1]));
+      case "lose-calls" -> fleet.operators.callsLostPercent = Integer.parseInt(words[1]);
       case "probe-routes" -> fleet.clients.probeRoutes();
       case "list-becomes" ->
           fleet.outside.list.become(WorkerListing.Condition.valueOf(words[1].toUpperCase()));
