--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -106,6 +106,14 @@
     private int connections;
 
     private long refusesWritesUntilUs;
+
+    /** What its link carries each way; 0: as much as is sent. */
+    private long linkBytesPerMs;
+
+    /** Payload written to its disk so far, and bytes that reached it from others by kind. */
+    private long writtenBytes;
+
+    private final Map<String, Long> receivedBytes = new TreeMap<>();
     private boolean stopping;
     private final ArrayDeque<Runnable> whileFrozen = new ArrayDeque<>();
     private final List<DiskRecord> unsynced = new ArrayList<>();
@@ -264,6 +272,21 @@
       frozen = true;
     }
 
+    /** 0 makes its link carry as much as ever. */
+    void narrowLink(long bytesPerMs) {
+      trouble(this, bytesPerMs > 0, "slow");
+      linkBytesPerMs = bytesPerMs;
+    }
+
+    long writtenBytes() {
+      return writtenBytes;
+    }
+
+    /** By kind of message, in all its lives. */
+    Map<String, Long> receivedBytes() {
+      return receivedBytes;
+    }
+
     /** 0 makes it as fast as ever. */
     void slowDown(long micros) {
       trouble(this, micros > 0, "slow");
@@ -361,7 +384,8 @@
       if (instant != null && target != this && instant.strikes(this, target, envelope.message())) {
         return;
       }
-      Envelope carried = target == this ? envelope : throughCodec(envelope);
+      byte[] bytes = target == this ? new byte[0] : codec.encode(envelope);
+      Envelope carried = target == this ? envelope : decoded(bytes, envelope);
       if (instant != null && instant.receiverNext) {
         instant.receiverNext = false;
         struckByReceiving = carried;
@@ -372,10 +396,14 @@
       String link = name + ">" + peerAddress;
       long arrives =
           Math.max(
-              nowUs + latency(zone, target.zone, target == this),
-              linkBusyUntil.getOrDefault(link, 0L) + 1);
+                  nowUs + latency(zone, target.zone, target == this),
+                  linkBusyUntil.getOrDefault(link, 0L) + 1)
+              + carriedUs(bytes.length, linkBytesPerMs)
+              + carriedUs(bytes.length, target.linkBytesPerMs);
       linkBusyUntil.put(link, arrives);
       messages++;
+      target.receivedBytes.merge(
+          Instant.kindOf(envelope.message()), (long) bytes.length, Long::sum);
       newsItems +=
           envelope.message() instanceof applespindle.corelogic.Message.FeedNews news
               ? news.items().size()
@@ -401,6 +429,7 @@
     public void write(List<DiskRecord> records, Runnable whenSynced) {
       int inLife = life;
       unsynced.addAll(records);
+      records.forEach(record -> writtenBytes += record.payload().length);
       long done =
           Math.max(
               Math.max(nowUs, disk.stalledUntilUs)
@@ -739,9 +768,13 @@
         + random.nextLong(JITTER_US);
   }
 
-  private Envelope throughCodec(Envelope envelope) {
+  private static long carriedUs(long bytes, long bytesPerMs) {
+    return bytesPerMs == 0 ? 0 : bytes * MS / bytesPerMs;
+  }
+
+  private Envelope decoded(byte[] bytes, Envelope envelope) {
     try {
-      return codec.decode(codec.encode(envelope));
+      return codec.decode(bytes);
     } catch (UnreadableFrame broken) {
       throw new InvariantBroken("a message did not survive its own codec: " + envelope.message());
     }
