Bind answers to their request more strictly; end requests at the route's timeout

Ruled out: any second send after an uncertain end (the desk's decision is one method now); reuse of a connection with surplus bytes.

Change: Attribution in WorkerFormat, HttpSyntax for what heads may hold, looks at the next expiry (10 ms apart at the least), one more look before an idle connection is closed.

Figures: ends of expired requests 0 to 100 ms after the timeout before, 0 to 10 ms after (simulated time, OpaqueDeskTest).

--- a/adapters/src/main/java/applespindle/adapters/ExchangeClient.java
+++ b/adapters/src/main/java/applespindle/adapters/ExchangeClient.java
@@ -4,6 +4,7 @@
 
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
+import applespindle.corelogic.HttpSyntax;
 import applespindle.corelogic.OpaqueRequest;
 import applespindle.corelogic.OpaqueRequest.Head;
 import applespindle.corelogic.OpaqueRequest.Header;
@@ -98,11 +99,12 @@
       byte[] request = render(call);
       if (request == null) {
         fail(
-            new Fault.InvalidInput(List.of(new Fault.Field("headers", "hold a control character"))),
+            new Fault.InvalidInput(
+                List.of(new Fault.Field("head", "holds what HTTP/1.1 can not carry"))),
             false);
         return;
       }
-      Connection kept = takeIdle(call.address());
+      Connection kept = takeIdle(call.address(), call.request().id());
       if (kept != null) {
         kept.send(this, request);
         return;
@@ -143,7 +145,7 @@
     /** False if the response is not one to this request, or not a whole one. */
     boolean head(int status, List<Header> headers) {
       UnaryOperator<String> values = name -> value(headers, name);
-      if (!format.belongs(call, values)) {
+      if (!isOwn(values)) {
         skipping = connection.mayBringLateResponse();
         return skipping;
       }
@@ -153,6 +155,7 @@
       }
       if (format.saysNotRun(status, values)) {
         fail(new Fault.WorkerRefused(status), false);
+        connection.limitRest();
         return true;
       }
       if (status < 300 && !format.isWhole(status, values)) {
@@ -167,6 +170,14 @@
       return true;
     }
 
+    private boolean isOwn(UnaryOperator<String> headers) {
+      return switch (format.attribute(call, headers)) {
+        case THIS_REQUEST -> true;
+        case ANOTHER_REQUEST -> false;
+        case UNNAMED_REFUSAL -> connection.responses == 0;
+      };
+    }
+
     boolean body(byte[] bytes, int offset, int size) {
       if (over || skipping) {
         return true;
@@ -228,21 +239,22 @@
   }
 
   /**
-   * The whole request, or null if a control character in it would let one request look like two.
+   * The whole request, or null if its head holds characters that would reach the worker as others,
+   * or let one request look like two. Headers that concern one connection only are left out.
    */
   private byte[] render(WorkerExchange call) {
     OpaqueRequest request = call.request();
     StringBuilder head = new StringBuilder(512);
     head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
-    boolean clean = clean(request.method(), false) && clean(request.target(), false);
+    boolean clean = HttpSyntax.isToken(request.method()) && HttpSyntax.isTarget(request.target());
     boolean hosted = false;
-    for (Header header : format.requestHeaders(call)) {
-      clean &= clean(header.name(), false) && clean(header.value(), true);
+    for (Header header : endToEnd(format.requestHeaders(call))) {
+      clean &= HttpSyntax.isToken(header.name()) && HttpSyntax.isFieldValue(header.value());
       hosted |= header.name().equalsIgnoreCase("Host");
       head.append(header.name()).append(": ").append(header.value()).append("\r\n");
     }
     if (!hosted) {
-      clean &= clean(request.host(), false);
+      clean &= HttpSyntax.isTarget(request.host());
       head.append("Host: ").append(request.host()).append("\r\n");
     }
     boolean bodiless =
@@ -261,20 +273,22 @@
     return all;
   }
 
-  private static boolean clean(String text, boolean blanks) {
-    for (int index = 0; index < text.length(); index++) {
-      char each = text.charAt(index);
-      if (each < ' ' && !(blanks && each == '\t') || each == ' ' && !blanks || each == 127) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  private Connection takeIdle(String address) {
+  /**
+   * A connection that has carried a request of this id is passed over: a late second response to
+   * that one could not be told from the response to this.
+   */
+  private Connection takeIdle(String address, String requestId) {
     ArrayDeque<Connection> connections = idle.get(address);
-    while (connections != null && !connections.isEmpty()) {
-      Connection connection = connections.pollLast();
+    if (connections == null) {
+      return null;
+    }
+    for (Iterator<Connection> latestFirst = connections.descendingIterator();
+        latestFirst.hasNext(); ) {
+      Connection connection = latestFirst.next();
+      if (requestId.equals(connection.lastRequestId)) {
+        continue;
+      }
+      latestFirst.remove();
       if (connection.isAlive()) {
         return connection;
       }
@@ -336,6 +350,8 @@
 
     private boolean skipped;
 
+    private String lastRequestId;
+
     Connection(String address, TcpSocket socket) {
       this.address = address;
       this.socket = socket;
@@ -345,6 +361,7 @@
     void send(Exchange exchange, byte[] request) {
       this.exchange = exchange;
       exchange.connection = this;
+      lastRequestId = exchange.call.request().id();
       written = false;
       parser.expect(exchange.call.request().method());
       socket
@@ -473,6 +490,18 @@
       }
     }
 
+    /** Nobody waits for the rest of the present response, which must not keep this for ever. */
+    void limitRest() {
+      Exchange refused = exchange;
+      eventloop.delayBackground(
+          Constants.REFUSAL_REST_MS,
+          () -> {
+            if (exchange == refused) {
+              close();
+            }
+          });
+    }
+
     private void lose(Fault fault) {
       Exchange lost = exchange;
       close();
--- a/adapters/src/main/java/applespindle/adapters/ResponseParser.java
+++ b/adapters/src/main/java/applespindle/adapters/ResponseParser.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import applespindle.corelogic.Constants;
+import applespindle.corelogic.HttpSyntax;
 import applespindle.corelogic.OpaqueRequest.Header;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -11,8 +12,9 @@
 
 /**
  * Reads the responses of one HTTP/1.1 connection. A response whose length is not told can not be
- * told from a cut one, so it is as unreadable as bytes that are no response. What stands behind a
- * whole response is left for its owner to judge.
+ * told from a cut one, so it is as unreadable as bytes that are no response. Interim heads (1xx)
+ * are read away, but for a change of protocol, which nobody asked for. What stands behind a whole
+ * response is left for its owner to judge.
  */
 final class ResponseParser {
   interface Listener {
@@ -33,6 +35,8 @@
     TRAILER
   }
 
+  private static final int SWITCHING_PROTOCOLS = 101;
+
   private final Listener listener;
   private State state = State.HEAD;
   private byte[] bytes = new byte[1024];
@@ -44,6 +48,8 @@
 
   private long left;
   private boolean withoutBody;
+  private int interimHeads;
+  private int trailerBytes;
 
   /** The worker closes the connection after this response. */
   private boolean closes;
@@ -110,7 +116,7 @@
           if (end < 0) {
             return to - from <= Constants.WORKER_HEAD_BYTES_MOST && beginsLikeResponse();
           }
-          if (!head(end) || state == State.HEAD) {
+          if (!head(end)) {
             return false;
           }
           if (state == State.LENGTH && left == 0) {
@@ -141,6 +147,7 @@
             return false;
           }
           String line = new String(bytes, from, lineEnd - 1 - from, ISO_8859_1);
+          trailerBytes = state == State.TRAILER ? trailerBytes + line.length() : 0;
           from = lineEnd + 1;
           if (state == State.CHUNK_END) {
             if (!line.isEmpty()) {
@@ -153,6 +160,8 @@
             state = left == 0 ? State.TRAILER : State.CHUNK;
           } else if (line.isEmpty()) {
             return end();
+          } else if (trailerBytes > Constants.WORKER_HEAD_BYTES_MOST) {
+            return false;
           }
         }
       }
@@ -164,6 +173,7 @@
   private boolean end() {
     state = State.HEAD;
     searched = from;
+    interimHeads = 0;
     boolean goOn = listener.end();
     if (from == to) {
       from = 0;
@@ -209,10 +219,14 @@
     String[] lines = new String(bytes, from, end - 4 - from, ISO_8859_1).split("\r\n", -1);
     from = end;
     String first = lines[0];
-    if (!first.matches("HTTP/1\\.[01] [2-5][0-9][0-9]( .*)?")) {
+    if (!first.matches("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?")) {
       return false;
     }
     int status = Integer.parseInt(first.substring(9, 12));
+    if (status < 200) {
+      searched = from;
+      return status != SWITCHING_PROTOCOLS && ++interimHeads <= Constants.WORKER_INTERIM_HEADS_MOST;
+    }
     List<Header> headers = new ArrayList<>(lines.length);
     closes = first.startsWith("HTTP/1.0");
     keepAliveMs = 0;
@@ -220,11 +234,14 @@
     boolean chunked = false;
     for (int index = 1; index < lines.length; index++) {
       int colon = lines[index].indexOf(':');
-      if (colon <= 0 || lines[index].indexOf('\n') >= 0 || lines[index].indexOf('\r') >= 0) {
+      if (colon <= 0) {
         return false;
       }
       String name = lines[index].substring(0, colon);
       String value = lines[index].substring(colon + 1).strip();
+      if (!HttpSyntax.isToken(name) || !HttpSyntax.isFieldValue(value)) {
+        return false;
+      }
       headers.add(new Header(name, value));
       if (name.equalsIgnoreCase("Content-Length")) {
         long told = size(value, 10);
--- a/adapters/src/main/java/applespindle/adapters/WorkerFormat.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerFormat.java
@@ -17,8 +17,19 @@
    */
   List<Header> requestHeaders(WorkerExchange exchange);
 
-  /** Whether a response is the one to this exchange and not a late one to another. */
-  boolean belongs(WorkerExchange exchange, UnaryOperator<String> responseHeaders);
+  /** Whose response one is, by its own headers. */
+  enum Attribution {
+    /** It names the request of the exchange. */
+    THIS_REQUEST,
+
+    /** It names another request, or none although responses of its kind always do. */
+    ANOTHER_REQUEST,
+
+    /** A refusal that names no request: it belongs to the only one its connection ever carried. */
+    UNNAMED_REFUSAL
+  }
+
+  Attribution attribute(WorkerExchange exchange, UnaryOperator<String> responseHeaders);
 
   /** The worker itself says that it has not run the request and never will. */
   boolean saysNotRun(int status, UnaryOperator<String> responseHeaders);
--- a/adapters/src/test/java/applespindle/adapters/ExchangeClientTest.java
+++ b/adapters/src/test/java/applespindle/adapters/ExchangeClientTest.java
@@ -46,8 +46,14 @@
         }
 
         @Override
-        public boolean belongs(WorkerExchange exchange, UnaryOperator<String> headers) {
-          return exchange.request().id().equals(headers.apply("x-id"));
+        public Attribution attribute(WorkerExchange exchange, UnaryOperator<String> headers) {
+          String id = headers.apply("x-id");
+          if (id == null && headers.apply("X-Not-Run") != null) {
+            return Attribution.UNNAMED_REFUSAL;
+          }
+          return exchange.request().id().equals(id)
+              ? Attribution.THIS_REQUEST
+              : Attribution.ANOTHER_REQUEST;
         }
 
         @Override
@@ -132,12 +138,16 @@
   }
 
   private static OpaqueRequest request(String id) {
+    return request(id, new Header("X-Own", "1"));
+  }
+
+  private static OpaqueRequest request(String id, Header... headers) {
     return new OpaqueRequest(
         id,
         "POST",
         "/a/b?c=%20d",
         "client.example",
-        List.of(new Header("X-Own", "1")),
+        List.of(headers),
         "body".getBytes(ISO_8859_1),
         1_000,
         "",
@@ -369,6 +379,92 @@
     }
   }
 
+  @Test
+  void takesAnUnnamedRefusalOnlyOnAConnectionWithoutEarlierResponses() throws Exception {
+    String unnamed = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    assertThat(answered(unnamed)).containsExactly("WorkerRefused false");
+    Heard first = send(request("1"));
+    try (Socket socket = accept()) {
+      read(socket);
+      write(socket, plain("1", "a"));
+      first.toTheEnd();
+      Heard second = send(request("2"));
+      read(socket);
+      write(socket, unnamed + plain("2", "b"));
+      assertThat(second.toTheEnd()).containsExactly("head 200 [X-Id, X-Stamp]", "piece |b", "end");
+    }
+  }
+
+  @Test
+  void leavesAConnectionOnWhichTheRestOfARefusalDoesNotCome() throws Exception {
+    Heard first = send(request("1"));
+    try (Socket socket = accept()) {
+      read(socket);
+      write(socket, "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfu");
+      assertThat(first.toTheEnd()).containsExactly("WorkerRefused false");
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  @Test
+  void neverSendsTheSameIdTwiceOnOneConnection() throws Exception {
+    Heard first = send(request("1"));
+    try (Socket socket = accept()) {
+      read(socket);
+      write(socket, plain("1", "a"));
+      first.toTheEnd();
+      Heard again = send(request("1"));
+      try (Socket other = accept()) {
+        read(other);
+        write(other, plain("1", "b"));
+        assertThat(again.toTheEnd()).contains("piece |b");
+      }
+    }
+  }
+
+  @Test
+  void readsInterimHeadsAway() throws Exception {
+    String interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    assertThat(answered(interim + plain("1", "a")))
+        .containsExactly("head 200 [X-Id, X-Stamp]", "piece |a", "end")
+        .inOrder();
+    assertThat(answered(interim)).containsExactly("WorkerCut true");
+    assertThat(answered("HTTP/1.1 101 Switching Protocols\r\nX-Id: 1\r\n\r\n"))
+        .containsExactly("WorkerGarbage true");
+    assertThat(answered("HTTP/1.1 100 Continue\r\n\r\n".repeat(9) + plain("1", "a")))
+        .containsExactly("WorkerGarbage true");
+  }
+
+  @Test
+  void headersOfOneConnectionAreNotSentOn() throws Exception {
+    send(
+        request(
+            "1",
+            new Header("Transfer-Encoding", "chunked"),
+            new Header("content-length", "0"),
+            new Header("Connection", "X-Hop"),
+            new Header("X-Hop", "1")));
+    try (Socket socket = accept()) {
+      assertThat(read(socket))
+          .isEqualTo(
+              "POST /a/b?c=%20d HTTP/1.1\r\nHost: client.example\r\nX-Id: 1\r\n"
+                  + "Content-Length: 4\r\n\r\nbody");
+    }
+  }
+
+  @Test
+  void aHeadThatCanNotBeWrittenIsNotSent() throws Exception {
+    for (Header header :
+        List.of(
+            new Header("X", "a\r\nY: b"),
+            new Header("X: y", "a"),
+            new Header("X ", "a"),
+            new Header("", "a"),
+            new Header("X", "\u4e2d"))) {
+      assertThat(send(request("1", header)).toTheEnd()).containsExactly("InvalidInput false");
+    }
+  }
+
   @Test
   void passesAFailureOfTheWorkersOwnOn() throws Exception {
     assertThat(answered("HTTP/1.1 500 Sorry\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nno"))
@@ -391,6 +487,10 @@
   void tellsBytesThatAreNoResponse() throws Exception {
     assertThat(answered("\u0000\u0001\u0002 junk")).containsExactly("WorkerGarbage true");
     assertThat(answered("HTTP/1.1 2x0 OK\r\n\r\n")).containsExactly("WorkerGarbage true");
+    assertThat(answered(response("1", "Content-Length: 1\r\nTransfer-Encoding : chunked\r\n", "a")))
+        .containsExactly("WorkerGarbage true");
+    assertThat(answered(response("1", "Content-Length: 1\r\n X-Folded: 1\r\n", "a")))
+        .containsExactly("WorkerGarbage true");
     assertThat(answered(response("1", "Content-Length: -1\r\n", "")))
         .containsExactly("WorkerGarbage true");
     assertThat(answered(response("1", "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n", "")))
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -565,6 +565,12 @@
   /** Runs are looked at for silence this often; only while there are any. */
   public static final long SILENCE_LOOK_MS = 100;
 
+  /**
+   * Requests whose expiry passes within this are ended by one look: each goes through all that are
+   * open.
+   */
+  public static final long EXPIRY_LOOK_LEAST_MS = 10;
+
   /**
    * Prompt parts remembered for each worker: what a worker itself keeps is some hundreds of parts.
    */
@@ -608,6 +614,15 @@
 
   public static final int EVENT_BYTES_MOST = 4 << 20;
 
+  /** Interim heads (1xx) before one response: more is no answer. */
+  public static final int WORKER_INTERIM_HEADS_MOST = 8;
+
+  /**
+   * The rest of a refusal must come within this: nobody waits for it, and until then its connection
+   * can not be used.
+   */
+  public static final long REFUSAL_REST_MS = 1_000;
+
   /** Longest wait a sender is told of: what is known of the pace now says little of later. */
   public static final int COME_BACK_MOST_S = 30;
 
@@ -688,6 +703,12 @@
    */
   public static final long CLIENT_IDLE_MS = 60_000;
 
+  /**
+   * A connection of a client whose time is up is looked at once more after this: what came while
+   * the process stood still lies unread until then.
+   */
+  public static final long CLIENT_LAST_LOOK_MS = 50;
+
   /**
    * A read of results waits no longer for a first one, whatever its reader allows: each that waits
    * takes memory.
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -206,7 +206,7 @@
         // The door could not tell that it is a batch; it is handed in again.
         listener.refused(Response.comeBackInMs(new Fault.NoBundle(), Constants.COME_BACK_LEAST_MS));
       } else {
-        taken = opaque.take(request.after(surroundings.now() - cameAt), listener);
+        taken = opaque.take(request.after(surroundings.now() - cameAt), listener, cameAt);
       }
     }
 
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -130,6 +130,14 @@
     return body;
   }
 
+  /**
+   * Whether clients take an answer of this status as a promise that the request has not run and
+   * never will.
+   */
+  static boolean promisesNotRun(int status) {
+    return status == 408 || status == 421 || status == 429 || status == 503;
+  }
+
   /** A dead owner is followed within this. */
   int TAKEOVER_S = (int) ((Constants.TAKEOVER_MS + Constants.CLAIM_ROUND_MS + 999) / 1_000);
 
--- a/core-logic/src/main/java/applespindle/corelogic/OpaqueDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OpaqueDesk.java
@@ -68,17 +68,23 @@
     String lastEventId;
     boolean over;
 
-    Taken(OpaqueRequest request, OpaqueListener listener, Bundle bundle, Route route, String pool) {
+    Taken(
+        OpaqueRequest request,
+        OpaqueListener listener,
+        Bundle bundle,
+        Route route,
+        String pool,
+        long arrivedAt) {
       this.request = request;
       this.listener = listener;
       this.route = route;
       this.pool = pool;
       this.poolLimits = bundle.pools().get(pool);
-      long patience =
+      long routeTimeoutAt = arrivedAt + route.timeoutMs();
+      this.expiresAt =
           request.deadlineMs() > 0
-              ? Math.min(request.deadlineMs(), route.timeoutMs())
-              : route.timeoutMs();
-      this.expiresAt = takenAt + patience;
+              ? Math.min(takenAt + request.deadlineMs(), routeTimeoutAt)
+              : routeTimeoutAt;
       this.targetMs = route.targetMs() > 0 ? route.targetMs() : Constants.TARGET_GUESS_MS;
       this.chain = KeptPrompts.chain(request.prompt(), request.model());
       this.sendsLeft = Math.max(1, route.attempts());
@@ -159,7 +165,10 @@
      */
     Head head;
 
-    /** The worker failed it and another is to run it: what still comes is read away. */
+    /**
+     * The response is not shown to the client, as another worker is to run the request or as the
+     * status would promise that it has not run: what still comes is read away.
+     */
     boolean dropped;
 
     Run(Taken taken, WorkerBook.Known worker, double expectedWaitMs, double reading) {
@@ -210,6 +219,7 @@
       heard();
       boolean good = head.status() < 300;
       if (taken.headPassed && !good
+          || Fault.promisesNotRun(head.status())
           || head.status() >= 500 && taken.repeatable() && mayMove(taken, worker)) {
         dropped = true;
       }
@@ -252,9 +262,7 @@
       release();
       if (dropped) {
         book.failed(worker);
-        taken.mayHaveRun = true;
-        taken.tried.add(worker.worker.id());
-        sendOn(taken, new Fault.WorkerFailed(head.status()));
+        endUncertain(new Fault.WorkerFailed(head.status()));
         return;
       }
       if (head.status() >= 500) {
@@ -270,6 +278,17 @@
       taken.listener.end();
     }
 
+    /** The worker may have run the request: another run only where the route allows a second. */
+    private void endUncertain(Fault fault) {
+      taken.mayHaveRun = true;
+      taken.tried.add(worker.worker.id());
+      if (taken.repeatable()) {
+        sendOn(taken, fault);
+      } else {
+        taken.conclude(fault);
+      }
+    }
+
     @Override
     public void load(WorkerLoad load) {
       book.told(worker, load);
@@ -282,17 +301,16 @@
       }
       release();
       edge.count("opaque_worker_" + fault.type());
-      taken.tried.add(worker.worker.id());
+      if (fault instanceof Fault.InvalidInput) {
+        taken.conclude(fault);
+        return;
+      }
       if (mayHaveRun) {
         book.faulted(worker);
-        taken.mayHaveRun = true;
-        if (taken.repeatable()) {
-          sendOn(taken, fault);
-        } else {
-          taken.conclude(fault);
-        }
+        endUncertain(fault);
         return;
       }
+      taken.tried.add(worker.worker.id());
       if (WorkerBook.saysFull(fault)) {
         book.heard(worker);
         book.refused(worker);
@@ -312,7 +330,11 @@
   private final WorkerBook book;
   private final Set<Taken> open = new LinkedHashSet<>();
   private final Map<String, Pace> paces = new HashMap<>();
-  private boolean looking;
+
+  /** The pending look at the open requests; null while there are none. */
+  private Surroundings.Schedule look;
+
+  private long lookDueAt;
   private long lookedAt;
 
   OpaqueDesk(Surroundings surroundings, String zone, LiveDesk.Edge edge, WorkerBook book) {
@@ -323,6 +345,11 @@
   }
 
   LiveDesk.Handle take(OpaqueRequest request, OpaqueListener listener) {
+    return take(request, listener, surroundings.now());
+  }
+
+  /** The route's timeout runs from arrivedAt on, which lies back if the request has waited. */
+  LiveDesk.Handle take(OpaqueRequest request, OpaqueListener listener, long arrivedAt) {
     Fault hindrance = edge.mayBegin();
     if (hindrance == null && edge.bundle() == null) {
       hindrance = new Fault.NoBundle();
@@ -342,7 +369,7 @@
       return () -> {};
     }
     edge.count("opaque_taken");
-    Taken taken = new Taken(request, listener, edge.bundle(), route, pool(route));
+    Taken taken = new Taken(request, listener, edge.bundle(), route, pool(route), arrivedAt);
     open.add(taken);
     sendOn(taken, new Fault.NoWorker(taken.pool));
     return taken;
@@ -424,7 +451,7 @@
     } else {
       exchange.cancel();
     }
-    look();
+    look(taken.expiresAt);
   }
 
   private static long keptTokensMost(Taken taken) {
@@ -575,18 +602,30 @@
     return paces.computeIfAbsent(route.name(), unseen -> new Pace());
   }
 
-  /** Looks for silent workers and passed expiries as long as requests are open. */
-  private void look() {
-    if (looking) {
+  /**
+   * Looks for silent workers and passed expiries as long as requests are open, and when the next of
+   * them expires.
+   */
+  private void look(long nextExpiresAt) {
+    long now = surroundings.now();
+    long dueAt =
+        Math.min(
+            now + Constants.SILENCE_LOOK_MS,
+            Math.max(now + Constants.EXPIRY_LOOK_LEAST_MS, nextExpiresAt));
+    if (look != null && lookDueAt <= dueAt) {
       return;
     }
-    looking = true;
-    lookedAt = surroundings.now();
-    surroundings.after(Constants.SILENCE_LOOK_MS, this::lookOnce);
+    if (look == null) {
+      lookedAt = now;
+    } else {
+      look.cancel();
+    }
+    lookDueAt = dueAt;
+    look = surroundings.after(dueAt - now, this::lookOnce);
   }
 
   private void lookOnce() {
-    looking = false;
+    look = null;
     long now = surroundings.now();
     boolean frozen = now - lookedAt > 4 * Constants.SILENCE_LOOK_MS;
     for (Taken taken : List.copyOf(open)) {
@@ -601,8 +640,12 @@
         lookAt(taken, now);
       }
     }
+    long nextExpiresAt = Long.MAX_VALUE;
+    for (Taken taken : open) {
+      nextExpiresAt = Math.min(nextExpiresAt, taken.expiresAt);
+    }
     if (!open.isEmpty()) {
-      look();
+      look(nextExpiresAt);
     }
   }
 
--- a/core-logic/src/test/java/applespindle/corelogic/OpaqueDeskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/OpaqueDeskTest.java
@@ -652,6 +652,58 @@
     assertThat(once.sent).hasSize(1);
   }
 
+  @Test
+  void passesNoPromiseOnThatAWorkerDidNotMark() {
+    for (int status : new int[] {408, 421, 429, 503}) {
+      World once = world(route(RouteType.ONCE, 2, false));
+      Client first = once.pass(request("1"));
+      once.last().worker.head(new Head(status, List.of()));
+      once.last().worker.piece(new Piece("", "it may have run".getBytes(UTF_8)));
+      once.last().worker.end();
+      assertThat(first.heard).containsExactly("refused 502");
+      assertThat(once.sent).hasSize(1);
+
+      World repeatable = world(route(RouteType.REPEATABLE, 2, false));
+      Client second = repeatable.pass(request("1"));
+      repeatable.last().worker.head(new Head(status, List.of()));
+      repeatable.last().worker.end();
+      repeatable.last().worker.head(new Head(status, List.of()));
+      repeatable.last().worker.end();
+      assertThat(repeatable.sent).hasSize(2);
+      assertThat(second.heard).containsExactly("refused 502");
+    }
+  }
+
+  @Test
+  void sendsNoRequestThatCanNotBeWrittenToAnyOtherWorker() {
+    World world = world(route(RouteType.REPEATABLE, 3, false));
+    Client client = world.pass(request("1"));
+    world.last().worker.fault(new Fault.InvalidInput(List.of()), false);
+    assertThat(world.sent).hasSize(1);
+    assertThat(client.heard).containsExactly("refused 400");
+    assertThat(world.book.all().stream().noneMatch(worker -> worker.faultsInRow > 0)).isTrue();
+  }
+
+  /** Those that a try reached in vain, as no connection was made, do not count. */
+  @Test
+  void oneTryReachesAtMostAsManyWorkersAsTheRouteAllows() {
+    for (RouteType type : List.of(RouteType.ONCE, RouteType.REPEATABLE, RouteType.STREAM)) {
+      World world = new World().routes(route(type, 2, true));
+      for (int index = 0; index < 8; index++) {
+        world.worker("w" + index, POOL, "near", 8);
+      }
+      Client client = world.pass(request("1"));
+      world.last().worker.fault(new Fault.WorkerUnreachable("w"), false);
+      world.last().worker.fault(new Fault.WorkerRefused(503), false);
+      world.last().worker.fault(new Fault.WorkerUnreachable("w"), false);
+      world.last().worker.fault(new Fault.WorkerRefused(429), false);
+      assertThat(client.heard).containsExactly("refused 503");
+      assertThat(world.sent).hasSize(4);
+      assertThat(world.sent.stream().map(sent -> sent.call.workerId()).distinct().count())
+          .isEqualTo(4);
+    }
+  }
+
   @Test
   void passesAWorkersLastFailureOnUnchanged() {
     World world = world(route(RouteType.REPEATABLE, 1, false));
@@ -808,6 +860,30 @@
     assertThat(world.desk.openRequests()).isEqualTo(0);
   }
 
+  @Test
+  void endsAtTheRoutesTimeoutAndNotSomeTimeLater() {
+    for (int late = 0; late < 100; late += 7) {
+      World world = world(route(RouteType.ONCE, 1, false));
+      world.run(late);
+      world.pass(request("0", "a.example", "/a/x", 60_000));
+      world.run(late);
+      Client client = world.pass(request("1", "a.example", "/a/x", 60_000));
+      world.run(3_999);
+      assertThat(client.heard).isEmpty();
+      world.run(1 + Constants.EXPIRY_LOOK_LEAST_MS);
+      assertThat(client.heard).containsExactly("refused 504");
+    }
+  }
+
+  @Test
+  void theRoutesTimeoutCountsWhatTheRequestWaitedBefore() {
+    World world = world(route(RouteType.ONCE, 1, false));
+    Client client = new Client();
+    world.desk.take(request("1", "a.example", "/a/x", 60_000), client, world.now() - 500);
+    world.run(3_500 + Constants.EXPIRY_LOOK_LEAST_MS);
+    assertThat(client.heard).containsExactly("refused 504");
+  }
+
   @Test
   void endsAtTheRoutesTimeoutWithACut() {
     World world = world(route(RouteType.STREAM, 1, false));
--- a/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
@@ -74,6 +74,11 @@
   private Exception broken;
   private SettablePromise<ByteBuf> asked;
   private long askedAt;
+  private long limitsChangedAt;
+
+  /** The due time after which the connection was given one more look; 0 before the first. */
+  private long lastLookFor;
+
   private ScheduledRunnable timeout;
   private long timeoutAt;
   private Runnable whenGone;
@@ -125,9 +130,13 @@
     closing = true;
   }
 
-  /** Others are in force: they hold for what is being waited for, too. */
+  /**
+   * Others are in force: they hold for what is being waited for, too, from now on. A connection
+   * that has rested for longer than they allow may be in use by a client that does not know them.
+   */
   void limitsChanged() {
     if (asked != null && !closing) {
+      limitsChangedAt = reactor.currentTimeMillis();
       watchTime();
     }
   }
@@ -318,7 +327,7 @@
               ? Constants.CLIENT_HEAD_MS
               : known.headTimeoutMs());
     }
-    return askedAt
+    return Math.max(askedAt, limitsChangedAt)
         + (known == null || known.idleTimeoutMs() == 0
             ? Constants.CLIENT_IDLE_MS
             : known.idleTimeoutMs());
@@ -345,8 +354,13 @@
     if (closing || closed != null || asked == null) {
       return;
     }
-    if (reactor.currentTimeMillis() < dueAt()) {
+    long dueAt = dueAt();
+    if (reactor.currentTimeMillis() < dueAt) {
       watchTime();
+    } else if (lastLookFor != dueAt) {
+      lastLookFor = dueAt;
+      timeoutAt = reactor.currentTimeMillis() + Constants.CLIENT_LAST_LOOK_MS;
+      timeout = reactor.scheduleBackground(timeoutAt, this::timeUp);
     } else if (phase == Phase.HEAD && headBytes == null) {
       SettablePromise<ByteBuf> present = asked;
       asked = null;
--- a/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
+++ b/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.Bundle;
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
+import applespindle.corelogic.HttpSyntax;
 import applespindle.corelogic.OpaqueBatch;
 import applespindle.corelogic.OpaqueGateway;
 import applespindle.corelogic.OpaqueRequest;
@@ -234,7 +235,10 @@
     boolean encoded = false;
     for (Map.Entry<HttpHeader, HttpHeaderValue> each : request.getHeaders()) {
       String value = each.getValue().toString();
-      if (!isToken(ClientSocket.unmasked(each.getKey().toString()))) {
+      if (!HttpSyntax.isToken(ClientSocket.unmasked(each.getKey().toString()))) {
+        // Most of all no blank before the colon, which would hide a length and make the body
+        // another
+        // request.
         return invalid("header names", "must be tokens");
       }
       bytes += each.getKey().size() + value.length() + 4;
@@ -261,20 +265,6 @@
     return hosts == 1 ? null : invalid("header Host", "must stand once");
   }
 
-  /**
-   * Most of all no space before the colon: such a length would be another name, and the body
-   * another request.
-   */
-  private static boolean isToken(String name) {
-    for (int index = 0; index < name.length(); index++) {
-      char each = name.charAt(index);
-      if (!Character.isLetterOrDigit(each) && "!#$%&'*+-.^_`|~".indexOf(each) < 0 || each > 126) {
-        return false;
-      }
-    }
-    return !name.isEmpty();
-  }
-
   private static Fault invalid(String field, String reason) {
     return new Fault.InvalidInput(List.of(new Fault.Field(field, reason)));
   }
@@ -305,7 +295,8 @@
     socket.served(
         () -> {
           whenGone.run();
-          response.trySet(HttpInterface.render(Response.of(new Fault.RunCancelled())));
+          // No promise: a client that closed its own side only may still read this.
+          response.trySet(HttpInterface.render(Response.of(new Fault.OutcomeUnknown("request"))));
         });
     Promise<HttpResponse> unhurried =
         response.isComplete() ? later(response.getResult()) : response;
--- a/data-plane/src/test/java/applespindle/dataplane/OpaqueAnswersTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/OpaqueAnswersTest.java
@@ -257,6 +257,65 @@
     }
   }
 
+  /** Clients take up connections that have rested for four fifths of the limit. */
+  @Test
+  void aConnectionThatRestedForFourFifthsOfTheLimitIsServed() throws Exception {
+    int idleMs = 1_000;
+    door.limit(new ClientLimits(16_384, 1 << 20, 60_000, idleMs));
+    door.answer = OpaqueAnswersTest::whole;
+    try (Socket socket = door.connect()) {
+      for (int round = 0; round < 3; round++) {
+        send(socket, post("/x", "", "abc"));
+        assertThat(readUntil(socket, "in two")).startsWith("HTTP/1.1 200");
+        Thread.sleep(idleMs * 4 / 5);
+      }
+      send(socket, post("/x", "", "abc"));
+      assertThat(readUntil(socket, "in two")).startsWith("HTTP/1.1 200");
+      long restsSince = System.nanoTime();
+      assertThat(readAll(socket)).isEmpty();
+      assertThat((System.nanoTime() - restsSince) / 1_000_000).isAtLeast(idleMs - 1L);
+    }
+  }
+
+  /** Its client may be sending at this moment, and know of the change only later. */
+  @Test
+  void aShorterLimitEndsNoConnectionAtTheMomentOfItsChange() throws Exception {
+    door.answer = OpaqueAnswersTest::whole;
+    try (Socket socket = door.connect()) {
+      send(socket, post("/x", "", "abc"));
+      readUntil(socket, "in two");
+      Thread.sleep(700);
+      door.limit(new ClientLimits(16_384, 1 << 20, 60_000, 600));
+      Thread.sleep(300);
+      send(socket, post("/x", "", "abc"));
+      assertThat(readUntil(socket, "in two")).startsWith("HTTP/1.1 200");
+    }
+  }
+
+  @Test
+  void aRequestThatCameWhileTheProcessStoodStillIsServed() throws Exception {
+    door.limit(new ClientLimits(16_384, 1 << 20, 60_000, 300));
+    door.answer = OpaqueAnswersTest::whole;
+    try (Socket socket = door.connect()) {
+      send(socket, post("/x", "", "abc"));
+      readUntil(socket, "in two");
+      door.freezeHttp(600);
+      Thread.sleep(100);
+      send(socket, post("/x", "", "abc"));
+      assertThat(readUntil(socket, "in two")).startsWith("HTTP/1.1 200");
+    }
+  }
+
+  @Test
+  void aClientThatClosesItsSideOnlyIsPromisedNothing() throws Exception {
+    try (Socket socket = door.connect()) {
+      send(socket, post("/x", "", "abc"));
+      door.nextPassed();
+      socket.shutdownOutput();
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 504");
+    }
+  }
+
   @Test
   void sizesAreThoseInForceFromTheFirstRequestOn() throws Exception {
     door.limit(new ClientLimits(200, 10, 60_000, 60_000));
--- a/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /** A door on loopback before a logic that answers as a test says. */
@@ -164,6 +165,11 @@
     told.orTimeout(LIMIT_S, TimeUnit.SECONDS).join();
   }
 
+  /** The http thread does nothing for a while. */
+  void freezeHttp(long millis) {
+    process.toHttp(() -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
+  }
+
   void onLogic(Runnable task) {
     process.toLogic(task);
   }
