--- a/adapters/src/main/java/applespindle/adapters/ResponseParser.java
+++ b/adapters/src/main/java/applespindle/adapters/ResponseParser.java
@@ -116,7 +116,7 @@
           if (end < 0) {
             return to - from <= Constants.WORKER_HEAD_BYTES_MOST && beginsLikeResponse();
           }
-          if (!head(end)) {
+          if (end - from > Constants.WORKER_HEAD_BYTES_MOST || !head(end)) {
             return false;
           }
           if (state == State.LENGTH && left == 0) {
@@ -143,7 +143,9 @@
           if (lineEnd < 0) {
             return to - from <= Constants.WORKER_HEAD_BYTES_MOST;
           }
-          if (lineEnd == from || bytes[lineEnd - 1] != '\r') {
+          if (lineEnd == from
+              || bytes[lineEnd - 1] != '\r'
+              || lineEnd + 1 - from > Constants.WORKER_HEAD_BYTES_MOST) {
             return false;
           }
           String line = new String(bytes, from, lineEnd - 1 - from, ISO_8859_1);
--- /dev/null
+++ b/adapters/src/test/java/applespindle/adapters/ExchangeClientFuzzTest.java
@@ -0,0 +1,202 @@
+package applespindle.adapters;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import applespindle.adapters.WorkerFormat.Attribution;
+import applespindle.corelogic.Fault;
+import applespindle.corelogic.OpaqueRequest;
+import applespindle.corelogic.OpaqueRequest.Head;
+import applespindle.corelogic.OpaqueRequest.Header;
+import applespindle.corelogic.OpaqueRequest.Piece;
+import applespindle.corelogic.Surroundings.ExchangeListener;
+import applespindle.corelogic.Surroundings.WorkerExchange;
+import applespindle.corelogic.Surroundings.WorkerLoad;
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.BeforeContainer;
+
+/** Workers on real sockets that answer with sound and spoiled bytes, split in any way. */
+final class ExchangeClientFuzzTest {
+  private static final long LIMIT_S = 20;
+  private static final String ID = "1";
+
+  private static final WorkerFormat FORMAT =
+      new WorkerFormat() {
+        @Override
+        public List<Header> requestHeaders(WorkerExchange exchange) {
+          return List.of(new Header("Host", exchange.request().host()));
+        }
+
+        @Override
+        public Attribution attribute(WorkerExchange exchange, UnaryOperator<String> headers) {
+          String id = headers.apply("X-Id");
+          if (id == null && headers.apply("X-Not-Run") != null) {
+            return Attribution.UNNAMED_REFUSAL;
+          }
+          return exchange.request().id().equals(id)
+              ? Attribution.THIS_REQUEST
+              : Attribution.ANOTHER_REQUEST;
+        }
+
+        @Override
+        public boolean saysNotRun(int status, UnaryOperator<String> headers) {
+          return status == 421 || status >= 400 && headers.apply("X-Not-Run") != null;
+        }
+
+        @Override
+        public boolean isWhole(int status, UnaryOperator<String> headers) {
+          return headers.apply("X-Stamp") != null;
+        }
+
+        @Override
+        public WorkerLoad load(UnaryOperator<String> headers) {
+          return null;
+        }
+      };
+
+  /** How an exchange ended, and what it had told by then. */
+  private static final class Heard implements ExchangeListener {
+    final CompletableFuture<String> end = new CompletableFuture<>();
+    final StringBuilder body = new StringBuilder();
+    int status;
+
+    @Override
+    public void head(Head head) {
+      status = head.status();
+    }
+
+    @Override
+    public void piece(Piece piece) {
+      body.append(new String(piece.bytes(), ISO_8859_1));
+    }
+
+    @Override
+    public void end() {
+      assertThat(end.complete("whole")).isTrue();
+    }
+
+    @Override
+    public void load(WorkerLoad load) {}
+
+    @Override
+    public void fault(Fault fault, boolean mayHaveRun) {
+      assertThat(end.complete(mayHaveRun ? "uncertain" : "not run")).isTrue();
+    }
+
+    String await() {
+      return end.orTimeout(LIMIT_S, TimeUnit.SECONDS).join();
+    }
+  }
+
+  private static Eventloop eventloop;
+  private static ExchangeClient client;
+  private static ServerSocket worker;
+
+  @BeforeContainer
+  static void start() throws IOException {
+    eventloop = Eventloop.create();
+    eventloop.keepAlive(true);
+    client = new ExchangeClient(eventloop, FORMAT, Runnable::run);
+    worker = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    worker.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
+    Thread loop = new Thread(eventloop, "loop");
+    loop.setDaemon(true);
+    loop.start();
+  }
+
+  @AfterContainer
+  static void stop() throws IOException {
+    eventloop.keepAlive(false);
+    eventloop.execute(eventloop::breakEventloop);
+    worker.close();
+  }
+
+  private static Heard send() {
+    OpaqueRequest request =
+        new OpaqueRequest(
+            ID, "GET", "/a", "h", List.of(), new byte[0], 1_000, "", 0, 0, List.of(), "");
+    String address = "127.0.0.1:" + worker.getLocalPort();
+    Heard heard = new Heard();
+    eventloop.execute(
+        client.prepare(new WorkerExchange(address, "w", request, 0, 1_000, ""), heard)::start);
+    return heard;
+  }
+
+  private static void answer(List<String> parts) throws IOException {
+    try (Socket socket = worker.accept()) {
+      socket.setTcpNoDelay(true);
+      readHead(socket);
+      for (String part : parts) {
+        socket.getOutputStream().write(part.getBytes(ISO_8859_1));
+      }
+      socket.shutdownOutput();
+      socket.getInputStream().readAllBytes();
+    } catch (IOException reset) {
+      // The client has seen enough and left the connection with bytes unread.
+    }
+  }
+
+  private static void readHead(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        throw new IOException("no request");
+      }
+      head.append((char) next);
+    }
+  }
+
+  @Provide
+  Arbitrary<String> texts() {
+    return ResponseTexts.texts();
+  }
+
+  @Provide
+  Arbitrary<List<Integer>> splits() {
+    return ResponseTexts.splits();
+  }
+
+  /**
+   * The exchange ends exactly once, whole only by a whole answer of its own, and the loop lives.
+   */
+  @Property(seed = "4")
+  void onlyAWholeAnswerOfItsOwnEndsWhole(
+      @ForAll("texts") String text, @ForAll("splits") List<Integer> places) throws IOException {
+    Heard heard = send();
+    answer(ResponseTexts.split(text, places));
+    String end = heard.await();
+    Optional<ReferenceResponse> reference = ReferenceResponse.parse(text);
+    if (end.equals("whole")) {
+      assertWithMessage("a whole response by the second reading").that(reference).isPresent();
+      assertThat(reference.get().header("x-id")).isEqualTo(ID);
+      assertThat(heard.status).isEqualTo(reference.get().status());
+      assertThat(heard.body.toString()).isEqualTo(reference.get().body());
+      if (heard.status < 300) {
+        assertThat(reference.get().head()).containsMatch("(?i)\r\nx-stamp:");
+      }
+    } else if (end.equals("not run")) {
+      // A refusal is taken from its head: its body says nothing more.
+      assertThat(text).containsMatch("(?i)(HTTP/1.[01] 421|\r\nx-not-run:)");
+    }
+    Heard next = send();
+    answer(List.of("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok"));
+    assertThat(next.await()).isEqualTo("whole");
+    assertThat(next.body.toString()).isEqualTo("ok");
+  }
+}
