Move large batch logs once, and never resend what may be on its way

A claim round ended after 600 ms, threw away what had come and asked for all five again; each retry of a read had a further edge claim the same key under a higher epoch. - An owner sent a large append again after 600 ms, though five of them need 2.6 s over such a link, and forgot an earlier large append as soon as a later one followed.

Ruled out: the page of results alone (the batch was finished, its leader idle, no other trouble), retention, and a missing copy.

Change: promises bring only the tail of a long log; the claimant reads the rest part by part from one replica that promised it and keeps what came (LogTransfer). Whoever owns or claims a key is told by the replicas' peek, so that an ask goes there instead of starting another claim. Appends in flight are remembered one by one, for as long as a slow link needs for all replicas; a submission waits as long. A page of results has 256 kB at the most. Claimants of the version before still get whole logs.

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -18,6 +18,8 @@
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
 import applespindle.corelogic.Message.KeyHandOver;
+import applespindle.corelogic.Message.KeyLogAsk;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPlace;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
@@ -155,6 +157,7 @@
       body.epochCounter(promise.epoch().counter())
           .handedOver(flag(promise.handedOver()))
           .setNumber(promise.setNumber())
+          .tailBytesMost(promise.tailBytesMost())
           .key(promise.key())
           .epochNode(promise.epoch().node());
       finish(body);
@@ -163,7 +166,8 @@
       body.verdict((short) promised.verdict().ordinal())
           .askedCounter(promised.asked().counter())
           .promisedCounter(promised.promised().counter())
-          .committed(promised.committed());
+          .committed(promised.committed())
+          .logStart(promised.logStart());
       KeyPromisedBodyEncoder.EntriesEncoder entries = body.entriesCount(promised.entries().size());
       for (Entry entry : promised.entries()) {
         entries
@@ -180,6 +184,29 @@
           .owner(promised.owner())
           .ownerAddress(promised.ownerAddress());
       finish(body);
+    } else if (message instanceof KeyLogAsk ask) {
+      KeyLogAskBodyEncoder body = begin(new KeyLogAskBodyEncoder());
+      body.epochCounter(ask.epoch().counter())
+          .from(ask.from())
+          .to(ask.to())
+          .key(ask.key())
+          .epochNode(ask.epoch().node());
+      finish(body);
+    } else if (message instanceof KeyLogPart part) {
+      KeyLogPartBodyEncoder body = begin(new KeyLogPartBodyEncoder());
+      body.verdict((short) part.verdict().ordinal()).epochCounter(part.epoch().counter());
+      KeyLogPartBodyEncoder.EntriesEncoder entries = body.entriesCount(part.entries().size());
+      for (Entry entry : part.entries()) {
+        entries
+            .next()
+            .sequence(entry.sequence())
+            .epochCounter(entry.epoch().counter())
+            .whole(flag(entry.whole()))
+            .epochNode(entry.epoch().node())
+            .putEvent(entry.event(), 0, entry.event().length);
+      }
+      body.key(part.key()).epochNode(part.epoch().node());
+      finish(body);
     } else if (message instanceof KeyAppend append) {
       KeyAppendBodyEncoder body = begin(new KeyAppendBodyEncoder());
       body.epochCounter(append.epoch().counter())
@@ -373,7 +400,8 @@
             body.key(),
             new Epoch(body.epochCounter(), body.epochNode()),
             body.setNumber(),
-            body.handedOver() == 1);
+            body.handedOver() == 1,
+            body.tailBytesMost());
       }
       case KeyPromisedBodyDecoder.TEMPLATE_ID -> {
         KeyPromisedBodyDecoder body = open(new KeyPromisedBodyDecoder());
@@ -394,6 +422,29 @@
             body.owner(),
             body.ownerAddress(),
             body.committed(),
+            body.logStart(),
+            entries);
+      }
+      case KeyLogAskBodyDecoder.TEMPLATE_ID -> {
+        KeyLogAskBodyDecoder body = open(new KeyLogAskBodyDecoder());
+        return new KeyLogAsk(
+            body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.from(), body.to());
+      }
+      case KeyLogPartBodyDecoder.TEMPLATE_ID -> {
+        KeyLogPartBodyDecoder body = open(new KeyLogPartBodyDecoder());
+        List<Entry> entries = new ArrayList<>();
+        for (KeyLogPartBodyDecoder.EntriesDecoder each : body.entries()) {
+          entries.add(
+              new Entry(
+                  each.sequence(),
+                  new Epoch(each.epochCounter(), each.epochNode()),
+                  each.whole() == 1,
+                  bytes(each.eventLength(), (bytes, length) -> each.getEvent(bytes, 0, length))));
+        }
+        return new KeyLogPart(
+            body.key(),
+            new Epoch(body.epochCounter(), body.epochNode()),
+            Verdict.values()[body.verdict()],
             entries);
       }
       case KeyAppendBodyDecoder.TEMPLATE_ID -> {
--- a/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -66,8 +66,29 @@
 
   @Test
   void keepsEpochsApart() throws UnreadableFrame {
-    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true);
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100);
     Envelope sent = new Envelope("a", "127.0.0.1:1", "", promise);
     assertThat(codec.decode(codec.encode(sent))).isEqualTo(sent);
   }
+
+  @Test
+  void aClaimOfTheVersionBeforeAsksForTheWholeLog() throws UnreadableFrame {
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100);
+    ByteBuffer newer =
+        ByteBuffer.wrap(codec.encode(new Envelope("a", "127.0.0.1:1", "b", promise)))
+            .order(ByteOrder.LITTLE_ENDIAN);
+    int body = bodyAt(newer);
+    int blockLength = newer.getShort(body) - Integer.BYTES;
+    int fieldAt = body + HEAD + blockLength;
+    ByteBuffer older =
+        ByteBuffer.allocate(newer.limit() - Integer.BYTES).order(ByteOrder.LITTLE_ENDIAN);
+    older.put(newer.array(), 0, fieldAt);
+    older.put(newer.array(), fieldAt + Integer.BYTES, newer.limit() - fieldAt - Integer.BYTES);
+    older.putShort(body, (short) blockLength);
+    older.putShort(body + 6, (short) (PeerCodec.VERSION - 1));
+    older.putShort(6, (short) (PeerCodec.VERSION - 1));
+    KeyPromise told = (KeyPromise) codec.decode(older.array()).message();
+    assertThat(told.epoch()).isEqualTo(promise.epoch());
+    assertThat(told.tailBytesMost()).isAtMost(0);
+  }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -104,12 +104,15 @@
 
   /**
    * An append that carries this much is not sent again to a replica so soon: it may still be on its
-   * way there.
+   * way there, together with those to the other replicas.
    */
   static final int APPEND_LARGE_BYTES = 16 << 10;
 
   static final long APPEND_LARGE_MS = 600;
 
+  /** What a slow machine's link surely carries: somewhat over half of 21 Mbit/s. */
+  static final long SLOW_LINK_BYTES_PER_MS = 1_500;
+
   /**
    * A core key's replica that lacks nothing gets each so-manieth beat: greetings tell that the
    * owner lives.
@@ -125,6 +128,24 @@
   /** How long a claimant waits for promises before it tries again under a higher epoch. */
   public static final long CLAIM_ROUND_MS = 600;
 
+  /**
+   * Of a log longer than this a promise brings only the last entries: every replica promises, and
+   * the claimant needs one log.
+   */
+  static final int CLAIM_TAIL_BYTES = 16 << 10;
+
+  /** Entries of a log that a claimant gets at once, unless a single one is larger. */
+  static final int LOG_PART_BYTES = 256 << 10;
+
+  /**
+   * A part of a log that has not come after this is asked for elsewhere too, later ones after twice
+   * as long each: one entry may have a megabyte, which takes 400 ms on an idle link of 21 Mbit/s.
+   */
+  static final long LOG_PART_TRY_MS = 1_000;
+
+  /** A claimant that got no part of the log for this long gives its claim up. */
+  static final long LOG_TRANSFER_EXPIRY_MS = 6_000;
+
   /** Random wait after a refused claim, at most: keeps two claimants from meeting again at once. */
   public static final long CLAIM_BACKOFF_MS = 200;
 
@@ -356,10 +377,10 @@
   public static final long ROUTE_GONE_MS = 2_000;
 
   /**
-   * A page of results of opaque batches, as they are shown: below the 1 MB that a client may count
-   * on.
+   * A page of results of opaque batches, as they are shown: a slow edge with a link of 21 Mbit/s
+   * gets it from the leader and on to the client within a read's first try.
    */
-  public static final int RESULTS_PAGE_BYTES = 900_000;
+  public static final int RESULTS_PAGE_BYTES = 256_000;
 
   /**
    * Slots of a worker left free of batch items, one in this many: live requests begin there without
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -14,6 +14,8 @@
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
 import applespindle.corelogic.Message.KeyHandOver;
+import applespindle.corelogic.Message.KeyLogAsk;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.Message.KeysAsked;
@@ -1295,8 +1297,14 @@
       if (isReplica()) {
         replicas.promise(promise, fromId, fromAddress);
       }
+    } else if (message instanceof KeyLogAsk logAsk) {
+      if (isReplica()) {
+        replicas.tellLog(logAsk, fromId, fromAddress);
+      }
     } else if (message instanceof KeyPromised promised) {
       claims.promised(promised, fromId);
+    } else if (message instanceof KeyLogPart part) {
+      claims.logPart(part);
     } else if (message instanceof KeyAppended appended) {
       Owned state = owned.get(appended.key());
       OwnedKey ownedKey = state != null ? state.key : claims.claiming(appended.key());
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -9,6 +9,7 @@
 import applespindle.corelogic.Message.BatchEnded;
 import applespindle.corelogic.Message.KeyAppended;
 import applespindle.corelogic.Message.KeyHandOver;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.Message.RangeHandout;
 import applespindle.corelogic.Message.RangePull;
@@ -261,15 +262,21 @@
             route.retentionMs() == 0 ? Constants.RETENTION_MS : route.retentionMs(),
             items,
             opaque);
+    byte[] body = Json.bytes(accepted);
     askLeader(
         "submit",
         opaqueId(batch.id()),
-        accepted,
-        Constants.ASK_TRY_MS,
-        Constants.ASK_EXPIRY_MS,
+        body,
+        Constants.ASK_TRY_MS + toReplicasMs(body.length),
+        Constants.ASK_EXPIRY_MS + toReplicasMs(body.length),
         then);
   }
 
+  /** How long a leader on a slow link takes to send so much to its replicas. */
+  private long toReplicasMs(long bytes) {
+    return bytes * (2L * bounds.lossesToBear() + 1) / Constants.SLOW_LINK_BYTES_PER_MS;
+  }
+
   /**
    * Of an opaque batch by the client's id for it: the same at every edge, and apart from ids of
    * batches of prompts.
@@ -415,15 +422,30 @@
     } else {
       peek(
           ask.key(),
-          present -> {
-            if (present == null) {
-              respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-            } else if (present) {
-              lead(ask);
-            } else {
-              respond(ask, Response.of(new Fault.NoSuchBatch(batchOf(ask.key()))));
-            }
-          });
+          peeked ->
+              serveFound(ask, peeked, Response.of(new Fault.NoSuchBatch(batchOf(ask.key())))));
+    }
+  }
+
+  /** What the replicas say of a key: whether there is such a record, and who holds it just now. */
+  private record Peeked(Boolean present, KeyReplicas.Holder holder) {
+    static final Peeked UNCERTAIN = new Peeked(null, KeyReplicas.Holder.NONE);
+  }
+
+  /**
+   * Whoever owns the record or is claiming it serves the ask: a second claim would only overtake
+   * the first one. Else this edge claims it.
+   */
+  private void serveFound(Ask ask, Peeked peeked, Response whenAbsent) {
+    KeyReplicas.Holder holder = peeked.holder();
+    if (peeked.present() == null) {
+      respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+    } else if (!peeked.present()) {
+      respond(ask, whenAbsent);
+    } else if (ask.hops() > 0 && !holder.id().isEmpty() && !holder.id().equals(place.id())) {
+      handOver(ask, holder.id(), holder.address());
+    } else {
+      lead(ask);
     }
   }
 
@@ -488,17 +510,7 @@
             lead(ask);
           } else if (response.faultType().equals("NoRoom")
               || response.faultType().equals("BatchOverCeiling")) {
-            peek(
-                ask.key(),
-                present -> {
-                  if (present == null) {
-                    respond(ask, Response.of(new Fault.NoMajority(ask.key())));
-                  } else if (present) {
-                    lead(ask);
-                  } else {
-                    respond(ask, response);
-                  }
-                });
+            peek(ask.key(), peeked -> serveFound(ask, peeked, response));
           } else {
             respond(ask, Response.of(new Fault.NoMajority("batch-room")));
           }
@@ -572,10 +584,10 @@
   }
 
   /** True or false on a majority's evidence, else null. Writes nothing anywhere. */
-  private void peek(String key, Consumer<Boolean> then) {
+  private void peek(String key, Consumer<Peeked> then) {
     ReplicaSets sets = setsOf(key);
     if (sets.isEmpty()) {
-      then.accept(null);
+      then.accept(Peeked.UNCERTAIN);
       return;
     }
     Set<String> absent = new HashSet<>();
@@ -595,11 +607,16 @@
           boolean certain = present || sets.quorum(absent);
           if (!told[0] && (certain || heard[0] == sets.all().size())) {
             told[0] = true;
-            then.accept(certain ? (Boolean) present : null);
+            then.accept(certain ? new Peeked(present, holder(response)) : Peeked.UNCERTAIN);
           }
         });
   }
 
+  private static KeyReplicas.Holder holder(Response peeked) {
+    return new KeyReplicas.Holder(
+        peeked.body().path("holder").asText(), peeked.body().path("holderAddress").asText());
+  }
+
   // ---- what leaders, feeder and live desk need
 
   @Override
@@ -771,6 +788,8 @@
   protected void handle(Message message, String fromId, String fromAddress) {
     if (message instanceof KeyPromised promised) {
       claims.promised(promised, fromId);
+    } else if (message instanceof KeyLogPart part) {
+      claims.logPart(part);
     } else if (message instanceof KeyAppended appended) {
       BatchLeader leader = leaders.get(appended.key());
       OwnedKey ownedKey = leader != null ? leader.key : claims.claiming(appended.key());
--- a/core-logic/src/main/java/applespindle/corelogic/KeyClaims.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyClaims.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic;
 
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.OwnedKey.Claim;
 import applespindle.corelogic.OwnedKey.ClaimOutcome;
@@ -89,6 +90,13 @@
     }
   }
 
+  void logPart(KeyLogPart message) {
+    OwnedKey claimedKey = claiming.get(message.key());
+    if (claimedKey != null) {
+      claimedKey.logPart(message);
+    }
+  }
+
   /** Lets every claim under way go on with the sets as they are known now. */
   void changeSets() {
     List.copyOf(claiming.values())
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -9,6 +9,8 @@
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyLogAsk;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.Message.Verdict;
@@ -44,6 +46,12 @@
     String owner = "";
     String ownerAddress = "";
     long heardOwnerAt = Long.MIN_VALUE / 2;
+
+    /** Who claims the key or has just claimed it, and when it was heard last. */
+    String claimant = "";
+
+    String claimantAddress = "";
+    long heardClaimantAt = Long.MIN_VALUE / 2;
     long unsynced;
 
     long lastSequence() {
@@ -264,6 +272,7 @@
       return;
     }
     copy.promised = message.epoch();
+    heardClaimant(copy, message.epoch(), fromAddress);
     var record = new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]);
     afterSync(
         copy,
@@ -283,7 +292,82 @@
         copy.owner,
         copy.ownerAddress,
         copy.committed,
-        verdict == OK ? List.copyOf(copy.entries) : List.of());
+        copy.entries.isEmpty() ? 0 : copy.entries.get(0).sequence(),
+        verdict == OK ? tail(copy.entries, message.tailBytesMost()) : List.of());
+  }
+
+  /** The last entries, as many as fit and one at least; all of them where no limit is given. */
+  private static List<Entry> tail(List<Entry> entries, int bytesMost) {
+    if (bytesMost <= 0 || entries.isEmpty()) {
+      return List.copyOf(entries);
+    }
+    int from = entries.size() - 1;
+    long bytes = entries.get(from).event().length;
+    while (from > 0 && bytes + entries.get(from - 1).event().length <= bytesMost) {
+      from--;
+      bytes += entries.get(from).event().length;
+    }
+    return List.copyOf(entries.subList(from, entries.size()));
+  }
+
+  private void heardClaimant(Copy copy, Epoch epoch, String address) {
+    copy.claimant = epoch.node();
+    copy.claimantAddress = address;
+    copy.heardClaimantAt = surroundings.now();
+  }
+
+  /**
+   * Tells a claimant a part of the log. Nothing before a promise changes while it stands, so that
+   * parts told one after the other fit together.
+   */
+  void tellLog(KeyLogAsk message, String fromId, String fromAddress) {
+    Copy copy = copies.get(message.key());
+    if (copy == null || copy.promised.below(message.epoch())) {
+      return;
+    }
+    boolean overtaken = message.epoch().below(copy.promised);
+    if (!overtaken) {
+      heardClaimant(copy, message.epoch(), fromAddress);
+    }
+    replies.reply(
+        fromAddress,
+        fromId,
+        new KeyLogPart(
+            message.key(),
+            message.epoch(),
+            overtaken ? REFUSED : OK,
+            overtaken ? List.of() : part(copy.entries, message.from(), message.to())));
+  }
+
+  private static List<Entry> part(List<Entry> entries, long from, long to) {
+    List<Entry> part = new ArrayList<>();
+    long bytes = 0;
+    for (Entry entry : entries) {
+      if (entry.sequence() < from || entry.sequence() > to) {
+        continue;
+      }
+      bytes += entry.event().length;
+      if (!part.isEmpty() && bytes > Constants.LOG_PART_BYTES) {
+        break;
+      }
+      part.add(entry);
+    }
+    return part;
+  }
+
+  /** Whom a replica knows to own or to claim a key just now. */
+  record Holder(String id, String address) {
+    static final Holder NONE = new Holder("", "");
+  }
+
+  /** A claimant counts for as long as it would wait for promises, an owner until its takeover. */
+  Holder holder(Copy copy) {
+    long now = surroundings.now();
+    boolean claimed = now - copy.heardClaimantAt < Constants.LOG_PART_TRY_MS;
+    if (claimed && copy.heardClaimantAt > copy.heardOwnerAt) {
+      return new Holder(copy.claimant, copy.claimantAddress);
+    }
+    return ownerSilent(copy) ? Holder.NONE : new Holder(copy.owner, copy.ownerAddress);
   }
 
   void append(KeyAppend message, String fromId, String fromAddress) {
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -29,9 +29,17 @@
   record AskResponse(long correlation, int status, int comeBackSeconds, byte[] body)
       implements Message {}
 
-  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver)
+  /**
+   * A claim. tailBytesMost: of a log longer than this only the last entries come with the promise,
+   * and the claimant asks for the rest by KeyLogAsk; 0 or less, as from older versions: all of it.
+   */
+  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver, int tailBytesMost)
       implements Message {}
 
+  /**
+   * logStart: the sequence at which the replica's log begins. The entries are the whole log if they
+   * begin there too, else its tail; 0 or less, as from older versions: they are the whole log.
+   */
   record KeyPromised(
       String key,
       Epoch asked,
@@ -40,7 +48,19 @@
       String owner,
       String ownerAddress,
       long committed,
+      long logStart,
       List<Entry> entries)
+      implements Message {
+    boolean wholeLog() {
+      return entries.isEmpty() || entries.get(0).sequence() <= logStart || logStart <= 0;
+    }
+  }
+
+  /** A claimant asks a replica that promised it this epoch for entries of its log. */
+  record KeyLogAsk(String key, Epoch epoch, long from, long to) implements Message {}
+
+  /** The first of the entries asked for, as many as fit; refused under a higher promise. */
+  record KeyLogPart(String key, Epoch epoch, Verdict verdict, List<Entry> entries)
       implements Message {}
 
   record KeyAppend(
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -7,6 +7,7 @@
 
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.Surroundings.Schedule;
@@ -61,11 +62,7 @@
 
     int beatsSince;
 
-    /** Of the last send that carried much: when it was, and its first and last sequence. */
-    long largeSentAt = Long.MIN_VALUE / 2;
-
-    long largeFrom;
-    long largeTo;
+    final AppendsInFlight inFlight = new AppendsInFlight();
 
     Progress(Replica replica) {
       this.replica = replica;
@@ -96,7 +93,11 @@
    */
   private final boolean quietWhenIdle;
 
-  private final long claimExpiresAt;
+  private long claimExpiresAt;
+
+  /** Of a claim that has its promises and reads a long log; else null. */
+  private LogTransfer transfer;
+
   private Consumer<ClaimOutcome> whenClaimed;
   private Runnable whenLost = () -> {};
 
@@ -210,13 +211,14 @@
       return;
     }
     promises.clear();
+    cancelTransfer();
     epoch = new Epoch(seenCounter + 1, nodeId);
     seenCounter = epoch.counter();
     for (Progress each : progress.values()) {
       sender.reply(
           each.replica.address(),
           each.replica.id(),
-          new KeyPromise(key, epoch, sets.number(), handedOver));
+          new KeyPromise(key, epoch, sets.number(), handedOver, Constants.CLAIM_TAIL_BYTES));
     }
     claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::claimRound);
   }
@@ -229,8 +231,11 @@
       return;
     }
     promises.put(fromId, message);
+    if (transfer != null) {
+      return;
+    }
     if (sets.quorum(withVerdictOk(true))) {
-      takeOver();
+      readBestLog();
       return;
     }
     Set<String> stillPossible = new HashSet<>(progress.keySet());
@@ -259,7 +264,7 @@
     return ids;
   }
 
-  private void takeOver() {
+  private void readBestLog() {
     claimRound.cancel();
     KeyPromised best = null;
     for (KeyPromised each : promises.values()) {
@@ -267,7 +272,56 @@
         best = each;
       }
     }
-    entries.addAll(best.entries());
+    if (best.wholeLog()) {
+      takeOver(best.entries());
+      return;
+    }
+    transfer =
+        new LogTransfer(
+            surroundings,
+            sender,
+            key,
+            epoch,
+            withTheLogOf(best),
+            best.logStart(),
+            best.entries(),
+            log -> {
+              claimExpiresAt = surroundings.now() + Constants.CLAIM_EXPIRY_MS;
+              transfer = null;
+              takeOver(log);
+            },
+            () -> finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", "")));
+  }
+
+  /** Those of the promising replicas whose log ends with the same entry. */
+  private List<Replica> withTheLogOf(KeyPromised best) {
+    return progress.values().stream()
+        .map(each -> each.replica)
+        .filter(
+            replica -> {
+              KeyPromised promise = promises.get(replica.id());
+              return promise != null
+                  && promise.verdict() == OK
+                  && !newer(best.entries(), promise.entries());
+            })
+        .toList();
+  }
+
+  void logPart(KeyLogPart part) {
+    if (transfer != null && part.epoch().equals(epoch)) {
+      transfer.take(part);
+    }
+  }
+
+  private void cancelTransfer() {
+    if (transfer != null) {
+      transfer.cancel();
+      transfer = null;
+    }
+  }
+
+  private void takeOver(List<Entry> log) {
+    entries.addAll(log);
     takeoverSequence = lastSequence() + 1;
     entries.add(new Entry(takeoverSequence, epoch, false, new byte[0]));
     for (Progress each : progress.values()) {
@@ -347,8 +401,9 @@
     long sequence = lastSequence() + 1;
     entries.add(new Entry(sequence, epoch, whole, event));
     waitingToApply.add(new Applying(sequence, whenCommitted));
-    waitingForCommit.add(
-        new Waiting(sequence, surroundings.now() + Constants.COMMAND_EXPIRY_MS, then));
+    long expiresAt =
+        surroundings.now() + Constants.COMMAND_EXPIRY_MS + toAllReplicasMs(event.length);
+    waitingForCommit.add(new Waiting(sequence, expiresAt, then));
     planFlush();
     return sequence;
   }
@@ -428,11 +483,10 @@
     each.next = lastSequence() + 1;
     each.toldCommitted = committed;
     each.beatsSince = 0;
-    if (lacking.stream().mapToLong(entry -> entry.event().length).sum()
-        >= Constants.APPEND_LARGE_BYTES) {
-      each.largeSentAt = surroundings.now();
-      each.largeFrom = from;
-      each.largeTo = lastSequence();
+    long bytes = lacking.stream().mapToLong(entry -> entry.event().length).sum();
+    if (bytes >= Constants.APPEND_LARGE_BYTES) {
+      long until = surroundings.now() + Constants.APPEND_LARGE_MS + toAllReplicasMs(bytes);
+      each.inFlight.add(from, lastSequence(), until);
     }
     sender.reply(
         each.replica.address(),
@@ -458,6 +512,7 @@
     if (message.verdict() == OK) {
       from.matched = Math.max(from.matched, message.matched());
       from.next = Math.max(from.next, from.matched + 1);
+      from.inFlight.arrived(from.matched);
     } else if (!onItsWay(from, message.matched() + 1)) {
       from.next = Math.max(1, Math.min(message.matched() + 1, lastSequence()));
       sendTo(from);
@@ -465,14 +520,13 @@
     advance();
   }
 
-  /**
-   * Much is slow to send, and small appends overtake it: what they find missing may be about to
-   * arrive.
-   */
   private boolean onItsWay(Progress each, long sequence) {
-    return surroundings.now() - each.largeSentAt < Constants.APPEND_LARGE_MS
-        && sequence >= each.largeFrom
-        && sequence <= each.largeTo;
+    return each.inFlight.holds(sequence, surroundings.now());
+  }
+
+  /** How long it takes at the most, on a slow link that they share, to send so much to each. */
+  private long toAllReplicasMs(long bytes) {
+    return bytes * progress.size() / Constants.SLOW_LINK_BYTES_PER_MS;
   }
 
   private void advance() {
@@ -568,6 +622,7 @@
     state = State.LOST;
     beat.cancel();
     claimRound.cancel();
+    cancelTransfer();
     List<Waiting> unanswered = new ArrayList<>(waitingForCommit);
     List<Waiting> unconfirmed = new ArrayList<>(waitingForRound);
     waitingToApply.clear();
--- a/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyLogAsk;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.Unfinished;
 import applespindle.corelogic.Records.Shard;
@@ -175,6 +176,8 @@
       replicas.append(append, fromId, fromAddress);
     } else if (message instanceof KeyPromise promise) {
       replicas.promise(promise, fromId, fromAddress);
+    } else if (message instanceof KeyLogAsk logAsk) {
+      replicas.tellLog(logAsk, fromId, fromAddress);
     } else {
       super.handle(message, fromId, fromAddress);
     }
@@ -207,7 +210,15 @@
     }
     KeyReplicas.Copy copy = replicas.copies().get(ask.key());
     boolean present = copy != null && copy.entries.stream().anyMatch(entry -> !entry.isTakeover());
-    respond(ask, Response.of(200, JSON.createObjectNode().put("present", present)));
+    KeyReplicas.Holder holder = present ? replicas.holder(copy) : KeyReplicas.Holder.NONE;
+    respond(
+        ask,
+        Response.of(
+            200,
+            JSON.createObjectNode()
+                .put("present", present)
+                .put("holder", holder.id())
+                .put("holderAddress", holder.address())));
   }
 
   private void claim(Ask ask) {
--- a/core-logic/src/test/java/applespindle/corelogic/OwnedKeyTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/OwnedKeyTest.java
@@ -51,7 +51,8 @@
   private void delivered(String replica, Message message) {
     if (message instanceof KeyPromise promise) {
       leader.promised(
-          new KeyPromised(KEY, promise.epoch(), Verdict.OK, promise.epoch(), "", "", 0, List.of()),
+          new KeyPromised(
+              KEY, promise.epoch(), Verdict.OK, promise.epoch(), "", "", 0, 0, List.of()),
           replica);
     } else if (message instanceof KeyAppend append) {
       unanswered.add(append);
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/SlowLinkClaimTest.java
@@ -0,0 +1,276 @@
+package applespindle.corelogic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import applespindle.corelogic.Message.KeyAppend;
+import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.OwnedKey.Claim;
+import applespindle.corelogic.OwnedKey.Replica;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An edge behind a slow link claims a batch whose log has megabytes: the largest requests that a
+ * deployment takes, and the largest outputs. All replicas send over the one link of the claimant.
+ */
+final class SlowLinkClaimTest {
+  private static final String KEY = "batch/o-large";
+  private static final Epoch FORMER = new Epoch(7, "former");
+
+  /** 21 Mbit/s. */
+  private static final long SLOW_LINK_BYTES_PER_MS = 2_625;
+
+  private static final int REPLICAS = 5;
+  private static final int REQUEST_BYTES = 1_030_000;
+  private static final int OUTPUTS = 25;
+  private static final int OUTPUT_BYTES = 60_000;
+
+  /** What waits is run in the order of its time; ties in the order of being handed in. */
+  private record Task(long at, long order, Runnable task) implements Comparable<Task> {
+    @Override
+    public int compareTo(Task other) {
+      int byTime = Long.compare(at, other.at);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  private static final class World implements Surroundings {
+    private static final long LATENCY_MS = 1;
+    private static final long SYNC_MS = 5;
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private long now;
+    private long order;
+    private long linkFreeAt;
+    private long linkBytes;
+
+    @Override
+    public long now() {
+      return now;
+    }
+
+    @Override
+    public Schedule after(long millis, Runnable task) {
+      boolean[] cancelled = new boolean[1];
+      tasks.add(
+          new Task(
+              now + millis,
+              order++,
+              () -> {
+                if (!cancelled[0]) {
+                  task.run();
+                }
+              }));
+      return () -> cancelled[0] = true;
+    }
+
+    /** To the claimant, over its link. */
+    void overLink(long bytes, Runnable arrival) {
+      linkBytes += bytes;
+      linkFreeAt = Math.max(linkFreeAt, now) + bytes / SLOW_LINK_BYTES_PER_MS;
+      after(linkFreeAt - now + LATENCY_MS, arrival);
+    }
+
+    void runUntil(long until) {
+      while (!tasks.isEmpty() && tasks.peek().at() <= until) {
+        Task next = tasks.poll();
+        now = next.at();
+        next.task().run();
+      }
+      now = until;
+    }
+
+    @Override
+    public void send(String peerAddress, Envelope envelope) {}
+
+    @Override
+    public void write(List<DiskRecord> records, Runnable whenSynced) {
+      after(SYNC_MS, whenSynced);
+    }
+
+    @Override
+    public boolean takesWrites() {
+      return true;
+    }
+
+    @Override
+    public WorkerRun run(WorkerCall call, WorkerListener listener) {
+      return () -> {};
+    }
+
+    @Override
+    public void readLoad(
+        String workerAddress, Consumer<WorkerLoad> whenRead, Consumer<Fault> whenFaulty) {}
+
+    @Override
+    public RandomGenerator random() {
+      return RandomGenerator.getDefault();
+    }
+
+    @Override
+    public void log(String part, String sentence) {}
+  }
+
+  private final World world = new World();
+  private final Map<String, KeyReplicas> replicas = new LinkedHashMap<>();
+  private final List<OwnedKey.ClaimOutcome> outcomes = new ArrayList<>();
+  private final List<OwnedKey> owned = new ArrayList<>();
+  private final List<Entry> log = new ArrayList<>();
+  private long ownedAt = Long.MAX_VALUE;
+  private KeyClaims claims;
+
+  /** Whom the claimant asked for parts of the log, in order. */
+  private final List<String> sources = new ArrayList<>();
+
+  /** A replica that hears nothing any more. */
+  private String silent = "";
+
+  private void givenALargeLog() {
+    log.add(new Entry(1, FORMER, false, new byte[REQUEST_BYTES]));
+    IntStream.rangeClosed(2, 1 + OUTPUTS)
+        .forEach(sequence -> log.add(new Entry(sequence, FORMER, false, new byte[OUTPUT_BYTES])));
+    for (int number = 1; number <= REPLICAS; number++) {
+      String id = "storage-" + number;
+      KeyReplicas copy =
+          new KeyReplicas(
+              world,
+              (address, to, message) -> world.overLink(sizeOf(message), () -> take(message, id)),
+              (key, entry) -> {},
+              key -> "set");
+      copy.append(
+          new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, log.size(), List.copyOf(log)),
+          FORMER.node(),
+          FORMER.node());
+      replicas.put(id, copy);
+    }
+    world.runUntil(3_000);
+  }
+
+  private static long sizeOf(Message message) {
+    List<Entry> entries =
+        message instanceof Message.KeyPromised promised
+            ? promised.entries()
+            : message instanceof Message.KeyLogPart part ? part.entries() : List.of();
+    return 200 + entries.stream().mapToLong(entry -> entry.event().length).sum();
+  }
+
+  private void take(Message message, String fromId) {
+    if (claims == null) {
+      return;
+    }
+    if (message instanceof Message.KeyPromised promised) {
+      claims.promised(promised, fromId);
+    } else if (message instanceof Message.KeyLogPart part) {
+      claims.logPart(part);
+    } else if (message instanceof KeyAppended appended) {
+      OwnedKey key = owned.isEmpty() ? claims.claiming(KEY) : owned.get(0);
+      if (key != null) {
+        key.appended(appended, fromId);
+      }
+    }
+  }
+
+  private void claim() {
+    ReplicaSets sets =
+        new ReplicaSets(
+            1, replicas.keySet().stream().map(id -> new Replica(id, id)).toList(), List.of());
+    claims =
+        new KeyClaims(
+            world,
+            "edge",
+            (address, id, message) -> world.after(1, () -> atReplica(id, message)),
+            key -> sets,
+            owned::add);
+    claims.claim(
+        KEY,
+        false,
+        outcome -> {
+          outcomes.add(outcome);
+          ownedAt = world.now();
+        });
+  }
+
+  private void atReplica(String id, Message message) {
+    KeyReplicas copy = replicas.get(id);
+    if (message instanceof Message.KeyLogAsk) {
+      sources.add(id);
+    }
+    if (id.equals(silent)) {
+      return;
+    }
+    if (message instanceof Message.KeyPromise promise) {
+      copy.promise(promise, "edge", "edge");
+    } else if (message instanceof Message.KeyLogAsk ask) {
+      copy.tellLog(ask, "edge", "edge");
+    } else if (message instanceof KeyAppend append) {
+      copy.append(append, "edge", "edge");
+    }
+  }
+
+  @Test
+  void aLogOfMegabytesIsTakenOverWhileAClientStillWaits() {
+    givenALargeLog();
+    long askedAt = world.now();
+    claim();
+    world.runUntil(askedAt + 20_000);
+    assertThat(outcomes.stream().map(OwnedKey.ClaimOutcome::claim).toList())
+        .containsExactly(Claim.OWNED);
+    assertThat(owned.get(0).entries().subList(0, log.size())).containsExactlyElementsIn(log);
+    assertThat(ownedAt - askedAt).isLessThan(1_500L);
+  }
+
+  @Test
+  void aSourceThatFallsSilentIsReplacedByAnother() {
+    givenALargeLog();
+    claim();
+    world.runUntil(world.now() + 500);
+    assertThat(outcomes).isEmpty();
+    silent = sources.get(0);
+    world.runUntil(world.now() + 3_000);
+    assertThat(outcomes.stream().map(OwnedKey.ClaimOutcome::claim).toList())
+        .containsExactly(Claim.OWNED);
+    assertThat(owned.get(0).entries().subList(0, log.size())).containsExactlyElementsIn(log);
+    assertThat(Set.copyOf(sources)).hasSize(2);
+  }
+
+  @Test
+  void aClaimThatIsOvertakenWhileItReadsEndsAndTakesNothingOver() {
+    givenALargeLog();
+    claim();
+    world.runUntil(world.now() + 300);
+    replicas
+        .values()
+        .forEach(
+            copy ->
+                copy.promise(
+                    new Message.KeyPromise(KEY, new Epoch(99, "other"), 1, false, 1), "other", ""));
+    world.runUntil(world.now() + 5_000);
+    assertThat(outcomes.stream().map(OwnedKey.ClaimOutcome::claim).toList())
+        .containsExactly(Claim.NO_MAJORITY);
+    assertThat(owned).isEmpty();
+  }
+
+  @Test
+  void aClaimantOfTheVersionBeforeGetsTheWholeLogWithThePromise() {
+    givenALargeLog();
+    List<Message> told = new ArrayList<>();
+    KeyReplicas copy =
+        new KeyReplicas(
+            world, (address, to, message) -> told.add(message), (key, entry) -> {}, key -> "set");
+    copy.append(
+        new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, 0, List.copyOf(log)), "former", "former");
+    copy.promise(
+        new Message.KeyPromise(KEY, new Epoch(8, "former"), 1, false, Integer.MIN_VALUE), "", "");
+    world.runUntil(world.now() + 100);
+    Message.KeyPromised last = (Message.KeyPromised) told.get(told.size() - 1);
+    assertThat(last.entries()).containsExactlyElementsIn(log).inOrder();
+    assertThat(last.wholeLog()).isTrue();
+  }
+}
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
@@ -52,6 +52,9 @@
   private final History history;
   private long ids;
 
+  /** Least size of the body of a batch's item. */
+  int itemBytes;
+
   /** By type of route: asked for, and served in the end. */
   final Map<String, int[]> servedOf = new TreeMap<>();
 
@@ -357,6 +360,15 @@
     }
   }
 
+  /** Differs from place to place, as real bodies do, so that little is won by deflating it. */
+  private String padding(int bytes) {
+    StringBuilder text = new StringBuilder();
+    while (text.length() < bytes) {
+      text.append(Long.toString(simulation.random.nextLong(1L << 60), 36));
+    }
+    return text.toString();
+  }
+
   void submitOne(int items) {
     List<Route> choice = operators.inUse("batch");
     if (!choice.isEmpty()) {
@@ -414,7 +426,7 @@
             simulation.random.nextInt(40) == 0
                 ? OpaqueWorkers.IMPOSSIBLE
                 : simulation.random.nextInt(15) == 0 ? OpaqueWorkers.FAILING : "plain";
-        String body = "body-" + item + "." + tokens;
+        String body = "body-" + item + padding(itemBytes) + "." + tokens;
         List<PromptPart> prompt = prompt(item);
         int promptTokens = prompt.stream().mapToInt(PromptPart::tokens).sum();
         var row =
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -22,10 +22,10 @@
  * (from, to: more is broken than the brief asks to survive, so how soon service is back is not
  * judged), outside (losses to bear at once: the fleet runs before a platform with opaque workers
  * and a list of them), opaque (type and requests a second, in pairs), opaque-batches (one every so
- * many seconds, items), list (lag in ms, calls a second), waiting-tokens (the most on the batch
- * route), random (from, to: one fault after the other, each mended before the next), losses (disks
- * are lost too), expect (what, number). Whatever the file says, the outside checker and the
- * invariants always count.
+ * many seconds, items, and bytes of an item's body), edge-links (Mbit/s of each edge's link), list
+ * (lag in ms, calls a second), waiting-tokens (the most on the batch route), random (from, to: one
+ * fault after the other, each mended before the next), losses (disks are lost too), expect (what,
+ * number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -68,6 +68,8 @@
   private final Map<String, Double> opaque = new LinkedHashMap<>();
   private double opaqueBatchEverySeconds;
   private int opaqueBatchItems = 12;
+  private int opaqueItemBytes;
+  private double edgeLinkMbits;
   private long listLagMs = 800;
   private double listCallsPerS = 40;
   private long waitingTokensMost;
@@ -127,7 +129,9 @@
       case "opaque-batches" -> {
         opaqueBatchEverySeconds = Double.parseDouble(words[1]);
         opaqueBatchItems = Integer.parseInt(words[2]);
+        opaqueItemBytes = words.length > 3 ? Integer.parseInt(words[3]) : 0;
       }
+      case "edge-links" -> edgeLinkMbits = Double.parseDouble(words[1]);
       case "list" -> {
         listLagMs = Long.parseLong(words[1]);
         listCallsPerS = Double.parseDouble(words[2]);
@@ -175,10 +179,12 @@
     fleet.spares = spares;
     fleet.submitTries = submitTries;
     fleet.obedient = obedient;
+    fleet.edgeLinks(edgeLinkMbits);
     fleet.start();
     if (outsideLosses > 0) {
       opaque.forEach(
           (type, perSecond) -> fleet.clients.live(type, perSecond, TRAFFIC_FROM_MS, runMs));
+      fleet.clients.itemBytes = opaqueItemBytes;
       fleet.clients.batches(opaqueBatchEverySeconds, opaqueBatchItems, TRAFFIC_FROM_MS, runMs);
     } else {
       fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -321,6 +321,11 @@
             .asLong());
   }
 
+  /** Of every edge, each way; 0: as much as comes. */
+  void edgeLinks(double mbits) {
+    edges.forEach(edge -> edge.linkMbits(mbits));
+  }
+
   // ---- callers
 
   /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -5,6 +5,7 @@
 import applespindle.adapters.PeerCodec;
 import applespindle.adapters.UnreadableFrame;
 import applespindle.corelogic.Bounds;
+import applespindle.corelogic.Constants;
 import applespindle.corelogic.CoreNode;
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.EdgeNode;
@@ -102,6 +103,12 @@
 
     private long busyUntilUs;
 
+    /** What its link carries each way; 0: all at once. */
+    private long linkBytesPerMs;
+
+    private long outboundFreeUs;
+    private long inboundFreeUs;
+
     /** Rises when its connections are reset: what was under way on the old ones is lost. */
     private int connections;
 
@@ -127,6 +134,10 @@
       return node;
     }
 
+    void linkMbits(double mbits) {
+      linkBytesPerMs = (long) (mbits * 125);
+    }
+
     public boolean alive() {
       return alive;
     }
@@ -361,7 +372,8 @@
       if (instant != null && target != this && instant.strikes(this, target, envelope.message())) {
         return;
       }
-      Envelope carried = target == this ? envelope : throughCodec(envelope);
+      byte[] frame = target == this ? new byte[0] : codec.encode(envelope);
+      Envelope carried = target == this ? envelope : decoded(frame, envelope);
       if (instant != null && instant.receiverNext) {
         instant.receiverNext = false;
         struckByReceiving = carried;
@@ -370,11 +382,15 @@
       int sentOver = connections;
       int takenOver = target.connections;
       String link = name + ">" + peerAddress;
-      long arrives =
-          Math.max(
-              nowUs + latency(zone, target.zone, target == this),
-              linkBusyUntil.getOrDefault(link, 0L) + 1);
-      linkBusyUntil.put(link, arrives);
+      long arrives = nowUs + latency(zone, target.zone, target == this);
+      if (frame.length >= Constants.PEER_LARGE_BYTES
+          && (linkBytesPerMs + target.linkBytesPerMs) > 0) {
+        // Large frames have a connection of their own, and share the links with each other.
+        arrives += carryOver(this, target, frame.length);
+      } else {
+        arrives = Math.max(arrives, linkBusyUntil.getOrDefault(link, 0L) + 1);
+        linkBusyUntil.put(link, arrives);
+      }
       messages++;
       newsItems +=
           envelope.message() instanceof applespindle.corelogic.Message.FeedNews news
@@ -739,9 +755,20 @@
         + random.nextLong(JITTER_US);
   }
 
-  private Envelope throughCodec(Envelope envelope) {
+  /** How long a frame takes over both links, behind what is on them already. */
+  private long carryOver(Process from, Process to, int bytes) {
+    from.outboundFreeUs = Math.max(nowUs, from.outboundFreeUs) + transferUs(from, bytes);
+    to.inboundFreeUs = Math.max(from.outboundFreeUs, to.inboundFreeUs) + transferUs(to, bytes);
+    return to.inboundFreeUs - nowUs;
+  }
+
+  private static long transferUs(Process process, int bytes) {
+    return process.linkBytesPerMs == 0 ? 0 : bytes * MS / process.linkBytesPerMs;
+  }
+
+  private Envelope decoded(byte[] frame, Envelope envelope) {
     try {
-      return codec.decode(codec.encode(envelope));
+      return codec.decode(frame);
     } catch (UnreadableFrame broken) {
       throw new InvariantBroken("a message did not survive its own codec: " + envelope.message());
     }
