Edges flood nobody while the core is silent; followers that know the same get no table

Cause: an edge that had not heard the core for 0.9 s asked every fellow for its whole table three times a second, told each its places (each handed on to all core members), and asked every member where the core is. Slow machines do so at their start and at each bundle. A follower that changed its core node got the whole table again. Change: fellows are asked after 1.6 s, their answers still come before the news are stale at 2.5 s; an answer carries what differs by a digest over all keys but members, and no bundle that the asker has; three fellows a poll are told the places; five members a round are asked for the core; a core node sends a follower of unknown place by the same digest; core members of the own zone are turned to first. What counts as reached and what is folded are as before.

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -241,6 +241,8 @@
       body.incarnation(follow.incarnation())
           .number(follow.number())
           .sentAt(follow.sentAt())
+          .sharedDigest(follow.sharedDigest())
+          .bundleSequence(follow.bundleSequence())
           .coreId(follow.coreId());
       finish(body);
     } else if (message instanceof FeedNews news) {
@@ -456,7 +458,13 @@
     switch (templateId) {
       case FeedFollowBodyDecoder.TEMPLATE_ID -> {
         FeedFollowBodyDecoder body = open(new FeedFollowBodyDecoder());
-        return new FeedFollow(body.coreId(), body.incarnation(), body.number(), body.sentAt());
+        return new FeedFollow(
+            body.coreId(),
+            body.incarnation(),
+            body.number(),
+            body.sentAt(),
+            body.sharedDigest(),
+            body.bundleSequence());
       }
       case FeedNewsBodyDecoder.TEMPLATE_ID -> {
         FeedNewsBodyDecoder body = open(new FeedNewsBodyDecoder());
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -213,6 +213,18 @@
    */
   public static final long FELLOW_HEARD_MS = 900;
 
+  /**
+   * An edge asks its fellows once it has not heard the core for this long: early enough that their
+   * answers are here before its news are stale, and late enough that a slow moment asks nobody.
+   */
+  public static final long FELLOWS_ASKED_AFTER_MS = FEED_STALE_MS - FELLOW_HEARD_MS;
+
+  /** To how many fellows a poll an edge that does not hear the core says what it works by. */
+  public static final int FELLOWS_TOLD = 3;
+
+  /** How many members a node that looks for the core asks at a time, in turn. */
+  public static final int MEMBERS_ASKED = 5;
+
   /**
    * The first list of edges is made once no new one has joined for this long: machines start within
    * a second or so.
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -48,7 +48,7 @@
  * The control plane's process: replicas and owners of the core keys, grants of members, the feed.
  */
 public final class CoreNode extends Node {
-  private static final String BUNDLE = "bundle";
+  static final String BUNDLE = "bundle";
   private static final String ROOM = "batch-room";
   private static final String ROSTER = "roster";
   private static final String EDGES = "edges";
@@ -807,8 +807,8 @@
     List<FeedItem> news =
         known
             ? feed.stream().skip(feed.size() - (feedNumber - follow.number())).toList()
-            : List.copyOf(table.all());
-    if (!known && sentOfLate(fromId)) {
+            : table.lackedBy(follow);
+    if (!known && sentOfLate(fromId, news)) {
       return;
     }
     boolean silent = inRoster(fromAddress) && lacksDecision();
@@ -828,13 +828,12 @@
   }
 
   /**
-   * Whether a whole table is on its way to this follower already: one that asks again before a
-   * large one has arrived over a slow link would be sent it over and over. Small ones are always
-   * sent.
+   * Whether a table is on its way to this follower already: one that asks again before a large one
+   * has arrived over a slow link would be sent it over and over. Small ones are always sent.
    */
-  private boolean sentOfLate(String followerId) {
+  private boolean sentOfLate(String followerId, List<FeedItem> news) {
     long now = surroundings.now();
-    long bytes = table.all().stream().mapToLong(item -> item.value().length).sum();
+    long bytes = news.stream().mapToLong(item -> item.value().length).sum();
     checkpointSentAt.values().removeIf(sentAt -> now - sentAt > Constants.CHECKPOINT_KEPT_MS);
     Long sentAt = checkpointSentAt.get(followerId);
     if (sentAt != null
@@ -866,7 +865,13 @@
         send(
             address,
             member.id(),
-            new FeedFollow(peer.feedId, peer.feedIncarnation, peer.feedNumber, surroundings.now()));
+            new FeedFollow(
+                peer.feedId,
+                peer.feedIncarnation,
+                peer.feedNumber,
+                surroundings.now(),
+                table.sharedDigest(),
+                table.has(BUNDLE) ? table.get(BUNDLE).sequence() : 0));
       }
     }
   }
--- a/core-logic/src/main/java/applespindle/corelogic/CoreTable.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreTable.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic;
 
+import applespindle.corelogic.Message.FeedFollow;
 import applespindle.corelogic.Message.FeedItem;
 import applespindle.corelogic.Records.EdgeList;
 import applespindle.corelogic.Records.Member;
@@ -24,6 +25,7 @@
   static final String EDGES = "edges";
 
   private final Map<String, FeedItem> items = new TreeMap<>();
+  private final SharedDigest sharedDigest = new SharedDigest();
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Shard> shards = new TreeMap<>();
   private final Map<String, StorageState> storageStates = new HashMap<>();
@@ -44,6 +46,7 @@
       return false;
     }
     items.put(item.key(), item);
+    sharedDigest.replaced(known, item);
     String key = item.key();
     if (key.startsWith(MEMBER)) {
       fold(Json.read(item.value(), Member.class));
@@ -83,6 +86,18 @@
     return items.values();
   }
 
+  long sharedDigest() {
+    return sharedDigest.value();
+  }
+
+  /** What a follower whose place in the feed is not known here may lack. */
+  List<FeedItem> lackedBy(FeedFollow follow) {
+    boolean sameShared = follow.sharedDigest() == sharedDigest.value();
+    return items.values().stream()
+        .filter(item -> !(sameShared && SharedDigest.covers(item.key())) && !follow.holds(item))
+        .toList();
+  }
+
   Stream<FeedItem> under(String prefix) {
     return items.values().stream().filter(item -> item.key().startsWith(prefix));
   }
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -20,6 +20,7 @@
 import applespindle.corelogic.Records.Worker;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,12 +42,7 @@
    */
   private final Map<String, FeedItem> table = new TreeMap<>();
 
-  /**
-   * Sum over the table's keys of a mix of key and sequence: fellows with equal ones know the same,
-   * and need not send each other the whole of it, which with hundreds of routes and dozens of
-   * fellows is megabytes each third of a second.
-   */
-  private long tableDigest;
+  private final SharedDigest sharedDigest = new SharedDigest();
 
   /** Views folded from the table. */
   protected final Map<String, Member> members = new TreeMap<>();
@@ -62,6 +58,18 @@
   private long feedIncarnation;
   private long feedNumber;
   private int chosenCore;
+
+  /** The core's members in the order in which this node turns to them, and of which roster. */
+  private List<CoreMember> coreOrder = List.of();
+
+  private Roster coreOrderOf;
+
+  /** Whose turn it is among the fellows to be told what this node works by. */
+  private int toldFellow;
+
+  /** Whose turn it is among the members to be asked where the core is. */
+  private int askedMember;
+
   private long lastHeardAt;
 
   /** On our clock: at this moment everything the core had acknowledged was known here. */
@@ -142,9 +150,17 @@
     }
   }
 
-  /** Whoever is known is asked: seeds and members may be stale or down. */
+  /**
+   * Seeds and members may be stale or down: all seeds and core nodes known are asked, and a few of
+   * the members in turn, so that what a large fleet says meanwhile grows with its nodes only.
+   */
   private void findCore() {
-    members.values().forEach(member -> send(member.peerAddress(), "", new WhereIsCore()));
+    List<Member> known = List.copyOf(members.values());
+    int asked = Math.min(Constants.MEMBERS_ASKED, known.size());
+    for (int count = 0; count < asked; count++) {
+      Member member = known.get(Math.floorMod(askedMember++, known.size()));
+      send(member.peerAddress(), "", new WhereIsCore());
+    }
     seeds.forEach(seed -> send(seed, "", new WhereIsCore()));
     roster.members().forEach(member -> send(member.peerAddress(), member.id(), new WhereIsCore()));
   }
@@ -159,41 +175,65 @@
       lastHeardAt = surroundings.now();
     }
     CoreMember core = chosenCore();
-    send(
-        core.peerAddress(),
-        core.id(),
-        new FeedFollow(feedId, feedIncarnation, feedNumber, surroundings.now()));
-    if (surroundings.now() - coreHeardAt > Constants.FEED_SWITCH_MS) {
-      fellowAddresses()
-          .forEach(
-              address -> {
-                send(address, "", new FeedFollow("", 0, tableDigest, surroundings.now()));
-                tellKnown(List.of(address));
-              });
+    send(core.peerAddress(), core.id(), follow(feedId, feedIncarnation, feedNumber));
+    long unheardMs = Math.max(feedAge(), surroundings.now() - coreHeardAt);
+    if (heardCore && unheardMs > Constants.FELLOWS_ASKED_AFTER_MS) {
+      askFellows();
+    }
+  }
+
+  /**
+   * While the core is silent: every fellow for what it knows, as a majority of them decides whether
+   * this node goes on; and a few in turn are told what this node works by, as one that reaches the
+   * core is enough to hand it on.
+   */
+  private void askFellows() {
+    List<String> addresses = fellowAddresses();
+    addresses.forEach(address -> send(address, "", follow("", 0, 0)));
+    int told = Math.min(Constants.FELLOWS_TOLD, addresses.size());
+    for (int count = 0; count < told; count++) {
+      tellKnown(List.of(addresses.get(Math.floorMod(toldFellow++, addresses.size()))));
     }
   }
 
-  private Set<String> fellowAddresses() {
+  private FeedFollow follow(String coreId, long incarnation, long number) {
+    FeedItem bundleItem = table.get(CoreNode.BUNDLE);
+    return new FeedFollow(
+        coreId,
+        incarnation,
+        number,
+        surroundings.now(),
+        sharedDigest.value(),
+        bundleItem == null ? 0 : bundleItem.sequence());
+  }
+
+  private List<String> fellowAddresses() {
     Set<String> addresses = new TreeSet<>(listedEdges);
     liveEdges().forEach(member -> addresses.add(member.peerAddress()));
     addresses.remove(place.peerAddress());
-    return addresses;
+    return List.copyOf(addresses);
   }
 
   private CoreMember chosenCore() {
-    List<CoreMember> ordered =
-        Rendezvous.order(place.id(), roster.members().stream().map(CoreMember::id).toList())
-            .stream()
-            .map(
-                id ->
-                    roster.members().stream()
-                        .filter(member -> member.id().equals(id))
-                        .findFirst()
-                        .get())
-            .toList();
+    List<CoreMember> ordered = coreInOrder();
     return ordered.get(Math.floorMod(chosenCore, ordered.size()));
   }
 
+  /** Members of this node's zone first, so that what is asked all the time stays within it. */
+  private List<CoreMember> coreInOrder() {
+    if (coreOrderOf != roster) {
+      coreOrderOf = roster;
+      Map<String, CoreMember> byId = new HashMap<>();
+      roster.members().forEach(member -> byId.put(member.id(), member));
+      coreOrder =
+          Rendezvous.order(place.id(), byId.keySet()).stream()
+              .map(byId::get)
+              .sorted(Comparator.comparing(member -> !member.zone().equals(place.zone())))
+              .toList();
+    }
+    return coreOrder;
+  }
+
   /** Tries the followed core node first, then the others in turn. */
   protected void askCore(
       String duty, String key, Object body, long expiryMs, Consumer<Response> then) {
@@ -296,7 +336,6 @@
       news(news, fromAddress);
     } else if (message instanceof FeedFollow follow) {
       if (heardCore) {
-        boolean same = follow.number() == tableDigest;
         send(
             fromAddress,
             fromId,
@@ -309,7 +348,7 @@
                 true,
                 Math.max(0, feedAge()),
                 follow.sentAt(),
-                same ? List.of() : List.copyOf(table.values())));
+                sharedItems(follow)));
       }
     } else if (message instanceof KeysAsked) {
       tellKnown(List.of(fromAddress));
@@ -318,8 +357,13 @@
     }
   }
 
-  private static long placeDigest(FeedItem item) {
-    return Rendezvous.hash(item.key() + " " + item.sequence());
+  /** Of what fellows share, what this one may lack. */
+  private List<FeedItem> sharedItems(FeedFollow follow) {
+    return follow.sharedDigest() == sharedDigest.value()
+        ? List.of()
+        : table.values().stream()
+            .filter(item -> SharedDigest.covers(item.key()) && !follow.holds(item))
+            .toList();
   }
 
   /** Keys whose news must be in force before somebody is told yes. */
@@ -369,7 +413,7 @@
       FeedItem known = table.get(item.key());
       if (known == null || known.sequence() < item.sequence()) {
         table.put(item.key(), item);
-        tableDigest += placeDigest(item) - (known == null ? 0 : placeDigest(known));
+        sharedDigest.replaced(known, item);
         fold(item);
         if (mustBeInForce(item.key())) {
           learned.add(new KeyPlace(item.key(), item.sequence()));
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -69,9 +69,24 @@
 
   /**
    * sentAt is the follower's own clock; it comes back with the news, so that old news is never
-   * taken for fresh.
+   * taken for fresh. sharedDigest is that of the follower's table, bundleSequence that of its
+   * bundle; both 0 where it has none.
    */
-  record FeedFollow(String coreId, long incarnation, long number, long sentAt) implements Message {}
+  record FeedFollow(
+      String coreId,
+      long incarnation,
+      long number,
+      long sentAt,
+      long sharedDigest,
+      long bundleSequence)
+      implements Message {
+    /**
+     * Whether the follower is known to hold this value or a newer one: told of the largest only.
+     */
+    boolean holds(FeedItem item) {
+      return item.key().equals(CoreNode.BUNDLE) && item.sequence() <= bundleSequence;
+    }
+  }
 
   record FeedItem(String key, long sequence, byte[] value) {}
 
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
@@ -2,8 +2,10 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.adapters.FrameDeflation;
 import applespindle.adapters.PeerCodec;
 import applespindle.adapters.UnreadableFrame;
+import applespindle.corelogic.Constants;
 import applespindle.corelogic.CoreNode;
 import applespindle.corelogic.DiskRecord;
 import applespindle.corelogic.EdgeNode;
@@ -164,6 +166,9 @@
       }
       byte[] frame = codec.encode(envelope);
       meter.sent(kindOf(envelope.message()), frame.length + FRAME_HEAD_BYTES);
+      if (target != null && !target.zone.equals(zone)) {
+        meter.sentBetweenZonesBytes += writtenBytes(frame);
+      }
       sentFrames.accept(this, envelope);
       if (target == null || !target.up || cut.test(new Link(this, target))) {
         return;
@@ -267,6 +272,7 @@
   private final Map<String, Integer> running = new HashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final PeerCodec codec = new PeerCodec();
+  private final FrameDeflation deflation = new FrameDeflation();
   private final SplittableRandom random;
 
   /** By bundle number and machine, when news of it was first folded there. */
@@ -316,6 +322,11 @@
         : from.region.equals(to.region) ? WITHIN_REGION_US : BETWEEN_REGIONS_US;
   }
 
+  private int writtenBytes(byte[] frame) {
+    boolean large = frame.length >= Constants.PEER_DEFLATE_BYTES;
+    return FRAME_HEAD_BYTES + (large ? deflation.deflate(frame).length : frame.length);
+  }
+
   private void decode(byte[] frame) {
     try {
       codec.decode(frame);
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Meter.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Meter.java
@@ -13,6 +13,10 @@
 
   long processorNanos;
   long receivedBytes;
+
+  /** Sent to other zones, as written: large frames deflated. */
+  long sentBetweenZonesBytes;
+
   long diskBytes;
   long loadReads;
   final Map<String, Traffic> sent = new TreeMap<>();
@@ -39,6 +43,7 @@
   void reset() {
     processorNanos = 0;
     receivedBytes = 0;
+    sentBetweenZonesBytes = 0;
     diskBytes = 0;
     loadReads = 0;
     sent.clear();
