--- a/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
@@ -5,7 +5,6 @@
 import applespindle.corelogic.AcceptedRevisions.Standing;
 import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.SignedBundle;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -109,13 +108,21 @@
   }
 
   /**
-   * What the feed carries: only the bundle itself, not what the owner remembers of earlier ones.
+   * What the feed carries: only what edges work by, neither what the owner remembers of earlier
+   * bundles nor the text that an unsigned one was made from, which is as long as the bundle itself.
    */
   static byte[] forFeed(byte[] event) {
-    JsonNode value = Json.tree(event);
-    if (value instanceof ObjectNode object && object.remove("accepted") != null) {
-      return Json.bytes(object);
-    }
-    return event;
+    SignedBundle whole = Json.read(event, SignedBundle.class);
+    boolean signed = whole.signature() != null && whole.signature().length > 0;
+    byte[] bytes = signed ? whole.bytes() : withoutOrigin(whole.bytes());
+    return Json.bytes(
+        new SignedBundle(
+            whole.number(), bytes, whole.keyId(), whole.signature(), whole.buildsOn()));
+  }
+
+  private static byte[] withoutOrigin(byte[] bytes) {
+    return Json.tree(bytes) instanceof ObjectNode bundle && bundle.remove("origin") != null
+        ? Json.bytes(bundle)
+        : bytes;
   }
 }
--- a/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
@@ -146,7 +146,7 @@
     append(1, SECOND, 0, Epoch.NONE, 0, entry(1, SECOND));
     disk.syncAll();
     replies.clear();
-    replicas.promise(new KeyPromise(KEY, FIRST, 2, false), FIRST.node(), "");
+    replicas.promise(new KeyPromise(KEY, FIRST, 2, false, 0), FIRST.node(), "");
     assertThat(replies).isEmpty();
     disk.syncAll();
     assertThat(((KeyPromised) replies.get(0)).verdict()).isEqualTo(Verdict.REFUSED);
