Tell a claimant parts of a log only where the log's tail is the same

Cause: the parts of a long log that a claimant reads after the promises could come from a replica whose log had been replaced by a copy meanwhile; put together with the tail of the promise they would be a log that no replica ever held. Change: the ask names the epoch of the entry behind the part; a replica that holds another entry there refuses, and the claim is begun anew. The tests of the accepted revisions use JSON, as the feed reads the configuration now.

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -189,8 +189,10 @@
       body.epochCounter(ask.epoch().counter())
           .from(ask.from())
           .to(ask.to())
+          .nextEpochCounter(ask.nextEpoch().counter())
           .key(ask.key())
-          .epochNode(ask.epoch().node());
+          .epochNode(ask.epoch().node())
+          .nextEpochNode(ask.nextEpoch().node());
       finish(body);
     } else if (message instanceof KeyLogPart part) {
       KeyLogPartBodyEncoder body = begin(new KeyLogPartBodyEncoder());
@@ -430,7 +432,11 @@
       case KeyLogAskBodyDecoder.TEMPLATE_ID -> {
         KeyLogAskBodyDecoder body = open(new KeyLogAskBodyDecoder());
         return new KeyLogAsk(
-            body.key(), new Epoch(body.epochCounter(), body.epochNode()), body.from(), body.to());
+            body.key(),
+            new Epoch(body.epochCounter(), body.epochNode()),
+            body.from(),
+            body.to(),
+            new Epoch(body.nextEpochCounter(), body.nextEpochNode()));
       }
       case KeyLogPartBodyDecoder.TEMPLATE_ID -> {
         KeyLogPartBodyDecoder body = open(new KeyLogPartBodyDecoder());
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -326,15 +326,18 @@
   }
 
   /**
-   * Tells a claimant a part of the log. Nothing before a promise changes while it stands, so that
-   * parts told one after the other fit together.
+   * Tells a claimant a part of the log. Logs that hold the same entry are the same up to it; one
+   * that holds another entry behind the part, as after a copy was taken in, is refused, so that no
+   * log is put together of two.
    */
   void tellLog(KeyLogAsk message, String fromId, String fromAddress) {
     Copy copy = copies.get(message.key());
     if (copy == null || copy.promised.below(message.epoch())) {
       return;
     }
-    boolean overtaken = message.epoch().below(copy.promised);
+    Entry next = copy.at(message.to() + 1);
+    boolean sameLog = next != null && next.epoch().equals(message.nextEpoch());
+    boolean overtaken = message.epoch().below(copy.promised) || !sameLog;
     if (!overtaken) {
       heardClaimant(copy, message.epoch(), fromAddress);
     }
--- a/core-logic/src/main/java/applespindle/corelogic/LogTransfer.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LogTransfer.java
@@ -60,7 +60,9 @@
   private void askOn() {
     OwnedKey.Replica source = sources.get(tries % sources.size());
     sender.reply(
-        source.address(), source.id(), new KeyLogAsk(key, epoch, nextSequence, tailStart() - 1));
+        source.address(),
+        source.id(),
+        new KeyLogAsk(key, epoch, nextSequence, tailStart() - 1, tail.get(0).epoch()));
     retry = surroundings.after(waitMs, this::askAnother);
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -56,8 +56,12 @@
     }
   }
 
-  /** A claimant asks a replica that promised it this epoch for entries of its log. */
-  record KeyLogAsk(String key, Epoch epoch, long from, long to) implements Message {}
+  /**
+   * A claimant asks a replica that promised it this epoch for entries of its log. nextEpoch: of the
+   * entry behind the last one asked for; a log that holds another one there is another log.
+   */
+  record KeyLogAsk(String key, Epoch epoch, long from, long to, Epoch nextEpoch)
+      implements Message {}
 
   /** The first of the entries asked for, as many as fit; refused under a higher promise. */
   record KeyLogPart(String key, Epoch epoch, Verdict verdict, List<Entry> entries)
--- a/core-logic/src/test/java/applespindle/corelogic/AcceptedRevisionsTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/AcceptedRevisionsTest.java
@@ -9,7 +9,7 @@
 
 class AcceptedRevisionsTest {
   private static byte[] content(long number) {
-    return ("configuration " + number).getBytes(UTF_8);
+    return ("{\"configuration\":" + number + "}").getBytes(UTF_8);
   }
 
   private static AcceptedRevisions accepted(int changes) {
--- a/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
@@ -7,6 +7,8 @@
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
+import applespindle.corelogic.Message.KeyLogAsk;
+import applespindle.corelogic.Message.KeyLogPart;
 import applespindle.corelogic.Message.KeyPromise;
 import applespindle.corelogic.Message.KeyPromised;
 import applespindle.corelogic.Message.Verdict;
@@ -221,4 +223,20 @@
         .containsExactly(Kind.SET, Kind.PROMISE, Kind.ENTRY, Kind.ENTRY, Kind.COMMITTED)
         .inOrder();
   }
+
+  /** Parts of two logs put together would be a log that no replica ever held. */
+  @Test
+  void aClaimantGetsPartsOfTheLogThatItKnowsTheTailOfAlone() {
+    append(1, FIRST, 0, Epoch.NONE, 0, entry(1, FIRST), entry(2, FIRST));
+    disk.syncAll();
+    replicas.promise(new KeyPromise(KEY, SECOND, 1, true, 1), SECOND.node(), "");
+    disk.syncAll();
+    replies.clear();
+    replicas.tellLog(new KeyLogAsk(KEY, SECOND, 1, 1, SECOND), SECOND.node(), "");
+    replicas.tellLog(new KeyLogAsk(KEY, SECOND, 1, 1, FIRST), SECOND.node(), "");
+    assertThat(((KeyLogPart) replies.get(0)).verdict()).isEqualTo(Verdict.REFUSED);
+    assertThat(((KeyLogPart) replies.get(0)).entries()).isEmpty();
+    assertThat(((KeyLogPart) replies.get(1)).verdict()).isEqualTo(Verdict.OK);
+    assertThat(((KeyLogPart) replies.get(1)).entries()).hasSize(1);
+  }
 }
