Document every public type

Change: one sentence for each, in the field's words. Comments only.

Shown by: the diff has no line of code but one moved annotation; the modules compile.

--- a/adapters/src/main/java/applespindle/adapters/DiskFault.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskFault.java
@@ -2,6 +2,7 @@
 
 /** A disk that can not be trusted or used. */
 public final class DiskFault extends RuntimeException {
+  /** How the disk failed. */
   public enum Kind {
     CORRUPT,
     UNREADABLE,
--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -51,6 +51,7 @@
     }
   }
 
+  /** Answers the calls of one path and method. */
   public interface Handler {
     Promise<HttpResponse> handle(Call call);
   }
--- a/adapters/src/main/java/applespindle/adapters/UnreadableFrame.java
+++ b/adapters/src/main/java/applespindle/adapters/UnreadableFrame.java
@@ -2,6 +2,7 @@
 
 /** Bytes that are no message of ours. */
 public final class UnreadableFrame extends Exception {
+  /** Why the bytes could not be read. */
   public enum Kind {
     TOO_LARGE,
     TOO_SHORT,
--- a/core-logic/src/main/java/applespindle/corelogic/BatchInput.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchInput.java
@@ -22,6 +22,7 @@
   private static final long DUE_MS = 10_000;
   private static final long EXPIRES_MS = 3_600_000;
 
+  /** One prompt of a batch, with its sampling options. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   public record Item(
       @NotBlank @Size(max = Constants.ITEM_ID_LENGTH_MOST) String id,
--- a/core-logic/src/main/java/applespindle/corelogic/Bundle.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Bundle.java
@@ -110,6 +110,7 @@
     }
   }
 
+  /** The first rule that matches a live request decides its way. */
   public record Rule(
       @NotBlank String name,
       @Valid Match match,
@@ -125,12 +126,14 @@
       @Min(0) Integer promptCharsMost,
       @Min(0) Integer promptCharsLeast) {}
 
+  /** Where matching requests go: pool, traffic class, deadline and retries. */
   public record Way(
       @NotBlank String pool,
       @NotBlank String trafficClass,
       @Min(1) @Max(600_000) long expiryMs,
       @Min(0) @Max(10) int retries) {}
 
+  /** Bounds on queued live requests by class, and on batch work. */
   public record Limits(
       @NotEmpty Map<String, @Valid @NotNull ClassLimit> classes,
       @NotNull @Valid BatchLimits batch) {}
@@ -138,6 +141,7 @@
   /** Classes with a lower rank are served first. */
   public record ClassLimit(@Min(0) @Max(100) int rank, @Min(0) @Max(1_000_000) int queueMost) {}
 
+  /** Bounds on batch work; retentionMs is how long a finished batch stays readable. */
   public record BatchLimits(
       @NotBlank String pool,
       @Min(0) long waitingItemsMost,
--- a/core-logic/src/main/java/applespindle/corelogic/DiskRecord.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DiskRecord.java
@@ -3,6 +3,7 @@
 /** One record of a process's log on disk. */
 public record DiskRecord(
     Kind kind, String key, Epoch epoch, long sequence, boolean whole, byte[] payload) {
+  /** What a record says of its key. */
   public enum Kind {
     PROMISE,
     ENTRY,
--- a/core-logic/src/main/java/applespindle/corelogic/Fault.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Fault.java
@@ -15,94 +15,139 @@
   /** One faulty field of an input, by JSON path. */
   record Field(String path, String reason) {}
 
+  /** The input does not have the form the interface asks for. */
   record InvalidInput(List<Field> fields) implements Fault {}
 
+  /** The body is larger than the interface takes. */
   record InputTooLarge(long limitBytes) implements Fault {}
 
+  /** The request line and headers are larger than the interface takes. */
   record HeadTooLarge(long limitBytes) implements Fault {}
 
+  /** The interface has no such path. */
   record NoSuchPath(String path) implements Fault {}
 
+  /** The path exists, but not for this method. */
   record MethodNotAllowed(String method) implements Fault {}
 
+  /** The signature is missing, by an unknown key, or does not fit the bytes. */
   record SignatureRefused(String reason) implements Fault {}
 
+  /** A configuration is signed rightly but has faulty fields. */
   record InvalidBundle(List<Field> fields) implements Fault {}
 
+  /** A configuration's number is not above the one in force, or the same number has other bytes. */
   record BundleConflict(long numberInForce) implements Fault {}
 
+  /** A conditional change names a version that is not in force any more. */
   record VersionConflict(long versionInForce) implements Fault {}
 
+  /** No worker of this id is listed. */
   record NoSuchWorker(String worker) implements Fault {}
 
+  /** A majority of the replicas holds nothing of this batch. */
   record NoSuchBatch(String batch) implements Fault {}
 
+  /** No configuration is in force yet. */
   record NoBundle() implements Fault {}
 
+  /** No rule of the configuration matches the request. */
   record NoMatchingRule() implements Fault {}
 
+  /** The idempotency key was used before, with other content. */
   record KeyContentConflict(String batch) implements Fault {}
 
+  /** The batch was refused for good; none of its items runs. */
   record BatchRefused(String batch) implements Fault {}
 
+  /** The batch alone has more items than may ever wait. */
   record BatchOverCeiling(int items, long ceiling) implements Fault {}
 
+  /** Too much batch work is waiting already. */
   record NoRoom(long waiting, long ceiling) implements Fault {}
 
+  /** Too many requests of this traffic class are waiting already. */
   record QueueFull(String trafficClass) implements Fault {}
 
+  /** The deadline passed before the request could be sent to a worker. */
   record ExpiryPassed() implements Fault {}
 
+  /** No worker of the pool can take the request. */
   record NoWorker(String pool) implements Fault {}
 
+  /** A majority of the key's replicas did not answer. */
   record NoMajority(String key) implements Fault {}
 
+  /** The node has not finished starting. */
   record NotReady(String reason) implements Fault {}
 
+  /** The node has heard nothing of the control plane for too long. */
   record NodeIsolated(long feedAgeMs) implements Fault {}
 
+  /** The node is shutting down and takes no new work. */
   record NodeStopping() implements Fault {}
 
+  /** The node asked is not the leader of the key. */
   record NotOwner(String key) implements Fault {}
 
+  /** The sender knows an older replica set than the receiver. */
   record OldReplicaSet(long setNumber) implements Fault {}
 
+  /** No storage node of this id is known. */
   record NoSuchStorage(String node) implements Fault {}
 
+  /** The change would leave some shard with fewer than two replicas. */
   record TooFewCopies(int copies) implements Fault {}
 
+  /** The storage node was retired and can not come back under this id. */
   record StorageRetired(String node) implements Fault {}
 
+  /** The storage node still holds replicas. */
   record StorageNotEmpty(int shards) implements Fault {}
 
+  /** A command was sent, but no answer tells whether it took effect. */
   record OutcomeUnknown(String subject) implements Fault {}
 
+  /** Another request claimed this once-id before. */
   record AlreadyClaimed(String id) implements Fault {}
 
+  /** The worker answered that it did not run the request. */
   record WorkerRefused(int status) implements Fault {}
 
+  /** No connection to the worker could be made. */
   record WorkerUnreachable(String worker) implements Fault {}
 
+  /** The connection ended before the worker's response was whole. */
   record WorkerCut(String worker) implements Fault {}
 
+  /** The worker's response does not follow its protocol. */
   record WorkerGarbage(String worker) implements Fault {}
 
+  /** Nothing came from the worker for too long. */
   record WorkerSilent(String worker) implements Fault {}
 
+  /** The worker ran the request and answered with an error status. */
   record WorkerFailed(int status) implements Fault {}
 
+  /** The run was cancelled from this side. */
   record RunCancelled() implements Fault {}
 
+  /** The batch's deadline passed before the item had a result. */
   record ItemExpired() implements Fault {}
 
+  /** All attempts at the item ended with an error of the worker. */
   record ItemFailed(int status) implements Fault {}
 
+  /** The worker says that no attempt at the item can succeed. */
   record ItemImpossible() implements Fault {}
 
+  /** The node asked is of a version that does not know this duty. */
   record UnknownDuty(String duty) implements Fault {}
 
+  /** A bounded queue of the node is full. */
   record Overloaded(String ring) implements Fault {}
 
+  /** A fault in the node's own code. */
   record InternalFault(String kind) implements Fault {}
 
   /**
--- a/core-logic/src/main/java/applespindle/corelogic/Journal.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Journal.java
@@ -5,6 +5,7 @@
 
 /** What happened in this process, in order, bounded. The tracer and the status page read it. */
 public final class Journal {
+  /** One thing that happened; atMs is the node's own clock. */
   public record Event(long number, long atMs, String kind, String key, String detail) {}
 
   /** Invariant: numbers rise by one; at most JOURNAL_KEPT events are held. */
--- a/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LiveDesk.java
@@ -49,6 +49,7 @@
     void fault(Response response, boolean cut);
   }
 
+  /** A request that was taken; lets its client give it up. */
   public interface Handle {
     void cancel();
   }
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -16,6 +16,7 @@
     OLD_SET
   }
 
+  /** One node asks another to carry out a duty for a key; hops bounds how often it is forwarded. */
   record Ask(
       long correlation,
       String duty,
@@ -26,6 +27,9 @@
       byte[] body)
       implements Message {}
 
+  /**
+   * The answer to the ask with this correlation; comeBackSeconds is 0 unless a retry should wait.
+   */
   record AskResponse(long correlation, int status, int comeBackSeconds, byte[] body)
       implements Message {}
 
@@ -63,6 +67,7 @@
   record KeyLogPart(String key, Epoch epoch, Verdict verdict, List<Entry> entries)
       implements Message {}
 
+  /** The leader of a key sends log entries, or a heartbeat without any, to a replica. */
   record KeyAppend(
       String key,
       Epoch epoch,
@@ -74,6 +79,7 @@
       List<Entry> entries)
       implements Message {}
 
+  /** A replica's answer to {@link KeyAppend}: up to which sequence its log matches the leader's. */
   record KeyAppended(
       String key, Epoch epoch, long round, Verdict verdict, Epoch promised, long matched)
       implements Message {}
@@ -81,10 +87,13 @@
   /** The present owner asks its successor to take the key over at once. */
   record KeyHandOver(String key, Epoch epoch, long lastSequence) implements Message {}
 
+  /** A core member's regular sign of life, with the metadata it shares, as JSON. */
   record CorePing(byte[] body) implements Message {}
 
+  /** Asks any node for the core members it knows. */
   record WhereIsCore() implements Message {}
 
+  /** The answer to {@link WhereIsCore}: the members, as JSON, and the number of that membership. */
   record CoreIs(long rosterNumber, byte[] body) implements Message {}
 
   /**
@@ -108,6 +117,7 @@
     }
   }
 
+  /** One changed key of the feed, with its new value. */
   record FeedItem(String key, long sequence, byte[] value) {}
 
   /** echoedAt is the sentAt of the poll this responds to; 0 when the news was pushed. */
@@ -151,8 +161,10 @@
    */
   record RangePull(String batch, String worker, long sentAt) implements Message {}
 
+  /** One item of an assigned range, with its body as JSON. */
   record HandoutItem(int index, byte[] body) {}
 
+  /** The answer to {@link RangePull}: the assignment of one range, or that none is left. */
   record RangeHandout(
       String batch,
       String worker,
@@ -164,6 +176,7 @@
       List<HandoutItem> items)
       implements Message {}
 
+  /** The outcome of one run of an item; faultType is empty if the run finished. */
   record ReportedItem(
       int index, String run, String worker, String finishReason, String faultType, byte[] output) {}
 
@@ -182,6 +195,9 @@
       List<ReportedItem> results)
       implements Message {}
 
+  /**
+   * The answer to {@link RangeReport}; keep says whether the range stays assigned to the reporter.
+   */
   record RangeReported(
       String batch, int range, long rangeEpoch, String worker, long reportNumber, boolean keep)
       implements Message {}
@@ -191,10 +207,13 @@
    * still has to read.
    */
   record WorkerLoads(List<OwnLoad> loads) implements Message {
+    /** The sender's share of one worker's load. */
     public record OwnLoad(String worker, int running, int unread) {}
   }
 
+  /** The batch takes no more results; feeders cancel what still runs of it. */
   record BatchEnded(String batch) implements Message {}
 
+  /** The unfinished keys that the sender holds a replica of. */
   record Unfinished(List<String> keys) implements Message {}
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -37,6 +37,7 @@
       String httpAddress,
       List<String> seeds) {}
 
+  /** A node to ask; the id is empty while only its address is known. */
   public record Target(String id, String address) {}
 
   /** Faults that say for certain that nothing was done, so that another try is safe. */
--- a/core-logic/src/main/java/applespindle/corelogic/Records.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Records.java
@@ -11,6 +11,7 @@
  * together.
  */
 public final class Records {
+  /** One member of the core, with its addresses. */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record CoreMember(
       String id, String peerAddress, String httpAddress, String zone, String name) {}
@@ -23,6 +24,7 @@
     }
   }
 
+  /** A node of the fleet in its present life; incarnation rises with each start. */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record Member(
       String id,
@@ -89,8 +91,8 @@
     }
   }
 
-  @JsonIgnoreProperties(ignoreUnknown = true)
   /** A shard's replicas; next is empty unless a change of one member is under way. */
+  @JsonIgnoreProperties(ignoreUnknown = true)
   public record Shard(long number, List<StorageReplica> replicas, List<StorageReplica> next) {}
 
   /**
@@ -105,6 +107,7 @@
     public static final String RETIRED = "retired";
   }
 
+  /** A storage node that holds a replica of a shard. */
   @JsonIgnoreProperties(ignoreUnknown = true)
   public record StorageReplica(String id, String address, String zone) {}
 
@@ -120,6 +123,7 @@
     }
   }
 
+  /** What one batch still takes of its group's capacity after a change. */
   @JsonIgnoreProperties(ignoreUnknown = true)
   record RoomChange(String batch, long items, String group) {
     RoomChange {
--- a/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
@@ -60,17 +60,21 @@
 
   void log(String part, String sentence);
 
+  /** A timer that was set. */
   interface Schedule {
     void cancel();
   }
 
+  /** A request that is under way at a worker. */
   interface WorkerRun {
     /** Closes the connection; no callback comes after this. */
     void cancel();
   }
 
+  /** A prompt for a worker, as JSON, with how long the worker may work on it. */
   record WorkerCall(String workerAddress, byte[] body, long expiryMs) {}
 
+  /** A worker's own account of its load. */
   record WorkerLoad(int running, int queued, int capacity, boolean leaving) {}
 
   /**
@@ -86,6 +90,7 @@
       long expiryMs,
       String resumeAfter) {}
 
+  /** Hears how one try of an opaque request goes on. */
   interface ExchangeListener {
     /**
      * Final status and headers of the worker's own response, whatever the status, unless it says
@@ -124,6 +129,7 @@
   /** nextToken is empty on the last page. */
   record WorkerPage(List<ListedWorker> workers, String nextToken) {}
 
+  /** Hears how a prompt at a worker goes on. */
   interface WorkerListener {
     void text(String text);
 
--- a/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
+++ b/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
@@ -27,10 +27,13 @@
    * its end.
    */
   sealed interface BatchCall {
+    /** Reads results behind position from; holdMs is how long the call may wait for one. */
     record Results(String batch, long from, long holdMs) implements BatchCall {}
 
+    /** Reads the body of one item. */
     record ItemBody(String batch, String item) implements BatchCall {}
 
+    /** Ends the batch before it is finished. */
     record End(String batch) implements BatchCall {}
   }
 
--- a/operator-tool/src/main/java/applespindle/operatortool/Signing.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/Signing.java
@@ -10,6 +10,7 @@
 
 /** Ed25519 keys and detached signatures over a bundle's exact bytes. */
 public final class Signing {
+  /** A pair of keys, both in Base64. */
   public record Keys(String publicKey, String privateKey) {}
 
   public static Keys generate() {
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Checker.java
@@ -16,6 +16,7 @@
  * outside.
  */
 public final class Checker {
+  /** The promises of the system that a history can break. */
   public enum Rule {
     ACCEPTED_BATCH_LOST,
     REFUSED_BATCH_RAN,
@@ -38,6 +39,7 @@
     RESPONSE_LOST
   }
 
+  /** One broken promise, with when it was seen. */
   public record Violation(Rule rule, long atMs, String what) {}
 
   static final long MISSING_MS = 1_000;
--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -13,6 +13,7 @@
  * platform.
  */
 public final class History {
+  /** What was seen; each kind says what the fields of its events hold. */
   public enum Kind {
     /** subject: batch key; detail: item id; text: prompt; number: tokens. */
     ITEM,
@@ -148,6 +149,7 @@
     OPAQUE_CLOSED
   }
 
+  /** One event as seen from outside. */
   public record Seen(
       long atMs, Kind kind, String subject, String detail, String text, long number) {}
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -45,6 +45,7 @@
     }
   }
 
+  /** How a scenario ended: its faults, and what is needed to judge and count the run. */
   public record Outcome(
       List<String> faults, History history, long steps, long messages, SimulatedFleet fleet) {}
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
@@ -22,6 +22,7 @@
  * will.
  */
 public final class SimulatedWorkers {
+  /** The fault a worker is in. */
   public enum Condition {
     WELL,
     CRASHED,
@@ -38,6 +39,7 @@
   private static final int CACHE_PREFIX_CHARS = 256;
   private static final int SLOW_BY = 8;
 
+  /** One simulated worker. */
   public final class Worker {
     public final String id;
     Condition condition = Condition.WELL;
@@ -70,6 +72,7 @@
     }
   }
 
+  /** One request at a worker, from its arrival to its end. */
   public final class Run {
     private final Worker worker;
     private final WorkerListener listener;
