Replace nested conditional expressions by early returns

Change: each is an early return, a switch or a small named method; the checker's long method on what workers were asked is parted in two.

Behaviour is unchanged: random draws happen in the same order, the names of roles and kinds stay; OpaqueCheckerTest, CheckerTest, KnownRedTest, WeakeningTest and the tests of settings and streams pass.

--- a/core-logic/src/main/java/applespindle/corelogic/BatchView.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchView.java
@@ -195,10 +195,12 @@
     if (accepted == null) {
       return refused ? "refused" : "unknown";
     }
-    return ended
-        ? "ended"
-        : unfinishedItems() == 0
-            ? "finished"
-            : results.isEmpty() && highestRangeEpoch == 0 ? "accepted" : "running";
+    if (ended) {
+      return "ended";
+    }
+    if (unfinishedItems() == 0) {
+      return "finished";
+    }
+    return results.isEmpty() && highestRangeEpoch == 0 ? "accepted" : "running";
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/StreamText.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StreamText.java
@@ -10,6 +10,8 @@
  * it.
  */
 final class StreamText {
+  private static final String DATA_FIELD = "data:";
+
   private final StringBuilder text = new StringBuilder();
   private boolean hasData;
   private String lastEventId = "";
@@ -36,14 +38,19 @@
       lastEventId = event.eventId();
     }
     for (String line : new String(event.bytes(), UTF_8).split("\r\n|\n|\r")) {
-      if (line.equals("data") || line.startsWith("data:")) {
-        String value = line.length() <= 5 ? "" : line.substring(line.charAt(5) == ' ' ? 6 : 5);
-        text.append(hasData ? "\n" : "").append(value);
+      if (line.equals("data") || line.startsWith(DATA_FIELD)) {
+        text.append(hasData ? "\n" : "").append(dataOf(line));
         hasData = true;
       }
     }
   }
 
+  /** The value of a data line: what stands behind the colon, less one leading space. */
+  private static String dataOf(String line) {
+    String value = line.length() <= DATA_FIELD.length() ? "" : line.substring(DATA_FIELD.length());
+    return value.startsWith(" ") ? value.substring(1) : value;
+  }
+
   /** Ids that are numbers rise; of others only a repeat is told. */
   private static boolean isBehind(String eventId, String earlierId) {
     try {
--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
@@ -100,25 +100,22 @@
             Stream.of(
                     "failure", "error", "flakyFailure", "flakyError", "rerunFailure", "rerunError")
                 .anyMatch(kind -> test.getElementsByTagName(kind).getLength() > 0);
-        Outcome outcome =
-            failed
-                ? Outcome.FAILED
-                : test.getElementsByTagName("skipped").getLength() > 0
-                    ? Outcome.SKIPPED
-                    : Outcome.PASSED;
+        boolean skipped = test.getElementsByTagName("skipped").getLength() > 0;
+        Outcome notFailed = skipped ? Outcome.SKIPPED : Outcome.PASSED;
         String name = test.getAttribute("classname") + "." + test.getAttribute("name");
-        results.merge(
-            name,
-            outcome,
-            (one, other) ->
-                one == Outcome.FAILED || other == Outcome.FAILED
-                    ? Outcome.FAILED
-                    : one == Outcome.SKIPPED ? one : other);
+        results.merge(name, failed ? Outcome.FAILED : notFailed, KnownRedProgram::worst);
       }
     } catch (SAXException fault) {
       reasons.add("a report can not be read: " + report);
     }
   }
 
+  private static Outcome worst(Outcome one, Outcome other) {
+    if (one == Outcome.FAILED || other == Outcome.FAILED) {
+      return Outcome.FAILED;
+    }
+    return one == Outcome.SKIPPED ? one : other;
+  }
+
   private KnownRedProgram() {}
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueChecker.java
@@ -267,64 +267,67 @@
    * to.
    */
   private void asked() {
-    for (Run run : runs.values()) {
-      Seen request = requests.get(run.request());
-      String batch = batchOfItem.get(run.request());
-      String wanted =
-          request != null
-              ? request.text()
-              : batch != null ? batches.get(batch).asked(run.request()) : null;
-      long sentMs =
-          request != null
-              ? request.atMs()
-              : batch != null ? batches.get(batch).firstSentMs : Long.MAX_VALUE;
-      if (run.began() == null) {
-        continue;
-      }
-      if (wanted == null || !wanted.equals(run.asked()) || sentMs > run.arrivedMs()) {
-        violated(
-            Rule.UNASKED_RUN,
-            run.arrivedMs(),
-            run.request()
-                + " at "
-                + run.worker()
-                + " asked "
-                + run.asked()
-                + " where its client asked "
-                + wanted);
-        continue;
-      }
-      String pool = poolOfWorker.get(run.worker());
-      if (!everAllowed(wanted, pool, run.began().atMs())) {
-        violated(
-            Rule.WRONG_POOL,
-            run.began().atMs(),
-            run.request() + " ran at " + run.worker() + " of " + pool);
-      }
+    runs.values().forEach(this::askedUnchanged);
+    runsOf.forEach(this::ranAsPromised);
+  }
+
+  private void askedUnchanged(Run run) {
+    if (run.began() == null) {
+      return;
+    }
+    Seen request = requests.get(run.request());
+    String batch = batchOfItem.get(run.request());
+    String wanted = null;
+    long sentMs = Long.MAX_VALUE;
+    if (request != null) {
+      wanted = request.text();
+      sentMs = request.atMs();
+    } else if (batch != null) {
+      wanted = batches.get(batch).asked(run.request());
+      sentMs = batches.get(batch).firstSentMs;
+    }
+    if (wanted == null || !wanted.equals(run.asked()) || sentMs > run.arrivedMs()) {
+      violated(
+          Rule.UNASKED_RUN,
+          run.arrivedMs(),
+          run.request()
+              + " at "
+              + run.worker()
+              + " asked "
+              + run.asked()
+              + " where its client asked "
+              + wanted);
+      return;
+    }
+    String pool = poolOfWorker.get(run.worker());
+    if (!everAllowed(wanted, pool, run.began().atMs())) {
+      violated(
+          Rule.WRONG_POOL,
+          run.began().atMs(),
+          run.request() + " ran at " + run.worker() + " of " + pool);
+    }
+  }
+
+  /**
+   * A request that may not be repeated runs at most once, and not at all if its refusal promised
+   * that.
+   */
+  private void ranAsPromised(String id, List<Run> ofRequest) {
+    Seen request = requests.get(id);
+    List<Run> begun = ofRequest.stream().filter(run -> run.began() != null).toList();
+    if (request == null || repeatable(request) || begun.isEmpty()) {
+      return;
+    }
+    if (begun.size() > 1) {
+      violated(Rule.RAN_TWICE, begun.get(1).began().atMs(), id + " ran " + begun.size() + " times");
+    }
+    Seen answer = answers.get(id);
+    if (answer != null && answer.detail().equals("refused") && PROMISES.contains(answer.number())) {
+      violated(
+          Rule.REFUSED_REQUEST_RAN,
+          begun.get(0).began().atMs(),
+          id + " was refused with " + answer.number());
     }
-    runsOf.forEach(
-        (id, ofRequest) -> {
-          Seen request = requests.get(id);
-          List<Run> begun = ofRequest.stream().filter(run -> run.began() != null).toList();
-          if (request == null || repeatable(request) || begun.isEmpty()) {
-            return;
-          }
-          if (begun.size() > 1) {
-            violated(
-                Rule.RAN_TWICE,
-                begun.get(1).began().atMs(),
-                id + " ran " + begun.size() + " times");
-          }
-          Seen answer = answers.get(id);
-          if (answer != null
-              && answer.detail().equals("refused")
-              && PROMISES.contains(answer.number())) {
-            violated(
-                Rule.REFUSED_REQUEST_RAN,
-                begun.get(0).began().atMs(),
-                id + " was refused with " + answer.number());
-          }
-        });
   }
 
   private boolean everAllowed(String asked, String pool, long atMs) {
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
@@ -234,7 +234,8 @@
 
             @Override
             public void broken(boolean neverReached) {
-              finish(neverReached ? "unreachable" : status > 0 ? "cut" : "broken", status);
+              String begun = status > 0 ? "cut" : "broken";
+              finish(neverReached ? "unreachable" : begun, status);
             }
           });
       watch();
@@ -416,16 +417,20 @@
     private int complete;
     private final Set<String> bodiesMissing = new HashSet<>();
 
+    private String itemMark() {
+      if (simulation.random.nextInt(40) == 0) {
+        return OpaqueWorkers.IMPOSSIBLE;
+      }
+      return simulation.random.nextInt(15) == 0 ? OpaqueWorkers.FAILING : "plain";
+    }
+
     BatchClient(Route route, int items) {
       String id = "b" + ++ids;
       List<OpaqueBatch.Item> rows = new ArrayList<>();
       for (int index = 0; index < items; index++) {
         int tokens = 4 + simulation.random.nextInt(BATCH_TOKENS_MOST);
         String item = "x" + ++ids;
-        String mark =
-            simulation.random.nextInt(40) == 0
-                ? OpaqueWorkers.IMPOSSIBLE
-                : simulation.random.nextInt(15) == 0 ? OpaqueWorkers.FAILING : "plain";
+        String mark = itemMark();
         String body = "body-" + item + padding(itemBytes) + "." + tokens;
         List<PromptPart> prompt = prompt(item);
         int promptTokens = prompt.stream().mapToInt(PromptPart::tokens).sum();
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -330,10 +330,10 @@
         (status, text) -> {
           String output = stream ? streamed(text) : tree(text).at("/choices/0/text").asText("");
           boolean complete = status == 200 && (!stream || text.endsWith("data: [DONE]\n\n"));
-          String detail =
-              complete
-                  ? "complete"
-                  : Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
+          String detail = "complete";
+          if (!complete) {
+            detail = Math.abs(status) == 200 ? "cut" : tree(text).path("type").asText("cut");
+          }
           see(Kind.LIVE_ANSWERED, id, detail, output, Math.abs(status));
           if (complete) {
             latencies
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
@@ -60,9 +60,10 @@
   }
 
   private static String ruleOf(String fault) {
-    return fault.startsWith("invariant")
-        ? "INVARIANT"
-        : fault.matches("(?s)[A-Z_]+ at .*") ? fault.split(" ")[0] : "EXPECTATION";
+    if (fault.startsWith("invariant")) {
+      return "INVARIANT";
+    }
+    return fault.matches("(?s)[A-Z_]+ at .*") ? fault.split(" ")[0] : "EXPECTATION";
   }
 
   private ScenarioProgram() {}
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -25,6 +25,7 @@
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** One deployment in the simulator, with its senders, its operators and its platform. */
 final class SimulatedFleet {
@@ -330,8 +331,7 @@
 
   /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
   Process anyEdge() {
-    List<Process> choice =
-        !callersAt.isEmpty() ? callersAt : readyEdges.isEmpty() ? edges : readyEdges;
+    List<Process> choice = callersAt.isEmpty() ? readyOrAll() : callersAt;
     return choice.get(simulation.random.nextInt(choice.size()));
   }
 
@@ -551,12 +551,14 @@
     simulation.afterMs(500, this::watchBundles);
   }
 
+  private static String roleOf(String name) {
+    return Stream.of("edge", "core").filter(name::startsWith).findFirst().orElse("storage");
+  }
+
   /** A new machine joins, in the zone and role its name tells. */
   void add(String name, String zone) {
     boolean edge = name.startsWith("edge");
-    Process process =
-        simulation.add(
-            name, zone, edge ? "edge" : name.startsWith("core") ? "core" : "storage", CORE, !edge);
+    Process process = simulation.add(name, zone, roleOf(name), CORE, !edge);
     all.add(process);
     if (edge) {
       edges.add(process);
--- a/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
@@ -33,8 +33,10 @@
 
   private static final int CACHE_PREFIX_CHARS = 256;
 
+  /** How fast a worker is and how many requests it takes at once. */
   public record Pace(int capacity, long firstTokenMs, long tokenMs, long coldPrefixMs) {}
 
+  /** One worker with its own HTTP server. */
   public final class Worker {
     public final String id;
     public final String address;
@@ -119,12 +121,17 @@
           return Promise.of(null);
         }
         SettablePromise<ByteBuf> promise = new SettablePromise<>();
-        long wait =
-            position == 0 ? pace.firstTokenMs() + coldMs : position == tokens ? 0 : pace.tokenMs();
-        eventloop.delay(wait, () -> next(promise));
+        eventloop.delay(waitBeforeNext(), () -> next(promise));
         return promise;
       }
 
+      private long waitBeforeNext() {
+        if (position == 0) {
+          return pace.firstTokenMs() + coldMs;
+        }
+        return position == tokens ? 0 : pace.tokenMs();
+      }
+
       private void next(SettablePromise<ByteBuf> promise) {
         if (dark || isClosed()) {
           return;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
@@ -249,9 +249,11 @@
   /** The commit of the tree this was started in, with a plus if the tree differs from it. */
   static String commit() {
     String head = git("rev-parse", "--short", "HEAD");
-    return head.isEmpty()
-        ? "unknown"
-        : head + (git("status", "--porcelain", "--untracked-files=no").isEmpty() ? "" : "+");
+    if (head.isEmpty()) {
+      return "unknown";
+    }
+    boolean clean = git("status", "--porcelain", "--untracked-files=no").isEmpty();
+    return clean ? head : head + "+";
   }
 
   private static String git(String... words) {
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowHost.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/HollowHost.java
@@ -241,8 +241,11 @@
     ObjectNode answer = JSON.createObjectNode();
     switch (words[0]) {
       case "start" -> {
-        long[] after = new long[1];
-        named(words).forEach(hollow -> loop.delay(after[0] += START_APART_MS, hollow::start));
+        long afterMs = 0;
+        for (Hollow hollow : named(words)) {
+          afterMs += START_APART_MS;
+          loop.delay(afterMs, hollow::start);
+        }
       }
       case "kill" -> named(words).forEach(Hollow::kill);
       case "cut" -> cutRegion = Integer.parseInt(words[1]);
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
@@ -305,21 +305,30 @@
   }
 
   static String kindOf(Message message) {
-    return message instanceof Message.Ask ask
-        ? "Ask:" + ask.duty()
-        : message instanceof FeedNews news
-            ? news.items().isEmpty()
-                ? "FeedNews:none"
-                : news.relayed()
-                    ? "FeedNews:relayed"
-                    : news.checkpoint() ? "FeedNews:checkpoint" : "FeedNews:changes"
-            : message.getClass().getSimpleName();
+    if (message instanceof Message.Ask ask) {
+      return "Ask:" + ask.duty();
+    }
+    if (message instanceof FeedNews news) {
+      return kindOfNews(news);
+    }
+    return message.getClass().getSimpleName();
+  }
+
+  private static String kindOfNews(FeedNews news) {
+    if (news.items().isEmpty()) {
+      return "FeedNews:none";
+    }
+    if (news.relayed()) {
+      return "FeedNews:relayed";
+    }
+    return news.checkpoint() ? "FeedNews:checkpoint" : "FeedNews:changes";
   }
 
   private static long delayUs(Machine from, Machine to) {
-    return from.zone.equals(to.zone)
-        ? WITHIN_ZONE_US
-        : from.region.equals(to.region) ? WITHIN_REGION_US : BETWEEN_REGIONS_US;
+    if (from.zone.equals(to.zone)) {
+      return WITHIN_ZONE_US;
+    }
+    return from.region.equals(to.region) ? WITHIN_REGION_US : BETWEEN_REGIONS_US;
   }
 
   private int writtenBytes(byte[] frame) {
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
@@ -152,9 +152,10 @@
   }
 
   static String number(double value) {
-    return value == Math.rint(value) && Math.abs(value) < 1e12
-        ? Long.toString((long) value)
-        : String.format(Locale.ROOT, Math.abs(value) < 1 ? "%.5f" : "%.2f", value);
+    if (value == Math.rint(value) && Math.abs(value) < 1e12) {
+      return Long.toString((long) value);
+    }
+    return String.format(Locale.ROOT, Math.abs(value) < 1 ? "%.5f" : "%.2f", value);
   }
 
   static void write(Path file, File measured) throws IOException {
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
@@ -288,8 +288,8 @@
         (role, figures) -> {
           double seconds = (figures[2] - before.get(role)[2]) / 1e9;
           int count = role.equals("edge") ? nodes : fleet.ofRole(role.substring(5)).size();
-          String shown =
-              role.equals("real core") ? "core" : role.equals("real storage") ? "storage" : role;
+          boolean oneEach = role.equals("real core") || role.equals("real storage");
+          String shown = oneEach ? role.substring("real ".length()) : role;
           add(
               experiment,
               shown,
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetSize.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetSize.java
@@ -389,15 +389,20 @@
                   term.what(),
                   term.growsWith(),
                   shown(term.value(), term.unit()),
-                  Double.isNaN(term.allowed())
-                      ? ""
-                      : shown(term.allowed(), term.unit()) + (term.fits() ? "" : ", **not met**"),
+                  shownBound(term),
                   term.from()))
           .append(" |\n");
     }
     return text.toString();
   }
 
+  private static String shownBound(Term term) {
+    if (Double.isNaN(term.allowed())) {
+      return "";
+    }
+    return shown(term.allowed(), term.unit()) + (term.fits() ? "" : ", **not met**");
+  }
+
   private static String shown(double value, String unit) {
     if (unit.equals("1/s")) {
       return String.format(Locale.ROOT, "%,.0f a second", value);
