Part the batch feeder by duty

Change: AssignedRange and ItemRun hold the state of an assignment and of a run, RangePuller, BatchCapacity, ItemRunner and RangeReporter one duty each; BatchFeeder keeps the loop. Grant, hand-out and fall are lease, assignment and interruption inside these classes; messages keep their names.

--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/AssignedRange.java
@@ -0,0 +1,226 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Message.HandoutItem;
+import applespindle.corelogic.Message.ReportedItem;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * One range of a batch's items that is assigned to this edge for one worker: what is unsent, what
+ * runs, and which outcomes the batch's leader has not answered for. All times are of this node's
+ * clock.
+ */
+final class AssignedRange {
+  /** A time before any that the node's clock shows. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  /** How many sent reports are remembered; an answer to an older one does not renew the lease. */
+  private static final int REPORTS_REMEMBERED = 16;
+
+  /** The node that leads a batch. */
+  record Leader(String id, String address) {}
+
+  /** The outcome of one run, kept until the leader has answered a report that carried it. */
+  static final class Outcome {
+    final ReportedItem item;
+
+    /**
+     * Numbers of the reports that carried it: only an answer to one of these is an answer for it.
+     */
+    private final Set<Long> carriedBy = new HashSet<>();
+
+    private long sentAt = NEVER;
+
+    Outcome(ReportedItem item) {
+      this.item = item;
+    }
+  }
+
+  final String batch;
+  final int number;
+  final long epoch;
+  final String worker;
+
+  /** When the batch is due. */
+  final long dueAt;
+
+  /** What was assigned was true at this time, as far as deadlines go. */
+  final long assignedAt;
+
+  Leader leader;
+
+  /**
+   * Counted from the sending of what the leader answered: always before the leader's own end of the
+   * lease.
+   */
+  long leaseEndsAt;
+
+  final ArrayDeque<HandoutItem> unsent = new ArrayDeque<>();
+  final Map<Integer, ItemRun> running = new LinkedHashMap<>();
+
+  /** By item: what earlier runs of an opaque item brought, which the next one goes on behind. */
+  final Map<Integer, StreamText> texts = new HashMap<>();
+
+  /** By item: how often a run broke off without saying anything against the item. */
+  private final Map<Integer, Integer> interruptions = new HashMap<>();
+
+  /** By item: when it may run again. */
+  private final Map<Integer, Long> restsUntil = new HashMap<>();
+
+  /** Items of the range without a finished run; the lowest is the range's offset. */
+  private final TreeSet<Integer> lacking = new TreeSet<>();
+
+  private final int end;
+
+  /** Outcomes the leader has not yet answered for. */
+  final List<Outcome> unanswered = new ArrayList<>();
+
+  /** By report number: when it was sent. */
+  private final TreeMap<Long, Long> reportsSentAt = new TreeMap<>();
+
+  private long lastReport;
+  boolean givingBack;
+
+  /**
+   * A report has said that nothing of the range runs here any more; it carried every outcome not
+   * answered for.
+   */
+  boolean handedBack;
+
+  /** The leader has taken the range away. */
+  boolean dropped;
+
+  AssignedRange(Message.RangeHandout assignment, Leader leader, long now) {
+    this.batch = assignment.batch();
+    this.number = assignment.range();
+    this.epoch = assignment.rangeEpoch();
+    this.worker = assignment.worker();
+    this.leader = leader;
+    this.dueAt = now + assignment.dueInMs();
+    this.assignedAt = now;
+    this.leaseEndsAt = assignment.pulledAt() + Constants.RANGE_GRANT_MS;
+    unsent.addAll(assignment.items());
+    assignment.items().forEach(item -> lacking.add(item.index()));
+    this.end = lacking.isEmpty() ? 0 : lacking.last() + 1;
+  }
+
+  /** One assignment of a range is held once; a later assignment has a higher epoch. */
+  static String name(String batch, int number, long epoch) {
+    return batch + " " + number + " " + epoch;
+  }
+
+  String name() {
+    return name(batch, number, epoch);
+  }
+
+  /**
+   * Nothing more of the range is sent; what runs may end and is reported, as its item may still
+   * lack a result.
+   */
+  void drop() {
+    dropped = true;
+    unsent.clear();
+  }
+
+  boolean isDone() {
+    return unsent.isEmpty() && running.isEmpty() && unanswered.isEmpty();
+  }
+
+  /** The item needs no further run. */
+  void finished(int index) {
+    lacking.remove(index);
+  }
+
+  /** Lets an item rest after a run that broke off, longer each time. */
+  void interrupted(int index, long now) {
+    int times = interruptions.merge(index, 1, Integer::sum);
+    long restMs =
+        Math.min(Constants.ITEM_REST_MOST_MS, Constants.ITEM_REST_MS << Math.min(times - 1, 10));
+    restsUntil.put(index, now + restMs);
+  }
+
+  boolean rests(int index, long now) {
+    return restsUntil.getOrDefault(index, Long.MIN_VALUE) > now;
+  }
+
+  /** Puts the item back in front of its range, unless the range is on its way out. */
+  void putBack(ItemRun run) {
+    if (run.text != null) {
+      texts.put(run.item.index(), run.text);
+    }
+    if (!dropped && !givingBack) {
+      unsent.addFirst(run.item);
+    }
+  }
+
+  /** A new leader has none of the reports: outcomes are sent at once again. */
+  void moveTo(Leader next) {
+    leader = next;
+    unanswered.forEach(outcome -> outcome.sentAt = NEVER);
+  }
+
+  /** Takes in the leader's answer to a report. */
+  void answered(long reportNumber, boolean keep) {
+    unanswered.removeIf(outcome -> outcome.carriedBy.contains(reportNumber));
+    Long sentAt = reportsSentAt.get(reportNumber);
+    reportsSentAt.headMap(reportNumber, true).clear();
+    if (!keep) {
+      drop();
+    } else if (sentAt != null) {
+      leaseEndsAt = Math.max(leaseEndsAt, sentAt + Constants.RANGE_GRANT_MS);
+    }
+  }
+
+  /** The number of a report that is sent now. */
+  long nextReport(long now) {
+    long report = ++lastReport;
+    reportsSentAt.put(report, now);
+    if (reportsSentAt.size() > REPORTS_REMEMBERED) {
+      reportsSentAt.pollFirstEntry();
+    }
+    return report;
+  }
+
+  boolean isReportDue(long now) {
+    return reportsSentAt.isEmpty()
+        || now - reportsSentAt.lastEntry().getValue() >= Constants.RANGE_REPORT_MS;
+  }
+
+  /**
+   * What is new, and what should have been answered by now; all of it when the range is handed
+   * back.
+   */
+  List<ReportedItem> carry(long report, boolean all, long now) {
+    List<ReportedItem> carried = new ArrayList<>();
+    for (Outcome outcome : unanswered) {
+      if (all || now - outcome.sentAt >= Constants.RESULT_AGAIN_MS) {
+        outcome.sentAt = now;
+        outcome.carriedBy.add(report);
+        carried.add(outcome.item);
+      }
+    }
+    return carried;
+  }
+
+  /**
+   * The first item that is not done. What is on its way by an earlier report may be lost: the
+   * offset counts only what this one carries.
+   */
+  int offset(long report) {
+    int offset = lacking.isEmpty() ? end : lacking.first();
+    for (Outcome outcome : unanswered) {
+      if (!outcome.carriedBy.contains(report)) {
+        offset = Math.min(offset, outcome.item.index());
+      }
+    }
+    return offset;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/ItemRun.java
@@ -0,0 +1,63 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Bundle.Route;
+import applespindle.corelogic.Message.HandoutItem;
+import applespindle.corelogic.Surroundings.WorkerRun;
+
+/** One run of one batch item at one worker. */
+final class ItemRun {
+  final AssignedRange range;
+  final HandoutItem item;
+
+  /** Unique over the life of this node; results carry it. */
+  final String id;
+
+  final WorkerBook.Known worker;
+  final long sentAt;
+
+  /** Output of a prompt so far. */
+  final StringBuilder output = new StringBuilder();
+
+  /** Of an opaque item: its stream so far, earlier runs included; null of a prompt. */
+  StreamText text;
+
+  /** Of an opaque item; null of a prompt. */
+  Route route;
+
+  /** Of an opaque item: the response's status, 0 before its head. */
+  int status;
+
+  /** The response is an event stream, and nothing else. */
+  boolean streams;
+
+  WorkerRun exchange = () -> {};
+  long lastTextAt;
+
+  /** Prompt tokens the worker still reads for it, as far as is known. */
+  double reading;
+
+  boolean over;
+
+  ItemRun(AssignedRange range, HandoutItem item, String id, WorkerBook.Known worker, long now) {
+    this.range = range;
+    this.item = item;
+    this.id = id;
+    this.worker = worker;
+    this.sentAt = now;
+    this.lastTextAt = now;
+  }
+
+  boolean isOpaque() {
+    return text != null;
+  }
+
+  boolean succeeds() {
+    return status / 100 == 2;
+  }
+
+  /** The worker has begun to answer, so it has read the whole prompt. */
+  void hasRead() {
+    worker.reading -= reading;
+    reading = 0;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/ItemRunner.java
@@ -0,0 +1,347 @@
+package applespindle.corelogic;
+
+import static applespindle.corelogic.Json.JSON;
+
+import applespindle.corelogic.Bundle.Route;
+import applespindle.corelogic.Message.HandoutItem;
+import applespindle.corelogic.OpaqueRequest.Head;
+import applespindle.corelogic.OpaqueRequest.Piece;
+import applespindle.corelogic.Surroundings.ExchangeListener;
+import applespindle.corelogic.Surroundings.WorkerCall;
+import applespindle.corelogic.Surroundings.WorkerExchange;
+import applespindle.corelogic.Surroundings.WorkerListener;
+import applespindle.corelogic.Surroundings.WorkerLoad;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Runs batch items at workers: sends an item, listens to its run, and decides whether the run ends
+ * the item, counts against it, or says nothing of it.
+ */
+final class ItemRunner {
+  /** Looks for further work once a run has made room. */
+  interface Feeding {
+    void pump();
+
+    void pump(WorkerBook.Known worker);
+  }
+
+  private final Surroundings surroundings;
+  private final String nodeId;
+  private final BatchFeeder.Edge edge;
+  private final WorkerBook book;
+  private final BatchCapacity capacity;
+  private final RangeReporter reporter;
+  private final Feeding feeding;
+  private long runs;
+
+  ItemRunner(
+      Surroundings surroundings,
+      String nodeId,
+      BatchFeeder.Edge edge,
+      WorkerBook book,
+      BatchCapacity capacity,
+      RangeReporter reporter,
+      Feeding feeding) {
+    this.surroundings = surroundings;
+    this.nodeId = nodeId;
+    this.edge = edge;
+    this.book = book;
+    this.capacity = capacity;
+    this.reporter = reporter;
+    this.feeding = feeding;
+  }
+
+  // ---- sending
+
+  /**
+   * Sends the range's next item; false if it may not be sent. The range's lease, the age of what
+   * this node knows and the worker's state are checked here, right before the item is sent.
+   */
+  boolean begin(AssignedRange range, WorkerBook.Known worker) {
+    if (range.givingBack
+        || range.dropped
+        || surroundings.now() >= range.leaseEndsAt
+        || edge.mayBegin() != null
+        || !book.usable(worker)) {
+      return false;
+    }
+    HandoutItem item = range.unsent.peek();
+    JsonNode body = Json.tree(item.body());
+    OpaqueHandout opaque = body.has("path") ? JSON.convertValue(body, OpaqueHandout.class) : null;
+    Route route = opaque == null ? null : edge.routes().findBatch(opaque.host(), opaque.path());
+    if (opaque != null && (route == null || !route.sendsTo(worker.worker.pool()))) {
+      reporter.giveBack(range);
+      return false;
+    }
+    range.unsent.poll();
+    ItemRun run = new ItemRun(range, item, nodeId + "-" + ++runs, worker, surroundings.now());
+    range.running.put(item.index(), run);
+    if (opaque != null) {
+      run.reading = opaque.item().tokens() * Constants.ITEM_UNREAD_PART;
+      worker.reading += run.reading;
+    }
+    book.began(worker, true);
+    if (opaque == null) {
+      sendPrompt(run, body);
+    } else {
+      sendOpaque(run, opaque, route);
+    }
+    return true;
+  }
+
+  private void sendPrompt(ItemRun run, JsonNode item) {
+    ObjectNode body = JSON.createObjectNode();
+    item.fields()
+        .forEachRemaining(
+            field -> {
+              if (!field.getKey().equals("id")) {
+                body.set(field.getKey(), field.getValue());
+              }
+            });
+    body.put("stream", true)
+        .put("applespindle_item", run.range.batch + "/" + item.path("id").asText());
+    long timeoutMs = edge.bundle().limits().batch().itemExpiryMs();
+    run.exchange =
+        surroundings.run(
+            new WorkerCall(run.worker.worker.address(), Json.bytes(body), timeoutMs),
+            new PromptListener(run));
+  }
+
+  private void sendOpaque(ItemRun run, OpaqueHandout assignment, Route route) {
+    StreamText earlier = run.range.texts.remove(run.item.index());
+    if (earlier == null) {
+      earlier = new StreamText(assignment.resumeAfter(), assignment.text());
+    }
+    run.text = earlier.resumeAfter().isEmpty() ? new StreamText() : earlier;
+    run.route = route;
+    OpaqueBatch.Item item = assignment.item();
+    long timeoutMs =
+        Math.max(1, assignment.expiresInMs() - (surroundings.now() - run.range.assignedAt));
+    var request =
+        new OpaqueRequest(
+            item.id(),
+            "POST",
+            item.target(),
+            assignment.host(),
+            item.headers(),
+            item.body(),
+            timeoutMs,
+            "",
+            item.tokens(),
+            0,
+            List.of(),
+            "");
+    run.exchange =
+        surroundings.exchange(
+            new WorkerExchange(
+                run.worker.worker.address(),
+                run.worker.worker.id(),
+                request,
+                Math.max(1, route.rank()),
+                timeoutMs,
+                run.text.resumeAfter()),
+            new OpaqueListener(run));
+  }
+
+  // ---- listening
+
+  private final class OpaqueListener implements ExchangeListener {
+    private final ItemRun run;
+
+    OpaqueListener(ItemRun run) {
+      this.run = run;
+    }
+
+    @Override
+    public void head(Head head) {
+      heard(run);
+      boolean first = run.status == 0;
+      run.status = head.status();
+      run.streams = streams(head);
+      if (first && run.succeeds()) {
+        capacity.noteFirst(surroundings.now() - run.sentAt);
+      }
+      feeding.pump(run.worker);
+    }
+
+    @Override
+    public void piece(Piece piece) {
+      heard(run);
+      if (!run.over && run.succeeds() && run.streams) {
+        run.text.add(piece);
+      }
+    }
+
+    @Override
+    public void end() {
+      heard(run);
+      ended(run);
+    }
+
+    @Override
+    public void load(WorkerLoad load) {
+      book.told(run.worker, load);
+    }
+
+    @Override
+    public void fault(Fault fault, boolean mayHaveRun) {
+      faulted(run, fault);
+    }
+  }
+
+  private final class PromptListener implements WorkerListener {
+    private final ItemRun run;
+
+    PromptListener(ItemRun run) {
+      this.run = run;
+    }
+
+    @Override
+    public void text(String text) {
+      run.lastTextAt = surroundings.now();
+      run.output.append(text);
+    }
+
+    @Override
+    public void end(String finishReason) {
+      if (leave(run)) {
+        book.served(run.worker);
+        run.range.finished(run.item.index());
+        outcome(run, finishReason, "", run.output.toString());
+      }
+    }
+
+    @Override
+    public void fault(Fault fault, boolean mayHaveRun) {
+      faulted(run, fault);
+    }
+  }
+
+  /** A head without a type is taken at its events' word. */
+  private static boolean streams(Head head) {
+    return head.headers().stream()
+        .filter(header -> header.name().equalsIgnoreCase("Content-Type"))
+        .allMatch(
+            header -> header.value().toLowerCase(Locale.ROOT).startsWith("text/event-stream"));
+  }
+
+  private void heard(ItemRun run) {
+    run.hasRead();
+    run.lastTextAt = surroundings.now();
+    book.heard(run.worker);
+  }
+
+  // ---- ends
+
+  /**
+   * A whole response. Only 500 counts against the item's attempts, and only 422 ends it; any other
+   * says nothing of it.
+   */
+  private void ended(ItemRun run) {
+    if (run.over) {
+      return;
+    }
+    leave(run);
+    if (run.succeeds() && run.streams) {
+      book.served(run.worker);
+      capacity.noteWhole(surroundings.now() - run.sentAt);
+      run.range.finished(run.item.index());
+      outcome(run, "", "", run.text.text());
+    } else if (run.status == 422) {
+      book.served(run.worker);
+      run.range.finished(run.item.index());
+      outcome(run, "", new Fault.ItemImpossible().type(), "");
+    } else if (run.status == 500) {
+      book.served(run.worker);
+      outcome(run, "", new Fault.ItemFailed(run.status).type(), "");
+      reporter.giveBack(run.range);
+    } else {
+      book.failed(run.worker);
+      putBackLater(run);
+    }
+  }
+
+  private void faulted(ItemRun run, Fault fault) {
+    if (!leave(run)) {
+      return;
+    }
+    boolean full = WorkerBook.saysFull(fault);
+    if (full) {
+      book.refused(run.worker);
+    } else {
+      book.faulted(run.worker);
+    }
+    if (run.isOpaque()) {
+      putBackLater(run);
+      return;
+    }
+    if (full) {
+      run.range.putBack(run);
+      return;
+    }
+    outcome(run, "", fault.type(), "");
+    reporter.giveBack(run.range);
+  }
+
+  /**
+   * The run says nothing against the item: it goes on behind the last whole event, or elsewhere if
+   * the worker is at fault.
+   */
+  private void putBackLater(ItemRun run) {
+    reporter.giveBackText(run);
+    run.range.interrupted(run.item.index(), surroundings.now());
+    run.range.putBack(run);
+    feeding.pump();
+  }
+
+  private void outcome(ItemRun run, String finishReason, String faultType, String output) {
+    reporter.outcome(run, finishReason, faultType, output);
+    feeding.pump();
+  }
+
+  /** False if the run had ended before. */
+  private boolean leave(ItemRun run) {
+    if (run.over) {
+      return false;
+    }
+    run.over = true;
+    run.hasRead();
+    book.ended(run.worker, true);
+    run.range.running.remove(run.item.index());
+    return true;
+  }
+
+  void cancel(ItemRun run) {
+    if (leave(run)) {
+      run.exchange.cancel();
+    }
+  }
+
+  /**
+   * A worker that was cut off takes its connections down with it late; its silence is believed
+   * sooner.
+   */
+  void giveUpIfLost(ItemRun run) {
+    boolean lost = run.isOpaque() ? silent(run) : book.lost(run.worker, run.lastTextAt);
+    if (lost) {
+      run.exchange.cancel();
+      faulted(run, new Fault.WorkerSilent(run.range.worker));
+    }
+  }
+
+  /**
+   * Nothing from this run for long and nothing from any other there; or nothing from it for far
+   * longer.
+   */
+  private boolean silent(ItemRun run) {
+    long now = surroundings.now();
+    long limit =
+        Math.max(Constants.SILENT_LEAST_MS, Constants.SILENT_GAPS * run.route.gapTargetMs());
+    long workerSilentFor = now - run.worker.heardAt;
+    return now - run.lastTextAt > limit
+        && (workerSilentFor > limit || now - run.lastTextAt > 4 * limit);
+  }
+}
