Part the checker of opaque traffic by what it judges

Change: OpaqueTraffic puts together what was seen; OpaqueRunRules, OpaqueResponseRules, OpaqueChangeRules and OpaqueBatchRules judge one thing each; OpaqueChecker calls them in the order it had. Rules are named by what holds.

--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueRules.java
@@ -0,0 +1,20 @@
+package applespindle.testfleet;
+
+import applespindle.testfleet.Checker.Rule;
+import applespindle.testfleet.Checker.Violation;
+import java.util.List;
+
+/** A group of rules over the same traffic; each adds what it finds to one list. */
+abstract class OpaqueRules {
+  final OpaqueTraffic traffic;
+  private final List<Violation> violations;
+
+  OpaqueRules(OpaqueTraffic traffic, List<Violation> violations) {
+    this.traffic = traffic;
+    this.violations = violations;
+  }
+
+  final void violated(Rule rule, long atMs, String what) {
+    violations.add(new Violation(rule, atMs, what));
+  }
+}
