--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/FaultTargets.java
@@ -0,0 +1,61 @@
+package applespindle.testfleet;
+
+import static applespindle.corelogic.Json.JSON;
+
+import applespindle.testfleet.Simulation.Process;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Finds the process that a fault of a scenario is to strike. */
+final class FaultTargets {
+  private final SimulatedFleet fleet;
+  private final Simulation simulation;
+
+  FaultTargets(SimulatedFleet fleet) {
+    this.fleet = fleet;
+    this.simulation = fleet.simulation;
+  }
+
+  /** A process by name or by what it does at this moment. */
+  Process named(String name) {
+    Process named = simulation.processes.get(name);
+    if (named != null) {
+      return named;
+    }
+    return switch (name) {
+      case "leader" -> busiest("leads");
+      case "feeder" -> busiest("batchRunning");
+      case "any-edge" -> fleet.anyEdge();
+      case "any-core" ->
+          simulation.processes.get(SimulatedFleet.CORE.get(simulation.random.nextInt(3)));
+      case "any-storage" ->
+          simulation.processes.get("storage-" + (1 + simulation.random.nextInt(3)));
+      default -> name.startsWith("owner:") ? ownerOf(name.substring(6)) : null;
+    };
+  }
+
+  private Process ownerOf(String key) {
+    return SimulatedFleet.CORE.stream()
+        .map(simulation.processes::get)
+        .filter(core -> core.alive() && core.node().status().path("owned").has(key))
+        .findFirst()
+        .orElse(simulation.processes.get(SimulatedFleet.CORE.get(0)));
+  }
+
+  private Process busiest(String field) {
+    Process busiest = fleet.edges.get(0);
+    long most = -1;
+    for (Process edge : fleet.edges) {
+      JsonNode value = edge.alive() ? edge.node().status().path(field) : JSON.nullNode();
+      long open = 0;
+      for (JsonNode each : value) {
+        open += each.asText().startsWith("running") || each.asText().startsWith("accepted") ? 1 : 0;
+      }
+      long busy = value.isNumber() ? value.asLong() : open;
+      if (edge.alive() && !edge.frozen() && busy > most) {
+        busiest = edge;
+        most = busy;
+      }
+    }
+    return busiest;
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetOperator.java
@@ -0,0 +1,133 @@
+package applespindle.testfleet;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import applespindle.corelogic.CoreNode;
+import applespindle.corelogic.Records.WorkerInput;
+import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.Simulation.Process;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Consumer;
+
+/** The operator of one simulated fleet: lists workers, sends configurations and reads them back. */
+final class FleetOperator {
+  private final SimulatedFleet fleet;
+  private final Simulation simulation;
+
+  FleetOperator(SimulatedFleet fleet) {
+    this.fleet = fleet;
+    this.simulation = fleet.simulation;
+  }
+
+  /** Lists a worker, and lists it again while nothing certain is heard. */
+  void listWorker(String id) {
+    String pool = fleet.spares.contains(id) ? "spare" : "main";
+    simulation.history.add(simulation.nowMs(), Kind.WORKER_POOL, id, pool, "", 0);
+    var input = new WorkerInput(id, SimulatedWorkers.address(id), pool, null);
+    fleet.command(
+        fleet.liveCore(),
+        "worker",
+        "worker/" + id,
+        CoreNode.workerListed(input),
+        response -> {
+          if (response == null || !response.good()) {
+            simulation.afterMs(500, () -> listWorker(id));
+          }
+        });
+  }
+
+  void markLeaving(String id) {
+    fleet.command(
+        fleet.liveCore(),
+        "worker",
+        "worker/" + id,
+        CoreNode.workerMarked(id, true),
+        response -> {
+          int status = response == null ? 0 : response.status();
+          simulation.history.add(simulation.nowMs(), Kind.LEAVING_ANSWERED, id, "", "", status);
+          if (status != 200) {
+            simulation.afterMs(500, () -> markLeaving(id));
+          }
+        });
+  }
+
+  /** Sends once; a sender that hears nothing certain asks again with the same bytes. */
+  void sendBundle(long number, String content, String coreName) {
+    byte[] bytes = content.getBytes(UTF_8);
+    simulation.history.add(
+        simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
+    Deployment.pools(content)
+        .forEach(
+            (trafficClass, pool) ->
+                simulation.history.add(
+                    simulation.nowMs(),
+                    Kind.BUNDLE_WAY,
+                    Long.toString(number),
+                    trafficClass,
+                    pool,
+                    number));
+    fleet.command(
+        coreName,
+        "bundle",
+        "bundle",
+        fleet.signed(bytes, null),
+        response -> {
+          int status = response == null ? 0 : response.status();
+          simulation.history.add(
+              simulation.nowMs(),
+              Kind.BUNDLE_ANSWERED,
+              Long.toString(number),
+              response == null ? "" : response.faultType(),
+              "",
+              status);
+          if (status == 200) {
+            fleet.whenTold.accept("bundle", number);
+          }
+          if (status != 200 && status != 409) {
+            simulation.afterMs(700, () -> sendBundle(number, content, fleet.liveCore()));
+          }
+        });
+  }
+
+  /** Reads the bundle back at the core, and sees what each ready edge has in force. */
+  void watchBundles() {
+    long begunAt = simulation.nowMs();
+    fleet.command(
+        fleet.liveCore(),
+        "read",
+        "bundle",
+        new byte[] {'{', '}'},
+        response -> {
+          if (response != null && response.good() && !response.body().isNull()) {
+            simulation.history.add(
+                simulation.nowMs(),
+                Kind.BUNDLE_READ,
+                "",
+                "",
+                Long.toString(begunAt),
+                response.body().path("number").asLong());
+          }
+        });
+    for (Process edge : fleet.edges) {
+      fleet.waitFor(
+          edge,
+          SimulatedFleet.SENDER_PATIENCE_MS,
+          (Consumer<JsonNode> then) -> {
+            boolean ready = edge.node().notReadyBecause().isEmpty();
+            then.accept(ready ? edge.node().status() : null);
+          },
+          status -> {
+            if (status != null) {
+              simulation.history.add(
+                  simulation.nowMs(),
+                  Kind.EDGE_BUNDLE,
+                  edge.name,
+                  "",
+                  "",
+                  status.path("bundle").asLong());
+            }
+          });
+    }
+    simulation.afterMs(500, this::watchBundles);
+  }
+}
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueBatchRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueBatchRules.java
@@ -64,27 +64,32 @@
               batch.id + " body of " + each.detail() + " is " + each.text());
         }
       } else if (each.kind() == Kind.OPAQUE_CLOSED && batch.acceptedMs >= 0) {
-        if (each.detail().equals("unread")
-            || Long.parseLong(each.text()) < batch.results.size()
-            || each.number() > 0) {
-          violated(
-              Rule.ACCEPTED_BATCH_LOST,
-              each.atMs(),
-              batch.id
-                  + " "
-                  + each.detail()
-                  + " at the close, "
-                  + each.text()
-                  + " of "
-                  + batch.results.size()
-                  + " results, "
-                  + each.number()
-                  + " bodies missing");
-        }
+        closed(batch, each);
       }
     }
   }
 
+  /** At the close of the day all that was recorded can be read. */
+  private void closed(Batch batch, Seen each) {
+    if (each.detail().equals("unread")
+        || Long.parseLong(each.text()) < batch.results.size()
+        || each.number() > 0) {
+      violated(
+          Rule.ACCEPTED_BATCH_LOST,
+          each.atMs(),
+          batch.id
+              + " "
+              + each.detail()
+              + " at the close, "
+              + each.text()
+              + " of "
+              + batch.results.size()
+              + " results, "
+              + each.number()
+              + " bodies missing");
+    }
+  }
+
   private void read(Batch batch, Seen each, Map<Long, Long> readAt, long settleMs) {
     String[] words = each.text().split(" ");
     long from = Long.parseLong(words[0]);
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueChangeRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueChangeRules.java
@@ -144,14 +144,7 @@
             .mapToLong(Change::number)
             .sorted()
             .toArray();
-    String what =
-        (request == null ? "an item" : request.subject())
-            + " asked "
-            + OpaqueTraffic.host(asked)
-            + OpaqueTraffic.path(asked)
-            + " at "
-            + edge
-            + (pool == null ? " and was told of no route" : " ran in " + pool);
+    String what = described(request, asked, edge, pool);
     if (fitting.length == 0) {
       boolean wrong =
           pool != null
@@ -189,4 +182,14 @@
       proven.add(new long[] {fitting[0], atMs});
     }
   }
+
+  private static String described(Seen request, String asked, String edge, String pool) {
+    return (request == null ? "an item" : request.subject())
+        + " asked "
+        + OpaqueTraffic.host(asked)
+        + OpaqueTraffic.path(asked)
+        + " at "
+        + edge
+        + (pool == null ? " and was told of no route" : " ran in " + pool);
+  }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -6,10 +6,8 @@
 import applespindle.corelogic.BatchInput;
 import applespindle.corelogic.CoreNode;
 import applespindle.corelogic.EdgeNode;
-import applespindle.corelogic.LiveDesk;
 import applespindle.corelogic.Records.SignedBundle;
 import applespindle.corelogic.Records.StorageState;
-import applespindle.corelogic.Records.WorkerInput;
 import applespindle.corelogic.Response;
 import applespindle.operatortool.Signing;
 import applespindle.testfleet.History.Kind;
@@ -18,10 +16,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -29,10 +26,9 @@
 
 /** One deployment in the simulator, with its senders, its operators and its platform. */
 final class SimulatedFleet {
-  private static final List<String> CORE = List.of("core-1", "core-2", "core-3");
+  static final List<String> CORE = List.of("core-1", "core-2", "core-3");
   static final int SUBMIT_TRIES = 6;
-  private static final long SENDER_PATIENCE_MS = 8_000;
-  private static final long LIVE_PATIENCE_MS = 12_000;
+  static final long SENDER_PATIENCE_MS = 8_000;
 
   /** More families than one worker's cache holds, fewer than all caches together. */
   static final int FAMILIES = 200;
@@ -40,9 +36,6 @@
   private static final int FAMILY_CHARS = 320;
   private static final long POLL_MS = 400;
   private static final long READY_MS = 500;
-  private static final int ONCE_TWINS_ONE_IN = 5;
-  private static final int ONCE_REPEATS = 3;
-  private static final double ONCE_AGAIN_MS = 400;
   private static final String SHARED =
       "In the usual form of the office, with greeting, place and hour of the event. ".repeat(4);
   private static final Signing.Keys KEYS = Signing.generate();
@@ -207,7 +200,7 @@
   final Simulation simulation;
   final Deployment deployment;
   final List<Sender> senders = new ArrayList<>();
-  private final List<Process> edges = new ArrayList<>();
+  final List<Process> edges = new ArrayList<>();
   private final List<Process> all = new ArrayList<>();
   private List<Process> readyEdges = List.of();
 
@@ -221,7 +214,6 @@
   List<Process> callersAt = List.of();
 
   boolean obedient;
-  private final Set<String> cameBack = new HashSet<>();
 
   /** By fault type, the longest time from sending a live request to its refusal. */
   final Map<String, Long> refusedAfterMs = new TreeMap<>();
@@ -232,9 +224,11 @@
   /** Workers listed in the pool "spare" instead of "main". */
   List<String> spares = List.of();
 
+  private final LiveClients liveClients;
+  private final FleetOperator operator;
+  private final FaultTargets faultTargets;
   private long acceptances;
   private long ends;
-  private long liveNumber;
   private long batchNumber;
   final List<Long> checkLatencies = new ArrayList<>();
   final List<Long> noteLatencies = new ArrayList<>();
@@ -278,6 +272,9 @@
   SimulatedFleet(Deployment deployment, long seed) {
     this.deployment = deployment;
     simulation = new Simulation(seed, Map.of("operator", KEYS.publicKey()), deployment.pace);
+    liveClients = new LiveClients(this);
+    operator = new FleetOperator(this);
+    faultTargets = new FaultTargets(this);
     for (int zone = 0; zone < 3; zone++) {
       addWithDisk(CORE.get(zone), "core", zone);
       addWithDisk("storage-" + (zone + 1), "storage", zone);
@@ -307,9 +304,9 @@
             simulation.workers.all().values().stream()
                 .map(worker -> worker.id)
                 .sorted()
-                .forEach(this::listWorker));
-    simulation.atMs(1_500, () -> sendBundle(1, deployment.bundle(1), "core-1"));
-    simulation.atMs(2_000, this::watchBundles);
+                .forEach(operator::listWorker));
+    simulation.atMs(1_500, () -> operator.sendBundle(1, deployment.bundle(1), "core-1"));
+    simulation.atMs(2_000, operator::watchBundles);
     simulation.atMs(3_000, this::lookForReadyEdges);
     simulation.history.add(
         0,
@@ -395,8 +392,7 @@
         });
   }
 
-  private void command(
-      String coreName, String duty, String key, Object body, Consumer<Response> then) {
+  void command(String coreName, String duty, String key, Object body, Consumer<Response> then) {
     command(simulation.processes.get(coreName), SENDER_PATIENCE_MS, duty, key, body, then);
   }
 
@@ -409,8 +405,8 @@
     return cores.get(simulation.random.nextInt(cores.size()));
   }
 
-  SignedBundle signed(byte[] bytes, long buildsOn) {
-    byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
+  SignedBundle signed(byte[] bytes, Long buildsOn) {
+    byte[] signature = Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
     return new SignedBundle(0, bytes, "operator", signature, buildsOn);
   }
 
@@ -428,7 +424,8 @@
         then);
   }
 
-  private String liveCore() {
+  /** Any core node that is up; the first if none is. */
+  String liveCore() {
     List<String> live =
         CORE.stream()
             .filter(
@@ -439,116 +436,13 @@
     return live.isEmpty() ? CORE.get(0) : live.get(simulation.random.nextInt(live.size()));
   }
 
-  private void listWorker(String id) {
-    String pool = spares.contains(id) ? "spare" : "main";
-    simulation.history.add(simulation.nowMs(), Kind.WORKER_POOL, id, pool, "", 0);
-    var input = new WorkerInput(id, SimulatedWorkers.address(id), pool, null);
-    command(
-        liveCore(),
-        "worker",
-        "worker/" + id,
-        CoreNode.workerListed(input),
-        response -> {
-          if (response == null || !response.good()) {
-            simulation.afterMs(500, () -> listWorker(id));
-          }
-        });
-  }
-
-  void markLeaving(String id) {
-    command(
-        liveCore(),
-        "worker",
-        "worker/" + id,
-        CoreNode.workerMarked(id, true),
-        response -> {
-          int status = response == null ? 0 : response.status();
-          simulation.history.add(simulation.nowMs(), Kind.LEAVING_ANSWERED, id, "", "", status);
-          if (status != 200) {
-            simulation.afterMs(500, () -> markLeaving(id));
-          }
-        });
-  }
-
-  /** Sends once; a sender that hears nothing certain asks again with the same bytes. */
+  /** Sends a configuration once; asks again with the same bytes while nothing certain is heard. */
   void sendBundle(long number, String content, String coreName) {
-    byte[] bytes = content.getBytes(UTF_8);
-    byte[] signature = java.util.Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
-    simulation.history.add(
-        simulation.nowMs(), Kind.BUNDLE_SENT, Long.toString(number), "", "", number);
-    Deployment.pools(content)
-        .forEach(
-            (trafficClass, pool) ->
-                simulation.history.add(
-                    simulation.nowMs(),
-                    Kind.BUNDLE_WAY,
-                    Long.toString(number),
-                    trafficClass,
-                    pool,
-                    number));
-    command(
-        coreName,
-        "bundle",
-        "bundle",
-        new SignedBundle(0, bytes, "operator", signature),
-        response -> {
-          int status = response == null ? 0 : response.status();
-          simulation.history.add(
-              simulation.nowMs(),
-              Kind.BUNDLE_ANSWERED,
-              Long.toString(number),
-              response == null ? "" : response.faultType(),
-              "",
-              status);
-          if (status == 200) {
-            whenTold.accept("bundle", number);
-          }
-          if (status != 200 && status != 409) {
-            simulation.afterMs(700, () -> sendBundle(number, content, liveCore()));
-          }
-        });
+    operator.sendBundle(number, content, coreName);
   }
 
-  /** Reads the bundle back at the core, and sees what each ready edge has in force. */
-  private void watchBundles() {
-    long begunAt = simulation.nowMs();
-    command(
-        liveCore(),
-        "read",
-        "bundle",
-        new byte[] {'{', '}'},
-        response -> {
-          if (response != null && response.good() && !response.body().isNull()) {
-            simulation.history.add(
-                simulation.nowMs(),
-                Kind.BUNDLE_READ,
-                "",
-                "",
-                Long.toString(begunAt),
-                response.body().path("number").asLong());
-          }
-        });
-    for (Process edge : edges) {
-      waitFor(
-          edge,
-          SENDER_PATIENCE_MS,
-          (Consumer<JsonNode> then) -> {
-            boolean ready = edge.node().notReadyBecause().isEmpty();
-            then.accept(ready ? edge.node().status() : null);
-          },
-          status -> {
-            if (status != null) {
-              simulation.history.add(
-                  simulation.nowMs(),
-                  Kind.EDGE_BUNDLE,
-                  edge.name,
-                  "",
-                  "",
-                  status.path("bundle").asLong());
-            }
-          });
-    }
-    simulation.afterMs(500, this::watchBundles);
+  void markLeaving(String workerId) {
+    operator.markLeaving(workerId);
   }
 
   private static String roleOf(String name) {
@@ -597,170 +491,14 @@
 
   /** Requests a second, as a stream with random gaps. */
   void live(String trafficClass, double perSecond, long fromMs, long untilMs) {
-    if (perSecond <= 0) {
-      return;
-    }
-    simulation.atMs(fromMs, () -> nextLive(trafficClass, perSecond, untilMs));
-  }
-
-  private void nextLive(String trafficClass, double perSecond, long untilMs) {
-    if (simulation.nowMs() >= untilMs) {
-      return;
-    }
-    sendLive(trafficClass, trafficClass.equals("once") ? "once-" + liveNumber : "");
-    double gap = -Math.log(1 - simulation.random.nextDouble()) * 1000 / perSecond;
-    simulation.afterMs(gap, () -> nextLive(trafficClass, perSecond, untilMs));
+    liveClients.live(trafficClass, perSecond, fromMs, untilMs);
   }
 
   /**
-   * A sender of a once-request that hears nothing certain sends it again elsewhere; some are sent
-   * twice at once.
-   */
-  private void sendLive(String trafficClass, String once) {
-    sendLive(trafficClass, once, 0);
-    if (!once.isEmpty() && simulation.random.nextInt(ONCE_TWINS_ONE_IN) == 0) {
-      sendLive(trafficClass, once, ONCE_REPEATS);
-    }
-  }
-
-  private void sendLive(String trafficClass, String once, int repeats) {
-    long number = ++liveNumber;
-    String id = "l" + number;
-    int tokens = trafficClass.equals("note") ? 24 : 2;
-    String prompt = familyPrompt(simulation.random.nextInt(FAMILIES), id);
-    boolean stream = simulation.random.nextBoolean();
-    Process edge = anyEdge();
-    long sentAt = simulation.nowMs();
-    simulation.history.add(sentAt, Kind.LIVE_SENT, id, once, prompt, tokens);
-    simulation.history.add(sentAt, Kind.LIVE_AT, id, edge.name, "", 0);
-    simulation.history.add(
-        sentAt, Kind.LIVE_CLASS, id, trafficClass.equals("note") ? "note" : "check", prompt, 0);
-    StringBuilder streamed = new StringBuilder();
-    LiveDesk.Handle[] handle = new LiveDesk.Handle[1];
-    boolean[] done = new boolean[1];
-    simulation.call(
-        edge,
-        (Consumer<Runnable> then) -> {
-          ObjectNode body =
-              JSON.createObjectNode()
-                  .put("prompt", prompt)
-                  .put("max_tokens", tokens)
-                  .put("stream", true);
-          var request =
-              new LiveDesk.Request(
-                  "sender", null, trafficClass, Map.of(), prompt, body, stream, once);
-          handle[0] =
-              ((EdgeNode) edge.node())
-                  .complete(
-                      request,
-                      new LiveDesk.Listener() {
-                        @Override
-                        public void text(String text) {
-                          simulation.afterMs(0.3, () -> streamed.append(done[0] ? "" : text));
-                        }
-
-                        @Override
-                        public void end(String wholeOutput, String finishReason) {
-                          then.accept(
-                              () ->
-                                  liveAnswered(
-                                      id,
-                                      trafficClass,
-                                      once,
-                                      repeats,
-                                      sentAt,
-                                      done,
-                                      200,
-                                      "complete",
-                                      stream ? streamed.toString() : wholeOutput));
-                        }
-
-                        @Override
-                        public void fault(Response response, boolean cut) {
-                          if (!cut && response.comeBackSeconds() > 0) {
-                            refusedAfterMs.merge(
-                                response.faultType(), simulation.nowMs() - sentAt, Math::max);
-                            comeBack(id, response.comeBackSeconds(), trafficClass);
-                          }
-                          then.accept(
-                              () ->
-                                  liveAnswered(
-                                      id,
-                                      trafficClass,
-                                      once,
-                                      repeats,
-                                      sentAt,
-                                      done,
-                                      cut ? 200 : response.status(),
-                                      cut ? "cut" : response.faultType(),
-                                      streamed.toString()));
-                        }
-                      });
-        },
-        new Caller<Runnable>() {
-          @Override
-          public void answered(Runnable answer) {
-            answer.run();
-          }
-
-          @Override
-          public void broken(boolean neverReached) {
-            liveAnswered(
-                id,
-                trafficClass,
-                once,
-                repeats,
-                sentAt,
-                done,
-                0,
-                neverReached ? "unreachable" : "cut",
-                streamed.toString());
-          }
-        });
-    simulation.afterMs(
-        LIVE_PATIENCE_MS,
-        () -> {
-          if (!done[0]) {
-            liveAnswered(
-                id, trafficClass, once, repeats, sentAt, done, 0, "cut", streamed.toString());
-            simulation.call(
-                edge,
-                (Consumer<Object> then) -> handle[0].cancel(),
-                new Caller<>() {
-                  @Override
-                  public void answered(Object answer) {}
-
-                  @Override
-                  public void broken(boolean neverReached) {}
-                });
-          }
-        });
-  }
-
-  /**
-   * A sender that was told when to come back does so then; how many such are served is expected of
-   * some scenarios.
-   */
-  private void comeBack(String id, int seconds, String trafficClass) {
-    if (obedient && trafficClass.equals("check") && !cameBack.contains(id)) {
-      simulation.afterMs(
-          1000.0 * seconds,
-          () -> {
-            cameBack.add("l" + (liveNumber + 1));
-            sendLive(trafficClass, "", 0);
-          });
-    }
-  }
-
-  /**
-   * Percent of the senders that came back when told to and were served then; 100 if none had to.
+   * Percent of the clients that came back when told to and were served then; 100 if none had to.
    */
   long cameBackPercent() {
-    long served =
-        simulation.history.of(Kind.LIVE_ANSWERED).stream()
-            .filter(seen -> cameBack.contains(seen.subject()) && seen.detail().equals("complete"))
-            .count();
-    return cameBack.isEmpty() ? 100 : 100 * served / cameBack.size();
+    return liveClients.cameBackPercent();
   }
 
   /** Prompts come in families that share a long beginning, as the brief's do. */
@@ -768,32 +506,6 @@
     return ("Case file " + family + ". " + SHARED).substring(0, FAMILY_CHARS) + "Ruling " + id;
   }
 
-  private void liveAnswered(
-      String id,
-      String trafficClass,
-      String once,
-      int repeats,
-      long sentAt,
-      boolean[] done,
-      int status,
-      String detail,
-      String text) {
-    if (!done[0]) {
-      if (!once.isEmpty()
-          && !detail.equals("complete")
-          && status != 409
-          && repeats < ONCE_REPEATS) {
-        simulation.afterMs(ONCE_AGAIN_MS, () -> sendLive(trafficClass, once, repeats + 1));
-      }
-      done[0] = true;
-      simulation.history.add(simulation.nowMs(), Kind.LIVE_ANSWERED, id, detail, text, status);
-      if (detail.equals("complete")) {
-        (trafficClass.equals("note") ? noteLatencies : checkLatencies)
-            .add(simulation.nowMs() - sentAt);
-      }
-    }
-  }
-
   void batches(long everyMs, long fromMs, long untilMs) {
     for (long at = fromMs; everyMs > 0 && at < untilMs; at += everyMs) {
       simulation.atMs(at, this::submitOne);
@@ -814,54 +526,11 @@
 
   /** One line of figures, in simulated milliseconds. */
   String summary() {
-    if (outside != null) {
-      return clients.summary()
-          + "; list calls "
-          + outside.list.calls
-          + ", refused "
-          + outside.list.refusedCalls;
-    }
-    List<Long> batches =
-        senders.stream()
-            .filter(sender -> sender.finishedAtMs >= 0)
-            .map(sender -> sender.finishedAtMs - sender.acceptedAtMs)
-            .toList();
-    long accepted = senders.stream().filter(sender -> sender.acceptedAtMs >= 0).count();
-    long received =
-        simulation.history.of(Kind.WORKER_RECEIVED).stream()
-            .filter(seen -> !seen.detail().isEmpty())
-            .count();
-    return "batches "
-        + senders.size()
-        + ", accepted "
-        + accepted
-        + ", done median "
-        + percentile(batches, 50)
-        + " most "
-        + percentile(batches, 100)
-        + "; checks "
-        + checkLatencies.size()
-        + " median "
-        + percentile(checkLatencies, 50)
-        + " p99 "
-        + percentile(checkLatencies, 99)
-        + "; notes "
-        + noteLatencies.size()
-        + " p99 "
-        + percentile(noteLatencies, 99)
-        + "; item runs "
-        + received
-        + "; cache hits "
-        + cacheHitPercent()
-        + "%";
+    return new FleetSummary(this).toString();
   }
 
   long cacheHitPercent() {
-    int looks =
-        simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheLooks).sum();
-    int hits =
-        simulation.workers.all().values().stream().mapToInt(worker -> worker.cacheHits).sum();
-    return looks == 0 ? 0 : 100 * hits / looks;
+    return new FleetSummary(this).cacheHitPercent();
   }
 
   /** Batches of which a majority of the storage nodes knows that they were removed. */
@@ -882,48 +551,8 @@
         : sorted.get(Math.min(sorted.size() - 1, sorted.size() * percent / 100));
   }
 
-  // ---- targets of faults
-
   /** A process by name or by what it does at this moment. */
   Process target(String name) {
-    Process named = simulation.processes.get(name);
-    if (named != null) {
-      return named;
-    }
-    return switch (name) {
-      case "leader" -> busiest("leads");
-      case "feeder" -> busiest("batchRunning");
-      case "any-edge" -> anyEdge();
-      case "any-core" -> simulation.processes.get(CORE.get(simulation.random.nextInt(3)));
-      case "any-storage" ->
-          simulation.processes.get("storage-" + (1 + simulation.random.nextInt(3)));
-      default -> name.startsWith("owner:") ? ownerOf(name.substring(6)) : null;
-    };
-  }
-
-  private Process ownerOf(String key) {
-    return CORE.stream()
-        .map(simulation.processes::get)
-        .filter(core -> core.alive() && core.node().status().path("owned").has(key))
-        .findFirst()
-        .orElse(simulation.processes.get(CORE.get(0)));
-  }
-
-  private Process busiest(String field) {
-    Process busiest = edges.get(0);
-    long most = -1;
-    for (Process edge : edges) {
-      JsonNode value = edge.alive() ? edge.node().status().path(field) : JSON.nullNode();
-      long open = 0;
-      for (JsonNode each : value) {
-        open += each.asText().startsWith("running") || each.asText().startsWith("accepted") ? 1 : 0;
-      }
-      long busy = value.isNumber() ? value.asLong() : open;
-      if (edge.alive() && !edge.frozen() && busy > most) {
-        busiest = edge;
-        most = busy;
-      }
-    }
-    return busiest;
+    return faultTargets.named(name);
   }
 }
