A follower driven to another zone's core member returns to the nearest one

Cause: a follower that did not hear its core member for 0.9 s turned to the next, of any zone, and stayed there: all that is pushed to it, whole bundles too, crossed zones from then on. Change: it asks the nearest one every 5 s and follows it from its answer on; meanwhile it stays.

--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -198,6 +198,11 @@
   /** A follower changes its core node when it heard nothing for this long. */
   public static final long FEED_SWITCH_MS = 900;
 
+  /**
+   * How often a follower that was driven to another zone's core member asks for the nearest one.
+   */
+  public static final long NEAR_CORE_MS = 5_000;
+
   /**
    * Oldest feed on which an edge begins new work: leaves half a second of the 3 s for leaving
    * workers.
--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -109,6 +109,7 @@
     lookForCore();
     every(Constants.FEED_POLL_MS, this::followFeed);
     every(Constants.GRANT_RENEW_MS, this::renewGrant);
+    every(Constants.NEAR_CORE_MS, this::lookForNearCore);
     every(
         Constants.GRANT_LENGTH_MS,
         () -> {
@@ -219,6 +220,17 @@
     return ordered.get(Math.floorMod(chosenCore, ordered.size()));
   }
 
+  /**
+   * One that had to turn to another zone's core member asks the nearest now and then, and follows
+   * it from its answer on: meanwhile it goes on where it is.
+   */
+  private void lookForNearCore() {
+    if (heardCore && !roster.members().isEmpty() && chosenCore() != coreInOrder().get(0)) {
+      CoreMember nearest = coreInOrder().get(0);
+      send(nearest.peerAddress(), nearest.id(), follow("", 0, 0));
+    }
+  }
+
   /** Members of this node's zone first, so that what is asked all the time stays within it. */
   private List<CoreMember> coreInOrder() {
     if (coreOrderOf != roster) {
@@ -402,6 +414,7 @@
       }
       if (news.ageMs() < Constants.CORE_SILENT_MS) {
         lastHeardAt = now;
+        followFrom(news.coreId());
       }
       feedNumber = follows ? Math.max(feedNumber, news.number()) : news.number();
       feedId = news.coreId();
@@ -486,6 +499,15 @@
     changed(key);
   }
 
+  /** Questions go from here on to the core member whose feed this node's place is in. */
+  private void followFrom(String coreId) {
+    for (int index = 0; index < coreInOrder().size(); index++) {
+      if (coreInOrder().get(index).id().equals(coreId)) {
+        chosenCore = index;
+      }
+    }
+  }
+
   /** Called once the first news of the core itself are folded. */
   protected void firstNews() {}
 
