Lead only with a majority: step-down, silent owners' beats don't count, trial round

Cause: an owner of a key never stepped down for want of a majority. Its appends and the keys named in its greetings kept claimants away whether or not it heard any answer, so where messages passed one way only, its keys had no working owner until the cut ended. A member that was cut off raised its own promised epoch every 600 ms, and on its return each such promise ended the term of the owner of that key. Commands at a member that was cut off waited 6 s.

Ruled out: a shorter time limit of commands (the owner stays); only the step-down, without the flag on appends (the replicas wait for it, 3 s, and then for their own interval).

Change: an owner counts the beats since each replica showed that it hears it, by an answer or, in the core, by a greeting. With no majority for 1 s its appends and greetings say so and replicas let others claim; after 3 s it steps down. A claim begins with a trial (KeyPromise.trial, answered WOULD_PROMISE) that changes nothing at a replica. Core members order keys only among those that hear them, and claim nothing without a majority. A member without a majority refuses commands at once with NoMajority (503, Retry-After).

--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -155,6 +155,7 @@
       body.epochCounter(promise.epoch().counter())
           .handedOver(flag(promise.handedOver()))
           .setNumber(promise.setNumber())
+          .trial(flag(promise.trial()))
           .key(promise.key())
           .epochNode(promise.epoch().node());
       finish(body);
@@ -187,7 +188,8 @@
           .previousSequence(append.previousSequence())
           .previousCounter(append.previousEpoch().counter())
           .committed(append.committed())
-          .setNumber(append.setNumber());
+          .setNumber(append.setNumber())
+          .hearsMajority(flag(append.hearsMajority()));
       KeyAppendBodyEncoder.EntriesEncoder entries = body.entriesCount(append.entries().size());
       for (Entry entry : append.entries()) {
         entries
@@ -373,7 +375,8 @@
             body.key(),
             new Epoch(body.epochCounter(), body.epochNode()),
             body.setNumber(),
-            body.handedOver() == 1);
+            body.handedOver() == 1,
+            body.trial() == 1);
       }
       case KeyPromisedBodyDecoder.TEMPLATE_ID -> {
         KeyPromisedBodyDecoder body = open(new KeyPromisedBodyDecoder());
@@ -415,6 +418,7 @@
             body.previousSequence(),
             new Epoch(body.previousCounter(), body.previousNode()),
             body.committed(),
+            body.hearsMajority() != 0,
             entries);
       }
       case KeyAppendedBodyDecoder.TEMPLATE_ID -> {
--- a/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -66,7 +66,7 @@
 
   @Test
   void keepsEpochsApart() throws UnreadableFrame {
-    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true);
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, true);
     Envelope sent = new Envelope("a", "127.0.0.1:1", "", promise);
     assertThat(codec.decode(codec.encode(sent))).isEqualTo(sent);
   }
--- a/core-logic/src/main/java/applespindle/corelogic/Constants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Constants.java
@@ -122,6 +122,18 @@
    */
   public static final long TAKEOVER_MS = 1_000;
 
+  /**
+   * An owner that no majority answered for this long tells its replicas so, and they let others
+   * claim the key. As long as a replica bears silence of an owner: the two ways of a cut end alike.
+   */
+  public static final long OWNER_UNHEARD_MS = TAKEOVER_MS;
+
+  /**
+   * An owner that no majority answered for this long steps down. Longer than its commands wait:
+   * disks that stall for a moment, or one large append, cost no ownership.
+   */
+  public static final long OWNER_STEP_DOWN_MS = 3_000;
+
   /** How long a claimant waits for promises before it tries again under a higher epoch. */
   public static final long CLAIM_ROUND_MS = 600;
 
--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -162,6 +162,7 @@
 
   private final Feed feed = new Feed();
   private boolean started;
+  private long startedAt;
   private long searches;
   private final Map<String, Long> coreSilentSince = new HashMap<>();
   private final Map<String, Follower> followers = new LinkedHashMap<>();
@@ -344,6 +345,7 @@
   @Override
   public void start() {
     started = true;
+    startedAt = surroundings.now();
     replicas.recovered();
     copyIfNewcomer();
     for (String address : founders.isEmpty() && roster.number() == 0 ? seeds : founders) {
@@ -411,7 +413,8 @@
     peers.values().stream().filter(this::alive).forEach(peer -> heard.add(peer.member.id()));
     ping.put("number", roster.number());
     ArrayNode owns = ping.putArray("owns");
-    owned.keySet().forEach(owns::add);
+    List<String> inContact = ownedInContact();
+    inContact.forEach(owns::add);
     byte[] body = Json.bytes(ping);
     byte[] withRoster =
         roster.number() == 0 ? body : Json.bytes(ping.set("roster", JSON.valueToTree(roster)));
@@ -421,7 +424,15 @@
       send(address, "", new CorePing(knowsRoster ? body : withRoster));
     }
     // This process's own copies of the keys it owns: to itself it says so without a message.
-    owned.keySet().forEach(key -> replicas.ownerLives(key, place.id(), place.peerAddress()));
+    inContact.forEach(key -> replicas.ownerLives(key, place.id(), place.peerAddress()));
+  }
+
+  /** Others may claim a key whose owner hears no majority: it is not said to be owned any more. */
+  private List<String> ownedInContact() {
+    return owned.values().stream()
+        .filter(state -> state.key.hearsMajority())
+        .map(state -> state.key.key)
+        .toList();
   }
 
   /**
@@ -460,6 +471,7 @@
     JsonNode body = Json.tree(ping.body());
     Peer peer = peers.computeIfAbsent(fromAddress, unseen -> new Peer());
     boolean unheard = !alive(peer);
+    boolean hearingEachOther = hearingEachOther(peer);
     peer.member = JSON.convertValue(body.get("member"), CoreMember.class);
     peer.heardAt = surroundings.now();
     peer.blank = body.path("blank").asBoolean();
@@ -471,13 +483,21 @@
     peer.rosterNumber = body.path("number").asLong();
     peer.hearsUs = false;
     body.path("heard").forEach(id -> peer.hearsUs |= id.asText().equals(place.id()));
+    if (peer.hearsUs) {
+      owned.values().forEach(state -> state.key.heardBy(peer.member.id()));
+    }
     body.path("owns")
         .forEach(key -> replicas.ownerLives(key.asText(), peer.member.id(), fromAddress));
     if (body.has("roster")) {
       learnRoster(JSON.convertValue(body.get("roster"), Roster.class));
     }
-    if (unheard && started && isMember() && inRoster(fromAddress)) {
-      heardAgain(fromAddress);
+    if (started && isMember() && inRoster(fromAddress)) {
+      if (unheard) {
+        heardAgain(fromAddress);
+      }
+      if (!hearingEachOther && hearingEachOther(peer) && !stopping) {
+        claimOrphans();
+      }
     }
   }
 
@@ -488,9 +508,25 @@
   private void heardAgain(String address) {
     ping(List.of(address));
     followPeer(address);
-    if (liveCore().size() * 2 > roster.members().size() && !stopping) {
-      claimOrphans();
-    }
+  }
+
+  /** Where messages pass one way only, neither side counts on the other. */
+  private boolean hearingEachOther(Peer peer) {
+    return alive(peer) && peer.hearsUs;
+  }
+
+  private boolean hearsMajority() {
+    return liveCore().size() * 2 > roster.members().size();
+  }
+
+  /**
+   * A member that hears no majority can neither own nor read: it says so at once. A process that
+   * started just now waits for the first greetings instead.
+   */
+  private boolean cutOff() {
+    return isMember()
+        && !hearsMajority()
+        && surroundings.now() - startedAt >= Constants.CORE_SILENT_MS;
   }
 
   /**
@@ -620,7 +656,7 @@
     for (CoreMember member : roster.members()) {
       Peer peer = peers.get(member.peerAddress());
       if (member.id().equals(place.id())
-          || peer != null && alive(peer) && peer.member.id().equals(member.id())) {
+          || peer != null && hearingEachOther(peer) && peer.member.id().equals(member.id())) {
         live.add(member.id());
       }
     }
@@ -638,6 +674,9 @@
   // ---- owning keys
 
   private void claimOrphans() {
+    if (!hearsMajority()) {
+      return;
+    }
     List<String> live = liveCore();
     replicas
         .copies()
@@ -1009,6 +1048,10 @@
       run(ask, state);
       return;
     }
+    if (cutOff()) {
+      respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+      return;
+    }
     String first = Rendezvous.first(ask.key(), liveCore());
     KeyReplicas.Copy copy = replicas.copies().get(ask.key());
     if (copy != null && !replicas.ownerSilent(copy) && !copy.owner.equals(place.id())) {
@@ -1036,6 +1079,10 @@
       respond(ask, Response.of(new Fault.NotOwner(ask.key())));
       return;
     }
+    if (!state.key.hearsMajority()) {
+      respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+      return;
+    }
     switch (ask.duty()) {
       case "grant" -> grant(ask, state, Json.read(ask.body(), Member.class));
       case "leave" -> leave(ask, state);
@@ -1402,6 +1449,10 @@
       then.accept(Response.of(new Fault.NodeStopping()));
       return;
     }
+    if (cutOff()) {
+      then.accept(Response.of(new Fault.NoMajority(key)));
+      return;
+    }
     ask(
         attempt -> {
           if (isMember() || roster.members().isEmpty()) {
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -432,6 +432,10 @@
   }
 
   private void serve(Ask ask, BatchLeader leader) {
+    if (!leader.key.hearsMajority()) {
+      respond(ask, Response.of(new Fault.NoMajority(ask.key())));
+      return;
+    }
     JsonNode body = ask.duty().equals("submit") ? null : Json.tree(ask.body());
     switch (ask.duty()) {
       case "submit" ->
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -5,6 +5,7 @@
 import static applespindle.corelogic.Message.Verdict.OK;
 import static applespindle.corelogic.Message.Verdict.OLD_SET;
 import static applespindle.corelogic.Message.Verdict.REFUSED;
+import static applespindle.corelogic.Message.Verdict.WOULD_PROMISE;
 
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Message.KeyAppend;
@@ -255,12 +256,15 @@
     if (!surroundings.takesWrites()) {
       return;
     }
+    if (message.trial()) {
+      replies.reply(fromAddress, fromId, triedPromise(message));
+      return;
+    }
     Copy copy = copy(message.key());
     if (oldSet(message.key(), message.setNumber())) {
       replies.reply(fromAddress, fromId, promised(message, copy, OLD_SET));
       return;
     }
-    boolean ownerHeard = surroundings.now() - copy.heardOwnerAt < Constants.TAKEOVER_MS;
     if (message.epoch().compareTo(copy.promised) <= 0) {
       afterSync(
           copy,
@@ -268,7 +272,7 @@
           () -> replies.reply(fromAddress, fromId, promised(message, copy, REFUSED)));
       return;
     }
-    if (ownerHeard && !message.handedOver() && !copy.owner.equals(message.epoch().node())) {
+    if (keptForOwner(copy, message)) {
       replies.reply(fromAddress, fromId, promised(message, copy, BUSY));
       return;
     }
@@ -283,6 +287,25 @@
         });
   }
 
+  /** Another owner was heard within the takeover interval, and has not handed the key over. */
+  private boolean keptForOwner(Copy copy, KeyPromise message) {
+    return !ownerSilent(copy)
+        && !message.handedOver()
+        && !copy.owner.equals(message.epoch().node());
+  }
+
+  /**
+   * What a promise would meet here now; nothing is changed or written. The promised epoch is told,
+   * so that the claimant's next is above it.
+   */
+  private KeyPromised triedPromise(KeyPromise message) {
+    Copy known = copies.get(message.key());
+    Copy copy = known == null ? new Copy() : known;
+    boolean old = message.setNumber() < setNumber(setNameOf.apply(message.key()));
+    Verdict verdict = old ? OLD_SET : keptForOwner(copy, message) ? BUSY : WOULD_PROMISE;
+    return promised(message, copy, verdict);
+  }
+
   private KeyPromised promised(KeyPromise message, Copy copy, Verdict verdict) {
     return new KeyPromised(
         message.key(),
@@ -316,7 +339,10 @@
     }
     copy.owner = message.epoch().node();
     copy.ownerAddress = fromAddress;
-    copy.heardOwnerAt = surroundings.now();
+    // An owner that waits for this very disk is not cut off.
+    if (message.hearsMajority() || copy.unsynced > 0) {
+      copy.heardOwnerAt = surroundings.now();
+    }
     long previous = message.previousSequence();
     Entry predecessor = copy.at(previous);
     boolean startsLog = previous == 0 && !message.entries().isEmpty();
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -6,14 +6,15 @@
 public sealed interface Message {
   /**
    * OLD_SET: the message's set number is below the one the replica knows; a newer set must be
-   * learned first.
+   * learned first. WOULD_PROMISE: answers a trial only, and promises nothing.
    */
   enum Verdict {
     OK,
     REFUSED,
     BUSY,
     BEHIND,
-    OLD_SET
+    OLD_SET,
+    WOULD_PROMISE
   }
 
   record Ask(
@@ -29,7 +30,11 @@
   record AskResponse(long correlation, int status, int comeBackSeconds, byte[] body)
       implements Message {}
 
-  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver)
+  /**
+   * Asks a replica for its promise of an epoch. A trial only asks whether the replica would give
+   * it, and changes nothing there.
+   */
+  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver, boolean trial)
       implements Message {}
 
   record KeyPromised(
@@ -43,6 +48,7 @@
       List<Entry> entries)
       implements Message {}
 
+  /** hearsMajority: the owner was answered by a majority of the replicas of late. */
   record KeyAppend(
       String key,
       Epoch epoch,
@@ -51,6 +57,7 @@
       long previousSequence,
       Epoch previousEpoch,
       long committed,
+      boolean hearsMajority,
       List<Entry> entries)
       implements Message {}
 
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -4,6 +4,7 @@
 import static applespindle.corelogic.Message.Verdict.OK;
 import static applespindle.corelogic.Message.Verdict.OLD_SET;
 import static applespindle.corelogic.Message.Verdict.REFUSED;
+import static applespindle.corelogic.Message.Verdict.WOULD_PROMISE;
 
 import applespindle.corelogic.Message.KeyAppend;
 import applespindle.corelogic.Message.KeyAppended;
@@ -56,6 +57,9 @@
     long heardRound;
     boolean heardSinceBeat;
 
+    /** Beats since the replica last showed that it hears this owner. */
+    int silentBeats;
+
     /** How far the replica was last told that entries are committed, and beats since. */
     long toldCommitted = -1;
 
@@ -78,6 +82,7 @@
   private record Applying(long sequence, Runnable whenCommitted) {}
 
   private static final Runnable NO_EFFECT = () -> {};
+  private static final String PART = "owned-key";
 
   private final Surroundings surroundings;
   private final String nodeId;
@@ -106,6 +111,10 @@
   private Epoch epoch;
 
   private long seenCounter;
+
+  /** Whether the present claim round only asks if a majority would promise. */
+  private boolean trial;
+
   private final Map<String, KeyPromised> promises = new LinkedHashMap<>();
 
   /** Our log: contiguous; nothing before the takeover entry changes after the claim. */
@@ -150,7 +159,7 @@
     this.claimExpiresAt = surroundings.now() + Constants.CLAIM_EXPIRY_MS;
     this.sets = sets;
     sets.all().forEach(replica -> progress.put(replica.id(), new Progress(replica)));
-    claimRound();
+    trialRound();
   }
 
   State state() {
@@ -173,6 +182,33 @@
     return entries.isEmpty() ? 0 : entries.get(entries.size() - 1).sequence();
   }
 
+  /** A replica's process showed, other than by an answer to an append, that it hears this one. */
+  void heardBy(String replicaId) {
+    Progress each = progress.get(replicaId);
+    if (each != null) {
+      each.silentBeats = 0;
+    }
+  }
+
+  /** Whether a majority of the replicas has heard this owner of late. */
+  boolean hearsMajority() {
+    return majorityHeardWithin(Constants.OWNER_UNHEARD_MS);
+  }
+
+  /**
+   * Counted in beats, not read from a clock: a process that stood still, or whose clock was
+   * stepped, is not cut off.
+   */
+  private boolean majorityHeardWithin(long millis) {
+    long beatsMost = millis / Constants.OWNER_BEAT_MS;
+    List<String> heard =
+        progress.values().stream()
+            .filter(each -> each.silentBeats < beatsMost || each.replica.id().equals(nodeId))
+            .map(each -> each.replica.id())
+            .toList();
+    return sets.quorum(heard);
+  }
+
   void whenLost(Runnable whenLost) {
     this.whenLost = whenLost;
   }
@@ -194,14 +230,22 @@
     }
     if (state == State.CLAIMING) {
       claimRound.cancel();
-      claimRound();
+      trialRound();
     } else {
       advance();
       planFlush();
     }
   }
 
-  private void claimRound() {
+  /**
+   * Asks first whether a majority would promise: a claimant that has none, or that comes while the
+   * owner lives, raises no epoch and disturbs nobody.
+   */
+  private void trialRound() {
+    claimRound(true);
+  }
+
+  private void claimRound(boolean onlyTrial) {
     if (state != State.CLAIMING) {
       return;
     }
@@ -210,31 +254,38 @@
       return;
     }
     promises.clear();
+    trial = onlyTrial;
     epoch = new Epoch(seenCounter + 1, nodeId);
     seenCounter = epoch.counter();
     for (Progress each : progress.values()) {
       sender.reply(
           each.replica.address(),
           each.replica.id(),
-          new KeyPromise(key, epoch, sets.number(), handedOver));
+          new KeyPromise(key, epoch, sets.number(), handedOver, trial));
     }
-    claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::claimRound);
+    claimRound = surroundings.after(Constants.CLAIM_ROUND_MS, this::trialRound);
   }
 
   void promised(KeyPromised message, String fromId) {
     seenCounter = Math.max(seenCounter, message.promised().counter());
     if (state != State.CLAIMING
         || !message.asked().equals(epoch)
-        || !progress.containsKey(fromId)) {
+        || !progress.containsKey(fromId)
+        || message.verdict() == WOULD_PROMISE && !trial) {
       return;
     }
     promises.put(fromId, message);
-    if (sets.quorum(withVerdictOk(true))) {
-      takeOver();
+    if (sets.quorum(inFavour(true))) {
+      claimRound.cancel();
+      if (trial) {
+        claimRound(false);
+      } else {
+        takeOver();
+      }
       return;
     }
     Set<String> stillPossible = new HashSet<>(progress.keySet());
-    stillPossible.removeAll(withVerdictOk(false));
+    stillPossible.removeAll(inFavour(false));
     if (!sets.quorum(stillPossible)) {
       var busy = promises.values().stream().filter(each -> each.verdict() == BUSY).findFirst();
       if (busy.isPresent()) {
@@ -243,16 +294,18 @@
         claimRound.cancel();
         claimRound =
             surroundings.after(
-                1 + surroundings.random().nextLong(Constants.CLAIM_BACKOFF_MS), this::claimRound);
+                1 + surroundings.random().nextLong(Constants.CLAIM_BACKOFF_MS), this::trialRound);
       }
     }
   }
 
-  private Set<String> withVerdictOk(boolean wanted) {
+  /** Replicas that answered this round, for the claim or against it. */
+  private Set<String> inFavour(boolean wanted) {
     Set<String> ids = new HashSet<>();
     promises.forEach(
         (id, promise) -> {
-          if (promise.verdict() == OK == wanted) {
+          boolean favours = promise.verdict() == OK || promise.verdict() == WOULD_PROMISE;
+          if (favours == wanted) {
             ids.add(id);
           }
         });
@@ -260,7 +313,6 @@
   }
 
   private void takeOver() {
-    claimRound.cancel();
     KeyPromised best = null;
     for (KeyPromised each : promises.values()) {
       if (each.verdict() == OK && (best == null || newer(each.entries(), best.entries()))) {
@@ -438,7 +490,15 @@
         each.replica.address(),
         each.replica.id(),
         new KeyAppend(
-            key, epoch, sets.number(), round, previous, previousEpoch, committed, lacking));
+            key,
+            epoch,
+            sets.number(),
+            round,
+            previous,
+            previousEpoch,
+            committed,
+            hearsMajority(),
+            lacking));
   }
 
   void appended(KeyAppended message, String fromId) {
@@ -454,6 +514,7 @@
       return;
     }
     from.heardSinceBeat = true;
+    from.silentBeats = 0;
     from.heardRound = Math.max(from.heardRound, message.round());
     if (message.verdict() == OK) {
       from.matched = Math.max(from.matched, message.matched());
@@ -527,6 +588,12 @@
         each.next = each.matched + 1;
       }
       each.heardSinceBeat = false;
+      each.silentBeats++;
+    }
+    if (state == State.OWNED && !majorityHeardWithin(Constants.OWNER_STEP_DOWN_MS)) {
+      surroundings.log(PART, "Steps down, no majority heard: " + key + ".");
+      lose();
+      return;
     }
     if (!quietWhenIdle || state == State.SETTLING || !waitingForRound.isEmpty()) {
       broadcast();
--- a/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/KeyReplicasTest.java
@@ -82,7 +82,7 @@
   private void append(
       Epoch epoch, long previous, Epoch previousEpoch, long committed, Entry... entries) {
     replicas.append(
-        new KeyAppend(KEY, epoch, 1, 1, previous, previousEpoch, committed, List.of(entries)),
+        new KeyAppend(KEY, epoch, 1, 1, previous, previousEpoch, committed, true, List.of(entries)),
         epoch.node(),
         "");
   }
--- a/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
@@ -108,7 +108,7 @@
       Entry... entries) {
     replicas.append(
         new KeyAppend(
-            KEY, epoch, setNumber, 1, previous, previousEpoch, committed, List.of(entries)),
+            KEY, epoch, setNumber, 1, previous, previousEpoch, committed, true, List.of(entries)),
         epoch.node(),
         "");
   }
@@ -146,7 +146,7 @@
     append(1, SECOND, 0, Epoch.NONE, 0, entry(1, SECOND));
     disk.syncAll();
     replies.clear();
-    replicas.promise(new KeyPromise(KEY, FIRST, 2, false), FIRST.node(), "");
+    replicas.promise(new KeyPromise(KEY, FIRST, 2, false, false), FIRST.node(), "");
     assertThat(replies).isEmpty();
     disk.syncAll();
     assertThat(((KeyPromised) replies.get(0)).verdict()).isEqualTo(Verdict.REFUSED);
