--- a/adapters/src/main/java/applespindle/adapters/PeerCodec.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerCodec.java
@@ -158,6 +158,7 @@
           .handedOver(flag(promise.handedOver()))
           .setNumber(promise.setNumber())
           .tailBytesMost(promise.tailBytesMost())
+          .trial(flag(promise.trial()))
           .key(promise.key())
           .epochNode(promise.epoch().node());
       finish(body);
@@ -216,7 +217,8 @@
           .previousSequence(append.previousSequence())
           .previousCounter(append.previousEpoch().counter())
           .committed(append.committed())
-          .setNumber(append.setNumber());
+          .setNumber(append.setNumber())
+          .hearsMajority(flag(append.hearsMajority()));
       KeyAppendBodyEncoder.EntriesEncoder entries = body.entriesCount(append.entries().size());
       for (Entry entry : append.entries()) {
         entries
@@ -405,7 +407,8 @@
             new Epoch(body.epochCounter(), body.epochNode()),
             body.setNumber(),
             body.handedOver() == 1,
-            body.tailBytesMost());
+            body.tailBytesMost(),
+            body.trial() == 1);
       }
       case KeyPromisedBodyDecoder.TEMPLATE_ID -> {
         KeyPromisedBodyDecoder body = open(new KeyPromisedBodyDecoder());
@@ -474,6 +477,7 @@
             body.previousSequence(),
             new Epoch(body.previousCounter(), body.previousNode()),
             body.committed(),
+            body.hearsMajority() != 0,
             entries);
       }
       case KeyAppendedBodyDecoder.TEMPLATE_ID -> {
--- a/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerCodecTest.java
@@ -18,6 +18,9 @@
  * simulator checks.
  */
 class PeerCodecTest {
+  /** Bytes of a claim's fields that the version before did not have. */
+  private static final int CLAIM_FIELDS_ADDED = Integer.BYTES + Byte.BYTES;
+
   private static final int HEAD = MessageHeaderDecoder.ENCODED_LENGTH;
   private final PeerCodec codec = new PeerCodec();
   private final Envelope envelope = new Envelope("a", "127.0.0.1:1", "b", new KeysAsked(7));
@@ -66,29 +69,31 @@
 
   @Test
   void keepsEpochsApart() throws UnreadableFrame {
-    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100);
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100, true);
     Envelope sent = new Envelope("a", "127.0.0.1:1", "", promise);
     assertThat(codec.decode(codec.encode(sent))).isEqualTo(sent);
   }
 
   @Test
   void aClaimOfTheVersionBeforeAsksForTheWholeLog() throws UnreadableFrame {
-    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100);
+    var promise = new KeyPromise("batch/b", new Epoch(3, "node"), 5, true, 100, true);
     ByteBuffer newer =
         ByteBuffer.wrap(codec.encode(new Envelope("a", "127.0.0.1:1", "b", promise)))
             .order(ByteOrder.LITTLE_ENDIAN);
     int body = bodyAt(newer);
-    int blockLength = newer.getShort(body) - Integer.BYTES;
+    int blockLength = newer.getShort(body) - CLAIM_FIELDS_ADDED;
     int fieldAt = body + HEAD + blockLength;
     ByteBuffer older =
-        ByteBuffer.allocate(newer.limit() - Integer.BYTES).order(ByteOrder.LITTLE_ENDIAN);
+        ByteBuffer.allocate(newer.limit() - CLAIM_FIELDS_ADDED).order(ByteOrder.LITTLE_ENDIAN);
     older.put(newer.array(), 0, fieldAt);
-    older.put(newer.array(), fieldAt + Integer.BYTES, newer.limit() - fieldAt - Integer.BYTES);
+    older.put(
+        newer.array(), fieldAt + CLAIM_FIELDS_ADDED, newer.limit() - fieldAt - CLAIM_FIELDS_ADDED);
     older.putShort(body, (short) blockLength);
     older.putShort(body + 6, (short) (PeerCodec.VERSION - 1));
     older.putShort(6, (short) (PeerCodec.VERSION - 1));
     KeyPromise told = (KeyPromise) codec.decode(older.array()).message();
     assertThat(told.epoch()).isEqualTo(promise.epoch());
     assertThat(told.tailBytesMost()).isAtMost(0);
+    assertThat(told.trial()).isFalse();
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -6,14 +6,15 @@
 public sealed interface Message {
   /**
    * OLD_SET: the message's set number is below the one the replica knows; a newer set must be
-   * learned first.
+   * learned first. WOULD_PROMISE: answers a trial only, and promises nothing.
    */
   enum Verdict {
     OK,
     REFUSED,
     BUSY,
     BEHIND,
-    OLD_SET
+    OLD_SET,
+    WOULD_PROMISE
   }
 
   /** One node asks another to carry out a duty for a key; hops bounds how often it is forwarded. */
@@ -34,10 +35,13 @@
       implements Message {}
 
   /**
-   * A claim. tailBytesMost: of a log longer than this only the last entries come with the promise,
-   * and the claimant asks for the rest by KeyLogAsk; 0 or less, as from older versions: all of it.
+   * Asks a replica for its promise of an epoch. tailBytesMost: of a log longer than this only the
+   * last entries come with the promise, and the claimant asks for the rest by KeyLogAsk; 0 or less,
+   * as from older versions: all of it. A trial only asks whether the replica would give the
+   * promise, and changes nothing there.
    */
-  record KeyPromise(String key, Epoch epoch, long setNumber, boolean handedOver, int tailBytesMost)
+  record KeyPromise(
+      String key, Epoch epoch, long setNumber, boolean handedOver, int tailBytesMost, boolean trial)
       implements Message {}
 
   /**
@@ -71,7 +75,10 @@
   record KeyLogPart(String key, Epoch epoch, Verdict verdict, List<Entry> entries)
       implements Message {}
 
-  /** The leader of a key sends log entries, or a heartbeat without any, to a replica. */
+  /**
+   * The leader of a key sends log entries, or a heartbeat without any, to a replica. hearsMajority:
+   * the leader was answered by a majority of the replicas of late.
+   */
   record KeyAppend(
       String key,
       Epoch epoch,
@@ -80,6 +87,7 @@
       long previousSequence,
       Epoch previousEpoch,
       long committed,
+      boolean hearsMajority,
       List<Entry> entries)
       implements Message {}
 
--- a/core-logic/src/test/java/applespindle/corelogic/OwnedKeyTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/OwnedKeyTest.java
@@ -50,9 +50,9 @@
 
   private void delivered(String replica, Message message) {
     if (message instanceof KeyPromise promise) {
+      Verdict verdict = promise.trial() ? Verdict.WOULD_PROMISE : Verdict.OK;
       leader.promised(
-          new KeyPromised(
-              KEY, promise.epoch(), Verdict.OK, promise.epoch(), "", "", 0, 0, List.of()),
+          new KeyPromised(KEY, promise.epoch(), verdict, promise.epoch(), "", "", 0, 0, List.of()),
           replica);
     } else if (message instanceof KeyAppend append) {
       unanswered.add(append);
--- a/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/ReplicaDiskTest.java
@@ -110,7 +110,7 @@
       Entry... entries) {
     replicas.append(
         new KeyAppend(
-            KEY, epoch, setNumber, 1, previous, previousEpoch, committed, List.of(entries)),
+            KEY, epoch, setNumber, 1, previous, previousEpoch, committed, true, List.of(entries)),
         epoch.node(),
         "");
   }
@@ -148,7 +148,7 @@
     append(1, SECOND, 0, Epoch.NONE, 0, entry(1, SECOND));
     disk.syncAll();
     replies.clear();
-    replicas.promise(new KeyPromise(KEY, FIRST, 2, false, 0), FIRST.node(), "");
+    replicas.promise(new KeyPromise(KEY, FIRST, 2, false, 0, false), FIRST.node(), "");
     assertThat(replies).isEmpty();
     disk.syncAll();
     assertThat(((KeyPromised) replies.get(0)).verdict()).isEqualTo(Verdict.REFUSED);
@@ -229,7 +229,7 @@
   void aClaimantGetsPartsOfTheLogThatItKnowsTheTailOfAlone() {
     append(1, FIRST, 0, Epoch.NONE, 0, entry(1, FIRST), entry(2, FIRST));
     disk.syncAll();
-    replicas.promise(new KeyPromise(KEY, SECOND, 1, true, 1), SECOND.node(), "");
+    replicas.promise(new KeyPromise(KEY, SECOND, 1, true, 1, false), SECOND.node(), "");
     disk.syncAll();
     replies.clear();
     replicas.tellLog(new KeyLogAsk(KEY, SECOND, 1, 1, SECOND), SECOND.node(), "");
--- a/core-logic/src/test/java/applespindle/corelogic/SlowLinkClaimTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/SlowLinkClaimTest.java
@@ -145,7 +145,7 @@
               (key, entry) -> {},
               key -> "set");
       copy.append(
-          new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, log.size(), List.copyOf(log)),
+          new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, log.size(), true, List.copyOf(log)),
           FORMER.node(),
           FORMER.node());
       replicas.put(id, copy);
@@ -250,7 +250,9 @@
         .forEach(
             copy ->
                 copy.promise(
-                    new Message.KeyPromise(KEY, new Epoch(99, "other"), 1, false, 1), "other", ""));
+                    new Message.KeyPromise(KEY, new Epoch(99, "other"), 1, false, 1, false),
+                    "other",
+                    ""));
     world.runUntil(world.now() + 5_000);
     assertThat(outcomes.stream().map(OwnedKey.ClaimOutcome::claim).toList())
         .containsExactly(Claim.NO_MAJORITY);
@@ -265,9 +267,13 @@
         new KeyReplicas(
             world, (address, to, message) -> told.add(message), (key, entry) -> {}, key -> "set");
     copy.append(
-        new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, 0, List.copyOf(log)), "former", "former");
+        new KeyAppend(KEY, FORMER, 1, 1, 0, Epoch.NONE, 0, true, List.copyOf(log)),
+        "former",
+        "former");
     copy.promise(
-        new Message.KeyPromise(KEY, new Epoch(8, "former"), 1, false, Integer.MIN_VALUE), "", "");
+        new Message.KeyPromise(KEY, new Epoch(8, "former"), 1, false, Integer.MIN_VALUE, false),
+        "",
+        "");
     world.runUntil(world.now() + 100);
     Message.KeyPromised last = (Message.KeyPromised) told.get(told.size() - 1);
     assertThat(last.entries()).containsExactlyElementsIn(log).inOrder();
