--- a/adapters/src/test/java/applespindle/adapters/ExchangeClientFuzzTest.java
+++ b/adapters/src/test/java/applespindle/adapters/ExchangeClientFuzzTest.java
@@ -45,7 +45,9 @@
         @Override
         public Attribution attribute(WorkerExchange exchange, UnaryOperator<String> headers) {
           String id = headers.apply("X-Id");
-          if (id == null && headers.apply("X-Not-Run") != null) {
+          if (id == null
+              && headers.apply("X-Stamp") == null
+              && headers.apply("X-Not-Run") != null) {
             return Attribution.UNNAMED_REFUSAL;
           }
           return exchange.request().id().equals(id)
