--- a/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreNode.java
@@ -1466,6 +1466,7 @@
       then.accept(Response.of(new Fault.NoMajority(key)));
       return;
     }
+    boolean cutOffSoFar = isMember() && !hearsMajority();
     ask(
         attempt -> {
           if (isMember() || roster.members().isEmpty()) {
@@ -1477,7 +1478,7 @@
         duty,
         key,
         body,
-        Constants.ASK_EXPIRY_MS,
+        cutOffSoFar ? Constants.CORE_SILENT_MS : Constants.ASK_EXPIRY_MS,
         then);
   }
 
