--- a/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ClientSocket.java
@@ -37,7 +37,6 @@
   private static final int GATHERED_BYTES_MOST = 64 << 10;
 
   private static final byte[] NOTHING = {};
-  private static final byte[] VERSION = " HTTP/1.".getBytes(US_ASCII);
   private static final byte[] ENCODING = "content-encoding:".getBytes(US_ASCII);
 
   /**
@@ -66,8 +65,7 @@
 
   private byte last;
   private int lineEnds;
-  private int requestLineBlanks;
-  private boolean requestLineRead;
+  private RequestLineCheck requestLine = new RequestLineCheck();
 
   /** How much of ENCODING the present line begins with; -1 if it begins otherwise. */
   private int encodingMatched;
@@ -179,8 +177,7 @@
       headSize = 0;
       lineEnds = 0;
       last = 0;
-      requestLineBlanks = 0;
-      requestLineRead = false;
+      requestLine = new RequestLineCheck();
       encodingMatched = -1;
       whenGone = null;
     }
@@ -314,7 +311,7 @@
       if (control || (each == ' ' || each == '\t') && lineEnds > 0) {
         return "400 Bad Request";
       }
-      if (!requestLineRead && !fitsRequestLine(array, index, each)) {
+      if (!requestLine.accept(each)) {
         return "400 Bad Request";
       }
       lineEnds = each == '\n' ? lineEnds + 1 : each == '\r' ? lineEnds : 0;
@@ -330,26 +327,6 @@
     return null;
   }
 
-  /**
-   * Three parts, of which the second is a path and the third a version. The library would put
-   * another target in the place of one that is no path, and passes over further parts.
-   */
-  private boolean fitsRequestLine(byte[] array, int index, byte each) {
-    if (requestLineBlanks == 1 && last == ' ' && each != '/') {
-      return false;
-    }
-    requestLineBlanks += each == ' ' ? 1 : 0;
-    requestLineRead = each == '\n';
-    return !requestLineRead || requestLineBlanks == 2 && endsWithVersion(array, index - 1);
-  }
-
-  private boolean endsWithVersion(byte[] array, int lineEnd) {
-    int from = lineEnd - VERSION.length - 1;
-    return from > headBytes.head()
-        && Arrays.equals(array, from, lineEnd - 1, VERSION, 0, VERSION.length)
-        && (array[lineEnd - 1] == '0' || array[lineEnd - 1] == '1');
-  }
-
   /**
    * The library would unpack a body by this header, and what reaches the worker must be the
    * client's own bytes.
