--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
@@ -52,6 +52,9 @@
   private final History history;
   private long ids;
 
+  /** The longest that a batch took to be read whole once all were closed. */
+  long slowestCloseMs;
+
   /** Least size of the body of a batch's item. */
   int itemBytes;
 
@@ -413,6 +416,7 @@
     boolean closing;
     boolean closed;
     int tries;
+    private long closedFromMs;
     private final Set<String> listed = new HashSet<>();
     private int complete;
     private final Set<String> bodiesMissing = new HashSet<>();
@@ -610,6 +614,7 @@
 
     void close(long untilMs) {
       closing = true;
+      closedFromMs = simulation.nowMs();
       boolean kept =
           simulation.nowMs() < sentMs + Outside.KEEP_BATCHES_MS - (untilMs - simulation.nowMs());
       closed = !kept && known.size() == batch.items().size();
@@ -674,6 +679,7 @@
     private void closedWith(String how, long results, int bodies) {
       if (!closed) {
         closed = true;
+        slowestCloseMs = Math.max(slowestCloseMs, simulation.nowMs() - closedFromMs);
         history.add(
             simulation.nowMs(),
             Kind.OPAQUE_CLOSED,
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -726,6 +726,12 @@
               100 * fleet.clients.itemsDone() / Math.max(1, fleet.clients.itemsTaken()),
               expected.number(),
               faults);
+      case "closed-within-ms" ->
+          atMost(
+              "reading a batch whole at the end, in ms",
+              fleet.clients.slowestCloseMs,
+              expected.number(),
+              faults);
       case "taken-least" ->
           atLeast(
               "taken batches",
