--- a/adapters/src/test/java/applespindle/adapters/DiskLossSweepTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskLossSweepTest.java
@@ -65,6 +65,9 @@
       assertWithMessage(which).that(known).isInStrictOrder();
       long last = known.isEmpty() ? 0 : known.get(known.size() - 1);
       assertWithMessage(which).that(last).isAtLeast(answered);
+      assertWithMessage(which + " has no gap")
+          .that(known.isEmpty() ? 0 : last - known.get(0) + 1)
+          .isEqualTo(known.size());
       assertWithMessage(which).that(log.incarnation()).isGreaterThan(incarnation);
       assertWithMessage(which).that(log.id()).isEqualTo(id.isEmpty() ? log.id() : id);
       incarnation = log.incarnation();
