Scenarios of a member cut off for 20 s, in each direction, and of one that flaps

Cause: no scenario had a member of the core, or a batch's leader, cut off for 20 s, one-way, from peers or edges only, restarted in it, frozen, or flapping.

Ruled out: judging by callers' success alone. It did not show the terms used up, nor how long a member that is cut off keeps a caller waiting.

Change: CoreWatch asks every core process for a confirmed read of every owned key, from the cut until 10 s after it, and measures the longest time without service of a key, the terms used and the slowest answer. Verbs cut-in, cut-out, cut-both, flap, changes, expect-member, expect-members-alive.

--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -23,9 +23,10 @@
  * judged), outside (losses to bear at once: the fleet runs before a platform with opaque workers
  * and a list of them), opaque (type and requests a second, in pairs), opaque-batches (one every so
  * many seconds, items, and bytes of an item's body), edge-links (Mbit/s of each edge's link), list
- * (lag in ms, calls a second), waiting-tokens (the most on the batch route), random (from, to: one
- * fault after the other, each mended before the next), losses (disks are lost too), expect (what,
- * number). Whatever the file says, the outside checker and the invariants always count.
+ * (lag in ms, calls a second), waiting-tokens (the most on the batch route), watch-core (from, to:
+ * a trouble of the core, see CoreWatch), random (from, to: one fault after the other, each mended
+ * before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the
+ * outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -75,6 +76,8 @@
   private double listCallsPerS = 40;
   private long waitingTokensMost;
   private boolean obedient;
+  private long watchFromMs;
+  private long watchToMs;
   private long randomFromMs;
   private long randomToMs;
   private final List<Timed> timed = new ArrayList<>();
@@ -138,6 +141,10 @@
         listCallsPerS = Double.parseDouble(words[2]);
       }
       case "waiting-tokens" -> waitingTokensMost = Long.parseLong(words[1]);
+      case "watch-core" -> {
+        watchFromMs = seconds(words[1]);
+        watchToMs = seconds(words[2]);
+      }
       case "random" -> {
         randomFromMs = seconds(words[1]);
         randomToMs = seconds(words[2]);
@@ -182,6 +189,9 @@
     fleet.obedient = obedient;
     fleet.edgeLinks(edgeLinkMbits);
     fleet.start();
+    if (watchToMs > 0) {
+      fleet.watch = new CoreWatch(fleet, watchFromMs, watchToMs);
+    }
     if (outsideLosses > 0) {
       opaque.forEach(
           (type, perSecond) -> fleet.clients.live(type, perSecond, TRAFFIC_FROM_MS, runMs));
@@ -243,6 +253,7 @@
     for (Violation violation : Checker.check(simulation.history)) {
       faults.add(violation.rule() + " at " + violation.atMs() + ": " + violation.what());
     }
+    faults.addAll(fleet.earlyFaults);
     expected.forEach(each -> expect(fleet, each, faults));
     return new Outcome(
         faults, simulation.history, simulation.steps(), simulation.messages(), fleet);
@@ -493,6 +504,37 @@
               .forEach(
                   name ->
                       Arrays.stream(words).skip(1).forEach(part -> simulation.cutLink(name, part)));
+      case "cut-in" ->
+          others(simulation, target, words[2])
+              .forEach(name -> simulation.cutOneWay(name, target.name));
+      case "cut-out" ->
+          others(simulation, target, words[2])
+              .forEach(name -> simulation.cutOneWay(target.name, name));
+      case "cut-both" ->
+          others(simulation, target, words[2])
+              .forEach(name -> simulation.cutLink(target.name, name));
+      case "flap" ->
+          flap(
+              simulation,
+              target,
+              seconds(words[2]),
+              seconds(words[3]),
+              simulation.nowMs() + seconds(words[4]));
+      case "changes" -> changes(fleet, seconds(words[1]), simulation.nowMs() + seconds(words[2]));
+      case "expect-member" -> {
+        if (!fleet.memberNames().contains(words[1])) {
+          fleet.earlyFaults.add("expected " + words[1] + " to be a core member: " + timed.text());
+        }
+      }
+      case "expect-members-alive" -> {
+        long alive =
+            fleet.memberNames().stream()
+                .filter(name -> simulation.processes.get(name).alive())
+                .count();
+        if (alive != Long.parseLong(words[1])) {
+          fleet.earlyFaults.add("expected " + words[1] + " living core members, were " + alive);
+        }
+      }
       case "callers" ->
           fleet.callersAt = Arrays.stream(words).skip(1).map(simulation.processes::get).toList();
       case "heal" -> simulation.healLinks();
@@ -604,6 +646,39 @@
     return target == null || words[0].equals("leave") && last != null ? last : target;
   }
 
+  /** All other processes of a role, or all of them. */
+  private static List<String> others(Simulation simulation, Process target, String role) {
+    return simulation.processes.values().stream()
+        .filter(other -> other != target && (role.equals("all") || other.role.equals(role)))
+        .map(other -> other.name)
+        .toList();
+  }
+
+  /** A process is cut off and connected again, over and over. */
+  private static void flap(
+      Simulation simulation, Process target, long cutMs, long connectedMs, long untilMs) {
+    if (simulation.nowMs() >= untilMs) {
+      return;
+    }
+    simulation.isolate(target.name);
+    simulation.afterMs(
+        cutMs,
+        () -> {
+          simulation.healLinks();
+          simulation.afterMs(
+              connectedMs, () -> flap(simulation, target, cutMs, connectedMs, untilMs));
+        });
+  }
+
+  /** Operators send one change after the other. */
+  private static void changes(SimulatedFleet fleet, long everyMs, long untilMs) {
+    if (fleet.simulation.nowMs() >= untilMs) {
+      return;
+    }
+    fleet.operators.change();
+    fleet.simulation.afterMs(everyMs, () -> changes(fleet, everyMs, untilMs));
+  }
+
   /**
    * Each is told to stop, is started again a second after its end, and the next follows after the
    * pause.
@@ -720,6 +795,19 @@
               fleet.operators.slowestYesMs,
               expected.number(),
               faults);
+      case "core-gap-ms" ->
+          atMost(
+              "the longest time without service of " + fleet.watch.longestGapKey + ", in ms",
+              fleet.watch.longestGapMs,
+              expected.number(),
+              faults);
+      case "core-terms" -> atMost("terms used", fleet.watch.terms, expected.number(), faults);
+      case "core-answer-ms" ->
+          atMost(
+              "the slowest answer of the core, in ms",
+              fleet.watch.slowestAnswerMs,
+              expected.number(),
+              faults);
       case "items-done-percent" ->
           atLeast(
               "percent of the items listed",
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
@@ -40,6 +40,9 @@
             outcome.messages(),
             (System.nanoTime() - begun) / 1_000_000);
         System.out.println("    " + outcome.fleet().summary());
+        if (outcome.fleet().watch != null) {
+          System.out.println("    " + outcome.fleet().watch.summary());
+        }
         outcome.faults().stream().limit(10).forEach(fault -> System.out.println("    " + fault));
         if (!outcome.faults().isEmpty()) {
           System.out.println(
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -242,6 +242,12 @@
   OpaqueOperators operators;
   OpaqueClients clients;
 
+  /** Expectations of a scenario that did not hold at their time. */
+  final List<String> earlyFaults = new ArrayList<>();
+
+  /** Callers of the core, where the scenario has them. */
+  CoreWatch watch;
+
   /** With opaque workers, listed outside, and nodes that bear so many losses at once. */
   static SimulatedFleet withOutside(
       Deployment deployment,
@@ -487,6 +493,13 @@
         .orElse(JSON.nullNode());
   }
 
+  /** The names of the core's members as its processes know them now. */
+  List<String> memberNames() {
+    List<String> names = new ArrayList<>();
+    coreStatus().at("/roster/members").forEach(member -> names.add(member.path("name").asText()));
+    return names;
+  }
+
   // ---- traffic
 
   /** Requests a second, as a stream with random gaps. */
