Log the stages of a batch's submission with their elapsed and processor time

The log said nothing of a batch before its acceptance. Now one line when the client is answered (receive, parse, logic), one when the leader's answer is there (items, digest, encode, leader), one for the leader's reservation and claim, one for each claim with its rounds, and the time from append to commit. Processor time only with -Dapplespindle.trace.processor=true, as its first reading loads classes. No change of logic.

--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -10,6 +10,7 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -38,6 +39,19 @@
  */
 public final class NodeProcess implements Surroundings {
   private static final String PART = "process";
+
+  /**
+   * Whether traces tell processor time as well. Off unless asked for: the first reading loads many
+   * classes, which a small machine would notice.
+   */
+  private static final boolean TRACES_PROCESSOR_TIME =
+      Boolean.getBoolean("applespindle.trace.processor");
+
+  /** Loaded at the first reading only. */
+  private static final class ThreadTimes {
+    static final ThreadMXBean BEAN = ManagementFactory.getThreadMXBean();
+  }
+
   private static final int EXIT_DISK = 3;
   private static final int EXIT_UNFINISHED = 4;
 
@@ -524,6 +538,11 @@
                     fault -> backToLogic(() -> whenFaulty.accept(fault))));
   }
 
+  @Override
+  public long processorMicros() {
+    return TRACES_PROCESSOR_TIME ? ThreadTimes.BEAN.getCurrentThreadCpuTime() / 1_000 : 0;
+  }
+
   @Override
   public RandomGenerator random() {
     return random;
--- a/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchLeader.java
@@ -213,11 +213,20 @@
       return;
     }
     accepting = true;
+    StageTrace trace = new StageTrace(surroundings);
     append(
         BatchEvent.accepted(accepted),
         () -> {
           accepting = false;
-          edge.log("Batch accepted: " + batch + ", " + accepted.items().size() + " items.");
+          trace.mark("commit");
+          edge.log(
+              "Batch accepted: "
+                  + batch
+                  + ", "
+                  + accepted.items().size()
+                  + " items, from append to commit:"
+                  + trace
+                  + ".");
         },
         fault -> then.accept(fault == null ? Response.of(201, summary()) : unknown(fault)));
     layOut(accepted.items().size());
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -244,8 +244,10 @@
       then.accept(Response.of(hindrance));
       return;
     }
+    StageTrace trace = new StageTrace(surroundings);
     List<JsonNode> items =
         batch.items().stream().map(item -> JSON.<JsonNode>valueToTree(item)).toList();
+    trace.mark("items");
     var opaque =
         new BatchEvent.Opaque(
             batch.host(),
@@ -262,14 +264,35 @@
             route.retentionMs() == 0 ? Constants.RETENTION_MS : route.retentionMs(),
             items,
             opaque);
+    trace.mark("digest");
     byte[] body = Json.bytes(accepted);
+    trace.mark("encode");
+    String id = opaqueId(batch.id());
     askLeader(
         "submit",
-        opaqueId(batch.id()),
+        id,
         body,
         Constants.ASK_TRY_MS + toReplicasMs(body.length),
         Constants.ASK_EXPIRY_MS + toReplicasMs(body.length),
-        then);
+        response -> {
+          trace.mark("leader");
+          log(
+              "Submission answered: batch="
+                  + id
+                  + " client_id="
+                  + batch.id()
+                  + " status="
+                  + response.status()
+                  + " fault="
+                  + response.faultType()
+                  + " items="
+                  + items.size()
+                  + " bytes="
+                  + body.length
+                  + trace
+                  + ".");
+          then.accept(response);
+        });
   }
 
   /** How long a leader on a slow link takes to send so much to its replicas. */
@@ -486,7 +509,9 @@
    * written.
    */
   private void reserveThenLead(Ask ask) {
+    StageTrace trace = new StageTrace(surroundings);
     Accepted accepted = Json.read(ask.body(), Accepted.class);
+    trace.mark("decode");
     String batch = batchOf(ask.key());
     BatchEvent.Opaque opaque = accepted.opaque();
     ObjectNode reservation = JSON.createObjectNode().put("batch", batch).put("reserve", true);
@@ -510,8 +535,9 @@
         reservation,
         Constants.COMMAND_EXPIRY_MS,
         response -> {
+          trace.mark("reserve");
           if (response.good()) {
-            lead(ask);
+            lead(ask, trace);
           } else if (response.faultType().equals("NoRoom")
               || response.faultType().equals("BatchOverCeiling")) {
             peek(ask.key(), peeked -> serveFound(ask, peeked, response));
@@ -522,10 +548,24 @@
   }
 
   private void lead(Ask ask) {
+    lead(ask, new StageTrace(surroundings));
+  }
+
+  private void lead(Ask ask, StageTrace trace) {
     claim(
         ask.key(),
         false,
         outcome -> {
+          trace.mark("claim");
+          log(
+              "Leadership asked for: duty="
+                  + ask.duty()
+                  + " batch="
+                  + batchOf(ask.key())
+                  + " outcome="
+                  + outcome.claim()
+                  + trace
+                  + ".");
           switch (outcome.claim()) {
             case OWNED -> {
               BatchLeader leader = leaders.get(ask.key());
--- a/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/OwnedKey.java
@@ -100,6 +100,11 @@
 
   private long claimExpiresAt;
 
+  /** Of the claim; its rounds are marked when they end. */
+  private final StageTrace claimTrace;
+
+  private int claimRounds;
+
   /** Of a claim that has its promises and reads a long log; else null. */
   private LogTransfer transfer;
 
@@ -159,6 +164,7 @@
     this.whenClaimed = whenClaimed;
     this.claimExpiresAt = surroundings.now() + Constants.CLAIM_EXPIRY_MS;
     this.sets = sets;
+    claimTrace = new StageTrace(surroundings);
     sets.all().forEach(replica -> progress.put(replica.id(), new Progress(replica)));
     trialRound();
   }
@@ -254,6 +260,7 @@
       finishClaim(new ClaimOutcome(Claim.NO_MAJORITY, "", ""));
       return;
     }
+    claimRounds++;
     promises.clear();
     cancelTransfer();
     trial = onlyTrial;
@@ -282,6 +289,7 @@
     }
     if (sets.quorum(inFavour(true))) {
       claimRound.cancel();
+      claimTrace.mark(trial ? "trial" : "promise");
       if (trial) {
         claimRound(false);
       } else {
@@ -419,6 +427,17 @@
   }
 
   private void finishClaim(ClaimOutcome outcome) {
+    claimTrace.mark("settle");
+    surroundings.log(
+        PART,
+        "Claim ended: key="
+            + key
+            + " outcome="
+            + outcome.claim()
+            + " rounds="
+            + claimRounds
+            + claimTrace
+            + ".");
     if (outcome.claim() != Claim.OWNED) {
       stop();
     }
--- a/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Surroundings.java
@@ -56,6 +56,14 @@
     throw new UnsupportedOperationException("no outside list of workers here");
   }
 
+  /**
+   * Microseconds of processor time that the calling thread has used so far; 0 where that is not
+   * measured.
+   */
+  default long processorMicros() {
+    return 0;
+  }
+
   RandomGenerator random();
 
   void log(String part, String sentence);
--- a/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
+++ b/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
@@ -10,6 +10,7 @@
 import applespindle.corelogic.OpaqueGateway;
 import applespindle.corelogic.OpaqueRequest;
 import applespindle.corelogic.Response;
+import applespindle.corelogic.StageTrace;
 import applespindle.dataplane.RequestFormat.Arrived;
 import applespindle.dataplane.RequestFormat.BatchCall;
 import applespindle.dataplane.RequestFormat.Parsed;
@@ -67,6 +68,7 @@
   /** The library's own time for idle connections; those in force are kept to by the sockets. */
   private static final Duration IDLE_MOST = Duration.ofDays(1);
 
+  private static final String PART = "door";
   static final int HEAD_BYTES_MOST = 64 << 10;
 
   private final NodeProcess process;
@@ -207,6 +209,7 @@
     String host = request.getHeader(HttpHeaders.HOST);
     List<OpaqueRequest.Header> headers = endToEnd(request);
     String method = request.getMethod().name();
+    StageTrace trace = new StageTrace(process);
     return request
         .loadBody(bodyBytesMost)
         .then(
@@ -217,7 +220,8 @@
                     : answer(
                         request,
                         socket,
-                        new Arrived(method, target, host, headers, body.getArray())),
+                        new Arrived(method, target, host, headers, body.getArray()),
+                        trace),
             unreadable -> refuseAndClose(request, new Fault.InputTooLarge(bodyBytesMost)));
   }
 
@@ -293,9 +297,10 @@
     return headers;
   }
 
-  private Promise<HttpResponse> answer(HttpRequest http, ClientSocket socket, Arrived arrived) {
+  private Promise<HttpResponse> answer(
+      HttpRequest http, ClientSocket socket, Arrived arrived, StageTrace trace) {
     SettablePromise<HttpResponse> response = new SettablePromise<>();
-    Runnable whenGone = decide(arrived, response);
+    Runnable whenGone = decide(arrived, response, trace);
     socket.served(
         () -> {
           whenGone.run();
@@ -317,7 +322,8 @@
   }
 
   /** Has the request answered; what it returns is to be run if the client goes before that. */
-  private Runnable decide(Arrived arrived, SettablePromise<HttpResponse> response) {
+  private Runnable decide(
+      Arrived arrived, SettablePromise<HttpResponse> response, StageTrace trace) {
     Parsed<BatchCall> batchCall = format.batchCall(arrived);
     if (!batchCall.isNone()) {
       if (batchCall.fault() != null) {
@@ -337,7 +343,7 @@
         process.toLogic(
             () -> {
               if (arrived.method().equals("POST") && leadsToBatches(request.value())) {
-                process.toHttp(() -> submit(arrived, response));
+                process.toHttp(() -> submit(arrived, response, trace));
               } else {
                 exchange.begin(listener -> gateway.pass(request.value(), listener));
               }
@@ -363,15 +369,30 @@
     return route != null && route.type() == Bundle.RouteType.BATCH;
   }
 
-  private void submit(Arrived arrived, SettablePromise<HttpResponse> response) {
+  private void submit(Arrived arrived, SettablePromise<HttpResponse> response, StageTrace trace) {
+    trace.mark("receive");
     Parsed<OpaqueBatch> batch = format.batch(arrived);
+    trace.mark("parse");
     if (batch.fault() != null) {
       response.trySet(render(Response.of(batch.fault())));
       return;
     }
     ask(
         then -> gateway.submitOpaque(batch.value(), then),
-        answer -> response.trySet(render(format.show(null, answer))));
+        answer -> {
+          trace.mark("logic");
+          process.log(
+              PART,
+              "Submission served: client_id="
+                  + batch.value().id()
+                  + " bytes="
+                  + arrived.body().length
+                  + " status="
+                  + answer.status()
+                  + trace
+                  + ".");
+          response.trySet(render(format.show(null, answer)));
+        });
   }
 
   private void answer(BatchCall call, SettablePromise<HttpResponse> response) {
