Simulator: a processor of its own for each edge, charged for events, JSON and frames

Nothing that a simulated process did took time, so a fleet of small edges could not be late for want of processor time. A scenario line `edge-processor SHARE` now gives every edge a share of a core, `larger-edges` gives some of them another share and link. Each event of such an edge is charged a base cost, its JSON documents by size (and the first ones at the cost of cold code) and its peer frames; its messages, and its next event, wait until that time has passed. Without the line nothing changes.

JsonMeter, the one addition to the product, tells an observer of its own thread the size of each document read or written through Json; without an observer it does nothing but look for one.

The rates and the measurement they come from stand at SimulatedProcessor. The base cost of an event and half of a frame's rate are assumptions.

`expect accepted-within-ms:MS PERCENT` judges batches as their clients see them from the first try; SubmissionStages tells when each stage of a submission was reached.

--- a/core-logic/src/main/java/applespindle/corelogic/Json.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Json.java
@@ -19,7 +19,9 @@
 
   public static byte[] bytes(Object value) {
     try {
-      return JSON.writeValueAsBytes(value);
+      byte[] bytes = JSON.writeValueAsBytes(value);
+      JsonMeter.passed(bytes.length);
+      return bytes;
     } catch (JsonProcessingException fault) {
       throw new UncheckedIOException(fault);
     }
@@ -27,6 +29,7 @@
 
   /** Reads what this system wrote itself; a fault here is a defect or a corrupt record. */
   public static <T> T read(byte[] bytes, Class<T> type) {
+    JsonMeter.passed(bytes.length);
     try {
       return JSON.readValue(bytes, type);
     } catch (IOException fault) {
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
@@ -3,13 +3,14 @@
 import applespindle.testfleet.StandInWorkers.Pace;
 
 /**
- * The two deployments of today, and a small one for trying out. Paces are ours; the brief names
- * none.
+ * The two deployments of today, a small one for trying out, and one of many edges. Paces are ours;
+ * the brief names none.
  */
 public enum Deployment {
   AUTHORITY(9, 10, 80, 160, 10_000, new Pace(16, 60, 15, 120)),
   COOPERATIVE(9, 8, 40, 110, 8_000, new Pace(16, 60, 15, 120)),
-  SMALL(3, 3, 20, 16, 10_000, new Pace(8, 20, 5, 20));
+  SMALL(3, 3, 20, 16, 10_000, new Pace(8, 20, 5, 20)),
+  MANY_EDGES(82, 24, 20, 16, 10_000, new Pace(8, 20, 5, 20));
 
   public final int edges;
   public final int workers;
--- a/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/OpaqueClients.java
@@ -4,6 +4,7 @@
 
 import applespindle.corelogic.EdgeNode;
 import applespindle.corelogic.Fault;
+import applespindle.corelogic.Json;
 import applespindle.corelogic.LiveDesk;
 import applespindle.corelogic.OpaqueBatch;
 import applespindle.corelogic.OpaqueListener;
@@ -358,12 +359,17 @@
 
   // ---- batches
 
-  void batches(double everySeconds, int items, long fromMs, long untilMs) {
+  /** Each with from itemsLeast to itemsMost items. */
+  void batches(double everySeconds, int itemsLeast, int itemsMost, long fromMs, long untilMs) {
     for (long at = fromMs; everySeconds > 0 && at < untilMs; at += (long) (1000 * everySeconds)) {
-      simulation.atMs(at, () -> submitOne(items));
+      simulation.atMs(at, () -> submitOne(itemsBetween(itemsLeast, itemsMost)));
     }
   }
 
+  private int itemsBetween(int least, int most) {
+    return most <= least ? least : least + simulation.random.nextInt(most - least + 1);
+  }
+
   /** Differs from place to place, as real bodies do, so that little is won by deflating it. */
   private String padding(int bytes) {
     StringBuilder text = new StringBuilder();
@@ -407,6 +413,7 @@
 
   final class BatchClient {
     final OpaqueBatch batch;
+    private final int bodyBytes;
     final Set<Long> known = new HashSet<>();
     final long sentMs = simulation.nowMs();
     long acceptedMs;
@@ -455,6 +462,12 @@
             tokens);
       }
       batch = new OpaqueBatch(id, route.host(), route.prefix() + id, rows);
+      bodyBytes = Json.bytes(batch).length;
+    }
+
+    /** How long after its first try its client heard yes; more than anything if it never did. */
+    long acceptanceMs() {
+      return accepted ? acceptedMs - sentMs : Long.MAX_VALUE;
     }
 
     int complete() {
@@ -471,10 +484,11 @@
           edge.name,
           batch.host() + " " + batch.path(),
           batch.items().stream().mapToLong(OpaqueBatch.Item::tokens).sum());
+      simulation.submissions.tried(batch.id(), edge);
       fleet.waitFor(
           edge,
           SUBMIT_PATIENCE_MS,
-          (Consumer<Response> then) -> ((EdgeNode) edge.node()).submitOpaque(batch, then),
+          (Consumer<Response> then) -> arriveAt(edge, then),
           response -> {
             int status = response == null ? 0 : response.status();
             history.add(
@@ -487,6 +501,7 @@
             if (status == 201) {
               accepted = true;
               acceptedMs = simulation.nowMs();
+              simulation.submissions.answered(batch.id(), edge);
               fleet.whenTold.accept(
                   "taken", (long) batches.stream().filter(client -> client.accepted).count());
               read();
@@ -497,6 +512,13 @@
           });
     }
 
+    /** The platform's side reads the body before the node gets the batch from it. */
+    private void arriveAt(Process edge, Consumer<Response> then) {
+      edge.processor.json(bodyBytes);
+      simulation.submissions.arrived(batch.id(), edge);
+      ((EdgeNode) edge.node()).submitOpaque(batch, then);
+    }
+
     private void read() {
       if (closing) {
         return;
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -22,11 +22,13 @@
  * (from, to: more is broken than the brief asks to survive, so how soon service is back is not
  * judged), outside (losses to bear at once: the fleet runs before a platform with opaque workers
  * and a list of them), opaque (type and requests a second, in pairs), opaque-batches (one every so
- * many seconds, items, and bytes of an item's body), edge-links (Mbit/s of each edge's link), list
- * (lag in ms, calls a second), waiting-tokens (the most on the batch route), watch-core (from, to:
- * a trouble of the core, see CoreWatch), random (from, to: one fault after the other, each mended
- * before the next), losses (disks are lost too), expect (what, number). Whatever the file says, the
- * outside checker and the invariants always count.
+ * many seconds, items, bytes of an item's body, and the most items where batches differ),
+ * edge-links (Mbit/s of each edge's link), edge-processor (share of a core that each edge has; what
+ * an edge does takes no time without it), larger-edges (how many edges have another share of a
+ * core, and another Mbit/s), list (lag in ms, calls a second), waiting-tokens (the most on the
+ * batch route), watch-core (from, to: a trouble of the core, see CoreWatch), random (from, to: one
+ * fault after the other, each mended before the next), losses (disks are lost too), expect (what,
+ * number). Whatever the file says, the outside checker and the invariants always count.
  */
 public final class Scenario {
   private static final long TRAFFIC_FROM_MS = 15_000;
@@ -36,6 +38,9 @@
 
   private static final long SETTLE_MS = 60_000;
 
+  /** Begins an expectation; the milliseconds follow, and its number is a percentage of batches. */
+  private static final String ACCEPTED_WITHIN = "accepted-within-ms:";
+
   /** What opaque batches get after the traffic, and again to be read back. */
   private static final long COMPLETION_MS = 10_000;
 
@@ -71,7 +76,12 @@
   private double opaqueBatchEverySeconds;
   private int opaqueBatchItems = 12;
   private int opaqueItemBytes;
+  private int opaqueBatchItemsMost;
   private double edgeLinkMbits;
+  private double edgeProcessorShare;
+  private int largerEdges;
+  private double largerEdgeShare;
+  private double largerEdgeMbits;
   private long listLagMs = 800;
   private double listCallsPerS = 40;
   private long waitingTokensMost;
@@ -134,8 +144,15 @@
         opaqueBatchEverySeconds = Double.parseDouble(words[1]);
         opaqueBatchItems = Integer.parseInt(words[2]);
         opaqueItemBytes = words.length > 3 ? Integer.parseInt(words[3]) : 0;
+        opaqueBatchItemsMost = words.length > 4 ? Integer.parseInt(words[4]) : 0;
       }
       case "edge-links" -> edgeLinkMbits = Double.parseDouble(words[1]);
+      case "edge-processor" -> edgeProcessorShare = Double.parseDouble(words[1]);
+      case "larger-edges" -> {
+        largerEdges = Integer.parseInt(words[1]);
+        largerEdgeShare = Double.parseDouble(words[2]);
+        largerEdgeMbits = Double.parseDouble(words[3]);
+      }
       case "list" -> {
         listLagMs = Long.parseLong(words[1]);
         listCallsPerS = Double.parseDouble(words[2]);
@@ -188,6 +205,8 @@
     fleet.submitTries = submitTries;
     fleet.obedient = obedient;
     fleet.edgeLinks(edgeLinkMbits);
+    fleet.edgeProcessors(edgeProcessorShare);
+    fleet.largerEdges(largerEdges, largerEdgeShare, largerEdgeMbits);
     fleet.start();
     if (watchToMs > 0) {
       fleet.watch = new CoreWatch(fleet, watchFromMs, watchToMs);
@@ -196,7 +215,8 @@
       opaque.forEach(
           (type, perSecond) -> fleet.clients.live(type, perSecond, TRAFFIC_FROM_MS, runMs));
       fleet.clients.itemBytes = opaqueItemBytes;
-      fleet.clients.batches(opaqueBatchEverySeconds, opaqueBatchItems, TRAFFIC_FROM_MS, runMs);
+      fleet.clients.batches(
+          opaqueBatchEverySeconds, opaqueBatchItems, opaqueBatchItemsMost, TRAFFIC_FROM_MS, runMs);
     } else {
       fleet.live("check", checks, TRAFFIC_FROM_MS, runMs);
       fleet.live("note", notes, TRAFFIC_FROM_MS, runMs);
@@ -839,6 +859,14 @@
               faults);
           return;
         }
+        if (expected.what().startsWith(ACCEPTED_WITHIN)) {
+          expectAcceptedWithin(
+              fleet,
+              Long.parseLong(expected.what().substring(ACCEPTED_WITHIN.length())),
+              expected.number(),
+              faults);
+          return;
+        }
         if (expected.what().startsWith("refused-within-ms:")) {
           String type = expected.what().substring(18);
           long most = fleet.refusedAfterMs.getOrDefault(type, -1L);
@@ -858,6 +886,19 @@
     }
   }
 
+  /** As the client sees it, from its first try; a batch that is never accepted is late too. */
+  private static void expectAcceptedWithin(
+      SimulatedFleet fleet, long millis, double percent, List<String> faults) {
+    long within =
+        fleet.clients.batches.stream().filter(batch -> batch.acceptanceMs() <= millis).count();
+    long all = fleet.clients.batches.size();
+    if (100 * within < percent * all) {
+      faults.add(
+          "expected %.0f percent of batches accepted within %d ms, were %d of %d%n%s"
+              .formatted(percent, millis, within, all, fleet.simulation.submissions.report()));
+    }
+  }
+
   private static void expectOfFleet(SimulatedFleet fleet, Expected expected, List<String> faults) {
     switch (expected.what()) {
       case "cache-hits-least" ->
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
@@ -330,6 +330,22 @@
     edges.forEach(edge -> edge.linkMbits(mbits));
   }
 
+  /** Share of a processor that every edge has; 0: nothing that an edge does takes time. */
+  void edgeProcessors(double share) {
+    edges.forEach(edge -> edge.processor.share(share));
+  }
+
+  /** The last so many edges have a processor and a link of their own kind. */
+  void largerEdges(int count, double share, double mbits) {
+    edges
+        .subList(edges.size() - count, edges.size())
+        .forEach(
+            edge -> {
+              edge.processor.share(share);
+              edge.linkMbits(mbits);
+            });
+  }
+
   // ---- callers
 
   /** Callers reach an edge that was ready when the platform last looked; any edge if none was. */
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -114,6 +114,9 @@
 
     private long refusesWritesUntilUs;
 
+    final SimulatedProcessor processor =
+        new SimulatedProcessor(Simulation.this, this::unlessFrozen);
+
     /** Payload written to its disk so far, and bytes that reached it from others by kind. */
     private long writtenBytes;
 
@@ -183,7 +186,7 @@
       if (disk != null) {
         disk.synced.forEach(node::recover);
       }
-      node.start();
+      processor.run(node::start);
     }
 
     /**
@@ -221,6 +224,7 @@
       alive = false;
       life++;
       busyUntilUs = 0;
+      processor.restart();
       whileFrozen.clear();
       if (keepsSome && !unsynced.isEmpty()) {
         disk.synced.addAll(unsynced.subList(0, random.nextInt(unsynced.size() + 1)));
@@ -297,6 +301,9 @@
 
     /** 0 makes it as fast as ever. */
     void slowDown(long micros) {
+      if (processor.modelled()) {
+        throw new IllegalArgumentException("its processor is modelled: " + name);
+      }
       trouble(this, micros > 0, "slow");
       taskUs = micros;
     }
@@ -324,7 +331,9 @@
       if (!alive || life != inLife) {
         return;
       }
-      if (frozen) {
+      if (processor.modelled()) {
+        unlessFrozen(() -> processor.run(() -> runNow(inLife, task)));
+      } else if (frozen) {
         whileFrozen.add(task);
       } else if (taskUs > 0 || busyUntilUs > nowUs) {
         busyUntilUs = Math.max(nowUs, busyUntilUs) + taskUs;
@@ -334,6 +343,15 @@
       }
     }
 
+    /** Now, or once the process wakes. */
+    private void unlessFrozen(Runnable task) {
+      if (frozen) {
+        whileFrozen.add(task);
+      } else {
+        task.run();
+      }
+    }
+
     private void runNow(int inLife, Runnable task) {
       if (!alive || life != inLife) {
         return;
@@ -384,6 +402,14 @@
 
     @Override
     public void send(String peerAddress, Envelope envelope) {
+      if (processor.modelled() && !peerAddress.equals(name)) {
+        processor.frame(codec.encode(envelope).length);
+      }
+      processor.output(() -> transmit(peerAddress, envelope));
+    }
+
+    private void transmit(String peerAddress, Envelope envelope) {
+      submissions.sent(this, envelope.message());
       Process target = processes.get(peerAddress);
       tellPromise(this, envelope.message());
       if (target == null || cut(this, target) || !target.alive) {
@@ -421,7 +447,7 @@
       Runnable arrival =
           () -> {
             if (!cut(this, target) && connections == sentOver && target.connections == takenOver) {
-              target.enter(targetLife, () -> target.node.receive(carried));
+              target.enter(targetLife, () -> target.receive(carried, frame.length));
               if (struckByReceiving == carried) {
                 struckByReceiving = null;
                 instant.fall(target);
@@ -435,6 +461,12 @@
       }
     }
 
+    private void receive(Envelope envelope, int frameBytes) {
+      processor.frame(frameBytes);
+      submissions.received(this, envelope.message());
+      node.receive(envelope);
+    }
+
     @Override
     public void write(List<DiskRecord> records, Runnable whenSynced) {
       int inLife = life;
@@ -582,6 +614,7 @@
 
     @Override
     public void log(String part, String sentence) {
+      submissions.logged(this, sentence);
       if (logging) {
         System.out.printf("%9.3f %-10s [%s] %s%n", nowUs / 1e6, name, part, sentence);
       }
@@ -696,6 +729,7 @@
   public final Map<String, Process> processes = new LinkedHashMap<>();
   public final SimulatedWorkers workers;
   public final History history = new History();
+  final SubmissionStages submissions = new SubmissionStages(this);
   boolean logging;
   private final Map<String, String> operatorKeys;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -745,6 +779,10 @@
     return nowUs / MS;
   }
 
+  long nowUs() {
+    return nowUs;
+  }
+
   public long steps() {
     return steps;
   }
@@ -894,15 +932,17 @@
               () ->
                   question.accept(
                       answer ->
-                          afterMs(
-                              0.3,
-                              () -> {
-                                process.waitingCallers.remove(whenDead);
-                                if (!done[0]) {
-                                  done[0] = true;
-                                  caller.answered(answer);
-                                }
-                              })));
+                          process.processor.output(
+                              () ->
+                                  afterMs(
+                                      0.3,
+                                      () -> {
+                                        process.waitingCallers.remove(whenDead);
+                                        if (!done[0]) {
+                                          done[0] = true;
+                                          caller.answered(answer);
+                                        }
+                                      }))));
         });
   }
 
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/SubmissionStages.java
@@ -0,0 +1,173 @@
+package applespindle.testfleet;
+
+import applespindle.corelogic.Message;
+import applespindle.testfleet.Simulation.Process;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * When each stage of handing in an opaque batch was reached, by batch and edge, as seen in the
+ * messages of the edges: for the reader of a scenario that failed because acceptances were late.
+ */
+final class SubmissionStages {
+  /** In the order in which a batch goes through them. */
+  enum Stage {
+    TRIED("tried"),
+    ARRIVED("arrived"),
+    ROOM_ASKED("room asked"),
+    ROOM_ANSWERED("room answered"),
+    CLAIM_TRIED("claim tried"),
+    CLAIM_ASKED("claim asked"),
+    CLAIM_SETTLING("claim settling"),
+    APPEND_SENT("append sent"),
+    COMMITTED("committed"),
+    ANSWERED("answered");
+
+    private final String label;
+
+    Stage(String label) {
+      this.label = label;
+    }
+  }
+
+  private static final String RECORD = "batch/";
+  private static final String ACCEPTED = "Batch accepted: ";
+
+  /** The stages of one batch at one edge, in simulated microseconds. */
+  private static final class Visit {
+    final String edge;
+    final Map<Stage, Long> reachedUs = new EnumMap<>(Stage.class);
+
+    Visit(String edge) {
+      this.edge = edge;
+    }
+  }
+
+  private final Simulation simulation;
+
+  /** By the client's id of a batch; in the order of the tries. */
+  private final Map<String, List<Visit>> visits = new LinkedHashMap<>();
+
+  /** By edge, the batch that its present event hands in. */
+  private final Map<String, String> arriving = new HashMap<>();
+
+  /** By the id of its record, without the prefix. */
+  private final Map<String, String> clientIds = new HashMap<>();
+
+  /** By edge and correlation of the question for room. */
+  private final Map<String, String> roomAsked = new HashMap<>();
+
+  SubmissionStages(Simulation simulation) {
+    this.simulation = simulation;
+  }
+
+  /** The client begins a try. */
+  void tried(String clientId, Process edge) {
+    visits.computeIfAbsent(clientId, unseen -> new ArrayList<>()).add(new Visit(edge.name));
+    reach(clientId, edge, Stage.TRIED);
+  }
+
+  /** The edge begins to read the body. */
+  void arrived(String clientId, Process edge) {
+    arriving.put(edge.name, clientId);
+    reach(clientId, edge, Stage.ARRIVED);
+  }
+
+  /** The client hears yes. */
+  void answered(String clientId, Process edge) {
+    reach(clientId, edge, Stage.ANSWERED);
+  }
+
+  /** A message leaves an edge, once the event that sends it is done. */
+  void sent(Process from, Message message) {
+    if (visits.isEmpty()) {
+      return;
+    }
+    if (message instanceof Message.Ask ask) {
+      asked(from, ask);
+    } else if (message instanceof Message.KeyPromise promise) {
+      reachKey(promise.key(), from, promise.trial() ? Stage.CLAIM_TRIED : Stage.CLAIM_ASKED);
+    } else if (message instanceof Message.KeyAppend append) {
+      boolean hasEvent = append.entries().stream().anyMatch(entry -> entry.event().length > 0);
+      reachKey(append.key(), from, hasEvent ? Stage.APPEND_SENT : Stage.CLAIM_SETTLING);
+    }
+  }
+
+  private void asked(Process from, Message.Ask ask) {
+    if (ask.duty().equals("submit") && arriving.containsKey(from.name)) {
+      clientIds.put(recordId(ask.key()), arriving.remove(from.name));
+    } else if (ask.duty().equals("room")) {
+      var body = Simulation.tree(ask.body());
+      String clientId = clientIds.get(body.path("batch").asText());
+      if (clientId != null && body.path("reserve").asBoolean()) {
+        roomAsked.put(from.name + " " + ask.correlation(), clientId);
+        reach(clientId, from, Stage.ROOM_ASKED);
+      }
+    }
+  }
+
+  void received(Process by, Message message) {
+    if (message instanceof Message.AskResponse response) {
+      String clientId = roomAsked.remove(by.name + " " + response.correlation());
+      if (clientId != null) {
+        reach(clientId, by, Stage.ROOM_ANSWERED);
+      }
+    }
+  }
+
+  void logged(Process by, String sentence) {
+    if (sentence.startsWith(ACCEPTED)) {
+      String record = sentence.substring(ACCEPTED.length()).split(",")[0];
+      reachKey(RECORD + record, by, Stage.COMMITTED);
+    }
+  }
+
+  private static String recordId(String key) {
+    return key.startsWith(RECORD) ? key.substring(RECORD.length()) : key;
+  }
+
+  private void reachKey(String key, Process edge, Stage stage) {
+    String clientId = clientIds.get(recordId(key));
+    if (clientId != null) {
+      reach(clientId, edge, stage);
+    }
+  }
+
+  /** Counts for the latest visit to that edge; the first time counts. */
+  private void reach(String clientId, Process edge, Stage stage) {
+    List<Visit> tries = visits.get(clientId);
+    for (int index = tries.size() - 1; index >= 0; index--) {
+      if (tries.get(index).edge.equals(edge.name)) {
+        tries.get(index).reachedUs.putIfAbsent(stage, simulation.nowUs());
+        return;
+      }
+    }
+  }
+
+  /** A line for each visit: in ms since the first try, when each stage was reached. */
+  String report() {
+    StringBuilder report = new StringBuilder();
+    visits.forEach((clientId, tries) -> report(report, clientId, tries));
+    return report.toString();
+  }
+
+  private static void report(StringBuilder report, String clientId, List<Visit> tries) {
+    long firstUs = tries.get(0).reachedUs.get(Stage.TRIED);
+    for (Visit visit : tries) {
+      report.append("  ").append(clientId).append(" at ").append(visit.edge).append(':');
+      visit.reachedUs.forEach(
+          (stage, atUs) ->
+              report
+                  .append(' ')
+                  .append(stage.label)
+                  .append(' ')
+                  .append((atUs - firstUs) / 1_000)
+                  .append(','));
+      report.append('\n');
+    }
+  }
+}
