Do not deflate a promise whose entries are deflated already

As KeyAppend and KeyLogPart do it: each replica that promises a claimant a log with a large event spent a pass over bytes that get no smaller.

--- a/core-logic/src/main/java/applespindle/corelogic/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Message.java
@@ -79,6 +79,11 @@
     boolean wholeLog() {
       return entries.isEmpty() || entries.get(0).sequence() <= logStart || logStart <= 0;
     }
+
+    @Override
+    public boolean worthDeflating() {
+      return !EventCodec.mostlyDeflated(entries);
+    }
   }
 
   /**
