--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -5,7 +5,6 @@
 
 import applespindle.corelogic.Constants;
 import applespindle.corelogic.Fault;
-import applespindle.corelogic.Json;
 import applespindle.corelogic.Response;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -326,7 +325,7 @@
     HttpResponse.Builder builder =
         HttpResponse.ofCode(response.status())
             .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
-            .withBody(ByteBuf.wrapForReading(Json.bytes(response.body())));
+            .withBody(ByteBuf.wrapForReading(response.encodedBody()));
     if (response.comeBackSeconds() > 0) {
       builder.withHeader(HttpHeaders.RETRY_AFTER, Integer.toString(response.comeBackSeconds()));
     }
--- a/core-logic/src/main/java/applespindle/corelogic/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/Node.java
@@ -227,10 +227,8 @@
       Consumer<Response> then = open.remove(response.correlation());
       if (then != null) {
         then.accept(
-            new Response(
-                response.status(),
-                Json.tree(response.body()),
-                response.comeBackSeconds() * 1_000L));
+            Response.encoded(
+                response.status(), response.body(), response.comeBackSeconds() * 1_000L));
       }
     } else if (message instanceof Ask ask) {
       handleAsk(ask);
@@ -290,7 +288,7 @@
             ask.correlation(),
             response.status(),
             response.comeBackSeconds(),
-            Json.bytes(response.body())));
+            response.encodedBody()));
   }
 
   /** Hands an ask on to whom it belongs; the other responds to the origin directly. */
--- /dev/null
+++ b/core-logic/src/test/java/applespindle/corelogic/ResponseTest.java
@@ -0,0 +1,42 @@
+package applespindle.corelogic;
+
+import static applespindle.corelogic.Json.JSON;
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Test;
+
+class ResponseTest {
+  private static final byte[] ENCODED = "{ \"total\": 1 }".getBytes(UTF_8);
+
+  @Test
+  void anEncodedBodyIsPassedOnAsItCame() {
+    Response response = Response.encoded(200, ENCODED, 7);
+    assertThat(response.encodedBody()).isSameInstanceAs(ENCODED);
+    assertThat(response.withStatus(412).withComeBackMs(0).encodedBody()).isSameInstanceAs(ENCODED);
+  }
+
+  @Test
+  void aBodyThatWasLookedIntoIsEncodedAnew() {
+    Response response = Response.encoded(200, ENCODED, 0);
+    ((ObjectNode) response.body()).put("total", 2);
+    assertThat(Json.tree(response.encodedBody()).path("total").asInt()).isEqualTo(2);
+  }
+
+  @Test
+  void equalityIsThatOfTheDecodedBodies() {
+    Response decoded = Response.of(200, JSON.createObjectNode().put("total", 1));
+    assertThat(Response.encoded(200, ENCODED, 0)).isEqualTo(decoded);
+    assertThat(Response.encoded(200, ENCODED, 0).hashCode()).isEqualTo(decoded.hashCode());
+    assertThat(Response.encoded(201, ENCODED, 0)).isNotEqualTo(decoded);
+    assertThat(Response.encoded(200, ENCODED, 1)).isNotEqualTo(decoded);
+  }
+
+  @Test
+  void theTypeOfAnEncodedFaultIsKnown() {
+    Response refusal = Response.of(new Fault.NoBundle());
+    Response passedOn = Response.encoded(refusal.status(), refusal.encodedBody(), 0);
+    assertThat(passedOn.faultType()).isEqualTo("NoBundle");
+  }
+}
--- a/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
+++ b/data-plane/src/main/java/applespindle/dataplane/OpaqueDoor.java
@@ -356,8 +356,7 @@
 
   /** Our own responses tell when to come back as the format has it. */
   private HttpResponse render(Response response) {
-    HttpResponse.Builder builder =
-        HttpInterface.begin(new Response(response.status(), response.body(), 0));
+    HttpResponse.Builder builder = HttpInterface.begin(response.withComeBackMs(0));
     if (response.comeBackMs() > 0) {
       builder.withHeader(HttpHeaders.RETRY_AFTER, format.comeBack(response.comeBackMs()));
     }
