CoreNode: key leadership, leases, batch room and worker commands in classes of their own

This takes out what the leader of a core key does: CoreKeys holds the keys that this node leads and its claims, CoreKeyState one such key, MemberLeases the members' leases, BatchRoomLedger and BatchRoomDuty the batch room, WorkerCommands the commands on single workers, EdgeListDuty the list of edges that count, and CommandReplies how a command is answered. CoreMembership and CorePeer hold which members the core has and which of them are in contact.

Behaviour is unchanged: same messages, same order of draws and timers. Renamed on the way, inside this package: Owned, Peer, grantExpiresAt.

--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/BatchRoomLedger.java
@@ -0,0 +1,104 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Records.Room;
+import applespindle.corelogic.Records.RoomChange;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The unfinished items of every open batch, as the leader of the batch room's key counts them.
+ * Invariant: a batch is listed only while it has unfinished items, and has a group only while it is
+ * listed.
+ */
+final class BatchRoomLedger {
+  /** The core key whose log holds the changes of the ledger. */
+  static final String KEY = "batch-room";
+
+  /** An event to append: one batch's change, or now and then the whole ledger. */
+  record Event(boolean whole, byte[] content) {}
+
+  private final Map<String, Long> items = new LinkedHashMap<>();
+
+  /** By batch, the group whose ceiling it counts against; absent for batches of prompts. */
+  private final Map<String, String> groups = new HashMap<>();
+
+  /** When the leader of each batch last spoke of it; only for the audit. */
+  private final Map<String, Long> touchedAt = new HashMap<>();
+
+  private int changesSinceWhole;
+
+  void replay(Entry entry) {
+    if (entry.whole()) {
+      Room whole = Json.read(entry.event(), Room.class);
+      items.clear();
+      items.putAll(whole.items());
+      groups.clear();
+      groups.putAll(whole.groups());
+      return;
+    }
+    RoomChange change = Json.read(entry.event(), RoomChange.class);
+    apply(change.batch(), change.items(), change.group());
+  }
+
+  private void apply(String batch, long unfinished, String group) {
+    if (unfinished == 0) {
+      items.remove(batch);
+      groups.remove(batch);
+      return;
+    }
+    items.put(batch, unfinished);
+    if (!group.isEmpty()) {
+      groups.put(batch, group);
+    }
+  }
+
+  /** Sets a batch's unfinished items; the event that records this is to be appended at once. */
+  Event set(String batch, long unfinished, String group) {
+    apply(batch, unfinished, group);
+    if (unfinished == 0) {
+      touchedAt.remove(batch);
+    }
+    changesSinceWhole++;
+    if (changesSinceWhole < Constants.WHOLE_STATE_EVERY) {
+      return new Event(false, Json.bytes(new RoomChange(batch, unfinished, group)));
+    }
+    changesSinceWhole = 0;
+    return new Event(true, Json.bytes(new Room(items, groups)));
+  }
+
+  long itemsOf(String batch) {
+    return items.getOrDefault(batch, 0L);
+  }
+
+  /** The group of a listed batch; empty for batches of prompts and for unknown ones. */
+  String groupOf(String batch) {
+    return groups.getOrDefault(batch, "");
+  }
+
+  /** Unfinished items of one group; the empty group is that of the batches of prompts. */
+  long waitingOf(String group) {
+    return items.entrySet().stream()
+        .filter(entry -> groupOf(entry.getKey()).equals(group))
+        .mapToLong(Map.Entry::getValue)
+        .sum();
+  }
+
+  long waiting() {
+    return items.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  void touch(String batch, long now) {
+    touchedAt.put(batch, now);
+  }
+
+  /** Batches whose leader has not spoken of them for the audit interval. */
+  List<String> untouched(long now) {
+    return items.keySet().stream()
+        .filter(
+            batch ->
+                now - touchedAt.computeIfAbsent(batch, unseen -> now) >= Constants.ROOM_AUDIT_MS)
+        .toList();
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
@@ -3,7 +3,6 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.AcceptedRevisions.Standing;
-import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.SignedBundle;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
@@ -28,7 +27,7 @@
     this.operatorKeys = operatorKeys;
   }
 
-  void take(Owned state, SignedBundle sent, PutValue put, Outcome outcome) {
+  void take(CoreKeyState state, SignedBundle sent, PutValue put, Outcome outcome) {
     Bundle.Checked checked =
         bounds.signedBundles()
             ? Bundle.check(sent.bytes(), sent.keyId(), sent.signature(), operatorKeys)
@@ -104,7 +103,7 @@
 
   /** Appends the key's new value. */
   interface PutValue {
-    void put(Owned state, Object value, Consumer<Fault> then);
+    void put(CoreKeyState state, Object value, Consumer<Fault> then);
   }
 
   /**
--- a/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreFounding.java
@@ -1,6 +1,5 @@
 package applespindle.corelogic;
 
-import applespindle.corelogic.CoreNode.Peer;
 import applespindle.corelogic.DiskRecord.Kind;
 import applespindle.corelogic.Records.CoreMember;
 import applespindle.corelogic.Records.Roster;
@@ -34,8 +33,8 @@
   private final Surroundings surroundings;
   private final Node.Place place;
   private final Bounds bounds;
-  private final Map<String, Peer> peers;
-  private final Predicate<Peer> alive;
+  private final Map<String, CorePeer> peers;
+  private final Predicate<CorePeer> alive;
   private final CoreMember self;
   private final Consumer<Roster> whenFormed;
 
@@ -58,8 +57,8 @@
       Node.Place place,
       Bounds bounds,
       CoreMember self,
-      Map<String, Peer> peers,
-      Predicate<Peer> alive,
+      Map<String, CorePeer> peers,
+      Predicate<CorePeer> alive,
       Consumer<Roster> whenFormed) {
     this.surroundings = surroundings;
     this.place = place;
@@ -140,7 +139,7 @@
       propose();
     }
     if (proposal == null) {
-      for (Peer peer : peers.values()) {
+      for (CorePeer peer : peers.values()) {
         if (alive.test(peer) && peer.proposal != null && names(peer.proposal)) {
           proposal = peer.proposal;
           break;
@@ -152,7 +151,7 @@
     }
     proposal.members().stream()
         .filter(member -> !member.id().equals(place.id()))
-        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new Peer()));
+        .forEach(member -> peers.computeIfAbsent(member.peerAddress(), unseen -> new CorePeer()));
     accept();
     if (proposal.members().stream().allMatch(this::hasAccepted)) {
       surroundings.log(PART, "Roster 1 formed of " + proposal.members().size() + ".");
@@ -176,7 +175,7 @@
     if (member.id().equals(place.id())) {
       return proposal.equals(accepted);
     }
-    Peer peer = peers.get(member.peerAddress());
+    CorePeer peer = peers.get(member.peerAddress());
     return peer != null
         && alive.test(peer)
         && member.equals(peer.member)
@@ -185,7 +184,7 @@
   }
 
   private void propose() {
-    for (Peer peer : peers.values()) {
+    for (CorePeer peer : peers.values()) {
       if (alive.test(peer) && peer.proposal != null) {
         proposal = peer.proposal;
         return;
--- a/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageSets.java
@@ -2,7 +2,6 @@
 
 import static applespindle.corelogic.Json.JSON;
 
-import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Records.Member;
 import applespindle.corelogic.Records.Shard;
@@ -79,17 +78,17 @@
     if (storage.size() < replicas || table.shards().size() == Constants.SHARDS) {
       return;
     }
-    List<String> live = core.liveCore();
+    List<String> live = core.membership.liveMembers();
     for (int shard = 0; shard < Constants.SHARDS; shard++) {
       String key = CoreTable.SHARD + shard;
       if (table.has(key) || !core.place().id().equals(Rendezvous.first(key, live))) {
         continue;
       }
-      Owned state = core.owned.get(key);
+      CoreKeyState state = core.keys.get(key);
       if (state == null) {
-        core.claim(key);
+        core.keys.claim(key);
       } else if (state.value.isNull()) {
-        core.put(
+        core.keys.put(
             state,
             new Shard(1, ShardPlacement.placeShard(key, storage, replicas), List.of()),
             fault -> {});
@@ -121,8 +120,8 @@
     return holding;
   }
 
-  private List<Owned> ownedShards() {
-    return core.owned.values().stream()
+  private List<CoreKeyState> ownedShards() {
+    return core.keys.led().values().stream()
         .filter(state -> state.key.key.startsWith(CoreTable.SHARD) && !state.value.isNull())
         .toList();
   }
@@ -142,7 +141,7 @@
     silentSince.keySet().retainAll(holding.keySet());
     List<Member> spares = spares();
     long pending = pending();
-    for (Owned state : ownedShards()) {
+    for (CoreKeyState state : ownedShards()) {
       Shard shard = state.as(Shard.class);
       if (!shard.next().isEmpty()) {
         settle(state, shard, live);
@@ -156,10 +155,10 @@
     }
   }
 
-  private void changeTo(Owned state, Shard shard, List<StorageReplica> next) {
+  private void changeTo(CoreKeyState state, Shard shard, List<StorageReplica> next) {
     state.copied.clear();
     core.journal().add("changing", state.key.key, "set " + (shard.number() + 1));
-    core.put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> {});
+    core.keys.put(state, new Shard(shard.number() + 1, shard.replicas(), next), fault -> {});
   }
 
   /**
@@ -175,7 +174,7 @@
     }
     List<Member> spares = spares();
     Map<String, Long> holding = held();
-    for (Owned state : ownedShards()) {
+    for (CoreKeyState state : ownedShards()) {
       Shard shard = state.as(Shard.class);
       List<Member> candidates =
           ShardPlacement.candidates(state.key.key, shard, List.of(), spares, holding).stream()
@@ -209,16 +208,17 @@
   }
 
   /** Ends a change once the newcomer has copied, or calls it off if the newcomer has died. */
-  private void settle(Owned state, Shard shard, Map<String, Member> live) {
+  private void settle(CoreKeyState state, Shard shard, Map<String, Member> live) {
     List<StorageReplica> newcomers =
         shard.next().stream().filter(each -> !shard.replicas().contains(each)).toList();
     List<StorageReplica> needed = newcomers.isEmpty() ? shard.next() : newcomers;
     if (needed.stream()
         .allMatch(each -> state.copied.getOrDefault(each.id(), 0L) == shard.number())) {
       surroundings.log(PART, "Replicas changed: " + state.key.key + ".");
-      core.put(state, new Shard(shard.number() + 1, shard.next(), List.of()), fault -> lookSoon());
+      core.keys.put(
+          state, new Shard(shard.number() + 1, shard.next(), List.of()), fault -> lookSoon());
     } else if (newcomers.stream().anyMatch(each -> !live.containsKey(each.id()))) {
-      core.put(
+      core.keys.put(
           state, new Shard(shard.number() + 1, shard.replicas(), List.of()), fault -> lookSoon());
     }
   }
@@ -272,7 +272,7 @@
    * Marks a storage node as emptying or retired. The same mark again gets the same answer. Emptying
    * is refused unless as many others remain as a shard has replicas; if fewer do later, it waits.
    */
-  void mark(Ask ask, Owned state, StorageState sent) {
+  void mark(Ask ask, CoreKeyState state, StorageState sent) {
     StorageState known = state.as(StorageState.class);
     int shards =
         (int) table.shards().values().stream().filter(shard -> names(shard, sent.id())).count();
@@ -296,7 +296,7 @@
     if (refusal != null || sent.equals(known)) {
       state.key.confirm(fault -> core.respond(ask, fault == null ? answer : Response.of(fault)));
     } else {
-      core.put(
+      core.keys.put(
           state, sent, fault -> core.respond(ask, fault == null ? answer : Response.of(fault)));
     }
   }
@@ -349,7 +349,7 @@
    * Whether the node may be taken away, disk and all. Every shard is asked of its owner, as news of
    * a set that names the node may still be on its way here.
    */
-  void place(Ask ask, Owned state) {
+  void place(Ask ask, CoreKeyState state) {
     String id = state.key.key.substring(CoreTable.STORAGE.length());
     state.key.confirm(
         fault -> {
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
@@ -2,7 +2,6 @@
 
 import static applespindle.corelogic.Json.JSON;
 
-import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.ListedWorkers;
 import applespindle.corelogic.Records.Worker;
 import applespindle.corelogic.Surroundings.ListedWorker;
@@ -25,7 +24,7 @@
 
   private final Surroundings surroundings;
   private Bounds bounds;
-  private final Predicate<Owned> stillOwned;
+  private final Predicate<CoreKeyState> stillOwned;
   private final BundleDuty.PutValue put;
   private final Runnable handOver;
 
@@ -47,7 +46,7 @@
   WorkerListDuty(
       Surroundings surroundings,
       Bounds bounds,
-      Predicate<Owned> stillOwned,
+      Predicate<CoreKeyState> stillOwned,
       BundleDuty.PutValue put,
       Runnable handOver) {
     this.surroundings = surroundings;
@@ -57,7 +56,7 @@
     this.handOver = handOver;
   }
 
-  void begin(Owned state) {
+  void begin(CoreKeyState state) {
     goodAt = surroundings.now();
     emptyReads = 0;
     quickReads = Constants.LIST_QUICK_READS;
@@ -65,7 +64,7 @@
     read(state);
   }
 
-  private void read(Owned state) {
+  private void read(CoreKeyState state) {
     if (!stillOwned.test(state)) {
       return;
     }
@@ -75,7 +74,7 @@
   }
 
   private void readPage(
-      Owned state, long number, String token, List<ListedWorker> before, int pages) {
+      CoreKeyState state, long number, String token, List<ListedWorker> before, int pages) {
     surroundings.listWorkers(
         token,
         page -> {
@@ -87,7 +86,7 @@
   }
 
   private void took(
-      Owned state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
+      CoreKeyState state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
     before.addAll(page.workers());
     String next = page.nextToken();
     if (next == null || next.isEmpty()) {
@@ -100,7 +99,7 @@
     }
   }
 
-  private void failed(Owned state, long number) {
+  private void failed(CoreKeyState state, long number) {
     if (number != reading || !stillOwned.test(state)) {
       return;
     }
@@ -125,7 +124,7 @@
     return Math.max(wanted, (long) (2_000 / bounds.listCallsPerS()));
   }
 
-  private void whole(Owned state, List<ListedWorker> listed, int pages) {
+  private void whole(CoreKeyState state, List<ListedWorker> listed, int pages) {
     goodAt = surroundings.now();
     List<Worker> known =
         state.value.isNull()
