CoreNode: heartbeat, membership change, change feed and leader duties parted

BundleDuty answers through CommandReplies, so its outcome interface goes.

Behaviour is unchanged: same messages, same order of draws and timers.

--- a/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/BundleDuty.java
@@ -1,39 +1,40 @@
 package applespindle.corelogic;
 
+import static applespindle.corelogic.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.AcceptedRevisions.Standing;
+import applespindle.corelogic.Message.Ask;
 import applespindle.corelogic.Records.SignedBundle;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Map;
-import java.util.function.Consumer;
 
-/** What the owner of the bundle's key does with a bundle that is sent. */
+/**
+ * What the leader of the bundle's key does with a bundle that is sent. Invariant: numbers only
+ * rise, and a bundle that is known to have been accepted is acknowledged again.
+ */
 final class BundleDuty {
-  /**
-   * What a sent bundle came to: a fault, or a yes that is told once the key's news are in force.
-   */
-  interface Outcome {
-    void refuse(Fault fault);
-
-    void accept(long number, Fault fault);
-  }
-
   private final Bounds bounds;
   private final Map<String, String> operatorKeys;
+  private final CoreKeys keys;
+  private final CommandReplies replies;
 
-  BundleDuty(Bounds bounds, Map<String, String> operatorKeys) {
+  BundleDuty(
+      Bounds bounds, Map<String, String> operatorKeys, CoreKeys keys, CommandReplies replies) {
     this.bounds = bounds;
     this.operatorKeys = operatorKeys;
+    this.keys = keys;
+    this.replies = replies;
   }
 
-  void take(CoreKeyState state, SignedBundle sent, PutValue put, Outcome outcome) {
+  /** Accepts a bundle and responds once it is in force, or refuses it. */
+  void set(Ask ask, CoreKeyState state, SignedBundle sent) {
     Bundle.Checked checked =
         bounds.signedBundles()
             ? Bundle.check(sent.bytes(), sent.keyId(), sent.signature(), operatorKeys)
             : Bundle.check(sent.bytes());
     if (checked.fault() != null) {
-      outcome.refuse(checked.fault());
+      replies.refuse(ask, checked.fault());
       return;
     }
     long number = checked.bundle().number();
@@ -42,15 +43,15 @@
     AcceptedRevisions accepted = acceptedSoFar(inForce);
     Standing standing = accepted.standing(number, content);
     if (standing == Standing.ACCEPTED) {
-      state.key.confirm(fault -> outcome.accept(number, fault));
+      state.key.confirm(fault -> acknowledge(ask, state, number, fault));
       return;
     }
     Fault refusal = refusal(state.key.key, sent.buildsOn(), number, inForce, standing);
     if (refusal != null) {
-      state.key.confirm(fault -> outcome.refuse(fault == null ? refusal : fault));
+      state.key.confirm(fault -> replies.refuse(ask, fault == null ? refusal : fault));
       return;
     }
-    put.put(
+    keys.put(
         state,
         new SignedBundle(
             number,
@@ -59,7 +60,11 @@
             sent.signature(),
             sent.buildsOn(),
             accepted.with(number, content)),
-        fault -> outcome.accept(number, fault));
+        fault -> acknowledge(ask, state, number, fault));
+  }
+
+  private void acknowledge(Ask ask, CoreKeyState state, long number, Fault fault) {
+    replies.respondInForce(ask, state, JSON.createObjectNode().put("number", number), fault);
   }
 
   /**
@@ -101,11 +106,6 @@
     return present >= number ? new Fault.BundleConflict(present) : null;
   }
 
-  /** Appends the key's new value. */
-  interface PutValue {
-    void put(CoreKeyState state, Object value, Consumer<Fault> then);
-  }
-
   /**
    * What the feed carries: only what edges work by, neither what the owner remembers of earlier
    * bundles nor the text that an unsigned one was made from, which is as long as the bundle itself.
--- a/core-logic/src/main/java/applespindle/corelogic/CoreMembership.java
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreMembership.java
@@ -15,6 +15,12 @@
  * pass one way only, neither counts on the other.
  */
 final class CoreMembership {
+  /** The core key that holds the membership. */
+  static final String KEY = "roster";
+
+  /** The name under which all core keys change their replicas together. */
+  static final String SET_NAME = "core";
+
   private final Surroundings surroundings;
   private final Node.Place place;
   private final Supplier<Roster> current;
@@ -46,6 +52,12 @@
     return peers.computeIfAbsent(peerAddress, unseen -> new CorePeer());
   }
 
+  /** This process as it would stand in a membership. */
+  CoreMember self() {
+    return new CoreMember(
+        place.id(), place.peerAddress(), place.httpAddress(), place.zone(), place.name());
+  }
+
   // ---- the membership itself
 
   boolean isMember() {
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/CoreView.java
@@ -0,0 +1,73 @@
+package applespindle.corelogic;
+
+import static applespindle.corelogic.Json.JSON;
+
+import applespindle.corelogic.Message.FeedItem;
+import applespindle.corelogic.Records.SignedBundle;
+import applespindle.corelogic.Records.Worker;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+
+/**
+ * What a core node tells of the committed keys as they are known here. Invariant: it only reads,
+ * and a view that may be old carries its age.
+ */
+final class CoreView {
+  private static final String WORKER = "worker/";
+
+  private final CoreTable table;
+  private final FeedFreshness freshness;
+
+  CoreView(CoreTable table, FeedFreshness freshness) {
+    this.table = table;
+    this.freshness = freshness;
+  }
+
+  /** The listed workers, the version of their list, and the age of this knowledge. */
+  ObjectNode workers() {
+    ObjectNode body = JSON.createObjectNode();
+    ArrayNode workers = body.putArray("workers");
+    table
+        .under(WORKER)
+        .map(item -> Json.tree(item.value()))
+        .filter(worker -> !worker.path("state").asText().equals(Worker.GONE))
+        .forEach(workers::add);
+    if (table.has(CoreNode.WORKERS)) {
+      Json.tree(table.get(CoreNode.WORKERS).value()).path("workers").forEach(workers::add);
+    }
+    FeedItem version = table.get(CoreNode.LIST_VERSION);
+    body.put("version", version == null ? 0 : Json.tree(version.value()).path("version").asLong());
+    return body.put("ageMs", freshness.ageMs());
+  }
+
+  /** Ids of the workers that were listed by commands of their own. */
+  List<String> workerIds() {
+    return table
+        .under(WORKER)
+        .map(item -> Json.read(item.value(), Worker.class))
+        .filter(worker -> !worker.state().equals(Worker.GONE))
+        .map(Worker::id)
+        .toList();
+  }
+
+  /** Adds members, workers, edges, the bundle's number and shards to a status. */
+  void describe(ObjectNode status) {
+    ArrayNode members = status.putArray("members");
+    table.live().forEach(member -> members.add(JSON.<JsonNode>valueToTree(member)));
+    status.set("workers", workers().get("workers"));
+    ArrayNode edges = status.putArray("edges");
+    EdgeListDuty.edges(table).listed().forEach(edges::add);
+    FeedItem bundle = table.get(CoreNode.BUNDLE);
+    status.put(
+        "bundle", bundle == null ? 0 : Json.read(bundle.value(), SignedBundle.class).number());
+    ObjectNode shards = status.putObject("shards");
+    table
+        .under(CoreTable.SHARD)
+        .forEach(
+            item ->
+                shards.set(
+                    item.key().substring(CoreTable.SHARD.length()), Json.tree(item.value())));
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/FeedFreshness.java
@@ -0,0 +1,71 @@
+package applespindle.corelogic;
+
+import applespindle.corelogic.Records.CoreMember;
+import java.util.List;
+
+/**
+ * How old this node's view of the core keys may be. Invariant: the age is never understated. It
+ * counts from the oldest of the newest polls that a majority of the members responded to, this node
+ * included; members that lack a decision do not count.
+ */
+final class FeedFreshness {
+  /** The age of a view that no update has confirmed. */
+  private static final long UNKNOWN_AGE_MS = Long.MAX_VALUE / 4;
+
+  private final Surroundings surroundings;
+  private final Node.Place place;
+  private final CoreMembership membership;
+  private final KeyReplicas replicas;
+
+  FeedFreshness(
+      Surroundings surroundings,
+      Node.Place place,
+      CoreMembership membership,
+      KeyReplicas replicas) {
+    this.surroundings = surroundings;
+    this.place = place;
+    this.membership = membership;
+    this.replicas = replicas;
+  }
+
+  boolean isFresh() {
+    return ageMs() < Constants.CORE_SILENT_MS;
+  }
+
+  /**
+   * The time since the last updates from a majority of the core. While its members change, from a
+   * majority of the next ones too: the change may be done without this node having heard so.
+   */
+  long ageMs() {
+    if (!membership.isMember()) {
+      return UNKNOWN_AGE_MS;
+    }
+    long ofMembers = ageMs(membership.current().members());
+    List<CoreMember> next = membership.current().next();
+    return next.isEmpty() ? ofMembers : Math.max(ofMembers, ageMs(next));
+  }
+
+  private long ageMs(List<CoreMember> members) {
+    long[] ages = members.stream().mapToLong(this::ageMs).sorted().toArray();
+    return ages[ages.length / 2];
+  }
+
+  private long ageMs(CoreMember member) {
+    if (member.id().equals(place.id())) {
+      return lacksDecision() ? UNKNOWN_AGE_MS : 0;
+    }
+    CorePeer peer = membership.peers().get(member.peerAddress());
+    return peer == null
+        ? UNKNOWN_AGE_MS
+        : Math.min(surroundings.now() - peer.newsAt, UNKNOWN_AGE_MS);
+  }
+
+  /**
+   * Whether a value that edges work by was on this disk at the start and is not yet known to be
+   * committed or not: it may have been acknowledged.
+   */
+  boolean lacksDecision() {
+    return replicas.anyUndecided(
+        key -> !key.equals(BatchRoomLedger.KEY) && !key.startsWith(CoreTable.MEMBER));
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -20,12 +21,17 @@
  * the key writes nothing, as its epoch is refused.
  */
 final class WorkerListDuty {
+  /** Appends the key's whole new value. */
+  interface PutValue {
+    void put(CoreKeyState state, Object value, Consumer<Fault> then);
+  }
+
   private static final String PART = "workers";
 
   private final Surroundings surroundings;
   private Bounds bounds;
   private final Predicate<CoreKeyState> stillOwned;
-  private final BundleDuty.PutValue put;
+  private final PutValue put;
   private final Runnable handOver;
 
   /**
@@ -47,7 +53,7 @@
       Surroundings surroundings,
       Bounds bounds,
       Predicate<CoreKeyState> stillOwned,
-      BundleDuty.PutValue put,
+      PutValue put,
       Runnable handOver) {
     this.surroundings = surroundings;
     this.bounds = bounds;
