KeyReplicas: set numbers, undecided entries, pages and records in classes of their own

KeyReplicas keeps a replica's side of promises and appends. What stood beside it moves out: ReplicaSetNumbers (the number of each set, and what is unsynced of it), UndecidedEntries (what the log held at the start beyond its commit), ReplicaPages (what a newcomer is sent), ReplicaRecords (the records on disk) and EntryLists (cutting a log). The append is parted into its steps.

Behaviour is unchanged.

--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/EntryLists.java
@@ -0,0 +1,53 @@
+package applespindle.corelogic;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Cuts the list of entries that a log is: contiguous by sequence, oldest first. Invariant: nothing
+ * here changes an entry.
+ */
+final class EntryLists {
+  private EntryLists() {}
+
+  /** Drops what stands before the last whole entry that is committed, as that stands for it. */
+  static void trim(List<Entry> entries, long committed) {
+    for (int index = entries.size() - 1; index > 0; index--) {
+      if (entries.get(index).whole() && entries.get(index).sequence() <= committed) {
+        entries.subList(0, index).clear();
+        return;
+      }
+    }
+  }
+
+  /** The last entries, as many as fit and one at least; all of them where no limit is given. */
+  static List<Entry> tail(List<Entry> entries, int bytesMost) {
+    if (bytesMost <= 0 || entries.isEmpty()) {
+      return List.copyOf(entries);
+    }
+    int from = entries.size() - 1;
+    long bytes = entries.get(from).event().length;
+    while (from > 0 && bytes + entries.get(from - 1).event().length <= bytesMost) {
+      from--;
+      bytes += entries.get(from).event().length;
+    }
+    return List.copyOf(entries.subList(from, entries.size()));
+  }
+
+  /** The first entries between these sequences, as many as one message takes and one at least. */
+  static List<Entry> part(List<Entry> entries, long from, long to) {
+    List<Entry> part = new ArrayList<>();
+    long bytes = 0;
+    for (Entry entry : entries) {
+      if (entry.sequence() < from || entry.sequence() > to) {
+        continue;
+      }
+      bytes += entry.event().length;
+      if (!part.isEmpty() && bytes > Constants.LOG_PART_BYTES) {
+        break;
+      }
+      part.add(entry);
+    }
+    return part;
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/KeyReplicas.java
@@ -65,34 +65,49 @@
       }
       return entries.get((int) (sequence - entries.get(0).sequence()));
     }
+
+    /**
+     * Whether this log has the entry, or is committed beyond it. What is committed here is never
+     * replaced: an append that was overtaken on its way may begin with entries that a whole one
+     * stands for by now, and taking them would drop what follows.
+     */
+    private boolean holdsAlready(Entry entry) {
+      if (entry.sequence() <= committed) {
+        return true;
+      }
+      Entry present = at(entry.sequence());
+      return present != null && present.epoch().equals(entry.epoch());
+    }
+
+    /** Adds an entry; it replaces what stands at its place and after, or all if it is apart. */
+    private void place(Entry entry) {
+      if (at(entry.sequence()) != null) {
+        int index = (int) (entry.sequence() - entries.get(0).sequence());
+        entries.subList(index, entries.size()).clear();
+      } else if (entry.sequence() != lastSequence() + 1) {
+        entries.clear();
+      }
+      entries.add(entry);
+    }
+
+    private void trim() {
+      EntryLists.trim(entries, committed);
+    }
   }
 
   private final Surroundings surroundings;
   private final BiConsumer<String, Entry> whenCommitted;
   private final TreeMap<String, Copy> copies = new TreeMap<>();
 
-  /**
-   * By set name, the highest set number known. Never falls; every message with a lower one is
-   * refused.
-   */
-  private final Map<String, Long> setNumbers = new TreeMap<>();
-
-  /**
-   * Set numbers that are recorded in memory and not yet synced; no reply leaves before they are.
-   */
-  private long unsyncedSets;
-
+  private final ReplicaSetNumbers setNumbers;
   private final UnaryOperator<String> setNameOf;
   private final Replies replies;
   private String lastTouched = "";
 
-  /**
-   * By key, the last event that this log held at the start beyond what it knew to be committed. It
-   * may have been committed, and answered, before the end of the former process: an owner has yet
-   * to decide.
-   */
-  private final Map<String, Entry> undecided = new TreeMap<>();
+  private final UndecidedEntries undecided = new UndecidedEntries();
+  private final ReplicaPages pages;
 
+  /** Sends a message to a node; the id may be empty while only the address is known. */
   interface Replies {
     void reply(String toAddress, String toId, Message message);
   }
@@ -107,6 +122,8 @@
     this.surroundings = surroundings;
     this.replies = replies;
     this.whenCommitted = whenCommitted;
+    this.setNumbers = new ReplicaSetNumbers(surroundings);
+    this.pages = new ReplicaPages(copies, setNameOf);
   }
 
   Map<String, Copy> copies() {
@@ -146,7 +163,7 @@
   /** Replays one record of this node's log at start. */
   void recover(DiskRecord record) {
     if (record.kind() == Kind.SET) {
-      setNumbers.merge(record.key(), record.sequence(), Math::max);
+      setNumbers.recover(record);
       return;
     }
     Copy copy = copy(record.key());
@@ -157,11 +174,11 @@
         }
       }
       case ENTRY ->
-          place(
-              copy, new Entry(record.sequence(), record.epoch(), record.whole(), record.payload()));
+          copy.place(
+              new Entry(record.sequence(), record.epoch(), record.whole(), record.payload()));
       case COMMITTED -> {
         copy.committed = Math.max(copy.committed, Math.min(record.sequence(), copy.lastSequence()));
-        trim(copy);
+        copy.trim();
       }
       default -> {}
     }
@@ -169,82 +186,45 @@
 
   void recovered() {
     copies.forEach(this::announce);
-    copies.forEach(
-        (key, copy) -> {
-          copy.entries.stream()
-              .filter(entry -> entry.sequence() > copy.committed && !entry.isTakeover())
-              .forEach(entry -> undecided.put(key, entry));
-        });
+    undecided.recovered(copies);
   }
 
   /** Another replica knows a committed event at this place: what stands up to there is decided. */
   void committedElsewhere(String key, long sequence) {
-    Entry last = undecided.get(key);
-    if (last != null && last.sequence() <= sequence) {
-      undecided.remove(key);
-    }
+    undecided.committedElsewhere(key, sequence);
   }
 
+  /** Whether the key may hold an event whose commit is not known; its leader decides that. */
   boolean undecided(String key) {
-    Entry last = undecided.get(key);
-    if (last == null) {
-      return false;
-    }
-    Copy copy = copies.get(key);
-    Entry present = copy.at(last.sequence());
-    boolean open =
-        copy.committed < last.sequence() && present != null && present.epoch().equals(last.epoch());
-    if (!open) {
-      undecided.remove(key);
-    }
-    return open;
+    return undecided.contains(key, copies);
   }
 
   boolean anyUndecided(Predicate<String> keys) {
-    return !undecided.isEmpty()
-        && List.copyOf(undecided.keySet()).stream().filter(keys).anyMatch(this::undecided);
+    return undecided.containsAny(keys, copies);
   }
 
   /** Everything a new log needs in order to stand without the older segments. */
   List<DiskRecord> checkpoint() {
-    List<DiskRecord> records = new ArrayList<>();
-    setNumbers.forEach((name, number) -> records.add(setRecord(name, number)));
+    List<DiskRecord> records = new ArrayList<>(setNumbers.records());
     copies.forEach(
         (key, copy) -> {
-          records.add(new DiskRecord(Kind.PROMISE, key, copy.promised, 0, false, new byte[0]));
-          for (Entry entry : copy.entries) {
-            records.add(record(key, entry));
-          }
-          records.add(committedRecord(key, copy.committed));
+          records.add(ReplicaRecords.promise(key, copy.promised));
+          copy.entries.forEach(entry -> records.add(ReplicaRecords.entry(key, entry)));
+          records.add(ReplicaRecords.committed(key, copy.committed));
         });
     return records;
   }
 
-  private static DiskRecord setRecord(String name, long number) {
-    return new DiskRecord(Kind.SET, name, Epoch.NONE, number, true, new byte[0]);
-  }
-
   /**
    * Records that the set has this number, and with that refuses lower ones; the callback runs once
    * it is synced.
    */
   void learnSet(String name, long number, Runnable whenSynced) {
-    if (number <= setNumber(name)) {
-      surroundings.write(List.of(), whenSynced);
-      return;
-    }
-    setNumbers.put(name, number);
-    unsyncedSets++;
-    surroundings.write(
-        List.of(setRecord(name, number)),
-        () -> {
-          unsyncedSets--;
-          whenSynced.run();
-        });
+    setNumbers.learn(name, number, whenSynced);
   }
 
   long setNumber(String name) {
-    return setNumbers.getOrDefault(name, 0L);
+    return setNumbers.get(name);
   }
 
   /**
@@ -252,12 +232,7 @@
    * once, and afterSync holds the reply back until that record is synced.
    */
   private boolean oldSet(String key, long setNumber) {
-    String name = setNameOf.apply(key);
-    long known = setNumber(name);
-    if (setNumber > known) {
-      learnSet(name, setNumber, () -> {});
-    }
-    return setNumber < known;
+    return setNumbers.isOld(setNameOf.apply(key), setNumber);
   }
 
   void promise(KeyPromise message, String fromId, String fromAddress) {
@@ -286,10 +261,9 @@
     }
     copy.promised = message.epoch();
     heardClaimant(copy, message.epoch(), fromAddress);
-    var record = new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]);
     afterSync(
         copy,
-        List.of(record),
+        List.of(ReplicaRecords.promise(message.key(), copy.promised)),
         () -> {
           boolean overtaken = message.epoch().below(copy.promised);
           replies.reply(fromAddress, fromId, promised(message, copy, overtaken ? REFUSED : OK));
@@ -327,21 +301,7 @@
         copy.ownerAddress,
         copy.committed,
         copy.entries.isEmpty() ? 0 : copy.entries.get(0).sequence(),
-        verdict == OK ? tail(copy.entries, message.tailBytesMost()) : List.of());
-  }
-
-  /** The last entries, as many as fit and one at least; all of them where no limit is given. */
-  private static List<Entry> tail(List<Entry> entries, int bytesMost) {
-    if (bytesMost <= 0 || entries.isEmpty()) {
-      return List.copyOf(entries);
-    }
-    int from = entries.size() - 1;
-    long bytes = entries.get(from).event().length;
-    while (from > 0 && bytes + entries.get(from - 1).event().length <= bytesMost) {
-      from--;
-      bytes += entries.get(from).event().length;
-    }
-    return List.copyOf(entries.subList(from, entries.size()));
+        verdict == OK ? EntryLists.tail(copy.entries, message.tailBytesMost()) : List.of());
   }
 
   private void heardClaimant(Copy copy, Epoch epoch, String address) {
@@ -373,23 +333,7 @@
             message.key(),
             message.epoch(),
             overtaken ? REFUSED : OK,
-            overtaken ? List.of() : part(copy.entries, message.from(), message.to())));
-  }
-
-  private static List<Entry> part(List<Entry> entries, long from, long to) {
-    List<Entry> part = new ArrayList<>();
-    long bytes = 0;
-    for (Entry entry : entries) {
-      if (entry.sequence() < from || entry.sequence() > to) {
-        continue;
-      }
-      bytes += entry.event().length;
-      if (!part.isEmpty() && bytes > Constants.LOG_PART_BYTES) {
-        break;
-      }
-      part.add(entry);
-    }
-    return part;
+            overtaken ? List.of() : EntryLists.part(copy.entries, message.from(), message.to())));
   }
 
   /** Whom a replica knows to own or to claim a key just now. */
@@ -421,25 +365,10 @@
       return;
     }
     List<DiskRecord> records = new ArrayList<>();
-    if (copy.promised.below(message.epoch())) {
-      copy.promised = message.epoch();
-      records.add(
-          new DiskRecord(Kind.PROMISE, message.key(), copy.promised, 0, false, new byte[0]));
-    }
-    copy.owner = message.epoch().node();
-    copy.ownerAddress = fromAddress;
-    // An owner that waits for this very disk is not cut off.
-    if (message.hearsMajority() || copy.unsynced > 0) {
-      copy.heardOwnerAt = surroundings.now();
-    }
-    long previous = message.previousSequence();
-    Entry predecessor = copy.at(previous);
-    boolean startsLog = previous == 0 && !message.entries().isEmpty();
-    boolean fits =
-        startsLog
-            || previous == 0 && copy.entries.isEmpty()
-            || predecessor != null && predecessor.epoch().equals(message.previousEpoch());
-    if (!fits) {
+    raisePromise(message.key(), copy, message.epoch(), records);
+    heardOwner(copy, message, fromAddress);
+    if (!follows(copy, message)) {
+      long previous = message.previousSequence();
       long hint = previous > copy.lastSequence() ? copy.lastSequence() : copy.committed;
       afterSync(
           copy,
@@ -447,29 +376,63 @@
           () -> replies.reply(fromAddress, fromId, appended(message, BEHIND, copy.promised, hint)));
       return;
     }
-    for (Entry entry : message.entries()) {
-      if (!holdsAlready(copy, entry)) {
-        place(copy, entry);
-        records.add(record(message.key(), entry));
-      }
-    }
-    long matched =
-        message.entries().isEmpty()
-            ? previous
-            : message.entries().get(message.entries().size() - 1).sequence();
+    placeNew(message.key(), copy, message.entries(), records);
+    long matched = lastSequence(message);
     afterSync(
         copy,
         records,
         () -> {
           boolean overtaken = message.epoch().below(copy.promised);
-          replies.reply(
-              fromAddress,
-              fromId,
-              appended(message, overtaken ? REFUSED : OK, copy.promised, matched));
+          Verdict verdict = overtaken ? REFUSED : OK;
+          replies.reply(fromAddress, fromId, appended(message, verdict, copy.promised, matched));
         });
     commit(message.key(), copy, Math.min(message.committed(), matched));
   }
 
+  /** Promises this epoch if it is higher than the one promised, and adds the record of that. */
+  private static void raisePromise(String key, Copy copy, Epoch epoch, List<DiskRecord> records) {
+    if (copy.promised.below(epoch)) {
+      copy.promised = epoch;
+      records.add(ReplicaRecords.promise(key, epoch));
+    }
+  }
+
+  private void heardOwner(Copy copy, KeyAppend message, String fromAddress) {
+    copy.owner = message.epoch().node();
+    copy.ownerAddress = fromAddress;
+    // An owner that waits for this very disk is not cut off.
+    if (message.hearsMajority() || copy.unsynced > 0) {
+      copy.heardOwnerAt = surroundings.now();
+    }
+  }
+
+  /** Whether the entries of the message follow on what is held here. */
+  private static boolean follows(Copy copy, KeyAppend message) {
+    if (message.previousSequence() == 0) {
+      return !message.entries().isEmpty() || copy.entries.isEmpty();
+    }
+    Entry predecessor = copy.at(message.previousSequence());
+    return predecessor != null && predecessor.epoch().equals(message.previousEpoch());
+  }
+
+  /** Places the entries that are not held yet, and adds their records. */
+  private static void placeNew(
+      String key, Copy copy, List<Entry> entries, List<DiskRecord> records) {
+    for (Entry entry : entries) {
+      if (!copy.holdsAlready(entry)) {
+        copy.place(entry);
+        records.add(ReplicaRecords.entry(key, entry));
+      }
+    }
+  }
+
+  private static long lastSequence(KeyAppend message) {
+    List<Entry> entries = message.entries();
+    return entries.isEmpty()
+        ? message.previousSequence()
+        : entries.get(entries.size() - 1).sequence();
+  }
+
   /**
    * Notes how far the log is committed, behind the entries that this speaks of: a power loss
    * between the two must not leave a mark that covers a tail which those entries replace. No reply
@@ -480,13 +443,9 @@
       return;
     }
     copy.committed = committed;
-    surroundings.write(List.of(committedRecord(key, committed)), () -> {});
+    surroundings.write(List.of(ReplicaRecords.committed(key, committed)), () -> {});
     announce(key, copy);
-    trim(copy);
-  }
-
-  private static DiskRecord committedRecord(String key, long committed) {
-    return new DiskRecord(Kind.COMMITTED, key, Epoch.NONE, committed, false, new byte[0]);
+    copy.trim();
   }
 
   private KeyAppended appended(KeyAppend message, Verdict verdict, Epoch promised, long matched) {
@@ -499,7 +458,7 @@
    * one.
    */
   private void afterSync(Copy copy, List<DiskRecord> records, Runnable reply) {
-    if (records.isEmpty() && copy.unsynced == 0 && unsyncedSets == 0) {
+    if (records.isEmpty() && copy.unsynced == 0 && setNumbers.synced()) {
       reply.run();
       return;
     }
@@ -512,10 +471,9 @@
         });
   }
 
-  /** One key as it is handed to a newcomer. */
   /**
-   * partial: the first entry is one that whoever asked said it holds, and nothing before it is
-   * here.
+   * One key as it is sent to a newcomer. partial: the first entry is one that whoever asked said it
+   * holds, and nothing before it is here.
    */
   record Copied(String key, Epoch promised, long committed, boolean partial, List<Entry> entries) {}
 
@@ -524,16 +482,7 @@
 
   /** Of the keys of a set after the given one, how far each is held here. */
   Map<String, Held> heldOf(String setName, String afterKey) {
-    Map<String, Held> held = new TreeMap<>();
-    copies
-        .tailMap(afterKey, false)
-        .forEach(
-            (key, copy) -> {
-              if (!copy.entries.isEmpty() && setNameOf.apply(key).equals(setName)) {
-                held.put(key, new Held(copy.lastSequence(), copy.at(copy.lastSequence()).epoch()));
-              }
-            });
-    return held;
+    return pages.heldOf(setName, afterKey);
   }
 
   /**
@@ -541,29 +490,7 @@
    * that it holds a part of, the last entry of that part and what follows.
    */
   List<Copied> copiesOf(String setName, String afterKey, Map<String, Held> held, int bytesMost) {
-    List<Copied> page = new ArrayList<>();
-    int bytes = 0;
-    for (Map.Entry<String, Copy> each : copies.tailMap(afterKey, false).entrySet()) {
-      if (!setNameOf.apply(each.getKey()).equals(setName)) {
-        continue;
-      }
-      Copy copy = each.getValue();
-      Held known = held.get(each.getKey());
-      Entry shared = known == null ? null : copy.at(known.sequence());
-      boolean partial = shared != null && shared.epoch().equals(known.epoch());
-      List<Entry> lacking =
-          !partial
-              ? List.copyOf(copy.entries)
-              : copy.entries.stream()
-                  .filter(entry -> entry.sequence() >= known.sequence())
-                  .toList();
-      bytes += 64 + lacking.stream().mapToInt(entry -> entry.event().length).sum();
-      page.add(new Copied(each.getKey(), copy.promised, copy.committed, partial, lacking));
-      if (bytes >= bytesMost) {
-        break;
-      }
-    }
-    return page;
+    return pages.copiesOf(setName, afterKey, held, bytesMost);
   }
 
   /**
@@ -581,57 +508,21 @@
       }
     }
     List<DiskRecord> records = new ArrayList<>();
-    if (copy.promised.below(other.promised())) {
-      copy.promised = other.promised();
-      records.add(new DiskRecord(Kind.PROMISE, other.key(), copy.promised, 0, false, new byte[0]));
-    }
+    raisePromise(other.key(), copy, other.promised(), records);
     if (OwnedKey.newer(other.entries(), copy.entries)) {
-      for (Entry entry : other.entries()) {
-        if (!holdsAlready(copy, entry)) {
-          place(copy, entry);
-          records.add(record(other.key(), entry));
-        }
-      }
+      placeNew(other.key(), copy, other.entries(), records);
     }
     long committed = Math.min(other.committed(), copy.lastSequence());
     if (committed > copy.committed) {
       copy.committed = committed;
-      records.add(committedRecord(other.key(), committed));
+      records.add(ReplicaRecords.committed(other.key(), committed));
       announce(other.key(), copy);
-      trim(copy);
+      copy.trim();
     }
     afterSync(copy, records, whenSynced);
     return true;
   }
 
-  /**
-   * Whether this log has the entry, or is committed beyond it. What is committed here is never
-   * replaced: an append that was overtaken on its way may begin with entries that a whole one
-   * stands for by now, and taking them would drop what follows.
-   */
-  private static boolean holdsAlready(Copy copy, Entry entry) {
-    if (entry.sequence() <= copy.committed) {
-      return true;
-    }
-    Entry present = copy.at(entry.sequence());
-    return present != null && present.epoch().equals(entry.epoch());
-  }
-
-  private static DiskRecord record(String key, Entry entry) {
-    return new DiskRecord(
-        Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.whole(), entry.event());
-  }
-
-  private static void place(Copy copy, Entry entry) {
-    if (copy.at(entry.sequence()) != null) {
-      int index = (int) (entry.sequence() - copy.entries.get(0).sequence());
-      copy.entries.subList(index, copy.entries.size()).clear();
-    } else if (entry.sequence() != copy.lastSequence() + 1) {
-      copy.entries.clear();
-    }
-    copy.entries.add(entry);
-  }
-
   private void announce(String key, Copy copy) {
     for (Entry entry : List.copyOf(copy.entries)) {
       if (entry.sequence() > copy.announced && entry.sequence() <= copy.committed) {
@@ -641,17 +532,8 @@
     }
   }
 
-  private static void trim(Copy copy) {
-    trim(copy.entries, copy.committed);
-  }
-
   static void trim(List<Entry> entries, long committed) {
-    for (int index = entries.size() - 1; index > 0; index--) {
-      if (entries.get(index).whole() && entries.get(index).sequence() <= committed) {
-        entries.subList(0, index).clear();
-        return;
-      }
-    }
+    EntryLists.trim(entries, committed);
   }
 
   /**
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/ReplicaSetNumbers.java
@@ -0,0 +1,70 @@
+package applespindle.corelogic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The highest number known of each replica set. Invariants: a number never falls; every message
+ * with a lower one is refused; no reply leaves before each number known is synced.
+ */
+final class ReplicaSetNumbers {
+  private final Surroundings surroundings;
+
+  /** By set name. */
+  private final Map<String, Long> numbers = new TreeMap<>();
+
+  /** How many numbers are recorded in memory and not yet synced. */
+  private long unsynced;
+
+  ReplicaSetNumbers(Surroundings surroundings) {
+    this.surroundings = surroundings;
+  }
+
+  /** Replays a record of this node's log. */
+  void recover(DiskRecord record) {
+    numbers.merge(record.key(), record.sequence(), Math::max);
+  }
+
+  /** Every number, for a snapshot. */
+  List<DiskRecord> records() {
+    List<DiskRecord> records = new ArrayList<>();
+    numbers.forEach((name, number) -> records.add(ReplicaRecords.setNumber(name, number)));
+    return records;
+  }
+
+  /** The number of a set; 0 while none is known. */
+  long get(String name) {
+    return numbers.getOrDefault(name, 0L);
+  }
+
+  /** Records that the set has this number; the callback runs once that is synced. */
+  void learn(String name, long number, Runnable whenSynced) {
+    if (number <= get(name)) {
+      surroundings.write(List.of(), whenSynced);
+      return;
+    }
+    numbers.put(name, number);
+    unsynced++;
+    surroundings.write(
+        List.of(ReplicaRecords.setNumber(name, number)),
+        () -> {
+          unsynced--;
+          whenSynced.run();
+        });
+  }
+
+  /** True if this is an older number than the one known here; a newer one is recorded at once. */
+  boolean isOld(String name, long number) {
+    long known = get(name);
+    if (number > known) {
+      learn(name, number, () -> {});
+    }
+    return number < known;
+  }
+
+  boolean synced() {
+    return unsynced == 0;
+  }
+}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/UndecidedEntries.java
@@ -0,0 +1,55 @@
+package applespindle.corelogic;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+
+/**
+ * By key, the last event that this node's log held at the start beyond what it knew to be
+ * committed. It may have been committed, and answered, before the former process ended. Invariant:
+ * a key is listed until that entry is known to be committed or replaced.
+ */
+final class UndecidedEntries {
+  private final Map<String, Entry> lastByKey = new TreeMap<>();
+
+  /** To be called once all records of the log are replayed. */
+  void recovered(Map<String, KeyReplicas.Copy> copies) {
+    copies.forEach(
+        (key, copy) ->
+            copy.entries.stream()
+                .filter(entry -> entry.sequence() > copy.committed && !entry.isTakeover())
+                .forEach(entry -> lastByKey.put(key, entry)));
+  }
+
+  /** Another replica knows a committed event at this place: what stands up to there is decided. */
+  void committedElsewhere(String key, long sequence) {
+    Entry last = lastByKey.get(key);
+    if (last != null && last.sequence() <= sequence) {
+      lastByKey.remove(key);
+    }
+  }
+
+  /** Whether the key's leader has yet to decide. */
+  boolean contains(String key, Map<String, KeyReplicas.Copy> copies) {
+    Entry last = lastByKey.get(key);
+    if (last == null) {
+      return false;
+    }
+    KeyReplicas.Copy copy = copies.get(key);
+    Entry present = copy.at(last.sequence());
+    boolean open =
+        copy.committed < last.sequence() && present != null && present.epoch().equals(last.epoch());
+    if (!open) {
+      lastByKey.remove(key);
+    }
+    return open;
+  }
+
+  boolean containsAny(Predicate<String> keys, Map<String, KeyReplicas.Copy> copies) {
+    return !lastByKey.isEmpty()
+        && List.copyOf(lastByKey.keySet()).stream()
+            .filter(keys)
+            .anyMatch(key -> contains(key, copies));
+  }
+}
