--- a/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerListDuty.java
@@ -2,7 +2,6 @@
 
 import static applespindle.corelogic.Json.JSON;
 
-import applespindle.corelogic.CoreNode.Owned;
 import applespindle.corelogic.Records.ListedWorkers;
 import applespindle.corelogic.Records.Worker;
 import applespindle.corelogic.Surroundings.ListedWorker;
@@ -13,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -21,12 +21,17 @@
  * the key writes nothing, as its epoch is refused.
  */
 final class WorkerListDuty {
+  /** Appends the key's whole new value. */
+  interface PutValue {
+    void put(CoreKeyState state, Object value, Consumer<Fault> then);
+  }
+
   private static final String PART = "workers";
 
   private final Surroundings surroundings;
   private Bounds bounds;
-  private final Predicate<Owned> stillOwned;
-  private final BundleDuty.PutValue put;
+  private final Predicate<CoreKeyState> stillOwned;
+  private final PutValue put;
   private final Runnable handOver;
 
   /**
@@ -47,8 +52,8 @@
   WorkerListDuty(
       Surroundings surroundings,
       Bounds bounds,
-      Predicate<Owned> stillOwned,
-      BundleDuty.PutValue put,
+      Predicate<CoreKeyState> stillOwned,
+      PutValue put,
       Runnable handOver) {
     this.surroundings = surroundings;
     this.bounds = bounds;
@@ -57,7 +62,7 @@
     this.handOver = handOver;
   }
 
-  void begin(Owned state) {
+  void begin(CoreKeyState state) {
     goodAt = surroundings.now();
     emptyReads = 0;
     quickReads = Constants.LIST_QUICK_READS;
@@ -65,7 +70,7 @@
     read(state);
   }
 
-  private void read(Owned state) {
+  private void read(CoreKeyState state) {
     if (!stillOwned.test(state)) {
       return;
     }
@@ -75,7 +80,7 @@
   }
 
   private void readPage(
-      Owned state, long number, String token, List<ListedWorker> before, int pages) {
+      CoreKeyState state, long number, String token, List<ListedWorker> before, int pages) {
     surroundings.listWorkers(
         token,
         page -> {
@@ -87,7 +92,7 @@
   }
 
   private void took(
-      Owned state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
+      CoreKeyState state, long number, WorkerPage page, List<ListedWorker> before, int pages) {
     before.addAll(page.workers());
     String next = page.nextToken();
     if (next == null || next.isEmpty()) {
@@ -100,7 +105,7 @@
     }
   }
 
-  private void failed(Owned state, long number) {
+  private void failed(CoreKeyState state, long number) {
     if (number != reading || !stillOwned.test(state)) {
       return;
     }
@@ -125,7 +130,7 @@
     return Math.max(wanted, (long) (2_000 / bounds.listCallsPerS()));
   }
 
-  private void whole(Owned state, List<ListedWorker> listed, int pages) {
+  private void whole(CoreKeyState state, List<ListedWorker> listed, int pages) {
     goodAt = surroundings.now();
     List<Worker> known =
         state.value.isNull()
