--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -201,7 +201,7 @@
 
   /** Starts all threads; the process then lives until it is stopped. */
   public void start(Consumer<NodeProcess> openInterface) throws IOException {
-    transport.listen(startup.peer());
+    transport.listen(startup.listenAddress());
     openInterface.accept(this);
     if (disk != null) {
       noteSpace();
--- a/adapters/src/main/java/applespindle/adapters/Startup.java
+++ b/adapters/src/main/java/applespindle/adapters/Startup.java
@@ -21,13 +21,19 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
-/** What a process is told at its start, from a file and from flags; flags win. */
+/**
+ * What a process is told at its start, from a file and from flags; flags win.
+ *
+ * @param listen where it listens for its peers if that is not the address they are told, as behind
+ *     a relay; null if it is
+ */
 public record Startup(
     @NotBlank String name,
     @NotBlank String zone,
     @NotNull @Pattern(regexp = "edge|storage|core") String role,
     @NotNull @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String http,
     @NotNull @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String peer,
+    @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String listen,
     String data,
     @NotEmpty List<@NotNull @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String> seeds,
     List<@NotNull @Pattern(regexp = ADDRESS, message = WANTED_ADDRESS) String> founders,
@@ -36,6 +42,9 @@
   private static final String WANTED_ADDRESS =
       "must be an IP number and a port, such as 127.0.0.1:7000";
 
+  private static final List<String> TEXT_FIELDS =
+      List.of("name", "zone", "http", "peer", "listen", "data");
+
   /** The startup, or the faults; checkOnly asks for no more than this. */
   public record Read(Startup startup, List<Fault.Field> faults, boolean checkOnly) {}
 
@@ -50,7 +59,7 @@
             .description("One process of applespindle. Flags win over the file.");
     parser.addArgument("--startup").metavar("FILE").help("startup file, JSON");
     parser.addArgument("--check").action(Arguments.storeTrue()).help("check the startup and exit");
-    for (String field : List.of("name", "zone", "http", "peer", "data")) {
+    for (String field : TEXT_FIELDS) {
       parser.addArgument("--" + field);
     }
     if (role == null) {
@@ -82,7 +91,7 @@
             null, List.of(new Fault.Field("$", "the startup file can not be read as JSON")), false);
       }
     }
-    for (String field : List.of("name", "zone", "http", "peer", "data")) {
+    for (String field : TEXT_FIELDS) {
       if (flags.getString(field) != null) {
         tree.put(field, flags.getString(field));
       }
@@ -112,6 +121,10 @@
     return founders == null || founders.isEmpty() ? seeds : founders;
   }
 
+  String listenAddress() {
+    return listen == null ? peer : listen;
+  }
+
   public Map<String, String> keys() {
     return operatorKeys == null ? Map.of() : operatorKeys;
   }
--- a/adapters/src/test/java/applespindle/adapters/StartupTest.java
+++ b/adapters/src/test/java/applespindle/adapters/StartupTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import applespindle.corelogic.Fault;
+import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 
 class StartupTest {
@@ -31,6 +32,18 @@
         .inOrder();
   }
 
+  @Test
+  void listensWherePeersReachItUnlessToldOtherwise() {
+    assertThat(Startup.read("control-plane", "core", GOOD).startup().listenAddress())
+        .isEqualTo("127.0.0.1:7103");
+    String[] relayed = Arrays.copyOf(GOOD, GOOD.length + 2);
+    relayed[GOOD.length] = "--listen";
+    relayed[GOOD.length + 1] = "127.0.0.1:7203";
+    Startup startup = Startup.read("control-plane", "core", relayed).startup();
+    assertThat(startup.listenAddress()).isEqualTo("127.0.0.1:7203");
+    assertThat(startup.peer()).isEqualTo("127.0.0.1:7103");
+  }
+
   @Test
   void namesEveryFaultWithItsField() {
     String[] flags = {
--- a/data-plane/src/test/java/applespindle/dataplane/OpaqueDoorTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/OpaqueDoorTest.java
@@ -90,6 +90,7 @@
             "127.0.0.1:" + port,
             peer,
             null,
+            null,
             List.of(peer),
             List.of(),
             Map.of());
--- a/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestDoor.java
@@ -138,6 +138,7 @@
             "127.0.0.1:" + port,
             peer,
             null,
+            null,
             List.of(peer),
             List.of(),
             Map.of());
