Soak: real processes behind relays under overlapping troubles, by seed

RealTraffic takes its seed and limits from its plan, sends a batch again to another edge, and tells of each batch; Fleet takes its sizes and what stands between its processes.

--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -49,18 +49,47 @@
   private static final List<String> JVM =
       List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
 
+  /** What stands between the processes and those who call them. */
+  public interface Wiring {
+    /** The address that other processes are told for one that listens at an address. */
+    String peerAddress(String process, String listensAt) throws IOException;
+
+    /** The address that clients are told for a process that serves them at an address. */
+    String clientAddress(String process, String servesAt) throws IOException;
+  }
+
+  private static final Wiring DIRECT =
+      new Wiring() {
+        @Override
+        public String peerAddress(String process, String listensAt) {
+          return listensAt;
+        }
+
+        @Override
+        public String clientAddress(String process, String servesAt) {
+          return servesAt;
+        }
+      };
+
+  private record PeerAddress(String told, String listensAt) {}
+
   /** One process of the fleet and how it is started again. */
   public static final class Member {
     public final String name;
     public final String http;
+
+    /** Where clients reach it: its http address, unless something stands in between. */
+    public final String clients;
+
     public final Path data;
+    public final File log;
     private final List<String> command;
-    private final File log;
     private Process process;
 
-    Member(String name, String http, Path data, List<String> command, File log) {
+    Member(String name, String http, String clients, Path data, List<String> command, File log) {
       this.name = name;
       this.http = http;
+      this.clients = clients;
       this.data = data;
       this.command = command;
       this.log = log;
@@ -93,7 +122,11 @@
       signal("-CONT");
     }
 
+    /** A process that has ended gets none: its id may be another's by now. */
     private void signal(String signal) throws IOException {
+      if (!alive()) {
+        return;
+      }
       try {
         new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
       } catch (InterruptedException interrupted) {
@@ -136,6 +169,14 @@
   /** Heap of each process that is started from now on. */
   public int heapMegabytes = 192;
 
+  /** Size of the fleet that is started next. */
+  public int edges;
+
+  public int storages = ZONES;
+
+  /** What the fleet that is started next has between its processes. */
+  public Wiring wiring = DIRECT;
+
   private final List<String> corePeers = new ArrayList<>();
   private final Set<Integer> taken = new HashSet<>();
   private int nextPort;
@@ -144,6 +185,7 @@
   public Fleet(Deployment deployment, Path folder, String classPath, int firstPort)
       throws IOException {
     this.deployment = deployment;
+    this.edges = deployment.edges;
     this.folder = Files.createDirectories(folder);
     this.classPath = classPath;
     this.nextPort = firstPort;
@@ -172,8 +214,11 @@
       workers.add("w" + (index + 1), address());
     }
     workers.start();
+    List<PeerAddress> cores = new ArrayList<>();
     for (int index = 0; index < ZONES; index++) {
-      corePeers.add(address());
+      PeerAddress core = peerAddress("core-" + (index + 1));
+      cores.add(core);
+      corePeers.add(core.told());
     }
     ObjectNode startup = JSON.createObjectNode();
     startup.putObject("operatorKeys").put("operator", keys.publicKey());
@@ -185,31 +230,34 @@
           "core-" + (zone + 1),
           zone,
           ControlPlane.class,
-          corePeers.get(zone),
+          cores.get(zone),
           true,
           "--startup",
           file.toString());
     }
-    for (int index = 0; index < ZONES; index++) {
-      add("storage-" + (index + 1), index, DataPlane.class, address(), true, "--role", "storage");
+    for (int index = 0; index < storages; index++) {
+      addDataPlane("storage", index, true);
     }
-    for (int index = 0; index < deployment.edges; index++) {
-      add(
-          "edge-" + (index + 1),
-          index % ZONES,
-          DataPlane.class,
-          address(),
-          false,
-          "--role",
-          "edge");
+    for (int index = 0; index < edges; index++) {
+      addDataPlane("edge", index, false);
     }
     for (Member member : members.values()) {
       member.start();
     }
   }
 
+  private PeerAddress peerAddress(String name) throws IOException {
+    String listensAt = address();
+    return new PeerAddress(wiring.peerAddress(name, listensAt), listensAt);
+  }
+
+  private void addDataPlane(String role, int index, boolean disk) throws IOException {
+    String name = role + "-" + (index + 1);
+    add(name, index % ZONES, DataPlane.class, peerAddress(name), disk, "--role", role);
+  }
+
   private void add(
-      String name, int zone, Class<?> program, String peer, boolean disk, String... more)
+      String name, int zone, Class<?> program, PeerAddress peer, boolean disk, String... more)
       throws IOException {
     String http = address();
     List<String> command =
@@ -228,7 +276,9 @@
             "--http",
             http,
             "--peer",
-            peer));
+            peer.told(),
+            "--listen",
+            peer.listensAt()));
     command.addAll(List.of(more));
     Path data = folder.resolve(name);
     if (disk) {
@@ -236,8 +286,9 @@
     }
     command.add("--seeds");
     command.addAll(corePeers);
-    members.put(
-        name, new Member(name, http, data, command, folder.resolve(name + ".log").toFile()));
+    File log = folder.resolve(name + ".log").toFile();
+    String clients = wiring.clientAddress(name, http);
+    members.put(name, new Member(name, http, clients, data, command, log));
   }
 
   public List<Member> ofRole(String role) {
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -25,6 +25,10 @@
   /** The brief: traffic starts fifteen seconds after the machines. */
   private static final long TRAFFIC_FROM_MS = 15_000;
 
+  private static final long TRAFFIC_SEED = 20261202;
+  private static final int SUBMIT_TRIES = 6;
+  private static final long SETTLE_MS = 60_000;
+
   public static void main(String[] arguments) throws IOException, InterruptedException {
     ArgumentParser parser =
         ArgumentParsers.newFor("test-fleet").build().description("A whole fleet on this machine.");
@@ -92,7 +96,16 @@
     TimeUnit.MILLISECONDS.sleep(
         Math.max(0, TRAFFIC_FROM_MS - (StandInWorkers.nowMs() - startedAt)));
     long everyMs = deployment == Deployment.COOPERATIVE ? 2_000 : 4_000;
-    var plan = new RealTraffic.Plan(30, 3, 2, everyMs, flags.getInt("traffic") * 1_000L);
+    var plan =
+        new RealTraffic.Plan(
+            TRAFFIC_SEED,
+            30,
+            3,
+            2,
+            everyMs,
+            flags.getInt("traffic") * 1_000L,
+            SUBMIT_TRIES,
+            SETTLE_MS);
     RealTraffic traffic = new RealTraffic(fleet, plan);
     Thread faults = new Thread(() -> runFaults(fleet, flags.getList("faults")), "faults");
     faults.setDaemon(true);
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -31,28 +31,60 @@
  * The brief's traffic against real processes, bounded in time, with all that its senders see put
  * into a history.
  */
-final class RealTraffic {
-  private static final int SUBMIT_TRIES = 6;
+public final class RealTraffic {
   private static final Duration PATIENCE = Duration.ofSeconds(12);
   private static final long POLL_MS = 300;
   private static final long READY_MS = 500;
-  private static final long SETTLE_MS = 60_000;
   private static final String SHARED =
       "In the usual form of the office, with greeting, place and hour of the event. ".repeat(4);
 
-  record Plan(
+  /**
+   * What is sent and for how long.
+   *
+   * @param submitTries how often a batch is sent until it is accepted
+   * @param settleMs how long accepted batches may take once nothing new is sent
+   */
+  public record Plan(
+      long seed,
       double checksPerSecond,
       double notesPerSecond,
       double oncePerSecond,
       long batchEveryMs,
-      long lengthMs) {}
+      long lengthMs,
+      int submitTries,
+      long settleMs) {}
+
+  /**
+   * One batch as its sender knows it; times are -1 for what did not come.
+   *
+   * @param status the last answer to its submission, 0 for none
+   */
+  public record Batch(
+      String key,
+      String id,
+      int items,
+      int status,
+      long firstSentAt,
+      long acceptedAt,
+      long finishedAt) {
+    public boolean accepted() {
+      return acceptedAt >= 0;
+    }
+
+    public boolean finished() {
+      return finishedAt >= 0;
+    }
+  }
 
   private final class Sender {
     final String key;
     byte[] body;
     String batch = "";
-    long acceptedAt;
+    int status;
+    long firstSentAt = -1;
+    long acceptedAt = -1;
     long finishedAt = -1;
+    Member sentTo;
     long next;
     int tries;
     boolean over;
@@ -74,14 +106,17 @@
 
     void submit() {
       tries++;
+      firstSentAt = firstSentAt < 0 ? StandInWorkers.nowMs() : firstSentAt;
+      sentTo = anotherEdge(sentTo);
       see(Kind.SUBMIT_SENT, key, "", "", fleet.deployment.batchItems);
       call(
           HttpMethod.POST,
-          anyEdge(),
+          sentTo,
           "/v1/batches",
           body,
           Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"),
-          (status, text) -> {
+          (answered, text) -> {
+            status = answered;
             JsonNode answer = tree(text);
             see(
                 Kind.SUBMIT_ANSWERED,
@@ -93,7 +128,7 @@
               batch = answer.path("batch").asText();
               acceptedAt = StandInWorkers.nowMs();
               poll();
-            } else if (tries < SUBMIT_TRIES) {
+            } else if (tries < plan.submitTries()) {
               eventloop.delay(1_000L, this::submit);
             } else {
               over = true;
@@ -101,6 +136,11 @@
           });
     }
 
+    Batch seen() {
+      return new Batch(
+          key, batch, fleet.deployment.batchItems, status, firstSentAt, acceptedAt, finishedAt);
+    }
+
     void poll() {
       call(
           HttpMethod.GET,
@@ -110,21 +150,11 @@
           Map.of(),
           (status, text) -> {
             JsonNode page = tree(text);
-            String state =
-                status == 200 ? page.path("state").asText() : page.path("type").asText("");
-            see(Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), status);
+            seeResults(fleet.history, key, status, page);
             if (status == 200) {
-              page.path("results")
-                  .forEach(
-                      row ->
-                          see(
-                              Kind.RESULT_READ,
-                              key,
-                              row.path("id").asText() + "|" + row.path("type").asText(),
-                              row.path("output").asText(""),
-                              row.path("n").asLong()));
               next = page.path("next").asLong();
-              if (state.equals("finished") && next >= fleet.deployment.batchItems) {
+              if (page.path("state").asText().equals("finished")
+                  && next >= fleet.deployment.batchItems) {
                 finishedAt = StandInWorkers.nowMs();
                 over = true;
                 return;
@@ -137,7 +167,7 @@
 
   private final Fleet fleet;
   private final Plan plan;
-  private final Random random = new Random(20261202);
+  private final Random random;
   private final Eventloop eventloop = Eventloop.builder().withThreadName("traffic").build();
   private final HttpClient client;
   private final List<Sender> senders = new ArrayList<>();
@@ -147,9 +177,10 @@
   private long liveNumber;
   private final Map<String, List<Long>> latencies = new HashMap<>();
 
-  RealTraffic(Fleet fleet, Plan plan) {
+  public RealTraffic(Fleet fleet, Plan plan) {
     this.fleet = fleet;
     this.plan = plan;
+    random = new Random(plan.seed());
     client =
         HttpClient.builder(eventloop, new NumbersOnly())
             .withNoKeepAlive()
@@ -159,7 +190,7 @@
   }
 
   /** Runs the whole plan and waits until every accepted batch is over, or long enough. */
-  void run() throws InterruptedException {
+  public void run() throws InterruptedException {
     eventloop.keepAlive(true);
     Thread thread = new Thread(eventloop, "traffic");
     thread.setDaemon(true);
@@ -182,7 +213,8 @@
                 live("once", plan.oncePerSecond());
                 batches();
               });
-          eventloop.delay(plan.lengthMs(), () -> waitForEnd(StandInWorkers.nowMs() + SETTLE_MS));
+          eventloop.delay(
+              plan.lengthMs(), () -> waitForEnd(StandInWorkers.nowMs() + plan.settleMs()));
         });
     done.await();
   }
@@ -195,6 +227,36 @@
     }
   }
 
+  /** All batches; once the traffic is over. */
+  public List<Batch> batchesSeen() {
+    return senders.stream().map(Sender::seen).toList();
+  }
+
+  /** The time from the first sending of a batch to its acceptance; -1 if none was accepted. */
+  public long acceptedWithinMs(int percent) {
+    List<Long> times =
+        batchesSeen().stream()
+            .filter(Batch::accepted)
+            .map(batch -> batch.acceptedAt() - batch.firstSentAt())
+            .toList();
+    return SimulatedFleet.percentile(times, percent);
+  }
+
+  /** Notes a page of results, or the answer given in its place. */
+  public static void seeResults(History history, String key, int status, JsonNode page) {
+    String state = page.path(status == 200 ? "state" : "type").asText("");
+    long nowMs = StandInWorkers.nowMs();
+    history.add(nowMs, Kind.BATCH_READ, key, state, page.path("recorded").asText("0"), status);
+    if (status != 200) {
+      return;
+    }
+    for (JsonNode row : page.path("results")) {
+      String item = row.path("id").asText() + "|" + row.path("type").asText();
+      String output = row.path("output").asText("");
+      history.add(nowMs, Kind.RESULT_READ, key, item, output, row.path("n").asLong());
+    }
+  }
+
   private void see(Kind kind, String subject, String detail, String text, long number) {
     fleet.history.add(StandInWorkers.nowMs(), kind, subject, detail, text, number);
   }
@@ -231,7 +293,13 @@
   }
 
   private Member anyEdge() {
-    List<Member> choice = readyEdges.isEmpty() ? fleet.ofRole("edge") : readyEdges;
+    return anotherEdge(null);
+  }
+
+  private Member anotherEdge(Member last) {
+    List<Member> known = readyEdges.isEmpty() ? fleet.ofRole("edge") : readyEdges;
+    List<Member> others = known.stream().filter(edge -> edge != last).toList();
+    List<Member> choice = others.isEmpty() ? known : others;
     return choice.get(random.nextInt(choice.size()));
   }
 
@@ -243,7 +311,7 @@
       byte[] body,
       Map<String, String> headers,
       BiConsumer<Integer, String> then) {
-    HttpRequest.Builder request = HttpRequest.builder(method, "http://" + to.http + path);
+    HttpRequest.Builder request = HttpRequest.builder(method, "http://" + to.clients + path);
     headers.forEach((name, value) -> request.withHeader(HttpHeaders.of(name), value));
     if (body != null) {
       request.withBody(body);
@@ -353,7 +421,7 @@
     return output.toString();
   }
 
-  String summary() {
+  public String summary() {
     List<Long> took =
         senders.stream()
             .filter(sender -> sender.finishedAt >= 0)
--- a/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/StandInWorkers.java
@@ -193,7 +193,7 @@
     this.history = history;
   }
 
-  static long nowMs() {
+  public static long nowMs() {
     return System.nanoTime() / 1_000_000L;
   }
 
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/Links.java
@@ -0,0 +1,78 @@
+package applespindle.testfleet.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** What becomes of the bytes between processes, and between clients and edges, at this moment. */
+final class Links {
+  /** In place of a process's name: those who call the edges. */
+  static final String CLIENTS = "clients";
+
+  /** What becomes of bytes, worst last. */
+  enum Traffic {
+    FLOWS,
+    /** They wait and arrive later. */
+    HELD,
+    /** The request came through, the answer is thrown away, and the connection ends with it. */
+    ANSWER_LOST,
+    /** They are thrown away; the connection is of no use any more and is reset once all is well. */
+    DROPPED,
+    /** The connection is reset, and so is each new one. */
+    RESET
+  }
+
+  private record Cut(String from, String to, Traffic traffic) {
+    boolean concerns(String sender, String receiver) {
+      return matches(from, sender) && matches(to, receiver);
+    }
+
+    private static boolean matches(String wanted, String name) {
+      return wanted.equals(name) || wanted.equals(Trouble.ALL) && !name.equals(CLIENTS);
+    }
+  }
+
+  private final List<Cut> cuts = new CopyOnWriteArrayList<>();
+
+  /** Cuts of overlapping troubles add up; the worst counts. */
+  Traffic between(String sender, String receiver) {
+    Traffic worst = Traffic.FLOWS;
+    for (Cut cut : cuts) {
+      if (cut.concerns(sender, receiver) && cut.traffic().compareTo(worst) > 0) {
+        worst = cut.traffic();
+      }
+    }
+    return worst;
+  }
+
+  void begin(Trouble trouble) {
+    cuts.addAll(cutsOf(trouble));
+  }
+
+  void end(Trouble trouble) {
+    cutsOf(trouble).forEach(cuts::remove);
+  }
+
+  private static List<Cut> cutsOf(Trouble trouble) {
+    String target = trouble.target();
+    String other = trouble.other();
+    List<Cut> made = new ArrayList<>();
+    switch (trouble.kind()) {
+      case DROP_FROM -> made.add(new Cut(target, other, Traffic.DROPPED));
+      case DROP_TO -> made.add(new Cut(other, target, Traffic.DROPPED));
+      case DROP_BOTH -> addBoth(made, target, other, Traffic.DROPPED);
+      case HOLD_FROM -> made.add(new Cut(target, other, Traffic.HELD));
+      case HOLD_TO -> made.add(new Cut(other, target, Traffic.HELD));
+      case HOLD_BOTH -> addBoth(made, target, other, Traffic.HELD);
+      case RESET -> addBoth(made, target, other, Traffic.RESET);
+      case LOSE_ANSWERS -> made.add(new Cut(target, CLIENTS, Traffic.ANSWER_LOST));
+      default -> throw new IllegalArgumentException(trouble + " cuts nothing");
+    }
+    return made;
+  }
+
+  private static void addBoth(List<Cut> made, String target, String other, Traffic traffic) {
+    made.add(new Cut(target, other, traffic));
+    made.add(new Cut(other, target, traffic));
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
@@ -0,0 +1,152 @@
+package applespindle.testfleet.soak;
+
+import applespindle.testfleet.Deployment;
+import applespindle.testfleet.Fleet;
+import applespindle.testfleet.RealTraffic;
+import applespindle.testfleet.RealTraffic.Batch;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** One fleet under the troubles of one seed, from its start to its judgement. */
+final class SoakRun {
+  private static final long OPEN_MS = 120_000;
+
+  /** From the end of all troubles until every batch must be over. */
+  private static final long SETTLE_MS = 90_000;
+
+  private static final double CHECKS_PER_SECOND = 10;
+  private static final double NOTES_PER_SECOND = 1;
+  private static final double ONCE_PER_SECOND = 3;
+  private static final long BATCH_EVERY_MS = 500;
+  private static final int HEAP_MEGABYTES = 96;
+
+  /** What came of a seed. */
+  record Outcome(
+      SoakPlan plan,
+      List<Batch> batches,
+      String acceptance,
+      String traffic,
+      long invariantsSeen,
+      List<String> violations) {
+    boolean sound() {
+      return violations.isEmpty();
+    }
+
+    @Override
+    public String toString() {
+      long accepted = batches.stream().filter(Batch::accepted).count();
+      long finished = batches.stream().filter(Batch::finished).count();
+      long refused =
+          batches.stream()
+              .filter(batch -> !batch.accepted() && batch.status() >= 400 && batch.status() < 500)
+              .count();
+      return "seed "
+          + plan.seed()
+          + (sound() ? " sound" : " BROKEN")
+          + "; "
+          + plan
+          + "; batches "
+          + batches.size()
+          + ", accepted "
+          + accepted
+          + ", refused "
+          + refused
+          + ", finished "
+          + finished
+          + "; accepted after "
+          + acceptance
+          + "; "
+          + traffic
+          + "; invariant counters seen "
+          + invariantsSeen
+          + "; violations "
+          + violations;
+    }
+  }
+
+  private final Deployment deployment;
+  private final Path folder;
+  private final String classPath;
+
+  SoakRun(Deployment deployment, Path folder, String classPath) {
+    this.deployment = deployment;
+    this.folder = folder;
+    this.classPath = classPath;
+  }
+
+  /** Keeps the history in the folder; the logs are there already. */
+  Outcome run(SoakPlan plan) throws IOException, InterruptedException {
+    Links links = new Links();
+    InvariantCounters invariants = new InvariantCounters();
+    try (Relays relays = new Relays(links);
+        Fleet fleet = new Fleet(deployment, folder, classPath, 0)) {
+      Thread closing = new Thread(fleet::close);
+      Runtime.getRuntime().addShutdownHook(closing);
+      fleet.wiring = relays;
+      fleet.edges = plan.edges();
+      fleet.storages = plan.storages();
+      fleet.heapMegabytes = HEAP_MEGABYTES;
+      fleet.start();
+      fleet.open(OPEN_MS);
+      RealTraffic traffic = new RealTraffic(fleet, traffic(plan));
+      soak(fleet, links, invariants, plan, traffic);
+      List<String> violations = new SoakJudge(fleet, invariants).judge(traffic.batchesSeen());
+      Files.writeString(folder.resolve("history.jsonl"), fleet.history.toLines());
+      Runtime.getRuntime().removeShutdownHook(closing);
+      return new Outcome(
+          plan,
+          traffic.batchesSeen(),
+          acceptance(traffic),
+          traffic.summary(),
+          invariants.seen(),
+          violations);
+    }
+  }
+
+  private static RealTraffic.Plan traffic(SoakPlan plan) {
+    return new RealTraffic.Plan(
+        plan.seed(),
+        CHECKS_PER_SECOND,
+        NOTES_PER_SECOND,
+        ONCE_PER_SECOND,
+        BATCH_EVERY_MS,
+        plan.endsMs(),
+        Integer.MAX_VALUE,
+        SETTLE_MS);
+  }
+
+  private static void soak(
+      Fleet fleet, Links links, InvariantCounters invariants, SoakPlan plan, RealTraffic traffic)
+      throws InterruptedException {
+    AtomicReference<Exception> fault = new AtomicReference<>();
+    Thread troubles =
+        new Thread(
+            () -> {
+              try {
+                new TroubleMaker(fleet, links, invariants).run(plan);
+              } catch (IOException | InterruptedException | RuntimeException failed) {
+                fault.set(failed);
+              }
+            },
+            "troubles");
+    troubles.start();
+    traffic.run();
+    troubles.join();
+    if (fault.get() != null) {
+      throw new IllegalStateException("the troubles were not made as planned", fault.get());
+    }
+  }
+
+  private static String acceptance(RealTraffic traffic) {
+    return "p50 "
+        + traffic.acceptedWithinMs(50)
+        + " ms, p99 "
+        + traffic.acceptedWithinMs(99)
+        + " ms, max "
+        + traffic.acceptedWithinMs(100)
+        + " ms";
+  }
+}
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/Trouble.java
@@ -0,0 +1,53 @@
+package applespindle.testfleet.soak;
+
+import java.util.EnumSet;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * One thing that goes wrong for a while; times count from the beginning of the soak.
+ *
+ * @param other the one other process that a cut concerns, or {@link #ALL}
+ */
+record Trouble(Kind kind, String target, String other, long fromMs, long untilMs) {
+  /** In place of another process's name: all others. */
+  static final String ALL = "all";
+
+  /** What goes wrong; cuts are named by what becomes of the bytes and by their direction. */
+  enum Kind {
+    KILL,
+    PAUSE,
+    STARVE,
+    LOSE_ANSWERS,
+    DROP_FROM,
+    DROP_TO,
+    DROP_BOTH,
+    HOLD_FROM,
+    HOLD_TO,
+    HOLD_BOTH,
+    RESET;
+
+    private static final Set<Kind> OF_PROCESS = EnumSet.of(KILL, PAUSE, STARVE);
+    private static final Set<Kind> OF_EDGES = EnumSet.of(STARVE, LOSE_ANSWERS);
+
+    /** Whether it is done to the process itself and not to its connections. */
+    boolean ofProcess() {
+      return OF_PROCESS.contains(this);
+    }
+
+    boolean ofEdgesOnly() {
+      return OF_EDGES.contains(this);
+    }
+  }
+
+  boolean overlaps(Trouble another) {
+    return fromMs < another.untilMs && another.fromMs < untilMs;
+  }
+
+  @Override
+  public String toString() {
+    String what = kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    String whom = kind.ofProcess() || kind.ofEdgesOnly() ? target : target + "/" + other;
+    return what + ":" + whom + "@" + fromMs + "-" + untilMs;
+  }
+}
--- a/test-fleet/src/test/java/applespindle/testfleet/RealFleetTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/RealFleetTest.java
@@ -49,7 +49,7 @@
       assertThat(streamed.text()).contains("\"finish_reason\":\"stop\"");
       assertThat(streamed.text()).endsWith("data: [DONE]\n\n");
 
-      assertThat(Long.parseLong(counter(fleet, edge, "live_cancelled"))).isEqualTo(0);
+      assertThat(counter(fleet, edge, "live_cancelled")).isEqualTo(0);
       String[] place = edge.http.split(":");
       byte[] slow = "{\"prompt\":\"a long note\",\"max_tokens\":4000}".getBytes(UTF_8);
       try (Socket sender = new Socket(place[0], Integer.parseInt(place[1]))) {
@@ -68,7 +68,7 @@
       Fleet.awaitTrue(
           "the sender's leave to be noticed",
           GENEROUS_MS,
-          () -> !counter(fleet, edge, "live_cancelled").equals("0"));
+          () -> counter(fleet, edge, "live_cancelled") > 0);
       assertThat(running(fleet, edge)).isEqualTo(0);
 
       Result whole =
@@ -121,16 +121,9 @@
     return fleet.caller.get(edge.http, "/v1/status").body().path("liveRunning").asLong();
   }
 
-  private static String counter(Fleet fleet, Member edge, String name) {
-    return fleet
-        .caller
-        .get(edge.http, "/metrics")
-        .text()
-        .lines()
-        .filter(line -> line.startsWith("applespindle_" + name + "_total"))
-        .map(line -> line.replaceFirst(".* ", "").replaceFirst("\\.0$", ""))
-        .findFirst()
-        .orElse("0");
+  private static long counter(Fleet fleet, Member edge, String name) {
+    String text = fleet.caller.get(edge.http, "/metrics").text();
+    return Metrics.counters(text).getOrDefault(name, 0.0).longValue();
   }
 
   private static int recorded(Fleet fleet, Member edge, String batch) {
