--- a/test-fleet/src/main/java/applespindle/testfleet/soak/Links.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/Links.java
@@ -1,8 +1,12 @@
 package applespindle.testfleet.soak;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.LongAdder;
 
 /** What becomes of the bytes between processes, and between clients and edges, at this moment. */
 final class Links {
@@ -34,6 +38,9 @@
 
   private final List<Cut> cuts = new CopyOnWriteArrayList<>();
 
+  /** How many pieces of connections met each kind of traffic. */
+  private final Map<Traffic, LongAdder> met = new ConcurrentHashMap<>();
+
   /** Cuts of overlapping troubles add up; the worst counts. */
   Traffic between(String sender, String receiver) {
     Traffic worst = Traffic.FLOWS;
@@ -45,6 +52,18 @@
     return worst;
   }
 
+  /** Counts a piece of a connection, or its end, that met trouble. */
+  void note(Traffic traffic) {
+    met.computeIfAbsent(traffic, unseen -> new LongAdder()).increment();
+  }
+
+  /** What connections met so far, to see that cuts were cuts. */
+  Map<Traffic, Long> met() {
+    Map<Traffic, Long> counts = new EnumMap<>(Traffic.class);
+    met.forEach((traffic, count) -> counts.put(traffic, count.sum()));
+    return counts;
+  }
+
   void begin(Trouble trouble) {
     cuts.addAll(cutsOf(trouble));
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/RelayedConnection.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/RelayedConnection.java
@@ -68,7 +68,9 @@
         bytes.recycle();
         return;
       }
-      switch (traffic()) {
+      Traffic now = traffic();
+      links.note(now);
+      switch (now) {
         case FLOWS -> flow(bytes);
         case HELD -> eventloop.delay(LOOK_MS, () -> pass(bytes));
         case ANSWER_LOST, DROPPED -> {
@@ -195,6 +197,7 @@
       return;
     }
     if (forth.traffic() == Traffic.RESET || back.traffic() == Traffic.RESET) {
+      links.note(Traffic.RESET);
       reset();
       return;
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
@@ -4,19 +4,24 @@
 import applespindle.testfleet.Fleet;
 import applespindle.testfleet.RealTraffic;
 import applespindle.testfleet.RealTraffic.Batch;
+import applespindle.testfleet.soak.Links.Traffic;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 
 /** One fleet under the troubles of one seed, from its start to its judgement. */
 final class SoakRun {
   private static final long OPEN_MS = 120_000;
 
-  /** From the end of all troubles until every batch must be over. */
+  /** From the end of the traffic until every batch must be over. */
   private static final long SETTLE_MS = 90_000;
 
+  /** Traffic goes on for so long once all is healed, so that what comes then is judged too. */
+  private static final long TRAFFIC_AFTER_MS = 4_000;
+
   private static final double CHECKS_PER_SECOND = 10;
   private static final double NOTES_PER_SECOND = 1;
   private static final double ONCE_PER_SECOND = 3;
@@ -29,6 +34,7 @@
       List<Batch> batches,
       String acceptance,
       String traffic,
+      Map<Traffic, Long> relayed,
       long invariantsSeen,
       List<String> violations) {
     boolean sound() {
@@ -60,6 +66,8 @@
           + acceptance
           + "; "
           + traffic
+          + "; relayed pieces "
+          + relayed
           + "; invariant counters seen "
           + invariantsSeen
           + "; violations "
@@ -101,6 +109,7 @@
           traffic.batchesSeen(),
           acceptance(traffic),
           traffic.summary(),
+          links.met(),
           invariants.seen(),
           violations);
     }
@@ -113,7 +122,7 @@
         NOTES_PER_SECOND,
         ONCE_PER_SECOND,
         BATCH_EVERY_MS,
-        plan.endsMs(),
+        plan.endsMs() + TRAFFIC_AFTER_MS,
         Integer.MAX_VALUE,
         SETTLE_MS);
   }
--- /dev/null
+++ b/test-fleet/src/test/java/applespindle/testfleet/soak/SoakPlanTest.java
@@ -0,0 +1,61 @@
+package applespindle.testfleet.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import applespindle.testfleet.soak.Trouble.Kind;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+class SoakPlanTest {
+  private static final long LENGTH_MS = 20_000;
+  private static final int SEEDS = 200;
+
+  private static List<SoakPlan> plans() {
+    return LongStream.rangeClosed(1, SEEDS).mapToObj(seed -> SoakPlan.of(seed, LENGTH_MS)).toList();
+  }
+
+  @Test
+  void aSeedAlwaysDrawsTheSamePlan() {
+    assertThat(SoakPlan.of(7, LENGTH_MS)).isEqualTo(SoakPlan.of(7, LENGTH_MS));
+    assertThat(SoakPlan.of(7, LENGTH_MS)).isNotEqualTo(SoakPlan.of(8, LENGTH_MS));
+  }
+
+  @Test
+  void everyKindOfTroubleIsDrawnAndAllIsHealedInTheEnd() {
+    Set<Kind> drawn = EnumSet.noneOf(Kind.class);
+    for (SoakPlan plan : plans()) {
+      for (Trouble trouble : plan.troubles()) {
+        drawn.add(trouble.kind());
+        assertThat(trouble.fromMs()).isLessThan(trouble.untilMs());
+        assertThat(trouble.untilMs()).isAtMost(plan.endsMs());
+      }
+    }
+    assertThat(drawn).isEqualTo(EnumSet.allOf(Kind.class));
+  }
+
+  @Test
+  void troublesOverlapAndTwoNeverHoldOneProcess() {
+    for (SoakPlan plan : plans()) {
+      int overlaps = 0;
+      for (Trouble one : plan.troubles()) {
+        for (Trouble another : plan.troubles()) {
+          if (one == another || !one.overlaps(another)) {
+            continue;
+          }
+          overlaps++;
+          assertWithMessage(plan.toString())
+              .that(
+                  one.kind().ofProcess()
+                      && another.kind().ofProcess()
+                      && one.target().equals(another.target()))
+              .isFalse();
+        }
+      }
+      assertThat(overlaps).isGreaterThan(0);
+    }
+  }
+}
