--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -26,6 +26,7 @@
   private static final long TRAFFIC_FROM_MS = 15_000;
 
   private static final long TRAFFIC_SEED = 20261202;
+  private static final long PATIENCE_MS = 12_000;
   private static final int SUBMIT_TRIES = 6;
   private static final long SETTLE_MS = 60_000;
 
@@ -104,6 +105,7 @@
             2,
             everyMs,
             flags.getInt("traffic") * 1_000L,
+            PATIENCE_MS,
             SUBMIT_TRIES,
             SETTLE_MS);
     RealTraffic traffic = new RealTraffic(fleet, plan);
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -32,7 +32,6 @@
  * into a history.
  */
 public final class RealTraffic {
-  private static final Duration PATIENCE = Duration.ofSeconds(12);
   private static final long POLL_MS = 300;
   private static final long READY_MS = 500;
   private static final String SHARED =
@@ -41,6 +40,7 @@
   /**
    * What is sent and for how long.
    *
+   * @param patienceMs how long a call waits for an answer or for more of it
    * @param submitTries how often a batch is sent until it is accepted
    * @param settleMs how long accepted batches may take once nothing new is sent
    */
@@ -51,6 +51,7 @@
       double oncePerSecond,
       long batchEveryMs,
       long lengthMs,
+      long patienceMs,
       int submitTries,
       long settleMs) {}
 
@@ -184,7 +185,7 @@
     client =
         HttpClient.builder(eventloop, new NumbersOnly())
             .withNoKeepAlive()
-            .withReadWriteTimeout(PATIENCE)
+            .withReadWriteTimeout(Duration.ofMillis(plan.patienceMs()))
             .withConnectTimeout(Duration.ofSeconds(2))
             .build();
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
@@ -6,6 +6,7 @@
 import applespindle.testfleet.Metrics;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -21,8 +22,7 @@
   private record Life(String process, long pid) {}
 
   private final HttpCaller caller = new HttpCaller(PATIENCE);
-  private final Map<Life, Map<String, Double>> read =
-      new TreeMap<>(java.util.Comparator.comparing(Life::process).thenComparing(Life::pid));
+  private final Map<Life, Map<String, Double>> read = new LinkedHashMap<>();
 
   /**
    * Reads a process's counters; false if it did not answer, and then what was read before stays.
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
@@ -66,17 +66,29 @@
         System.exit(2);
       }
       SoakPlan plan = SoakPlan.of(seed, flags.getInt("seconds") * 1_000L);
-      SoakRun.Outcome outcome =
-          new SoakRun(deployment, folder, System.getProperty("java.class.path")).run(plan);
-      System.out.println(outcome);
-      if (outcome.sound()) {
+      boolean sound = soak(deployment, folder, plan);
+      if (sound) {
         delete(folder);
       }
-      allSound &= outcome.sound();
+      allSound &= sound;
     }
     return allSound;
   }
 
+  /** A fleet that does not start, or that can not be troubled as planned, is not sound either. */
+  private static boolean soak(Deployment deployment, Path folder, SoakPlan plan)
+      throws IOException, InterruptedException {
+    try {
+      SoakRun.Outcome outcome =
+          new SoakRun(deployment, folder, System.getProperty("java.class.path")).run(plan);
+      System.out.println(outcome);
+      return outcome.sound();
+    } catch (IllegalStateException fault) {
+      System.out.println("seed " + plan.seed() + " BROKEN; " + plan + "; " + fault);
+      return false;
+    }
+  }
+
   private static void delete(Path folder) throws IOException {
     try (Stream<Path> files = Files.walk(folder)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
@@ -22,6 +22,9 @@
   /** Traffic goes on for so long once all is healed, so that what comes then is judged too. */
   private static final long TRAFFIC_AFTER_MS = 4_000;
 
+  /** Shorter than most pauses: a batch is at another edge when the one that was paused goes on. */
+  private static final long PATIENCE_MS = 2_500;
+
   private static final double CHECKS_PER_SECOND = 10;
   private static final double NOTES_PER_SECOND = 1;
   private static final double ONCE_PER_SECOND = 3;
@@ -123,6 +126,7 @@
         ONCE_PER_SECOND,
         BATCH_EVERY_MS,
         plan.endsMs() + TRAFFIC_AFTER_MS,
+        PATIENCE_MS,
         Integer.MAX_VALUE,
         SETTLE_MS);
   }
