--- a/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
@@ -19,7 +19,8 @@
   private static final String PREFIX = "invariant_";
   private static final Duration PATIENCE = Duration.ofSeconds(5);
 
-  private record Life(String process, long pid) {}
+  /** A process from one start to its end. */
+  record Life(String process, long pid) {}
 
   private final HttpCaller caller = new HttpCaller(PATIENCE);
   private final Map<Life, Map<String, Double>> read = new LinkedHashMap<>();
@@ -27,9 +28,12 @@
   /**
    * Reads a process's counters; false if it did not answer, and then what was read before stays.
    */
-  synchronized boolean read(Member member) {
-    Life life = new Life(member.name, member.pid());
-    Result result = caller.get(member.http, "/metrics");
+  boolean read(Member member) {
+    return read(new Life(member.name, member.pid()), member.http);
+  }
+
+  synchronized boolean read(Life life, String http) {
+    Result result = caller.get(http, "/metrics");
     if (!result.good()) {
       return false;
     }
