--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -107,6 +107,7 @@
             flags.getInt("traffic") * 1_000L,
             PATIENCE_MS,
             SUBMIT_TRIES,
+            0,
             SETTLE_MS);
     RealTraffic traffic = new RealTraffic(fleet, plan);
     Thread faults = new Thread(() -> runFaults(fleet, flags.getList("faults")), "faults");
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -42,6 +42,8 @@
    *
    * @param patienceMs how long a call waits for an answer or for more of it
    * @param submitTries how often a batch is sent until it is accepted
+   * @param givenUpEvery each so-many-th batch is given up when it is refused for certain; 0 for
+   *     none
    * @param settleMs how long accepted batches may take once nothing new is sent
    */
   public record Plan(
@@ -53,6 +55,7 @@
       long lengthMs,
       long patienceMs,
       int submitTries,
+      int givenUpEvery,
       long settleMs) {}
 
   /**
@@ -72,11 +75,20 @@
       return acceptedAt >= 0;
     }
 
+    /** Its last answer says for certain that nothing of this try runs. */
+    public boolean refused() {
+      return !accepted() && definiteRefusal(status);
+    }
+
     public boolean finished() {
       return finishedAt >= 0;
     }
   }
 
+  private static boolean definiteRefusal(int status) {
+    return status >= 400 && status < 500 || status == 503;
+  }
+
   private final class Sender {
     final String key;
     byte[] body;
@@ -89,9 +101,11 @@
     long next;
     int tries;
     boolean over;
+    final boolean givesUp;
 
-    Sender(String key) {
+    Sender(String key, boolean givesUp) {
       this.key = key;
+      this.givesUp = givesUp;
       ObjectNode input = JSON.createObjectNode().put("due_in_ms", fleet.deployment.dueMs);
       ArrayNode rows = input.putArray("items");
       for (int index = 0; index < fleet.deployment.batchItems; index++) {
@@ -129,7 +143,7 @@
               batch = answer.path("batch").asText();
               acceptedAt = StandInWorkers.nowMs();
               poll();
-            } else if (tries < plan.submitTries()) {
+            } else if (tries < plan.submitTries() && !(givesUp && definiteRefusal(status))) {
               eventloop.delay(1_000L, this::submit);
             } else {
               over = true;
@@ -353,7 +367,9 @@
     if (StandInWorkers.nowMs() >= endsAt) {
       return;
     }
-    Sender sender = new Sender("batch-" + (senders.size() + 1));
+    int number = senders.size() + 1;
+    boolean givesUp = plan.givenUpEvery() > 0 && number % plan.givenUpEvery() == 0;
+    Sender sender = new Sender("batch-" + number, givesUp);
     senders.add(sender);
     sender.submit();
     eventloop.delay(plan.batchEveryMs(), this::batches);
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakJudge.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakJudge.java
@@ -50,10 +50,9 @@
 
   /** Its sender waited for long after all was healed. */
   private void ended(Batch batch) {
-    boolean refused = batch.status() >= 400 && batch.status() < 500;
     if (batch.accepted() && !batch.finished()) {
       violations.add("NOT_FINISHED " + batch.key() + " " + batch.id());
-    } else if (!batch.accepted() && !refused) {
+    } else if (!batch.accepted() && !batch.refused()) {
       violations.add("NOT_TAKEN " + batch.key() + " last answered " + batch.status());
     }
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
@@ -28,6 +28,10 @@
   private static final double CHECKS_PER_SECOND = 10;
   private static final double NOTES_PER_SECOND = 1;
   private static final double ONCE_PER_SECOND = 3;
+
+  /** So that there are refused batches, of which nothing may run. */
+  private static final int GIVEN_UP_EVERY = 2;
+
   private static final long BATCH_EVERY_MS = 500;
   private static final int HEAP_MEGABYTES = 96;
 
@@ -48,10 +52,7 @@
     public String toString() {
       long accepted = batches.stream().filter(Batch::accepted).count();
       long finished = batches.stream().filter(Batch::finished).count();
-      long refused =
-          batches.stream()
-              .filter(batch -> !batch.accepted() && batch.status() >= 400 && batch.status() < 500)
-              .count();
+      long refused = batches.stream().filter(Batch::refused).count();
       return "seed "
           + plan.seed()
           + (sound() ? " sound" : " BROKEN")
@@ -128,6 +129,7 @@
         plan.endsMs() + TRAFFIC_AFTER_MS,
         PATIENCE_MS,
         Integer.MAX_VALUE,
+        GIVEN_UP_EVERY,
         SETTLE_MS);
   }
 
