WorkerBook: polling and the judgement of outcomes in classes of their own

WorkerLoadPolling asks workers for their load, WorkerOutcomes says how long a worker rests, when it gets more requests again and which part of its runs fails. WorkerBook keeps the list and what runs where, and its interface.

Behaviour is unchanged: same draws, same timers.

--- a/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
+++ b/core-logic/src/main/java/applespindle/corelogic/WorkerBook.java
@@ -169,7 +169,8 @@
   private record FellowLoad(int running, double unread, long at) {}
 
   private final Surroundings surroundings;
-  private final Runnable whenChanged;
+  private final WorkerLoadPolling polling;
+  private final WorkerOutcomes outcomes;
   private Consumer<Known> whenBegan = unheard -> {};
   private final Map<String, Known> known = new TreeMap<>();
 
@@ -178,7 +179,8 @@
 
   WorkerBook(Surroundings surroundings, Runnable whenChanged) {
     this.surroundings = surroundings;
-    this.whenChanged = whenChanged;
+    this.polling = new WorkerLoadPolling(surroundings, this::listed, whenChanged);
+    this.outcomes = new WorkerOutcomes(surroundings);
   }
 
   void follow(Map<String, Worker> workers) {
@@ -196,7 +198,7 @@
           }
           present.worker = worker;
           if (!present.passive()) {
-            poll(present);
+            polling.begin(present);
           }
         });
   }
@@ -213,42 +215,6 @@
     return known.get(worker.worker.id()) == worker;
   }
 
-  private void poll(Known worker) {
-    if (!worker.polling) {
-      worker.polling = true;
-      pollOnce(worker);
-    }
-  }
-
-  private void pollOnce(Known worker) {
-    if (!listed(worker) || worker.passive()) {
-      worker.polling = false;
-      return;
-    }
-    long jitter =
-        surroundings.random().nextLong(Constants.LOAD_POLL_MS / 5) - Constants.LOAD_POLL_MS / 10;
-    surroundings.readLoad(
-        worker.worker.address(),
-        load -> {
-          worker.load = load;
-          worker.loadAt = surroundings.now();
-          worker.sinceReport = 0;
-          notePeak(worker);
-          surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker));
-          whenChanged.run();
-        },
-        fault -> surroundings.after(Constants.LOAD_POLL_MS + jitter, () -> pollOnce(worker)));
-  }
-
-  private void notePeak(Known worker) {
-    long now = surroundings.now();
-    double fallen =
-        worker.livePeak
-            * Math.pow(0.5, (now - worker.livePeakAt) / (double) Constants.LIVE_PEAK_HALVES_MS);
-    worker.livePeak = Math.max(worker.liveRunning(), fallen);
-    worker.livePeakAt = now;
-  }
-
   /** Listed, heard of lately, not leaving, not at rest after a fault. */
   boolean usable(Known worker) {
     long now = surroundings.now();
@@ -310,53 +276,24 @@
     }
   }
 
-  /**
-   * Runs that fall while it rests already were begun before and fell with the first: they make the
-   * rest no longer.
-   */
+  /** The worker or the way to it failed: it is left to rest. */
   void faulted(Known worker) {
-    noteOutcome(worker, true);
-    if (surroundings.now() >= worker.restsUntil) {
-      long rest =
-          Math.min(
-              Constants.WORKER_REST_MOST_MS,
-              Constants.WORKER_REST_MS << Math.min(worker.faultsInRow, 10));
-      worker.faultsInRow++;
-      worker.restsUntil = surroundings.now() + rest;
-      worker.rampFrom = worker.restsUntil;
-    }
+    outcomes.faulted(worker);
   }
 
-  /**
-   * It answered, but with a failure of its own: no reason to rest, as another request may do
-   * better.
-   */
+  /** It answered, but with a failure of its own. */
   void failed(Known worker) {
-    noteOutcome(worker, true);
-  }
-
-  private void noteOutcome(Known worker, boolean faulty) {
-    long now = surroundings.now();
-    worker.faultShare =
-        faultShare(worker) * (1 - Constants.OUTCOME_WEIGHT)
-            + (faulty ? Constants.OUTCOME_WEIGHT : 0);
-    worker.faultShareAt = now;
+    outcomes.failed(worker);
   }
 
   /** Part of its recent runs that failed; what is long past counts less. */
   double faultShare(Known worker) {
-    long age = surroundings.now() - worker.faultShareAt;
-    return worker.faultShare * Math.exp(-age / (double) Constants.FAULT_FADES_MS);
+    return outcomes.faultShare(worker);
   }
 
   /** Bytes of any run came: it is there. */
   void heard(Known worker) {
-    worker.heardAt = surroundings.now();
-    if (worker.suspect) {
-      worker.suspect = false;
-      worker.restsUntil = worker.heardAt;
-      worker.rampFrom = worker.heardAt;
-    }
+    outcomes.heard(worker);
   }
 
   /** What a fellow edge has at a worker; it counts less the longer ago that was. */
@@ -381,8 +318,7 @@
 
   /** From 1 at full strength down to a small part of it for a worker that is new or was at rest. */
   double ramp(Known worker) {
-    double part = (surroundings.now() - worker.rampFrom) / (double) Constants.RAMP_MS;
-    return Math.max(Constants.RAMP_LEAST, Math.min(1, part));
+    return outcomes.ramp(worker);
   }
 
   /** How long a further request is likely to wait there for a slot. */
@@ -391,24 +327,9 @@
     return Math.max(0, running + 1 - slots) * worker.serviceMs / slots;
   }
 
-  /**
-   * It said that it is full: left alone until its next report can tell more, longer if it keeps
-   * saying so. Refusals of what was sent before the rest began are one saying.
-   */
+  /** It said that it is full: it is left alone for a moment. */
   void refused(Known worker) {
-    long now = surroundings.now();
-    if (worker.passive()) {
-      worker.others =
-          Math.max(worker.othersNow(now), worker.capacity() + 1 - worker.live - worker.batch);
-      worker.othersAt = now;
-    } else if (now >= worker.restsUntil) {
-      worker.restsUntil =
-          now
-              + Math.min(
-                  Constants.WORKER_REST_MOST_MS,
-                  Constants.LOAD_POLL_MS << Math.min(worker.refusalsInRow, 10));
-      worker.refusalsInRow++;
-    }
+    outcomes.refused(worker);
   }
 
   /** A refusal for want of room, which says nothing against the request. */
@@ -418,9 +339,7 @@
   }
 
   void served(Known worker) {
-    worker.faultsInRow = 0;
-    worker.refusalsInRow = 0;
-    noteOutcome(worker, false);
+    outcomes.served(worker);
   }
 
   void served(Known worker, long tookMs) {
