--- a/core-logic/src/main/java/applespindle/corelogic/DataNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/DataNode.java
@@ -539,39 +539,13 @@
   }
 
   /** Where batches are led, by the edges that are live now. */
-  private LeaderPlacement leaderPlacement() {
+  protected LeaderPlacement leaderPlacement() {
     if (leaderPlacement == null) {
       leaderPlacement = new LeaderPlacement(bounds.replicas(), liveEdges());
     }
     return leaderPlacement;
   }
 
-  /** The edge that comes at this place in the agreed order of those that may lead a batch. */
-  protected Target firstEdge(String key, int attempt) {
-    return chosen(leaderPlacement().order(key), attempt);
-  }
-
-  /**
-   * The same in the order for a batch that is handed in at this edge; itself where none is known.
-   */
-  protected Target firstEdgeFromHere(String key, int attempt) {
-    Target chosen = chosen(leaderPlacement().orderFrom(place.id(), place.zone(), key), attempt);
-    return chosen != null ? chosen : new Target(place.id(), place.peerAddress());
-  }
-
-  /** Whether an edge is fit to lead batches, or none is known to be live. */
-  protected boolean mayLead(String edgeId) {
-    return leaderPlacement().mayLead(edgeId);
-  }
-
-  private static Target chosen(List<Member> order, int attempt) {
-    if (order.isEmpty()) {
-      return null;
-    }
-    Member edge = order.get(attempt % order.size());
-    return new Target(edge.id(), edge.peerAddress());
-  }
-
   static String shardOf(String key) {
     return "shard/" + Math.floorMod(Rendezvous.hash(key), Constants.SHARDS);
   }
--- a/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/EdgeNode.java
@@ -158,7 +158,7 @@
     if (!idle || bundle == null || stopping || !members.containsKey(place.id())) {
       return;
     }
-    boolean leads = mayLead(place.id());
+    boolean leads = leaderPlacement().mayLead(place.id());
     if (!warmUp.done(leads)) {
       warmUp.round(bundle, leads);
     }
@@ -430,9 +430,9 @@
     }
     int rank = known == null ? attempt : Math.max(0, attempt - 1);
     if (!duty.equals(Ask.SUBMIT) || !isOpaque(key)) {
-      return firstEdge(key, rank);
+      return leaderPlacement().edge(key, rank);
     }
-    return firstEdgeFromHere(key, rank);
+    return leaderPlacement().edgeFrom(place, key, rank);
   }
 
   // ---- asks to the leader of a batch
@@ -472,7 +472,7 @@
       return;
     }
     submissionsInWork.begin(ask);
-    if (!mayLead(place.id())) {
+    if (!leaderPlacement().mayLead(place.id())) {
       count("submissions_at_unfit_edge");
     }
     StageTrace trace = new StageTrace(surroundings);
@@ -1037,7 +1037,7 @@
       String key = leader.key.key;
       Target successor = null;
       for (int attempt = 0; attempt < liveEdges().size() && successor == null; attempt++) {
-        Target candidate = firstEdge(key, attempt);
+        Target candidate = leaderPlacement().edge(key, attempt);
         successor = candidate.id().equals(place.id()) ? null : candidate;
       }
       leader.key.stop();
--- a/core-logic/src/main/java/applespindle/corelogic/LeaderPlacement.java
+++ b/core-logic/src/main/java/applespindle/corelogic/LeaderPlacement.java
@@ -1,5 +1,7 @@
 package applespindle.corelogic;
 
+import applespindle.corelogic.Node.Place;
+import applespindle.corelogic.Node.Target;
 import applespindle.corelogic.Records.Member;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -43,6 +45,25 @@
     return fit.containsKey(edgeId) || fit.isEmpty();
   }
 
+  /** The edge at this place in the agreed order for a key, begun anew behind the last; or null. */
+  Target edge(String key, int attempt) {
+    return target(order(key), attempt);
+  }
+
+  /** The same in the order for a batch that is handed in at an edge; itself where none is known. */
+  Target edgeFrom(Place here, String key, int attempt) {
+    Target chosen = target(orderFrom(here.id(), here.zone(), key), attempt);
+    return chosen != null ? chosen : new Target(here.id(), here.peerAddress());
+  }
+
+  private static Target target(List<Member> order, int attempt) {
+    if (order.isEmpty()) {
+      return null;
+    }
+    Member edge = order.get(attempt % order.size());
+    return new Target(edge.id(), edge.peerAddress());
+  }
+
   /** All edges in the order agreed for a key: those fit to lead before the others. */
   List<Member> order(String key) {
     List<Member> order = new ArrayList<>(rendezvous(key, fit));
--- a/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/StorageNode.java
@@ -115,7 +115,7 @@
         .forEach(
             key ->
                 ask(
-                    attempt -> firstEdge(key, attempt),
+                    attempt -> leaderPlacement().edge(key, attempt),
                     "remove",
                     key,
                     JSON.createObjectNode(),
@@ -151,9 +151,9 @@
     Map<Target, List<String>> orphans = new HashMap<>();
     for (String key : unfinished) {
       if (replicas.ownerSilent(replicas.copy(key))) {
-        Target chosenEdge = firstEdge(key, 0);
+        Target chosenEdge = leaderPlacement().edge(key, 0);
         if (chosenEdge != null && chosenEdge.id().equals(replicas.copy(key).owner)) {
-          chosenEdge = firstEdge(key, 1);
+          chosenEdge = leaderPlacement().edge(key, 1);
         }
         if (chosenEdge != null) {
           orphans.computeIfAbsent(chosenEdge, unseen -> new ArrayList<>()).add(key);
