--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -34,7 +34,8 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.tinylog.Logger;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One process round one node of the logic: implements the node's environment on real threads,
@@ -46,6 +47,7 @@
  * the logic thread.
  */
 public final class NodeProcess implements Environment {
+  private static final Logger LOGGER = LoggerFactory.getLogger(NodeProcess.class);
   private static final String LOG_PREFIX = "process";
 
   /**
@@ -326,7 +328,7 @@
     try {
       task.run();
     } catch (RuntimeException fault) {
-      Logger.error(fault, "[" + LOG_PREFIX + "] A task of the logic failed.");
+      LOGGER.error("[" + LOG_PREFIX + "] A task of the logic failed.", fault);
     }
   }
 
@@ -458,6 +460,6 @@
 
   @Override
   public void log(String part, String message) {
-    Logger.info("[" + part + "] " + message);
+    LOGGER.info("[" + part + "] " + message);
   }
 }
