Scenarios, their words and mutations in the field's terms

Cause: these were the last names in the earlier house style: opaque, newcomer, yes, grant, ledger, feeder.

Names that are visible outside stay.

--- a/test-fleet/src/main/java/applespindle/testfleet/ControlPlaneActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ControlPlaneActions.java
@@ -63,7 +63,7 @@
               fleet.deployment.configuration(Long.parseLong(words[1])),
               words.length > 2 ? words[2] : FIRST_NODE);
       case "bundle-set" -> sendChangedConfiguration(action);
-      case "bundles-collide" -> sendConflictingConfigurations(Long.parseLong(words[1]));
+      case "conflicting-bundles" -> sendConflictingConfigurations(Long.parseLong(words[1]));
       default -> {
         return false;
       }
--- a/test-fleet/src/main/java/applespindle/testfleet/FaultTargets.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FaultTargets.java
@@ -22,7 +22,7 @@
     }
     return switch (name) {
       case "leader" -> busiest("leads");
-      case "feeder" -> busiest("batchRunning");
+      case "dispatcher" -> busiest("batchRunning");
       case "any-edge" -> fleet.anyEdge();
       case "any-core" ->
           simulation.processes.get(
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedResponseRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ProxiedResponseRules.java
@@ -209,7 +209,7 @@
         violated(
             Rule.SERVICE_NOT_BACK,
             each.atMs(),
-            "no opaque request served at " + edge + " since " + goodMs.get(edge));
+            "no proxied request served at " + edge + " since " + goodMs.get(edge));
         goodMs.put(edge, each.atMs());
       }
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -22,14 +22,14 @@
  *   <li>on: accepted, ended or bundle, which one by count or number, verb, words; the same when a
  *       client is notified of that event
  *   <li>tries: how often a batch is submitted
- *   <li>obedient: clients whose checks are refused retry after the delay they are given
+ *   <li>honor-retry-after: clients whose checks are refused retry after the delay they are given
  *   <li>spare: workers of a second pool
  *   <li>beyond: from, to; more has failed than the fleet must survive, so the time to recover is
  *       not judged
- *   <li>outside: losses to tolerate at once; the fleet runs on a simulated platform with proxied
- *       workers and a list of them
- *   <li>opaque: type of proxied traffic and requests a second, in pairs
- *   <li>opaque-batches: one every so many seconds, items, bytes of an item's body, and the most
+ *   <li>tolerated-losses: losses to tolerate at once; the fleet runs on a simulated platform with
+ *       proxied workers and a list of them
+ *   <li>proxied: type of proxied traffic and requests a second, in pairs
+ *   <li>proxied-batches: one every so many seconds, items, bytes of an item's body, and the most
  *       items where batches differ
  *   <li>edge-links: Mbit/s of each edge's link
  *   <li>edge-processor: share of a core that each edge has; work of an edge takes no time without
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioParser.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioParser.java
@@ -59,7 +59,7 @@
       }
       case "spare" -> settings.spares = Arrays.stream(words).skip(1).toList();
       case "tries" -> settings.submitTries = Integer.parseInt(words[1]);
-      case "obedient" -> settings.obedient = true;
+      case "honor-retry-after" -> settings.obedient = true;
       case "losses" -> settings.losses = true;
       case "watch-core" -> {
         settings.watchFromMs = seconds(words[1]);
@@ -88,13 +88,13 @@
   /** Lines about the platform, proxied traffic and the capacity of edges. */
   private boolean parsePlatformLine(String[] words) {
     switch (words[0]) {
-      case "outside" -> settings.platformLosses = Integer.parseInt(words[1]);
-      case "opaque" -> {
+      case "tolerated-losses" -> settings.platformLosses = Integer.parseInt(words[1]);
+      case "proxied" -> {
         for (int index = 1; index < words.length; index += 2) {
           settings.proxiedRates.put(words[index], Double.parseDouble(words[index + 1]));
         }
       }
-      case "opaque-batches" -> {
+      case "proxied-batches" -> {
         settings.proxiedBatchEverySeconds = Double.parseDouble(words[1]);
         settings.proxiedBatchItems = Integer.parseInt(words[2]);
         settings.proxiedItemBytes = words.length > 3 ? Integer.parseInt(words[3]) : 0;
--- a/test-fleet/src/main/java/applespindle/testfleet/TrafficActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/TrafficActions.java
@@ -32,18 +32,18 @@
       case "callers" ->
           fleet.fixedEdges = Arrays.stream(words).skip(1).map(simulation.processes::get).toList();
       case "end-batch" -> endLastBatch();
-      case "crowd-batch" ->
+      case "burst-batches" ->
           submitCrowd(
               Integer.parseInt(words[1]), words.length > 2 ? Integer.parseInt(words[2]) : CROWD_MS);
       case "probe-routes" -> fleet.clients.probeRoutes();
-      case "end-opaque" -> fleet.clients.endOne();
-      case "crowd-opaque" ->
+      case "end-proxied-batch" -> fleet.clients.endOne();
+      case "burst-proxied" ->
           fleet.clients.live(
               words[1],
               Double.parseDouble(words[2]),
               simulation.simulatedNowMs(),
               simulation.simulatedNowMs() + ScenarioParser.seconds(words[3]));
-      case "crowd-live" ->
+      case "burst-live" ->
           fleet.live(
               "check",
               Double.parseDouble(words[1]),
@@ -64,18 +64,18 @@
               .filter(worker -> words[1].equals("every") || worker.id.equals(words[1]))
               .sorted(Comparator.comparing(worker -> worker.id))
               .forEach(worker -> worker.become(Condition.valueOf(words[2].toUpperCase())));
-      case "worker-says-leaving" -> simulation.workers.get(words[1]).leaving = true;
-      case "list-becomes" ->
+      case "worker-reports-draining" -> simulation.workers.get(words[1]).leaving = true;
+      case "worker-list-becomes" ->
           fleet.platform.list.become(WorkerListing.Condition.valueOf(words[1].toUpperCase()));
-      case "opaque-worker" ->
+      case "proxied-worker" ->
           proxiedWorkers(words[1])
               .forEach(
                   worker -> worker.become(ProxyWorkers.Condition.valueOf(words[2].toUpperCase())));
-      case "opaque-worker-leaves" -> proxiedWorkers(words[1]).forEach(fleet.platform::leave);
-      case "opaque-worker-crashes" ->
+      case "proxied-worker-drains" -> proxiedWorkers(words[1]).forEach(fleet.platform::leave);
+      case "proxied-worker-crashes" ->
           proxiedWorkers(words[1])
               .forEach(worker -> fleet.platform.crash(worker, CRASHED_LISTED_MS));
-      case "opaque-worker-joins" -> fleet.platform.join(words[1], words[2]);
+      case "proxied-worker-joins" -> fleet.platform.join(words[1], words[2]);
       default -> {
         return false;
       }
--- a/test-fleet/src/test/java/applespindle/testfleet/CrashPointsTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/CrashPointsTest.java
@@ -24,7 +24,8 @@
 
   private static Scenario scenario() {
     try {
-      return Scenario.parse(Files.readString(Path.of("src/test/resources/scenarios/instants.txt")));
+      return Scenario.parse(
+          Files.readString(Path.of("src/test/resources/scenarios/crash-points.txt")));
     } catch (IOException fault) {
       throw new IllegalStateException(fault);
     }
--- a/test-fleet/src/test/java/applespindle/testfleet/SlowEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/SlowEdgesTest.java
@@ -15,7 +15,7 @@
 @Execution(ExecutionMode.CONCURRENT)
 class SlowEdgesTest {
   private static final Path SCENARIO =
-      Path.of("src/test/resources/slow-edges/opaque-slow-edges.txt");
+      Path.of("src/test/resources/slow-edges/proxied-slow-edges.txt");
 
   @Test
   void batchesAreAcceptedInTime() throws IOException {
