Every fault of the operator tool is one line and an exit status; readers of metadata are built while a process waits

Apart from that: since settings are read without Jackson, an edge builds Jackson's readers only when its first update arrives.

Change: CommandFiles reads, checks and writes the files of commands; addresses are checked before anything is sent; CommandException carries the exit status; ExitStatus is one table for all programs. New statuses: 5 for files, 6 for no response. MetadataReaders builds the readers on a thread of its own right after the start.

--- a/adapters/src/main/java/applespindle/adapters/DiskWriter.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskWriter.java
@@ -16,7 +16,6 @@
  * ends when a sync fails or the queue is full, as nothing could be acknowledged any more.
  */
 final class DiskWriter {
-  private static final int EXIT_DISK = 3;
   private static final int MAX_JOBS_PER_GROUP = 1024;
 
   /** What the disk thread needs of the logic thread. All methods may be called from any thread. */
@@ -104,7 +103,7 @@
   private void offer(Job job) {
     if (!queue.offer(job)) {
       messages.accept("The disk is too far behind and the process ends.");
-      Runtime.getRuntime().halt(EXIT_DISK);
+      Runtime.getRuntime().halt(ExitStatus.DISK_FAILED.code());
     }
     LockSupport.unpark(thread);
   }
@@ -130,7 +129,7 @@
       }
     } catch (DiskException fault) {
       messages.accept("The disk failed and the process ends: " + fault.getMessage() + ".");
-      Runtime.getRuntime().halt(EXIT_DISK);
+      Runtime.getRuntime().halt(ExitStatus.DISK_FAILED.code());
     }
   }
 
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -4,6 +4,8 @@
 import applespindle.corelogic.constants.DiskConstants;
 import applespindle.corelogic.constants.LifecycleConstants;
 import applespindle.corelogic.constants.MembershipConstants;
+import applespindle.corelogic.dataplane.DataPlaneNode;
+import applespindle.corelogic.dataplane.MetadataReaders;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.Environment.ExchangeListener;
 import applespindle.corelogic.environment.Environment.ScheduledTask;
@@ -63,7 +65,6 @@
   }
 
   private static final String DISK_LOG_PREFIX = "disk";
-  private static final int EXIT_UNFINISHED = 4;
 
   /**
    * How the workers of proxied requests are reached.
@@ -233,6 +234,7 @@
     processorUsage.noteStarted();
     eventLoopThreads().forEach(EventLoopThread::start);
     toLogic(node::start);
+    prepareWhileWaiting();
     Runtime.getRuntime().addShutdownHook(new Thread(this::stopGracefully, "stop"));
     log(
         LOG_PREFIX,
@@ -244,6 +246,18 @@
             + ".");
   }
 
+  /**
+   * Builds the readers of metadata on a thread of its own, so that the others stay responsive. It
+   * ends by itself. A control plane has them from the replay of its log.
+   */
+  private void prepareWhileWaiting() {
+    if (node instanceof DataPlaneNode) {
+      Thread thread = new Thread(MetadataReaders::prepare, "prepare");
+      thread.setDaemon(true);
+      thread.start();
+    }
+  }
+
   /** Reads what the threads of the process have used; the reading arrives on one of them. */
   void readProcessorUsage(Consumer<ProcessorUsage.Reading> whenRead) {
     processorUsage.read(whenRead);
@@ -274,7 +288,7 @@
       // The process ends now, without waiting for the rest.
     }
     log(LOG_PREFIX, finished ? "Stopped." : "Stopped before all was handed over.");
-    Runtime.getRuntime().halt(finished ? 0 : EXIT_UNFINISHED);
+    Runtime.getRuntime().halt((finished ? ExitStatus.DONE : ExitStatus.UNFINISHED).code());
   }
 
   /**
--- a/adapters/src/main/java/applespindle/adapters/Program.java
+++ b/adapters/src/main/java/applespindle/adapters/Program.java
@@ -12,11 +12,9 @@
 
 /**
  * The main method of all programs: parses and checks the startup options, then runs the process.
- * Exits with status 2 if the process can't be started.
+ * Exits with {@link ExitStatus#WRONG_USE} if the process can't be started.
  */
 public final class Program {
-  private static final int EXIT_STARTUP = 2;
-
   /**
    * Runs a program; returns once the threads of its process run, or the options are checked if that
    * is all that was asked for.
@@ -35,13 +33,13 @@
     System.setProperty("org.jboss.logging.provider", "slf4j");
     StartupOptions.Read read = StartupOptions.read(name, role, arguments);
     if (read == null) {
-      System.exit(EXIT_STARTUP);
+      System.exit(ExitStatus.WRONG_USE.code());
     }
     if (!read.faults().isEmpty()) {
       for (ApiError.Field fault : read.faults()) {
         System.err.println("startup: " + fault.path() + ": " + fault.reason());
       }
-      System.exit(EXIT_STARTUP);
+      System.exit(ExitStatus.WRONG_USE.code());
     }
     if (read.checkOnly()) {
       System.out.println("startup: good");
@@ -51,10 +49,10 @@
       new NodeProcess(read.startup(), maker.apply(read.startup())).start(openInterface);
     } catch (DiskException fault) {
       System.err.println("startup: $.data: " + fault.getMessage());
-      System.exit(EXIT_STARTUP);
+      System.exit(ExitStatus.WRONG_USE.code());
     } catch (IOException | UncheckedIOException fault) {
       System.err.println("startup: $.http or $.peer: can not listen: " + fault.getMessage());
-      System.exit(EXIT_STARTUP);
+      System.exit(ExitStatus.WRONG_USE.code());
     }
   }
 
--- a/operator-tool/src/main/java/applespindle/operatortool/CommandLineParser.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/CommandLineParser.java
@@ -35,8 +35,9 @@
     sign.addArgument("--key").required(true);
     sign.addArgument("bundle");
     Subparser send =
-        commands.addParser("send-bundle").help("sign, send and wait until it is in force");
-    send.addArgument("--core").required(true).metavar("ADDRESS");
+        withAddress(
+            commands.addParser("send-bundle").help("sign, send and wait until it is in force"),
+            "--core");
     addSigningKey(send);
     send.addArgument("bundle");
     Subparser patch =
--- a/operator-tool/src/main/java/applespindle/operatortool/ConfigurationPatching.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/ConfigurationPatching.java
@@ -1,5 +1,6 @@
 package applespindle.operatortool;
 
+import applespindle.adapters.ExitStatus;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.ConfigurationFormat;
 import applespindle.corelogic.configuration.ConfigurationPatch;
@@ -33,26 +34,46 @@
   private final HttpCaller caller;
   private final String core;
   private final String keyId;
-  private final String privateKey;
+  private final Signer signer;
+  private final String patchFile;
 
-  ConfigurationPatching(HttpCaller caller, String core, String keyId, String privateKey) {
+  /** Signs the bytes of a configuration. */
+  interface Signer {
+    /** The signature in Base64. */
+    String sign(byte[] bytes) throws CommandException;
+  }
+
+  /**
+   * Patches through one control plane.
+   *
+   * @param core its HTTP address
+   * @param keyId the name of the signer's key there
+   * @param patchFile the name of the patch, for faults
+   */
+  ConfigurationPatching(
+      HttpCaller caller, String core, String keyId, Signer signer, String patchFile) {
     this.caller = caller;
     this.core = core;
     this.keyId = keyId;
-    this.privateKey = privateKey;
+    this.signer = signer;
+    this.patchFile = patchFile;
   }
 
   /**
    * Signs the result of a patch to the configuration that is in force now.
    *
    * @param patch JSON with the fields number, upsert and remove
-   * @throws IllegalArgumentException if the configuration can not be read or the patch does not
-   *     fit; the message then names every fault by its JSON path
+   * @throws CommandException if the configuration can not be read or the patch does not fit; the
+   *     message then names every fault by its JSON path
    */
-  Change of(byte[] patch) {
+  Change of(byte[] patch) throws CommandException {
     HttpCaller.Result inForce = caller.get(core, "/v1/bundles/current");
+    if (inForce.status() == 0) {
+      throw Commands.noResponse(core, inForce);
+    }
     if (!inForce.good()) {
-      throw new IllegalArgumentException(
+      throw new CommandException(
+          ExitStatus.REFUSED,
           "can not read the bundle in force: status " + inForce.status() + " " + inForce.text());
     }
     ConfigurationPatch.ParsedPatch read = ConfigurationPatch.parse(ConfigurationFormat.OWN, patch);
@@ -72,15 +93,17 @@
             "Applespindle-Key-Id",
             keyId,
             "Applespindle-Signature",
-            Signing.sign(parsed.configuration(), privateKey)));
+            signer.sign(parsed.configuration())));
   }
 
-  private static void throwIfAny(List<ApiError.Field> faults) {
+  private void throwIfAny(List<ApiError.Field> faults) throws CommandException {
     if (!faults.isEmpty()) {
-      throw new IllegalArgumentException(
-          faults.stream()
-              .map(fault -> fault.path() + ": " + fault.reason())
-              .collect(Collectors.joining(System.lineSeparator())));
+      throw CommandFiles.unusable(
+          patchFile,
+          "does not fit: "
+              + faults.stream()
+                  .map(fault -> fault.path() + ": " + fault.reason())
+                  .collect(Collectors.joining("; ")));
     }
   }
 }
--- a/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/OperatorTool.java
@@ -1,19 +1,21 @@
 package applespindle.operatortool;
 
-import java.io.IOException;
+import applespindle.adapters.ExitStatus;
 import java.time.Duration;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 
 /**
- * The operators' command line. Exit status: 0 done, 1 refused or not found, 2 wrong use or input.
+ * The operators' command line. Every command ends with an {@link ExitStatus}; what went wrong is
+ * one line on the standard error.
  */
 public final class OperatorTool {
   private static final Duration TIMEOUT = Duration.ofSeconds(15);
 
   private OperatorTool() {}
 
+  /** Runs one command and ends the process with its exit status. */
   public static void main(String[] arguments) {
     System.exit(execute(arguments));
   }
@@ -31,16 +33,13 @@
       flags = parser.parseArgs(arguments);
     } catch (ArgumentParserException fault) {
       parser.handleError(fault);
-      return ExitStatus.WRONG_USE;
+      return ExitStatus.WRONG_USE.code();
     }
     try {
-      return new Commands(new HttpCaller(TIMEOUT), flags).run();
-    } catch (IOException fault) {
-      System.err.println("can not read " + fault.getMessage());
-      return ExitStatus.WRONG_USE;
-    } catch (IllegalArgumentException fault) {
+      return new Commands(new HttpCaller(TIMEOUT), flags).run().code();
+    } catch (CommandException fault) {
       System.err.println(fault.getMessage());
-      return ExitStatus.WRONG_USE;
+      return fault.status().code();
     }
   }
 }
--- a/operator-tool/src/main/java/applespindle/operatortool/Preflight.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/Preflight.java
@@ -1,5 +1,6 @@
 package applespindle.operatortool;
 
+import applespindle.adapters.ExitStatus;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -28,9 +29,8 @@
    * Checks a tier and prints what was found.
    *
    * @param addresses the HTTP addresses of all its processes
-   * @return the exit status, see {@link ExitStatus}
    */
-  static int run(HttpCaller caller, List<String> addresses) {
+  static ExitStatus run(HttpCaller caller, List<String> addresses) {
     Preflight preflight = new Preflight(caller);
     addresses.forEach(preflight::ask);
     PreflightChecks.Report report = PreflightChecks.run(preflight.statuses, preflight.notReady);
@@ -53,7 +53,7 @@
     }
   }
 
-  private int print(int processes) {
+  private ExitStatus print(int processes) {
     findings.forEach(finding -> System.out.println(finding.where() + ": " + finding.fault()));
     if (findings.isEmpty()) {
       System.out.println("good: " + processes + " processes");
--- a/operator-tool/src/main/java/applespindle/operatortool/Tracer.java
+++ b/operator-tool/src/main/java/applespindle/operatortool/Tracer.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.adapters.ExitStatus;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.URLEncoder;
 import java.util.List;
@@ -18,9 +19,8 @@
    *
    * @param nodes HTTP addresses
    * @param key such as {@code worker/w1}
-   * @return the exit status, see {@link ExitStatus}
    */
-  static int trace(HttpCaller caller, List<String> nodes, String key) {
+  static ExitStatus trace(HttpCaller caller, List<String> nodes, String key) {
     int eventCount = 0;
     int reached = 0;
     for (String node : nodes) {
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import applespindle.adapters.ExitStatus;
 import applespindle.testfleet.capacity.Measurements.Made;
 import applespindle.testfleet.capacity.Measurements.Row;
 import applespindle.testfleet.capacity.Measurements.Unusable;
@@ -20,8 +21,7 @@
 
 /** Measures what the system costs as it grows, and draws what was measured. */
 public final class CapacityProgram {
-  private static final int EXIT_INPUT = 2;
-
+  /** Runs one command and ends the process with its exit status. */
   public static void main(String[] arguments) {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     System.exit(run(arguments, System.err));
@@ -37,19 +37,19 @@
         case "target" -> target(flags);
         default -> ScaleCommand.run(flags, String.join(" ", arguments));
       }
-      return 0;
+      return ExitStatus.DONE.code();
     } catch (ArgumentParserException fault) {
       parser.handleError(fault, new PrintWriter(faults, true, UTF_8));
-      return EXIT_INPUT;
+      return ExitStatus.WRONG_USE.code();
     } catch (RefusedException refused) {
       refused.reasons.forEach(reason -> faults.println("capacity: " + reason));
-      return EXIT_INPUT;
+      return ExitStatus.WRONG_USE.code();
     } catch (Unusable unusable) {
       faults.println("capacity: " + unusable.getMessage());
-      return EXIT_INPUT;
+      return ExitStatus.WRONG_USE.code();
     } catch (IOException fault) {
       faults.println("capacity: can not write: " + fault.getMessage());
-      return EXIT_INPUT;
+      return ExitStatus.WRONG_USE.code();
     }
   }
 
