--- a/adapters/src/main/java/applespindle/adapters/FrameReader.java
+++ b/adapters/src/main/java/applespindle/adapters/FrameReader.java
@@ -26,6 +26,9 @@
   private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
   private int length;
 
+  /**
+   * A reader for one connection; the listener is called on its thread, once for each whole frame.
+   */
   public FrameReader(FrameDeflation deflation, Listener listener) {
     this.deflation = deflation;
     this.listener = listener;
--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -78,6 +78,10 @@
 
   /** Answers the calls of one path and method. */
   public interface Handler {
+    /**
+     * Answers one call. Called on the HTTP thread; the promise must be completed there, and never
+     * with null.
+     */
     Promise<HttpResponse> handle(Call call);
   }
 
@@ -93,6 +97,7 @@
     return new HttpInterface(process, false);
   }
 
+  /** An interface with the paths that every process has: health, metrics, status and trace log. */
   public HttpInterface(NodeProcess process) {
     this(process, true);
   }
@@ -206,22 +211,29 @@
                 registry.gauge("applespindle.wakeups", Tags.of("thread", thread), wakeUps));
   }
 
+  /**
+   * Routes GET requests for a path; a segment in braces, such as {@code {id}}, matches any text.
+   */
   public void get(String path, Handler handler) {
     add(HttpMethod.GET, path, handler);
   }
 
+  /** Routes POST requests for a path, as {@link #get}. */
   public void post(String path, Handler handler) {
     add(HttpMethod.POST, path, handler);
   }
 
+  /** Routes PUT requests for a path, as {@link #get}. */
   public void put(String path, Handler handler) {
     add(HttpMethod.PUT, path, handler);
   }
 
+  /** Routes PATCH requests for a path, as {@link #get}. */
   public void patch(String path, Handler handler) {
     add(HttpMethod.PATCH, path, handler);
   }
 
+  /** Routes DELETE requests for a path, as {@link #get}. */
   public void delete(String path, Handler handler) {
     add(HttpMethod.DELETE, path, handler);
   }
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -104,10 +104,12 @@
   private final CountDownLatch nodeStopped = new CountDownLatch(1);
   private volatile boolean stopping;
 
+  /** A process with the default settings and without workers of proxied requests. */
   public NodeProcess(StartupOptions startup, BiFunction<Environment, NodeIdentity, Node> maker) {
     this(startup, NodeSettings.DEFAULT, maker, WorkerIntegration.NONE);
   }
 
+  /** A process with the default settings. */
   public NodeProcess(
       StartupOptions startup,
       BiFunction<Environment, NodeIdentity, Node> maker,
@@ -115,6 +117,11 @@
     this(startup, NodeSettings.DEFAULT, maker, workerIntegration);
   }
 
+  /**
+   * A process whose threads fit the processors of this machine. Nothing runs before {@link #start}.
+   *
+   * @throws DiskException if the data folder can't be used
+   */
   public NodeProcess(
       StartupOptions startup,
       NodeSettings settings,
--- a/adapters/src/main/java/applespindle/adapters/PeerFrameEncoder.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerFrameEncoder.java
@@ -8,6 +8,7 @@
   private final PeerCodec codec;
   private final FrameDeflation deflation;
 
+  /** An encoder for one connection; the deflation state is that connection's own. */
   public PeerFrameEncoder(PeerCodec codec, FrameDeflation deflation) {
     this.codec = codec;
     this.deflation = deflation;
--- a/core-logic/src/main/java/applespindle/corelogic/log/Epoch.java
+++ b/core-logic/src/main/java/applespindle/corelogic/log/Epoch.java
@@ -5,6 +5,9 @@
  *
  * <p>Invariant: no two nodes ever use the same epoch, as the node's id is part of it.
  *
+ * <p>{@code equals} and {@code hashCode} are written out: the generated ones are linked when they
+ * are first called, which is on the way of every start.
+ *
  * @param counter rises with every round of an election; 0 in {@link #NONE} only
  * @param node the id of the leader
  */
@@ -22,4 +25,14 @@
   public boolean isBelow(Epoch other) {
     return compareTo(other) < 0;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Epoch epoch && counter == epoch.counter && node.equals(epoch.node);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * Long.hashCode(counter) + node.hashCode();
+  }
 }
--- a/data-plane/src/main/java/applespindle/dataplane/DataPlane.java
+++ b/data-plane/src/main/java/applespindle/dataplane/DataPlane.java
@@ -9,6 +9,9 @@
 
 /** The data plane's program, in the role its startup names. */
 public final class DataPlane {
+  /**
+   * Starts an edge or a storage node, see {@link Program}; the arguments are its startup options.
+   */
   public static void main(String[] arguments) {
     Program.run(
         "data-plane",
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -62,6 +62,7 @@
   /** The connection that the library is taking over at present. */
   private ClientConnection accepted;
 
+  /** An endpoint that does not listen yet. */
   public ProxyEndpoint(NodeProcess process, EdgeGateway gateway, RequestFormat format) {
     this.process = process;
     this.gateway = gateway;
--- a/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
+++ b/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
@@ -39,10 +39,12 @@
 
   /** Either a value or the fault that hindered it; neither if the request is none of that kind. */
   record Parsed<T>(T value, ApiError fault) {
+    /** The request is not of the kind that was asked for. */
     public static <T> Parsed<T> none() {
       return new Parsed<>(null, null);
     }
 
+    /** Whether the request is not of the kind that was asked for. */
     public boolean isNone() {
       return value == null && fault == null;
     }
@@ -54,8 +56,10 @@
    */
   String retryAfter(long millis);
 
+  /** A request for a worker; its body is left as it came. */
   Parsed<ProxiedRequest> request(Arrived arrived);
 
+  /** A call about a batch that was submitted before. */
   Parsed<BatchCall> batchCall(Arrived arrived);
 
   /** A request on a route for batches; its body is left as it came. */
--- a/test-fleet/src/main/java/applespindle/testfleet/CrashPoints.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/CrashPoints.java
@@ -91,6 +91,9 @@
     return cases;
   }
 
+  /**
+   * Runs a scenario with a crash at each point around each kind of message and prints what broke.
+   */
   public static void main(String[] arguments) throws IOException {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     if (arguments.length < 2) {
--- a/test-fleet/src/main/java/applespindle/testfleet/DispatchProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/DispatchProgram.java
@@ -12,6 +12,10 @@
  * LAST_SEED [SECONDS] [calm|trouble].
  */
 public final class DispatchProgram {
+  /**
+   * Simulates the choice of workers for each seed and prints what came of it; the arguments are
+   * those in README.
+   */
   public static void main(String[] arguments) {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     DispatchShape shape =
--- a/test-fleet/src/main/java/applespindle/testfleet/EmulatedOutput.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/EmulatedOutput.java
@@ -11,10 +11,12 @@
 public final class EmulatedOutput {
   public static final int DEFAULT_TOKENS = 8;
 
+  /** The token at a position of the output for a prompt; it names both. */
   public static String token(String prompt, int position) {
     return "t" + Long.toString(sum(prompt), 36) + "." + position + " ";
   }
 
+  /** The whole output for a prompt, of this many tokens. */
   public static String whole(String prompt, int tokens) {
     StringBuilder text = new StringBuilder();
     for (int position = 0; position < tokens; position++) {
--- a/test-fleet/src/main/java/applespindle/testfleet/EmulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/EmulatedWorkers.java
@@ -179,6 +179,7 @@
       }
     }
 
+    /** The share of prompts whose leading blocks a worker had in its cache, from 0 to 1. */
     public double cacheHitShare() {
       return cacheLooks == 0 ? 0 : (double) cacheHits / cacheLooks;
     }
@@ -189,15 +190,22 @@
   private final List<Worker> workers = new ArrayList<>();
   private final History history;
 
+  /** Workers on a thread of their own, none as yet; what they receive goes to the history. */
   public EmulatedWorkers(Pace pace, History history) {
     this.pace = pace;
     this.history = history;
   }
 
+  /** Monotonic time in milliseconds, the clock of the history. */
   public static long nowMs() {
     return System.nanoTime() / 1_000_000L;
   }
 
+  /**
+   * Adds a worker that listens at an address.
+   *
+   * @throws IOException if the address can not be listened on
+   */
   public Worker add(String id, String address) throws IOException {
     Worker worker = new Worker(id, address);
     int colon = address.lastIndexOf(':');
@@ -211,6 +219,7 @@
     return worker;
   }
 
+  /** Starts the thread of the workers. */
   public void start() {
     eventloop.keepAlive(true);
     Thread thread = new Thread(eventloop, "workers");
@@ -218,6 +227,7 @@
     thread.start();
   }
 
+  /** All workers, in the order in which they were added. */
   public List<Worker> all() {
     return workers;
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
@@ -95,6 +95,11 @@
       this.log = log;
     }
 
+    /**
+     * Starts the process; it need not be ready when this returns.
+     *
+     * @throws IOException if the operating system can not start it
+     */
     public void start() throws IOException {
       process =
           new ProcessBuilder(command)
@@ -103,6 +108,7 @@
               .start();
     }
 
+    /** Kills the process at once and waits for its end. */
     public void kill() {
       process.destroyForcibly();
       waitFor();
@@ -114,10 +120,12 @@
       return waitFor();
     }
 
+    /** Stops the process from running, without its notice. */
     public void freeze() throws IOException {
       signal("-STOP");
     }
 
+    /** Lets a frozen process run on. */
     public void wake() throws IOException {
       signal("-CONT");
     }
@@ -143,10 +151,12 @@
       }
     }
 
+    /** The process id of the present or last run. */
     public long pid() {
       return process.pid();
     }
 
+    /** Whether the process was started and has not ended. */
     public boolean alive() {
       return process != null && process.isAlive();
     }
@@ -213,6 +223,9 @@
     }
   }
 
+  /**
+   * Starts the workers and all processes; returns once they are started, not when they are ready.
+   */
   public void start() throws IOException {
     for (int index = 0; index < deployment.workers; index++) {
       workers.add("w" + (index + 1), address());
@@ -295,6 +308,7 @@
     members.put(name, new Member(name, http, clients, data, command, log));
   }
 
+  /** The processes of a role, in the order of their start. */
   public List<Member> ofRole(String role) {
     return members.values().stream().filter(member -> member.name.startsWith(role + "-")).toList();
   }
@@ -304,6 +318,7 @@
     return List.copyOf(controlPlanePeers);
   }
 
+  /** The process of this name, or null. */
   public Member member(String name) {
     return members.get(name);
   }
@@ -407,6 +422,11 @@
     }
   }
 
+  /**
+   * Signs a configuration with the operator's key and sends it.
+   *
+   * @param controlPlane HTTP address of a control plane
+   */
   public Result sendConfiguration(String controlPlane, String configuration) {
     byte[] bytes = configuration.getBytes(UTF_8);
     return caller.post(
@@ -437,6 +457,11 @@
     return Json.bytes(batch);
   }
 
+  /**
+   * Submits a batch at an edge.
+   *
+   * @param key the idempotency key
+   */
   public Result submit(Member edge, String key, byte[] batch) {
     return caller.post(
         edge.http,
@@ -445,6 +470,12 @@
         Map.of("Idempotency-Key", key, "Applespindle-Sender", "fleet"));
   }
 
+  /**
+   * Waits until the condition holds.
+   *
+   * @param mostMs the limit in milliseconds
+   * @throws IllegalStateException with what was awaited, if it did not hold in time
+   */
   public static void awaitTrue(String what, long mostMs, BooleanSupplier condition) {
     long endsAt = System.nanoTime() + mostMs * 1_000_000L;
     while (!condition.getAsBoolean()) {
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
@@ -30,6 +30,9 @@
   private static final int SUBMIT_TRIES = 6;
   private static final long SETTLE_MS = 60_000;
 
+  /**
+   * Starts a fleet of processes on this machine; without traffic it runs until it is interrupted.
+   */
   public static void main(String[] arguments) throws IOException, InterruptedException {
     ArgumentParser parser = parser();
     Namespace flags;
--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -156,19 +156,27 @@
 
   private final List<Seen> all = new ArrayList<>();
 
+  /**
+   * Adds an event; from any thread.
+   *
+   * @param atMs time on the clock of the run, in milliseconds
+   */
   public synchronized void add(
       long atMs, Kind kind, String subject, String detail, String text, long number) {
     all.add(new Seen(atMs, kind, subject, detail, text, number));
   }
 
+  /** All events in the order in which they were added; a copy. */
   public synchronized List<Seen> all() {
     return List.copyOf(all);
   }
 
+  /** The events of a kind, in order. */
   public List<Seen> of(Kind kind) {
     return all().stream().filter(seen -> seen.kind() == kind).toList();
   }
 
+  /** All events as text, a line each, as {@link #fromLines} reads them. */
   public String toLines() {
     StringBuilder lines = new StringBuilder();
     all().forEach(seen -> lines.append(new String(Json.bytes(seen), UTF_8)).append('\n'));
@@ -185,6 +193,11 @@
     }
   }
 
+  /**
+   * Reads a history that {@link #toLines} has written.
+   *
+   * @throws BrokenLine if a line can not be read; it names the line
+   */
   public static History fromLines(String lines) throws BrokenLine {
     History history = new History();
     int number = 0;
--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
@@ -22,6 +22,7 @@
  * whether the run passes.
  */
 public final class KnownRedProgram {
+  /** Prints the verdict on a run of all tests; exit status 1 if the run does not pass. */
   public static void main(String[] arguments) throws IOException, ParserConfigurationException {
     System.exit(run(Path.of(arguments.length > 0 ? arguments[0] : ".")));
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/ManyChanges.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ManyChanges.java
@@ -70,6 +70,7 @@
             .get();
   }
 
+  /** Runs the plan on simulated time and measures it. */
   public static Result run(Plan plan) {
     return new ManyChanges(plan).run();
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
@@ -73,6 +73,7 @@
       long firstSentAt,
       long acceptedAt,
       long finishedAt) {
+    /** Whether an edge has accepted the batch. */
     public boolean accepted() {
       return acceptedAt >= 0;
     }
@@ -82,6 +83,7 @@
       return !accepted() && definiteRefusal(status);
     }
 
+    /** Whether every item of the batch has a result. */
     public boolean finished() {
       return finishedAt >= 0;
     }
@@ -194,6 +196,7 @@
   private long liveNumber;
   private final Map<String, List<Long>> latencies = new HashMap<>();
 
+  /** Traffic that has not begun; the fleet must have started. */
   public RealTraffic(Fleet fleet, Plan plan) {
     this.fleet = fleet;
     this.plan = plan;
@@ -446,6 +449,7 @@
     return output.toString();
   }
 
+  /** What was sent and served, as lines of text. */
   public String summary() {
     List<Long> took =
         senders.stream()
--- a/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
@@ -10,6 +10,7 @@
  * was violated, 2 the file can not be read.
  */
 public final class ReplayProgram {
+  /** Judges a history again that a run has written; exit status 1 if a rule was broken. */
   public static void main(String[] arguments) {
     System.exit(arguments.length == 1 ? replay(Path.of(arguments[0])) : wrongUse());
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
@@ -71,10 +71,16 @@
     return new Scenario(ScenarioParser.parse(text));
   }
 
+  /** The seeds that the file names. */
   public List<Long> seeds() {
     return settings.seeds;
   }
 
+  /**
+   * Runs the scenario with a seed.
+   *
+   * @param logging whether the log of the nodes goes to the standard output
+   */
   public Outcome run(long seed, boolean logging) {
     return run(seed, logging, fleet -> {});
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
@@ -13,6 +13,7 @@
   private static final int REPORTED_FAULTS = 10;
   private static final int NS_PER_MS = 1_000_000;
 
+  /** Runs a scenario file on simulated time and prints the outcome of each seed. */
   public static void main(String[] arguments) throws IOException {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     List<String> words = Arrays.asList(arguments);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedProcess.java
@@ -98,14 +98,17 @@
     this.workerCalls = new ProcessWorkerCalls(simulation, this);
   }
 
+  /** The node that runs now; a start replaces it. Null before the first start. */
   public Node node() {
     return node;
   }
 
+  /** Whether the process runs; a frozen one does. */
   public boolean alive() {
     return alive;
   }
 
+  /** Whether the process is frozen: it neither runs tasks nor receives messages. */
   public boolean frozen() {
     return frozen;
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
@@ -221,6 +221,7 @@
     this.pace = pace;
   }
 
+  /** Adds a worker that works. */
   public Worker add(String id) {
     Worker worker = new Worker(id);
     workers.put(address(id), worker);
@@ -231,10 +232,12 @@
     return "worker:" + id;
   }
 
+  /** The worker of this id, or null. */
   public Worker get(String id) {
     return workers.get(address(id));
   }
 
+  /** All workers by address; a copy. */
   public Map<String, Worker> all() {
     return new HashMap<>(workers);
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
@@ -35,6 +35,7 @@
 
   /** What a client sees of one call: a response, or a broken connection. */
   public interface Caller<T> {
+    /** The call was answered. */
     void answered(T answer);
 
     /** The connection broke, or could not be opened if the call never reached the process. */
@@ -75,6 +76,12 @@
   final ReplicationInvariants invariants = new ReplicationInvariants();
   final Map<String, String> operatorKeys;
 
+  /**
+   * A simulation without processes at time 0.
+   *
+   * @param seed of all random draws: the same seed gives the same run
+   * @param operatorKeys public keys of operators by key id
+   */
   public Simulation(long seed, Map<String, String> operatorKeys, EmulatedWorkers.Pace pace) {
     this.random = new SplittableRandom(seed);
     this.operatorKeys = operatorKeys;
@@ -91,6 +98,7 @@
 
   // ---- time
 
+  /** Simulated time in milliseconds. */
   public long simulatedNowMs() {
     return events.nowMs();
   }
@@ -99,6 +107,7 @@
     return events.nowUs();
   }
 
+  /** The number of events that were processed. */
   public long steps() {
     return events.steps();
   }
@@ -107,20 +116,24 @@
     events.at(atUs, task);
   }
 
+  /** Runs a task at a simulated time in milliseconds. */
   public void atMs(long atMs, Runnable task) {
     at(atMs * EventQueue.US_PER_MS, task);
   }
 
+  /** Runs a task after a simulated delay in milliseconds. */
   public void afterMs(double millis, Runnable task) {
     at(nowUs() + (long) (millis * EventQueue.US_PER_MS), task);
   }
 
+  /** Processes events until this simulated time in milliseconds. */
   public void runUntil(long untilMs) {
     events.runUntil(untilMs);
   }
 
   // ---- network
 
+  /** The number of messages between processes. */
   public long messages() {
     return network.messages();
   }
@@ -144,6 +157,7 @@
     network.stall(from, to);
   }
 
+  /** Ends all faults of links; held messages are delivered. */
   public void healLinks() {
     network.heal();
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/ManyChangesProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/ManyChangesProgram.java
@@ -81,6 +81,7 @@
     Plots.write(folder, "", measured.rows());
   }
 
+  /** Measures many changes of the configuration and writes or prints the figures. */
   public static void main(String[] arguments) throws IOException {
     System.setProperty("org.jboss.logging.provider", "slf4j");
     if (arguments.length == 3 && arguments[0].equals("--plot")) {
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
@@ -18,6 +18,7 @@
  * broken, 2 on wrong use.
  */
 public final class SoakProgram {
+  /** Runs the soak for each seed in turn; exit status 1 if a rule was broken. */
   public static void main(String[] arguments) throws IOException, InterruptedException {
     ArgumentParser parser =
         ArgumentParsers.newFor("soak")
