Names of four types of the test fleet and of the election's last stage in the field's terms

Cause: Way, Visit, Made, Unusable and BrokenLine said nothing to a newcomer; the log called the time in which a won election becomes a leadership "settle". Change: Direction, SubmissionAttempt, MeasurementRun, UnusableMeasurementsException, UnreadableHistoryException; the stage is establish.

--- a/core-logic/src/main/java/applespindle/corelogic/replication/Election.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/Election.java
@@ -138,7 +138,7 @@
 
   /** Writes the outcome, the rounds and the time of each stage to the log of events. */
   void logOutcome(ElectionResult result) {
-    stageTimer.mark("settle");
+    stageTimer.mark("establish");
     environment.log(
         LOG_PART,
         "Election ended: key="
--- a/test-fleet/src/main/java/applespindle/testfleet/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/History.java
@@ -184,10 +184,10 @@
   }
 
   /** A line of a written history that can't be parsed. */
-  public static final class BrokenLine extends Exception {
+  public static final class UnreadableHistoryException extends Exception {
     public final int line;
 
-    BrokenLine(int line, String reason) {
+    UnreadableHistoryException(int line, String reason) {
       super("line " + line + ": " + reason);
       this.line = line;
     }
@@ -196,9 +196,9 @@
   /**
    * Reads a history that {@link #toLines} has written.
    *
-   * @throws BrokenLine if a line can not be read; it names the line
+   * @throws UnreadableHistoryException if a line can not be read; it names the line
    */
-  public static History fromLines(String lines) throws BrokenLine {
+  public static History fromLines(String lines) throws UnreadableHistoryException {
     History history = new History();
     int number = 0;
     for (String line : lines.split("\n")) {
@@ -212,11 +212,11 @@
             || seen.subject() == null
             || seen.detail() == null
             || seen.text() == null) {
-          throw new BrokenLine(number, "a field is missing");
+          throw new UnreadableHistoryException(number, "a field is missing");
         }
         history.all.add(seen);
       } catch (JsonProcessingException fault) {
-        throw new BrokenLine(number, fault.getOriginalMessage());
+        throw new UnreadableHistoryException(number, fault.getOriginalMessage());
       }
     }
     return history;
--- a/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
@@ -31,7 +31,7 @@
       System.out.println(
           history.all().size() + " observations, " + violations.size() + " rules broken");
       return violations.isEmpty() ? 0 : 1;
-    } catch (History.BrokenLine broken) {
+    } catch (History.UnreadableHistoryException broken) {
       System.err.println(file + " " + broken.getMessage());
       return 2;
     } catch (IOException fault) {
--- a/test-fleet/src/main/java/applespindle/testfleet/SubmissionStages.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/SubmissionStages.java
@@ -38,11 +38,11 @@
   private static final String ACCEPTED = "Batch accepted: ";
 
   /** The stages of one batch at one edge, in simulated microseconds. */
-  private static final class Visit {
+  private static final class SubmissionAttempt {
     final String edge;
     final Map<Stage, Long> reachedUs = new EnumMap<>(Stage.class);
 
-    Visit(String edge) {
+    SubmissionAttempt(String edge) {
       this.edge = edge;
     }
   }
@@ -50,7 +50,7 @@
   private final Simulation simulation;
 
   /** By the client's id of a batch; in the order of the tries. */
-  private final Map<String, List<Visit>> visits = new LinkedHashMap<>();
+  private final Map<String, List<SubmissionAttempt>> attempts = new LinkedHashMap<>();
 
   /** By edge, the batch that its present event submits. */
   private final Map<String, String> arriving = new HashMap<>();
@@ -67,7 +67,7 @@
 
   /** The client begins an attempt. */
   void tried(String clientId, SimulatedProcess edge) {
-    visits.computeIfAbsent(clientId, unseen -> new ArrayList<>()).add(new Visit(edge.name));
+    attempts.computeIfAbsent(clientId, unseen -> new ArrayList<>()).add(new SubmissionAttempt(edge.name));
     reach(clientId, edge, Stage.TRIED);
   }
 
@@ -84,7 +84,7 @@
 
   /** A message leaves an edge, once the event that sends it is done. */
   void sent(SimulatedProcess from, Message message) {
-    if (visits.isEmpty()) {
+    if (attempts.isEmpty()) {
       return;
     }
     if (message instanceof Message.PeerRequest request) {
@@ -137,9 +137,9 @@
     }
   }
 
-  /** Counts for the latest visit to that edge; the first time counts. */
+  /** Counts for the latest attempt to that edge; the first time counts. */
   private void reach(String clientId, SimulatedProcess edge, Stage stage) {
-    List<Visit> tries = visits.get(clientId);
+    List<SubmissionAttempt> tries = attempts.get(clientId);
     for (int index = tries.size() - 1; index >= 0; index--) {
       if (tries.get(index).edge.equals(edge.name)) {
         tries.get(index).reachedUs.putIfAbsent(stage, simulation.nowUs());
@@ -148,18 +148,18 @@
     }
   }
 
-  /** A line for each visit: in ms since the first try, when each stage was reached. */
+  /** A line for each attempt: in ms since the first try, when each stage was reached. */
   String report() {
     StringBuilder report = new StringBuilder();
-    visits.forEach((clientId, tries) -> report(report, clientId, tries));
+    attempts.forEach((clientId, tries) -> report(report, clientId, tries));
     return report.toString();
   }
 
-  private static void report(StringBuilder report, String clientId, List<Visit> tries) {
+  private static void report(StringBuilder report, String clientId, List<SubmissionAttempt> tries) {
     long firstUs = tries.get(0).reachedUs.get(Stage.TRIED);
-    for (Visit visit : tries) {
-      report.append("  ").append(clientId).append(" at ").append(visit.edge).append(':');
-      visit.reachedUs.forEach(
+    for (SubmissionAttempt attempt : tries) {
+      report.append("  ").append(clientId).append(" at ").append(attempt.edge).append(':');
+      attempt.reachedUs.forEach(
           (stage, atUs) ->
               report
                   .append(' ')
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/CapacityProgram.java
@@ -3,9 +3,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.adapters.ExitStatus;
-import applespindle.testfleet.capacity.Measurements.Made;
+import applespindle.testfleet.capacity.Measurements.MeasurementRun;
 import applespindle.testfleet.capacity.Measurements.Row;
-import applespindle.testfleet.capacity.Measurements.Unusable;
+import applespindle.testfleet.capacity.Measurements.UnusableMeasurementsException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -44,7 +44,7 @@
     } catch (RefusedException refused) {
       refused.reasons.forEach(reason -> faults.println("capacity: " + reason));
       return ExitStatus.WRONG_USE.code();
-    } catch (Unusable unusable) {
+    } catch (UnusableMeasurementsException unusable) {
       faults.println("capacity: " + unusable.getMessage());
       return ExitStatus.WRONG_USE.code();
     } catch (IOException fault) {
@@ -87,7 +87,7 @@
         .help("where target.md goes; only printed without it");
   }
 
-  private static void plot(Namespace flags) throws Unusable, IOException {
+  private static void plot(Namespace flags) throws UnusableMeasurementsException, IOException {
     Measurements.File file = read(flags);
     if (flags.getString("out") != null) {
       Plots.write(Path.of(flags.getString("out")), "", file.rows());
@@ -96,7 +96,7 @@
     SlopesCommand.print(file.rows());
   }
 
-  private static void target(Namespace flags) throws Unusable, IOException {
+  private static void target(Namespace flags) throws UnusableMeasurementsException, IOException {
     Measurements.File file = read(flags);
     String table =
         "Worked out from the slopes of commit "
@@ -112,13 +112,13 @@
   }
 
   /** Reads all files as one; figures of different commits can't be compared. */
-  private static Measurements.File read(Namespace flags) throws Unusable {
+  private static Measurements.File read(Namespace flags) throws UnusableMeasurementsException {
     List<Row> rows = new ArrayList<>();
-    Made made = null;
+    MeasurementRun made = null;
     for (String name : flags.<String>getList("file")) {
       Measurements.File each = Measurements.read(Path.of(name));
       if (made != null && !made.commit().equals(each.made().commit())) {
-        throw new Unusable(
+        throw new UnusableMeasurementsException(
             name
                 + " is of commit "
                 + each.made().commit()
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
@@ -20,7 +20,7 @@
 /** Rows of figures and where they come from; a file of them is written completely or not at all. */
 final class Measurements {
   /** Where, when and on what the figures were made. */
-  record Made(String commit, String at, String java, int processors, String command) {}
+  record MeasurementRun(String commit, String at, String java, int processors, String command) {}
 
   /** One figure at one size: the median, least and most of its runs. */
   record Row(
@@ -35,11 +35,11 @@
       double most,
       int runs) {}
 
-  record File(Made made, List<Row> rows) {}
+  record File(MeasurementRun made, List<Row> rows) {}
 
   /** A result file that can not be used, and why. */
-  static final class Unusable extends Exception {
-    Unusable(String why) {
+  static final class UnusableMeasurementsException extends Exception {
+    UnusableMeasurementsException(String why) {
       super(why);
     }
   }
@@ -164,7 +164,7 @@
   static void write(Path folder, String name, String commit, String command, List<Row> rows)
       throws IOException {
     var made =
-        new Made(
+        new MeasurementRun(
             commit,
             Instant.now().truncatedTo(ChronoUnit.SECONDS).toString(),
             System.getProperty("java.version"),
@@ -201,22 +201,22 @@
     writeWhole(file, text.getBytes(UTF_8));
   }
 
-  static File read(Path file) throws Unusable {
+  static File read(Path file) throws UnusableMeasurementsException {
     File read;
     try {
       JsonNode tree = JSON.readTree(Files.readAllBytes(file));
       read = JSON.treeToValue(tree, File.class);
     } catch (JsonProcessingException broken) {
-      throw new Unusable(file + " is not a result file: " + broken.getOriginalMessage());
+      throw new UnusableMeasurementsException(file + " is not a result file: " + broken.getOriginalMessage());
     } catch (IOException unreadable) {
-      throw new Unusable(file + " can not be read");
+      throw new UnusableMeasurementsException(file + " can not be read");
     }
     if (read == null
         || read.made() == null
         || read.made().commit() == null
         || read.rows() == null
         || read.rows().isEmpty()) {
-      throw new Unusable(file + " is not a result file: made and rows are wanted");
+      throw new UnusableMeasurementsException(file + " is not a result file: made and rows are wanted");
     }
     for (Row row : read.rows()) {
       if (row == null
@@ -228,7 +228,7 @@
           || row.runs() < 1
           || !Double.isFinite(row.size())
           || !Double.isFinite(row.median())) {
-        throw new Unusable(file + " is not a result file: a row lacks a field or a figure");
+        throw new UnusableMeasurementsException(file + " is not a result file: a row lacks a field or a figure");
       }
     }
     return read;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetExtrapolation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetExtrapolation.java
@@ -3,7 +3,7 @@
 import applespindle.corelogic.constants.MembershipConstants;
 import applespindle.testfleet.capacity.Measurements.Row;
 import applespindle.testfleet.capacity.Measurements.Slope;
-import applespindle.testfleet.capacity.Measurements.Unusable;
+import applespindle.testfleet.capacity.Measurements.UnusableMeasurementsException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -66,7 +66,7 @@
     series = Measurements.bySeries(rows);
   }
 
-  static List<Term> terms(List<Row> rows) throws Unusable {
+  static List<Term> terms(List<Row> rows) throws UnusableMeasurementsException {
     TargetExtrapolation target = new TargetExtrapolation(rows);
     target.edge();
     target.controlPlane();
@@ -75,16 +75,16 @@
     return target.terms;
   }
 
-  private List<Row> series(String experiment, String role, String metric) throws Unusable {
+  private List<Row> series(String experiment, String role, String metric) throws UnusableMeasurementsException {
     List<Row> found = series.get(experiment + " | " + role + " | " + metric);
     if (found == null || found.size() < 3) {
-      throw new Unusable(
+      throw new UnusableMeasurementsException(
           "three sizes or more are wanted of " + experiment + ", " + role + ", " + metric);
     }
     return found;
   }
 
-  private double at(String experiment, String role, String metric, double size) throws Unusable {
+  private double at(String experiment, String role, String metric, double size) throws UnusableMeasurementsException {
     List<Row> found = series(experiment, role, metric);
     Slope slope = Measurements.slope(found);
     Row last = found.get(found.size() - 1);
@@ -93,7 +93,7 @@
         : Math.max(0, slope.offset() + slope.slope() * size);
   }
 
-  private double slope(String experiment, String role, String metric) throws Unusable {
+  private double slope(String experiment, String role, String metric) throws UnusableMeasurementsException {
     return Measurements.slope(series(experiment, role, metric)).slope();
   }
 
@@ -108,7 +108,7 @@
     terms.add(new Term(role, what, growsWith, value, unit, allowed, from));
   }
 
-  private void edge() throws Unusable {
+  private void edge() throws UnusableMeasurementsException {
     edgeAtRest();
     edgeChanges();
     edgeLoadReads();
@@ -120,7 +120,7 @@
   }
 
   /** Leases and the change feed while nothing changes. */
-  private void edgeAtRest() throws Unusable {
+  private void edgeAtRest() throws UnusableMeasurementsException {
     add(
         "edge",
         "leases and feed at rest, both ways",
@@ -140,7 +140,7 @@
   }
 
   /** What an edge takes and sends for each change of the configuration. */
-  private void edgeChanges() throws Unusable {
+  private void edgeChanges() throws UnusableMeasurementsException {
     add(
         "edge",
         "places told for each change",
@@ -168,7 +168,7 @@
   }
 
   /** Reads of the load of every worker. */
-  private void edgeLoadReads() throws Unusable {
+  private void edgeLoadReads() throws UnusableMeasurementsException {
     add(
         "edge",
         "reads of workers' load",
@@ -188,7 +188,7 @@
   }
 
   /** What an edge that starts takes in, and what it holds then. */
-  private void edgeStart() throws Unusable {
+  private void edgeStart() throws UnusableMeasurementsException {
     double heap =
         at("join-members", "edge", "heap", NODES)
             + at("join-workers", "edge", "heap", WORKERS)
@@ -222,7 +222,7 @@
   }
 
   /** What the start or the loss of another node costs. */
-  private void edgeNodeLoss() throws Unusable {
+  private void edgeNodeLoss() throws UnusableMeasurementsException {
     add(
         "edge",
         "choosing every worker's feeder anew, at each coming or going of a node",
@@ -234,7 +234,7 @@
   }
 
   /** Offers of the batches that are open. */
-  private void edgeOpenBatches() throws Unusable {
+  private void edgeOpenBatches() throws UnusableMeasurementsException {
     double open = BATCHES_A_DAY * BATCH_OPEN_S / 86_400;
     add(
         "edge",
@@ -255,7 +255,7 @@
   }
 
   /** Live requests. */
-  private void edgeRequests() throws Unusable {
+  private void edgeRequests() throws UnusableMeasurementsException {
     add(
         "edge",
         "rules tried for a request, a rule for each tenant",
@@ -267,7 +267,7 @@
   }
 
   /** Edges that ask each other because no control plane node can be reached. */
-  private void edgeWithoutControlPlane() throws Unusable {
+  private void edgeWithoutControlPlane() throws UnusableMeasurementsException {
     add(
         "edge",
         "asking each other while the core is silent",
@@ -279,26 +279,26 @@
   }
 
   /** Bytes that one edge sends to one control plane node for the position of one worker. */
-  private double positionBytes() throws Unusable {
+  private double positionBytes() throws UnusableMeasurementsException {
     return series("places", "edge", "sent to one core node for a change").get(0).median()
         / WORKERS_OF_PLACES;
   }
 
   /** At the largest fleet measured, where the leaders' own heartbeats are the smaller part. */
-  private double forOneBatch(String metric) throws Unusable {
+  private double forOneBatch(String metric) throws UnusableMeasurementsException {
     List<Row> found = series("batch-edges", "edge", metric);
     return (found.get(found.size() - 1).median() - at("nodes", "edge", metric, NODES))
         / BatchExperiments.OPEN_BATCHES;
   }
 
-  private void controlPlane() throws Unusable {
+  private void controlPlane() throws UnusableMeasurementsException {
     controlPlaneAtRest();
     controlPlanePositions();
     controlPlaneChanges();
   }
 
   /** Heartbeats of keys and the change feed while nothing changes. */
-  private void controlPlaneAtRest() throws Unusable {
+  private void controlPlaneAtRest() throws UnusableMeasurementsException {
     add(
         "core",
         "beats of owned keys and feed, messages sent",
@@ -335,7 +335,7 @@
   }
 
   /** The positions that every edge reports. */
-  private void controlPlanePositions() throws Unusable {
+  private void controlPlanePositions() throws UnusableMeasurementsException {
     add(
         "core",
         "places taken for each change",
@@ -355,7 +355,7 @@
   }
 
   /** Changes of the configuration. */
-  private void controlPlaneChanges() throws Unusable {
+  private void controlPlaneChanges() throws UnusableMeasurementsException {
     add(
         "core",
         "work for one change with two workers a node",
@@ -397,7 +397,7 @@
         "the constant's pace");
   }
 
-  private void storage() throws Unusable {
+  private void storage() throws UnusableMeasurementsException {
     double item = series("batch-items", "storage", "disk for an item").get(2).median();
     add(
         "storage",
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/RelayedConnection.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/RelayedConnection.java
@@ -32,7 +32,7 @@
       SocketSettings.builder().withTcpNoDelay(true).build();
 
   /** One of the two directions. */
-  private final class Way {
+  private final class Direction {
     final ITcpSocket from;
     final ITcpSocket to;
     final String sender;
@@ -40,7 +40,7 @@
     boolean dropped;
     boolean ended;
 
-    Way(ITcpSocket from, ITcpSocket to, String sender, String receiver) {
+    Direction(ITcpSocket from, ITcpSocket to, String sender, String receiver) {
       this.from = from;
       this.to = to;
       this.sender = sender;
@@ -133,8 +133,8 @@
   private final Sender sender;
   private final ByteArrayOutputStream begun = new ByteArrayOutputStream();
   private ITcpSocket served;
-  private Way forth;
-  private Way back;
+  private Direction forth;
+  private Direction back;
   private boolean over;
 
   RelayedConnection(
@@ -179,8 +179,8 @@
                 return;
               }
               served = connected;
-              forth = new Way(opener, served, from, process);
-              back = new Way(served, opener, process, from);
+              forth = new Direction(opener, served, from, process);
+              back = new Direction(served, opener, process, from);
               if (begun.size() > 0) {
                 forth.pass(ByteBuf.wrapForReading(begun.toByteArray()));
               } else {
--- a/test-fleet/src/test/java/applespindle/testfleet/CheckerTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/CheckerTest.java
@@ -301,13 +301,13 @@
   }
 
   @Test
-  void namesTheLineOfABrokenHistory() throws History.BrokenLine {
+  void namesTheLineOfABrokenHistory() throws History.UnreadableHistoryException {
     String lines = history(List.of()).toLines();
     assertThat(History.fromLines(lines).toLines()).isEqualTo(lines);
     try {
       History.fromLines(lines + "{broken");
       throw new AssertionError("a broken line was read");
-    } catch (History.BrokenLine broken) {
+    } catch (History.UnreadableHistoryException broken) {
       assertThat(broken.line).isEqualTo(16);
     }
   }
--- a/test-fleet/src/test/java/applespindle/testfleet/capacity/CapacityProgramTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/capacity/CapacityProgramTest.java
@@ -4,9 +4,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import applespindle.testfleet.capacity.Measurements.Made;
+import applespindle.testfleet.capacity.Measurements.MeasurementRun;
 import applespindle.testfleet.capacity.Measurements.Row;
-import applespindle.testfleet.capacity.Measurements.Unusable;
+import applespindle.testfleet.capacity.Measurements.UnusableMeasurementsException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -175,8 +175,8 @@
   }
 
   @Test
-  void readsBackWhatItWroteAndDrawsIt() throws IOException, Unusable {
-    var made = new Made("abc", "now", "17", 4, "slopes");
+  void readsBackWhatItWroteAndDrawsIt() throws IOException, UnusableMeasurementsException {
+    var made = new MeasurementRun("abc", "now", "17", 4, "slopes");
     Path file = folder.resolve("some.json");
     Measurements.write(file, new Measurements.File(made, rows()));
     assertThat(Measurements.read(file)).isEqualTo(new Measurements.File(made, rows()));
@@ -193,7 +193,7 @@
     for (String commit : List.of("abc", "def")) {
       Measurements.write(
           folder.resolve(commit + ".json"),
-          new Measurements.File(new Made(commit, "now", "17", 4, "slopes"), rows()));
+          new Measurements.File(new MeasurementRun(commit, "now", "17", 4, "slopes"), rows()));
     }
     assertThat(
             refused(
@@ -207,7 +207,7 @@
   void wantsEverySlopeForTheTarget() throws IOException {
     Path file = folder.resolve("some.json");
     Measurements.write(
-        file, new Measurements.File(new Made("abc", "now", "17", 4, "slopes"), rows()));
+        file, new Measurements.File(new MeasurementRun("abc", "now", "17", 4, "slopes"), rows()));
     assertThat(refused("target", file.toString(), "--out", folder.toString()))
         .contains("three sizes or more are wanted of nodes");
     assertThat(files()).containsExactly(file);
