--- a/test-fleet/mutations/run.sh
+++ b/test-fleet/mutations/run.sh
@@ -22,7 +22,7 @@
     echo "| $name | $rule | does not compile | FAULT |"; return 1
   fi
   out="$copy/out"
-  java -cp "$copy/classes:$root/target/lib/*" applespindle.testfleet.ScenarioProgram \
+  java -cp "$copy/classes:$root/target/lib/*" applespindle.testfleet.scenario.ScenarioProgram \
     "$root/test-fleet/src/test/resources/scenarios/$scenario" --seeds $seeds > "$out" 2>&1
   broken="$(sed -n 's/^    broken: //p' "$out" | tr ' ' '\n' | sort | uniq -c | awk '{printf "%s%s (%s)", s, $2, $1; s = ", "}')"
   extra="$(sed -n 's/^    broken: //p' "$out" | tr ' ' '\n' | sort -u | grep -vxF "$(printf '%s\n' $rule $also EXPECTATION)")"
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/ManyChangesProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/ManyChangesProgram.java
@@ -1,9 +1,9 @@
 package applespindle.testfleet.capacity;
 
-import applespindle.testfleet.ManyChanges;
-import applespindle.testfleet.ManyChanges.Absence;
-import applespindle.testfleet.ManyChanges.Plan;
-import applespindle.testfleet.ManyChanges.Result;
+import applespindle.testfleet.scenario.ManyChanges;
+import applespindle.testfleet.scenario.ManyChanges.Absence;
+import applespindle.testfleet.scenario.ManyChanges.Plan;
+import applespindle.testfleet.scenario.ManyChanges.Result;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/Measurements.java
@@ -207,7 +207,8 @@
       JsonNode tree = JSON.readTree(Files.readAllBytes(file));
       read = JSON.treeToValue(tree, File.class);
     } catch (JsonProcessingException broken) {
-      throw new UnusableMeasurementsException(file + " is not a result file: " + broken.getOriginalMessage());
+      throw new UnusableMeasurementsException(
+          file + " is not a result file: " + broken.getOriginalMessage());
     } catch (IOException unreadable) {
       throw new UnusableMeasurementsException(file + " can not be read");
     }
@@ -216,7 +217,8 @@
         || read.made().commit() == null
         || read.rows() == null
         || read.rows().isEmpty()) {
-      throw new UnusableMeasurementsException(file + " is not a result file: made and rows are wanted");
+      throw new UnusableMeasurementsException(
+          file + " is not a result file: made and rows are wanted");
     }
     for (Row row : read.rows()) {
       if (row == null
@@ -228,7 +230,8 @@
           || row.runs() < 1
           || !Double.isFinite(row.size())
           || !Double.isFinite(row.median())) {
-        throw new UnusableMeasurementsException(file + " is not a result file: a row lacks a field or a figure");
+        throw new UnusableMeasurementsException(
+            file + " is not a result file: a row lacks a field or a figure");
       }
     }
     return read;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/ProcessScale.java
@@ -3,9 +3,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.operatortool.HttpCaller.Result;
-import applespindle.testfleet.Deployment;
-import applespindle.testfleet.Fleet;
-import applespindle.testfleet.Fleet.Member;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.processes.Fleet;
+import applespindle.testfleet.processes.Fleet.Member;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetExtrapolation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/TargetExtrapolation.java
@@ -75,7 +75,8 @@
     return target.terms;
   }
 
-  private List<Row> series(String experiment, String role, String metric) throws UnusableMeasurementsException {
+  private List<Row> series(String experiment, String role, String metric)
+      throws UnusableMeasurementsException {
     List<Row> found = series.get(experiment + " | " + role + " | " + metric);
     if (found == null || found.size() < 3) {
       throw new UnusableMeasurementsException(
@@ -84,7 +85,8 @@
     return found;
   }
 
-  private double at(String experiment, String role, String metric, double size) throws UnusableMeasurementsException {
+  private double at(String experiment, String role, String metric, double size)
+      throws UnusableMeasurementsException {
     List<Row> found = series(experiment, role, metric);
     Slope slope = Measurements.slope(found);
     Row last = found.get(found.size() - 1);
@@ -93,7 +95,8 @@
         : Math.max(0, slope.offset() + slope.slope() * size);
   }
 
-  private double slope(String experiment, String role, String metric) throws UnusableMeasurementsException {
+  private double slope(String experiment, String role, String metric)
+      throws UnusableMeasurementsException {
     return Measurements.slope(series(experiment, role, metric)).slope();
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -1,5 +1,6 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
+import applespindle.testfleet.history.History;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/HealthyMachines.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/HealthyMachines.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/LinearizabilityChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/LinearizabilityChecker.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,7 +25,7 @@
  * explained without it. What is left to choose, and kept side by side, is which of several orders
  * without a clear answer was accepted.
  */
-final class LinearizabilityChecker {
+public final class LinearizabilityChecker {
   private static final Set<Long> REFUSALS = Set.of(400L, 409L, 412L, 413L, 422L);
 
   /** More alternatives than these are no history that operators leave behind. */
@@ -82,7 +82,7 @@
   }
 
   /** The first call that no order of the calls explains, in words; empty if all are explained. */
-  static Optional<String> check(List<Seen> history) {
+  public static Optional<String> check(List<Seen> history) {
     return new LinearizabilityChecker(history).search();
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ObservedTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ObservedTraffic.java
@@ -1,7 +1,8 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedBatchRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxiedBatchRules.java
@@ -1,12 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.Checker.Rule;
-import applespindle.testfleet.Checker.Violation;
-import applespindle.testfleet.History.Seen;
-import applespindle.testfleet.ProxiedOutput.Part;
-import applespindle.testfleet.ProxyTraffic.Batch;
-import applespindle.testfleet.ProxyTraffic.Route;
-import applespindle.testfleet.ProxyTraffic.Run;
+import applespindle.testfleet.checker.Checker.Rule;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.checker.ProxyTraffic.Batch;
+import applespindle.testfleet.checker.ProxyTraffic.Route;
+import applespindle.testfleet.checker.ProxyTraffic.Run;
+import applespindle.testfleet.history.History.Seen;
+import applespindle.testfleet.history.ProxiedOutput.Part;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedResponseRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxiedResponseRules.java
@@ -1,11 +1,12 @@
-package applespindle.testfleet;
-
-import applespindle.testfleet.Checker.Rule;
-import applespindle.testfleet.Checker.Violation;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
-import applespindle.testfleet.ProxiedOutput.Part;
-import applespindle.testfleet.ProxyTraffic.Run;
+package applespindle.testfleet.checker;
+
+import applespindle.testfleet.checker.Checker.Rule;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.checker.ProxyTraffic.Run;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
+import applespindle.testfleet.history.ProxiedOutput;
+import applespindle.testfleet.history.ProxiedOutput.Part;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxyChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyChecker.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.Checker.Violation;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.history.History.Seen;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -9,9 +9,9 @@
  * Judges proxied requests, proxied batches, the platform's list of workers and changes of routes by
  * what was observed from outside.
  */
-final class ProxyChecker {
+public final class ProxyChecker {
   /** In place of a status: the caller of the run closed the connection. */
-  static final int DROPPED = -1;
+  public static final int DROPPED = -1;
 
   static List<Violation> check(List<Seen> seen) {
     ProxyTraffic traffic = new ProxyTraffic(seen);
@@ -35,7 +35,7 @@
   }
 
   /** The body of a failure that a simulated worker responds with. */
-  static String failure(String run, long status) {
+  public static String failure(String run, long status) {
     return "failed " + status + " " + run;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxyTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyTraffic.java
@@ -1,8 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
-import applespindle.testfleet.ProxiedOutput.Part;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
+import applespindle.testfleet.history.ProxiedOutput;
+import applespindle.testfleet.history.ProxiedOutput.Part;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/test-fleet/src/main/java/applespindle/testfleet/ReplayProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ReplayProgram.java
@@ -1,5 +1,6 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
+import applespindle.testfleet.history.History;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/main/java/applespindle/testfleet/RouteChangeRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/RouteChangeRules.java
@@ -1,13 +1,13 @@
-package applespindle.testfleet;
-
-import applespindle.testfleet.Checker.Rule;
-import applespindle.testfleet.Checker.Violation;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
-import applespindle.testfleet.ProxyTraffic.Batch;
-import applespindle.testfleet.ProxyTraffic.Change;
-import applespindle.testfleet.ProxyTraffic.Route;
-import applespindle.testfleet.ProxyTraffic.Run;
+package applespindle.testfleet.checker;
+
+import applespindle.testfleet.checker.Checker.Rule;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.checker.ProxyTraffic.Batch;
+import applespindle.testfleet.checker.ProxyTraffic.Change;
+import applespindle.testfleet.checker.ProxyTraffic.Route;
+import applespindle.testfleet.checker.ProxyTraffic.Run;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/RuleGroup.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/RuleGroup.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.Checker.Rule;
-import applespindle.testfleet.Checker.Violation;
+import applespindle.testfleet.checker.Checker.Rule;
+import applespindle.testfleet.checker.Checker.Violation;
 import java.util.List;
 
 /**
--- a/test-fleet/src/main/java/applespindle/testfleet/ServiceRecoveryRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ServiceRecoveryRules.java
@@ -1,8 +1,8 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.Checker.Violation;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/JournalProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ci/JournalProgram.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.ci;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRed.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ci/KnownRed.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.ci;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/test-fleet/src/main/java/applespindle/testfleet/KnownRedProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/ci/KnownRedProgram.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.ci;
 
-import applespindle.testfleet.KnownRed.Outcome;
-import applespindle.testfleet.KnownRed.Verdict;
+import applespindle.testfleet.ci.KnownRed.Outcome;
+import applespindle.testfleet.ci.KnownRed.Verdict;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/ci/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What CI asks of reports and pages: known failures, and figures without a finished measurement.
+ */
+package applespindle.testfleet.ci;
--- a/test-fleet/src/main/java/applespindle/testfleet/BatchClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/BatchClient.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static applespindle.corelogic.common.Json.JSON;
 
@@ -7,27 +7,29 @@
 import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.edge.EdgeNode;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.function.Consumer;
 
 /** One batch as its client knows it. */
-final class BatchClient {
+public final class BatchClient {
   private final SimulatedFleet fleet;
   private final Simulation simulation;
   final String key;
   final byte[] body;
   final int items;
   final long dueMs;
-  String batch = "";
-  long acceptedAtMs = -1;
-  long finishedAtMs = -1;
-  boolean endAsked;
-  boolean ended;
+  public String batch = "";
+  public long acceptedAtMs = -1;
+  public long finishedAtMs = -1;
+  public boolean endAsked;
+  public boolean ended;
   int tries;
   long next;
-  boolean over;
+  public boolean over;
 
   BatchClient(SimulatedFleet fleet, String key, int items, int tokens, long dueMs) {
     this.fleet = fleet;
@@ -151,7 +153,8 @@
         });
   }
 
-  void end() {
+  /** Asks for the end of the batch, and goes on asking until it is confirmed. */
+  public void end() {
     endAsked = true;
     simulation.history.add(simulation.simulatedNowMs(), Kind.END_ASKED, key, "", "", 0);
     SimulatedProcess edge = fleet.anyEdge();
--- a/test-fleet/src/main/java/applespindle/testfleet/ControlPlaneProbe.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ControlPlaneProbe.java
@@ -1,7 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.protocol.Operation;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +14,7 @@
  * every key that has an owner to every control plane node, at a fixed interval. Measures how long
  * no node served a key, how many terms the owners used, and how long responses took.
  */
-final class ControlPlaneProbe {
+public final class ControlPlaneProbe {
   private static final long INTERVAL_MS = 200;
   private static final long TIMEOUT_MS = 15_000;
 
@@ -30,18 +32,19 @@
   private Map<String, Long> termsBefore = Map.of();
 
   /** The longest time in which no node served one of the keys. */
-  long longestGapMs;
+  public long longestGapMs;
 
   /** The key that was not served for longest. */
-  String longestGapKey = "";
+  public String longestGapKey = "";
 
   /** Terms that all keys together used. */
-  long terms;
+  public long terms;
 
   /** The longest time to any response, refusals included, of a node that could respond. */
-  long slowestAnswerMs;
+  public long slowestAnswerMs;
 
-  ControlPlaneProbe(SimulatedFleet fleet, long fromMs, long toMs) {
+  /** A probe that measures between two simulated times, in milliseconds. */
+  public ControlPlaneProbe(SimulatedFleet fleet, long fromMs, long toMs) {
     this.fleet = fleet;
     this.simulation = fleet.simulation;
     this.fromMs = fromMs;
@@ -128,7 +131,8 @@
     }
   }
 
-  String summary() {
+  /** What was measured, as a line of text. */
+  public String summary() {
     return "core: longest time without service "
         + longestGapMs
         + " ms ("
--- a/test-fleet/src/main/java/applespindle/testfleet/FaultTargets.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/FaultTargets.java
@@ -1,7 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static applespindle.corelogic.common.Json.JSON;
 
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Finds the process that is the target of a fault. */
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetOperator.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/FleetOperator.java
@@ -1,11 +1,15 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.metadata.WorkerInput;
 import applespindle.corelogic.protocol.Operation;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.SimulatedWorkers;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.function.Consumer;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetSummary.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/FleetSummary.java
@@ -1,6 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.List;
 
 /** Measures of one simulated fleet as a line; times are simulated milliseconds. */
--- a/test-fleet/src/main/java/applespindle/testfleet/LiveClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/LiveClients.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static applespindle.corelogic.common.Json.JSON;
 
@@ -7,8 +7,10 @@
 import applespindle.corelogic.live.LiveRequest;
 import applespindle.corelogic.live.LiveResponseListener;
 import applespindle.corelogic.live.RequestHandle;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.Simulation.Caller;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashSet;
 import java.util.Map;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedBatchClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchClient.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -9,14 +9,18 @@
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.environment.ProxiedRequest.Header;
 import applespindle.corelogic.environment.ProxiedRequest.PromptPart;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.RouteOperators.Route;
+import applespindle.testfleet.clients.RouteOperators.Route;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 
 /** The client of one proxied batch: submits it, reads its results and may end it. */
-final class ProxiedBatchClient {
+public final class ProxiedBatchClient {
   static final long READ_TIMEOUT_MS = 1_500;
   static final double RETRY_PAUSE_MS = 300;
   private static final long SUBMIT_TIMEOUT_MS = 2_500;
@@ -27,7 +31,7 @@
   private static final int MAX_TOKENS = 60;
 
   final ProxiedBatch batch;
-  boolean accepted;
+  public boolean accepted;
   boolean endAsked;
 
   /** When all results were read; negative before. */
@@ -101,7 +105,7 @@
   }
 
   /** The time from the first submission to its acknowledgement; the maximum if none came. */
-  long acceptanceMs() {
+  public long acceptanceMs() {
     return accepted ? acceptedMs - sentMs : Long.MAX_VALUE;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedBatchFinalRead.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchFinalRead.java
@@ -1,6 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.HashSet;
 import java.util.Set;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedBatchReader.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchReader.java
@@ -1,11 +1,13 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.ProxiedBatch;
 import applespindle.corelogic.edge.EdgeNode;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Base64;
 import java.util.HashSet;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedRequestAttempt.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestAttempt.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -11,8 +11,11 @@
 import applespindle.corelogic.environment.ProxiedRequest.ResponseHead;
 import applespindle.corelogic.live.ProxiedResponseListener;
 import applespindle.corelogic.live.RequestHandle;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.Simulation.Caller;
 import java.util.function.Consumer;
 
 /** One attempt of a client's request at one node, with the response as far as it arrived. */
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxiedRequestClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestClient.java
@@ -1,11 +1,13 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.environment.ProxiedRequest.Header;
 import applespindle.corelogic.environment.ProxiedRequest.PromptPart;
-import applespindle.testfleet.RouteOperators.Route;
+import applespindle.testfleet.clients.RouteOperators.Route;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.List;
 import java.util.Set;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxyClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
@@ -1,16 +1,19 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import applespindle.corelogic.environment.ProxiedRequest.PromptPart;
-import applespindle.testfleet.RouteOperators.Route;
+import applespindle.testfleet.clients.RouteOperators.Route;
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** Starts the clients of proxied requests and of proxied batches, and counts what they got. */
-final class ProxyClients {
+public final class ProxyClients {
   /** How long a client waits for its response, all attempts together. */
-  static final long DEADLINE_MS = 4_000;
+  static final long DEADLINE_MS = SimulatedPlatform.REQUEST_TIMEOUT_MS;
 
   private static final int PROMPT_FAMILIES = 12;
 
@@ -20,19 +23,19 @@
   private long ids;
 
   /** The longest that a batch took to be read to its end once all clients closed. */
-  long slowestCloseMs;
+  public long slowestCloseMs;
 
   /** Least size of the body of a batch's item. */
-  int itemBytes;
+  public int itemBytes;
 
   /** By type of route: the number of requests, and of those served in the end. */
-  final Map<String, int[]> servedOf = new TreeMap<>();
+  public final Map<String, int[]> servedOf = new TreeMap<>();
 
   /** By error type, the number of refusals. */
   final Map<String, Integer> refusals = new TreeMap<>();
 
   final List<Long> latencies = new ArrayList<>();
-  final List<ProxiedBatchClient> batches = new ArrayList<>();
+  public final List<ProxiedBatchClient> batches = new ArrayList<>();
 
   ProxyClients(SimulatedFleet fleet, RouteOperators operators) {
     this.fleet = fleet;
@@ -46,7 +49,7 @@
   }
 
   /** Sends requests on random routes of a type, as a Poisson process of a rate. */
-  void live(String type, double perSecond, long fromMs, long untilMs) {
+  public void live(String type, double perSecond, long fromMs, long untilMs) {
     if (perSecond > 0) {
       simulation.atMs(fromMs, () -> next(type, perSecond, untilMs));
     }
@@ -67,7 +70,7 @@
   }
 
   /** Sends one request on each route just added or removed to each node, without a retry. */
-  void probeRoutes() {
+  public void probeRoutes() {
     for (SimulatedProcess edge : fleet.readyOrAll()) {
       for (Route route : List.copyOf(operators.probed)) {
         ProxiedRequestClient.probe(this, route).attempt(edge);
@@ -85,7 +88,8 @@
   }
 
   /** Submits batches of itemsLeast to itemsMost items at a fixed interval. */
-  void batches(double everySeconds, int itemsLeast, int itemsMost, long fromMs, long untilMs) {
+  public void batches(
+      double everySeconds, int itemsLeast, int itemsMost, long fromMs, long untilMs) {
     for (long at = fromMs; everySeconds > 0 && at < untilMs; at += (long) (1000 * everySeconds)) {
       simulation.atMs(at, () -> submitOne(itemsBetween(itemsLeast, itemsMost)));
     }
@@ -105,7 +109,7 @@
   }
 
   /** Ends the oldest accepted batch that is not complete. */
-  void endOne() {
+  public void endOne() {
     batches.stream()
         .filter(client -> client.accepted && !client.endAsked && !client.isComplete())
         .findFirst()
@@ -116,11 +120,12 @@
    * All batches are read from the start, with the bodies of the items that are not listed. Done
    * when the last batch has been read or its client gave up.
    */
-  void close(long untilMs) {
+  public void close(long untilMs) {
     batches.forEach(client -> client.close(untilMs));
   }
 
-  boolean closed() {
+  /** Whether every accepted batch has all its results. */
+  public boolean closed() {
     return batches.stream().allMatch(client -> client.isClosed() || !client.accepted);
   }
 
@@ -165,14 +170,16 @@
     return batches.stream().filter(client -> client.accepted).count();
   }
 
-  long itemsTaken() {
+  /** The number of items of accepted batches that were not ended early. */
+  public long itemsTaken() {
     return batches.stream()
         .filter(client -> client.accepted && !client.endAsked)
         .mapToLong(client -> client.batch.items().size())
         .sum();
   }
 
-  long itemsDone() {
+  /** The number of results of these items. */
+  public long itemsDone() {
     return batches.stream()
         .filter(client -> client.accepted && !client.endAsked)
         .mapToLong(ProxiedBatchClient::itemsDone)
--- a/test-fleet/src/main/java/applespindle/testfleet/RouteOperators.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/RouteOperators.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static applespindle.corelogic.common.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -6,7 +6,10 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.protocol.Operation;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -22,8 +25,8 @@
  * sometimes concurrently, sometimes with equal numbers, sometimes invalid. A change without a
  * definite response is sent again unchanged, to any node.
  */
-final class RouteOperators {
-  static final long RETENTION_MS = 60_000;
+public final class RouteOperators {
+  static final long RETENTION_MS = SimulatedPlatform.RESULT_RETENTION_MS;
   private static final long TIMEOUT_MS = 4_000;
   private static final long TARGET_MS = 500;
   private static final long GAP_TARGET_MS = 150;
@@ -61,7 +64,7 @@
   private final long waitingTokensMost;
 
   /** The percentage of calls that are lost, are delayed, or lose their response. */
-  int callsLostPercent;
+  public int callsLostPercent;
 
   private final List<Change> sentChanges = new ArrayList<>();
   private final long[] newestKnownTo = new long[OPERATORS];
@@ -75,8 +78,8 @@
   private long newest;
   private long current;
   private int changes;
-  int acknowledged;
-  int refused;
+  public int acknowledged;
+  public int refused;
 
   /** Routes of the newest acknowledged change: what clients use. */
   private List<Route> inUse = List.of();
@@ -88,10 +91,10 @@
    * The time from sending to the acknowledgement of the first change, which waits for the fleet to
    * bootstrap.
    */
-  long firstYesMs;
+  public long firstYesMs;
 
   /** The longest time from sending to the acknowledgement of a later change. */
-  long slowestYesMs;
+  public long slowestYesMs;
 
   RouteOperators(SimulatedFleet fleet, long waitingTokensMost) {
     this.fleet = fleet;
@@ -119,7 +122,8 @@
     return inUse.stream().filter(route -> route.type().equals(type)).toList();
   }
 
-  long newestAcknowledged() {
+  /** The number of the newest acknowledged revision. */
+  public long newestAcknowledged() {
     return current;
   }
 
@@ -129,13 +133,13 @@
   }
 
   /** Sends one more change, based on the newest acknowledged one. */
-  void change() {
+  public void change() {
     alterRoutes();
     send(false);
   }
 
   /** Sends two concurrent changes with the same base, to two nodes. */
-  void race() {
+  public void race() {
     long base = current;
     alterRoutes();
     send(false);
@@ -146,12 +150,13 @@
     current = Math.max(newestCurrent, base);
   }
 
-  void invalid() {
+  /** Sends a revision that is not valid. */
+  public void invalid() {
     send(true);
   }
 
   /** Sends changes of either operator at an interval, unless too many are in flight. */
-  void orders(int count, long everyMs) {
+  public void orders(int count, long everyMs) {
     for (int index = 0; index < count; index++) {
       simulation.afterMs(index * everyMs, this::changeUnlessBusy);
     }
@@ -166,7 +171,7 @@
   }
 
   /** Sends old changes again, whatever their outcome, as an operator without records does. */
-  void resend(int count) {
+  public void resend(int count) {
     for (int index = 0; index < count; index++) {
       Change old = sentChanges.get(simulation.random.nextInt(sentChanges.size()));
       trySend(old, simulation.simulatedNowMs(), 0, MAX_RESENDS);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/SimulatedFleet.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.clients;
 
 import static applespindle.corelogic.common.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -9,8 +9,12 @@
 import applespindle.corelogic.metadata.StorageNodeState;
 import applespindle.corelogic.protocol.Operation;
 import applespindle.operatortool.Signing;
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.Simulation.Caller;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -22,13 +26,13 @@
 import java.util.stream.Stream;
 
 /** One simulated deployment with its clients, its operators and its platform. */
-final class SimulatedFleet {
+public final class SimulatedFleet {
   static final List<String> CONTROL_PLANE_NODES = List.of("core-1", "core-2", "core-3");
-  static final int SUBMIT_TRIES = 6;
+  public static final int SUBMIT_TRIES = 6;
   static final long CLIENT_TIMEOUT_MS = 8_000;
 
   /** More families than one worker's cache holds, fewer than all caches together. */
-  static final int FAMILIES = 200;
+  public static final int FAMILIES = 200;
 
   private static final int FAMILY_CHARS = 320;
   static final long POLL_MS = 400;
@@ -37,9 +41,9 @@
       "In the usual form of the office, with greeting, place and hour of the event. ".repeat(4);
   private static final Signing.Keys KEYS = Signing.generate();
 
-  final Simulation simulation;
-  final Deployment deployment;
-  final List<BatchClient> senders = new ArrayList<>();
+  public final Simulation simulation;
+  public final Deployment deployment;
+  public final List<BatchClient> senders = new ArrayList<>();
   final List<SimulatedProcess> edges = new ArrayList<>();
   private final List<SimulatedProcess> all = new ArrayList<>();
   private List<SimulatedProcess> readyEdges = List.of();
@@ -48,22 +52,22 @@
    * Notified the moment a client receives a success: of an acceptance or an end (how many so far),
    * or of a configuration (its revision).
    */
-  BiConsumer<String, Long> clientEventListener = (event, number) -> {};
+  public BiConsumer<String, Long> clientEventListener = (event, number) -> {};
 
   /** If not empty, clients call these edges whether the platform finds them ready or not. */
-  List<SimulatedProcess> fixedEdges = List.of();
+  public List<SimulatedProcess> fixedEdges = List.of();
 
   /** Clients whose checks are refused retry after the delay they are given. */
-  boolean clientsRetryWhenRefused;
+  public boolean clientsRetryWhenRefused;
 
   /** By fault type, the longest time from sending a live request to its refusal. */
-  final Map<String, Long> refusedAfterMs = new TreeMap<>();
+  public final Map<String, Long> refusedAfterMs = new TreeMap<>();
 
-  int submitTries = SUBMIT_TRIES;
-  long storageRefusals;
+  public int submitTries = SUBMIT_TRIES;
+  public long storageRefusals;
 
   /** Workers listed in the pool "spare" instead of "main". */
-  List<String> spares = List.of();
+  public List<String> spares = List.of();
 
   private final LiveClients liveClients;
   private final FleetOperator operator;
@@ -71,26 +75,26 @@
   private long acceptances;
   private long ends;
   private long batchNumber;
-  final List<Long> checkLatencies = new ArrayList<>();
+  public final List<Long> checkLatencies = new ArrayList<>();
   final List<Long> noteLatencies = new ArrayList<>();
 
   /**
    * The platform on which the fleet runs, its operators and its clients; all null if the fleet runs
    * without a platform.
    */
-  SimulatedPlatform platform;
+  public SimulatedPlatform platform;
 
-  RouteOperators operators;
-  ProxyClients clients;
+  public RouteOperators operators;
+  public ProxyClients clients;
 
   /** A sentence for each timed expectation of a scenario that was not met. */
-  final List<String> unmetExpectations = new ArrayList<>();
+  public final List<String> unmetExpectations = new ArrayList<>();
 
   /** Measures the control plane; null if the scenario does not ask for it. */
-  ControlPlaneProbe controlPlaneProbe;
+  public ControlPlaneProbe controlPlaneProbe;
 
   /** A fleet on a platform with proxied workers, whose nodes tolerate so many losses at once. */
-  static SimulatedFleet withPlatform(
+  public static SimulatedFleet withPlatform(
       Deployment deployment,
       long seed,
       int losses,
@@ -116,7 +120,12 @@
     all.add(simulation.add(name, "zone-" + zone % 3, role, CONTROL_PLANE_NODES, true));
   }
 
-  SimulatedFleet(Deployment deployment, long seed) {
+  /**
+   * A fleet whose processes are not started yet.
+   *
+   * @param seed of all random draws: the same seed gives the same run
+   */
+  public SimulatedFleet(Deployment deployment, long seed) {
     this.deployment = deployment;
     simulation = new Simulation(seed, Map.of("operator", KEYS.publicKey()), deployment.pace);
     liveClients = new LiveClients(this);
@@ -138,7 +147,8 @@
     }
   }
 
-  void start() {
+  /** Starts all processes within some tenths of a second, in random order. */
+  public void start() {
     all.forEach(process -> simulation.atMs(simulation.random.nextInt(300), process::start));
     if (platform != null) {
       platform.recordBounds();
@@ -169,17 +179,17 @@
   }
 
   /** Sets the bandwidth of every edge, each way; 0: unlimited. */
-  void edgeLinks(double mbits) {
+  public void edgeLinks(double mbits) {
     edges.forEach(edge -> edge.link.megabits(mbits));
   }
 
   /** Sets the share of a core that every edge has; 0: the work of an edge takes no time. */
-  void edgeProcessors(double share) {
+  public void edgeProcessors(double share) {
     edges.forEach(edge -> edge.processor.share(share));
   }
 
   /** Sets another share of a core and another bandwidth for the last so many edges. */
-  void largerEdges(int count, double share, double mbits) {
+  public void largerEdges(int count, double share, double mbits) {
     edges
         .subList(edges.size() - count, edges.size())
         .forEach(
@@ -258,7 +268,8 @@
         });
   }
 
-  void command(
+  /** Sends a command to a control plane node by its name, with the usual time limit. */
+  public void command(
       String controlPlaneNode,
       Operation operation,
       String key,
@@ -269,7 +280,7 @@
   }
 
   /** A random control plane node, whether it is alive or not. */
-  SimulatedProcess anyControlPlaneNode() {
+  public SimulatedProcess anyControlPlaneNode() {
     List<SimulatedProcess> cores =
         simulation.processes.values().stream()
             .filter(process -> process.role.equals("core") && !process.destroyed)
@@ -277,12 +288,22 @@
     return cores.get(simulation.random.nextInt(cores.size()));
   }
 
-  SignedConfiguration signed(byte[] bytes, Long buildsOn) {
+  /**
+   * A configuration signed by the operator.
+   *
+   * @param buildsOn the revision that it was made from; null if that is not checked
+   */
+  public SignedConfiguration signed(byte[] bytes, Long buildsOn) {
     byte[] signature = Base64.getDecoder().decode(Signing.sign(bytes, KEYS.privateKey()));
     return new SignedConfiguration(0, bytes, "operator", signature, buildsOn);
   }
 
-  void command(
+  /**
+   * Sends a command to a control plane process.
+   *
+   * @param timeoutMs simulated time after which the client gives up
+   */
+  public void command(
       SimulatedProcess core,
       long timeoutMs,
       Operation operation,
@@ -312,11 +333,12 @@
   }
 
   /** Sends a configuration; retries with the same bytes while the outcome is unknown. */
-  void sendConfiguration(long revision, String content, String controlPlaneNode) {
+  public void sendConfiguration(long revision, String content, String controlPlaneNode) {
     operator.sendConfiguration(revision, content, controlPlaneNode);
   }
 
-  void markLeaving(String workerId) {
+  /** Marks a worker as leaving, and repeats that until it is acknowledged. */
+  public void markLeaving(String workerId) {
     operator.markLeaving(workerId);
   }
 
@@ -325,7 +347,7 @@
   }
 
   /** Adds and starts a machine in a zone; its name begins with its role. */
-  void add(String name, String zone) {
+  public void add(String name, String zone) {
     boolean edge = name.startsWith("edge");
     SimulatedProcess process = simulation.add(name, zone, roleOf(name), CONTROL_PLANE_NODES, !edge);
     all.add(process);
@@ -335,7 +357,12 @@
     process.start();
   }
 
-  void markStorage(String name, String state) {
+  /**
+   * Marks a storage node by its name.
+   *
+   * @param state the state to set, as in the command
+   */
+  public void markStorage(String name, String state) {
     String core = liveControlPlaneNode();
     String id = ((ControlPlaneNode) simulation.processes.get(core).node()).storageId(name);
     command(
@@ -352,7 +379,8 @@
         });
   }
 
-  JsonNode controlPlaneStatus() {
+  /** The status of a control plane process that runs. */
+  public JsonNode controlPlaneStatus() {
     return simulation.processes.values().stream()
         .filter(process -> process.role.equals("core") && process.alive())
         .map(process -> process.node())
@@ -363,7 +391,7 @@
   }
 
   /** The names of the members of the control plane, as its nodes know them now. */
-  List<String> memberNames() {
+  public List<String> memberNames() {
     List<String> names = new ArrayList<>();
     controlPlaneStatus()
         .at("/roster/members")
@@ -374,21 +402,22 @@
   // ---- traffic
 
   /** Schedules live requests of a class, so many a second with random gaps. */
-  void live(String trafficClass, double perSecond, long fromMs, long untilMs) {
+  public void live(String trafficClass, double perSecond, long fromMs, long untilMs) {
     liveClients.live(trafficClass, perSecond, fromMs, untilMs);
   }
 
   /** Percent of the clients that retried after a refusal and were served; 100 if none had to. */
-  long servedOnRetryPercent() {
+  public long servedOnRetryPercent() {
     return liveClients.cameBackPercent();
   }
 
   /** Prompts of one family share a long prefix, which a worker can cache. */
-  static String familyPrompt(int family, String id) {
+  public static String familyPrompt(int family, String id) {
     return ("Case file " + family + ". " + SHARED).substring(0, FAMILY_CHARS) + "Ruling " + id;
   }
 
-  void batches(long everyMs, long fromMs, long untilMs) {
+  /** Submits a batch at each interval between two simulated times, in milliseconds. */
+  public void batches(long everyMs, long fromMs, long untilMs) {
     for (long at = fromMs; everyMs > 0 && at < untilMs; at += everyMs) {
       simulation.atMs(at, this::submitOne);
     }
@@ -404,7 +433,8 @@
     clientEventListener.accept("ended", ++ends);
   }
 
-  BatchClient submitOne() {
+  /** Submits a batch at an edge that runs; the client goes on until it is finished. */
+  public BatchClient submitOne() {
     BatchClient sender =
         new BatchClient(
             this,
@@ -418,16 +448,17 @@
   }
 
   /** One line of figures, in simulated milliseconds. */
-  String summary() {
+  public String summary() {
     return new FleetSummary(this).toString();
   }
 
-  long cacheHitPercent() {
+  /** The percentage of prompts whose leading blocks a worker had in its cache. */
+  public long cacheHitPercent() {
     return new FleetSummary(this).cacheHitPercent();
   }
 
   /** How many removed batches a majority of the storage nodes knows of. */
-  long removedBatches() {
+  public long removedBatches() {
     return simulation.processes.values().stream()
         .filter(process -> process.role.equals("storage") && process.alive())
         .mapToLong(process -> process.node().status().path("removed").asLong())
@@ -437,7 +468,8 @@
         .orElse(0);
   }
 
-  static long percentile(List<Long> values, int percent) {
+  /** The smallest value that this percentage of the values does not exceed; 0 if there are none. */
+  public static long percentile(List<Long> values, int percent) {
     List<Long> sorted = values.stream().sorted().toList();
     return sorted.isEmpty()
         ? -1
@@ -445,7 +477,7 @@
   }
 
   /** A process by name or by its present work; null if there is none. */
-  SimulatedProcess target(String name) {
+  public SimulatedProcess target(String name) {
     return faultTargets.named(name);
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/Deployment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/deployment/Deployment.java
@@ -1,8 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.deployment;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import applespindle.testfleet.EmulatedWorkers.Pace;
+import applespindle.corelogic.common.Json;
+import applespindle.testfleet.deployment.EmulatedWorkers.Pace;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -75,9 +76,9 @@
   }
 
   /** By traffic class, the pool to which a configuration of this form routes it. */
-  static Map<String, String> pools(String bundle) {
+  public static Map<String, String> pools(String bundle) {
     Map<String, String> pools = new TreeMap<>();
-    Simulation.tree(bundle.getBytes(UTF_8))
+    Json.tree(bundle.getBytes(UTF_8))
         .path("rules")
         .forEach(
             rule ->
--- a/test-fleet/src/main/java/applespindle/testfleet/EmulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/deployment/EmulatedWorkers.java
@@ -1,10 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.deployment;
 
 import static applespindle.corelogic.common.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.common.Json;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.EmulatedOutput;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
@@ -43,10 +45,10 @@
     public final String address;
     private int running;
     volatile boolean leaving;
-    volatile boolean dark;
-    volatile int cutAfterTokens = -1;
-    volatile boolean garbage;
-    volatile boolean refuses;
+    public volatile boolean dark;
+    public volatile int cutAfterTokens = -1;
+    public volatile boolean garbage;
+    public volatile boolean refuses;
     private int cacheHits;
     private int cacheLooks;
     private final Map<String, Boolean> cache =
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** The deployments that are tested, and emulated workers that listen on sockets. */
+package applespindle.testfleet.deployment;
--- a/test-fleet/src/main/java/applespindle/testfleet/DispatchExperiment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchExperiment.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.dispatch;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -18,8 +18,13 @@
 import applespindle.corelogic.live.RequestHandle;
 import applespindle.corelogic.metadata.SignedConfiguration;
 import applespindle.corelogic.protocol.Operation;
-import applespindle.testfleet.ProxyWorkers.Worker;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.ProxyWorkers.Worker;
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.Simulation.Caller;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
--- a/test-fleet/src/main/java/applespindle/testfleet/DispatchProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchProgram.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.dispatch;
 
-import applespindle.testfleet.DispatchExperiment.Fault;
-import applespindle.testfleet.DispatchExperiment.Fault.Kind;
+import applespindle.testfleet.dispatch.DispatchExperiment.Fault;
+import applespindle.testfleet.dispatch.DispatchExperiment.Fault.Kind;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.ToDoubleFunction;
--- a/test-fleet/src/main/java/applespindle/testfleet/DispatchResult.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchResult.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.dispatch;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/test-fleet/src/main/java/applespindle/testfleet/DispatchShape.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchShape.java
@@ -1,5 +1,6 @@
-package applespindle.testfleet;
+package applespindle.testfleet.dispatch;
 
+import applespindle.testfleet.simulation.WorkerEngine;
 import java.util.List;
 
 /**
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** The emulator of the choice of workers. */
+package applespindle.testfleet.dispatch;
--- a/test-fleet/src/main/java/applespindle/testfleet/EmulatedOutput.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/EmulatedOutput.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.history;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Fleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/processes/Fleet.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
 import static applespindle.corelogic.common.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -9,6 +9,9 @@
 import applespindle.operatortool.HttpCaller;
 import applespindle.operatortool.HttpCaller.Result;
 import applespindle.operatortool.Signing;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.deployment.EmulatedWorkers;
+import applespindle.testfleet.history.History;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
--- a/test-fleet/src/main/java/applespindle/testfleet/FleetProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/processes/FleetProgram.java
@@ -1,6 +1,10 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
-import applespindle.testfleet.Fleet.Member;
+import applespindle.testfleet.checker.Checker;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.deployment.EmulatedWorkers;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.processes.Fleet.Member;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/main/java/applespindle/testfleet/Metrics.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/processes/Metrics.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
 import java.util.Map;
 import java.util.TreeMap;
--- a/test-fleet/src/main/java/applespindle/testfleet/RealTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/processes/RealTraffic.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
 import static applespindle.corelogic.common.Json.JSON;
 import static java.nio.charset.StandardCharsets.UTF_8;
@@ -6,8 +6,11 @@
 import applespindle.adapters.NoNameLookups;
 import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.common.Json;
-import applespindle.testfleet.Fleet.Member;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.deployment.EmulatedWorkers;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.processes.Fleet.Member;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- /dev/null
+++ b/test-fleet/src/main/java/applespindle/testfleet/processes/package-info.java
@@ -0,0 +1,2 @@
+/** Fleets of real processes on this machine, with real traffic. */
+package applespindle.testfleet.processes;
--- a/test-fleet/src/main/java/applespindle/testfleet/ControlPlaneActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ControlPlaneActions.java
@@ -1,6 +1,8 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.Simulation;
 
 /** What operators do to the control plane: members, storage nodes and configurations. */
 final class ControlPlaneActions {
--- a/test-fleet/src/main/java/applespindle/testfleet/CrashPoints.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/CrashPoints.java
@@ -1,6 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
-import applespindle.testfleet.CrashPoint.Position;
+import applespindle.testfleet.simulation.CrashPoint;
+import applespindle.testfleet.simulation.CrashPoint.Position;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/main/java/applespindle/testfleet/ManyChanges.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ManyChanges.java
@@ -1,7 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.testfleet.checker.LinearizabilityChecker;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
--- a/test-fleet/src/main/java/applespindle/testfleet/NetworkActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/NetworkActions.java
@@ -1,5 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.Arrays;
 import java.util.List;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProcessActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ProcessActions.java
@@ -1,5 +1,8 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
+import applespindle.testfleet.simulation.SimulatedPlatform;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
--- a/test-fleet/src/main/java/applespindle/testfleet/RandomFaults.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/RandomFaults.java
@@ -1,5 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.List;
 
 /**
--- a/test-fleet/src/main/java/applespindle/testfleet/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
@@ -1,6 +1,13 @@
-package applespindle.testfleet;
-
-import applespindle.testfleet.Checker.Violation;
+package applespindle.testfleet.scenario;
+
+import applespindle.testfleet.checker.Checker;
+import applespindle.testfleet.checker.Checker.Violation;
+import applespindle.testfleet.clients.ControlPlaneProbe;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.InvariantViolationException;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioAction.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioAction.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 /**
  * One timed fault or operation of a scenario.
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioActions.java
@@ -1,6 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.List;
 
 /**
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioExpectations.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioExpectations.java
@@ -1,7 +1,10 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.ScenarioSettings.Expected;
+import applespindle.testfleet.clients.BatchClient;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.scenario.ScenarioSettings.Expected;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioParser.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
@@ -1,5 +1,6 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
+import applespindle.testfleet.deployment.Deployment;
 import java.util.Arrays;
 
 /** Reads the lines of a scenario file; {@link Scenario} lists them. */
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioProgram.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/test-fleet/src/main/java/applespindle/testfleet/ScenarioSettings.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
@@ -1,5 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.deployment.Deployment;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/TrafficActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/TrafficActions.java
@@ -1,6 +1,11 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
-import applespindle.testfleet.SimulatedWorkers.Condition;
+import applespindle.testfleet.clients.BatchClient;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.SimulatedWorkers.Condition;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.WorkerListing;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
--- a/test-fleet/src/main/java/applespindle/testfleet/UnreadableLineException.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/UnreadableLineException.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 /** A line of a scenario file can not be parsed. */
 public final class UnreadableLineException extends RuntimeException {
--- a/test-fleet/src/main/java/applespindle/testfleet/CrashPoint.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/CrashPoint.java
@@ -1,16 +1,17 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.protocol.MessageNames;
+import applespindle.testfleet.history.History;
 
 /**
  * A process dies at one step of a protocol: before or after it sends, or receives, the n-th message
  * of a kind. It starts again some time later.
  */
-final class CrashPoint {
+public final class CrashPoint {
   /** Which process dies, and on which side of the message. */
-  enum Position {
+  public enum Position {
     SENDER_BEFORE,
     SENDER_AFTER,
     RECEIVER_BEFORE,
@@ -35,7 +36,15 @@
 
   private SimulatedProcess crashed;
 
-  CrashPoint(
+  /**
+   * A crash at one point around a message, which strikes once.
+   *
+   * @param kind the kind of message, as in metrics
+   * @param number which message of that kind, from 1
+   * @param powerLoss whether what was not synced is lost
+   * @param fromMs simulated time from which messages are counted
+   */
+  public CrashPoint(
       Simulation simulation,
       String kind,
       int number,
@@ -53,7 +62,7 @@
   }
 
   /** The process that died; null if none did yet. */
-  SimulatedProcess crashed() {
+  public SimulatedProcess crashed() {
     return crashed;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/EventQueue.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/EventQueue.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import java.util.PriorityQueue;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ProcessWorkerCalls.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProcessWorkerCalls.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.environment.Environment.ExchangeListener;
--- a/test-fleet/src/main/java/applespindle/testfleet/ProxyWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -10,7 +10,9 @@
 import applespindle.corelogic.environment.ProxiedRequest.Header;
 import applespindle.corelogic.environment.ProxiedRequest.PromptPart;
 import applespindle.corelogic.environment.ProxiedRequest.ResponseHead;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.checker.ProxyChecker;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.ProxiedOutput;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -26,9 +28,9 @@
  * prompt that is not in its cache, preempts runs for those of a more urgent rank, and puts out a
  * text that names the request.
  */
-final class ProxyWorkers {
+public final class ProxyWorkers {
   /** The states of a worker that scenario files name. */
-  enum Condition {
+  public enum Condition {
     WELL,
     /** Accepts connections and does nothing more. */
     DARK,
@@ -51,7 +53,7 @@
     SLOWS
   }
 
-  static final int SLOTS = 8;
+  public static final int SLOTS = 8;
 
   private static final double WITHIN_ZONE_MS = 0.4;
   private static final double BETWEEN_ZONES_MS = 1.2;
@@ -62,42 +64,42 @@
   private static final int FAILS_ONE_IN = 3;
 
   /** Marks a target whose runs fail a part of the time. */
-  static final String FAILING = "failing";
+  public static final String FAILING = "failing";
 
   /** Marks a target that no worker can run. */
-  static final String IMPOSSIBLE = "impossible";
+  public static final String IMPOSSIBLE = "impossible";
 
-  WorkerEngine engine = WorkerEngine.DEFAULT;
+  public WorkerEngine engine = WorkerEngine.DEFAULT;
 
   /** Each worker has a random one of these; empty: one between 0.8 and 1.2. */
-  List<Double> paces = List.of();
+  public List<Double> paces = List.of();
 
-  WorkerEngine.Watcher watcher = (worker, edgeZone, request) -> {};
+  public WorkerEngine.Watcher watcher = (worker, edgeZone, request) -> {};
 
   /** By the last part of a target: what to do once a run of it is complete. */
-  final Map<String, Runnable> whenDone = new HashMap<>();
+  public final Map<String, Runnable> whenDone = new HashMap<>();
 
   private final Simulation simulation;
   private final Map<String, Worker> byAddress = new HashMap<>();
   private final Map<String, Worker> byId = new LinkedHashMap<>();
   private long runs;
-  long readTokens;
-  long promptedTokens;
+  public long readTokens;
+  public long promptedTokens;
 
   ProxyWorkers(Simulation simulation) {
     this.simulation = simulation;
   }
 
   /** One incarnation of a worker with its running and waiting runs. */
-  final class Worker {
-    final String id;
+  public final class Worker {
+    public final String id;
     final String address;
-    final String pool;
-    final String zone;
-    final int slots = engine.slots();
+    public final String pool;
+    public final String zone;
+    public final int slots = engine.slots();
     private final double pace;
-    Condition condition = Condition.WELL;
-    boolean leaving;
+    public Condition condition = Condition.WELL;
+    public boolean leaving;
     boolean over;
     private final List<Run> running = new ArrayList<>();
     private final List<Run> waiting = new ArrayList<>();
@@ -115,7 +117,8 @@
               : paces.get(simulation.random.nextInt(paces.size()));
     }
 
-    void become(Condition next) {
+    /** Changes the condition of the worker, with what that means for its runs. */
+    public void become(Condition next) {
       condition = next;
       List<Run> stuck = List.copyOf(running);
       stuck.forEach(Run::resume);
@@ -136,11 +139,13 @@
       return new WorkerLoad(running.size(), waiting.size(), slots, leaving);
     }
 
-    int inWork() {
+    /** The number of requests that run or wait here. */
+    public int inWork() {
       return running.size() + waiting.size();
     }
 
-    int itemsRunning() {
+    /** The number of running requests that are items of batches. */
+    public int itemsRunning() {
       return (int) running.stream().filter(run -> run.exchange.rank() > 0).count();
     }
 
@@ -517,7 +522,7 @@
   }
 
   /** A request in one line, as the history has it; the event to resume after is no part of it. */
-  static String asked(ProxiedRequest request) {
+  public static String asked(ProxiedRequest request) {
     return request.method()
         + " "
         + request.host()
@@ -545,7 +550,8 @@
     return byId.get(id);
   }
 
-  List<Worker> present() {
+  /** The workers that are not gone. */
+  public List<Worker> present() {
     return byId.values().stream().filter(worker -> !worker.over).toList();
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/ReplicationInvariants.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ReplicationInvariants.java
@@ -1,10 +1,11 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.log.Epoch;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.replication.LogReplicas;
 import applespindle.corelogic.storage.StorageNode;
+import applespindle.testfleet.history.InvariantViolationException;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
--- a/test-fleet/src/main/java/applespindle/testfleet/RunConnection.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/RunConnection.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedLink.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedLink.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 /** The bandwidth of one simulated machine; frames that share a direction follow each other. */
-final class SimulatedLink {
+public final class SimulatedLink {
   private static final double BYTES_PER_MS_AT_ONE_MBIT = 125;
 
   /** Each way; 0: unlimited. */
@@ -12,7 +12,8 @@
 
   private long inboundFreeUs;
 
-  void megabits(double perSecond) {
+  /** Limits the link to a bandwidth in Mbit/s. */
+  public void megabits(double perSecond) {
     bytesPerMs = (long) (perSecond * BYTES_PER_MS_AT_ONE_MBIT);
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedNetwork.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedNetwork.java
@@ -1,10 +1,11 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.adapters.PeerCodec;
 import applespindle.adapters.UnreadableFrameException;
 import applespindle.corelogic.constants.PeerConnectionConstants;
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.Message.ChangeFeedUpdate;
+import applespindle.testfleet.history.InvariantViolationException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,7 +19,7 @@
  * The network between simulated processes: latency, bandwidth, order, and links that are cut or
  * stalled. Every message between two processes passes through the real codec.
  */
-final class SimulatedNetwork {
+public final class SimulatedNetwork {
   private static final long LOOPBACK_US = 20;
 
   /** One way, within a zone and between zones. */
@@ -62,7 +63,7 @@
   }
 
   /** Records in updates of the change feed that were sent so far. */
-  long changeFeedRecords() {
+  public long changeFeedRecords() {
     return changeFeedRecords;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedPlatform.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
@@ -1,18 +1,25 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.environment.NodeSettings;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
 
 /**
  * The platform on which a simulated fleet runs: the settings it gives to nodes, its workers of
  * proxied requests and its list of them.
  */
-final class SimulatedPlatform {
+public final class SimulatedPlatform {
   static final long DRAIN_MS = 3_000;
   static final long CANCEL_MS = 3_000;
-  static final long GRACE_MS = 8_000;
+  public static final long GRACE_MS = 8_000;
   static final long APPLY_MS = 2_000;
-  static final long KEEP_BATCHES_MS = 120_000;
+
+  /** Time after which a proxied request that no route limits has failed for its client. */
+  public static final long REQUEST_TIMEOUT_MS = 4_000;
+
+  /** How long the routes for batches keep results. */
+  public static final long RESULT_RETENTION_MS = 60_000;
+
+  public static final long KEEP_BATCHES_MS = 120_000;
   private static final double OVERSHOOT = 0.1;
   private static final long DISK_BYTES = 64L << 20;
   private static final double LINK_MEGABITS = 1_000;
@@ -21,13 +28,20 @@
 
   final Simulation simulation;
   final int losses;
-  final ProxyWorkers workers;
-  final WorkerListing list;
+  public final ProxyWorkers workers;
+  public final WorkerListing list;
 
   /** Also the number in the id of the last worker that joined. */
   private int joinedWorkers;
 
-  SimulatedPlatform(Simulation simulation, int losses, long lagMs, double callsPerS) {
+  /**
+   * A platform without workers.
+   *
+   * @param losses losses that the fleet must tolerate at once
+   * @param lagMs lag of the list of workers, in milliseconds
+   * @param callsPerS calls for the list that are answered in a second
+   */
+  public SimulatedPlatform(Simulation simulation, int losses, long lagMs, double callsPerS) {
     this.simulation = simulation;
     this.losses = losses;
     this.workers = new ProxyWorkers(simulation);
@@ -39,7 +53,7 @@
   }
 
   /** Notes the bounds of the deployment in the history, from which the checker reads them. */
-  void recordBounds() {
+  public void recordBounds() {
     bound("losses", losses);
     bound("contactMs", 3_000);
     bound("drainMs", DRAIN_MS);
@@ -51,8 +65,8 @@
     bound("keepBatchesMs", KEEP_BATCHES_MS);
     bound("lossSlackMs", 200);
     bound("recoveryMs", 12_000);
-    bound("requestTimeoutMs", ProxyClients.DEADLINE_MS);
-    bound("retentionMs", RouteOperators.RETENTION_MS);
+    bound("requestTimeoutMs", REQUEST_TIMEOUT_MS);
+    bound("retentionMs", RESULT_RETENTION_MS);
     bound("overshootPercent", Math.round(100 * OVERSHOOT));
   }
 
@@ -78,7 +92,8 @@
         LINK_MEGABITS);
   }
 
-  ProxyWorkers.Worker join(String pool, String zone) {
+  /** Adds a worker to a pool, at an address that may have been another's. */
+  public ProxyWorkers.Worker join(String pool, String zone) {
     String address = list.freeAddress();
     ProxyWorkers.Worker worker = workers.add("i-" + ++joinedWorkers, address, pool, zone);
     list.put(worker, "ready", 0);
@@ -86,7 +101,7 @@
   }
 
   /** Lists a worker as leaving; it ends a little after the time that draining may take. */
-  void leave(ProxyWorkers.Worker worker) {
+  public void leave(ProxyWorkers.Worker worker) {
     if (worker.leaving || worker.over) {
       return;
     }
@@ -96,7 +111,7 @@
   }
 
   /** Ends a worker at once; it stays on the list for a while. */
-  void crash(ProxyWorkers.Worker worker, long listedOnMs) {
+  public void crash(ProxyWorkers.Worker worker, long listedOnMs) {
     end(worker, listedOnMs);
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.ConfigurationFormat;
@@ -13,6 +13,7 @@
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.storage.StorageNode;
+import applespindle.testfleet.history.InvariantViolationException;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -31,10 +32,10 @@
   private static final long CLOCK_START_MS = 1_000_000;
 
   public final String name;
-  final String zone;
-  final String role;
-  final SimulatedLink link = new SimulatedLink();
-  final SimulatedProcessor processor;
+  public final String zone;
+  public final String role;
+  public final SimulatedLink link = new SimulatedLink();
+  public final SimulatedProcessor processor;
   private final Simulation simulation;
   private final List<String> seeds;
 
@@ -57,7 +58,7 @@
   private boolean stopping;
 
   /** Gone for good: not even the end of the run brings it back. */
-  boolean destroyed;
+  public boolean destroyed;
 
   private long clockShiftMs;
 
@@ -132,17 +133,19 @@
   }
 
   /** Payload written to its disk so far. */
-  long writtenBytes() {
+  public long writtenBytes() {
     return disk == null ? 0 : disk.writtenBytes();
   }
 
-  Map<String, Long> receivedBytes() {
+  /** The bytes received so far by kind of message. */
+  public Map<String, Long> receivedBytes() {
     return receivedBytes;
   }
 
   // ---- start and end
 
-  void start() {
+  /** Starts the process: a new node that recovers from the disk. */
+  public void start() {
     incarnation++;
     alive = true;
     frozen = false;
@@ -199,12 +202,12 @@
    * The process dies. Of what was written but not synced, a part may have reached the disk; loss of
    * power takes all of it.
    */
-  void kill(boolean powerLoss) {
+  public void kill(boolean powerLoss) {
     kill(powerLoss, !powerLoss);
   }
 
   /** As above; keepsPart says whether a part of what was written but not synced may be kept. */
-  void kill(boolean powerLoss, boolean keepsPart) {
+  public void kill(boolean powerLoss, boolean keepsPart) {
     if (alive) {
       recordFault(true, "down");
     }
@@ -235,7 +238,7 @@
   /**
    * The process is asked to stop: it ends when it is done, and is killed after the grace period.
    */
-  void stopGracefully(long graceMs, Runnable whenEnded) {
+  public void stopGracefully(long graceMs, Runnable whenEnded) {
     int stopped = incarnation;
     markStopping();
     Runnable end =
@@ -250,7 +253,7 @@
   }
 
   /** Notes in the history that the process is asked to stop. */
-  void markStopping() {
+  public void markStopping() {
     stopping = true;
     recordFault(true, "stopping");
   }
@@ -262,7 +265,7 @@
   }
 
   /** Every connection of the process breaks; the process itself goes on. */
-  void resetConnections() {
+  public void resetConnections() {
     recordFault(true, "reset");
     connections++;
     workerCalls.resetConnections();
@@ -270,17 +273,20 @@
     recordFault(false, "reset");
   }
 
-  void loseDisk() {
+  /** Replaces the disk by an empty one; takes effect at the next start. */
+  public void loseDisk() {
     disk.replace();
   }
 
-  void stallDisk(long millis) {
+  /** Lets no write of the disk end for this long, in milliseconds. */
+  public void stallDisk(long millis) {
     recordFault(true, "disk");
     disk.stallUntil(afterNowUs(millis));
     simulation.afterMs(millis, () -> recordFault(false, "disk"));
   }
 
-  void refuseWrites(long millis) {
+  /** Lets the disk refuse writes for this long, in milliseconds. */
+  public void refuseWrites(long millis) {
     recordFault(true, "disk");
     refusesWritesUntilUs = afterNowUs(millis);
     simulation.afterMs(millis, () -> recordFault(false, "disk"));
@@ -290,20 +296,21 @@
     return simulation.nowUs() + millis * EventQueue.US_PER_MS;
   }
 
-  void shiftClock(long millis) {
+  /** Moves the clock of the process by this many milliseconds. */
+  public void shiftClock(long millis) {
     recordFault(true, "clock");
     clockShiftMs += millis;
     recordFault(false, "clock");
   }
 
   /** Limits the bandwidth of the machine; 0 removes the limit. */
-  void limitBandwidth(long bytesPerMs) {
+  public void limitBandwidth(long bytesPerMs) {
     recordFault(bytesPerMs > 0, "slow");
     link.bytesPerMs(bytesPerMs);
   }
 
   /** Makes each task take so long; 0 removes the delay. */
-  void slowDown(long micros) {
+  public void slowDown(long micros) {
     if (processor.modelled()) {
       throw new IllegalArgumentException("its processor is modelled: " + name);
     }
@@ -311,14 +318,16 @@
     taskUs = micros;
   }
 
-  void freeze() {
+  /** Freezes the process until {@link #wake}. */
+  public void freeze() {
     if (!frozen) {
       recordFault(true, "frozen");
     }
     frozen = true;
   }
 
-  void wake() {
+  /** Lets the process run on; what arrived meanwhile is received at once. */
+  public void wake() {
     if (!frozen) {
       return;
     }
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedProcessor.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcessor.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.common.JsonSizeObserver;
 import java.util.ArrayDeque;
@@ -25,7 +25,7 @@
  * <p>Not modelled: encryption, the work of the kernel, what a process that has just started costs
  * by itself, and that live requests warm up some of the same code.
  */
-final class SimulatedProcessor {
+public final class SimulatedProcessor {
   /**
    * Wake-up, decoding of a small message and the decision: what an event takes at the least. An
    * assumption, not measured.
@@ -85,7 +85,7 @@
   }
 
   /** Fraction of a core; 0: nothing takes time. */
-  void share(double fraction) {
+  public void share(double fraction) {
     share = fraction;
   }
 
@@ -120,7 +120,7 @@
   }
 
   /** The present event read or wrote a JSON document. */
-  void json(int bytes) {
+  public void json(int bytes) {
     boolean large = bytes >= LARGE_DOCUMENT_BYTES;
     boolean cold = large && largePasses < COLD_PASSES;
     usedNs += bytes * (cold ? COLD_NS_PER_BYTE : WARM_NS_PER_BYTE);
--- a/test-fleet/src/main/java/applespindle/testfleet/SimulatedWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedWorkers.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.constants.LiveRequestConstants;
@@ -6,8 +6,9 @@
 import applespindle.corelogic.environment.Environment.WorkerCall;
 import applespindle.corelogic.environment.Environment.WorkerCallListener;
 import applespindle.corelogic.environment.Environment.WorkerLoad;
-import applespindle.testfleet.EmulatedWorkers.Pace;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.deployment.EmulatedWorkers.Pace;
+import applespindle.testfleet.history.EmulatedOutput;
+import applespindle.testfleet.history.History.Kind;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -41,7 +42,7 @@
   public final class Worker {
     public final String id;
     Condition condition = Condition.WELL;
-    boolean leaving;
+    public boolean leaving;
     private final Set<Run> running = new LinkedHashSet<>();
     private final Map<String, Boolean> cache =
         new LinkedHashMap<>(16, 0.75f, true) {
@@ -50,15 +51,16 @@
             return size() > CACHE_PREFIXES;
           }
         };
-    int cacheLooks;
-    int cacheHits;
+    public int cacheLooks;
+    public int cacheHits;
     int mostRunning;
 
     Worker(String id) {
       this.id = id;
     }
 
-    void become(Condition next) {
+    /** Changes the condition of the worker, with what that means for its runs. */
+    public void become(Condition next) {
       condition = next;
       if (next == Condition.CRASHED) {
         List.copyOf(running).forEach(run -> run.fail(new ApiError.WorkerStreamTruncated(id)));
@@ -228,7 +230,8 @@
     return worker;
   }
 
-  static String address(String id) {
+  /** The address of the worker of this id. */
+  public static String address(String id) {
     return "worker:" + id;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/Simulation.java
@@ -1,10 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import static applespindle.corelogic.common.Json.JSON;
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.environment.Environment.WorkerListPage;
 import applespindle.corelogic.environment.NodeSettings;
+import applespindle.testfleet.deployment.EmulatedWorkers;
+import applespindle.testfleet.history.History;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.LinkedHashMap;
@@ -25,7 +27,8 @@
   private static final double CLIENT_LATENCY_MS = 0.3;
 
   /** The list of workers, as a process reads it. */
-  interface WorkerListSource {
+  public interface WorkerListSource {
+    /** Reads a page of the list; exactly one of the two listeners is called. */
     void read(
         SimulatedProcess reader,
         String pageToken,
@@ -43,24 +46,24 @@
   }
 
   /** The settings of all processes that start from now on. */
-  NodeSettings settings = NodeSettings.DEFAULT;
+  public NodeSettings settings = NodeSettings.DEFAULT;
 
   /** Processes first started before this bootstrap the control plane. */
   long bootstrapUntilMs = 10_000;
 
   /** Whether a later start before bootstrapUntilMs bootstraps too, as its settings stayed. */
-  boolean bootstrapStays;
+  public boolean bootstrapStays;
 
-  WorkerListSource workerList =
+  public WorkerListSource workerList =
       (reader, token, whenRead, whenFaulty) -> whenFaulty.accept(new ApiError.Overloaded("list"));
 
   /** Null if no process is to die at a step of a protocol. */
-  CrashPoint crashPoint;
+  public CrashPoint crashPoint;
 
   /** The platform with its proxied workers and the list of them; null if there is none. */
-  SimulatedPlatform platform;
+  public SimulatedPlatform platform;
 
-  boolean logging;
+  public boolean logging;
 
   /** The only source of randomness: the order of its draws is part of the history. */
   public final SplittableRandom random;
@@ -70,9 +73,9 @@
 
   public final SimulatedWorkers workers;
   public final History history = new History();
-  final SubmissionStages submissions = new SubmissionStages(this);
+  public final SubmissionStages submissions = new SubmissionStages(this);
   final EventQueue events = new EventQueue();
-  final SimulatedNetwork network = new SimulatedNetwork(this);
+  public final SimulatedNetwork network = new SimulatedNetwork(this);
   final ReplicationInvariants invariants = new ReplicationInvariants();
   final Map<String, String> operatorKeys;
 
@@ -103,7 +106,8 @@
     return events.nowMs();
   }
 
-  long nowUs() {
+  /** Simulated time in microseconds. */
+  public long nowUs() {
     return events.nowUs();
   }
 
@@ -222,7 +226,8 @@
     invariants.checkNothingVanished(processes.values());
   }
 
-  static JsonNode tree(byte[] bytes) {
+  /** Parses JSON that is known to be well-formed. */
+  public static JsonNode tree(byte[] bytes) {
     try {
       return JSON.readTree(bytes);
     } catch (IOException fault) {
--- a/test-fleet/src/main/java/applespindle/testfleet/SubmissionStages.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SubmissionStages.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.protocol.Operation;
@@ -13,7 +13,7 @@
  * When each stage of the submission of a proxied batch was reached, by batch and edge, as seen in
  * the messages of the edges. It explains scenarios that fail because batches are accepted late.
  */
-final class SubmissionStages {
+public final class SubmissionStages {
   /** In the order in which a batch goes through them. */
   enum Stage {
     TRIED("tried"),
@@ -66,19 +66,21 @@
   }
 
   /** The client begins an attempt. */
-  void tried(String clientId, SimulatedProcess edge) {
-    attempts.computeIfAbsent(clientId, unseen -> new ArrayList<>()).add(new SubmissionAttempt(edge.name));
+  public void tried(String clientId, SimulatedProcess edge) {
+    attempts
+        .computeIfAbsent(clientId, unseen -> new ArrayList<>())
+        .add(new SubmissionAttempt(edge.name));
     reach(clientId, edge, Stage.TRIED);
   }
 
   /** The edge begins to read the body. */
-  void arrived(String clientId, SimulatedProcess edge) {
+  public void arrived(String clientId, SimulatedProcess edge) {
     arriving.put(edge.name, clientId);
     reach(clientId, edge, Stage.ARRIVED);
   }
 
   /** The client receives the acceptance. */
-  void answered(String clientId, SimulatedProcess edge) {
+  public void answered(String clientId, SimulatedProcess edge) {
     reach(clientId, edge, Stage.ANSWERED);
   }
 
@@ -149,7 +151,7 @@
   }
 
   /** A line for each attempt: in ms since the first try, when each stage was reached. */
-  String report() {
+  public String report() {
     StringBuilder report = new StringBuilder();
     attempts.forEach((clientId, tries) -> report(report, clientId, tries));
     return report.toString();
--- a/test-fleet/src/main/java/applespindle/testfleet/WorkerEngine.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/WorkerEngine.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.environment.ProxiedRequest;
 
@@ -14,7 +14,7 @@
  * @param ranks the urgent are admitted first and take the place of others; else in order of arrival
  * @param tellsLoad answers tell how many run and wait
  */
-record WorkerEngine(
+public record WorkerEngine(
     int slots,
     int waitingMost,
     double firstMs,
@@ -29,7 +29,8 @@
       new WorkerEngine(ProxyWorkers.SLOTS, 6, 8, 0.05, 4, 0, false, true, true, 20_000);
 
   /** Hears of each request that arrives at a worker, before it is queued. */
-  interface Watcher {
+  public interface Watcher {
+    /** A request has reached a worker. */
     void arrives(ProxyWorkers.Worker worker, String edgeZone, ProxiedRequest request);
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/WorkerListing.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/WorkerListing.java
@@ -1,9 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.environment.Environment.ListedWorker;
 import applespindle.corelogic.environment.Environment.WorkerListPage;
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History.Kind;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedList;
@@ -16,9 +16,9 @@
  * The list of workers that the simulated platform keeps: it lags, is read in pages, limits the rate
  * of calls and can be faulty.
  */
-final class WorkerListing {
+public final class WorkerListing {
   /** The fault of the list, if any. */
-  enum Condition {
+  public enum Condition {
     WELL,
     DOWN,
     REFUSES,
@@ -47,8 +47,8 @@
   private int addresses;
   private double availableCalls;
   private long availableAtMs;
-  int calls;
-  int refusedCalls;
+  public int calls;
+  public int refusedCalls;
 
   WorkerListing(Simulation simulation, long lagMs, double callsPerS) {
     this.simulation = simulation;
@@ -58,7 +58,8 @@
     shown.put(0L, List.of());
   }
 
-  void become(Condition next) {
+  /** Changes the condition of the list. */
+  public void become(Condition next) {
     boolean faulty = next != Condition.WELL;
     if (faulty != (condition != Condition.WELL)) {
       simulation.history.add(
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/DutyCycle.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/DutyCycle.java
@@ -1,6 +1,6 @@
 package applespindle.testfleet.soak;
 
-import applespindle.testfleet.Fleet.Member;
+import applespindle.testfleet.processes.Fleet.Member;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/InvariantCounters.java
@@ -2,8 +2,8 @@
 
 import applespindle.operatortool.HttpCaller;
 import applespindle.operatortool.HttpCaller.Result;
-import applespindle.testfleet.Fleet.Member;
-import applespindle.testfleet.Metrics;
+import applespindle.testfleet.processes.Fleet.Member;
+import applespindle.testfleet.processes.Metrics;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/Relays.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/Relays.java
@@ -1,6 +1,6 @@
 package applespindle.testfleet.soak;
 
-import applespindle.testfleet.Fleet;
+import applespindle.testfleet.processes.Fleet;
 import io.activej.eventloop.Eventloop;
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakFaultInjector.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakFaultInjector.java
@@ -1,9 +1,9 @@
 package applespindle.testfleet.soak;
 
-import applespindle.testfleet.EmulatedWorkers;
-import applespindle.testfleet.Fleet;
-import applespindle.testfleet.Fleet.Member;
-import applespindle.testfleet.History;
+import applespindle.testfleet.deployment.EmulatedWorkers;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.processes.Fleet;
+import applespindle.testfleet.processes.Fleet.Member;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakProgram.java
@@ -1,6 +1,6 @@
 package applespindle.testfleet.soak;
 
-import applespindle.testfleet.Deployment;
+import applespindle.testfleet.deployment.Deployment;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakRun.java
@@ -1,9 +1,9 @@
 package applespindle.testfleet.soak;
 
-import applespindle.testfleet.Deployment;
-import applespindle.testfleet.Fleet;
-import applespindle.testfleet.RealTraffic;
-import applespindle.testfleet.RealTraffic.Batch;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.processes.Fleet;
+import applespindle.testfleet.processes.RealTraffic;
+import applespindle.testfleet.processes.RealTraffic.Batch;
 import applespindle.testfleet.soak.NetworkFaults.Traffic;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/test-fleet/src/main/java/applespindle/testfleet/soak/SoakVerifier.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/soak/SoakVerifier.java
@@ -1,11 +1,11 @@
 package applespindle.testfleet.soak;
 
 import applespindle.operatortool.HttpCaller.Result;
-import applespindle.testfleet.Checker;
-import applespindle.testfleet.Fleet;
-import applespindle.testfleet.Fleet.Member;
-import applespindle.testfleet.RealTraffic;
-import applespindle.testfleet.RealTraffic.Batch;
+import applespindle.testfleet.checker.Checker;
+import applespindle.testfleet.processes.Fleet;
+import applespindle.testfleet.processes.Fleet.Member;
+import applespindle.testfleet.processes.RealTraffic;
+import applespindle.testfleet.processes.RealTraffic.Batch;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/test-fleet/src/test/java/applespindle/testfleet/HistoryEvents.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/checker/HistoryEvents.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import applespindle.testfleet.History.Kind;
-import applespindle.testfleet.History.Seen;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.History.Seen;
 
 /** Events of batches, live requests and configurations, to build histories with. */
 final class HistoryEvents {
--- a/test-fleet/src/test/java/applespindle/testfleet/LinearizabilityCheckerTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/checker/LinearizabilityCheckerTest.java
@@ -1,8 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
 import static com.google.common.truth.Truth.assertThat;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
--- a/test-fleet/src/test/java/applespindle/testfleet/ProxyHistories.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/checker/ProxyHistories.java
@@ -1,23 +1,25 @@
-package applespindle.testfleet;
+package applespindle.testfleet.checker;
 
-import static applespindle.testfleet.History.Kind.BOUND;
-import static applespindle.testfleet.History.Kind.CHANGE_ANSWERED;
-import static applespindle.testfleet.History.Kind.CHANGE_ROUTE;
-import static applespindle.testfleet.History.Kind.CHANGE_SENT;
-import static applespindle.testfleet.History.Kind.OPAQUE_ANSWERED;
-import static applespindle.testfleet.History.Kind.OPAQUE_CLOSED;
-import static applespindle.testfleet.History.Kind.OPAQUE_ITEM;
-import static applespindle.testfleet.History.Kind.OPAQUE_READ;
-import static applespindle.testfleet.History.Kind.OPAQUE_RESULT;
-import static applespindle.testfleet.History.Kind.OPAQUE_SENT;
-import static applespindle.testfleet.History.Kind.REQUEST_ANSWERED;
-import static applespindle.testfleet.History.Kind.REQUEST_SENT;
-import static applespindle.testfleet.History.Kind.RUN_ARRIVED;
-import static applespindle.testfleet.History.Kind.RUN_BEGAN;
-import static applespindle.testfleet.History.Kind.RUN_ENDED;
-import static applespindle.testfleet.History.Kind.WORKER_BORN;
+import static applespindle.testfleet.history.History.Kind.BOUND;
+import static applespindle.testfleet.history.History.Kind.CHANGE_ANSWERED;
+import static applespindle.testfleet.history.History.Kind.CHANGE_ROUTE;
+import static applespindle.testfleet.history.History.Kind.CHANGE_SENT;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_ANSWERED;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_CLOSED;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_ITEM;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_READ;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_RESULT;
+import static applespindle.testfleet.history.History.Kind.OPAQUE_SENT;
+import static applespindle.testfleet.history.History.Kind.REQUEST_ANSWERED;
+import static applespindle.testfleet.history.History.Kind.REQUEST_SENT;
+import static applespindle.testfleet.history.History.Kind.RUN_ARRIVED;
+import static applespindle.testfleet.history.History.Kind.RUN_BEGAN;
+import static applespindle.testfleet.history.History.Kind.RUN_ENDED;
+import static applespindle.testfleet.history.History.Kind.WORKER_BORN;
 
-import applespindle.testfleet.History.Kind;
+import applespindle.testfleet.history.History;
+import applespindle.testfleet.history.History.Kind;
+import applespindle.testfleet.history.ProxiedOutput;
 import java.util.List;
 
 /** A correct history of proxied requests and batches, and the events to modify it with. */
--- a/test-fleet/src/test/java/applespindle/testfleet/KnownRedTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/ci/KnownRedTest.java
@@ -1,12 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.ci;
 
-import static applespindle.testfleet.KnownRed.Outcome.FAILED;
-import static applespindle.testfleet.KnownRed.Outcome.PASSED;
-import static applespindle.testfleet.KnownRed.Outcome.SKIPPED;
+import static applespindle.testfleet.ci.KnownRed.Outcome.FAILED;
+import static applespindle.testfleet.ci.KnownRed.Outcome.PASSED;
+import static applespindle.testfleet.ci.KnownRed.Outcome.SKIPPED;
 import static com.google.common.truth.Truth.assertThat;
 
-import applespindle.testfleet.KnownRed.Outcome;
-import applespindle.testfleet.KnownRed.Verdict;
+import applespindle.testfleet.ci.KnownRed.Outcome;
+import applespindle.testfleet.ci.KnownRed.Verdict;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/test/java/applespindle/testfleet/BadInputTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/processes/BadInputTest.java
@@ -1,9 +1,10 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.operatortool.HttpCaller.Result;
+import applespindle.testfleet.deployment.Deployment;
 import io.activej.http.HttpMethod;
 import java.io.IOException;
 import java.io.InputStream;
--- a/test-fleet/src/test/java/applespindle/testfleet/RealFleetTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/processes/RealFleetTest.java
@@ -1,11 +1,12 @@
-package applespindle.testfleet;
+package applespindle.testfleet.processes;
 
 import static com.google.common.truth.Truth.assertThat;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.operatortool.HttpCaller.Result;
 import applespindle.operatortool.OperatorTool;
-import applespindle.testfleet.Fleet.Member;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.processes.Fleet.Member;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.Socket;
--- a/test-fleet/src/test/java/applespindle/testfleet/ConfigurationPatchesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/ConfigurationPatchesTest.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -11,6 +11,9 @@
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.metadata.SignedConfiguration;
 import applespindle.corelogic.protocol.Operation;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Base64;
--- a/test-fleet/src/test/java/applespindle/testfleet/ManyChangesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/ManyChangesTest.java
@@ -1,11 +1,11 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import applespindle.testfleet.ManyChanges.Absence;
-import applespindle.testfleet.ManyChanges.Plan;
-import applespindle.testfleet.ManyChanges.Result;
+import applespindle.testfleet.scenario.ManyChanges.Absence;
+import applespindle.testfleet.scenario.ManyChanges.Plan;
+import applespindle.testfleet.scenario.ManyChanges.Result;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.parallel.Execution;
--- a/test-fleet/src/test/java/applespindle/testfleet/MembershipStepsTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/MembershipStepsTest.java
@@ -1,9 +1,10 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import applespindle.testfleet.CrashPoints.Case;
+import applespindle.testfleet.scenario.CrashPoints.Case;
+import applespindle.testfleet.simulation.CrashPoint;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/test/java/applespindle/testfleet/MutationTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/MutationTest.java
@@ -1,8 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import applespindle.testfleet.checker.Checker;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/test-fleet/src/test/java/applespindle/testfleet/QuorumBootstrapTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/QuorumBootstrapTest.java
@@ -1,10 +1,13 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import applespindle.corelogic.environment.Environment.WorkerListPage;
 import applespindle.corelogic.environment.NodeSettings;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/test-fleet/src/test/java/applespindle/testfleet/RevisionMemoryTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/RevisionMemoryTest.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -7,6 +7,10 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.constants.ConfigurationConstants;
 import applespindle.corelogic.protocol.Operation;
+import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.Simulation;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
--- a/test-fleet/src/test/java/applespindle/testfleet/SeedDiscoveryTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SeedDiscoveryTest.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -15,7 +15,11 @@
 import applespindle.corelogic.live.ProxiedResponseListener;
 import applespindle.corelogic.metadata.SignedConfiguration;
 import applespindle.corelogic.protocol.Operation;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.simulation.SimulatedProcess;
+import applespindle.testfleet.simulation.SimulatedWorkers;
+import applespindle.testfleet.simulation.Simulation;
+import applespindle.testfleet.simulation.Simulation.Caller;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.Range;
 import java.util.ArrayList;
--- a/test-fleet/src/test/java/applespindle/testfleet/SimulatedResponse.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SimulatedResponse.java
@@ -1,7 +1,7 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import applespindle.corelogic.api.Response;
-import applespindle.testfleet.Simulation.Caller;
+import applespindle.testfleet.simulation.Simulation.Caller;
 
 /** What a caller got from a simulated process, if anything. */
 final class SimulatedResponse implements Caller<Response> {
--- a/test-fleet/src/test/java/applespindle/testfleet/SlowEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SlowEdgesTest.java
@@ -1,4 +1,4 @@
-package applespindle.testfleet;
+package applespindle.testfleet.scenario;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/test-fleet/src/test/java/applespindle/testfleet/SimulatedProcessorTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/simulation/SimulatedProcessorTest.java
@@ -1,8 +1,9 @@
-package applespindle.testfleet;
+package applespindle.testfleet.simulation;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import applespindle.corelogic.common.Json;
+import applespindle.testfleet.deployment.Deployment;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/test-fleet/src/test/java/applespindle/testfleet/soak/SoakTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/soak/SoakTest.java
@@ -3,8 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import applespindle.testfleet.Deployment;
-import applespindle.testfleet.RealTraffic.Batch;
+import applespindle.testfleet.deployment.Deployment;
+import applespindle.testfleet.processes.RealTraffic.Batch;
 import java.io.IOException;
 import java.nio.file.Path;
 import org.junit.jupiter.api.io.TempDir;
