--- a/test-fleet/src/test/java/applespindle/testfleet/scenario/ConfigurationCrashPointsTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/ConfigurationCrashPointsTest.java
@@ -18,7 +18,7 @@
  */
 class ConfigurationCrashPointsTest {
   private static final Path SCENARIO =
-      Path.of("src/test/resources/scenarios/orders-at-crash-points.txt");
+      Path.of("src/test/resources/scenarios/configuration-crash-points.txt");
   private static final List<Integer> NUMBERS =
       Arrays.stream(System.getProperty("applespindle.instantNumbers", "3").split(","))
           .map(Integer::parseInt)
