Shards get their replica sets also where the preferred leader has changed

Cause: the first replica set of a shard was created only by the member that was the preferred leader at that moment. Where another member had been elected shortly before the preferred one came (back) into contact, it led the key without a value and created nothing, and replicas elect no other member while a leader is alive. The shard then had no replicas for good: each batch of such a shard was refused everywhere with NO_QUORUM, and the preferred member stood for election four times a second.

Change: whoever leads the key creates the set; the preferred member stands for election only while no leader is in contact.

--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ShardReplicaManager.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ShardReplicaManager.java
@@ -3,7 +3,6 @@
 import applespindle.corelogic.changefeed.MetadataTable;
 import applespindle.corelogic.constants.ShardConstants;
 import applespindle.corelogic.environment.Environment;
-import applespindle.corelogic.membership.QuorumView;
 import applespindle.corelogic.metadata.MetadataKeys;
 import applespindle.corelogic.metadata.NodeRegistration;
 import applespindle.corelogic.metadata.ShardAssignment;
@@ -32,7 +31,6 @@
 
   private final Environment environment;
   private final MetadataTable table;
-  private final QuorumView quorum;
   private final LedKeys keys;
   private final TraceLog traceLog;
   private final BooleanSupplier running;
@@ -48,7 +46,6 @@
       ControlPlaneContext context, StorageNodeDirectory directory, ShardHealth shardHealth) {
     this.environment = context.environment();
     this.table = context.table();
-    this.quorum = context.quorum();
     this.keys = context.keys();
     this.traceLog = context.traceLog();
     this.running = context.running();
@@ -97,17 +94,21 @@
     }
     for (int shard = 0; shard < ShardConstants.SHARD_COUNT; shard++) {
       String key = MetadataKeys.SHARD_PREFIX + shard;
-      if (!table.has(key) && quorum.isPreferredLeaderOf(key)) {
+      if (!table.has(key)) {
         createAssignment(key, storage);
       }
     }
   }
 
-  /** Starts an election for the key if this node does not lead it yet. */
+  /**
+   * The leader of the key creates the set, also if another member has become the preferred leader
+   * since its election: replicas elect no other while the leader is alive. Without a known leader
+   * the preferred member starts an election.
+   */
   private void createAssignment(String key, List<NodeRegistration> storage) {
     LedKey ledKey = keys.get(key);
     if (ledKey == null) {
-      keys.elect(key);
+      keys.electIfVacant(key);
     } else if (!ledKey.hasValue()) {
       List<ShardReplica> replicas = ShardPlacement.placeShard(key, storage, replicationFactor);
       keys.put(ledKey, new ShardAssignment(1, replicas, List.of()), error -> {});
