The first edge list: an election only while no leader is in contact

The preferred member stood for election for the first edge list without asking whether a leader was in contact; that leader creates the list, so nothing was lost but elections. Change: electIfVacant, as for shards and the worker list.

--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/EdgeListManager.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/EdgeListManager.java
@@ -3,7 +3,6 @@
 import applespindle.corelogic.changefeed.MetadataTable;
 import applespindle.corelogic.changefeed.UpdateAcknowledgements;
 import applespindle.corelogic.environment.Environment;
-import applespindle.corelogic.membership.QuorumView;
 import applespindle.corelogic.metadata.EdgeList;
 import applespindle.corelogic.metadata.MetadataKeys;
 import java.util.Optional;
@@ -21,7 +20,6 @@
 
   private final Environment environment;
   private final MetadataTable table;
-  private final QuorumView quorum;
   private final LedKeys keys;
   private final UpdateAcknowledgements updateAcknowledgements;
   private final EdgeListPolicy policy;
@@ -29,7 +27,6 @@
   EdgeListManager(ControlPlaneContext context) {
     this.environment = context.environment();
     this.table = context.table();
-    this.quorum = context.quorum();
     this.keys = context.keys();
     this.updateAcknowledgements = context.updateAcknowledgements();
     this.policy = new EdgeListPolicy(environment);
@@ -48,9 +45,8 @@
 
   /** Before the first list, one process has to lead the key once there are edges. */
   private void electForFirstList(Set<String> live) {
-    boolean needed = !table.has(MetadataKeys.EDGE_LIST) && !live.isEmpty();
-    if (needed && quorum.isPreferredLeaderOf(MetadataKeys.EDGE_LIST)) {
-      keys.elect(MetadataKeys.EDGE_LIST);
+    if (!table.has(MetadataKeys.EDGE_LIST) && !live.isEmpty()) {
+      keys.electIfVacant(MetadataKeys.EDGE_LIST);
     }
   }
 
