Tenants and their API keys: configuration, lookup, and what workers see of them

Change: RoutingConfiguration holds tenants, and a route may be public; stored forms without them read and are written as before. TenantKeys finds the tenant of a key, TenantAccess decides for which tenant a request runs. ProxiedRequest carries the key, WorkerExchange the tenant's name; where there are tenants, the client's credentials and its statement of a tenant are dropped, and the name is set. A key that no tenant holds gets 401 UnknownApiKey, or 503 where the metadata are stale. The configuration of the platform isn't read yet, nor is the time bound of a withdrawn key there; items of batches still pass their headers.

--- a/core-logic/src/main/java/applespindle/corelogic/api/ApiError.java
+++ b/core-logic/src/main/java/applespindle/corelogic/api/ApiError.java
@@ -60,6 +60,9 @@
   /** No rule of the configuration matches the request. */
   record NoMatchingRule() implements ApiError {}
 
+  /** The request carries no API key, or one that no tenant holds. */
+  record UnknownApiKey() implements ApiError {}
+
   /** The idempotency key was used before, with other content. */
   record IdempotencyKeyConflict(String batch) implements ApiError {}
 
--- a/core-logic/src/main/java/applespindle/corelogic/api/ApiErrorTable.java
+++ b/core-logic/src/main/java/applespindle/corelogic/api/ApiErrorTable.java
@@ -151,6 +151,10 @@
         ApiError.NoMatchingRule.class,
         new Description(
             "NoMatchingRule", 404, false, "No rule of the bundle matches the request."));
+    table.put(
+        ApiError.UnknownApiKey.class,
+        new Description(
+            "UnknownApiKey", 401, false, "No tenant holds the API key, or it is missing."));
     table.put(
         ApiError.QueueFull.class,
         new Description(
--- a/core-logic/src/main/java/applespindle/corelogic/api/InputReader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/api/InputReader.java
@@ -2,6 +2,7 @@
 
 import static applespindle.corelogic.common.Json.JSON;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -254,6 +255,9 @@
     }
     for (RecordComponent component : components) {
       String name = jsonNameOf(component);
+      if (!object.has(name) && mayBeMissing(component)) {
+        continue;
+      }
       if (!compare(path + "." + name, object.path(name), component.getGenericType(), errors)) {
         object.remove(name);
       }
@@ -261,6 +265,12 @@
     return true;
   }
 
+  /** Whether this program itself leaves the component out when it has its default. */
+  private static boolean mayBeMissing(RecordComponent component) {
+    JsonInclude written = component.getAccessor().getAnnotation(JsonInclude.class);
+    return written != null && written.value() == JsonInclude.Include.NON_DEFAULT;
+  }
+
   private static String jsonNameOf(RecordComponent component) {
     return jsonNameOf(component.getAccessor());
   }
--- a/core-logic/src/main/java/applespindle/corelogic/configuration/RoutingConfiguration.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/RoutingConfiguration.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.configuration;
 
 import applespindle.corelogic.constants.BatchConstants;
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import jakarta.validation.Valid;
 import jakarta.validation.constraints.DecimalMax;
@@ -31,6 +32,8 @@
  * @param clients bounds on what clients send; null: the defaults of the program
  * @param origin the document that the configuration was translated from, where the deployment has a
  *     {@link ConfigurationFormat} of its own; nodes don't interpret it
+ * @param tenants the tenants whose API keys requests must carry, except on public routes; null:
+ *     requests need no key
  */
 public record RoutingConfiguration(
     @Min(1) long number,
@@ -39,7 +42,8 @@
     @NotNull @Valid Limits limits,
     List<@Valid @NotNull Route> routes,
     @Valid ClientLimits clients,
-    String origin) {
+    String origin,
+    @JsonInclude(JsonInclude.Include.NON_NULL) List<@Valid @NotNull Tenant> tenants) {
 
   /** How the proxied requests of a route are run. */
   public enum RouteType {
@@ -71,6 +75,7 @@
    * @param retentionMs of batches: the time until results may be deleted, in milliseconds; 0: the
    *     default
    * @param maxQueuedTokens of batches: the limit of queued tokens over the fleet; 0: none
+   * @param isPublic whether requests need no API key although there are tenants
    */
   public record Route(
       @NotBlank String name,
@@ -87,13 +92,68 @@
       @NotEmpty List<@Valid @NotNull PoolWeight> split,
       @Min(0) long completionTargetMs,
       @Min(0) long retentionMs,
-      @JsonProperty("waitingTokensMost") @Min(0) long maxQueuedTokens) {
+      @JsonProperty("waitingTokensMost") @Min(0) long maxQueuedTokens,
+      @JsonProperty("public") @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean isPublic) {
+    /** A route that is not public. */
+    public Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RouteType type,
+        long timeoutMs,
+        long targetMs,
+        long gapTargetMs,
+        int attempts,
+        int rank,
+        boolean sticky,
+        boolean resumable,
+        List<PoolWeight> split,
+        long completionTargetMs,
+        long retentionMs,
+        long maxQueuedTokens) {
+      this(
+          name,
+          host,
+          pathPrefix,
+          type,
+          timeoutMs,
+          targetMs,
+          gapTargetMs,
+          attempts,
+          rank,
+          sticky,
+          resumable,
+          split,
+          completionTargetMs,
+          retentionMs,
+          maxQueuedTokens,
+          false);
+    }
+
     /** Returns whether a share of the requests goes to the pool. */
     public boolean sendsTo(String pool) {
       return split.stream().anyMatch(share -> share.pool().equals(pool) && share.weight() > 0);
     }
   }
 
+  /**
+   * A customer of the deployment, who is recognized by API keys.
+   *
+   * @param name what workers and batches know it by
+   * @param apiKeys the keys that its requests carry; secret, so no text form shows them
+   * @param priority comes ahead of the route's priority; 0 is served first
+   */
+  public record Tenant(
+      @NotBlank String name,
+      @NotNull List<@NotBlank String> apiKeys,
+      @Min(0) @Max(100) int priority) {
+    /** The name and the priority, without the keys. */
+    @Override
+    public String toString() {
+      return "Tenant[name=" + name + ", priority=" + priority + "]";
+    }
+  }
+
   /** The share of a route's requests that goes to a pool: its part of the sum of all weights. */
   public record PoolWeight(@NotBlank String pool, @Min(0) @Max(1_000_000) int weight) {}
 
@@ -113,12 +173,30 @@
     this(number, pools, rules, limits, null, null, null);
   }
 
+  /** A configuration without tenants. */
+  public RoutingConfiguration(
+      long number,
+      Map<String, Pool> pools,
+      List<Rule> rules,
+      Limits limits,
+      List<Route> routes,
+      ClientLimits clients,
+      String origin) {
+    this(number, pools, rules, limits, routes, clients, origin, null);
+  }
+
   /** The routes of proxied requests; empty if there are none. */
   @Override
   public List<Route> routes() {
     return routes == null ? List.of() : routes;
   }
 
+  /** The number alone: the origin holds the API keys of the tenants. */
+  @Override
+  public String toString() {
+    return "RoutingConfiguration[number=" + number + "]";
+  }
+
   /**
    * A set of workers; the list of workers names the pool of each. The last three components are
    * null where they are not known.
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -14,6 +14,8 @@
 import applespindle.corelogic.batch.SubmissionWarmUp;
 import applespindle.corelogic.configuration.RouteTable;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.configuration.TenantAccess;
+import applespindle.corelogic.configuration.TenantKeys;
 import applespindle.corelogic.constants.ReplicationConstants;
 import applespindle.corelogic.constants.WorkerConstants;
 import applespindle.corelogic.dataplane.DataPlaneNode;
@@ -87,6 +89,9 @@
   /** The compiled routes of the configuration in force. */
   private RouteTable routes = RouteTable.EMPTY;
 
+  /** The keys of the tenants of the configuration in force. */
+  private TenantKeys tenantKeys = TenantKeys.NONE;
+
   private Consumer<RoutingConfiguration> configurationListener = configuration -> {};
 
   /** An edge with the default settings and the own format of batches. */
@@ -173,6 +178,7 @@
       registry.updateWorkers(workers());
     } else if (key.equals(MetadataKeys.CONFIGURATION) && configuration() != null) {
       routes = RouteTable.compile(configuration());
+      tenantKeys = TenantKeys.compile(configuration());
       configurationListener.accept(configuration());
     } else if (key.startsWith(MetadataKeys.MEMBER_PREFIX)) {
       dispatcherAssignment.invalidate();
@@ -348,6 +354,12 @@
     return routes;
   }
 
+  @Override
+  public TenantAccess tenantAccess(RoutingConfiguration.Route route, String apiKey) {
+    ApiError stale = isFeedStale() ? new ApiError.NodeIsolated(feedAge()) : null;
+    return TenantAccess.check(tenantKeys, route, apiKey, null, stale);
+  }
+
   @Override
   public boolean isMetadataFresh() {
     return !isFeedStale();
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeServices.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeServices.java
@@ -4,6 +4,8 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.configuration.RouteTable;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.configuration.RoutingConfiguration.Route;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.dataplane.BatchLeaderPlacement;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.metadata.NodeRegistration;
@@ -44,6 +46,9 @@
 
   RouteTable routes();
 
+  /** For which tenant a request with this key may run on the route; the key is empty for none. */
+  TenantAccess tenantAccess(Route route, String apiKey);
+
   /** The live nodes by id. */
   Map<String, NodeRegistration> members();
 
--- a/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
@@ -128,6 +128,10 @@
    * @param expiryMs how long the worker may work on it
    * @param resumeAfter id of the event after which the worker is to resume a stream; empty to start
    *     from the beginning
+   * @param tenant the tenant that the worker is told: null where there are no tenants, so that the
+   *     client's headers pass unchanged; empty if the request has none, which only happens on
+   *     public routes. Unless it is null, neither the client's key nor its own statement of a
+   *     tenant reaches the worker
    */
   record WorkerExchange(
       String address,
@@ -135,7 +139,19 @@
       ProxiedRequest request,
       int rank,
       long expiryMs,
-      String resumeAfter) {}
+      String resumeAfter,
+      String tenant) {
+    /** An exchange where there are no tenants. */
+    public WorkerExchange(
+        String address,
+        String workerId,
+        ProxiedRequest request,
+        int rank,
+        long expiryMs,
+        String resumeAfter) {
+      this(address, workerId, request, rank, expiryMs, resumeAfter, null);
+    }
+  }
 
   /** Gets the response to one {@link WorkerExchange}. */
   interface ExchangeListener {
--- a/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.constants.WorkerConstants;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.Environment.WorkerCallHandle;
@@ -34,6 +35,7 @@
   private final ProxyContext context;
   private final Environment environment;
   private final ProxiedRequest request;
+  private final TenantAccess access;
   private final ProxiedResponseListener listener;
   private final Route route;
   private final String pool;
@@ -70,6 +72,7 @@
   ProxiedRequestCall(
       ProxyContext context,
       ProxiedRequest request,
+      TenantAccess access,
       ProxiedResponseListener listener,
       Route route,
       String pool,
@@ -77,6 +80,7 @@
     this.context = context;
     this.environment = context.environment();
     this.request = request;
+    this.access = access;
     this.listener = listener;
     this.route = route;
     this.pool = pool;
@@ -111,6 +115,11 @@
     return route;
   }
 
+  /** The tenant's name; empty if the request has none, null where there are no tenants. */
+  String tenant() {
+    return access.name();
+  }
+
   String pool() {
     return pool;
   }
@@ -225,7 +234,8 @@
                 request,
                 route.rank(),
                 remainingMs,
-                lastEventId),
+                lastEventId,
+                access.name()),
             attempt);
     if (currentAttempt == attempt) {
       attempt.setHandle(handle);
--- a/core-logic/src/main/java/applespindle/corelogic/live/ProxyDispatcher.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/ProxyDispatcher.java
@@ -4,6 +4,7 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.constants.LifecycleConstants;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.ProxiedRequest;
@@ -72,6 +73,9 @@
     if (rejection == null && (route == null || route.type() == RouteType.BATCH)) {
       rejection = new ApiError.NoMatchingRule();
     }
+    TenantAccess access =
+        rejection == null ? edge.tenantAccess(route, request.apiKey()) : TenantAccess.NONE;
+    rejection = rejection == null ? access.rejection() : rejection;
     if (rejection != null) {
       reject(rejection, listener);
       return () -> {};
@@ -79,7 +83,7 @@
     edge.incrementCounter("opaque_taken");
     String pool = poolSelector.select(route);
     ProxiedRequestCall call =
-        new ProxiedRequestCall(context, request, listener, route, pool, arrivedAt);
+        new ProxiedRequestCall(context, request, access, listener, route, pool, arrivedAt);
     monitor.add(call);
     call.sendToNextWorker(new ApiError.NoWorker(pool));
     return call;
--- a/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
+++ b/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
@@ -3,6 +3,8 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.RouteTable;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.configuration.RoutingConfiguration.Route;
+import applespindle.corelogic.configuration.TenantAccess;
 import java.util.function.Consumer;
 
 /** What the dispatchers and the worker selection need of their edge. Called on the logic thread. */
@@ -22,6 +24,9 @@
   /** The routes for proxied requests of that configuration; empty before the first. */
   RouteTable routes();
 
+  /** For which tenant a request with this key may run on the route; the key is empty for none. */
+  TenantAccess tenantAccess(Route route, String apiKey);
+
   /**
    * Claims an idempotency id for a request.
    *
--- a/core-logic/src/test/java/applespindle/corelogic/api/ApiErrorFormatTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/api/ApiErrorFormatTest.java
@@ -101,6 +101,7 @@
     errors.put("item-impossible", new ApiError.ItemNotExecutable());
     errors.put("unknown-duty", new ApiError.UnknownRequest("duty"));
     errors.put("overloaded", new ApiError.Overloaded("ring"));
+    errors.put("unknown-api-key", new ApiError.UnknownApiKey());
     errors.put("internal-fault", new ApiError.InternalError("kind"));
   }
 }
--- a/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
@@ -10,8 +10,10 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.Limits;
 import applespindle.corelogic.configuration.RoutingConfiguration.Match;
 import applespindle.corelogic.configuration.RoutingConfiguration.Pool;
+import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RoutingAction;
 import applespindle.corelogic.configuration.RoutingConfiguration.Rule;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.metadata.WorkerRegistration;
 import applespindle.corelogic.worker.EdgeContext;
@@ -148,6 +150,11 @@
     return RouteTable.EMPTY;
   }
 
+  @Override
+  public TenantAccess tenantAccess(Route route, String apiKey) {
+    return TenantAccess.NONE;
+  }
+
   @Override
   public void claimIdempotencyId(String id, String token, Consumer<ApiError> then) {
     claims.add(new Claim(id, token, then));
--- a/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
@@ -9,6 +9,7 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.PoolWeight;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.environment.FakeEnvironment.Sent;
 import applespindle.corelogic.environment.ProxiedRequest;
@@ -106,6 +107,11 @@
     return configuration == null ? RouteTable.EMPTY : RouteTable.compile(configuration);
   }
 
+  @Override
+  public TenantAccess tenantAccess(Route route, String apiKey) {
+    return TenantAccess.NONE;
+  }
+
   @Override
   public void claimIdempotencyId(String id, String token, Consumer<ApiError> then) {}
 
