Tenants on the live path: the platform's fields, ranks, and the bound on withdrawn keys

Requests without a known key get 401, or 503 at a node whose metadata are stale. Where a bound on withdrawn keys holds for all machines, an edge admits keys only while its metadata are younger than the bound less 500 ms, whether it reaches other edges or not. Workers' ranks order by tenant, then route, items behind live requests.

Measured: unit tests of these classes pass (core-logic and platform).

--- a/core-logic/src/main/java/applespindle/corelogic/configuration/ConfigurationFormat.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/ConfigurationFormat.java
@@ -48,7 +48,14 @@
         @Override
         public Map<String, Collection> collections() {
           return Map.of(
-              "pools", Collection.BY_NAME, "rules", Collection.LIST, "routes", Collection.LIST);
+              "pools",
+              Collection.BY_NAME,
+              "rules",
+              Collection.LIST,
+              "routes",
+              Collection.LIST,
+              "tenants",
+              Collection.LIST);
         }
 
         @Override
--- a/core-logic/src/main/java/applespindle/corelogic/configuration/CrossFieldChecker.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/CrossFieldChecker.java
@@ -5,10 +5,13 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RoutingAction;
 import applespindle.corelogic.configuration.RoutingConfiguration.Rule;
+import applespindle.corelogic.configuration.RoutingConfiguration.Tenant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -35,6 +38,7 @@
       checker.errors.add(NO_RULES_AND_NO_ROUTES);
     }
     checker.checkRoutes();
+    checker.checkTenants();
     checker.checkRules();
     checker.checkPool("$.limits.batch.pool", configuration.limits().batch().pool());
     return checker.errors;
@@ -64,6 +68,31 @@
     }
   }
 
+  /** No reason holds the text of a key. */
+  private void checkTenants() {
+    List<Tenant> tenants = configuration.tenants() == null ? List.of() : configuration.tenants();
+    Set<String> names = new HashSet<>();
+    Map<String, Integer> holders = new HashMap<>();
+    for (int index = 0; index < tenants.size(); index++) {
+      String path = "$.tenants[" + index + "]";
+      if (!names.add(tenants.get(index).name())) {
+        reject(path + ".name", "is the name of an earlier tenant too");
+      }
+      checkApiKeys(path + ".apiKeys", index, tenants.get(index).apiKeys(), holders);
+    }
+  }
+
+  /** Adds the keys to the index of the tenant that holds each. */
+  private void checkApiKeys(
+      String path, int tenant, List<String> apiKeys, Map<String, Integer> holders) {
+    for (int index = 0; index < apiKeys.size(); index++) {
+      Integer holder = holders.putIfAbsent(apiKeys.get(index), tenant);
+      if (holder != null && holder != tenant) {
+        reject(path + "[" + index + "]", "is a key of an earlier tenant too");
+      }
+    }
+  }
+
   private void checkRules() {
     for (int index = 0; index < configuration.rules().size(); index++) {
       Rule rule = configuration.rules().get(index);
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -16,7 +16,9 @@
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.configuration.TenantKeys;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.constants.ReplicationConstants;
+import applespindle.corelogic.constants.TenantConstants;
 import applespindle.corelogic.constants.WorkerConstants;
 import applespindle.corelogic.dataplane.DataPlaneNode;
 import applespindle.corelogic.environment.Environment;
@@ -92,6 +94,8 @@
   /** The keys of the tenants of the configuration in force. */
   private TenantKeys tenantKeys = TenantKeys.NONE;
 
+  private WorkerRanks workerRanks = WorkerRanks.OF_ROUTES;
+
   private Consumer<RoutingConfiguration> configurationListener = configuration -> {};
 
   /** An edge with the default settings and the own format of batches. */
@@ -179,6 +183,7 @@
     } else if (key.equals(MetadataKeys.CONFIGURATION) && configuration() != null) {
       routes = RouteTable.compile(configuration());
       tenantKeys = TenantKeys.compile(configuration());
+      workerRanks = WorkerRanks.compile(configuration());
       configurationListener.accept(configuration());
     } else if (key.startsWith(MetadataKeys.MEMBER_PREFIX)) {
       dispatcherAssignment.invalidate();
@@ -356,8 +361,23 @@
 
   @Override
   public TenantAccess tenantAccess(RoutingConfiguration.Route route, String apiKey) {
-    ApiError stale = isFeedStale() ? new ApiError.NodeIsolated(feedAge()) : null;
-    return TenantAccess.check(tenantKeys, route, apiKey, null, stale);
+    ApiError stale = new ApiError.NodeIsolated(feedAge());
+    return TenantAccess.check(
+        tenantKeys, route, apiKey, areKeysOutdated() ? stale : null, isFeedStale() ? stale : null);
+  }
+
+  /**
+   * Whether a key that is known here may have been taken away so long ago that it must admit
+   * nobody. An edge that reaches a majority of the edges goes on without the control plane, but the
+   * age of its metadata grows.
+   */
+  private boolean areKeysOutdated() {
+    return settings.revokeMs() > 0 && feedAge() >= TenantConstants.maxKeyAgeMs(settings.revokeMs());
+  }
+
+  @Override
+  public WorkerRanks workerRanks() {
+    return workerRanks;
   }
 
   @Override
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeServices.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeServices.java
@@ -6,6 +6,7 @@
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.TenantAccess;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.dataplane.BatchLeaderPlacement;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.metadata.NodeRegistration;
@@ -49,6 +50,9 @@
   /** For which tenant a request with this key may run on the route; the key is empty for none. */
   TenantAccess tenantAccess(Route route, String apiKey);
 
+  /** The ranks of requests and items at workers, by the configuration in force. */
+  WorkerRanks workerRanks();
+
   /** The live nodes by id. */
   Map<String, NodeRegistration> members();
 
--- a/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
@@ -30,6 +30,8 @@
  *     commit
  * @param processorCores processor time that the machine has for this process, in full-speed cores;
  *     0 if unknown
+ * @param revokeMs how long after the acknowledgement of a configuration a request that is sent with
+ *     a key which it took away may still run, at any node, connected or not; 0: no such bound
  */
 public record NodeSettings(
     int faultTolerance,
@@ -47,7 +49,8 @@
     long diskBytes,
     double linkMegabits,
     boolean edgesAcknowledge,
-    double processorCores) {
+    double processorCores,
+    long revokeMs) {
   /**
    * The settings without a platform: one node may be lost, configurations are signed, and workers
    * are registered by calls instead of an external list.
@@ -71,6 +74,7 @@
           0,
           0,
           true,
+          0,
           0);
 
   /**
@@ -107,9 +111,32 @@
         diskBytes,
         linkMegabits,
         false,
+        0,
         0);
   }
 
+  /** These settings with another bound on the use of keys that were taken away, in milliseconds. */
+  public NodeSettings withRevokeMs(long boundMs) {
+    return new NodeSettings(
+        faultTolerance,
+        bootstrap,
+        voter,
+        signedConfigurations,
+        listCallsPerS,
+        listLagMs,
+        drainTimeoutMs,
+        cancelTimeoutMs,
+        shutdownGraceMs,
+        configurationApplyMs,
+        batchRetentionMs,
+        quotaOvershoot,
+        diskBytes,
+        linkMegabits,
+        edgesAcknowledge,
+        processorCores,
+        boundMs);
+  }
+
   /** These settings with another amount of processor time for this process, in full-speed cores. */
   public NodeSettings withProcessorCores(double cores) {
     return new NodeSettings(
@@ -128,7 +155,8 @@
         diskBytes,
         linkMegabits,
         edgesAcknowledge,
-        cores);
+        cores,
+        revokeMs);
   }
 
   /**
@@ -152,7 +180,8 @@
         diskBytes,
         linkMegabits,
         edgesAcknowledge,
-        processorCores);
+        processorCores,
+        revokeMs);
   }
 
   /**
@@ -176,7 +205,8 @@
         diskBytes,
         newer.linkMegabits,
         edgesAcknowledge,
-        newer.processorCores);
+        newer.processorCores,
+        newer.revokeMs);
   }
 
   /**
--- a/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
@@ -232,7 +232,7 @@
                 worker.registration.address(),
                 worker.registration.id(),
                 request,
-                route.rank(),
+                context.edge().workerRanks().ofRequest(access.tenant(), route),
                 remainingMs,
                 lastEventId,
                 access.name()),
--- a/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
+++ b/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.TenantAccess;
+import applespindle.corelogic.configuration.WorkerRanks;
 import java.util.function.Consumer;
 
 /** What the dispatchers and the worker selection need of their edge. Called on the logic thread. */
@@ -27,6 +28,9 @@
   /** For which tenant a request with this key may run on the route; the key is empty for none. */
   TenantAccess tenantAccess(Route route, String apiKey);
 
+  /** The ranks of requests and items at workers, by the configuration in force. */
+  WorkerRanks workerRanks();
+
   /**
    * Claims an idempotency id for a request.
    *
--- a/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
@@ -14,6 +14,7 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.RoutingAction;
 import applespindle.corelogic.configuration.RoutingConfiguration.Rule;
 import applespindle.corelogic.configuration.TenantAccess;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.metadata.WorkerRegistration;
 import applespindle.corelogic.worker.EdgeContext;
@@ -155,6 +156,11 @@
     return TenantAccess.NONE;
   }
 
+  @Override
+  public WorkerRanks workerRanks() {
+    return configuration == null ? WorkerRanks.OF_ROUTES : WorkerRanks.compile(configuration);
+  }
+
   @Override
   public void claimIdempotencyId(String id, String token, Consumer<ApiError> then) {
     claims.add(new Claim(id, token, then));
--- a/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
@@ -9,7 +9,10 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.PoolWeight;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.RoutingConfiguration.Tenant;
 import applespindle.corelogic.configuration.TenantAccess;
+import applespindle.corelogic.configuration.TenantKeys;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.environment.FakeEnvironment.Sent;
 import applespindle.corelogic.environment.ProxiedRequest;
@@ -39,6 +42,8 @@
   RoutingConfiguration configuration;
   ApiError newWorkRejection;
   ApiError admittedWorkRejection;
+  ApiError staleKeys;
+  ApiError staleMetadata;
 
   ProxyDispatcherFixture() {
     super(1_000);
@@ -77,6 +82,21 @@
     return this;
   }
 
+  /** The same routes with tenants. */
+  ProxyDispatcherFixture tenants(Tenant... tenants) {
+    configuration =
+        new RoutingConfiguration(
+            configuration.number() + 1,
+            configuration.pools(),
+            List.of(),
+            null,
+            configuration.routes(),
+            null,
+            null,
+            List.of(tenants));
+    return this;
+  }
+
   Sent last() {
     return sent.get(sent.size() - 1);
   }
@@ -109,7 +129,15 @@
 
   @Override
   public TenantAccess tenantAccess(Route route, String apiKey) {
-    return TenantAccess.NONE;
+    return configuration == null
+        ? TenantAccess.NONE
+        : TenantAccess.check(
+            TenantKeys.compile(configuration), route, apiKey, staleKeys, staleMetadata);
+  }
+
+  @Override
+  public WorkerRanks workerRanks() {
+    return configuration == null ? WorkerRanks.OF_ROUTES : WorkerRanks.compile(configuration);
   }
 
   @Override
