--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -29,7 +29,10 @@
     REFUSED_REQUEST_RAN,
     WRONG_POOL,
     STREAM_BROKEN,
-    RESPONSE_LOST
+    RESPONSE_LOST,
+    WRONG_TENANT,
+    UNKNOWN_KEY_RAN,
+    WITHDRAWN_KEY_RAN
   }
 
   /** One violation of a rule, with the time at which it was observed. */
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyChecker.java
@@ -19,6 +19,7 @@
     var runs = new WorkerRunRules(traffic, violations);
     var responses = new ProxiedResponseRules(traffic, violations);
     var changes = new RouteChangeRules(traffic, violations);
+    var tenants = new TenantRules(traffic, violations);
     var batches = new ProxiedBatchRules(traffic, violations);
     runs.runsAreAsAsked();
     responses.responsesAreComplete();
@@ -27,6 +28,7 @@
     changes.readsAreCurrent();
     changes.operatorsSeeOneRegister();
     changes.effectsAreInForce();
+    tenants.runsAreForTheTenantOfTheKey();
     responses.plannedStopsCutNothing();
     batches.batchesAreKept();
     batches.waitingTokensStayBelowLimit();
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyTraffic.java
@@ -39,11 +39,28 @@
       boolean valid,
       String buildsOn,
       long sentMs,
-      Map<String, Route> routes) {}
+      Map<String, Route> routes,
+      Map<String, String> tenantOfKey) {
+    /**
+     * Whether a request with this key may run on the route by this change; null: no key is needed.
+     */
+    boolean admits(Route route, String apiKey) {
+      return apiKey == null
+          || tenantOfKey.isEmpty()
+          || route.isPublic()
+          || tenantOfKey.containsKey(apiKey);
+    }
+  }
 
   /** A route as a change describes it. */
   record Route(
-      String host, String prefix, String type, int attempts, long tokensMost, Set<String> pools) {
+      String host,
+      String prefix,
+      String type,
+      int attempts,
+      long tokensMost,
+      Set<String> pools,
+      boolean isPublic) {
     static Route parse(String text) {
       String[] words = text.split(" ");
       return new Route(
@@ -52,7 +69,8 @@
           words[2],
           Integer.parseInt(words[3]),
           Long.parseLong(words[4]),
-          words.length > 5 ? Set.of(words[5].split(",")) : Set.of());
+          words.length > 5 ? Set.of(words[5].split(",")) : Set.of(),
+          words.length > 6 && words[6].equals("public"));
     }
   }
 
@@ -95,6 +113,13 @@
   final Map<String, Seen> answers = new HashMap<>();
   final Map<String, List<Run>> runsOf = new HashMap<>();
   final Map<String, Run> runs = new HashMap<>();
+
+  /** By request, the key that it carries; only where there are tenants. */
+  final Map<String, String> keyOfRequest = new HashMap<>();
+
+  /** By run, what its worker was told of the tenant. */
+  final Map<String, Seen> tenantOfRun = new HashMap<>();
+
   final Map<String, String> poolOfWorker = new HashMap<>();
   final Map<String, Change> changes = new LinkedHashMap<>();
 
@@ -132,6 +157,10 @@
         case REQUEST_ANSWERED -> answers.put(each.subject(), each);
         case WORKER_BORN -> poolOfWorker.put(each.subject(), each.detail());
         case RUN_ARRIVED -> indexRun(each, begins, ends);
+        case REQUEST_KEY -> keyOfRequest.put(each.subject(), each.text());
+        case RUN_TENANT -> tenantOfRun.put(each.text(), each);
+        case CHANGE_KEY ->
+            changes.get(each.subject()).tenantOfKey().put(each.text(), each.detail());
         case CHANGE_SENT -> indexChange(each);
         case CHANGE_ROUTE ->
             changes.get(each.subject()).routes().put(each.detail(), Route.parse(each.text()));
@@ -173,6 +202,7 @@
             sent.detail().equals("valid"),
             sent.text(),
             sent.atMs(),
+            new HashMap<>(),
             new HashMap<>());
     changes.putIfAbsent(change.id(), change);
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/RouteChangeRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/RouteChangeRules.java
@@ -22,10 +22,20 @@
    * How a node handled a request or a batch item.
    *
    * @param request null for a batch item
-   * @param pool where it ran; null if the node answered that there is no such route
+   * @param apiKey null if no key is judged
+   * @param pool where it ran; null if the node refused it
+   * @param refusal 404 if the node answered that there is no such route, 401 if it answered that no
+   *     tenant holds the key; 0 if it ran
    */
   private record Handling(
-      Seen request, String asked, long sentMs, String edge, long atMs, String pool) {
+      Seen request,
+      String asked,
+      String apiKey,
+      long sentMs,
+      String edge,
+      long atMs,
+      String pool,
+      long refusal) {
     String describe() {
       return (request == null ? "an item" : request.subject())
           + " asked "
@@ -33,10 +43,13 @@
           + ProxyTraffic.path(asked)
           + " at "
           + edge
-          + (pool == null ? " and was told of no route" : " ran in " + pool);
+          + (pool == null ? " and was refused with " + refusal : " ran in " + pool);
     }
   }
 
+  private static final long NO_ROUTE = 404;
+  private static final long UNKNOWN_KEY = 401;
+
   /** A node had a change of at least this number in force at a time. */
   private record Proof(long number, long atMs) {}
 
@@ -111,23 +124,46 @@
         runBegan(each);
       } else if (each.kind() == Kind.REQUEST_ANSWERED
           && each.detail().equals("refused")
-          && each.number() == 404) {
-        Seen request = traffic.requests.get(each.subject());
-        String edge = ProxyTraffic.edgeOf(request);
-        check(new Handling(request, request.text(), request.atMs(), edge, each.atMs(), null));
+          && (each.number() == NO_ROUTE || each.number() == UNKNOWN_KEY)) {
+        refused(each);
       }
     }
   }
 
+  private void refused(Seen answer) {
+    Seen request = traffic.requests.get(answer.subject());
+    check(
+        new Handling(
+            request,
+            request.text(),
+            traffic.keyOfRequest.get(answer.subject()),
+            request.atMs(),
+            ProxyTraffic.edgeOf(request),
+            answer.atMs(),
+            null,
+            answer.number()));
+  }
+
   private void runBegan(Seen began) {
     Run run = traffic.runs.get(began.text());
     String pool = traffic.poolOfWorker.get(began.subject());
     Seen request = traffic.requests.get(began.detail());
     Batch batch = traffic.batches.get(traffic.batchOfItem.getOrDefault(began.detail(), ""));
     if (request != null) {
-      check(new Handling(request, request.text(), request.atMs(), run.edge(), began.atMs(), pool));
+      check(
+          new Handling(
+              request,
+              request.text(),
+              traffic.keyOfRequest.get(request.subject()),
+              request.atMs(),
+              run.edge(),
+              began.atMs(),
+              pool,
+              0));
     } else if (batch != null && batch.acceptedMs >= 0) {
-      check(new Handling(null, run.asked(), batch.acceptedMs, run.edge(), began.atMs(), pool));
+      check(
+          new Handling(
+              null, run.asked(), null, batch.acceptedMs, run.edge(), began.atMs(), pool, 0));
     }
   }
 
@@ -172,10 +208,13 @@
   private static boolean allows(Change change, Handling handling) {
     String asked = handling.asked();
     Route route = ProxyTraffic.routeOf(change, ProxyTraffic.host(asked), ProxyTraffic.path(asked));
-    if (handling.pool() == null) {
-      return route == null;
+    if (route == null || handling.refusal() == NO_ROUTE) {
+      return route == null && handling.refusal() == NO_ROUTE;
     }
-    return route != null && route.pools().contains(handling.pool());
+    boolean admitted = change.admits(route, handling.apiKey());
+    return handling.refusal() == UNKNOWN_KEY
+        ? !admitted
+        : admitted && route.pools().contains(handling.pool());
   }
 
   private void checkAllowedByNone(Handling handling) {
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestAttempt.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestAttempt.java
@@ -102,6 +102,10 @@
         client.route.type() + " " + edge.name + resumeAfter,
         ProxyWorkers.asked(request),
         client.tokens);
+    if (client.hasKey()) {
+      simulation.history.add(
+          simulation.simulatedNowMs(), Kind.REQUEST_KEY, id, "", request.apiKey(), 0);
+    }
     simulation.call(
         edge,
         (Consumer<Runnable> then) -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestClient.java
@@ -35,10 +35,14 @@
   private final String target;
   private final byte[] body;
   private final List<PromptPart> prompt;
+
+  /** Null where no tenants are configured. */
+  private final SimulatedTenants.ClientKey key;
+
   private final long sentMs;
   private String resumeAfter = "";
   private int attempts;
-  private boolean counted = true;
+  private boolean counted;
 
   ProxiedRequestClient(ProxyClients clients, Route route) {
     this.clients = clients;
@@ -50,6 +54,8 @@
     this.target = route.prefix() + name + "?again=" + simulation.random.nextInt(3);
     this.body = ("body-" + name + "." + tokens).getBytes(UTF_8);
     this.prompt = clients.prompt(name);
+    this.key = clients.nextKey();
+    this.counted = key == null || key.valid();
   }
 
   /** A client with a single attempt that counts for no statistics. */
@@ -62,7 +68,7 @@
 
   /** Sends the request to a node; null for any. */
   void attempt(SimulatedProcess chosen) {
-    if (attempts++ == 0) {
+    if (attempts++ == 0 && counted) {
       clients.servedOf.computeIfAbsent(route.type(), unseen -> new int[2])[0]++;
     }
     SimulatedProcess edge = chosen != null ? chosen : clients.fleet.anyEdge();
@@ -82,7 +88,13 @@
         PROMPT_TOKENS,
         tokens,
         prompt,
-        resumeAfter);
+        resumeAfter,
+        key == null ? "" : key.text());
+  }
+
+  /** Whether the client knows that requests need keys. */
+  boolean hasKey() {
+    return key != null;
   }
 
   long timeLeftMs() {
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
@@ -78,6 +78,11 @@
     }
   }
 
+  /** The key of the next client; null where no tenants are configured. */
+  SimulatedTenants.ClientKey nextKey() {
+    return operators.tenants == null ? null : operators.tenants.next();
+  }
+
   /** A prompt whose first parts are shared with other requests. */
   List<PromptPart> prompt(String ownPart) {
     int family = simulation.random.nextInt(PROMPT_FAMILIES);
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/RouteOperators.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/RouteOperators.java
@@ -48,6 +48,16 @@
   /** A route as the operators keep it; pools with their weights. */
   record Route(String name, String host, String prefix, String type, Map<String, Integer> pools) {}
 
+  /** What makes a revision invalid, or nothing. */
+  private enum Fault {
+    NONE,
+    UNKNOWN_POOL,
+    SHARED_KEY
+  }
+
+  /** Needs no key even where there are tenants. */
+  private static final String PUBLIC_ROUTE = "repeatable-1";
+
   /** One change; the same bytes are sent each time. */
   private record Change(String id, int operator, long number, long buildsOn, byte[] bytes) {}
 
@@ -59,6 +69,9 @@
     RESPONSE_LOST
   }
 
+  /** Null where no tenants are configured. */
+  SimulatedTenants tenants;
+
   private final SimulatedFleet fleet;
   private final Simulation simulation;
   private final long waitingTokensMost;
@@ -128,31 +141,48 @@
   }
 
   void start() {
-    simulation.afterMs(1_500, () -> send(false));
+    simulation.afterMs(1_500, () -> send(Fault.NONE));
     simulation.afterMs(3_000, this::readBack);
   }
 
   /** Sends one more change, based on the newest acknowledged one. */
   public void change() {
     alterRoutes();
-    send(false);
+    send(Fault.NONE);
+  }
+
+  /** Sends a change that takes a key away from a tenant. */
+  public void withdrawKey() {
+    tenants.replaceOneKey();
+    send(Fault.NONE);
+  }
+
+  /** Sends a change by which a key moves from one tenant to another. */
+  public void moveKey() {
+    tenants.moveOneKey();
+    send(Fault.NONE);
+  }
+
+  /** Sends a revision in which two tenants share a key. */
+  public void sharedKey() {
+    send(Fault.SHARED_KEY);
   }
 
   /** Sends two concurrent changes with the same base, to two nodes. */
   public void race() {
     long base = current;
     alterRoutes();
-    send(false);
+    send(Fault.NONE);
     alterRoutes();
     long newestCurrent = current;
     current = base;
-    send(false);
+    send(Fault.NONE);
     current = Math.max(newestCurrent, base);
   }
 
   /** Sends a revision that is not valid. */
   public void invalid() {
-    send(true);
+    send(Fault.UNKNOWN_POOL);
   }
 
   /** Sends changes of either operator at an interval, unless too many are in flight. */
@@ -166,7 +196,7 @@
     if (inFlight < MAX_IN_FLIGHT) {
       int operator = simulation.random.nextInt(OPERATORS);
       alterRoutes();
-      begin(newChange(operator, newestKnownTo[operator], false));
+      begin(newChange(operator, newestKnownTo[operator], Fault.NONE));
     }
   }
 
@@ -211,8 +241,8 @@
     probed.addAll(added);
   }
 
-  private void send(boolean invalid) {
-    begin(newChange(0, current, invalid));
+  private void send(Fault fault) {
+    begin(newChange(0, current, fault));
   }
 
   private long nextNumber(long base) {
@@ -226,11 +256,11 @@
     return newest;
   }
 
-  private Change newChange(int operator, long base, boolean invalid) {
+  private Change newChange(int operator, long base, Fault fault) {
     String id = "c" + ++changes;
     long number = nextNumber(base);
     Change change =
-        new Change(id, operator, number, base, Json.bytes(configuration(number, invalid)));
+        new Change(id, operator, number, base, Json.bytes(configuration(number, fault)));
     sentChanges.add(change);
     changeOfBytes.put(new String(change.bytes(), UTF_8), id);
     routesOf.put(id, List.copyOf(routes.values()));
@@ -238,10 +268,13 @@
         simulation.simulatedNowMs(),
         Kind.CHANGE_SENT,
         id,
-        invalid ? "invalid" : "valid",
+        fault == Fault.NONE ? "valid" : "invalid",
         Long.toString(base),
         number);
     routes.values().forEach(route -> recordRoute(change, route));
+    if (tenants != null) {
+      tenants.record(id, number);
+    }
     return change;
   }
 
@@ -255,7 +288,7 @@
             route.type(),
             Integer.toString(ATTEMPTS),
             Long.toString(maxTokens),
-            String.join(",", route.pools().keySet()));
+            String.join(",", route.pools().keySet()) + (isPublic(route) ? " public" : ""));
     simulation.history.add(
         simulation.simulatedNowMs(),
         Kind.CHANGE_ROUTE,
@@ -265,6 +298,10 @@
         change.number());
   }
 
+  private boolean isPublic(Route route) {
+    return tenants != null && route.name().equals(PUBLIC_ROUTE);
+  }
+
   private void begin(Change change) {
     inFlight++;
     trySend(change, simulation.simulatedNowMs(), 0, Integer.MAX_VALUE);
@@ -314,6 +351,9 @@
     if (change.number() > current) {
       current = change.number();
       inUse = routesOf.get(change.id());
+      if (tenants != null) {
+        tenants.use(change.id());
+      }
     }
     fleet.clientEventListener.accept("change", (long) acknowledged);
   }
@@ -359,7 +399,7 @@
     return Delivery.values()[1 + simulation.random.nextInt(Delivery.values().length - 1)];
   }
 
-  private ObjectNode configuration(long number, boolean invalid) {
+  private ObjectNode configuration(long number, Fault fault) {
     ObjectNode configuration = JSON.createObjectNode().put("number", number);
     ObjectNode pools = configuration.putObject("pools");
     for (String pool : List.of("alpha", "beta")) {
@@ -385,11 +425,14 @@
         .put("itemExpiryMs", 30_000)
         .putNull("retentionMs");
     ArrayNode routeNodes = configuration.putArray("routes");
-    routes.values().forEach(route -> routeNode(routeNodes.addObject(), route, invalid));
+    routes.values().forEach(route -> routeNode(routeNodes.addObject(), route, fault));
+    if (tenants != null) {
+      tenants.write(configuration, fault == Fault.SHARED_KEY);
+    }
     return configuration;
   }
 
-  private void routeNode(ObjectNode routeNode, Route route, boolean invalid) {
+  private void routeNode(ObjectNode routeNode, Route route, Fault fault) {
     boolean batch = route.type().equals("batch");
     boolean streaming = route.type().equals("stream") || route.type().equals("resumable");
     routeNode
@@ -407,12 +450,18 @@
         .put("completionTargetMs", batch ? BATCH_TARGET_MS : 0)
         .put("retentionMs", batch ? RETENTION_MS : 0)
         .put("waitingTokensMost", batch ? waitingTokensMost : 0);
+    if (isPublic(route)) {
+      routeNode.put("public", true);
+    }
     ArrayNode split = routeNode.putArray("split");
     route
         .pools()
         .forEach(
             (pool, weight) ->
-                split.addObject().put("pool", invalid ? "nowhere" : pool).put("weight", weight));
+                split
+                    .addObject()
+                    .put("pool", fault == Fault.UNKNOWN_POOL ? "nowhere" : pool)
+                    .put("weight", weight));
   }
 
   private void readBack() {
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/SimulatedFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/SimulatedFleet.java
@@ -116,6 +116,14 @@
     return fleet;
   }
 
+  /** From now on configurations hold so many tenants, and clients carry keys. */
+  public void tenants(int count) {
+    if (count > 0) {
+      platform.boundWithdrawnKeys();
+      operators.tenants = new SimulatedTenants(simulation, count);
+    }
+  }
+
   private void addWithDisk(String name, String role, int zone) {
     all.add(simulation.add(name, "zone-" + zone % 3, role, CONTROL_PLANE_NODES, true));
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/history/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/History.java
@@ -86,9 +86,11 @@
     CHANGE_SENT,
     /**
      * subject: change; detail: route; text: host, prefix, type, attempts, most waiting tokens,
-     * pools; number: the change's.
+     * pools, and public if it is; number: the change's.
      */
     CHANGE_ROUTE,
+    /** subject: change; detail: tenant; text: one of its keys; number: the change's. */
+    CHANGE_KEY,
     /**
      * subject: change; detail: error type; text: when this call began, empty for the first; number:
      * status, 0 for none.
@@ -104,6 +106,10 @@
      * client has; text: what was asked; number: its tokens.
      */
     REQUEST_SENT,
+    /**
+     * subject: try; text: the key that it carries, empty for none; only where there are tenants.
+     */
+    REQUEST_KEY,
     /**
      * subject: try; detail: complete, cut, refused, broken, unreachable or given-up; text: stamp,
      * line feed, body; number: status.
@@ -116,6 +122,11 @@
     RUN_ARRIVED,
     /** subject: worker; detail: request; text: run; number: the event it goes on behind. */
     RUN_BEGAN,
+    /**
+     * subject: the tenant that the worker is told, empty for none; detail: request; text: run;
+     * number: 1 if the client's credentials were passed on.
+     */
+    RUN_TENANT,
     /**
      * subject: worker; detail: request; text: run; number: status of the whole answer, 0 if it
      * broke off, -1 if its caller left.
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ControlPlaneActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ControlPlaneActions.java
@@ -82,6 +82,9 @@
               simulation.simulatedNowMs() + ScenarioParser.seconds(words[2]));
       case "change" -> fleet.operators.change();
       case "change-race" -> fleet.operators.race();
+      case "change-key" -> fleet.operators.withdrawKey();
+      case "change-key-moves" -> fleet.operators.moveKey();
+      case "change-shared-key" -> fleet.operators.sharedKey();
       case "change-invalid" -> fleet.operators.invalid();
       case "orders" -> fleet.operators.orders(Integer.parseInt(words[1]), Long.parseLong(words[2]));
       case "orders-again" -> fleet.operators.resend(Integer.parseInt(words[1]));
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
@@ -38,6 +38,7 @@
  *   <li>proxied: type of proxied traffic and requests a second, in pairs
  *   <li>proxied-batches: one every so many seconds, items, bytes of an item's body, and the most
  *       items where batches differ
+ *   <li>tenants: how many there are; clients carry keys, known, withdrawn and unknown ones
  *   <li>edge-links: Mbit/s of each edge's link
  *   <li>edge-processor: share of a core that each edge has; work of an edge takes no time without
  *       it
@@ -134,6 +135,7 @@
     fleet.edgeLinks(settings.edgeLinkMbits);
     fleet.edgeProcessors(settings.edgeProcessorShare);
     fleet.largerEdges(settings.largerEdges, settings.largerEdgeShare, settings.largerEdgeMbits);
+    fleet.tenants(settings.tenants);
     fleet.start();
     if (settings.watchToMs > 0) {
       fleet.controlPlaneProbe =
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
@@ -101,6 +101,7 @@
         settings.proxiedItemBytes = words.length > 3 ? Integer.parseInt(words[3]) : 0;
         settings.proxiedBatchItemsLimit = words.length > 4 ? Integer.parseInt(words[4]) : 0;
       }
+      case "tenants" -> settings.tenants = Integer.parseInt(words[1]);
       case "edge-links" -> settings.edgeLinkMbits = Double.parseDouble(words[1]);
       case "edge-processor" -> settings.edgeProcessorShare = Double.parseDouble(words[1]);
       case "larger-edges" -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
@@ -55,6 +55,9 @@
   int proxiedItemBytes;
   int proxiedBatchItemsLimit;
 
+  /** Tenants whose keys clients carry; 0: requests need no keys. */
+  int tenants;
+
   /** Bandwidth and share of a core of each edge; 0: unlimited. */
   double edgeLinkMbits;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
@@ -283,6 +283,21 @@
           status);
     }
 
+    /** What the request shows of its tenant, if the client has a key or the edge knows tenants. */
+    private void recordTenant() {
+      boolean passedOn = exchange.tenant() == null;
+      if (passedOn && exchange.request().apiKey().isEmpty()) {
+        return;
+      }
+      simulation.history.add(
+          simulation.simulatedNowMs(),
+          Kind.RUN_TENANT,
+          passedOn ? "" : exchange.tenant(),
+          exchange.request().id(),
+          label,
+          passedOn ? 1 : 0);
+    }
+
     private void reject(int status) {
       over = true;
       recordArrival(status);
@@ -303,6 +318,7 @@
           exchange.request().id(),
           label,
           resumeAfter);
+      recordTenant();
       if (exchange.request().target().contains(IMPOSSIBLE)) {
         respond(422);
         return;
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
@@ -20,6 +20,7 @@
   public static final long RESULT_RETENTION_MS = 60_000;
 
   public static final long KEEP_BATCHES_MS = 120_000;
+  static final long REVOKE_MS = 5_000;
   private static final double OVERSHOOT = 0.1;
   private static final long DISK_BYTES = 64L << 20;
   private static final double LINK_MEGABITS = 1_000;
@@ -52,6 +53,11 @@
         (reader, token, whenRead, whenFaulty) -> list.read(token, whenRead, whenFaulty);
   }
 
+  /** From now on the settings of nodes bound the use of keys that were taken away. */
+  public void boundWithdrawnKeys() {
+    simulation.settings = simulation.settings.withRevokeMs(REVOKE_MS);
+  }
+
   /** Notes the bounds of the deployment in the history, from which the checker reads them. */
   public void recordBounds() {
     bound("losses", losses);
@@ -67,6 +73,7 @@
     bound("recoveryMs", 12_000);
     bound("requestTimeoutMs", REQUEST_TIMEOUT_MS);
     bound("retentionMs", RESULT_RETENTION_MS);
+    bound("revokeMs", simulation.settings.revokeMs());
     bound("overshootPercent", Math.round(100 * OVERSHOOT));
   }
 
