Fields of a configuration without effect are named in the log and counted in the status

Change: the leader of the configuration's key logs the paths of unknown fields once for each accepted configuration, without values, and shows their number in its status.

--- a/core-logic/src/main/java/applespindle/corelogic/configuration/ConfigurationFormat.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/ConfigurationFormat.java
@@ -37,6 +37,16 @@
   /** Parses and validates a complete document. */
   ParsedConfiguration parse(ObjectNode document);
 
+  /**
+   * Returns the paths of the fields in an operator's document that are not known and thereby have
+   * no effect, without positions in lists; empty where unknown fields are refused.
+   *
+   * @param configuration the exact bytes that are in force
+   */
+  default List<String> unknownFields(byte[] configuration) {
+    return List.of();
+  }
+
   /** The format of the product itself: a {@link RoutingConfiguration} as JSON. */
   ConfigurationFormat OWN =
       new ConfigurationFormat() {
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ConfigurationManager.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ConfigurationManager.java
@@ -10,6 +10,7 @@
 import applespindle.corelogic.configuration.ConfigurationPatchRequest;
 import applespindle.corelogic.configuration.ConfigurationValidator;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.metadata.AcceptedRevisions;
 import applespindle.corelogic.metadata.AcceptedRevisions.RevisionStatus;
@@ -39,6 +40,12 @@
   /** The response to an accepted configuration: its number. */
   private record NumberResponse(long number) {}
 
+  private static final String LOG_PART = "bundle";
+
+  /** Paths of unknown fields that are logged at most. */
+  private static final int MAX_LOGGED_FIELDS = 30;
+
+  private final Environment environment;
   private final NodeSettings settings;
 
   /** Public keys of the operators by key id. */
@@ -48,8 +55,14 @@
   private final LedKeys keys;
   private final CommandResponder responder;
 
+  /** Of the configuration that was described last, as its fields need not be compared again. */
+  private long describedNumber;
+
+  private int unknownFieldsDescribed;
+
   ConfigurationManager(
       ControlPlaneContext context, Map<String, String> operatorKeys, ConfigurationFormat format) {
+    this.environment = context.environment();
     this.settings = context.settings();
     this.operatorKeys = operatorKeys;
     this.format = format;
@@ -157,7 +170,38 @@
             sent.signature(),
             sent.buildsOn(),
             accepted.with(number, content)),
-        error -> acknowledge(request, ledKey, number, error));
+        error -> {
+          acknowledge(request, ledKey, number, error);
+          if (error == null) {
+            logUnknownFields(number, sent.bytes());
+          }
+        });
+  }
+
+  /** A field that is not known has no effect, which its operator may not expect. */
+  private void logUnknownFields(long number, byte[] configuration) {
+    List<String> unknown = format.unknownFields(configuration);
+    if (!unknown.isEmpty()) {
+      environment.log(
+          LOG_PART,
+          "Bundle "
+              + number
+              + " has "
+              + unknown.size()
+              + " fields without effect here: "
+              + String.join(", ", unknown.subList(0, Math.min(unknown.size(), MAX_LOGGED_FIELDS)))
+              + ".");
+    }
+  }
+
+  /** Adds the number of fields without effect in the configuration in force to a status. */
+  void describe(ObjectNode status, LedKey ledKey) {
+    SignedConfiguration inForce = ledKey.as(SignedConfiguration.class);
+    if (inForce != null && inForce.number() != describedNumber) {
+      describedNumber = inForce.number();
+      unknownFieldsDescribed = format.unknownFields(inForce.bytes()).size();
+    }
+    status.put("unknownBundleFields", inForce == null ? 0 : unknownFieldsDescribed);
   }
 
   /** The content by which a patch that is sent again is recognized. */
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
@@ -195,5 +195,9 @@
     if (capacityKey != null) {
       status.put("waitingBatchItems", capacityKey.capacityLedger().waiting());
     }
+    LedKey configurationKey = keys.get(MetadataKeys.CONFIGURATION);
+    if (configurationKey != null) {
+      configurations.describe(status, configurationKey);
+    }
   }
 }
