--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
@@ -17,8 +17,16 @@
  * in this leader's epoch, so it may be answered later without a further confirmation.
  */
 final class BatchReads {
-  /** A read of results from a position that has none yet. */
-  private record WaitingRead(long from, Consumer<Response> then) {}
+  /** A read of results from a position that has none yet. Equal to itself only. */
+  private static final class WaitingRead {
+    private final long from;
+    private final Consumer<Response> then;
+
+    WaitingRead(long from, Consumer<Response> then) {
+      this.from = from;
+      this.then = then;
+    }
+  }
 
   private final Environment environment;
   private final BatchLog log;
@@ -99,7 +107,7 @@
         holdMs,
         () -> {
           if (waitingReads.remove(read)) {
-            readProxiedResults(read.from(), 0, read.then());
+            readProxiedResults(read.from, 0, read.then);
           }
         });
   }
@@ -107,9 +115,9 @@
   /** Answers the waiting reads that have a result by now, or can get none any more. */
   void answerWaiting() {
     for (WaitingRead read : List.copyOf(waitingReads)) {
-      if (isAnswerable(read.from())) {
+      if (isAnswerable(read.from)) {
         waitingReads.remove(read);
-        respondWithProxiedResults(read.from(), read.then());
+        respondWithProxiedResults(read.from, read.then);
       }
     }
   }
@@ -118,6 +126,6 @@
   void failWaiting(ApiError error) {
     List<WaitingRead> reads = List.copyOf(waitingReads);
     waitingReads.clear();
-    reads.forEach(read -> read.then().accept(Response.of(error)));
+    reads.forEach(read -> read.then.accept(Response.of(error)));
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/dataplane/BatchLeaderPlacement.java
+++ b/core-logic/src/main/java/applespindle/corelogic/dataplane/BatchLeaderPlacement.java
@@ -8,11 +8,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.stream.Stream;
 
 /**
  * Which edges lead batches, and in which order they are tried. Leading costs processor time in
@@ -80,20 +77,39 @@
    * The order for a batch submitted to one edge. A fit edge comes first itself. Before an edge that
    * is not fit come at most {@link #TRIES_ELSEWHERE} fit ones, those of its own zone first, so that
    * the body crosses zones only if it must; then the edge itself, which can still lead if it does
-   * not reach those. The rest is the agreed order.
+   * not reach those. The rest is the agreed order. Compares ids and no registrations: a record's
+   * own hash code is linked at its first use, which costs a small machine a tenth of a second.
    */
   List<NodeRegistration> orderFrom(String ownId, String ownZone, String key) {
     List<NodeRegistration> agreed = order(key);
-    Set<NodeRegistration> order = new LinkedHashSet<>();
+    Map<String, NodeRegistration> order = new LinkedHashMap<>();
     if (!fit.containsKey(ownId)) {
-      Stream<NodeRegistration> near =
-          agreed.stream().limit(fit.size()).filter(edge -> edge.zone().equals(ownZone));
-      Stream<NodeRegistration> all = agreed.stream().limit(fit.size());
-      Stream.concat(near, all).distinct().limit(TRIES_ELSEWHERE).forEach(order::add);
+      List<NodeRegistration> agreedFit = agreed.subList(0, fit.size());
+      addUpTo(TRIES_ELSEWHERE, order, edgesOfZone(ownZone, agreedFit));
+      addUpTo(TRIES_ELSEWHERE, order, agreedFit);
+    }
+    for (NodeRegistration edge : agreed) {
+      if (edge.id().equals(ownId)) {
+        order.put(ownId, edge);
+      }
+    }
+    addUpTo(agreed.size(), order, agreed);
+    return List.copyOf(order.values());
+  }
+
+  private static List<NodeRegistration> edgesOfZone(String zone, List<NodeRegistration> edges) {
+    return edges.stream().filter(edge -> edge.zone().equals(zone)).toList();
+  }
+
+  /** Adds edges behind those in the order, each once, until it has so many. */
+  private static void addUpTo(
+      int most, Map<String, NodeRegistration> order, List<NodeRegistration> edges) {
+    for (NodeRegistration edge : edges) {
+      if (order.size() >= most) {
+        return;
+      }
+      order.putIfAbsent(edge.id(), edge);
     }
-    agreed.stream().filter(edge -> edge.id().equals(ownId)).forEach(order::add);
-    order.addAll(agreed);
-    return List.copyOf(order);
   }
 
   /** How long an edge takes to accept a typical batch, in milliseconds; 0 if it is not known. */
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
@@ -91,6 +91,7 @@
     }
     StageTimer timer = new StageTimer(environment);
     byte[] body = new BatchSubmission.Forwarded(submission, edge.configuration().number()).encode();
+    timer.mark("encode");
     String batch = BatchKeys.proxiedBatchId(submission.id());
     long replicationMs = replicationTimeMs(body.length);
     long timeoutMs = PeerRequestConstants.REQUEST_TIMEOUT_MS + replicationMs;
@@ -108,6 +109,7 @@
           logAnswered(submission, batch, body.length, response, timer);
           callback.accept(response);
         });
+    timer.mark("send");
   }
 
   private void logAnswered(
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -209,14 +209,16 @@
         .loadBody(maxBodyBytes)
         .then(
             // The library looks at the size before it adds a chunk, and not behind the last.
-            body ->
-                body.readRemaining() > maxBodyBytes
-                    ? refuseAndClose(request, new ApiError.InputTooLarge(maxBodyBytes))
-                    : answer(
-                        request,
-                        socket,
-                        new Arrived(method, target, host, headers, body.getArray()),
-                        trace),
+            body -> {
+              trace.mark("body");
+              return body.readRemaining() > maxBodyBytes
+                  ? refuseAndClose(request, new ApiError.InputTooLarge(maxBodyBytes))
+                  : answer(
+                      request,
+                      socket,
+                      new Arrived(method, target, host, headers, body.getArray()),
+                      trace);
+            },
             unreadable -> refuseAndClose(request, new ApiError.InputTooLarge(maxBodyBytes)));
   }
 
@@ -290,7 +292,7 @@
   }
 
   private void submit(Arrived arrived, SettablePromise<HttpResponse> response, StageTimer trace) {
-    trace.mark("receive");
+    trace.mark("route");
     BatchSubmission submission = format.submission(arrived);
     ask(
         then -> gateway.submitProxiedBatch(submission, then),
