Duties at the platform: settings, port and the interfaces of their input

Cause: a deployment may ask for duties, calls to the platform that one node at a time makes for all. The settings that name them were not read, and there was no port for such calls.

Nothing makes a call yet.

--- a/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
@@ -66,6 +66,14 @@
     throw new UnsupportedOperationException("no outside list of workers here");
   }
 
+  /**
+   * Makes a call to the platform on behalf of all nodes; the callback runs exactly once. The call
+   * may arrive late, also after its result was reported as unknown.
+   */
+  default void callPlatform(PlatformCall call, Consumer<PlatformCallResult> then) {
+    throw new UnsupportedOperationException("no duties at a platform here");
+  }
+
   /**
    * Microseconds of processor time that the calling thread has used so far; 0 where that is not
    * measured.
--- a/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
@@ -30,6 +30,7 @@
  *     commit
  * @param processorCores processor time that the machine has for this process, in full-speed cores;
  *     0 if unknown
+ * @param duties the duties at the platform that the deployment asks for
  */
 public record NodeSettings(
     int faultTolerance,
@@ -47,7 +48,8 @@
     long diskBytes,
     double linkMegabits,
     boolean edgesAcknowledge,
-    double processorCores) {
+    double processorCores,
+    DutySettings duties) {
   /**
    * The settings without a platform: one node may be lost, configurations are signed, and workers
    * are registered by calls instead of an external list.
@@ -71,7 +73,8 @@
           0,
           0,
           true,
-          0);
+          0,
+          DutySettings.NONE);
 
   /**
    * Settings of a node whose edges need not acknowledge and whose processor's share is not known.
@@ -107,7 +110,8 @@
         diskBytes,
         linkMegabits,
         false,
-        0);
+        0,
+        DutySettings.NONE);
   }
 
   /** These settings with another amount of processor time for this process, in full-speed cores. */
@@ -128,7 +132,30 @@
         diskBytes,
         linkMegabits,
         edgesAcknowledge,
-        cores);
+        cores,
+        duties);
+  }
+
+  /** These settings with these duties. */
+  public NodeSettings withDuties(DutySettings asked) {
+    return new NodeSettings(
+        faultTolerance,
+        bootstrap,
+        voter,
+        signedConfigurations,
+        listCallsPerS,
+        listLagMs,
+        drainTimeoutMs,
+        cancelTimeoutMs,
+        shutdownGraceMs,
+        configurationApplyMs,
+        batchRetentionMs,
+        quotaOvershoot,
+        diskBytes,
+        linkMegabits,
+        edgesAcknowledge,
+        processorCores,
+        asked);
   }
 
   /**
@@ -152,7 +179,8 @@
         diskBytes,
         linkMegabits,
         edgesAcknowledge,
-        processorCores);
+        processorCores,
+        duties);
   }
 
   /**
@@ -176,7 +204,8 @@
         diskBytes,
         newer.linkMegabits,
         edgesAcknowledge,
-        newer.processorCores);
+        newer.processorCores,
+        duties);
   }
 
   /**
--- a/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
@@ -29,6 +29,7 @@
           "api",
           "log",
           "metadata",
+          "duty",
           "protocol",
           "environment",
           "node",
