--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -363,6 +363,11 @@
     return EventLoopThread.nowMs();
   }
 
+  @Override
+  public long wallClockMs() {
+    return System.currentTimeMillis();
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     long due = nowMs() + Math.max(0, millis);
--- a/adapters/src/test/java/applespindle/adapters/StoredFleet.java
+++ b/adapters/src/test/java/applespindle/adapters/StoredFleet.java
@@ -206,6 +206,11 @@
       return now;
     }
 
+    @Override
+    public long wallClockMs() {
+      return now;
+    }
+
     @Override
     public ScheduledTask schedule(long millis, Runnable task) {
       boolean[] cancelled = new boolean[1];
--- a/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
@@ -18,6 +18,12 @@
    */
   long nowMs();
 
+  /**
+   * Milliseconds since 1970 by this machine's wall clock, which may be off by seconds and may jump.
+   * Only the median of many machines' clocks is good for more than a log.
+   */
+  long wallClockMs();
+
   /** Runs a task once after a delay in milliseconds. */
   ScheduledTask schedule(long millis, Runnable task);
 
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/scaling/PoolDemand.java
@@ -0,0 +1,14 @@
+package applespindle.corelogic.scaling;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * The demand of one edge for workers of a pool in a zone.
+ *
+ * @param hundredths mean number of calls, of live requests and of batch items, that were open at
+ *     these workers since the last report, in hundredths
+ */
+public record PoolDemand(
+    @JsonProperty("p") String pool,
+    @JsonProperty("z") String zone,
+    @JsonProperty("n") long hundredths) {}
--- /dev/null
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReportResponse.java
@@ -0,0 +1,17 @@
+package applespindle.corelogic.usage;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * The holder's answer to a {@link UsageReport}.
+ *
+ * @param trueTimeMs the true time when the answer was sent; 0 if the holder does not know it yet
+ * @param closedThrough the last window whose counts are committed; 0 if none
+ * @param fence the holder's fence: a holder with another one has not got earlier reports
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record UsageReportResponse(
+    @JsonProperty("t") long trueTimeMs,
+    @JsonProperty("c") long closedThrough,
+    @JsonProperty("f") long fence) {}
--- a/core-logic/src/main/java/applespindle/corelogic/worker/WorkerState.java
+++ b/core-logic/src/main/java/applespindle/corelogic/worker/WorkerState.java
@@ -223,7 +223,7 @@
   }
 
   /** Live calls and batch items of this edge at the worker. */
-  int ownCalls() {
+  public int ownCalls() {
     return liveCalls + batchCalls;
   }
 
--- a/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
@@ -39,6 +39,8 @@
           "changefeed",
           "worker",
           "live",
+          "usage",
+          "scaling",
           "batch",
           "dataplane",
           "storage",
--- a/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
+++ b/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
@@ -51,6 +51,7 @@
           Comparator.comparingLong(Scheduled::at).thenComparingLong(Scheduled::order));
   private final RandomGenerator random = new SplittableRandom(7);
   private long now;
+  private long wallClockAheadMs;
   private long order;
 
   public FakeEnvironment(long startMs) {
@@ -72,11 +73,21 @@
     now += millis;
   }
 
+  /** Sets how far the wall clock is ahead of the monotonic one. */
+  public void setWallClockAhead(long millis) {
+    wallClockAheadMs = millis;
+  }
+
   @Override
   public long nowMs() {
     return now;
   }
 
+  @Override
+  public long wallClockMs() {
+    return now + wallClockAheadMs;
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     Scheduled scheduled = new Scheduled(now + millis, order++, task);
--- a/core-logic/src/test/java/applespindle/corelogic/replication/ModelRuntime.java
+++ b/core-logic/src/test/java/applespindle/corelogic/replication/ModelRuntime.java
@@ -87,6 +87,11 @@
     return now;
   }
 
+  @Override
+  public long wallClockMs() {
+    return nowMs();
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     if (millis == 0) {
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/IsolatedNode.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/IsolatedNode.java
@@ -154,6 +154,11 @@
     return 1_000_000;
   }
 
+  @Override
+  public long wallClockMs() {
+    return nowMs();
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     return () -> {};
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/LightweightEdge.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/LightweightEdge.java
@@ -89,6 +89,11 @@
     return System.nanoTime() / 1_000_000L;
   }
 
+  @Override
+  public long wallClockMs() {
+    return System.currentTimeMillis();
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     int inLife = life;
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
@@ -140,6 +140,11 @@
       return time.nowUs() / MS + 1_000_000;
     }
 
+    @Override
+    public long wallClockMs() {
+      return nowMs();
+    }
+
     @Override
     public ScheduledTask schedule(long millis, Runnable task) {
       int inLife = life;
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ProcessActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ProcessActions.java
@@ -40,6 +40,7 @@
       case "stall-disk" -> target.stallDisk(ScenarioParser.seconds(words[2]));
       case "refuse-writes" -> target.refuseWrites(ScenarioParser.seconds(words[2]));
       case "jump-clock" -> target.shiftClock(ScenarioParser.seconds(words[2]));
+      case "step-wall-clock" -> target.stepWallClock(ScenarioParser.seconds(words[2]));
       case "slow" -> target.slowDown((long) (1000 * Double.parseDouble(words[2])));
       case "stop-in-turn" ->
           stopInTurn(Arrays.stream(words).skip(2).toList(), ScenarioParser.seconds(words[1]));
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
@@ -62,6 +62,9 @@
 
   private long clockShiftMs;
 
+  /** How far the wall clock of the machine is ahead of true time. */
+  private long wallClockShiftMs;
+
   /** Each task of a slowed process takes this long; 0: no time. */
   private long taskUs;
 
@@ -303,6 +306,13 @@
     recordFault(false, "clock");
   }
 
+  /** Steps the wall clock of the machine by this many milliseconds; it stays off. */
+  public void stepWallClock(long millis) {
+    recordFault(true, "wall-clock");
+    wallClockShiftMs += millis;
+    recordFault(false, "wall-clock");
+  }
+
   /** Limits the bandwidth of the machine; 0 removes the limit. */
   public void limitBandwidth(long bytesPerMs) {
     recordFault(bytesPerMs > 0, "slow");
@@ -406,6 +416,11 @@
     return simulation.simulatedNowMs() + CLOCK_START_MS + clockShiftMs;
   }
 
+  @Override
+  public long wallClockMs() {
+    return simulation.trueTimeMs() + wallClockShiftMs;
+  }
+
   @Override
   public ScheduledTask schedule(long millis, Runnable task) {
     int scheduledBy = incarnation;
