Duties at the platform: calls over HTTP, and the records of their state

Cause: the port for calls to the platform had no adapter, and nothing described what a holder of a duty writes down.

Change: PlatformDuties makes the calls, each on a connection of its own, with bytes that are the same for equal calls; LayersTest knows the new names. The package duty gets the claim with its fencing token and the intents of the two duties.

--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -16,6 +16,8 @@
 import applespindle.corelogic.environment.Environment.WorkerListPage;
 import applespindle.corelogic.environment.Environment.WorkerLoad;
 import applespindle.corelogic.environment.NodeSettings;
+import applespindle.corelogic.environment.PlatformCall;
+import applespindle.corelogic.environment.PlatformCallResult;
 import applespindle.corelogic.log.LogRecord;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
@@ -71,9 +73,11 @@
    *
    * @param format the format of requests and responses; null where there are no proxied requests
    * @param list where the list of workers is kept; null where it is kept by the fleet itself
+   * @param calls makes the calls of duties to the platform; null where there are no duties
    */
-  public record WorkerIntegration(WorkerProtocol format, WorkerListSource list) {
-    public static final WorkerIntegration NONE = new WorkerIntegration(null, null);
+  public record WorkerIntegration(
+      WorkerProtocol format, WorkerListSource list, PlatformCallSender calls) {
+    public static final WorkerIntegration NONE = new WorkerIntegration(null, null, null);
   }
 
   private final StartupOptions startup;
@@ -464,6 +468,15 @@
                     error -> executeOnLogic(() -> whenFaulty.accept(error))));
   }
 
+  @Override
+  public void callPlatform(PlatformCall call, Consumer<PlatformCallResult> then) {
+    toHttp(
+        () ->
+            workerIntegration
+                .calls()
+                .send(call, result -> executeOnLogic(() -> then.accept(result))));
+  }
+
   @Override
   public void warmUp(Envelope envelope) {
     transport.rehearse(envelope);
