Duties at the platform: claim, fencing token, intents and backoff

Cause: nothing claimed a duty or made its calls.

Change: the keys duty/usage and duty/scale, each a replicated log whose leader claims the duty with a fencing token of its own, writes down what it intends, and calls the platform only after the commit (SingletonDuty). The values stay out of the change feed. A deployment without duties has neither key.

--- a/core-logic/src/main/java/applespindle/corelogic/changefeed/MetadataFreshness.java
+++ b/core-logic/src/main/java/applespindle/corelogic/changefeed/MetadataFreshness.java
@@ -81,6 +81,7 @@
     return replicas.anyUncommittedEntries(
         key ->
             !key.equals(MetadataKeys.BATCH_CAPACITY)
-                && !key.startsWith(MetadataKeys.MEMBER_PREFIX));
+                && !key.startsWith(MetadataKeys.MEMBER_PREFIX)
+                && !key.startsWith(MetadataKeys.DUTY_PREFIX));
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
@@ -7,6 +7,7 @@
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.ConfigurationFormat;
 import applespindle.corelogic.configuration.ConfigurationPatchRequest;
+import applespindle.corelogic.duty.DutyInputs;
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.metadata.MetadataKeys;
 import applespindle.corelogic.metadata.NodeRegistration;
@@ -20,6 +21,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Owns the managers of a control plane process, lets them take the steps that are due at each tick,
@@ -46,18 +48,24 @@
   private final DrainPlanner drainPlanner;
   private final FaultToleranceMonitor faultTolerance;
 
+  /** The duties that the deployment asks for. */
+  private final List<DutyManager<?>> duties;
+
   /** In the order in which they run at each tick. */
   private final List<KeyManager> tickOrder;
 
   /**
    * The quorum is grown while it has fewer than targetMemberCount members; 0 keeps it as it was
    * formed. The operators' public keys are by key id.
+   *
+   * @param dutyInputs what the duties at the platform are to report and to order
    */
   ControlManagers(
       ControlPlaneContext context,
       Map<String, String> operatorKeys,
       ConfigurationFormat format,
       int targetMemberCount,
+      DutyInputs dutyInputs,
       MessageSender sender) {
     int replicationFactor = context.settings().replicas();
     this.context = context;
@@ -75,14 +83,18 @@
     this.drains = new StorageDrainManager(context, storageNodes, shardHealth);
     this.drainPlanner = new DrainPlanner(context.table(), storageNodes, replicationFactor);
     this.faultTolerance = new FaultToleranceMonitor(context.settings().faultTolerance());
+    this.duties = DutyManager.forSettings(context, dutyInputs);
     this.tickOrder =
-        List.of(
-            quorumMembership,
-            leases,
-            new EdgeListManager(context),
-            workerList,
-            shardReplicas,
-            batchCapacity);
+        Stream.concat(
+                Stream.of(
+                    quorumMembership,
+                    leases,
+                    new EdgeListManager(context),
+                    workerList,
+                    shardReplicas,
+                    batchCapacity),
+                duties.stream())
+            .toList();
   }
 
   void settingsChanged(NodeSettings newer) {
@@ -112,6 +124,14 @@
     if (ledKey.key().equals(MetadataKeys.WORKER_LIST)) {
       workerList.leadershipTaken(ledKey);
     }
+    duties.stream()
+        .filter(duty -> duty.key().equals(ledKey.key()))
+        .forEach(duty -> duty.leadershipTaken(ledKey));
+  }
+
+  /** Called for each value of a duty's key that was committed in its log. */
+  void dutyCommitted(String key, byte[] value) {
+    duties.stream().filter(duty -> duty.key().equals(key)).forEach(duty -> duty.committed(value));
   }
 
   /** Starts the elections that are this node's to start, and lets each manager take its steps. */
@@ -185,7 +205,7 @@
 
   // ---- status
 
-  /** Adds the storage nodes, the fault tolerance, and the number of waiting batch items. */
+  /** Adds the storage nodes, the fault tolerance, the waiting batch items, and the duties. */
   void describe(ObjectNode status) {
     status.set("storage", JSON.<JsonNode>valueToTree(storageNodes.summaries()));
     status.put("replicas", context.settings().replicas());
@@ -195,5 +215,9 @@
     if (capacityKey != null) {
       status.put("waitingBatchItems", capacityKey.capacityLedger().waiting());
     }
+    if (!duties.isEmpty()) {
+      ObjectNode dutyStatus = status.putObject("duties");
+      duties.forEach(duty -> duty.describe(dutyStatus));
+    }
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
@@ -13,6 +13,7 @@
 import applespindle.corelogic.configuration.ConfigurationFormat;
 import applespindle.corelogic.constants.ChangeFeedConstants;
 import applespindle.corelogic.constants.MembershipConstants;
+import applespindle.corelogic.duty.DutyInputs;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.log.Epoch;
@@ -129,6 +130,22 @@
       List<String> founders,
       NodeSettings settings,
       ConfigurationFormat format) {
+    this(environment, identity, operatorKeys, founders, settings, format, DutyInputs.NONE);
+  }
+
+  /**
+   * Creates a process with other inputs of the duties than its own.
+   *
+   * @param dutyInputs what the duties at the platform are to report and to order
+   */
+  public ControlPlaneNode(
+      Environment environment,
+      NodeIdentity identity,
+      Map<String, String> operatorKeys,
+      List<String> founders,
+      NodeSettings settings,
+      ConfigurationFormat format,
+      DutyInputs dutyInputs) {
     super(environment, identity);
     this.settings = settings;
     this.quorum = new QuorumView(environment, identity, () -> membership);
@@ -153,7 +170,8 @@
     ControlPlaneContext context = newContext();
     int targetMemberCount = founders.isEmpty() ? settings.replicas() : 0;
     this.managers =
-        new ControlManagers(context, operatorKeys, format, targetMemberCount, this::send);
+        new ControlManagers(
+            context, operatorKeys, format, targetMemberCount, dutyInputs, this::send);
     this.router = new CommandRouter(context, replicas, managers, () -> stopping, this::forward);
     this.messageHandler =
         new PeerMessageHandler(context, heartbeat, feed, replicas, () -> started, () -> stopping);
@@ -359,6 +377,10 @@
     if (!isValue || key.equals(MetadataKeys.BATCH_CAPACITY)) {
       return;
     }
+    if (key.startsWith(MetadataKeys.DUTY_PREFIX)) {
+      managers.dutyCommitted(key, entry.event());
+      return;
+    }
     byte[] value =
         key.equals(MetadataKeys.CONFIGURATION)
             ? ConfigurationManager.forFeed(entry.event())
--- a/core-logic/src/main/java/applespindle/corelogic/metadata/MetadataKeys.java
+++ b/core-logic/src/main/java/applespindle/corelogic/metadata/MetadataKeys.java
@@ -28,6 +28,18 @@
   /** The edges that form a quorum; see {@link EdgeList}. */
   public static final String EDGE_LIST = "edges";
 
+  /**
+   * Followed by the name of a duty at the platform. The values concern the control plane alone and
+   * are not published.
+   */
+  public static final String DUTY_PREFIX = "duty/";
+
+  /** The duty of reporting usage. */
+  public static final String USAGE_DUTY = DUTY_PREFIX + "usage";
+
+  /** The duty of ordering workers. */
+  public static final String SCALE_DUTY = DUTY_PREFIX + "scale";
+
   /** Followed by a node id: the registration of the node. */
   public static final String MEMBER_PREFIX = "member/";
 
