Usage reports and demand reach the holders of the duties

Cause: the logic of usage windows and of scaling had no way from the edges to the holders. Change: a live request counts once, with the first output of a successful response, over all attempts. Edges report counts to the leader of the usage duty and mean open calls to that of the scale duty, each by one small peer request; nothing is sent without the duty, tenants or pools that are scaled. A stopping edge sends its last counts. The bounds of a service that is scaled are read from the configuration, each wrong field named.

--- a/core-logic/src/main/java/applespindle/corelogic/configuration/CrossFieldChecker.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/CrossFieldChecker.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.configuration;
 
 import applespindle.corelogic.api.ApiError;
+import applespindle.corelogic.configuration.RoutingConfiguration.Autoscale;
 import applespindle.corelogic.configuration.RoutingConfiguration.PoolWeight;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RoutingAction;
@@ -34,12 +35,25 @@
     if (configuration.rules().isEmpty() && configuration.routes().isEmpty()) {
       checker.errors.add(NO_RULES_AND_NO_ROUTES);
     }
+    checker.checkPools();
     checker.checkRoutes();
     checker.checkRules();
     checker.checkPool("$.limits.batch.pool", configuration.limits().batch().pool());
     return checker.errors;
   }
 
+  private void checkPools() {
+    configuration
+        .pools()
+        .forEach(
+            (name, pool) -> {
+              Autoscale autoscale = pool.autoscale();
+              if (autoscale != null && autoscale.minCount() > autoscale.maxCount()) {
+                reject("$.pools." + name + ".autoscale.maxCount", "must be at least minCount");
+              }
+            });
+  }
+
   private void checkRoutes() {
     Set<String> hostsAndPrefixes = new HashSet<>();
     for (int index = 0; index < configuration.routes().size(); index++) {
--- a/core-logic/src/main/java/applespindle/corelogic/configuration/RoutingConfiguration.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/RoutingConfiguration.java
@@ -209,6 +209,7 @@
    * @param slots requests that a worker runs at a time
    * @param maxConnections connections that a worker accepts from all edges together
    * @param maxCachedTokens a worker's memory for prompts, in tokens
+   * @param autoscale how many workers may be ordered; null: the platform keeps the number
    */
   public record Pool(
       @Min(16) @Max(100_000) int prefixBlockChars,
@@ -216,13 +217,35 @@
       @DecimalMin("1.0") @DecimalMax("10.0") double loadFactor,
       @Min(0) Integer slots,
       @JsonProperty("connectionsMost") @Min(0) Integer maxConnections,
-      @JsonProperty("keptTokensMost") @Min(0) Long maxCachedTokens) {
+      @JsonProperty("keptTokensMost") @Min(0) Long maxCachedTokens,
+      @JsonInclude(JsonInclude.Include.NON_NULL) @Valid Autoscale autoscale) {
+    /** A pool whose number of workers the platform keeps. */
+    public Pool(
+        int prefixBlockChars,
+        int prefixBlocks,
+        double loadFactor,
+        Integer slots,
+        Integer maxConnections,
+        Long maxCachedTokens) {
+      this(
+          prefixBlockChars, prefixBlocks, loadFactor, slots, maxConnections, maxCachedTokens, null);
+    }
+
     /** A pool whose workers' slots, connections and memory are not known. */
     public Pool(int prefixBlockChars, int prefixBlocks, double loadFactor) {
       this(prefixBlockChars, prefixBlocks, loadFactor, null, null, null);
     }
   }
 
+  /**
+   * Bounds on the number of workers that a pool has in each zone where it runs.
+   *
+   * @param minCount the least number of workers of the pool in one zone
+   * @param maxCount the greatest number of workers of the pool in one zone
+   * @param bootMs time until a worker that was ordered serves, in milliseconds
+   */
+  public record Autoscale(@Min(0) int minCount, @Min(1) int maxCount, @Min(0) long bootMs) {}
+
   /**
    * A rule for live requests; the action of the first one that matches applies.
    *
--- a/core-logic/src/main/java/applespindle/corelogic/constants/UsageConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/UsageConstants.java
@@ -30,6 +30,9 @@
   /** Pause after a report that was not answered, or answered without the true time. */
   public static final long RETRY_DELAY_MS = 500;
 
+  /** How long a stopping edge waits until its last report is answered. */
+  public static final long FLUSH_TIMEOUT_MS = 300;
+
   /** How far a new sample of true time may differ beyond what the round trips explain. */
   public static final long OFFSET_TOLERANCE_MS = 50;
 
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.configuration.ConfigurationFormat;
 import applespindle.corelogic.configuration.ConfigurationPatchRequest;
 import applespindle.corelogic.duty.DutyInputs;
+import applespindle.corelogic.duty.UsageDutyState;
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.metadata.MetadataKeys;
 import applespindle.corelogic.metadata.NodeRegistration;
@@ -17,6 +18,8 @@
 import applespindle.corelogic.protocol.Message.PeerRequest;
 import applespindle.corelogic.protocol.MessageSender;
 import applespindle.corelogic.replication.FaultToleranceMonitor;
+import applespindle.corelogic.scaling.DemandReport;
+import applespindle.corelogic.usage.UsageReport;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
@@ -48,6 +51,8 @@
   private final DrainPlanner drainPlanner;
   private final FaultToleranceMonitor faultTolerance;
 
+  private final DutyReportCollection dutyReports;
+
   /** The duties that the deployment asks for. */
   private final List<DutyManager<?>> duties;
 
@@ -58,7 +63,8 @@
    * The quorum is grown while it has fewer than targetMemberCount members; 0 keeps it as it was
    * formed. The operators' public keys are by key id.
    *
-   * @param dutyInputs what the duties at the platform are to report and to order
+   * @param dutyInputs what the duties at the platform are to report and to order; null: by what the
+   *     edges report
    */
   ControlManagers(
       ControlPlaneContext context,
@@ -83,7 +89,9 @@
     this.drains = new StorageDrainManager(context, storageNodes, shardHealth);
     this.drainPlanner = new DrainPlanner(context.table(), storageNodes, replicationFactor);
     this.faultTolerance = new FaultToleranceMonitor(context.settings().faultTolerance());
-    this.duties = DutyManager.forSettings(context, dutyInputs);
+    this.dutyReports = new DutyReportCollection(context, this::committedUsageWindow);
+    this.duties =
+        DutyManager.forSettings(context, dutyInputs == null ? dutyReports.inputs() : dutyInputs);
     this.tickOrder =
         Stream.concat(
                 Stream.of(
@@ -124,11 +132,22 @@
     if (ledKey.key().equals(MetadataKeys.WORKER_LIST)) {
       workerList.leadershipTaken(ledKey);
     }
+    dutyReports.leadershipTaken(ledKey);
     duties.stream()
         .filter(duty -> duty.key().equals(ledKey.key()))
         .forEach(duty -> duty.leadershipTaken(ledKey));
   }
 
+  /** The last window of usage whose intent is known here to be committed; 0 if none. */
+  private long committedUsageWindow() {
+    return duties.stream()
+        .map(DutyManager::lastCommitted)
+        .filter(UsageDutyState.class::isInstance)
+        .mapToLong(state -> ((UsageDutyState) state).lastWindowId())
+        .findFirst()
+        .orElse(0);
+  }
+
   /** Called for each value of a duty's key that was committed in its log. */
   void dutyCommitted(String key, byte[] value) {
     duties.stream().filter(duty -> duty.key().equals(key)).forEach(duty -> duty.committed(value));
@@ -169,6 +188,8 @@
           workers.raiseListVersion(request, ledKey, decode(request, WorkerListVersionCheck.class));
       case UPDATE_BATCH_CAPACITY ->
           batchCapacity.set(request, ledKey, decode(request, BatchCapacityRequest.class));
+      case REPORT_USAGE -> dutyReports.handle(request, decode(request, UsageReport.class));
+      case REPORT_DEMAND -> dutyReports.handle(request, decode(request, DemandReport.class));
       case REPORT_CAUGHT_UP ->
           recordCaughtUp(request, ledKey, decode(request, CaughtUpReport.class));
       case SET_STORAGE_NODE_STATE ->
@@ -218,6 +239,7 @@
     if (!duties.isEmpty()) {
       ObjectNode dutyStatus = status.putObject("duties");
       duties.forEach(duty -> duty.describe(dutyStatus));
+      dutyReports.describe(dutyStatus);
     }
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
@@ -130,13 +130,14 @@
       List<String> founders,
       NodeSettings settings,
       ConfigurationFormat format) {
-    this(environment, identity, operatorKeys, founders, settings, format, DutyInputs.NONE);
+    this(environment, identity, operatorKeys, founders, settings, format, null);
   }
 
   /**
    * Creates a process with other inputs of the duties than its own.
    *
-   * @param dutyInputs what the duties at the platform are to report and to order
+   * @param dutyInputs what the duties at the platform are to report and to order; null: by what the
+   *     edges report
    */
   public ControlPlaneNode(
       Environment environment,
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyManager.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyManager.java
@@ -62,6 +62,11 @@
     return task.key();
   }
 
+  /** The last committed state that this node's replica knows; the initial one before. */
+  S lastCommitted() {
+    return lastCommitted;
+  }
+
   /** Some node has to hold the duty, though no command asks for it. */
   @Override
   public void tick() {
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -84,6 +84,7 @@
   private final BatchRequestHandler batchRequestHandler;
   private final OnceClaims onceClaims;
   private final SubmissionWarmUp warmUp;
+  private final DutyReports dutyReports;
   private final GracefulShutdown shutdown;
 
   /** The compiled routes of the configuration in force. */
@@ -124,6 +125,7 @@
     batchRequestHandler =
         new BatchRequestHandler(environment, this, leaders, replicaRequests, submissionReader);
     onceClaims = new OnceClaims(this, replicaRequests);
+    dutyReports = new DutyReports(environment, identity, settings.duties(), registry, this);
     shutdown =
         new GracefulShutdown(
             environment, new ShutdownSteps(), batchDispatcher, this::requestsDrained);
@@ -144,6 +146,7 @@
         .forEach(batch -> reportViolation(Invariant.SUBMISSION_ANSWERED_IN_TIME, batch));
     batchDispatcher.tick();
     liveRequests.tick();
+    dutyReports.tick();
     warmUpWhenIdle();
   }
 
@@ -179,6 +182,7 @@
     } else if (key.equals(MetadataKeys.CONFIGURATION) && configuration() != null) {
       routes = RouteTable.compile(configuration());
       tenantKeys = TenantKeys.compile(configuration());
+      dutyReports.configurationChanged(configuration());
       configurationListener.accept(configuration());
     } else if (key.startsWith(MetadataKeys.MEMBER_PREFIX)) {
       dispatcherAssignment.invalidate();
@@ -424,6 +428,11 @@
     incrementCounter("batch_offsets_ahead");
   }
 
+  @Override
+  public void recordRequestBegun(String tenant) {
+    dutyReports.recordRequestBegun(tenant);
+  }
+
   @Override
   public void incrementCounter(String counter) {
     super.incrementCounter(counter);
@@ -498,6 +507,11 @@
       leaders.transferAll(batchDispatcher);
     }
 
+    @Override
+    public void flushReports(Runnable whenDone) {
+      dutyReports.flush(whenDone);
+    }
+
     @Override
     public void terminate() {
       EdgeNode.this.terminate();
--- a/core-logic/src/main/java/applespindle/corelogic/edge/GracefulShutdown.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/GracefulShutdown.java
@@ -10,7 +10,8 @@
  * The graceful shutdown of an edge. The edge announces the shutdown by its readiness and still
  * accepts work until the platform has had time to notice. Then it rejects new work, releases its
  * lease, transfers its batches and waits for the requests and items that still run. Invariant: it
- * terminates no later than when the time for draining is up.
+ * terminates no later than when the time for draining is up, or the short time of a last report
+ * after that.
  */
 final class GracefulShutdown {
   /** The steps of the shutdown, as implemented by the edge. */
@@ -22,6 +23,9 @@
 
     void transferLeadership();
 
+    /** Sends what is still to be reported; the callback runs after a short time at the latest. */
+    void flushReports(Runnable whenDone);
+
     void terminate();
 
     /** The time, in milliseconds, that the platform gives a process to stop. */
@@ -89,8 +93,11 @@
     boolean itemsDrained = batchDispatcher.drain() || environment.nowMs() >= itemsEndAt;
     boolean drained = itemsDrained && requestsDrained.getAsBoolean();
     if (drained || environment.nowMs() >= drainEndsAt) {
-      steps.terminate();
-      whenDone.run();
+      steps.flushReports(
+          () -> {
+            steps.terminate();
+            whenDone.run();
+          });
     } else {
       environment.schedule(
           LifecycleConstants.DRAIN_CHECK_INTERVAL_MS,
--- a/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/ProxiedRequestCall.java
@@ -64,6 +64,9 @@
 
   private boolean closed;
 
+  /** Whether the request was counted as begun. */
+  private boolean begun;
+
   /**
    * Opens the call without sending it.
    *
@@ -276,6 +279,17 @@
     sendToNextWorker(error);
   }
 
+  /**
+   * Counts the request for its tenant, once over all attempts: a worker's first output has come.
+   */
+  void recordBegun() {
+    if (begun || tenant() == null || tenant().isEmpty()) {
+      return;
+    }
+    begun = true;
+    context.edge().recordRequestBegun(tenant());
+  }
+
   /** Passes the head to the client unless an earlier attempt's was passed already. */
   void forwardHead(ResponseHead head) {
     if (!headForwarded) {
--- a/core-logic/src/main/java/applespindle/corelogic/live/WorkerAttempt.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/WorkerAttempt.java
@@ -151,7 +151,7 @@
       return;
     }
     recordActivity();
-    boolean successful = responseHead.status() < FIRST_STATUS_NOT_SUCCESSFUL;
+    boolean successful = isSuccessful(responseHead);
     if (mustDiscard(responseHead.status(), successful)) {
       discarded = true;
     }
@@ -161,6 +161,10 @@
     head = responseHead;
   }
 
+  private static boolean isSuccessful(ResponseHead responseHead) {
+    return responseHead.status() < FIRST_STATUS_NOT_SUCCESSFUL;
+  }
+
   private boolean mustDiscard(int status, boolean successful) {
     return call.isHeadForwarded() && !successful
         || ApiError.promisesNotRun(status)
@@ -175,6 +179,9 @@
       return;
     }
     recordActivity();
+    if (isSuccessful(head)) {
+      call.recordBegun();
+    }
     if (!discarded) {
       call.forwardHead(head);
       call.forwardChunk(chunk);
--- a/core-logic/src/main/java/applespindle/corelogic/protocol/Operation.java
+++ b/core-logic/src/main/java/applespindle/corelogic/protocol/Operation.java
@@ -39,6 +39,10 @@
   RAISE_WORKER_LIST_VERSION("list-version"),
   /** Reserve capacity for a batch, or report what it still takes. */
   UPDATE_BATCH_CAPACITY("room"),
+  /** Report the requests that an edge counted, by tenant and window. */
+  REPORT_USAGE("usage"),
+  /** Report the demand of an edge for workers. */
+  REPORT_DEMAND("demand"),
   /** A replica reports that it has caught up with a changing configuration. */
   REPORT_CAUGHT_UP("copied"),
   /** Find the id of a storage node by its name. */
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageCollector.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageCollector.java
@@ -17,11 +17,12 @@
 /**
  * Merges what the edges report to the holder of the usage duty, and closes windows.
  *
- * <p>State belongs to one holdership, that is, to one fence: a new one starts empty, and the edges
- * report to it again all that is open. A window is closed in order, after its end, when every live
- * edge has reported it, or when too little time is left until it is due. What an edge that died had
- * reported to this holder counts. Invariant: counts of one process and window are replaced, never
- * added, and by no report that was sent earlier. Confined to the logic thread.
+ * <p>State belongs to one holdership, that is, to one election of a leader of the duty's key: a new
+ * one starts empty, and the edges report to it again all that is open. A window is closed in order,
+ * after its end, when every live edge has reported it, or when too little time is left until it is
+ * due. What an edge that died had reported to this holder counts. Invariant: counts of one process
+ * and window are replaced, never added, and by no report that was sent earlier. Confined to the
+ * logic thread.
  */
 public final class UsageCollector implements UsageSource {
   /** One process that counts; a restarted edge is another one. */
@@ -37,8 +38,8 @@
 
   private boolean started;
 
-  /** The fence of the holdership; meaningless before the start. */
-  private long fence;
+  /** Tells this holdership from all others; meaningless before the start. */
+  private long holdership;
 
   /** When the holdership began, in monotonic milliseconds. */
   private long startedAt;
@@ -67,12 +68,12 @@
   }
 
   /** Starts anew for a holdership, unless it has already begun. */
-  public void begin(long newFence) {
-    if (started && fence == newFence) {
+  public void begin(long newHoldership) {
+    if (started && holdership == newHoldership) {
       return;
     }
     started = true;
-    fence = newFence;
+    holdership = newHoldership;
     startedAt = environment.nowMs();
     firstWindow = 0;
     reported.clear();
@@ -91,9 +92,9 @@
     reported
         .computeIfAbsent(
             new Counter(report.edge(), report.incarnation()), ignored -> new ReportedCounts())
-        .merge(report, closedThrough, fence);
+        .merge(report, closedThrough, holdership);
     return new UsageReportResponse(
-        isTrueTimeKnown(now) ? trueTime.trueTimeMs(now) : 0, closedThrough, fence);
+        isTrueTimeKnown(now) ? trueTime.trueTimeMs(now) : 0, closedThrough, holdership);
   }
 
   private void addOwnSample(long now) {
@@ -198,12 +199,13 @@
     /** The last window that this process has reported in full. */
     private long through;
 
-    private void merge(UsageReport report, long closedThrough, long holderFence) {
+    private void merge(UsageReport report, long closedThrough, long presentHoldership) {
       if (report.sequence() <= lastSequence) {
         return;
       }
       lastSequence = report.sequence();
-      through = report.fence() == holderFence ? Math.max(through, report.through()) : through;
+      through =
+          report.holdership() == presentHoldership ? Math.max(through, report.through()) : through;
       report.windows().forEach(window -> byWindow.put(window.window(), window.counts()));
       removeThrough(closedThrough);
     }
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReport.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReport.java
@@ -12,9 +12,9 @@
  * @param edge id of the process that counted
  * @param incarnation of that process
  * @param wallClockMs its wall clock when the report was sent
- * @param fence of the holder for which the report is made; 0 for the first report
- * @param through the last window that had ended. The holder with that fence knows this edge's
- *     counts up to here; another one doesn't. 0 while the edge does not know the true time
+ * @param holdership the one for which the report is made; 0 for the first report
+ * @param through the last window that had ended, up to which that holdership has all counts of this
+ *     edge, and another one may lack some; 0 while the edge does not know the true time
  * @param sequence rises with each report of the process; an older report than the last is ignored
  * @param windows the windows whose counts this holder does not have yet
  */
@@ -24,7 +24,7 @@
     @JsonProperty("e") String edge,
     @JsonProperty("i") long incarnation,
     @JsonProperty("t") long wallClockMs,
-    @JsonProperty("f") long fence,
+    @JsonProperty("h") long holdership,
     @JsonProperty("l") long through,
     @JsonProperty("n") long sequence,
     @JsonProperty("u") List<WindowCounts> windows) {
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReportResponse.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReportResponse.java
@@ -8,10 +8,11 @@
  *
  * @param trueTimeMs the true time when the answer was sent; 0 if the holder does not know it yet
  * @param closedThrough the last window whose counts are committed; 0 if none
- * @param fence the holder's fence: a holder with another one has not got earlier reports
+ * @param holdership tells one election of a holder from all others: a later one has not got earlier
+ *     reports; never 0
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record UsageReportResponse(
     @JsonProperty("t") long trueTimeMs,
     @JsonProperty("c") long closedThrough,
-    @JsonProperty("f") long fence) {}
+    @JsonProperty("h") long holdership) {}
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
@@ -19,9 +19,9 @@
  * <p>Until an answer has brought the true time, reports are empty. Then {@link
  * UsageConstants#REPORTS_PER_WINDOW} are due in each window, of which those are left out that would
  * say nothing new. A report carries the windows that are not closed and whose counts the holder has
- * not acknowledged under its present fence; a new holder therefore gets all that is open, and of an
- * edge that dies no more is missing than what it began since its last report. At most one report is
- * under way. Confined to the logic thread.
+ * not acknowledged in the present holdership; a new holder therefore gets all that is open, and of
+ * an edge that dies no more is missing than what it began since its last report. At most one report
+ * is under way. Confined to the logic thread.
  */
 public final class UsageReporter {
   /** Sends a report to the holder; the callback gets the response or an error once. */
@@ -40,13 +40,13 @@
   /** Of this edge's reports, in milliseconds after those that come first. */
   private final long spreadMs;
 
-  /** What the holder with {@link #fence} has acknowledged, by window. */
+  /** What was acknowledged in this {@link #holdership}, by window. */
   private final SortedMap<Long, Map<String, Long>> acknowledged = new TreeMap<>();
 
   /** The last window that a report called complete; nothing is counted in it any more. */
   private long reportedThrough;
 
-  private long fence;
+  private long holdership;
   private long closedThrough;
   private long sequence;
   private boolean underWay;
@@ -127,7 +127,7 @@
             identity.id(),
             identity.incarnation(),
             environment.wallClockMs(),
-            fence,
+            holdership,
             reportedThrough,
             ++sequence,
             windows);
@@ -169,9 +169,9 @@
     if (answer.trueTimeMs() > 0) {
       trueTime.addSample(answer.trueTimeMs(), sentAt, now);
     }
-    boolean isNewHolder = answer.fence() != fence;
+    boolean isNewHolder = answer.holdership() != holdership;
     if (isNewHolder) {
-      fence = answer.fence();
+      holdership = answer.holdership();
       acknowledged.clear();
     }
     report.windows().forEach(window -> acknowledged.put(window.window(), window.counts()));
--- a/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
+++ b/core-logic/src/main/java/applespindle/corelogic/worker/EdgeContext.java
@@ -38,6 +38,9 @@
   /** Gives up a claim of a request that has certainly not run. */
   void releaseIdempotencyId(String id, String token);
 
+  /** A worker has begun a live request of this tenant; called once for a request. */
+  void recordRequestBegun(String tenant);
+
   /** Adds one to a counter that metrics show. */
   void incrementCounter(String counter);
 }
--- a/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherFixture.java
@@ -165,6 +165,11 @@
     releasedIds.add(id);
   }
 
+  @Override
+  public void recordRequestBegun(String tenant) {
+    throw new AssertionError("prompts have no tenant");
+  }
+
   @Override
   public void incrementCounter(String counter) {}
 
--- a/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
@@ -37,6 +37,11 @@
   final WorkerRegistry registry = new WorkerRegistry(this, () -> {});
   final ProxyDispatcher dispatcher = new ProxyDispatcher(this, "near", this, registry);
   RoutingConfiguration configuration;
+  TenantAccess access = TenantAccess.NONE;
+
+  /** The tenants of the requests that were counted as begun. */
+  final List<String> begun = new ArrayList<>();
+
   ApiError newWorkRejection;
   ApiError admittedWorkRejection;
 
@@ -109,7 +114,7 @@
 
   @Override
   public TenantAccess tenantAccess(Route route, String apiKey) {
-    return TenantAccess.NONE;
+    return access;
   }
 
   @Override
@@ -118,6 +123,11 @@
   @Override
   public void releaseIdempotencyId(String id, String token) {}
 
+  @Override
+  public void recordRequestBegun(String tenant) {
+    begun.add(tenant);
+  }
+
   @Override
   public void incrementCounter(String counter) {}
 
