--- a/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
@@ -31,6 +31,8 @@
  * @param processorCores processor time that the machine has for this process, in full-speed cores;
  *     0 if unknown
  * @param duties the duties at the platform that the deployment asks for
+ * @param revokeMs how long after the acknowledgement of a configuration a request that is sent with
+ *     a key which it took away may still run, at any node, connected or not; 0: no such bound
  */
 public record NodeSettings(
     int faultTolerance,
@@ -49,7 +51,8 @@
     double linkMegabits,
     boolean edgesAcknowledge,
     double processorCores,
-    DutySettings duties) {
+    DutySettings duties,
+    long revokeMs) {
   /**
    * The settings without a platform: one node may be lost, configurations are signed, and workers
    * are registered by calls instead of an external list.
@@ -74,7 +77,8 @@
           0,
           true,
           0,
-          DutySettings.NONE);
+          DutySettings.NONE,
+          0);
 
   /**
    * Settings of a node whose edges need not acknowledge and whose processor's share is not known.
@@ -111,7 +115,31 @@
         linkMegabits,
         false,
         0,
-        DutySettings.NONE);
+        DutySettings.NONE,
+        0);
+  }
+
+  /** These settings with another bound on the use of keys that were taken away, in milliseconds. */
+  public NodeSettings withRevokeMs(long boundMs) {
+    return new NodeSettings(
+        faultTolerance,
+        bootstrap,
+        voter,
+        signedConfigurations,
+        listCallsPerS,
+        listLagMs,
+        drainTimeoutMs,
+        cancelTimeoutMs,
+        shutdownGraceMs,
+        configurationApplyMs,
+        batchRetentionMs,
+        quotaOvershoot,
+        diskBytes,
+        linkMegabits,
+        edgesAcknowledge,
+        processorCores,
+        duties,
+        boundMs);
   }
 
   /** These settings with another amount of processor time for this process, in full-speed cores. */
@@ -133,7 +161,8 @@
         linkMegabits,
         edgesAcknowledge,
         cores,
-        duties);
+        duties,
+        revokeMs);
   }
 
   /** These settings with these duties. */
@@ -155,7 +184,8 @@
         linkMegabits,
         edgesAcknowledge,
         processorCores,
-        asked);
+        asked,
+        revokeMs);
   }
 
   /**
@@ -180,7 +210,8 @@
         linkMegabits,
         edgesAcknowledge,
         processorCores,
-        duties);
+        duties,
+        revokeMs);
   }
 
   /**
@@ -205,7 +236,8 @@
         newer.linkMegabits,
         edgesAcknowledge,
         newer.processorCores,
-        duties);
+        duties,
+        newer.revokeMs);
   }
 
   /**
