--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/SingletonDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/SingletonDuty.java
@@ -199,12 +199,10 @@
   /** Holds the duty, and nothing is under way. */
   private void act() {
     S next = task.withNewIntents(state, environment.nowMs());
-    if (!next.equals(state)) {
+    if (!next.equals(state) || isMarkDue()) {
       commit(Phase.COMMITTING, next, this::callNext);
     } else if (!task.openCalls(state).isEmpty()) {
       confirm();
-    } else if (isMarkDue()) {
-      commit(Phase.COMMITTING, state, askedAtMs -> enter(Phase.IDLE));
     }
   }
 
