True time: clocks that agree, measured over the round trip

Cause: in the simulator, windows were off by seconds after the loss of a holder: reports that are sent again carried old wall clocks, and in a small fleet half of the clocks were stepped. Change: an edge measures its wall clock against the time of the holder over the round trip, and reports the offset; the largest set of clocks that agree is taken, once it is most of those expected. A slow answer alone does not tell an edge the time. A large correction of the time moves an edge back.

--- a/core-logic/src/main/java/applespindle/corelogic/constants/UsageConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/UsageConstants.java
@@ -36,14 +36,23 @@
   /** How far a new sample of true time may differ beyond what the round trips explain. */
   public static final long OFFSET_TOLERANCE_MS = 50;
 
-  /** Samples kept of each node's wall clock; the one that was delayed least is used. */
-  public static final int CLOCK_SAMPLES = 4;
+  /** An answer that took longer says too little about the clocks at both ends. */
+  public static final long MAX_CLOCK_ROUND_TRIP_MS = 400;
 
   /** A node whose last sample is older than this has no part in the estimate of true time. */
   public static final long CLOCK_SAMPLE_EXPIRY_MS = 30_000;
 
-  /** How long a new holder waits for the wall clocks of a majority before it goes by fewer. */
-  public static final long CLOCK_WAIT_MS = 3_000;
+  /** Wall clocks that are right differ by less; a step is longer. */
+  public static final long CLOCK_AGREEMENT_MS = 250;
+
+  /** How long a new holder waits for the wall clocks of a majority before it goes by a few. */
+  public static final long CLOCK_WAIT_MS = 4_000;
+
+  /** So many clocks tell which one of them is off. */
+  public static final int MIN_CLOCKS = 3;
+
+  /** How long a new holder waits before it goes by any clock, its own if need be. */
+  public static final long MAX_CLOCK_WAIT_MS = 15_000;
 
   /**
    * How long a new holder closes nothing: edges that lost their leases with the former leader have
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyFleetView.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyFleetView.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.controlplane;
 
 import applespindle.corelogic.changefeed.MetadataTable;
+import applespindle.corelogic.changefeed.UpdateAcknowledgements;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.configuration.RoutingConfiguration.Pool;
@@ -35,6 +36,12 @@
     return table.live("edge").stream().map(NodeRegistration::id).collect(Collectors.toSet());
   }
 
+  /** How many edges are live, or listed as those whose acknowledgements count. */
+  int expectedEdges() {
+    int listed = UpdateAcknowledgements.KnownEdges.of(table).listed().size();
+    return Math.max(table.live("edge").size(), listed);
+  }
+
   /** Whether requests can belong to a tenant. */
   boolean hasTenants() {
     RoutingConfiguration current = configuration();
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyReportCollection.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/DutyReportCollection.java
@@ -13,6 +13,7 @@
 import applespindle.corelogic.usage.UsageReport;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -43,12 +44,24 @@
             context.identity().id(),
             context.settings().duties(),
             fleet::hasTenants,
-            fleet::liveEdgeIds);
+            new KnownEdges(fleet));
     this.scale =
         new DemandScaleAdvisor(
             context.environment(), fleet::pools, fleet::workers, fleet::liveEdgeIds);
   }
 
+  private record KnownEdges(DutyFleetView fleet) implements UsageCollector.Edges {
+    @Override
+    public Set<String> live() {
+      return fleet.liveEdgeIds();
+    }
+
+    @Override
+    public int expected() {
+      return fleet.expectedEdges();
+    }
+  }
+
   /** What the duties are to do. */
   DutyInputs inputs() {
     return new DutyInputs(usage, scale);
--- a/core-logic/src/main/java/applespindle/corelogic/usage/TrueTimeEstimator.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/TrueTimeEstimator.java
@@ -1,34 +1,33 @@
 package applespindle.corelogic.usage;
 
 import applespindle.corelogic.constants.UsageConstants;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * Estimates the true time as the median of the wall clocks of many nodes, against the monotonic
- * time of this process.
+ * Estimates the true time from the wall clocks of many nodes, against the monotonic time of this
+ * process.
  *
- * <p>A wall clock that was stepped moves the median by no more than one of its neighbours, so the
- * estimate holds while fewer than half of the clocks are off. A sample is too low by the time the
- * report was under way; of the last few samples of a node the highest is used. After a node's clock
- * was set back, its older samples are used for as long as they are kept.
+ * <p>Clocks that are right agree with each other, those that were stepped are off by amounts of
+ * their own. The estimate is the median of the largest set of clocks that agree within {@link
+ * UsageConstants#CLOCK_AGREEMENT_MS}, as in the intersection algorithm of NTP; of sets of one size
+ * it is the one that is nearest to the median of all clocks. While most clocks are right this is as
+ * good as the median of all; it also holds in a small fleet where half of the clocks were stepped.
  */
 public final class TrueTimeEstimator {
-  private final Map<String, ClockSamples> samplesByNode = new HashMap<>();
+  private record ClockSample(long offsetMs, long at) {}
+
+  private final Map<String, ClockSample> samplesByNode = new HashMap<>();
 
   /**
-   * Adds a sample of a node's clock.
+   * Replaces the sample of a node's clock.
    *
-   * @param wallClockMs as the node sent it
-   * @param nowMs this process's monotonic time when it came
+   * @param offsetMs how far that clock is ahead of this process's monotonic time
+   * @param nowMs this process's monotonic time
    */
-  public void addSample(String node, long wallClockMs, long nowMs) {
-    samplesByNode
-        .computeIfAbsent(node, ignored -> new ClockSamples())
-        .add(wallClockMs - nowMs, nowMs);
+  public void putSample(String node, long offsetMs, long nowMs) {
+    samplesByNode.put(node, new ClockSample(offsetMs, nowMs));
   }
 
   /** Forgets all samples. */
@@ -42,37 +41,51 @@
     return samplesByNode.size();
   }
 
+  /** Number of nodes whose clocks agree on the estimate. */
+  public int agreeingNodes(long nowMs) {
+    removeExpired(nowMs);
+    return largestAgreement(sortedOffsets()).size();
+  }
+
   /** The true time; needs at least one sample that is not expired. */
   public long trueTimeMs(long nowMs) {
     removeExpired(nowMs);
-    List<Long> offsets =
-        samplesByNode.values().stream().map(ClockSamples::highestMs).sorted().toList();
-    int upper = offsets.size() / 2;
-    int lower = (offsets.size() - 1) / 2;
-    return nowMs + Math.floorDiv(offsets.get(lower) + offsets.get(upper), 2L);
+    return nowMs + median(largestAgreement(sortedOffsets()));
   }
 
-  private void removeExpired(long nowMs) {
-    samplesByNode
-        .values()
-        .removeIf(samples -> nowMs - samples.lastAt > UsageConstants.CLOCK_SAMPLE_EXPIRY_MS);
+  private List<Long> sortedOffsets() {
+    return samplesByNode.values().stream().map(ClockSample::offsetMs).sorted().toList();
   }
 
-  /** The last few samples of one node's clock, as offsets to this process's monotonic time. */
-  private static final class ClockSamples {
-    private final Deque<Long> offsetsMs = new ArrayDeque<>();
-    private long lastAt;
-
-    private void add(long offsetMs, long nowMs) {
-      offsetsMs.addLast(offsetMs);
-      if (offsetsMs.size() > UsageConstants.CLOCK_SAMPLES) {
-        offsetsMs.removeFirst();
+  private static List<Long> largestAgreement(List<Long> sortedOffsets) {
+    long middle = median(sortedOffsets);
+    List<Long> best = List.of();
+    for (int first = 0; first < sortedOffsets.size(); first++) {
+      int end = first;
+      long highest = sortedOffsets.get(first) + UsageConstants.CLOCK_AGREEMENT_MS;
+      while (end < sortedOffsets.size() && sortedOffsets.get(end) <= highest) {
+        end++;
+      }
+      List<Long> agreeing = sortedOffsets.subList(first, end);
+      boolean nearer =
+          agreeing.size() == best.size()
+              && Math.abs(median(agreeing) - middle) < Math.abs(median(best) - middle);
+      if (agreeing.size() > best.size() || nearer) {
+        best = agreeing;
       }
-      lastAt = nowMs;
     }
+    return best;
+  }
 
-    private long highestMs() {
-      return offsetsMs.stream().mapToLong(Long::longValue).max().orElseThrow();
-    }
+  private static long median(List<Long> sortedOffsets) {
+    int upper = sortedOffsets.size() / 2;
+    int lower = (sortedOffsets.size() - 1) / 2;
+    return Math.floorDiv(sortedOffsets.get(lower) + sortedOffsets.get(upper), 2L);
+  }
+
+  private void removeExpired(long nowMs) {
+    samplesByNode
+        .values()
+        .removeIf(sample -> nowMs - sample.at() > UsageConstants.CLOCK_SAMPLE_EXPIRY_MS);
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageCollector.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageCollector.java
@@ -12,7 +12,6 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 
 /**
  * Merges what the edges report to the holder of the usage duty, and closes windows.
@@ -25,6 +24,15 @@
  * logic thread.
  */
 public final class UsageCollector implements UsageSource {
+  /** The edges of the deployment as far as this node knows. */
+  public interface Edges {
+    /** Ids of those that hold a lease. */
+    Set<String> live();
+
+    /** How many there should be: a new holder may know of no lease yet. */
+    int expected();
+  }
+
   /** One process that counts; a restarted edge is another one. */
   private record Counter(String edge, long incarnation) {}
 
@@ -32,7 +40,7 @@
   private final String ownId;
   private final DutySettings duties;
   private final BooleanSupplier isMetered;
-  private final Supplier<Set<String>> liveEdges;
+  private final Edges edges;
   private final TrueTimeEstimator trueTime = new TrueTimeEstimator();
   private final Map<Counter, ReportedCounts> reported = new HashMap<>();
 
@@ -52,19 +60,19 @@
    *
    * @param ownId id of this node, whose wall clock takes part in the estimate of true time
    * @param isMetered whether requests can belong to a tenant by now, so that windows count
-   * @param liveEdges ids of the edges that hold a lease
+   * @param edges those of the deployment
    */
   public UsageCollector(
       Environment environment,
       String ownId,
       DutySettings duties,
       BooleanSupplier isMetered,
-      Supplier<Set<String>> liveEdges) {
+      Edges edges) {
     this.environment = environment;
     this.ownId = ownId;
     this.duties = duties;
     this.isMetered = isMetered;
-    this.liveEdges = liveEdges;
+    this.edges = edges;
   }
 
   /** Starts anew for a holdership, unless it has already begun. */
@@ -87,24 +95,35 @@
    */
   public UsageReportResponse handle(UsageReport report, long closedThrough) {
     long now = environment.nowMs();
-    trueTime.addSample(report.edge(), report.wallClockMs(), now);
+    if (report.clockOffsetMs() != null && report.holdership() == holdership) {
+      trueTime.putSample(report.edge(), report.clockOffsetMs(), now);
+    }
     addOwnSample(now);
     reported
         .computeIfAbsent(
             new Counter(report.edge(), report.incarnation()), ignored -> new ReportedCounts())
         .merge(report, closedThrough, holdership);
     return new UsageReportResponse(
-        isTrueTimeKnown(now) ? trueTime.trueTimeMs(now) : 0, closedThrough, holdership);
+        now, isTrueTimeKnown(now) ? trueTime.trueTimeMs(now) : 0, closedThrough, holdership);
   }
 
   private void addOwnSample(long now) {
-    trueTime.addSample(ownId, environment.wallClockMs(), now);
+    trueTime.putSample(ownId, environment.wallClockMs() - now, now);
   }
 
-  /** Whether the clocks of a majority of the edges are known, or were waited for long enough. */
+  /**
+   * Whether enough clocks agree, which is a majority of those expected, or half of them if all are
+   * known. After some time any few clocks are enough, and after a long time any one.
+   */
   private boolean isTrueTimeKnown(long now) {
-    int expected = liveEdges.get().size() + 1;
-    return 2 * trueTime.nodes(now) > expected || now - startedAt >= UsageConstants.CLOCK_WAIT_MS;
+    int known = trueTime.nodes(now);
+    int expected = edges.expected() + 1;
+    long waitedMs = now - startedAt;
+    int agreeing = trueTime.agreeingNodes(now);
+    return 2 * agreeing > expected
+        || 2 * agreeing == expected && known >= expected
+        || waitedMs >= UsageConstants.CLOCK_WAIT_MS && known >= UsageConstants.MIN_CLOCKS
+        || waitedMs >= UsageConstants.MAX_CLOCK_WAIT_MS;
   }
 
   @Override
@@ -169,7 +188,7 @@
   }
 
   private boolean haveAllReported(long window) {
-    Set<String> live = liveEdges.get();
+    Set<String> live = edges.live();
     long complete =
         reported.entrySet().stream()
             .filter(entry -> entry.getValue().through >= window)
@@ -204,8 +223,7 @@
         return;
       }
       lastSequence = report.sequence();
-      through =
-          report.holdership() == presentHoldership ? Math.max(through, report.through()) : through;
+      through = report.holdership() == presentHoldership ? report.through() : 0;
       report.windows().forEach(window -> byWindow.put(window.window(), window.counts()));
       removeThrough(closedThrough);
     }
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReport.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReport.java
@@ -11,7 +11,8 @@
  *
  * @param edge id of the process that counted
  * @param incarnation of that process
- * @param wallClockMs its wall clock when the report was sent
+ * @param clockOffsetMs how far its wall clock is ahead of the holder's monotonic time; null if it
+ *     does not know the holder's time yet
  * @param holdership the one for which the report is made; 0 for the first report
  * @param through the last window that had ended, up to which that holdership has all counts of this
  *     edge, and another one may lack some; 0 while the edge does not know the true time
@@ -23,7 +24,7 @@
 public record UsageReport(
     @JsonProperty("e") String edge,
     @JsonProperty("i") long incarnation,
-    @JsonProperty("t") long wallClockMs,
+    @JsonProperty("t") Long clockOffsetMs,
     @JsonProperty("h") long holdership,
     @JsonProperty("l") long through,
     @JsonProperty("n") long sequence,
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
@@ -47,6 +47,13 @@
   private long reportedThrough;
 
   private long holdership;
+
+  /**
+   * How far this machine's wall clock is ahead of the holder's monotonic time, by the last answer
+   * that came fast; null if there was none in this holdership.
+   */
+  private Long clockOffsetMs;
+
   private long closedThrough;
   private long sequence;
   private boolean underWay;
@@ -106,15 +113,20 @@
   }
 
   /**
-   * The window in which a request is counted that is not assigned to one yet. After a correction of
-   * the true time this may be one later than by the clock.
+   * The window in which a request is counted that is not assigned to one yet. After a small
+   * correction of the true time this may be one later than by the clock.
    */
   private long incompleteWindowAt(long monotonicMs) {
-    return Math.max(windowAt(monotonicMs), reportedThrough + 1);
+    long window = windowAt(monotonicMs);
+    return window == reportedThrough ? window + 1 : window;
   }
 
   private long lastEndedWindow(long now) {
-    return trueTime.isKnown() ? Math.max(reportedThrough, windowAt(now) - 1) : 0;
+    if (!trueTime.isKnown()) {
+      return 0;
+    }
+    long lastEnded = windowAt(now) - 1;
+    return lastEnded + 1 == reportedThrough ? reportedThrough : lastEnded;
   }
 
   // ---- reports
@@ -126,7 +138,7 @@
         new UsageReport(
             identity.id(),
             identity.incarnation(),
-            environment.wallClockMs(),
+            clockOffsetMs,
             holdership,
             reportedThrough,
             ++sequence,
@@ -172,19 +184,28 @@
     boolean isNewHolder = answer.holdership() != holdership;
     if (isNewHolder) {
       holdership = answer.holdership();
+      clockOffsetMs = null;
       acknowledged.clear();
     }
+    measureClock(answer, now - sentAt);
     report.windows().forEach(window -> acknowledged.put(window.window(), window.counts()));
     closeThrough(answer.closedThrough());
-    if (!trueTime.isKnown()) {
-      nextReportAt = now + UsageConstants.RETRY_DELAY_MS;
-    } else if (isNewHolder) {
+    if (isNewHolder) {
       nextReportAt = now;
+    } else if (answer.trueTimeMs() == 0) {
+      nextReportAt = now + UsageConstants.RETRY_DELAY_MS;
     } else {
       scheduleNext(now);
     }
   }
 
+  private void measureClock(UsageReportResponse answer, long roundTripMs) {
+    if (roundTripMs >= 0 && roundTripMs <= UsageConstants.MAX_CLOCK_ROUND_TRIP_MS) {
+      long wallClockAtHolderMs = environment.wallClockMs() - roundTripMs / 2;
+      clockOffsetMs = wallClockAtHolderMs - answer.holderTimeMs();
+    }
+  }
+
   /** Forgets the counts of windows whose intent is committed. */
   private void closeThrough(long window) {
     closedThrough = Math.max(closedThrough, window);
--- a/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
@@ -40,6 +40,7 @@
   final WorkerRegistry registry = new WorkerRegistry(this, () -> {});
   final ProxyDispatcher dispatcher = new ProxyDispatcher(this, "near", this, registry);
   RoutingConfiguration configuration;
+
   /** For all requests; null: by the configuration. */
   TenantAccess access;
 
--- a/core-logic/src/test/java/applespindle/corelogic/usage/UsageCollectionFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/usage/UsageCollectionFixture.java
@@ -65,6 +65,18 @@
     }
   }
 
+  private final class KnownEdges implements UsageCollector.Edges {
+    @Override
+    public Set<String> live() {
+      return live;
+    }
+
+    @Override
+    public int expected() {
+      return edges.size();
+    }
+  }
+
   /** One machine's view of the time. */
   private final class Node extends FakeEnvironment {
     private long stepMs;
@@ -217,7 +229,8 @@
   }
 
   UsageCollector newCollector() {
-    return new UsageCollector(holderNode, "holder-" + fence, DUTIES, () -> metered, () -> live);
+    return new UsageCollector(
+        holderNode, "holder-" + fence, DUTIES, () -> metered, new KnownEdges());
   }
 
   void runLoad(long millis) {
--- a/test-fleet/src/main/java/applespindle/testfleet/history/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/History.java
@@ -116,6 +116,11 @@
     RUN_ARRIVED,
     /** subject: worker; detail: request; text: run; number: the event it goes on behind. */
     RUN_BEGAN,
+    /**
+     * subject: the tenant that the worker is told, which is not empty; detail: request; text: run;
+     * number: 0. The worker puts out the first of a successful response.
+     */
+    RUN_PUT_OUT,
     /**
      * subject: worker; detail: request; text: run; number: status of the whole answer, 0 if it
      * broke off, -1 if its caller left.
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
@@ -432,6 +432,9 @@
         return;
       }
       headSent = true;
+      if (status == 200) {
+        recordFirstOutput();
+      }
       String contentType = stream && status == 200 ? "text/event-stream" : "text/plain";
       List<Header> headers =
           List.of(
@@ -440,6 +443,18 @@
       connection.head(worker.load(), new ResponseHead(status, headers));
     }
 
+    private void recordFirstOutput() {
+      if (exchange.tenant() != null && !exchange.tenant().isEmpty()) {
+        simulation.history.add(
+            simulation.simulatedNowMs(),
+            Kind.RUN_PUT_OUT,
+            exchange.tenant(),
+            exchange.request().id(),
+            label,
+            0);
+      }
+    }
+
     /** Sends all of a response that is no stream, or the end of one that is. */
     private void respond(int status) {
       boolean failure = status >= 300;
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/Simulation.java
@@ -21,9 +21,6 @@
  * step the invariants of the logs are checked on the key that the step changed.
  */
 public final class Simulation {
-  /** True time when the simulation begins. */
-  private static final long EPOCH_MS = 1_700_000_000_000L;
-
   private static final long CONNECT_TIMEOUT_MS = 1_000;
 
   /** How long a call of a client takes to a process, and its response back. */
@@ -109,9 +106,9 @@
     return events.nowMs();
   }
 
-  /** Milliseconds since 1970 by a clock that is never off. */
+  /** Milliseconds since 1970, when the simulation begins, by a clock that is never off. */
   public long trueTimeMs() {
-    return EPOCH_MS + simulatedNowMs();
+    return simulatedNowMs();
   }
 
   /** Simulated time in microseconds. */
