--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlManagers.java
@@ -241,5 +241,9 @@
       duties.forEach(duty -> duty.describe(dutyStatus));
       dutyReports.describe(dutyStatus);
     }
+    LedKey configurationKey = keys.get(MetadataKeys.CONFIGURATION);
+    if (configurationKey != null) {
+      configurations.describe(status, configurationKey);
+    }
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/usage/TrueTimeOffset.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/TrueTimeOffset.java
@@ -8,10 +8,13 @@
  *
  * <p>The sample with the shortest round trip is used, as its error is at most half of that. A later
  * sample that contradicts it replaces it: either the monotonic clock has drifted or the holder's
- * estimate has changed. Unknown before the first answer.
+ * estimate has changed. Unknown before the first answer that came fast, or a few that did not.
  */
 public final class TrueTimeOffset {
-  private boolean known;
+  /** Samples that count as good as a fast one. */
+  private static final int ENOUGH_SLOW_SAMPLES = 4;
+
+  private int samples;
   private long offsetMs;
   private long roundTripMs;
 
@@ -22,10 +25,11 @@
       return;
     }
     long sampleOffsetMs = trueTimeMs - (sentAt + sampleRoundTripMs / 2);
-    if (!known
+    boolean first = samples == 0;
+    samples++;
+    if (first
         || sampleRoundTripMs < roundTripMs
         || contradicts(sampleOffsetMs, sampleRoundTripMs)) {
-      known = true;
       offsetMs = sampleOffsetMs;
       roundTripMs = sampleRoundTripMs;
     }
@@ -36,9 +40,10 @@
     return Math.abs(sampleOffsetMs - offsetMs) > explainedMs;
   }
 
-  /** Whether an answer with the true time has come. */
+  /** Whether the true time is known well enough to tell windows by it. */
   public boolean isKnown() {
-    return known;
+    return samples >= ENOUGH_SLOW_SAMPLES
+        || samples > 0 && roundTripMs <= UsageConstants.MAX_CLOCK_ROUND_TRIP_MS;
   }
 
   /** The true time at a monotonic time of this process; only if the offset is known. */
--- a/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/UsageReporter.java
@@ -192,7 +192,7 @@
     closeThrough(answer.closedThrough());
     if (isNewHolder) {
       nextReportAt = now;
-    } else if (answer.trueTimeMs() == 0) {
+    } else if (answer.trueTimeMs() == 0 || !trueTime.isKnown()) {
       nextReportAt = now + UsageConstants.RETRY_DELAY_MS;
     } else {
       scheduleNext(now);
--- a/core-logic/src/test/java/applespindle/corelogic/usage/TrueTimeOffsetTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/usage/TrueTimeOffsetTest.java
@@ -32,6 +32,17 @@
     assertThat(offset.trueTimeMs(6_000)).isEqualTo(58_000);
   }
 
+  @Test
+  void aSlowAnswerAloneIsNotEnough() {
+    offset.addSample(50_600, 0, 1_200);
+    assertThat(offset.isKnown()).isFalse();
+    for (int sample = 1; sample < 4; sample++) {
+      offset.addSample(50_600 + 2_000 * sample, 2_000 * sample, 2_000 * sample + 1_200);
+    }
+    assertThat(offset.isKnown()).isTrue();
+    assertThat(offset.trueTimeMs(10_000)).isEqualTo(60_000);
+  }
+
   @Test
   void anAnswerFromBeforeItsRequestIsIgnored() {
     offset.addSample(50_000, 20, 0);
