Duties at the platform: simulated platform, scenarios, rules and mutations

Cause: the duties were tested on a model of their log only, and nothing judged them from the platform's side.

Change: PlatformCallEndpoint is the platform's side in the simulator: it fences, and can be down, slow, late, throttle or lose its answers.

--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -29,7 +29,12 @@
     REFUSED_REQUEST_RAN,
     WRONG_POOL,
     STREAM_BROKEN,
-    RESPONSE_LOST
+    RESPONSE_LOST,
+    /** The rest is of the duties at the platform: see {@link DutyRules}. */
+    USAGE_REPORTS_DIFFER,
+    FENCE_SHARED,
+    DUTY_HOLDER_BACK_TOO_SOON,
+    WINDOW_NOT_REPORTED
   }
 
   /** One violation of a rule, with the time at which it was observed. */
@@ -46,9 +51,18 @@
     new CapacityLimitRules(traffic, violations).waitingItemsStayBelowCeiling();
     new CapacityRefusalRules(traffic, violations).refusalsForLackOfRoomAreTrue();
     violations.addAll(ProxyChecker.check(traffic.events));
+    checkDuties(traffic, violations);
     return violations;
   }
 
+  private static void checkDuties(ObservedTraffic traffic, List<Violation> violations) {
+    var duties = new DutyRules(traffic, violations);
+    duties.reportsOfAWindowAreEqual();
+    duties.eachHolderHasItsOwnFence();
+    duties.holdersDoNotComeBackWithinALease();
+    duties.everyWindowIsReported();
+  }
+
   private static void checkCorrectness(ObservedTraffic traffic, List<Violation> violations) {
     var batches = new BatchRules(traffic, violations);
     batches.refusedBatchesDoNotRun();
--- a/test-fleet/src/main/java/applespindle/testfleet/history/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/History.java
@@ -147,7 +147,19 @@
      * subject: batch; detail: read or unread; text: results then read back; number: items whose
      * body did not come.
      */
-    OPAQUE_CLOSED
+    OPAQUE_CLOSED,
+    /**
+     * A report of usage that has arrived at the platform. subject: usage; detail: holder and
+     * fencing token; text: window and counters; number: status.
+     */
+    USAGE_REPORTED,
+    /**
+     * An order of workers that has arrived at the platform. subject: pool and zone; detail: holder
+     * and fencing token; text: number of workers; number: status.
+     */
+    SCALE_ORDERED,
+    /** The platform's side of the duties. detail: began or ended; text: its condition before. */
+    DUTY_TROUBLE
   }
 
   /** One event as observed from outside. */
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/RandomFaults.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/RandomFaults.java
@@ -126,6 +126,25 @@
           "worker-list-becomes refuses / worker-list-becomes well",
           "burst-proxied resumable 200 3");
 
+  /** Faults of the duties at the platform, where the scenario has them. */
+  private static final List<String> RANDOM_DUTY_FAULTS =
+      List.of(
+          "kill owner:duty/usage / start last",
+          "power-loss owner:duty/usage / start last",
+          "freeze owner:duty/usage / wake last",
+          "isolate owner:duty/usage / heal",
+          "stop owner:duty/usage / start last",
+          "reset owner:duty/usage",
+          "stall-disk owner:duty/usage 3",
+          "kill owner:duty/scale / start last",
+          "freeze owner:duty/scale / wake last",
+          "cut-duties owner:duty/usage / heal-duties",
+          "duties-become down / duties-become well",
+          "duties-become slow / duties-become well",
+          "duties-become late / duties-become well",
+          "duties-become loses-answers / duties-become well",
+          "duties-become throttles / duties-become well");
+
   private static final List<String> RANDOM_LOSSES =
       List.of(
           "lose-disk any-storage / start last",
@@ -181,6 +200,9 @@
     if (losesDisk) {
       return RANDOM_LOSSES;
     }
+    if (settings.duties && simulation.random.nextBoolean()) {
+      return RANDOM_DUTY_FAULTS;
+    }
     return settings.platformLosses > 0 ? RANDOM_PLATFORM_FAULTS : RANDOM_FAULTS;
   }
 
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
@@ -43,6 +43,7 @@
  *       it
  *   <li>larger-edges: how many edges have another share of a core, and another Mbit/s
  *   <li>list: lag of the list of workers in ms, calls a second
+ *   <li>duties: the platform asks for reports of usage and for orders of workers
  *   <li>waiting-tokens: the most on the batch route
  *   <li>watch-core: from, to; the period that {@link ControlPlaneProbe} measures
  *   <li>random: from, to; one random fault after the other, each repaired before the next
@@ -134,6 +135,9 @@
     fleet.edgeLinks(settings.edgeLinkMbits);
     fleet.edgeProcessors(settings.edgeProcessorShare);
     fleet.largerEdges(settings.largerEdges, settings.largerEdgeShare, settings.largerEdgeMbits);
+    if (settings.duties) {
+      fleet.platform.askForDuties();
+    }
     fleet.start();
     if (settings.watchToMs > 0) {
       fleet.controlPlaneProbe =
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioExpectations.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioExpectations.java
@@ -142,6 +142,7 @@
               "taken batches",
               fleet.clients.batches.stream().filter(client -> client.accepted).count(),
               bound);
+      case "duty-calls-most" -> atMost("calls of the duties", fleet.platform.duties.calls, bound);
       case "list-calls-most" ->
           atMost("calls to the list of workers", fleet.platform.list.calls, bound);
       default -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
@@ -112,6 +112,7 @@
         settings.listLagMs = Long.parseLong(words[1]);
         settings.listCallsPerS = Double.parseDouble(words[2]);
       }
+      case "duties" -> settings.duties = true;
       case "waiting-tokens" -> settings.waitingTokensLimit = Long.parseLong(words[1]);
       default -> {
         return false;
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
@@ -74,6 +74,9 @@
   /** Most tokens that may wait on the batch route; 0: the default. */
   long waitingTokensLimit;
 
+  /** The platform asks for the duties. */
+  boolean duties;
+
   /** Clients whose checks are refused retry after the delay they are given. */
   boolean obedient;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/TrafficActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/TrafficActions.java
@@ -2,6 +2,7 @@
 
 import applespindle.testfleet.clients.BatchClient;
 import applespindle.testfleet.clients.SimulatedFleet;
+import applespindle.testfleet.simulation.PlatformCallEndpoint;
 import applespindle.testfleet.simulation.ProxyWorkers;
 import applespindle.testfleet.simulation.SimulatedWorkers.Condition;
 import applespindle.testfleet.simulation.Simulation;
@@ -72,6 +73,11 @@
       case "worker-reports-draining" -> simulation.workers.get(words[1]).leaving = true;
       case "worker-list-becomes" ->
           fleet.platform.list.become(WorkerListing.Condition.valueOf(words[1].toUpperCase()));
+      case "duties-become" ->
+          fleet.platform.duties.become(
+              PlatformCallEndpoint.Condition.valueOf(words[1].toUpperCase().replace('-', '_')));
+      case "cut-duties" -> fleet.platform.duties.cutOff(fleet.target(words[1]).name);
+      case "heal-duties" -> fleet.platform.duties.heal();
       case "proxied-worker" ->
           proxiedWorkers(words[1])
               .forEach(
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
@@ -31,6 +31,9 @@
   public final ProxyWorkers workers;
   public final WorkerListing list;
 
+  /** Null if the platform asks for no duties. */
+  public PlatformCallEndpoint duties;
+
   /** Also the number in the id of the last worker that joined. */
   private int joinedWorkers;
 
@@ -68,6 +71,17 @@
     bound("requestTimeoutMs", REQUEST_TIMEOUT_MS);
     bound("retentionMs", RESULT_RETENTION_MS);
     bound("overshootPercent", Math.round(100 * OVERSHOOT));
+    if (duties != null) {
+      bound("leaseMs", PlatformCallEndpoint.LEASE_MS);
+      bound("usageWindowMs", PlatformCallEndpoint.WINDOW_MS);
+      bound("usageDelayMs", PlatformCallEndpoint.DELAY_MS);
+    }
+  }
+
+  /** Asks for the duties; before any process is started. */
+  public void askForDuties() {
+    duties = new PlatformCallEndpoint(simulation);
+    simulation.settings = simulation.settings.withDuties(PlatformCallEndpoint.settings());
   }
 
   private void bound(String name, long value) {
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
@@ -3,10 +3,13 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.ConfigurationFormat;
 import applespindle.corelogic.controlplane.ControlPlaneNode;
+import applespindle.corelogic.duty.DutyInputs;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.Invariant;
 import applespindle.corelogic.environment.NodeSettings;
+import applespindle.corelogic.environment.PlatformCall;
+import applespindle.corelogic.environment.PlatformCallResult;
 import applespindle.corelogic.log.LogRecord;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
@@ -178,12 +181,19 @@
               simulation.operatorKeys,
               simulation.settings == NodeSettings.DEFAULT ? seeds : List.of(),
               nodeSettings(),
-              ConfigurationFormat.OWN);
+              ConfigurationFormat.OWN,
+              dutyInputs());
       case "storage" -> new StorageNode(this, identity, nodeSettings());
       default -> new EdgeNode(this, identity, nodeSettings());
     };
   }
 
+  private DutyInputs dutyInputs() {
+    return simulation.platform == null || simulation.platform.duties == null
+        ? DutyInputs.NONE
+        : simulation.platform.duties.inputs(this);
+  }
+
   /**
    * Only the very first start, with an empty disk, bootstraps the control plane, unless the
    * settings of the process stay as they were; a machine without a disk has no vote.
@@ -476,6 +486,12 @@
         error -> enter(reader, () -> whenFaulty.accept(error)));
   }
 
+  @Override
+  public void callPlatform(PlatformCall call, Consumer<PlatformCallResult> then) {
+    int caller = incarnation;
+    simulation.platform.duties.call(this, call, result -> enter(caller, () -> then.accept(result)));
+  }
+
   @Override
   public RandomGenerator random() {
     return simulation.random;
