--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -37,7 +37,8 @@
     USAGE_REPORTS_DIFFER,
     FENCE_SHARED,
     DUTY_HOLDER_BACK_TOO_SOON,
-    WINDOW_NOT_REPORTED
+    WINDOW_NOT_REPORTED,
+    USAGE_WRONG
   }
 
   /** One violation of a rule, with the time at which it was observed. */
@@ -64,6 +65,7 @@
     duties.eachHolderHasItsOwnFence();
     duties.holdersDoNotComeBackWithinALease();
     duties.everyWindowIsReported();
+    new UsageRules(traffic, violations).usageIsAsBegun();
   }
 
   private static void checkCorrectness(ObservedTraffic traffic, List<Violation> violations) {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/Scenario.java
@@ -45,6 +45,7 @@
  *   <li>larger-edges: how many edges have another share of a core, and another Mbit/s
  *   <li>list: lag of the list of workers in ms, calls a second
  *   <li>duties: the platform asks for reports of usage and for orders of workers
+ *   <li>usage-of-edges: with duties; they report what the edges count, not made-up usage
  *   <li>waiting-tokens: the most on the batch route
  *   <li>watch-core: from, to; the period that {@link ControlPlaneProbe} measures
  *   <li>random: from, to; one random fault after the other, each repaired before the next
@@ -139,6 +140,7 @@
     fleet.tenants(settings.tenants);
     if (settings.duties) {
       fleet.platform.askForDuties();
+      fleet.platform.duties.inputsOfEdges = settings.usageOfEdges;
     }
     fleet.start();
     if (settings.watchToMs > 0) {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioParser.java
@@ -114,6 +114,7 @@
         settings.listCallsPerS = Double.parseDouble(words[2]);
       }
       case "duties" -> settings.duties = true;
+      case "usage-of-edges" -> settings.usageOfEdges = true;
       case "waiting-tokens" -> settings.waitingTokensLimit = Long.parseLong(words[1]);
       default -> {
         return false;
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
@@ -80,6 +80,9 @@
   /** The platform asks for the duties. */
   boolean duties;
 
+  /** The duties report and order by what the edges report, not by made-up inputs. */
+  boolean usageOfEdges;
+
   /** Clients whose checks are refused retry after the delay they are given. */
   boolean obedient;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/PlatformCallEndpoint.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/PlatformCallEndpoint.java
@@ -65,6 +65,9 @@
   private final Simulation simulation;
   private Condition condition = Condition.WELL;
 
+  /** Whether the nodes report and order by what the edges report, not by made-up inputs. */
+  public boolean inputsOfEdges;
+
   /** Processes whose calls do not arrive. */
   private final Set<String> cutOff = new TreeSet<>();
 
@@ -193,9 +196,12 @@
 
   /**
    * The inputs of a process. Each process counts something else, and counts again whenever it is
-   * asked, so that a window that is not counted once shows.
+   * asked, so that a window that is not counted once shows. Null: the process's own.
    */
   DutyInputs inputs(SimulatedProcess process) {
+    if (inputsOfEdges) {
+      return null;
+    }
     long[] counts = new long[1];
     return new DutyInputs(
         (afterWindowId, now) -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedPlatform.java
@@ -79,6 +79,7 @@
     bound("revokeMs", simulation.settings.revokeMs());
     bound("overshootPercent", Math.round(100 * OVERSHOOT));
     if (duties != null) {
+      bound("usageOfEdges", duties.inputsOfEdges ? 1 : 0);
       bound("leaseMs", PlatformCallEndpoint.LEASE_MS);
       bound("usageWindowMs", PlatformCallEndpoint.WINDOW_MS);
       bound("usageDelayMs", PlatformCallEndpoint.DELAY_MS);
