--- a/test-fleet/src/main/java/applespindle/testfleet/checker/UsageRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/UsageRules.java
@@ -111,7 +111,7 @@
   /** Deaths of edges from the start of a window until its counts are certainly reported. */
   private long deathsIn(long window, long windowMs) {
     return traffic.of(Kind.TROUBLE).stream()
-        .filter(each -> each.text().equals("edge") && each.detail().startsWith("began"))
+        .filter(each -> each.text().equals("edge") && each.detail().equals("began down"))
         .filter(each -> each.atMs() >= window * windowMs)
         .filter(each -> each.atMs() < (window + 2) * windowMs)
         .count();
