--- a/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/NodeSettings.java
@@ -30,6 +30,7 @@
  *     commit
  * @param processorCores processor time that the machine has for this process, in full-speed cores;
  *     0 if unknown
+ * @param duties the duties at the platform that the deployment asks for
  * @param revokeMs how long after the acknowledgement of a configuration a request that is sent with
  *     a key which it took away may still run, at any node, connected or not; 0: no such bound
  */
@@ -50,6 +51,7 @@
     double linkMegabits,
     boolean edgesAcknowledge,
     double processorCores,
+    DutySettings duties,
     long revokeMs) {
   /**
    * The settings without a platform: one node may be lost, configurations are signed, and workers
@@ -75,6 +77,7 @@
           0,
           true,
           0,
+          DutySettings.NONE,
           0);
 
   /**
@@ -112,6 +115,7 @@
         linkMegabits,
         false,
         0,
+        DutySettings.NONE,
         0);
   }
 
@@ -134,6 +138,7 @@
         linkMegabits,
         edgesAcknowledge,
         processorCores,
+        duties,
         boundMs);
   }
 
@@ -156,6 +161,30 @@
         linkMegabits,
         edgesAcknowledge,
         cores,
+        duties,
+        revokeMs);
+  }
+
+  /** These settings with these duties. */
+  public NodeSettings withDuties(DutySettings asked) {
+    return new NodeSettings(
+        faultTolerance,
+        bootstrap,
+        voter,
+        signedConfigurations,
+        listCallsPerS,
+        listLagMs,
+        drainTimeoutMs,
+        cancelTimeoutMs,
+        shutdownGraceMs,
+        configurationApplyMs,
+        batchRetentionMs,
+        quotaOvershoot,
+        diskBytes,
+        linkMegabits,
+        edgesAcknowledge,
+        processorCores,
+        asked,
         revokeMs);
   }
 
@@ -181,6 +210,7 @@
         linkMegabits,
         edgesAcknowledge,
         processorCores,
+        duties,
         revokeMs);
   }
 
@@ -206,6 +236,7 @@
         newer.linkMegabits,
         edgesAcknowledge,
         newer.processorCores,
+        duties,
         newer.revokeMs);
   }
 
--- a/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/ProxyDispatcherFixture.java
@@ -40,6 +40,13 @@
   final WorkerRegistry registry = new WorkerRegistry(this, () -> {});
   final ProxyDispatcher dispatcher = new ProxyDispatcher(this, "near", this, registry);
   RoutingConfiguration configuration;
+
+  /** For all requests; null: by the configuration. */
+  TenantAccess access;
+
+  /** The tenants of the requests that were counted as begun. */
+  final List<String> begun = new ArrayList<>();
+
   ApiError newWorkRejection;
   ApiError admittedWorkRejection;
   ApiError staleKeys;
@@ -129,6 +136,9 @@
 
   @Override
   public TenantAccess tenantAccess(Route route, String apiKey) {
+    if (access != null) {
+      return access;
+    }
     return configuration == null
         ? TenantAccess.NONE
         : TenantAccess.check(
@@ -146,6 +156,11 @@
   @Override
   public void releaseIdempotencyId(String id, String token) {}
 
+  @Override
+  public void recordRequestBegun(String tenant) {
+    begun.add(tenant);
+  }
+
   @Override
   public void incrementCounter(String counter) {}
 
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -32,7 +32,13 @@
     RESPONSE_LOST,
     WRONG_TENANT,
     UNKNOWN_KEY_RAN,
-    WITHDRAWN_KEY_RAN
+    WITHDRAWN_KEY_RAN,
+    /** The rest is of the duties at the platform: see {@link DutyRules}. */
+    USAGE_REPORTS_DIFFER,
+    FENCE_SHARED,
+    DUTY_HOLDER_BACK_TOO_SOON,
+    WINDOW_NOT_REPORTED,
+    USAGE_WRONG
   }
 
   /** One violation of a rule, with the time at which it was observed. */
@@ -49,9 +55,19 @@
     new CapacityLimitRules(traffic, violations).waitingItemsStayBelowCeiling();
     new CapacityRefusalRules(traffic, violations).refusalsForLackOfRoomAreTrue();
     violations.addAll(ProxyChecker.check(traffic.events));
+    checkDuties(traffic, violations);
     return violations;
   }
 
+  private static void checkDuties(ObservedTraffic traffic, List<Violation> violations) {
+    var duties = new DutyRules(traffic, violations);
+    duties.reportsOfAWindowAreEqual();
+    duties.eachHolderHasItsOwnFence();
+    duties.holdersDoNotComeBackWithinALease();
+    duties.everyWindowIsReported();
+    new UsageRules(traffic, violations).usageIsAsBegun();
+  }
+
   private static void checkCorrectness(ObservedTraffic traffic, List<Violation> violations) {
     var batches = new BatchRules(traffic, violations);
     batches.refusedBatchesDoNotRun();
--- a/test-fleet/src/main/java/applespindle/testfleet/history/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/History.java
@@ -122,6 +122,11 @@
     RUN_ARRIVED,
     /** subject: worker; detail: request; text: run; number: the event it goes on behind. */
     RUN_BEGAN,
+    /**
+     * subject: the tenant that the worker is told, which is not empty; detail: request; text: run;
+     * number: 0. The worker puts out the first of a successful response.
+     */
+    RUN_PUT_OUT,
     /**
      * subject: the tenant that the worker is told, empty for none; detail: request; text: run;
      * number: 1 if the client's credentials were passed on.
@@ -158,7 +163,19 @@
      * subject: batch; detail: read or unread; text: results then read back; number: items whose
      * body did not come.
      */
-    OPAQUE_CLOSED
+    OPAQUE_CLOSED,
+    /**
+     * A report of usage that has arrived at the platform. subject: usage; detail: holder and
+     * fencing token; text: window and counters; number: status.
+     */
+    USAGE_REPORTED,
+    /**
+     * An order of workers that has arrived at the platform. subject: pool and zone; detail: holder
+     * and fencing token; text: number of workers; number: status.
+     */
+    SCALE_ORDERED,
+    /** The platform's side of the duties. detail: began or ended; text: its condition before. */
+    DUTY_TROUBLE
   }
 
   /** One event as observed from outside. */
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioSettings.java
@@ -77,6 +77,12 @@
   /** Most tokens that may wait on the batch route; 0: the default. */
   long waitingTokensLimit;
 
+  /** The platform asks for the duties. */
+  boolean duties;
+
+  /** The duties report and order by what the edges report, not by made-up inputs. */
+  boolean usageOfEdges;
+
   /** Clients whose checks are refused retry after the delay they are given. */
   boolean obedient;
 
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/Simulation.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/Simulation.java
@@ -106,6 +106,11 @@
     return events.nowMs();
   }
 
+  /** Milliseconds since 1970, when the simulation begins, by a clock that is never off. */
+  public long trueTimeMs() {
+    return simulatedNowMs();
+  }
+
   /** Simulated time in microseconds. */
   public long nowUs() {
     return events.nowUs();
