--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/SingletonDuty.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/SingletonDuty.java
@@ -32,7 +32,8 @@
  *   <li>each call follows a commit or a confirmation of the leadership, asked for after the call
  *       before and less than a lease ago
  *   <li>a fencing token belongs to one claim; each claim has a higher one
- *   <li>a former holder claims the duty no sooner than a lease after its election
+ *   <li>a former holder claims the duty no sooner than a lease after its election, and after the
+ *       end of each call that it may have made before
  *   <li>what a callback of an earlier step brings is ignored
  * </ul>
  *
@@ -84,6 +85,12 @@
   /** The last state of which this node knows that it is committed. */
   private S committed;
 
+  /**
+   * Since when no call of this node is on its way: of a call that is, the end of its time limit. A
+   * process that has just started may have a predecessor with such a call.
+   */
+  private long quietSinceMs;
+
   /** When the first of the finished intents that are not marked was finished. */
   private long unmarkedSinceMs;
 
@@ -111,6 +118,7 @@
     this.backoff = new DutyBackoff(environment, settings.callsPerS());
     this.state = task.initialState();
     this.committed = state;
+    this.quietSinceMs = environment.nowMs() + DutyConstants.CALL_TIMEOUT_MS;
   }
 
   Phase phase() {
@@ -165,12 +173,20 @@
     committed = state;
     failedSubjects.clear();
     if (state.claim().isFormerHolder(nodeName)) {
-      enterFor(Phase.AWAITING_LEASE, leaseMs, this::claim);
+      enterFor(Phase.AWAITING_LEASE, formerHolderWaitMs(), this::claim);
     } else {
       claim();
     }
   }
 
+  /**
+   * Until the last call that this node can have made as a holder before is a lease ago, whenever it
+   * arrived at the platform.
+   */
+  private long formerHolderWaitMs() {
+    return leaseMs + Math.max(0, quietSinceMs - environment.nowMs());
+  }
+
   private void claim() {
     DutyClaim claim = state.claim().takenBy(nodeName);
     commit(Phase.CLAIMING, state.withClaim(claim), this::claimed);
@@ -312,6 +328,7 @@
   private void call(PlatformCall call) {
     long number = enter(Phase.CALLING);
     backoff.recordCall();
+    quietSinceMs = environment.nowMs() + DutyConstants.CALL_TIMEOUT_MS;
     environment.schedule(
         DutyConstants.CALL_TIMEOUT_MS, () -> answered(number, call, PlatformCallResult.UNKNOWN));
     environment.callPlatform(call, result -> answered(number, call, result));
@@ -321,6 +338,7 @@
     if (!isCurrent(number)) {
       return;
     }
+    quietSinceMs = environment.nowMs();
     backoff.recordResult(result);
     switch (result) {
       case ACCEPTED -> {
--- a/core-logic/src/test/java/applespindle/corelogic/controlplane/SingletonDutyTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/controlplane/SingletonDutyTest.java
@@ -10,7 +10,6 @@
 import applespindle.corelogic.environment.PlatformCall.UsageReport;
 import applespindle.corelogic.environment.PlatformCallResult;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -168,22 +167,55 @@
         .inOrder();
   }
 
-  @Test
-  void aFormerHolderWaitsALeaseBeforeItClaims() {
-    close(1, "a", "b", "c");
-    for (String node : List.of("a", "b", "c")) {
+  /** The nodes hold the duty one after the other, and their calls are taken. */
+  private void holdInTurn(String... nodes) {
+    for (String node : nodes) {
       fleet.moveTo(node);
       fleet.runCalmly(100);
+      fleet.answer(PlatformCallResult.ACCEPTED);
     }
-    fleet.restart("a");
-    fleet.moveTo("a");
-    fleet.runCalmly(DutyFleet.LEASE_MS - 100);
+  }
+
+  private void assertClaimsAfter(long millis, long fence) {
+    fleet.runCalmly(millis - 100);
     assertThat(fleet.leader.duty.phase()).isEqualTo(Phase.AWAITING_LEASE);
-    assertThat(fleet.made).hasSize(3);
-    assertThat(fleet.committed.claim().fence()).isEqualTo(3);
+    assertThat(fleet.committed.claim().fence()).isEqualTo(fence - 1);
     fleet.runCalmly(300);
-    assertThat(fleet.made).hasSize(4);
-    assertThat(fleet.made.get(3)).isEqualTo(report("a", 4, 1, "a"));
+    assertThat(fleet.committed.claim().fence()).isEqualTo(fence);
+    assertThat(fleet.made.get(fleet.made.size() - 1)).isEqualTo(report("a", fence, 1, "a"));
+  }
+
+  @Test
+  void aFormerHolderWaitsALeaseBeforeItClaims() {
+    close(1, "a", "b", "c");
+    holdInTurn("a");
+    fleet.environment.run(DutyConstants.CALL_TIMEOUT_MS);
+    holdInTurn("b", "c");
+    fleet.moveTo("a");
+    assertClaimsAfter(DutyFleet.LEASE_MS, 4);
+  }
+
+  @Test
+  void aFormerHolderWaitsForItsOwnCallToo() {
+    close(1, "a", "b");
+    fleet.moveTo("a");
+    fleet.runCalmly(100);
+    long calledAtMs = fleet.environment.nowMs();
+    fleet.moveTo("b");
+    fleet.runCalmly(100);
+    fleet.moveTo("a");
+    long passedMs = fleet.environment.nowMs() - calledAtMs;
+    assertClaimsAfter(DutyFleet.LEASE_MS + DutyConstants.CALL_TIMEOUT_MS - passedMs - 100, 3);
+  }
+
+  @Test
+  void aFormerHolderThatHasJustStartedWaitsForCallsOfItsPredecessor() {
+    close(1, "a", "b");
+    holdInTurn("a", "b");
+    fleet.environment.run(DutyConstants.CALL_TIMEOUT_MS);
+    fleet.restart("a");
+    fleet.moveTo("a");
+    assertClaimsAfter(DutyFleet.LEASE_MS + DutyConstants.CALL_TIMEOUT_MS, 3);
   }
 
   @Test
