Scaling: items of batches count as a part of a live call

Change: an item counts as a fifth of a live call. Workers that are full of items alone then need no further one, and are not taken away either while the items run.

--- a/core-logic/src/main/java/applespindle/corelogic/constants/ScalingConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ScalingConstants.java
@@ -23,6 +23,9 @@
   /** Part of the slots that demand may take after one zone's workers were lost. */
   public static final double MAX_UTILIZATION_AFTER_ZONE_LOSS = 0.7;
 
+  /** The demand of a batch item, as a part of that of a live call. */
+  public static final double BATCH_ITEM_WEIGHT = 0.2;
+
   /** Workers above what the demand needs: one may fail or be replaced. */
   public static final int SPARE_WORKERS = 1;
 
--- a/core-logic/src/main/java/applespindle/corelogic/scaling/DemandSampler.java
+++ b/core-logic/src/main/java/applespindle/corelogic/scaling/DemandSampler.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic.scaling;
 
+import applespindle.corelogic.constants.ScalingConstants;
 import applespindle.corelogic.worker.WorkerRegistry;
 import applespindle.corelogic.worker.WorkerState;
 import java.util.ArrayList;
@@ -9,14 +10,16 @@
 import java.util.TreeMap;
 
 /**
- * Measures the mean number of this edge's calls at the workers of each pool and zone between two
- * reports. Calls that wait at a worker for a slot are included. Confined to the logic thread.
+ * Measures the mean demand of this edge for the workers of each pool and zone between two reports:
+ * its live calls, those included that wait at a worker for a slot, and a part of its batch items.
+ * Items take whatever slots are free, so that their number alone does not show that more workers
+ * are needed. Confined to the logic thread.
  */
 public final class DemandSampler {
   private static final double HUNDREDTHS = 100;
 
   private final WorkerRegistry registry;
-  private final Map<PoolZone, Long> sums = new TreeMap<>();
+  private final Map<PoolZone, Double> sums = new TreeMap<>();
   private long samples;
 
   /** Creates a sampler without samples. */
@@ -28,10 +31,10 @@
   public void sample(Set<String> pools) {
     samples++;
     for (WorkerState worker : registry.all()) {
-      long calls = worker.ownCalls();
+      double calls = worker.liveCalls() + ScalingConstants.BATCH_ITEM_WEIGHT * worker.batchCalls();
       if (calls > 0 && pools.contains(worker.registration.pool())) {
         PoolZone key = new PoolZone(worker.registration.pool(), worker.registration.zone());
-        sums.merge(key, calls, Long::sum);
+        sums.merge(key, calls, Double::sum);
       }
     }
   }
--- a/core-logic/src/main/java/applespindle/corelogic/scaling/ScaleObservation.java
+++ b/core-logic/src/main/java/applespindle/corelogic/scaling/ScaleObservation.java
@@ -8,7 +8,7 @@
  * @param slots requests that one worker runs at once
  * @param present workers that are listed and not draining
  * @param zones in which the pool has workers
- * @param calls mean number of calls that are open there
+ * @param calls mean number of live calls that are open there, and of batch items by their weight
  * @param complete whether nearly all edges have reported their calls
  */
 public record ScaleObservation(
--- a/core-logic/src/main/java/applespindle/corelogic/worker/WorkerState.java
+++ b/core-logic/src/main/java/applespindle/corelogic/worker/WorkerState.java
@@ -222,6 +222,11 @@
     return liveCalls;
   }
 
+  /** Batch items of this edge at the worker. */
+  public int batchCalls() {
+    return batchCalls;
+  }
+
   /** Live calls and batch items of this edge at the worker. */
   public int ownCalls() {
     return liveCalls + batchCalls;
