Tenants in batches: ids, capacity groups, the encoding of submissions and the stored owner

Cause: a batch belongs to nobody. Its id follows from the client's id alone, its tokens count against the limit of its route, and nothing that is stored or sent says for whom it runs.

Change: the id of a proxied batch follows from its tenant and the client's id, the group of the capacity ledger from route and tenant; both are as before where there is no tenant. A submission that is forwarded with a tenant has a new first byte; the accepting event and the assignment of an item name the tenant. No caller sets a tenant yet.

--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchCapacityReporter.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchCapacityReporter.java
@@ -5,9 +5,9 @@
 import applespindle.corelogic.environment.Environment;
 
 /**
- * Reports to the capacity ledger how much of its route's limit on waiting work the batch still
- * takes: tokens of a proxied batch, items of a batch of prompts. The reports are frequent while the
- * limit is nearly reached, and rarer otherwise.
+ * Reports to the capacity ledger how much of its group's limit on waiting work the batch still
+ * takes: tokens of a proxied batch, whose group is its route and tenant, items of a batch of
+ * prompts. The reports are frequent while the limit is nearly reached, and rarer otherwise.
  */
 final class BatchCapacityReporter {
   private static final long NEVER = Long.MIN_VALUE / 2;
@@ -20,8 +20,8 @@
   private long lastReported = NOTHING_REPORTED;
 
   /**
-   * The share of the route's limit that all batches together took at the ledger's last response;
-   * above one until the first response.
+   * The share of the group's limit that all its batches together took at the ledger's last
+   * response; above one until the first response.
    */
   private double usedShare = Double.MAX_VALUE;
 
@@ -64,7 +64,7 @@
     edge.reportCapacity(log.batch, lastReported, this::handleTotal);
   }
 
-  /** Takes the waiting work of all batches of the route, as the ledger answered. */
+  /** Takes the waiting work of all batches of the group, as the ledger answered. */
   private void handleTotal(long totalWaiting) {
     ProxiedRoute route = proxiedRoute();
     if (route != null) {
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchEvent.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchEvent.java
@@ -70,15 +70,37 @@
    * The route of a proxied batch as it stood in the configuration of that number at the acceptance.
    *
    * @param attempts how many runs of an item may fail
-   * @param maxWaitingTokens the most that all batches of the route may have waiting; 0: no limit
+   * @param maxWaitingTokens the most that all batches of the route and the tenant may have waiting;
+   *     0: no limit
+   * @param tenant the name of the tenant that owns the batch; null if none does, as in batches of
+   *     earlier versions
    */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  @JsonIgnoreProperties(ignoreUnknown = true)
   public record ProxiedRoute(
       String host,
       String path,
       String route,
       @JsonProperty("bundleNumber") long configurationNumber,
       int attempts,
-      @JsonProperty("ceiling") long maxWaitingTokens) {}
+      @JsonProperty("ceiling") long maxWaitingTokens,
+      String tenant) {
+    /** The route of a batch that no tenant owns. */
+    public ProxiedRoute(
+        String host,
+        String path,
+        String route,
+        long configurationNumber,
+        int attempts,
+        long maxWaitingTokens) {
+      this(host, path, route, configurationNumber, attempts, maxWaitingTokens, null);
+    }
+
+    /** The group of batches that share the limit on waiting tokens. */
+    public String capacityGroup() {
+      return BatchCapacityGroup.of(route, tenant);
+    }
+  }
 
   /** The assignment of a range to a dispatcher (a node id) for one of its workers. */
   record Assigned(
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchKeys.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchKeys.java
@@ -10,6 +10,12 @@
 /** The ids of batches and the keys of their records: the same at every edge for one submission. */
 public final class BatchKeys {
   private static final String PROXIED_ID_PREFIX = "o-";
+
+  /**
+   * Begins like every proxied id; what follows is no hexadecimal digit as in ids without tenant.
+   */
+  private static final String TENANT_ID_PREFIX = PROXIED_ID_PREFIX + "t-";
+
   private static final String PROMPT_ID_PREFIX = "b-";
   private static final int ID_DIGEST_LENGTH = 32;
 
@@ -20,9 +26,17 @@
     return PROMPT_ID_PREFIX + shortDigest(sender.length() + ":" + sender + idempotencyKey);
   }
 
-  /** The id of a proxied batch by its client's id for it; never that of a batch of prompts. */
-  public static String proxiedBatchId(String clientId) {
-    return PROXIED_ID_PREFIX + shortDigest(clientId);
+  /**
+   * The id of a proxied batch; never that of a batch of prompts. Two tenants never share an id, so
+   * that neither can reach a batch of the other.
+   *
+   * @param tenant the name of the tenant that owns the batch; null if none does
+   * @param clientId the client's own id for the batch
+   */
+  public static String proxiedBatchId(String tenant, String clientId) {
+    return tenant == null
+        ? PROXIED_ID_PREFIX + shortDigest(clientId)
+        : TENANT_ID_PREFIX + shortDigest(tenant.length() + ":" + tenant + clientId);
   }
 
   /** Whether this is the key of a proxied batch. */
--- a/core-logic/src/main/java/applespindle/corelogic/batch/RangeAssigner.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/RangeAssigner.java
@@ -199,7 +199,8 @@
             log.state.accepted.expiresInMs() - log.ageMs(),
             JSON.convertValue(item, ProxiedBatch.Item.class),
             partial == null ? "" : partial.finishReason(),
-            partial == null ? "" : new String(partial.output(), StandardCharsets.UTF_8)));
+            partial == null ? "" : new String(partial.output(), StandardCharsets.UTF_8),
+            route.tenant()));
   }
 
   // ---- leases
--- a/core-logic/src/main/java/applespindle/corelogic/batch/SubmissionReader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/SubmissionReader.java
@@ -62,11 +62,11 @@
     BatchFormat.ParsedBatch read = format.parse(submission);
     return read.error() != null
         ? ReadResult.refused(read.error())
-        : new ReadResult(accepted(read.batch(), configuration, route), null);
+        : new ReadResult(accepted(read.batch(), sent.tenant(), configuration, route), null);
   }
 
   private static Accepted accepted(
-      ProxiedBatch batch, RoutingConfiguration configuration, Route route) {
+      ProxiedBatch batch, String tenant, RoutingConfiguration configuration, Route route) {
     var proxiedRoute =
         new ProxiedRoute(
             batch.host(),
@@ -74,7 +74,8 @@
             route.name(),
             configuration.number(),
             route.attempts(),
-            route.maxQueuedTokens());
+            route.maxQueuedTokens(),
+            tenant);
     long retentionMs =
         route.retentionMs() == 0 ? BatchConstants.DEFAULT_RETENTION_MS : route.retentionMs();
     return new Accepted(
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
@@ -194,7 +194,7 @@
     return reservation
         .put("items", tokens)
         .put("ceiling", proxiedRoute.maxWaitingTokens())
-        .put("group", proxiedRoute.route());
+        .put("group", proxiedRoute.capacityGroup());
   }
 
   // ---- other requests
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
@@ -91,7 +91,7 @@
     }
     StageTimer timer = new StageTimer(environment);
     byte[] body = new BatchSubmission.Forwarded(submission, edge.configuration().number()).encode();
-    String batch = BatchKeys.proxiedBatchId(submission.id());
+    String batch = BatchKeys.proxiedBatchId(null, submission.id());
     long replicationMs = replicationTimeMs(body.length);
     long timeoutMs = PeerRequestConstants.REQUEST_TIMEOUT_MS + replicationMs;
     long deadline = environment.nowMs() + timeoutMs + PeerRequestConstants.RESPONSE_SLACK_MS;
@@ -185,7 +185,7 @@
       Consumer<Response> callback) {
     sendToLeader(
         operation,
-        BatchKeys.proxiedBatchId(batch),
+        BatchKeys.proxiedBatchId(null, batch),
         body,
         holdMs + BatchConstants.READ_ATTEMPT_TIMEOUT_MS,
         holdMs + BatchConstants.READ_TIMEOUT_MS,
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -248,7 +248,7 @@
 
   @Override
   public void endProxiedBatch(String batch, Consumer<Response> callback) {
-    batchRequests.end(BatchKeys.proxiedBatchId(batch), callback);
+    batchRequests.end(BatchKeys.proxiedBatchId(null, batch), callback);
   }
 
   /** Submits a batch of prompts; a repeat with the same key is the same batch. */
--- a/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherFixture.java
@@ -135,6 +135,10 @@
   }
 
   static AssignedItem item(int index, String resumeAfter, String text) {
+    return item(index, resumeAfter, text, null);
+  }
+
+  static AssignedItem item(int index, String resumeAfter, String text, String tenant) {
     var item =
         new ProxiedBatch.Item(
             "i" + index,
@@ -144,7 +148,8 @@
             70);
     return new AssignedItem(
         index,
-        Json.bytes(new ProxiedItemAssignment(HOST, "/l/b", 60_000, item, resumeAfter, text)));
+        Json.bytes(
+            new ProxiedItemAssignment(HOST, "/l/b", 60_000, item, resumeAfter, text, tenant)));
   }
 
   /** The newest outcomes that were reported for an item, in order. */
--- a/core-logic/src/test/java/applespindle/corelogic/batch/SubmissionReaderTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/batch/SubmissionReaderTest.java
@@ -36,6 +36,23 @@
     assertThat(sent.submission().body()).isEqualTo(Json.bytes(batch("x")));
   }
 
+  @Test
+  void aTenantIsPassedOnAndStoredWithTheBatch() {
+    BatchSubmission submission = BatchSubmission.of(batch("x"));
+    byte[] sent = new BatchSubmission.Forwarded(submission, "guest-desk", 9).encode();
+
+    assertThat(BatchSubmission.Forwarded.decode(sent).tenant()).isEqualTo("guest-desk");
+    assertThat(BatchSubmission.Forwarded.decode(sent).submission().id()).isEqualTo("c1");
+    assertThat(BatchSubmission.Forwarded.decode(sent).submission().body())
+        .isEqualTo(submission.body());
+  }
+
+  @Test
+  void aSubmissionWithoutATenantIsEncodedAsBeforeThereWereTenants() {
+    assertThat(sent(batch("x"), 9)[0]).isEqualTo(1);
+    assertThat(BatchSubmission.Forwarded.decode(sent(batch("x"), 9)).tenant()).isNull();
+  }
+
   @Test
   void thePreviousVersionSentTheEventItself() {
     byte[] body = Json.bytes(new Accepted("", "digest", 10, 20, List.of(), null));
