Tenants in batches: admitted by key, owned by a tenant, limited and told to workers by tenant

Cause: submissions and calls about batches looked at no API key; anybody who knew a batch's id read and ended it; items went to workers with whatever headers the document held; and all tenants of a route shared its limit on waiting tokens, where the limit is each tenant's.

Change: the edge that gets a submission or a call resolves the key by the same check as live requests (BatchAccess); only the tenant's name goes on. The owner is part of the batch's id, so that another tenant's batch is not found. Items are sent for the tenant that owned the batch at its acceptance, also once the configuration no longer has it, at the rank of items of that tenant. Capacity is counted by route and tenant. The simulator's clients of batches carry keys, strangers call about batches with other keys, and TenantBatchRules judges both; OPAQUE_KEY_CALL and OPAQUE_OWNER are new in histories, and only where there are tenants.

BatchDispatcherTest, TenantRecordFormatTest, RecordFormatTest, StoredDataFixturesTest, StoredFleetStartTest, ProxyEndpointTest, PlatformRequestsTest pass.

--- a/adapters/src/test/java/applespindle/adapters/StoredDataGenerator.java
+++ b/adapters/src/test/java/applespindle/adapters/StoredDataGenerator.java
@@ -6,6 +6,7 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchInput;
 import applespindle.corelogic.batch.BatchKeys;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.batch.ProxiedBatch;
 import applespindle.corelogic.controlplane.ControlPlaneNode;
@@ -158,7 +159,7 @@
     submitExpiring("expired", "answered prompt", "hold this prompt");
     fleet.runFor(10_000);
     good(then -> edge.endBatch(BatchKeys.batchId(SENDER, "ended"), then));
-    good(then -> edge.endProxiedBatch("ended", then));
+    good(then -> edge.endProxiedBatch(BatchReference.withoutKey("ended", HOST), then));
     command(core, Operation.SET_CONFIGURATION, "bundle", signed(configuration(2)));
     submit("open", "answered prompt", "hold this prompt");
     submitProxied("open", "answered body", "hold this body");
@@ -211,7 +212,7 @@
           new ProxiedBatch.Item("item-" + items.size(), target, headers, body.getBytes(UTF_8), 50));
     }
     ProxiedBatch batch = new ProxiedBatch(id, HOST, "/jobs/" + id, items);
-    good(then -> fleet.edge().submitProxiedBatch(BatchSubmission.of(batch), then));
+    good(then -> fleet.edge().submitProxiedBatch(BatchSubmission.of(batch), "", then));
   }
 
   private void claim(String id, String token) {
--- a/adapters/src/test/java/applespindle/adapters/StoredFleetStartTest.java
+++ b/adapters/src/test/java/applespindle/adapters/StoredFleetStartTest.java
@@ -7,6 +7,7 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchKeys;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.protocol.Operation;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -147,8 +148,12 @@
     assertThat(rows(results("open"), "run").get(0)).isEqualTo("edge00000001-20");
   }
 
+  private static BatchReference reference(String id) {
+    return BatchReference.withoutKey(id, StoredDataGenerator.HOST);
+  }
+
   private JsonNode proxiedResults(String id) {
-    return ok(then -> fleet.edge().readProxiedResults(id, 0, 0, then));
+    return ok(then -> fleet.edge().readProxiedResults(reference(id), 0, 0, then));
   }
 
   @Test
@@ -169,7 +174,7 @@
 
   @Test
   void servesTheBodyOfAProxiedItem() throws IOException {
-    JsonNode item = ok(then -> fleet.edge().readProxiedItem("ended", "item-1", then));
+    JsonNode item = ok(then -> fleet.edge().readProxiedItem(reference("ended"), "item-1", then));
     assertThat(new String(item.get("body").binaryValue(), UTF_8)).isEqualTo("hold this body");
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchDispatcher.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchDispatcher.java
@@ -3,6 +3,7 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.RouteTable;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.constants.BatchConstants;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.metadata.NodeAddress;
@@ -40,6 +41,9 @@
     /** The routes of proxied requests in that configuration; empty while there is none. */
     RouteTable routes();
 
+    /** The ranks of items at workers, by the configuration in force. */
+    WorkerRanks workerRanks();
+
     /** Whether this edge is being stopped, so that it starts nothing more. */
     boolean isStopping();
   }
--- a/core-logic/src/main/java/applespindle/corelogic/batch/ItemRunner.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/ItemRunner.java
@@ -5,6 +5,7 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
+import applespindle.corelogic.configuration.RoutingConfiguration.Tenant;
 import applespindle.corelogic.constants.BatchConstants;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.Environment.WorkerCall;
@@ -132,12 +133,37 @@
                 run.worker.registration.address(),
                 run.worker.registration.id(),
                 createRequest(assignment, timeoutMs),
-                Math.max(1, route.rank()),
+                edge.workerRanks().ofItem(tenantInForce(assignment), route),
                 timeoutMs,
-                run.stream.resumeAfter()),
+                run.stream.resumeAfter(),
+                tenantToTell(assignment)),
             new ProxiedListener(environment, registry, capacity, completion, dispatchTrigger, run));
   }
 
+  /**
+   * The tenant that the worker is told: the one that owned the batch when it was accepted, also if
+   * the configuration no longer has it. Of a batch without one, that there is none; null where
+   * there are no tenants.
+   */
+  private String tenantToTell(ProxiedItemAssignment assignment) {
+    if (assignment.tenant() != null) {
+      return assignment.tenant();
+    }
+    return edge.configuration().tenants() == null ? null : "";
+  }
+
+  /** The tenant of that name in the configuration in force; null if there is none any more. */
+  private Tenant tenantInForce(ProxiedItemAssignment assignment) {
+    List<Tenant> tenants = edge.configuration().tenants();
+    if (tenants == null || assignment.tenant() == null) {
+      return null;
+    }
+    return tenants.stream()
+        .filter(tenant -> tenant.name().equals(assignment.tenant()))
+        .findFirst()
+        .orElse(null);
+  }
+
   /** The partial stream that this run resumes; an empty one if it starts anew. */
   private static StreamText earlierStream(ItemRun run, ProxiedItemAssignment assignment) {
     StreamText earlier = run.range.partialStreams.remove(run.item.index());
--- a/core-logic/src/main/java/applespindle/corelogic/configuration/RouteTable.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/RouteTable.java
@@ -76,6 +76,12 @@
     return route != null && route.type() == RouteType.BATCH ? route : null;
   }
 
+  /** Whether a client without an API key may submit batches on any route of the host. */
+  public boolean hasPublicBatchRoute(String host) {
+    return routesByHost.getOrDefault(normalizedHost(host), List.of()).stream()
+        .anyMatch(route -> route.type() == RouteType.BATCH && route.isPublic());
+  }
+
   /**
    * Returns the shortest pause between events that any route permits at the pool, in milliseconds;
    * 0 if none states one.
--- a/core-logic/src/main/java/applespindle/corelogic/configuration/TenantAccess.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/TenantAccess.java
@@ -23,6 +23,7 @@
    * Checks the key of a request. Must be called after the request has arrived, with the keys in
    * force at that moment.
    *
+   * @param route null of a call that has none, as those about batches; then a key is needed
    * @param apiKey empty if the request has none
    * @param staleKeys why the keys known here must not admit anybody; null if they are recent enough
    * @param staleMetadata why the lack of a key here proves nothing, as it may have been added; null
@@ -37,7 +38,7 @@
     if (tenant != null) {
       return new TenantAccess(tenant, tenant.name(), null);
     }
-    if (route.isPublic()) {
+    if (route != null && route.isPublic()) {
       return ANONYMOUS;
     }
     ApiError stale = staleKeys == null ? staleMetadata : staleKeys;
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
@@ -7,9 +7,12 @@
 import applespindle.corelogic.batch.BatchEvent.Accepted;
 import applespindle.corelogic.batch.BatchInput;
 import applespindle.corelogic.batch.BatchKeys;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.batch.PendingSubmissions;
 import applespindle.corelogic.common.Json;
+import applespindle.corelogic.configuration.RoutingConfiguration.Route;
+import applespindle.corelogic.configuration.TenantAccess;
 import applespindle.corelogic.constants.BatchConstants;
 import applespindle.corelogic.constants.PeerRequestConstants;
 import applespindle.corelogic.constants.ReplicationConstants;
@@ -20,7 +23,9 @@
 import applespindle.corelogic.protocol.Operation;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Iterator;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -35,6 +40,7 @@
   private final Supplier<NodeSettings> settings;
   private final BatchLeaders leaders;
   private final BatchHints hints;
+  private final BatchAccess access;
   private final PendingSubmissions pendingSubmissions = new PendingSubmissions();
 
   BatchRequests(
@@ -48,6 +54,7 @@
     this.settings = settings;
     this.leaders = leaders;
     this.hints = hints;
+    this.access = new BatchAccess(edge);
   }
 
   int pendingSubmissions() {
@@ -70,28 +77,36 @@
     return rejection;
   }
 
-  private ApiError rejectionOf(BatchSubmission submission) {
-    ApiError rejection = rejection();
-    if (rejection == null
-        && edge.routes().findBatch(submission.host(), submission.path()) == null) {
-      return new ApiError.NoMatchingRule();
-    }
-    return rejection;
-  }
-
   /**
-   * Forwards a batch of proxied requests to the edge that is to lead it. The body is neither read
-   * nor checked here: on a small machine that alone takes longer than the client waits.
+   * Admits a batch of proxied requests by its route and its API key, and forwards it to the edge
+   * that is to lead it. The body is neither read nor checked here: on a small machine that alone
+   * takes longer than the client waits. Of the key nothing but the name of its tenant goes on.
    */
-  void submitProxied(BatchSubmission submission, Consumer<Response> callback) {
-    ApiError rejection = rejectionOf(submission);
-    if (rejection != null) {
-      callback.accept(Response.of(rejection));
+  void submitProxied(BatchSubmission submission, String apiKey, Consumer<Response> callback) {
+    ApiError rejection = rejection();
+    Route route =
+        rejection == null ? edge.routes().findBatch(submission.host(), submission.path()) : null;
+    if (route == null) {
+      callback.accept(Response.of(rejection == null ? new ApiError.NoMatchingRule() : rejection));
+      return;
+    }
+    TenantAccess admission = edge.tenantAccess(route, apiKey);
+    if (admission.rejection() != null) {
+      callback.accept(Response.of(admission.rejection()));
       return;
     }
+    forwardToLeader(
+        submission,
+        admission.tenant() == null ? null : admission.tenant().name(),
+        BatchAccess.idOfSubmission(route, admission, submission.id()),
+        callback);
+  }
+
+  private void forwardToLeader(
+      BatchSubmission submission, String tenant, String batch, Consumer<Response> callback) {
     StageTimer timer = new StageTimer(environment);
-    byte[] body = new BatchSubmission.Forwarded(submission, edge.configuration().number()).encode();
-    String batch = BatchKeys.proxiedBatchId(null, submission.id());
+    byte[] body =
+        new BatchSubmission.Forwarded(submission, tenant, edge.configuration().number()).encode();
     long replicationMs = replicationTimeMs(body.length);
     long timeoutMs = PeerRequestConstants.REQUEST_TIMEOUT_MS + replicationMs;
     long deadline = environment.nowMs() + timeoutMs + PeerRequestConstants.RESPONSE_SLACK_MS;
@@ -165,15 +180,48 @@
     sendToLeader(Operation.READ_PROMPT_RESULTS, batch, body, callback);
   }
 
-  void readProxiedResults(String batch, long from, long holdMs, Consumer<Response> callback) {
+  /** Calls about the batch under the ids that it may have, until one of them is known. */
+  private void callAbout(
+      BatchReference batch,
+      BiConsumer<String, Consumer<Response>> call,
+      Consumer<Response> callback) {
+    BatchAccess.BatchIds found = access.idsOfCall(batch);
+    if (found.rejection() != null) {
+      callback.accept(Response.of(found.rejection()));
+    } else {
+      callInTurn(found.ids().iterator(), call, callback);
+    }
+  }
+
+  private static void callInTurn(
+      Iterator<String> ids,
+      BiConsumer<String, Consumer<Response>> call,
+      Consumer<Response> callback) {
+    call.accept(
+        ids.next(),
+        response -> {
+          if (ids.hasNext() && response.failedWith(ApiError.NoSuchBatch.class)) {
+            callInTurn(ids, call, callback);
+          } else {
+            callback.accept(response);
+          }
+        });
+  }
+
+  void readProxiedResults(
+      BatchReference batch, long from, long holdMs, Consumer<Response> callback) {
     long boundedHoldMs = Math.min(holdMs, BatchConstants.MAX_LONG_POLL_MS);
     ObjectNode body = JSON.createObjectNode().put("from", from).put("holdMs", boundedHoldMs);
-    readProxied(Operation.READ_PROXIED_RESULTS, batch, body, boundedHoldMs, callback);
+    callAbout(
+        batch,
+        (id, then) -> readProxied(Operation.READ_PROXIED_RESULTS, id, body, boundedHoldMs, then),
+        callback);
   }
 
-  void readProxiedItem(String batch, String item, Consumer<Response> callback) {
-    readProxied(
-        Operation.READ_PROXIED_ITEM, batch, JSON.createObjectNode().put("item", item), 0, callback);
+  void readProxiedItem(BatchReference batch, String item, Consumer<Response> callback) {
+    ObjectNode body = JSON.createObjectNode().put("item", item);
+    callAbout(
+        batch, (id, then) -> readProxied(Operation.READ_PROXIED_ITEM, id, body, 0, then), callback);
   }
 
   /** A read has no effect, so that after any failure the client may simply repeat it. */
@@ -185,7 +233,7 @@
       Consumer<Response> callback) {
     sendToLeader(
         operation,
-        BatchKeys.proxiedBatchId(null, batch),
+        batch,
         body,
         holdMs + BatchConstants.READ_ATTEMPT_TIMEOUT_MS,
         holdMs + BatchConstants.READ_TIMEOUT_MS,
@@ -194,6 +242,10 @@
                 response.status() >= 500 ? Response.of(new ApiError.NoQuorum(batch)) : response));
   }
 
+  void endProxied(BatchReference batch, Consumer<Response> callback) {
+    callAbout(batch, this::end, callback);
+  }
+
   void end(String batch, Consumer<Response> callback) {
     sendToLeader(Operation.END_BATCH, batch, JSON.createObjectNode(), callback);
   }
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.edge;
 
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.environment.ProxiedRequest;
@@ -26,20 +27,22 @@
    * Submits a batch of proxied items under the client's own id. The response is 201 once a quorum
    * of replicas has synced the batch. The body is read by the edge that leads the batch, so its
    * errors come with the response.
+   *
+   * @param apiKey the key of the client's tenant, which owns the batch; empty if it sent none
    */
-  void submitProxiedBatch(BatchSubmission submission, Consumer<Response> then);
+  void submitProxiedBatch(BatchSubmission submission, String apiKey, Consumer<Response> then);
 
   /**
    * Reads results from a position on: {@code {total, results: [{id, state: complete|expired,
-   * output}], next}}.
+   * output}], next}}. A batch of another tenant is answered as one that does not exist.
    *
    * @param holdMs how long the response may wait for a first result; 0 if it must not wait
    */
-  void readProxiedResults(String batch, long from, long holdMs, Consumer<Response> then);
+  void readProxiedResults(BatchReference batch, long from, long holdMs, Consumer<Response> then);
 
   /** Reads the body of an item that has no result yet: {@code {body: base64}}. */
-  void readProxiedItem(String batch, String item, Consumer<Response> then);
+  void readProxiedItem(BatchReference batch, String item, Consumer<Response> then);
 
   /** Ends a batch; no item of it starts any more. */
-  void endProxiedBatch(String batch, Consumer<Response> then);
+  void endProxiedBatch(BatchReference batch, Consumer<Response> then);
 }
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -7,8 +7,8 @@
 import applespindle.corelogic.batch.BatchDispatcher;
 import applespindle.corelogic.batch.BatchFormat;
 import applespindle.corelogic.batch.BatchInput;
-import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.batch.BatchLeader;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.batch.SubmissionReader;
 import applespindle.corelogic.batch.SubmissionWarmUp;
@@ -231,24 +231,25 @@
   }
 
   @Override
-  public void submitProxiedBatch(BatchSubmission submission, Consumer<Response> callback) {
-    batchRequests.submitProxied(submission, callback);
+  public void submitProxiedBatch(
+      BatchSubmission submission, String apiKey, Consumer<Response> callback) {
+    batchRequests.submitProxied(submission, apiKey, callback);
   }
 
   @Override
   public void readProxiedResults(
-      String batch, long from, long holdMs, Consumer<Response> callback) {
+      BatchReference batch, long from, long holdMs, Consumer<Response> callback) {
     batchRequests.readProxiedResults(batch, from, holdMs, callback);
   }
 
   @Override
-  public void readProxiedItem(String batch, String item, Consumer<Response> callback) {
+  public void readProxiedItem(BatchReference batch, String item, Consumer<Response> callback) {
     batchRequests.readProxiedItem(batch, item, callback);
   }
 
   @Override
-  public void endProxiedBatch(String batch, Consumer<Response> callback) {
-    batchRequests.end(BatchKeys.proxiedBatchId(null, batch), callback);
+  public void endProxiedBatch(BatchReference batch, Consumer<Response> callback) {
+    batchRequests.endProxied(batch, callback);
   }
 
   /** Submits a batch of prompts; a repeat with the same key is the same batch. */
--- a/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherFixture.java
+++ b/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherFixture.java
@@ -9,6 +9,8 @@
 import applespindle.corelogic.configuration.RoutingConfiguration.PoolWeight;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.RoutingConfiguration.Tenant;
+import applespindle.corelogic.configuration.WorkerRanks;
 import applespindle.corelogic.constants.WorkerConstants;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.environment.ProxiedRequest.Header;
@@ -95,6 +97,20 @@
     return this;
   }
 
+  BatchDispatcherFixture tenants(Tenant... tenants) {
+    configuration =
+        new RoutingConfiguration(
+            configuration.number() + 1,
+            configuration.pools(),
+            configuration.rules(),
+            configuration.limits(),
+            configuration.routes(),
+            configuration.clients(),
+            configuration.origin(),
+            List.of(tenants));
+    return this;
+  }
+
   BatchDispatcherFixture worker(String id, String pool, int slots) {
     workers.put(
         id,
@@ -214,6 +230,11 @@
     return configuration == null ? RouteTable.EMPTY : RouteTable.compile(configuration);
   }
 
+  @Override
+  public WorkerRanks workerRanks() {
+    return configuration == null ? WorkerRanks.OF_ROUTES : WorkerRanks.compile(configuration);
+  }
+
   @Override
   public boolean isStopping() {
     return false;
--- a/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/batch/BatchDispatcherTest.java
@@ -6,6 +6,7 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.configuration.RoutingConfiguration.RouteType;
+import applespindle.corelogic.configuration.RoutingConfiguration.Tenant;
 import applespindle.corelogic.constants.BatchConstants;
 import applespindle.corelogic.constants.WorkerConstants;
 import applespindle.corelogic.environment.Environment.WorkerExchange;
@@ -14,6 +15,7 @@
 import applespindle.corelogic.environment.ProxiedRequest.ResponseChunk;
 import applespindle.corelogic.environment.ProxiedRequest.ResponseHead;
 import applespindle.corelogic.metadata.WorkerRegistration;
+import applespindle.corelogic.protocol.Message.AssignedItem;
 import applespindle.corelogic.protocol.Message.ItemOutcome;
 import applespindle.corelogic.protocol.Message.PeerLoadReport;
 import applespindle.corelogic.protocol.Message.PeerLoadReport.OwnLoad;
@@ -97,6 +99,37 @@
     assertThat(assignOneItem().call.rank()).isEqualTo(1);
   }
 
+  private static AssignedItem itemOf(String tenant) {
+    return BatchDispatcherFixture.item(1, "", "", tenant);
+  }
+
+  @Test
+  void theWorkerIsToldTheTenantThatOwnsTheBatch() {
+    fixture.worker("w1", "p", 8).tenants(new Tenant("notices", List.of("key-1"), 0));
+    fixture.assign("w1", 0, List.of(itemOf("notices")));
+    assertThat(fixture.sent.get(0).call.tenant()).isEqualTo("notices");
+  }
+
+  @Test
+  void anItemRunsForItsTenantAlsoOnceThatIsGone() {
+    fixture.worker("w1", "p", 8).tenants(new Tenant("another", List.of("key-1"), 0));
+    fixture.assign("w1", 0, List.of(itemOf("notices")));
+    assertThat(fixture.sent.get(0).call.tenant()).isEqualTo("notices");
+  }
+
+  @Test
+  void anItemWithoutATenantIsShownAsSuchWhereThereAreTenants() {
+    fixture.worker("w1", "p", 8).tenants(new Tenant("another", List.of("key-1"), 0));
+    fixture.assign("w1", 0, List.of(itemOf(null)));
+    assertThat(fixture.sent.get(0).call.tenant()).isEmpty();
+  }
+
+  @Test
+  void withoutTenantsTheHeadersOfItemsPassAsTheyAre() {
+    fixture.worker("w1", "p", 8).assign("w1", 0, List.of(itemOf(null)));
+    assertThat(fixture.sent.get(0).call.tenant()).isNull();
+  }
+
   @Test
   void aCompleteStreamIsTheResult() {
     Sent run = assignOneItem();
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -4,6 +4,7 @@
 import applespindle.adapters.NodeProcess;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.edge.EdgeGateway;
@@ -250,7 +251,7 @@
       if (batchCall.fault() != null) {
         response.set(render(Response.of(batchCall.fault())));
       } else {
-        answer(batchCall.value(), response);
+        answer(batchCall.value(), arrived, response);
       }
       return () -> {};
     }
@@ -264,7 +265,7 @@
         process.toLogic(
             () -> {
               if (arrived.method().equals("POST") && isRoutedToBatches(request.value())) {
-                process.toHttp(() -> submit(arrived, response, trace));
+                process.toHttp(() -> submit(arrived, request.value().apiKey(), response, trace));
               } else {
                 exchange.begin(listener -> gateway.proxy(request.value(), listener));
               }
@@ -289,11 +290,12 @@
     return route != null && route.type() == RoutingConfiguration.RouteType.BATCH;
   }
 
-  private void submit(Arrived arrived, SettablePromise<HttpResponse> response, StageTimer trace) {
+  private void submit(
+      Arrived arrived, String apiKey, SettablePromise<HttpResponse> response, StageTimer trace) {
     trace.mark("receive");
     BatchSubmission submission = format.submission(arrived);
     ask(
-        then -> gateway.submitProxiedBatch(submission, then),
+        then -> gateway.submitProxiedBatch(submission, apiKey, then),
         answer -> {
           trace.mark("logic");
           process.log(
@@ -310,15 +312,16 @@
         });
   }
 
-  private void answer(BatchCall call, SettablePromise<HttpResponse> response) {
+  private void answer(BatchCall call, Arrived arrived, SettablePromise<HttpResponse> response) {
+    var batch = new BatchReference(call.batch(), arrived.host(), format.apiKey(arrived));
     ask(
         then -> {
           if (call instanceof BatchCall.Results results) {
-            gateway.readProxiedResults(results.batch(), results.from(), results.holdMs(), then);
+            gateway.readProxiedResults(batch, results.from(), results.holdMs(), then);
           } else if (call instanceof BatchCall.ItemBody item) {
-            gateway.readProxiedItem(item.batch(), item.item(), then);
-          } else if (call instanceof BatchCall.End end) {
-            gateway.endProxiedBatch(end.batch(), then);
+            gateway.readProxiedItem(batch, item.item(), then);
+          } else if (call instanceof BatchCall.End) {
+            gateway.endProxiedBatch(batch, then);
           }
         },
         answer ->
--- a/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
+++ b/data-plane/src/main/java/applespindle/dataplane/RequestFormat.java
@@ -27,6 +27,9 @@
    * its end.
    */
   sealed interface BatchCall {
+    /** The client's own id of the batch. */
+    String batch();
+
     /** Reads results behind position from; holdMs is how long the call may wait for one. */
     record Results(String batch, long from, long holdMs) implements BatchCall {}
 
@@ -59,6 +62,9 @@
   /** A request for a worker; its body is left as it came. */
   Parsed<ProxiedRequest> request(Arrived arrived);
 
+  /** The API key of the client's tenant; empty if the request carries none. */
+  String apiKey(Arrived arrived);
+
   /** A call about a batch that was submitted before. */
   Parsed<BatchCall> batchCall(Arrived arrived);
 
--- a/data-plane/src/test/java/applespindle/dataplane/ProxyEndpointTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/ProxyEndpointTest.java
@@ -57,6 +57,11 @@
           null);
     }
 
+    @Override
+    public String apiKey(Arrived request) {
+      return "";
+    }
+
     @Override
     public Parsed<BatchCall> batchCall(Arrived request) {
       return Parsed.none();
--- a/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
@@ -5,6 +5,7 @@
 import applespindle.adapters.NodeProcess;
 import applespindle.adapters.StartupOptions;
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.edge.EdgeGateway;
@@ -56,22 +57,24 @@
     }
 
     @Override
-    public void submitProxiedBatch(BatchSubmission submission, Consumer<Response> then) {
+    public void submitProxiedBatch(
+        BatchSubmission submission, String apiKey, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
     @Override
-    public void readProxiedResults(String batch, long from, long holdMs, Consumer<Response> then) {
+    public void readProxiedResults(
+        BatchReference batch, long from, long holdMs, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
     @Override
-    public void readProxiedItem(String batch, String item, Consumer<Response> then) {
+    public void readProxiedItem(BatchReference batch, String item, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
 
     @Override
-    public void endProxiedBatch(String batch, Consumer<Response> then) {
+    public void endProxiedBatch(BatchReference batch, Consumer<Response> then) {
       throw new AssertionError("no batches here");
     }
   }
@@ -102,6 +105,11 @@
               null);
         }
 
+        @Override
+        public String apiKey(Arrived arrived) {
+          return "";
+        }
+
         @Override
         public Parsed<BatchCall> batchCall(Arrived arrived) {
           return Parsed.none();
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -32,7 +32,9 @@
     RESPONSE_LOST,
     WRONG_TENANT,
     UNKNOWN_KEY_RAN,
-    WITHDRAWN_KEY_RAN
+    WITHDRAWN_KEY_RAN,
+    /** A call about a batch succeeded for another tenant than its owner. */
+    BATCH_SHOWN_TO_OTHERS
   }
 
   /** One violation of a rule, with the time at which it was observed. */
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/ProxiedBatchRules.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxiedBatchRules.java
@@ -237,9 +237,12 @@
         || atMs - batch.firstSentMs >= traffic.bound("retentionMs", Long.MAX_VALUE / 2);
   }
 
-  /** At each acknowledgement, the tokens that certainly wait on the route stay below its limit. */
+  /**
+   * At each acknowledgement, the tokens of the tenant that certainly wait on the route stay below
+   * its limit.
+   */
   void waitingTokensStayBelowLimit() {
-    Map<String, Long> doneMs = itemsDoneMs();
+    Map<String, Long> doneMs = itemsDoneMs(traffic);
     for (Batch accepted : traffic.batches.values()) {
       if (accepted.acceptedMs < 0) {
         continue;
@@ -260,7 +263,7 @@
   }
 
   /** By item, when it first ran to its end or failed for good. */
-  private Map<String, Long> itemsDoneMs() {
+  static Map<String, Long> itemsDoneMs(ProxyTraffic traffic) {
     Map<String, Long> doneMs = new HashMap<>();
     for (Run run : traffic.runs.values()) {
       if (run.ended() != null && (run.ended().number() == 200 || run.ended().number() == 422)) {
@@ -286,7 +289,7 @@
     return batch.acceptedMs >= 0
         && batch.acceptedMs <= accepted.acceptedMs
         && batch.endAskedMs > accepted.acceptedMs
-        && batch.routeKey().equals(accepted.routeKey());
+        && batch.sharesLimitWith(accepted);
   }
 
   private long waitingTokens(Batch batch, long atMs, Map<String, Long> doneMs) {
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyChecker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyChecker.java
@@ -32,6 +32,10 @@
     responses.plannedStopsCutNothing();
     batches.batchesAreKept();
     batches.waitingTokensStayBelowLimit();
+    var tenantBatches = new TenantBatchRules(traffic, violations);
+    tenantBatches.runsNameTheOwner();
+    tenantBatches.callsFollowTheTenantOfTheKey();
+    tenantBatches.refusalsForLackOfRoomAreTrue();
     responses.serviceComesBack();
     return violations;
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyTraffic.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/ProxyTraffic.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -79,6 +80,10 @@
     final String id;
     String host;
     String path;
+
+    /** The tenant that submits it; null where there are no tenants. */
+    String owner;
+
     long firstSentMs;
     long acceptedMs = -1;
     long endAskedMs = Long.MAX_VALUE / 2;
@@ -96,6 +101,14 @@
       return Integer.parseInt(items.get(item).text().split(" ", 2)[0]);
     }
 
+    /** Whether the waiting tokens of both count against one limit. */
+    boolean sharesLimitWith(Batch other) {
+      return path != null
+          && other.path != null
+          && routeKey().equals(other.routeKey())
+          && Objects.equals(owner, other.owner);
+    }
+
     /** Batches with the same key share a route. */
     String routeKey() {
       return host + " " + path.substring(0, path.lastIndexOf('/') + 1);
@@ -230,6 +243,7 @@
         }
         batch.openTries++;
       }
+      case OPAQUE_OWNER -> batch.owner = each.text();
       case OPAQUE_ITEM -> {
         batch.items.put(each.detail(), each);
         batchOfItem.put(each.detail(), batch.id);
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchClient.java
@@ -31,6 +31,10 @@
   private static final int MAX_TOKENS = 60;
 
   final ProxiedBatch batch;
+
+  /** The tenant that submits the batch; null where there are none. */
+  final String owner;
+
   public boolean accepted;
   boolean endAsked;
 
@@ -60,10 +64,25 @@
     }
     this.batch = new ProxiedBatch(id, route.host(), route.prefix() + id, rows);
     this.bodyBytes = Json.bytes(batch).length;
-    this.reader = new ProxiedBatchReader(fleet, batch);
+    this.owner = chooseOwner();
+    this.reader = new ProxiedBatchReader(fleet, this);
     this.finalRead = new ProxiedBatchFinalRead(clients, this, reader);
   }
 
+  private String chooseOwner() {
+    if (clients.tenants() == null) {
+      return null;
+    }
+    String chosen = clients.tenants().anyName();
+    simulation.history.add(sentMs, Kind.OPAQUE_OWNER, batch.id(), "", chosen, 0);
+    return chosen;
+  }
+
+  /** A call at any edge with a key that the owner holds now, chosen anew for each call. */
+  KeyedBatchCall newCall() {
+    return new KeyedBatchCall(fleet, this, owner == null ? "" : clients.tenants().keyOf(owner));
+  }
+
   private ProxiedBatch.Item newItem(String batchId, Route route) {
     int tokens = 4 + simulation.random.nextInt(MAX_TOKENS);
     String itemId = clients.nextId("x");
@@ -124,7 +143,8 @@
 
   void submit() {
     submissions++;
-    SimulatedProcess edge = fleet.anyEdge();
+    KeyedBatchCall call = newCall();
+    SimulatedProcess edge = call.edge;
     simulation.history.add(
         simulation.simulatedNowMs(),
         Kind.OPAQUE_SENT,
@@ -136,15 +156,18 @@
     fleet.waitFor(
         edge,
         SUBMIT_TIMEOUT_MS,
-        (Consumer<Response> then) -> arriveAt(edge, then),
-        response -> submissionAnswered(edge, response));
+        (Consumer<Response> then) -> arriveAt(edge, call.key, then),
+        response -> {
+          call.answered("SUBMIT", response);
+          submissionAnswered(edge, response);
+        });
   }
 
   /** The platform reads the body before the node gets the batch from it. */
-  private void arriveAt(SimulatedProcess edge, Consumer<Response> then) {
+  private void arriveAt(SimulatedProcess edge, String key, Consumer<Response> then) {
     edge.processor.json(bodyBytes);
     simulation.submissions.arrived(batch.id(), edge);
-    ((EdgeNode) edge.node()).submitProxiedBatch(BatchSubmission.of(batch), then);
+    ((EdgeNode) edge.node()).submitProxiedBatch(BatchSubmission.of(batch), key, then);
   }
 
   private void submissionAnswered(SimulatedProcess edge, Response response) {
@@ -156,7 +179,7 @@
         response == null ? "" : response.errorType(),
         "",
         status);
-    boolean mayRetry = status == 0 || status == 429 || status >= 500;
+    boolean mayRetry = status == 0 || status == 401 || status == 429 || status >= 500;
     if (status == 201) {
       accepted = true;
       acceptedMs = simulation.simulatedNowMs();
@@ -191,6 +214,9 @@
     if (!endAsked && simulation.random.nextInt(6) == 0) {
       reader.readSomeBody();
     }
+    if (owner != null && simulation.random.nextInt(3) == 0) {
+      clients.stranger.call(this, clients.tenants());
+    }
     if (!isComplete() && !(endAsked && simulation.random.nextInt(8) == 0)) {
       simulation.afterMs(READ_EVERY_MS, this::readOn);
     } else if (doneMs < 0 && isComplete()) {
@@ -206,12 +232,16 @@
   }
 
   private void sendEnd() {
-    SimulatedProcess edge = fleet.anyEdge();
+    KeyedBatchCall call = newCall();
     fleet.waitFor(
-        edge,
+        call.edge,
         READ_TIMEOUT_MS,
-        (Consumer<Response> then) -> ((EdgeNode) edge.node()).endProxiedBatch(batch.id(), then),
-        this::endAnswered);
+        (Consumer<Response> then) ->
+            ((EdgeNode) call.edge.node()).endProxiedBatch(call.reference(), then),
+        response -> {
+          call.answered("END", response);
+          endAnswered(response);
+        });
   }
 
   private void endAnswered(Response response) {
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchFinalRead.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchFinalRead.java
@@ -66,10 +66,15 @@
   }
 
   private void readBodies(long results) {
-    if (missingBodies.isEmpty() || isTimeOver()) {
+    boolean readAnewMeanwhile = reader.resultCount() > results;
+    if (isTimeOver() || missingBodies.isEmpty() && !readAnewMeanwhile) {
       close("read", results, missingBodies.size());
       return;
     }
+    if (missingBodies.isEmpty()) {
+      simulation.afterMs(ProxiedBatchClient.RETRY_PAUSE_MS, () -> readNewResults(results));
+      return;
+    }
     String itemId = missingBodies.iterator().next();
     reader.readBody(
         itemId,
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchReader.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchReader.java
@@ -25,13 +25,15 @@
   private final SimulatedFleet fleet;
   private final Simulation simulation;
   private final ProxiedBatch batch;
+  private final ProxiedBatchClient client;
   private final Set<Long> positions = new HashSet<>();
   private final Set<String> listedItems = new HashSet<>();
 
-  ProxiedBatchReader(SimulatedFleet fleet, ProxiedBatch batch) {
+  ProxiedBatchReader(SimulatedFleet fleet, ProxiedBatchClient client) {
     this.fleet = fleet;
     this.simulation = fleet.simulation;
-    this.batch = batch;
+    this.client = client;
+    this.batch = client.batch;
   }
 
   int resultCount() {
@@ -52,14 +54,16 @@
 
   /** Reads a page of results at any node; gives the next position or FAILED. */
   void readPage(long from, long holdMs, LongConsumer then) {
-    SimulatedProcess edge = fleet.anyEdge();
+    KeyedBatchCall call = client.newCall();
+    SimulatedProcess edge = call.edge;
     long begunMs = simulation.simulatedNowMs();
     fleet.waitFor(
         edge,
         ProxiedBatchClient.READ_TIMEOUT_MS + holdMs,
         (Consumer<Response> answer) ->
-            ((EdgeNode) edge.node()).readProxiedResults(batch.id(), from, holdMs, answer),
+            ((EdgeNode) edge.node()).readProxiedResults(call.reference(), from, holdMs, answer),
         response -> {
+          call.answered("READ", response);
           if (response == null) {
             then.accept(FAILED);
             return;
@@ -112,13 +116,15 @@
 
   /** Reads the body of an item at any node; gives the status, 0 for no response. */
   void readBody(String itemId, IntConsumer then) {
-    SimulatedProcess edge = fleet.anyEdge();
+    KeyedBatchCall call = client.newCall();
+    SimulatedProcess edge = call.edge;
     fleet.waitFor(
         edge,
         ProxiedBatchClient.READ_TIMEOUT_MS,
         (Consumer<Response> answer) ->
-            ((EdgeNode) edge.node()).readProxiedItem(batch.id(), itemId, answer),
+            ((EdgeNode) edge.node()).readProxiedItem(call.reference(), itemId, answer),
         response -> {
+          call.answered("READ_ITEM", response);
           int status = response == null ? 0 : response.status();
           if (status == 200) {
             recordBody(itemId, response);
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
@@ -19,6 +19,7 @@
 
   final SimulatedFleet fleet;
   final Simulation simulation;
+  final BatchStranger stranger;
   private final RouteOperators operators;
   private long ids;
 
@@ -41,6 +42,7 @@
     this.fleet = fleet;
     this.simulation = fleet.simulation;
     this.operators = operators;
+    this.stranger = new BatchStranger(fleet);
   }
 
   /** An id that no other client has, after a prefix for its kind. */
@@ -78,6 +80,11 @@
     }
   }
 
+  /** Null where no tenants are configured. */
+  SimulatedTenants tenants() {
+    return operators.tenants;
+  }
+
   /** The key of the next client; null where no tenants are configured. */
   SimulatedTenants.ClientKey nextKey() {
     return operators.tenants == null ? null : operators.tenants.next();
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/SimulatedTenants.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/SimulatedTenants.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * The tenants that operators write into configurations, and the keys that clients carry: those in
@@ -29,6 +30,9 @@
   /** By tenant, its keys in the newest configuration that was written; the oldest key first. */
   private final List<List<String>> keys = new ArrayList<>();
 
+  /** By key, the tenants that ever held it, in order: mostly the one that it was made for. */
+  private final Map<String, List<String>> holders = new HashMap<>();
+
   private final Map<String, List<String>> keysOfChange = new HashMap<>();
   private final List<String> withdrawn = new ArrayList<>();
   private List<String> inUse = List.of();
@@ -39,28 +43,34 @@
     for (int tenant = 0; tenant < tenants; tenant++) {
       List<String> ofTenant = new ArrayList<>();
       for (int count = 0; count < KEYS_EACH; count++) {
-        ofTenant.add(newKey());
+        ofTenant.add(newKey(tenant));
       }
       keys.add(ofTenant);
     }
   }
 
-  private String newKey() {
-    return "key-" + ++keysMade;
+  private String newKey(int tenant) {
+    String key = "key-" + ++keysMade;
+    holders.put(key, new ArrayList<>(List.of(nameOf(tenant))));
+    return key;
   }
 
   /** Takes the oldest key of a random tenant away and gives it a new one. */
   void replaceOneKey() {
-    List<String> ofTenant = keys.get(simulation.random.nextInt(keys.size()));
+    int tenant = simulation.random.nextInt(keys.size());
+    List<String> ofTenant = keys.get(tenant);
     withdrawn.add(ofTenant.remove(0));
-    ofTenant.add(newKey());
+    ofTenant.add(newKey(tenant));
   }
 
   /** Takes the oldest key of a random tenant away and gives it to another tenant. */
   void moveOneKey() {
     int from = simulation.random.nextInt(keys.size());
-    keys.get((from + 1) % keys.size()).add(keys.get(from).remove(0));
-    keys.get(from).add(newKey());
+    int to = (from + 1) % keys.size();
+    String moved = keys.get(from).remove(0);
+    keys.get(to).add(moved);
+    holders.get(moved).add(nameOf(to));
+    keys.get(from).add(newKey(from));
   }
 
   /**
@@ -123,6 +133,39 @@
     return new ClientKey(any(inUse), true);
   }
 
+  /** A tenant that submits a batch. */
+  String anyName() {
+    return nameOf(simulation.random.nextInt(keys.size()));
+  }
+
+  /**
+   * A key in use that only this tenant ever held and that no change so far takes away; empty if
+   * there is none at the moment.
+   */
+  String keyOf(String name) {
+    List<String> choice =
+        inUse.stream()
+            .filter(key -> holders.get(key).equals(List.of(name)))
+            .filter(key -> !withdrawn.contains(key))
+            .toList();
+    return choice.isEmpty() ? "" : any(choice);
+  }
+
+  /**
+   * A key of another tenant, one that was taken away or never held, or none.
+   *
+   * @param neverHeld whether it must be none that this tenant ever held
+   */
+  String keyOfAnother(String name, boolean neverHeld) {
+    List<String> choice = new ArrayList<>(List.of("", "never-held"));
+    Stream.concat(withdrawn.stream(), keys.stream().flatMap(List::stream))
+        .filter(key -> !holders.get(key).get(holders.get(key).size() - 1).equals(name))
+        .forEach(choice::add);
+    choice.addAll(withdrawn);
+    choice.removeIf(key -> neverHeld && holders.getOrDefault(key, List.of()).contains(name));
+    return any(choice);
+  }
+
   private String any(List<String> choice) {
     return choice.get(simulation.random.nextInt(choice.size()));
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchExperiment.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/dispatch/DispatchExperiment.java
@@ -431,7 +431,7 @@
     result.items += items;
     this.<Response>call(
         edge,
-        then -> ((EdgeNode) edge.node()).submitProxiedBatch(BatchSubmission.of(batch), then),
+        then -> ((EdgeNode) edge.node()).submitProxiedBatch(BatchSubmission.of(batch), "", then),
         response -> {});
     simulation.afterMs(
         -Math.log(1 - own.nextDouble()) * 1_000 / (shape.batchesPerS() * burst("batch")),
--- a/test-fleet/src/main/java/applespindle/testfleet/history/History.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/history/History.java
@@ -150,6 +150,13 @@
     OPAQUE_RESULT,
     /** subject: batch; detail: item; text: body; number: status. */
     OPAQUE_BODY,
+    /** subject: batch; text: the tenant that submits it; only where there are tenants. */
+    OPAQUE_OWNER,
+    /**
+     * subject: batch; detail: edge; text: kind of the call, when it began, the key that it carries,
+     * or a dash; number: status, 0 for none. Calls of the batch's tenant and of others.
+     */
+    OPAQUE_KEY_CALL,
     /** subject: batch. */
     OPAQUE_END_ASKED,
     /** subject: batch; number: status. */
--- a/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
@@ -99,7 +99,8 @@
     simulation.call(
         process(edge),
         (Consumer<Response> then) ->
-            ((EdgeNode) process(edge).node()).submitProxiedBatch(BatchSubmission.of(batch), then),
+            ((EdgeNode) process(edge).node())
+                .submitProxiedBatch(BatchSubmission.of(batch), "", then),
         answer);
     return answer;
   }
