--- a/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/checker/Checker.java
@@ -33,6 +33,8 @@
     WRONG_TENANT,
     UNKNOWN_KEY_RAN,
     WITHDRAWN_KEY_RAN,
+    /** A call about a batch succeeded for another tenant than its owner. */
+    BATCH_SHOWN_TO_OTHERS,
     /** The rest is of the duties at the platform: see {@link DutyRules}. */
     USAGE_REPORTS_DIFFER,
     FENCE_SHARED,
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestAttempt.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedRequestAttempt.java
@@ -12,7 +12,7 @@
 import applespindle.corelogic.live.ProxiedResponseListener;
 import applespindle.corelogic.live.RequestHandle;
 import applespindle.testfleet.history.History.Kind;
-import applespindle.testfleet.simulation.ProxyWorkers;
+import applespindle.testfleet.simulation.ProxiedRequestText;
 import applespindle.testfleet.simulation.SimulatedProcess;
 import applespindle.testfleet.simulation.Simulation;
 import applespindle.testfleet.simulation.Simulation.Caller;
@@ -100,7 +100,7 @@
         Kind.REQUEST_SENT,
         id,
         client.route.type() + " " + edge.name + resumeAfter,
-        ProxyWorkers.asked(request),
+        ProxiedRequestText.asked(request),
         client.tokens);
     if (client.hasKey()) {
       simulation.history.add(
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
@@ -1,7 +1,5 @@
 package applespindle.testfleet.simulation;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.environment.Environment.ExchangeListener;
 import applespindle.corelogic.environment.Environment.WorkerExchange;
@@ -223,12 +221,12 @@
       this.exchange = exchange;
       this.connection = connection;
       this.callerDead = callerDead;
-      this.asked = asked(request);
+      this.asked = ProxiedRequestText.asked(request);
       this.stream =
           request.target().startsWith("/stream")
               || request.target().startsWith("/resumable")
               || request.target().startsWith("/batch");
-      this.tokens = tokens(request);
+      this.tokens = ProxiedRequestText.tokens(request);
       String after =
           exchange.resumeAfter() == null || exchange.resumeAfter().isEmpty()
               ? request.resumeAfter()
@@ -552,23 +550,6 @@
     }
   }
 
-  /** A request in one line, as the history has it; the event to resume after is no part of it. */
-  public static String asked(ProxiedRequest request) {
-    return request.method()
-        + " "
-        + request.host()
-        + " "
-        + request.target()
-        + " "
-        + new String(request.body(), UTF_8);
-  }
-
-  /** The number of tokens to put out stands at the end of a body, after the last dot. */
-  private static int tokens(ProxiedRequest request) {
-    String body = new String(request.body(), UTF_8);
-    return Integer.parseInt(body.substring(body.lastIndexOf('.') + 1));
-  }
-
   Worker add(String id, String address, String pool, String zone) {
     Worker worker = new Worker(id, address, pool, zone);
     byAddress.put(address, worker);
