The checks of a new request in one order, one return each

Cause: the dispatcher's admission had become a chain of conditions with the tenants.

No behaviour changes.

--- a/core-logic/src/main/java/applespindle/corelogic/configuration/TenantAccess.java
+++ b/core-logic/src/main/java/applespindle/corelogic/configuration/TenantAccess.java
@@ -7,10 +7,9 @@
 /**
  * For which tenant a request may run, or why it may not.
  *
- * @param tenant null if requests need no key; on a public route the tenant of a known key may be
- *     missing as well, see {@link #name}
- * @param name what a worker is told: null if there are no tenants, so that the client's headers
- *     pass unchanged; empty if the request has no tenant, which only happens on public routes
+ * @param tenant null if the request has none: where there are no tenants, and on public routes
+ * @param name what a worker is told of the tenant: null where there are no tenants, so that the
+ *     client's headers pass unchanged; empty if the request has no tenant
  * @param rejection null if the request may run
  */
 public record TenantAccess(Tenant tenant, String name, ApiError rejection) {
--- a/core-logic/src/main/java/applespindle/corelogic/live/ProxyDispatcher.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/ProxyDispatcher.java
@@ -65,20 +65,17 @@
    */
   public RequestHandle submit(
       ProxiedRequest request, ProxiedResponseListener listener, long arrivedAt) {
-    ApiError rejection = edge.rejectionOfNewWork();
-    if (rejection == null && edge.configuration() == null) {
-      rejection = new ApiError.NoConfiguration();
+    ApiError rejection = rejectionOfNewWork();
+    if (rejection != null) {
+      return reject(rejection, listener);
     }
-    Route route = rejection == null ? edge.routes().find(request.host(), request.path()) : null;
-    if (rejection == null && (route == null || route.type() == RouteType.BATCH)) {
-      rejection = new ApiError.NoMatchingRule();
+    Route route = edge.routes().find(request.host(), request.path());
+    if (route == null || route.type() == RouteType.BATCH) {
+      return reject(new ApiError.NoMatchingRule(), listener);
     }
-    TenantAccess access =
-        rejection == null ? edge.tenantAccess(route, request.apiKey()) : TenantAccess.NONE;
-    rejection = rejection == null ? access.rejection() : rejection;
-    if (rejection != null) {
-      reject(rejection, listener);
-      return () -> {};
+    TenantAccess access = edge.tenantAccess(route, request.apiKey());
+    if (access.rejection() != null) {
+      return reject(access.rejection(), listener);
     }
     edge.incrementCounter("opaque_taken");
     String pool = poolSelector.select(route);
@@ -89,7 +86,14 @@
     return call;
   }
 
-  private void reject(ApiError error, ProxiedResponseListener listener) {
+  private ApiError rejectionOfNewWork() {
+    ApiError rejection = edge.rejectionOfNewWork();
+    return rejection == null && edge.configuration() == null
+        ? new ApiError.NoConfiguration()
+        : rejection;
+  }
+
+  private RequestHandle reject(ApiError error, ProxiedResponseListener listener) {
     edge.incrementCounter("opaque_refused_" + error.type());
     boolean starting =
         error instanceof ApiError.NodeIsolated || error instanceof ApiError.NoConfiguration;
@@ -97,6 +101,7 @@
         starting
             ? Response.ofRetryAfterMs(error, LifecycleConstants.STARTUP_RETRY_AFTER_MS)
             : Response.of(error));
+    return () -> {};
   }
 
   /** Number of requests that were admitted and have not ended. */
