--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/ProxyWorkers.java
@@ -289,13 +289,12 @@
       if (passedOn && exchange.request().apiKey().isEmpty()) {
         return;
       }
+      recordRun(Kind.RUN_TENANT, passedOn ? "" : exchange.tenant(), passedOn ? 1 : 0);
+    }
+
+    private void recordRun(Kind kind, String subject, long number) {
       simulation.history.add(
-          simulation.simulatedNowMs(),
-          Kind.RUN_TENANT,
-          passedOn ? "" : exchange.tenant(),
-          exchange.request().id(),
-          label,
-          passedOn ? 1 : 0);
+          simulation.simulatedNowMs(), kind, subject, exchange.request().id(), label, number);
     }
 
     private void reject(int status) {
@@ -461,13 +460,7 @@
 
     private void recordFirstOutput() {
       if (exchange.tenant() != null && !exchange.tenant().isEmpty()) {
-        simulation.history.add(
-            simulation.simulatedNowMs(),
-            Kind.RUN_PUT_OUT,
-            exchange.tenant(),
-            exchange.request().id(),
-            label,
-            0);
+        recordRun(Kind.RUN_PUT_OUT, exchange.tenant(), 0);
       }
     }
 
