--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchClient.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchClient.java
@@ -52,7 +52,12 @@
   private boolean closing;
   private int submissions;
 
-  ProxiedBatchClient(ProxyClients clients, Route route, int items) {
+  /**
+   * The client of a new batch.
+   *
+   * @param owner the tenant that submits it; null where there are none
+   */
+  ProxiedBatchClient(ProxyClients clients, Route route, int items, String owner) {
     this.clients = clients;
     this.simulation = clients.simulation;
     this.fleet = clients.fleet;
@@ -64,20 +69,14 @@
     }
     this.batch = new ProxiedBatch(id, route.host(), route.prefix() + id, rows);
     this.bodyBytes = Json.bytes(batch).length;
-    this.owner = chooseOwner();
+    this.owner = owner;
+    if (owner != null) {
+      simulation.history.add(sentMs, Kind.OPAQUE_OWNER, id, "", owner, 0);
+    }
     this.reader = new ProxiedBatchReader(fleet, this);
     this.finalRead = new ProxiedBatchFinalRead(clients, this, reader);
   }
 
-  private String chooseOwner() {
-    if (clients.tenants() == null) {
-      return null;
-    }
-    String chosen = clients.tenants().anyName();
-    simulation.history.add(sentMs, Kind.OPAQUE_OWNER, batch.id(), "", chosen, 0);
-    return chosen;
-  }
-
   /** A call at any edge with a key that the owner holds now, chosen anew for each call. */
   KeyedBatchCall newCall() {
     return new KeyedBatchCall(fleet, this, owner == null ? "" : clients.tenants().keyOf(owner));
@@ -128,6 +127,11 @@
     return accepted ? acceptedMs - sentMs : Long.MAX_VALUE;
   }
 
+  /** Whether all results were read within a time from the first submission. */
+  boolean isDoneWithin(long timeMs) {
+    return doneMs >= 0 && doneMs <= sentMs + timeMs;
+  }
+
   int itemsDone() {
     return reader.resultCount();
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxyClients.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** Starts the clients of proxied requests and of proxied batches, and counts what they got. */
 public final class ProxyClients {
@@ -112,9 +113,20 @@
   }
 
   void submitOne(int items) {
+    submitOne(items, tenants() == null ? null : tenants().anyName());
+  }
+
+  /** Submits so many batches of one tenant at once. */
+  public void crowd(int count, int items, String tenant) {
+    for (int number = 0; number < count; number++) {
+      submitOne(items, tenant);
+    }
+  }
+
+  private void submitOne(int items, String tenant) {
     List<Route> choice = operators.inUse("batch");
     if (!choice.isEmpty()) {
-      ProxiedBatchClient client = new ProxiedBatchClient(this, choice.get(0), items);
+      ProxiedBatchClient client = new ProxiedBatchClient(this, choice.get(0), items, tenant);
       batches.add(client);
       client.submit();
     }
@@ -182,6 +194,27 @@
     return batches.stream().filter(client -> client.accepted).count();
   }
 
+  /**
+   * The tenant that was served least: the part of its batches that were done within a time, in
+   * percent of that part of all batches.
+   */
+  public long leastServedTenantPercent(long withinMs) {
+    double ofAll = shareDoneWithin(batches, withinMs);
+    Map<String, List<ProxiedBatchClient>> byTenant =
+        batches.stream().collect(Collectors.groupingBy(client -> client.owner));
+    double least =
+        byTenant.values().stream()
+            .mapToDouble(own -> shareDoneWithin(own, withinMs))
+            .min()
+            .orElse(0);
+    return ofAll == 0 ? 0 : Math.round(100 * least / ofAll);
+  }
+
+  private static double shareDoneWithin(List<ProxiedBatchClient> clients, long withinMs) {
+    return clients.stream().filter(client -> client.isDoneWithin(withinMs)).count()
+        / (double) clients.size();
+  }
+
   /** The number of items of accepted batches that were not ended early. */
   public long itemsTaken() {
     return batches.stream()
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/RouteOperators.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/RouteOperators.java
@@ -31,7 +31,7 @@
   private static final long TARGET_MS = 500;
   private static final long GAP_TARGET_MS = 150;
   private static final int ATTEMPTS = 2;
-  private static final long BATCH_TARGET_MS = 10_000;
+  public static final long BATCH_TARGET_MS = 10_000;
   private static final long CALL_TIMEOUT_MS = 1_000;
   private static final double RETRY_PAUSE_MS = 200;
   private static final long READ_EVERY_MS = 700;
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioExpectations.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ScenarioExpectations.java
@@ -1,6 +1,7 @@
 package applespindle.testfleet.scenario;
 
 import applespindle.testfleet.clients.BatchClient;
+import applespindle.testfleet.clients.RouteOperators;
 import applespindle.testfleet.clients.SimulatedFleet;
 import applespindle.testfleet.history.History;
 import applespindle.testfleet.history.History.Kind;
@@ -142,6 +143,11 @@
               "taken batches",
               fleet.clients.batches.stream().filter(client -> client.accepted).count(),
               bound);
+      case "least-served-tenant-percent" ->
+          atLeast(
+              "the least served tenant, in percent of all",
+              fleet.clients.leastServedTenantPercent(RouteOperators.BATCH_TARGET_MS),
+              bound);
       case "list-calls-most" ->
           atMost("calls to the list of workers", fleet.platform.list.calls, bound);
       default -> {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/TrafficActions.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/TrafficActions.java
@@ -42,6 +42,8 @@
               Integer.parseInt(words[1]), words.length > 2 ? Integer.parseInt(words[2]) : CROWD_MS);
       case "probe-routes" -> fleet.clients.probeRoutes();
       case "end-proxied-batch" -> fleet.clients.endOne();
+      case "crowd-proxied-batches" ->
+          fleet.clients.crowd(Integer.parseInt(words[1]), Integer.parseInt(words[2]), words[3]);
       case "burst-proxied" ->
           fleet.clients.live(
               words[1],
