A timer of a node goes on after a run that throws an exception

Cause: the next run was scheduled behind the task, so that one exception ended the timer for the life of the process; found by the review, with a report interval of zero as the way to it. Change: the next run is scheduled whatever the task does; the exception is still logged by the process and still fails a test.

--- a/core-logic/src/main/java/applespindle/corelogic/node/Node.java
+++ b/core-logic/src/main/java/applespindle/corelogic/node/Node.java
@@ -101,13 +101,20 @@
     terminated = true;
   }
 
-  /** Runs a task at regular intervals, first after one interval, until the node has terminated. */
+  /**
+   * Runs a task at regular intervals, first after one interval, until the node has terminated. A
+   * run that throws an exception is followed by the next one all the same.
+   */
   protected void repeatEvery(long intervalMs, Runnable task) {
     environment.schedule(
         intervalMs,
         () -> {
-          if (!isTerminated()) {
+          if (isTerminated()) {
+            return;
+          }
+          try {
             task.run();
+          } finally {
             repeatEvery(intervalMs, task);
           }
         });
