--- a/core-logic/src/main/java/applespindle/corelogic/usage/WindowCounts.java
+++ b/core-logic/src/main/java/applespindle/corelogic/usage/WindowCounts.java
@@ -10,4 +10,9 @@
  * @param counts requests by tenant; tenants without requests are left out
  */
 public record WindowCounts(
-    @JsonProperty("w") long window, @JsonProperty("c") Map<String, Long> counts) {}
+    @JsonProperty("w") long window, @JsonProperty("c") Map<String, Long> counts) {
+  /** A report that lacks the counts has none. */
+  public WindowCounts {
+    counts = counts == null ? Map.of() : counts;
+  }
+}
