Count the frames that a process drops for its peers, by reason

Cause: a frame that does not fit into a connection's queue, or that waits for a connection that cannot be made, was dropped without a trace, so that a slow repair could not be told from a slow disk.

Change: DroppedFrames counts them; GET /metrics shows applespindle_peer_dropped_frames by reason.

No behaviour changes.

--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -167,6 +167,13 @@
                 registry
                     .counter("applespindle.peer.sent.bytes", Tags.of("kind", kind))
                     .increment(bytes));
+    process
+        .droppedFramesByReason()
+        .forEach(
+            (reason, frames) ->
+                registry
+                    .counter("applespindle.peer.dropped.frames", Tags.of("reason", reason))
+                    .increment(frames));
     process.readProcessorUsage(
         usage -> {
           addProcessorMetrics(registry, usage);
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -362,6 +362,11 @@
     return transport.bytesOfKind();
   }
 
+  /** By reason, the frames for peers that this process has dropped. */
+  Map<String, Long> droppedFramesByReason() {
+    return transport.droppedFramesByReason();
+  }
+
   @Override
   public long nowMs() {
     return EventLoopThread.nowMs();
--- a/adapters/src/main/java/applespindle/adapters/PeerChannel.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerChannel.java
@@ -20,6 +20,7 @@
 
   private final Eventloop eventloop;
   private final String address;
+  private final DroppedFrames droppedFrames;
 
   /** Invariant: at most one write is in flight; the frames that follow wait here in order. */
   private final ArrayDeque<PeerFrame> queue = new ArrayDeque<>();
@@ -46,15 +47,17 @@
   /** When the peer was asked for a keepalive; 0 if none is awaited. */
   private long keepaliveSentAt;
 
-  PeerChannel(Eventloop eventloop, String address) {
+  PeerChannel(Eventloop eventloop, String address, DroppedFrames droppedFrames) {
     this.eventloop = eventloop;
     this.address = address;
+    this.droppedFrames = droppedFrames;
   }
 
   /** Queues a frame; drops it if too many bytes wait already or no connection can be made. */
   void add(PeerFrame frame) {
     if (!queue.isEmpty()
         && queuedBytes + frame.bytes().length > PeerConnectionConstants.MAX_QUEUED_BYTES) {
+      droppedFrames.add(DroppedFrames.Reason.QUEUE_FULL, 1);
       return;
     }
     checkSilence();
@@ -97,7 +100,7 @@
       return;
     }
     if (eventloop.currentTimeMillis() < nextConnectAt) {
-      clearQueue();
+      clearQueue(DroppedFrames.Reason.NOT_CONNECTED);
       return;
     }
     connecting = true;
@@ -109,7 +112,7 @@
               nextConnectAt =
                   eventloop.currentTimeMillis() + PeerConnectionConstants.RECONNECT_DELAY_MS;
               if (fault != null) {
-                clearQueue();
+                clearQueue(DroppedFrames.Reason.CONNECTION_LOST);
                 return;
               }
               PeerSockets.enableKeepalive(connected.getSocketChannel());
@@ -199,7 +202,8 @@
     return bytes;
   }
 
-  private void clearQueue() {
+  private void clearQueue(DroppedFrames.Reason reason) {
+    droppedFrames.add(reason, queue.size());
     queue.clear();
     queuedBytes = 0;
     firstFrameWritten = 0;
@@ -209,7 +213,7 @@
     if (socket == closed) {
       socket = null;
       writing = false;
-      clearQueue();
+      clearQueue(DroppedFrames.Reason.CONNECTION_LOST);
       noteContact();
     }
     closed.close();
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -32,8 +32,10 @@
 final class PeerTransport {
   /** The two connections out to one peer; each connects once it has something to send. */
   private record PeerChannels(PeerChannel small, PeerChannel large) {
-    PeerChannels(Eventloop eventloop, String address) {
-      this(new PeerChannel(eventloop, address), new PeerChannel(eventloop, address));
+    PeerChannels(Eventloop eventloop, String address, DroppedFrames droppedFrames) {
+      this(
+          new PeerChannel(eventloop, address, droppedFrames),
+          new PeerChannel(eventloop, address, droppedFrames));
     }
 
     void add(PeerFrame frame) {
@@ -108,6 +110,8 @@
   /** By kind of message, the bytes of its frames as they were written, headers included. */
   private final Map<String, LongAdder> bytesOfKind = new ConcurrentHashMap<>();
 
+  private final DroppedFrames droppedFrames = new DroppedFrames();
+
   /** By address. */
   private final Map<String, PeerChannels> peers = new HashMap<>();
 
@@ -170,6 +174,7 @@
     }
     if (pendingFrames.incrementAndGet() > DiskConstants.WRITE_RING_SLOTS) {
       pendingFrames.decrementAndGet();
+      droppedFrames.add(DroppedFrames.Reason.SENDER_BUSY, 1);
       return;
     }
     eventloop.execute(
@@ -184,7 +189,14 @@
     bytesOfKind
         .computeIfAbsent(MessageNames.of(envelope.message()), kind -> new LongAdder())
         .add(frame.size());
-    peers.computeIfAbsent(toAddress, address -> new PeerChannels(eventloop, address)).add(frame);
+    peers
+        .computeIfAbsent(toAddress, address -> new PeerChannels(eventloop, address, droppedFrames))
+        .add(frame);
+  }
+
+  /** The frames that were never sent, by reason; from any thread. */
+  Map<String, Long> droppedFramesByReason() {
+    return droppedFrames.byReason();
   }
 
   /** By kind of message, the bytes written so far; from any thread. */
