Copy large records in chunks, paced by the receiver, so that a repair ends before the next loss

Cause: a joining replica asked for the pages of up to twelve shards at once, and a page holds at least one whole record, here 3 MB, in base64 in JSON. The source's connection queues 4 MB; what did not fit was dropped without a word and asked again only after 1.2 s, mostly for the same page, at two sources.

Change: a page names records of 64 KiB and more by position and size (DetachedEntry); the joining replica fetches each once, in chunks of 128 KiB as raw bytes, four on their way for each of two records at a time, from any replica that holds it. Page requests are bounded by source.

Why this works: the bytes on their way to a joining replica are bounded at 1 MB however large a record is and however many shards change, so nothing is dropped; each byte crosses the link once.

--- a/adapters/src/main/java/applespindle/adapters/MessageDecoder.java
+++ b/adapters/src/main/java/applespindle/adapters/MessageDecoder.java
@@ -6,6 +6,8 @@
 import applespindle.adapters.sbe.BatchEndedBodyDecoder;
 import applespindle.adapters.sbe.CoreIsBodyDecoder;
 import applespindle.adapters.sbe.CorePingBodyDecoder;
+import applespindle.adapters.sbe.EntryChunkAskBodyDecoder;
+import applespindle.adapters.sbe.EntryChunkBodyDecoder;
 import applespindle.adapters.sbe.EnvelopeHeadDecoder;
 import applespindle.adapters.sbe.FeedFollowBodyDecoder;
 import applespindle.adapters.sbe.FeedNewsBodyDecoder;
@@ -39,6 +41,8 @@
 import applespindle.corelogic.protocol.Message.BatchOffer;
 import applespindle.corelogic.protocol.Message.ChangeFeedPoll;
 import applespindle.corelogic.protocol.Message.ChangeFeedUpdate;
+import applespindle.corelogic.protocol.Message.EntryChunk;
+import applespindle.corelogic.protocol.Message.EntryChunkRequest;
 import applespindle.corelogic.protocol.Message.ItemOutcome;
 import applespindle.corelogic.protocol.Message.KeyPosition;
 import applespindle.corelogic.protocol.Message.LeaderlessBatches;
@@ -104,6 +108,8 @@
       case KeyPromisedBodyDecoder.TEMPLATE_ID -> decodeVoteResponse();
       case KeyLogAskBodyDecoder.TEMPLATE_ID -> decodeLogFetchRequest();
       case KeyLogPartBodyDecoder.TEMPLATE_ID -> decodeLogFetchResponse();
+      case EntryChunkAskBodyDecoder.TEMPLATE_ID -> decodeEntryChunkRequest();
+      case EntryChunkBodyDecoder.TEMPLATE_ID -> decodeEntryChunk();
       case KeyAppendBodyDecoder.TEMPLATE_ID -> decodeAppendRequest();
       case KeyAppendedBodyDecoder.TEMPLATE_ID -> decodeAppendResponse();
       case KeyHandOverBodyDecoder.TEMPLATE_ID -> decodeLeadershipTransfer();
@@ -212,6 +218,27 @@
         entries);
   }
 
+  private EntryChunkRequest decodeEntryChunkRequest() {
+    EntryChunkAskBodyDecoder body = in.open(new EntryChunkAskBodyDecoder());
+    return new EntryChunkRequest(
+        body.key(),
+        body.sequence(),
+        new Epoch(body.epochCounter(), body.epochNode()),
+        body.from(),
+        body.most());
+  }
+
+  private EntryChunk decodeEntryChunk() {
+    EntryChunkBodyDecoder body = in.open(new EntryChunkBodyDecoder());
+    return new EntryChunk(
+        body.key(),
+        body.sequence(),
+        new Epoch(body.epochCounter(), body.epochNode()),
+        body.from(),
+        body.entryBytes(),
+        SbeReader.bytes(body.bytesLength(), body::getBytes));
+  }
+
   private AppendRequest decodeAppendRequest() {
     KeyAppendBodyDecoder body = in.open(new KeyAppendBodyDecoder());
     List<LogEntry> entries = new ArrayList<>();
--- a/adapters/src/main/java/applespindle/adapters/MessageEncoder.java
+++ b/adapters/src/main/java/applespindle/adapters/MessageEncoder.java
@@ -6,6 +6,8 @@
 import applespindle.adapters.sbe.BatchEndedBodyEncoder;
 import applespindle.adapters.sbe.CoreIsBodyEncoder;
 import applespindle.adapters.sbe.CorePingBodyEncoder;
+import applespindle.adapters.sbe.EntryChunkAskBodyEncoder;
+import applespindle.adapters.sbe.EntryChunkBodyEncoder;
 import applespindle.adapters.sbe.EnvelopeHeadEncoder;
 import applespindle.adapters.sbe.FeedFollowBodyEncoder;
 import applespindle.adapters.sbe.FeedNewsBodyEncoder;
@@ -38,6 +40,8 @@
 import applespindle.corelogic.protocol.Message.BatchOffer;
 import applespindle.corelogic.protocol.Message.ChangeFeedPoll;
 import applespindle.corelogic.protocol.Message.ChangeFeedUpdate;
+import applespindle.corelogic.protocol.Message.EntryChunk;
+import applespindle.corelogic.protocol.Message.EntryChunkRequest;
 import applespindle.corelogic.protocol.Message.ItemOutcome;
 import applespindle.corelogic.protocol.Message.LeaderlessBatches;
 import applespindle.corelogic.protocol.Message.LeadershipTransfer;
@@ -93,6 +97,10 @@
       encodeLogFetchRequest(request);
     } else if (message instanceof LogFetchResponse response) {
       encodeLogFetchResponse(response);
+    } else if (message instanceof EntryChunkRequest request) {
+      encodeEntryChunkRequest(request);
+    } else if (message instanceof EntryChunk chunk) {
+      encodeEntryChunk(chunk);
     } else if (message instanceof AppendRequest request) {
       encodeAppendRequest(request);
     } else if (message instanceof AppendResponse response) {
@@ -229,6 +237,29 @@
     out.finish(body);
   }
 
+  private void encodeEntryChunkRequest(EntryChunkRequest request) {
+    EntryChunkAskBodyEncoder body = out.begin(new EntryChunkAskBodyEncoder());
+    body.sequence(request.sequence())
+        .epochCounter(request.epoch().counter())
+        .from(request.offset())
+        .most(request.maxBytes())
+        .key(request.key())
+        .epochNode(request.epoch().node());
+    out.finish(body);
+  }
+
+  private void encodeEntryChunk(EntryChunk chunk) {
+    EntryChunkBodyEncoder body = out.begin(new EntryChunkBodyEncoder());
+    body.sequence(chunk.sequence())
+        .epochCounter(chunk.epoch().counter())
+        .from(chunk.offset())
+        .entryBytes(chunk.entryBytes())
+        .key(chunk.key())
+        .epochNode(chunk.epoch().node())
+        .putBytes(chunk.bytes(), 0, chunk.bytes().length);
+    out.finish(body);
+  }
+
   private void encodeAppendRequest(AppendRequest request) {
     KeyAppendBodyEncoder body = out.begin(new KeyAppendBodyEncoder());
     body.epochCounter(request.epoch().counter())
--- a/adapters/src/test/java/applespindle/adapters/FrameSamples.java
+++ b/adapters/src/test/java/applespindle/adapters/FrameSamples.java
@@ -16,6 +16,8 @@
 import applespindle.corelogic.protocol.Message.BatchOffer;
 import applespindle.corelogic.protocol.Message.ChangeFeedPoll;
 import applespindle.corelogic.protocol.Message.ChangeFeedUpdate;
+import applespindle.corelogic.protocol.Message.EntryChunk;
+import applespindle.corelogic.protocol.Message.EntryChunkRequest;
 import applespindle.corelogic.protocol.Message.ItemOutcome;
 import applespindle.corelogic.protocol.Message.KeyPosition;
 import applespindle.corelogic.protocol.Message.LeaderlessBatches;
@@ -145,6 +147,9 @@
     add(
         "log-part-refused",
         new LogFetchResponse(PROMPT_BATCH_KEY, EPOCH, Verdict.STALE_EPOCH, List.of()));
+    add("entry-chunk-asked", new EntryChunkRequest(PROXIED_BATCH_KEY, 34, EPOCH, 131072, 131072));
+    add("entry-chunk", new EntryChunk(PROXIED_BATCH_KEY, 34, EPOCH, 6, 12, bytes("second")));
+    add("entry-chunk-not-held", new EntryChunk(PROXIED_BATCH_KEY, 34, EPOCH, 0, 0, bytes("")));
     add("handed-over", new LeadershipTransfer(PROMPT_BATCH_KEY, EPOCH, 34));
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ReplicationConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ReplicationConstants.java
@@ -102,6 +102,26 @@
    */
   public static final int MAX_CATCH_UP_PAGE_BYTES = 256 << 10;
 
+  /** Page requests of catch-up that a joining replica has under way at one source. */
+  public static final int MAX_CONCURRENT_PAGE_REQUESTS = 4;
+
+  /**
+   * Size, in bytes, from which an event is left out of a page of catch-up and fetched in chunks.
+   */
+  public static final int MIN_DETACHED_ENTRY_BYTES = 64 << 10;
+
+  /** Size, in bytes, of a chunk of a large entry. */
+  public static final int ENTRY_CHUNK_BYTES = 128 << 10;
+
+  /** Chunks of one entry that may be on their way at a time. */
+  public static final int ENTRY_CHUNK_WINDOW = 4;
+
+  /**
+   * Large entries that a joining replica fetches at a time. With {@link #ENTRY_CHUNK_WINDOW} this
+   * bounds the bytes on their way to it to 1 MB, well below what a connection may queue.
+   */
+  public static final int MAX_CONCURRENT_ENTRY_TRANSFERS = 2;
+
   /** Delay between two pages of catch-up. */
   public static final long CATCH_UP_PAGE_DELAY_MS = 20;
 
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ControlPlaneNode.java
@@ -432,7 +432,9 @@
 
   @Override
   protected void handle(Message message, String fromId, String fromAddress) {
-    messageHandler.handle(message, fromId, fromAddress);
+    if (!catchUp.handle(message, fromId, fromAddress)) {
+      messageHandler.handle(message, fromId, fromAddress);
+    }
   }
 
   // ---- interface for operators and the platform
--- a/core-logic/src/main/java/applespindle/corelogic/protocol/Message.java
+++ b/core-logic/src/main/java/applespindle/corelogic/protocol/Message.java
@@ -174,6 +174,32 @@
     }
   }
 
+  /**
+   * A joining replica requests a part of a large entry.
+   *
+   * @param epoch the epoch of the entry, which with the sequence identifies it
+   * @param offset where the part begins in the event, in bytes
+   * @param maxBytes the largest size of the part
+   */
+  record EntryChunkRequest(String key, long sequence, Epoch epoch, int offset, int maxBytes)
+      implements Message {}
+
+  /**
+   * A replica's response to an {@link EntryChunkRequest}.
+   *
+   * @param entryBytes the size of the complete event; 0 if the replica does not hold the entry
+   * @param bytes the part of the event from the offset on
+   */
+  record EntryChunk(
+      String key, long sequence, Epoch epoch, int offset, int entryBytes, byte[] bytes)
+      implements Message {
+    /** Large events are deflated already. */
+    @Override
+    public boolean shouldDeflate() {
+      return false;
+    }
+  }
+
   /**
    * The leader of a key sends log entries to a replica; without entries this is a heartbeat.
    *
--- a/core-logic/src/main/java/applespindle/corelogic/protocol/MessageNames.java
+++ b/core-logic/src/main/java/applespindle/corelogic/protocol/MessageNames.java
@@ -19,6 +19,8 @@
           entry(Message.VoteResponse.class, "KeyPromised"),
           entry(Message.LogFetchRequest.class, "KeyLogAsk"),
           entry(Message.LogFetchResponse.class, "KeyLogPart"),
+          entry(Message.EntryChunkRequest.class, "EntryChunkAsk"),
+          entry(Message.EntryChunk.class, "EntryChunk"),
           entry(Message.AppendRequest.class, "KeyAppend"),
           entry(Message.AppendResponse.class, "KeyAppended"),
           entry(Message.LeadershipTransfer.class, "KeyHandOver"),
--- a/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicas.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicas.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
@@ -195,6 +196,13 @@
     return snapshotPages.page(configurationName, afterKey, known, maxBytes);
   }
 
+  /** An entry that is held here, by position and epoch. */
+  Optional<LogEntry> heldEntry(String key, long sequence, Epoch epoch) {
+    LogReplica replica = store.find(key);
+    LogEntry entry = replica == null ? null : replica.entryAt(sequence);
+    return Optional.ofNullable(entry).filter(held -> held.epoch().equals(epoch));
+  }
+
   /**
    * Takes over another replica's log of a key if it is the more recent one, by the same rule as an
    * election. The promised epoch is taken over too, so that an epoch refused there is refused here.
--- a/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaSnapshot.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaSnapshot.java
@@ -19,4 +19,9 @@
     @JsonProperty("promised") Epoch promisedEpoch,
     @JsonProperty("committed") long committedSequence,
     boolean partial,
-    List<LogEntry> entries) {}
+    List<LogEntry> entries) {
+  /** The same with other entries. */
+  public ReplicaSnapshot withEntries(List<LogEntry> replacement) {
+    return new ReplicaSnapshot(key, promisedEpoch, committedSequence, partial, replacement);
+  }
+}
--- a/core-logic/src/main/java/applespindle/corelogic/replication/SnapshotPages.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/SnapshotPages.java
@@ -44,7 +44,7 @@
   }
 
   /**
-   * The next keys of a configuration after the given one, until their size in bytes reaches the
+   * The next keys of a configuration after the given one, until the bytes of their events reach the
    * limit. For a log that the joining replica has a part of, by the known ends, the last entry of
    * that part and what follows.
    */
@@ -70,7 +70,8 @@
     return configurationNameOf.apply(key).equals(configurationName);
   }
 
-  private static int eventBytes(ReplicaSnapshot snapshot) {
+  /** The bytes of the events of a snapshot. */
+  static int eventBytes(ReplicaSnapshot snapshot) {
     return snapshot.entries().stream().mapToInt(entry -> entry.event().length).sum();
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/storage/StorageNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/storage/StorageNode.java
@@ -187,7 +187,7 @@
       replicas.handleVoteRequest(request, fromId, fromAddress);
     } else if (message instanceof LogFetchRequest request) {
       replicas.handleLogFetchRequest(request, fromId, fromAddress);
-    } else {
+    } else if (!catchUp.handle(message, fromId, fromAddress)) {
       super.handle(message, fromId, fromAddress);
     }
   }
@@ -280,11 +280,14 @@
 
   @Override
   public ObjectNode status() {
-    return super.status()
-        .put("keys", replicas.replicas().size())
-        .put("unfinished", batches.unfinished().size())
-        .put("onceClaims", onceClaims.size())
-        .put("removed", batches.removed());
+    ObjectNode status =
+        super.status()
+            .put("keys", replicas.replicas().size())
+            .put("unfinished", batches.unfinished().size())
+            .put("onceClaims", onceClaims.size())
+            .put("removed", batches.removed());
+    catchUp.addTo(status);
+    return status;
   }
 
   @Override
--- a/core-logic/src/test/java/applespindle/corelogic/batch/RecordFormatTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/batch/RecordFormatTest.java
@@ -33,6 +33,7 @@
 import applespindle.corelogic.metadata.WorkerList;
 import applespindle.corelogic.metadata.WorkerListVersion;
 import applespindle.corelogic.metadata.WorkerRegistration;
+import applespindle.corelogic.replication.DetachedEntry;
 import applespindle.corelogic.replication.LogEndPosition;
 import applespindle.corelogic.replication.ReplicaCatchUp;
 import applespindle.corelogic.replication.ReplicaSnapshot;
@@ -274,6 +275,14 @@
         "copy-page",
         new ReplicaCatchUp.Page(
             List.of(copied), Map.of("once/once-4", "0e8a80636900-1"), "batch/b-1"));
+    ReplicaSnapshot large = copied.withEntries(List.of(new LogEntry(11, epoch, true, new byte[0])));
+    records.put(
+        "copy-page-detached",
+        new ReplicaCatchUp.Page(
+            List.of(large),
+            Map.of(),
+            "batch/b-1",
+            List.of(new DetachedEntry("batch/b-1", 11, epoch, 3821524))));
     records.put("copy-page-empty", new ReplicaCatchUp.Page(List.of(), Map.of(), ""));
     byte[] body = "body-x7".getBytes(UTF_8);
     List<Header> headers = List.of(new Header("content-type", "text/plain"));
