Keep the payloads of a log on disk, with a bounded part of them in the heap

Cause: a storage node kept every event of every log in memory until its retention was over. Only the room on the disk was bounded. A start gathered all records in a list before it replayed them, so a restart did not help.

Change: the bytes of an entry are a Payload. The log on disk notes where it has synced them, keeps the newest in the heap up to a fifth of it (PayloadCache) and releases the others, which are read back from the file, by parts where only a part is asked for. This holds from the first record that a start reads. A checkpoint writes each payload to its new place before the old files are closed. Records that wait to be written are bounded at 16 MiB: beyond it a replica takes nothing new, and leaders send again. Large frames from peers are read only once their bytes are reserved of an eighth of the heap; until then TCP holds the sender. Buffers that a large message has grown are not kept, and a record is no longer copied for its frame. In the simulator every synced payload leaves the heap.

Why this works: the heap of a storage node is bounded by the number of records, by three limits in bytes, and by nothing else that a client can grow; a start needs no more than the running node. GET /metrics shows the bytes held and the limits (applespindle_disk_resident_bytes, _queued_bytes, applespindle_peer_inbound_bytes, each with _limit).

--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -10,7 +10,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -42,6 +44,11 @@
   /** Whatever is written passes through here, so that no more than this lies outside the heap. */
   private final ByteBuffer buffer = ByteBuffer.allocateDirect(DiskConstants.WRITE_BUFFER_BYTES);
 
+  /** The files that payloads are read from, by name; closed when they are deleted. */
+  private final Map<String, DiskFile> openFiles = new HashMap<>();
+
+  private final PayloadCache payloadCache;
+
   /** The present segment, which all records are appended to. */
   private DiskFile segmentFile;
 
@@ -67,6 +74,7 @@
     this.sizes = sizes;
     this.log = log;
     identity = new IdentityFile(folder);
+    payloadCache = new PayloadCache(sizes.residentBytes());
   }
 
   /** Opens a folder on a disk of unknown size; see the other method. */
@@ -90,8 +98,9 @@
   }
 
   /**
-   * Replays what the folder holds. Corruption anywhere but in the newest segment's tail moves all
-   * of it aside: the node then starts as a new, empty one under a new id.
+   * Replays what the folder holds; of the payloads no more than the limit are in the heap at any
+   * time. Corruption anywhere but in the newest segment's tail moves all of it aside: the node then
+   * starts as a new, empty one under a new id.
    */
   static DiskLog open(
       LogFolder folder, LogSizes sizes, Consumer<LogRecord> replay, Consumer<String> log)
@@ -106,6 +115,7 @@
         throw fault;
       }
       log.accept("Data folder is corrupt and was set aside: " + fault.getMessage() + ".");
+      opened.closeFiles();
       opened.setAside();
       records.clear();
       opened = new DiskLog(folder, sizes, log);
@@ -209,6 +219,13 @@
     }
   }
 
+  /** The payload is the last field of a record, and the record the end of its frame. */
+  private static void notePayloadStored(LogRecord record, DiskFile file, long frameEnd) {
+    if (record.payloadBytes() > 0) {
+      record.content().storeAt(new StoredPayload(file, frameEnd - record.payloadBytes()));
+    }
+  }
+
   private void dropUnfinished() throws IOException {
     for (String unfinished : files(UNFINISHED)) {
       folder.delete(unfinished);
@@ -221,16 +238,32 @@
       if (old.startsWith(SEGMENT) && LogFileNames.number(old) <= covered
           || old.startsWith(CHECKPOINT) && LogFileNames.number(old) < covered) {
         folder.delete(old);
+        closeFile(old);
       }
     }
   }
 
+  private void closeFile(String name) throws IOException {
+    DiskFile file = openFiles.remove(name);
+    if (file != null) {
+      file.close();
+    }
+  }
+
+  private void closeFiles() throws IOException {
+    for (String name : List.copyOf(openFiles.keySet())) {
+      closeFile(name);
+    }
+  }
+
   private void readFile(
       String name, Consumer<LogRecord> replay, boolean newestSegment, boolean checkpoint)
       throws IOException {
     long size = folder.size(name);
     long validBytes = 0;
     boolean ended = false;
+    DiskFile file = folder.open(name);
+    openFiles.put(name, file);
     try (DataInputStream bytes =
         new DataInputStream(
             new BufferedInputStream(folder.read(name), DiskConstants.WRITE_BUFFER_BYTES))) {
@@ -242,7 +275,11 @@
         if (content[0] == LogFrame.TYPE_END_OF_CHECKPOINT) {
           ended = true;
         } else {
-          replay.accept(codec.decode(Arrays.copyOfRange(content, 1, content.length)));
+          LogRecord record = codec.decode(Arrays.copyOfRange(content, 1, content.length));
+          long frameEnd = validBytes + LogFrame.HEADER_BYTES - 1 + content.length;
+          notePayloadStored(record, file, frameEnd);
+          payloadCache.add(record.content());
+          replay.accept(record);
         }
         validBytes += LogFrame.HEADER_BYTES - 1 + content.length;
       }
@@ -277,7 +314,8 @@
    */
   private void openSegment() throws IOException {
     long number = ++lastSegmentAttempt;
-    DiskFile created = folder.create(name(SEGMENT, number));
+    String name = name(SEGMENT, number);
+    DiskFile created = folder.create(name);
     try {
       folder.sync();
     } catch (IOException refused) {
@@ -285,6 +323,7 @@
       throw refused;
     }
     segmentFile = created;
+    openFiles.put(name, created);
     segment = number;
     segmentBytes = 0;
   }
@@ -300,7 +339,8 @@
     if (records.isEmpty()) {
       return;
     }
-    long end = writeUntilTaken(records);
+    List<Long> frameEnds = new ArrayList<>();
+    long end = writeUntilTaken(records, frameEnds);
     try {
       segmentFile.force();
     } catch (IOException fault) {
@@ -308,14 +348,24 @@
     }
     bytesSinceCheckpoint += end - segmentBytes;
     segmentBytes = end;
+    notePayloadsStored(records, segmentFile, frameEnds);
+    records.forEach(record -> payloadCache.add(record.content()));
   }
 
-  private long writeUntilTaken(List<LogRecord> records) {
+  private static void notePayloadsStored(
+      List<LogRecord> records, DiskFile file, List<Long> frameEnds) {
+    for (int index = 0; index < records.size(); index++) {
+      notePayloadStored(records.get(index), file, frameEnds.get(index));
+    }
+  }
+
+  private long writeUntilTaken(List<LogRecord> records, List<Long> frameEnds) {
     while (true) {
       try {
+        frameEnds.clear();
         LogFrameWriter writer = new LogFrameWriter(segmentFile, segmentBytes, buffer);
         for (LogRecord record : records) {
-          writer.add(LogFrame.TYPE_RECORD, codec.encode(record));
+          frameEnds.add(writer.add(LogFrame.TYPE_RECORD, codec.encode(record)));
         }
         long end = writer.flush();
         noteRefusing(false, "");
@@ -364,10 +414,8 @@
   void checkpoint(List<LogRecord> records) {
     long last = segment;
     bytesSinceCheckpoint = 0;
-    DiskFile previous = segmentFile;
     try {
       openSegment();
-      previous.close();
     } catch (IOException refused) {
       log.accept("No checkpoint, as no segment can be opened: " + refused.getMessage() + ".");
       return;
@@ -383,25 +431,40 @@
 
   private void writeCheckpoint(String name, List<LogRecord> records) throws IOException {
     String temporary = UNFINISHED + name;
-    try (DiskFile written = folder.create(temporary)) {
+    DiskFile written = folder.create(temporary);
+    List<Long> frameEnds = new ArrayList<>();
+    try {
       LogFrameWriter writer = new LogFrameWriter(written, 0, buffer);
       for (LogRecord record : records) {
-        writer.add(LogFrame.TYPE_RECORD, codec.encode(record));
+        frameEnds.add(writer.add(LogFrame.TYPE_RECORD, codec.encode(record)));
       }
       writer.add(LogFrame.TYPE_END_OF_CHECKPOINT, new byte[0]);
       long end = writer.flush();
       syncCheckpoint(written, name);
       checkpointBytes = end;
     } catch (IOException refused) {
+      written.close();
       folder.delete(temporary);
       throw refused;
     }
     folder.rename(temporary, name);
+    openFiles.put(name, written);
     try {
       folder.sync();
     } catch (IOException fault) {
       throw new DiskException(DiskException.Kind.SYNC_FAILED, "folder", fault);
     }
+    notePayloadsStored(records, written, frameEnds);
+  }
+
+  /** The bytes of payloads that are kept in the heap; from any thread. */
+  long residentPayloadBytes() {
+    return payloadCache.heldBytes();
+  }
+
+  /** The most bytes of payloads that are kept in the heap. */
+  long residentPayloadLimitBytes() {
+    return payloadCache.limitBytes();
   }
 
   private static void syncCheckpoint(DiskFile written, String name) {
@@ -415,7 +478,7 @@
   @Override
   public void close() {
     try {
-      segmentFile.close();
+      closeFiles();
       if (folder instanceof FileSystemLogFolder plain) {
         plain.close();
       }
--- a/adapters/src/main/java/applespindle/adapters/DiskWriter.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskWriter.java
@@ -40,6 +40,9 @@
       new OneToOneConcurrentArrayQueue<>(DiskConstants.WRITE_RING_SLOTS);
   private final Thread thread = new Thread(this::run, "disk");
 
+  /** Bytes of payloads that wait to be written. */
+  private final AtomicLong queuedBytes = new AtomicLong();
+
   /** Too little room is left for new records; read by all threads. */
   private volatile boolean full;
 
@@ -73,12 +76,39 @@
    * queue is full.
    */
   void write(List<LogRecord> records, Runnable whenSynced) {
+    queuedBytes.addAndGet(payloadBytes(records));
     offer(new Job(records, whenSynced, false));
   }
 
+  private static long payloadBytes(List<LogRecord> records) {
+    long bytes = 0;
+    for (LogRecord record : records) {
+      bytes += record.payloadBytes();
+    }
+    return bytes;
+  }
+
   /** Whether new records are welcome: the queue has room, and so has the disk. */
   boolean acceptsWrites() {
-    return queue.size() < DiskConstants.WRITE_RING_SLOTS / 2 && !full && !log.refusing();
+    return queue.size() < DiskConstants.WRITE_RING_SLOTS / 2
+        && queuedBytes.get() < DiskConstants.MAX_QUEUED_WRITE_BYTES
+        && !full
+        && !log.refusing();
+  }
+
+  /** Bytes of payloads that wait to be written; from any thread. */
+  long queuedBytes() {
+    return queuedBytes.get();
+  }
+
+  /** Bytes of payloads that are on the disk and in the heap as well; from any thread. */
+  long residentPayloadBytes() {
+    return log.residentPayloadBytes();
+  }
+
+  /** The most bytes of payloads that are kept in the heap. */
+  long residentPayloadLimitBytes() {
+    return log.residentPayloadLimitBytes();
   }
 
   /** So little is left on the disk that nothing new is taken; what is there stays. */
@@ -164,6 +194,7 @@
     List<LogRecord> records = new ArrayList<>();
     group.forEach(job -> records.addAll(job.records()));
     log.append(records);
+    queuedBytes.addAndGet(-payloadBytes(records));
     List<Runnable> callbacks = group.stream().map(Job::whenSynced).toList();
     group.clear();
     logicThread.reportSynced(callbacks);
--- a/adapters/src/main/java/applespindle/adapters/FileSystemLogFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/FileSystemLogFolder.java
@@ -1,5 +1,6 @@
 package applespindle.adapters;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
@@ -82,12 +83,16 @@
   public DiskFile create(String name) throws IOException {
     return new PlainFile(
         FileChannel.open(
-            folder.resolve(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE));
+            folder.resolve(name),
+            StandardOpenOption.CREATE_NEW,
+            StandardOpenOption.READ,
+            StandardOpenOption.WRITE));
   }
 
   @Override
   public DiskFile open(String name) throws IOException {
-    return new PlainFile(FileChannel.open(folder.resolve(name), StandardOpenOption.WRITE));
+    return new PlainFile(
+        FileChannel.open(folder.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE));
   }
 
   @Override
@@ -154,6 +159,18 @@
       }
     }
 
+    @Override
+    public void read(ByteBuffer bytes, long at) throws IOException {
+      long place = at;
+      while (bytes.hasRemaining()) {
+        int count = channel.read(bytes, place);
+        if (count < 0) {
+          throw new EOFException();
+        }
+        place += count;
+      }
+    }
+
     @Override
     public void truncate(long size) throws IOException {
       channel.truncate(size);
--- a/adapters/src/main/java/applespindle/adapters/FrameReader.java
+++ b/adapters/src/main/java/applespindle/adapters/FrameReader.java
@@ -37,7 +37,9 @@
   /** Adds the next bytes of the connection; the array stays the caller's. */
   public void add(byte[] bytes, int offset, int size) {
     if (length + size > buffer.length) {
-      buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, length + size));
+      int frame = PeerFrame.HEADER_BYTES + incompleteFrameBytes();
+      int grown = frame > PeerFrame.HEADER_BYTES ? frame : buffer.length * 2;
+      buffer = Arrays.copyOf(buffer, Math.max(grown, length + size));
     }
     System.arraycopy(bytes, offset, buffer, length, size);
     length += size;
@@ -68,6 +70,18 @@
     }
   }
 
+  /**
+   * The size of the frame whose beginning is held, as its header says; 0 if there is none or its
+   * header is not complete.
+   */
+  int incompleteFrameBytes() {
+    if (length < PeerFrame.HEADER_BYTES) {
+      return 0;
+    }
+    int header = ByteBuffer.wrap(buffer, 0, PeerFrame.HEADER_BYTES).getInt();
+    return Math.min(PeerFrame.length(header), SizeLimits.MAX_FRAME_BYTES);
+  }
+
   private void readFrame(int header, int from, int size) throws UnreadableFrameException {
     if (size == 0) {
       listener.keepalive();
--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -167,6 +167,7 @@
                 registry
                     .counter("applespindle.peer.sent.bytes", Tags.of("kind", kind))
                     .increment(bytes));
+    process.heldBytes().forEach((name, value) -> registry.gauge("applespindle." + name, value));
     process
         .droppedFramesByReason()
         .forEach(
--- a/adapters/src/main/java/applespindle/adapters/LogFolder.java
+++ b/adapters/src/main/java/applespindle/adapters/LogFolder.java
@@ -38,6 +38,9 @@
     /** Writes all of it at a place. */
     void write(ByteBuffer bytes, long at) throws IOException;
 
+    /** Reads from a place until the buffer is full. */
+    void read(ByteBuffer bytes, long at) throws IOException;
+
     void truncate(long size) throws IOException;
 
     void force() throws IOException;
--- a/adapters/src/main/java/applespindle/adapters/LogFrame.java
+++ b/adapters/src/main/java/applespindle/adapters/LogFrame.java
@@ -42,5 +42,13 @@
     return (int) crc.getValue();
   }
 
+  /** The same of a type and a payload that stand apart. */
+  static int checksum(byte type, byte[] payload) {
+    CRC32C crc = new CRC32C();
+    crc.update(type);
+    crc.update(payload);
+    return (int) crc.getValue();
+  }
+
   private LogFrame() {}
 }
--- a/adapters/src/main/java/applespindle/adapters/LogFrameWriter.java
+++ b/adapters/src/main/java/applespindle/adapters/LogFrameWriter.java
@@ -17,23 +17,25 @@
     buffer.clear();
   }
 
-  /** Adds a frame; it may stay in the buffer until the next flush. */
-  void add(byte type, byte[] payload) throws IOException {
-    byte[] content = new byte[payload.length + 1];
-    content[0] = type;
-    System.arraycopy(payload, 0, content, 1, payload.length);
+  /**
+   * Adds a frame; it may stay in the buffer until the next flush.
+   *
+   * @return the offset behind the frame
+   */
+  long add(byte type, byte[] payload) throws IOException {
     if (buffer.remaining() < LogFrame.HEADER_BYTES) {
       flush();
     }
-    buffer.putInt(payload.length).putInt(LogFrame.checksum(content));
-    for (int written = 0; written < content.length; ) {
+    buffer.putInt(payload.length).putInt(LogFrame.checksum(type, payload)).put(type);
+    for (int written = 0; written < payload.length; ) {
       if (!buffer.hasRemaining()) {
         flush();
       }
-      int size = Math.min(buffer.remaining(), content.length - written);
-      buffer.put(content, written, size);
+      int size = Math.min(buffer.remaining(), payload.length - written);
+      buffer.put(payload, written, size);
       written += size;
     }
+    return offset + buffer.position();
   }
 
   /** Writes what is in the buffer; returns the offset behind the last frame. */
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -32,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -345,8 +346,19 @@
     logicThread.execute(task);
   }
 
-  private void received(Envelope envelope) {
-    toLogic(() -> node.receive(envelope));
+  private void received(Envelope envelope, Runnable whenHandled) {
+    boolean taken =
+        toLogic(
+            () -> {
+              try {
+                node.receive(envelope);
+              } finally {
+                whenHandled.run();
+              }
+            });
+    if (!taken) {
+      whenHandled.run();
+    }
   }
 
   private static void runSafely(Runnable task) {
@@ -362,6 +374,24 @@
     return transport.bytesOfKind();
   }
 
+  /**
+   * The bytes that this process holds at present beside its index, and the limits, by the name of a
+   * metric.
+   */
+  Map<String, Long> heldBytes() {
+    Map<String, Long> held = new TreeMap<>();
+    held.put("peer.inbound.bytes", transport.inboundBudget().reservedBytes());
+    held.put("peer.inbound.limit.bytes", transport.inboundBudget().limitBytes());
+    held.put("peer.inbound.waits", transport.inboundBudget().waits());
+    if (diskWriter != null) {
+      held.put("disk.queued.bytes", diskWriter.queuedBytes());
+      held.put("disk.queued.limit.bytes", DiskConstants.MAX_QUEUED_WRITE_BYTES);
+      held.put("disk.resident.bytes", diskWriter.residentPayloadBytes());
+      held.put("disk.resident.limit.bytes", diskWriter.residentPayloadLimitBytes());
+    }
+    return held;
+  }
+
   /** By reason, the frames for peers that this process has dropped. */
   Map<String, Long> droppedFramesByReason() {
     return transport.droppedFramesByReason();
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -30,6 +30,17 @@
  * <p>All on the peer thread, except where a method says otherwise.
  */
 final class PeerTransport {
+  /** Takes the messages that arrive. */
+  interface Receiver {
+    /**
+     * Takes a message.
+     *
+     * @param whenHandled to be called once, from any thread, when the message is dealt with or
+     *     dropped and takes no memory any more
+     */
+    void receive(Envelope envelope, Runnable whenHandled);
+  }
+
   /** The two connections out to one peer; each connects once it has something to send. */
   private record PeerChannels(PeerChannel small, PeerChannel large) {
     PeerChannels(Eventloop eventloop, String address, DroppedFrames droppedFrames) {
@@ -55,6 +66,9 @@
     private final ITcpSocket socket;
     private final FrameReader reader = new FrameReader(deflation, this);
 
+    /** Reserved for the large frame that is being read; 0 if there is none. */
+    private int reservedBytes;
+
     InboundConnection(ITcpSocket socket) {
       this.socket = socket;
       if (socket instanceof TcpSocket tcp) {
@@ -64,12 +78,38 @@
     }
 
     private void readNext() {
+      int frameBytes = reader.incompleteFrameBytes();
+      if (reservedBytes > 0 || frameBytes < PeerConnectionConstants.LARGE_FRAME_BYTES) {
+        readChunk();
+        return;
+      }
+      inboundBudget.reserve(
+          frameBytes,
+          () -> {
+            reservedBytes = frameBytes;
+            readChunk();
+          });
+    }
+
+    /** The frame that was being read will never be complete. */
+    private void close() {
+      socket.close();
+      inboundBudget.release(takeReservedBytes());
+    }
+
+    private int takeReservedBytes() {
+      int taken = reservedBytes;
+      reservedBytes = 0;
+      return taken;
+    }
+
+    private void readChunk() {
       socket
           .read()
           .whenComplete(
               (chunk, fault) -> {
                 if (fault != null || chunk == null) {
-                  socket.close();
+                  close();
                   return;
                 }
                 reader.add(chunk.array(), chunk.head(), chunk.readRemaining());
@@ -79,7 +119,7 @@
                   readNext();
                 } catch (UnreadableFrameException garbage) {
                   logOnce(garbage.kind);
-                  socket.close();
+                  close();
                 }
               });
     }
@@ -92,16 +132,24 @@
     @Override
     public void frame(byte[] frame) throws UnreadableFrameException {
       Envelope envelope = codec.decode(frame);
+      int handledBytes = takeReservedBytes();
       PeerChannels sender = peers.get(envelope.fromAddress());
       if (sender != null) {
         sender.noteContact();
       }
-      receiver.accept(envelope);
+      receiver.receive(
+          envelope,
+          handledBytes == 0
+              ? () -> {}
+              : () -> eventloop.execute(() -> inboundBudget.release(handledBytes)));
     }
   }
 
   private final Eventloop eventloop;
-  private final Consumer<Envelope> receiver;
+  private final Receiver receiver;
+  private final InboundBudget inboundBudget =
+      new InboundBudget(
+          Runtime.getRuntime().maxMemory() / PeerConnectionConstants.INBOUND_FRAMES_ONE_IN);
   private final Consumer<String> log;
   private final PeerCodec codec = new PeerCodec();
   private final FrameDeflation deflation = new FrameDeflation();
@@ -122,7 +170,18 @@
   /** Messages handed to the peer thread and not yet taken by it; at most WRITE_RING_SLOTS. */
   private final AtomicInteger pendingFrames = new AtomicInteger();
 
+  /** A transport whose receiver has dealt with a message when it returns. */
   PeerTransport(Eventloop eventloop, Consumer<Envelope> receiver, Consumer<String> log) {
+    this(
+        eventloop,
+        (envelope, whenHandled) -> {
+          receiver.accept(envelope);
+          whenHandled.run();
+        },
+        log);
+  }
+
+  PeerTransport(Eventloop eventloop, Receiver receiver, Consumer<String> log) {
     this.eventloop = eventloop;
     this.receiver = receiver;
     this.log = log;
@@ -199,6 +258,11 @@
     return droppedFrames.byReason();
   }
 
+  /** The large frames that are being read or wait for the logic. */
+  InboundBudget inboundBudget() {
+    return inboundBudget;
+  }
+
   /** By kind of message, the bytes written so far; from any thread. */
   Map<String, Long> bytesOfKind() {
     Map<String, Long> sums = new TreeMap<>();
--- a/adapters/src/main/java/applespindle/adapters/SbeWriter.java
+++ b/adapters/src/main/java/applespindle/adapters/SbeWriter.java
@@ -12,14 +12,20 @@
 final class SbeWriter {
   private static final int INITIAL_CAPACITY_BYTES = 4096;
 
-  private final ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(INITIAL_CAPACITY_BYTES);
+  /** A buffer that a large message has grown beyond this size is not kept. */
+  private static final int MAX_KEPT_CAPACITY_BYTES = 256 << 10;
+
+  private ExpandableArrayBuffer buffer = new ExpandableArrayBuffer(INITIAL_CAPACITY_BYTES);
 
   /** Bytes before this offset are finished messages. */
   private int end;
 
-  /** Forgets all that was written; the buffer stays. */
+  /** Forgets all that was written. */
   void clear() {
     end = 0;
+    if (buffer.capacity() > MAX_KEPT_CAPACITY_BYTES) {
+      buffer = new ExpandableArrayBuffer(INITIAL_CAPACITY_BYTES);
+    }
   }
 
   /** Writes the header of a message and sets its encoder on the fields behind it. */
--- a/adapters/src/test/java/applespindle/adapters/VolatileLogFolder.java
+++ b/adapters/src/test/java/applespindle/adapters/VolatileLogFolder.java
@@ -146,6 +146,11 @@
         step();
       }
 
+      @Override
+      public void read(ByteBuffer bytes, long at) {
+        bytes.put(content.bytes, (int) at, bytes.remaining());
+      }
+
       @Override
       public void truncate(long size) {
         content.bytes = Arrays.copyOf(content.bytes, (int) size);
--- a/core-logic/src/main/java/applespindle/corelogic/constants/DiskConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/DiskConstants.java
@@ -11,6 +11,12 @@
   /** Slots of the ring buffer between two threads; a full ring rejects instead of blocking. */
   public static final int WRITE_RING_SLOTS = 16_384;
 
+  /**
+   * Bytes that may wait to be written; beyond them a replica takes nothing new, and whoever sends
+   * it tries again later.
+   */
+  public static final long MAX_QUEUED_WRITE_BYTES = 16L << 20;
+
   /** Size, in bytes, at which a log segment is closed and a checkpoint is written. */
   public static final long SEGMENT_BYTES = 32L << 20;
 
@@ -31,6 +37,12 @@
    */
   public static final int WRITE_BUFFER_BYTES = 64 << 10;
 
+  /**
+   * One in this many parts of the heap holds payloads of the log; the others are read from the
+   * disk. The rest of the heap is for the index, messages and records on their way.
+   */
+  public static final long RESIDENT_PAYLOADS_ONE_IN = 5;
+
   /** Delay before a failed write is retried: the failure of a disk usually lasts for seconds. */
   public static final long STARTUP_RETRY_DELAY_MS = 100;
 
--- a/core-logic/src/main/java/applespindle/corelogic/log/DeflatedEvents.java
+++ b/core-logic/src/main/java/applespindle/corelogic/log/DeflatedEvents.java
@@ -49,6 +49,10 @@
     return isDeflated(bytes) ? new InflaterInputStream(in) : in;
   }
 
+  private static boolean isDeflated(LogEntry entry) {
+    return entry.eventBytes() > 0 && isDeflated(entry.payload().slice(0, 1));
+  }
+
   private static boolean isDeflated(byte[] bytes) {
     return bytes.length > 0 && bytes[0] == ZLIB;
   }
@@ -60,8 +64,8 @@
     long all = 0;
     long deflated = 0;
     for (LogEntry entry : entries) {
-      all += entry.event().length;
-      deflated += isDeflated(entry.event()) ? entry.event().length : 0;
+      all += entry.eventBytes();
+      deflated += isDeflated(entry) ? entry.eventBytes() : 0;
     }
     return deflated * 2 > all;
   }
--- a/core-logic/src/main/java/applespindle/corelogic/log/LogEntries.java
+++ b/core-logic/src/main/java/applespindle/corelogic/log/LogEntries.java
@@ -30,10 +30,10 @@
       return List.copyOf(entries);
     }
     int from = entries.size() - 1;
-    long bytes = entries.get(from).event().length;
-    while (from > 0 && bytes + entries.get(from - 1).event().length <= maxBytes) {
+    long bytes = entries.get(from).eventBytes();
+    while (from > 0 && bytes + entries.get(from - 1).eventBytes() <= maxBytes) {
       from--;
-      bytes += entries.get(from).event().length;
+      bytes += entries.get(from).eventBytes();
     }
     return List.copyOf(entries.subList(from, entries.size()));
   }
@@ -49,7 +49,7 @@
       if (entry.sequence() < from || entry.sequence() > to) {
         continue;
       }
-      bytes += entry.event().length;
+      bytes += entry.eventBytes();
       if (!part.isEmpty() && bytes > ReplicationConstants.MAX_LOG_FETCH_BYTES) {
         break;
       }
--- a/core-logic/src/main/java/applespindle/corelogic/log/LogEntry.java
+++ b/core-logic/src/main/java/applespindle/corelogic/log/LogEntry.java
@@ -1,7 +1,9 @@
 package applespindle.corelogic.log;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 
 /**
  * One entry of a key's replicated log.
@@ -10,14 +12,40 @@
  * @param epoch the epoch of the leader that appended the entry; never falls along the log
  * @param snapshot whether the event holds all state of the key by itself, so that entries before it
  *     may be dropped once it is committed
- * @param event the event, deflated if it is large ({@link DeflatedEvents}); empty in the entry that
- *     begins a leader's epoch
+ * @param payload the event, deflated if it is large ({@link DeflatedEvents}); empty in the entry
+ *     that begins a leader's epoch
  */
+@JsonPropertyOrder({"sequence", "epoch", "whole", "event"})
 public record LogEntry(
-    long sequence, Epoch epoch, @JsonProperty("whole") boolean snapshot, byte[] event) {
+    long sequence,
+    Epoch epoch,
+    @JsonProperty("whole") boolean snapshot,
+    @JsonIgnore Payload payload) {
+  /** An entry with an event in the heap; the array is not copied. */
+  @JsonCreator
+  public LogEntry(
+      @JsonProperty("sequence") long sequence,
+      @JsonProperty("epoch") Epoch epoch,
+      @JsonProperty("whole") boolean snapshot,
+      @JsonProperty("event") byte[] event) {
+    this(sequence, epoch, snapshot, Payload.of(event));
+  }
+
+  /** The bytes of the event, which may be read from the disk for it. */
+  @JsonProperty("event")
+  public byte[] event() {
+    return payload.bytes();
+  }
+
+  /** The size of the event; the disk is not read for it. */
+  @JsonIgnore
+  public int eventBytes() {
+    return payload.length();
+  }
+
   /** Whether this entry only begins a leader's epoch and changes no state. */
   @JsonIgnore
   public boolean isEpochStart() {
-    return event.length == 0;
+    return payload.length() == 0;
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/log/LogRecord.java
+++ b/core-logic/src/main/java/applespindle/corelogic/log/LogRecord.java
@@ -10,10 +10,26 @@
  *     node's id; else {@link Epoch#NONE}
  * @param sequence the sequence of an entry or of the last committed one, or a version; else 0
  * @param snapshot whether an entry is a snapshot
- * @param payload the event of an entry or the content of a membership; else empty
+ * @param content the event of an entry or the content of a membership; else empty
  */
 public record LogRecord(
-    Kind kind, String key, Epoch epoch, long sequence, boolean snapshot, byte[] payload) {
+    Kind kind, String key, Epoch epoch, long sequence, boolean snapshot, Payload content) {
+  /** A record with a payload in the heap; the array is not copied. */
+  public LogRecord(
+      Kind kind, String key, Epoch epoch, long sequence, boolean snapshot, byte[] payload) {
+    this(kind, key, epoch, sequence, snapshot, Payload.of(payload));
+  }
+
+  /** The bytes of the payload, which may be read from the disk for it. */
+  public byte[] payload() {
+    return content.bytes();
+  }
+
+  /** The size of the payload; the disk is not read for it. */
+  public int payloadBytes() {
+    return content.length();
+  }
+
   /** What a record says of its key. */
   public enum Kind {
     /** The replica refuses epochs below this one. */
--- a/core-logic/src/main/java/applespindle/corelogic/replication/LogRecords.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/LogRecords.java
@@ -19,7 +19,7 @@
   /** The replica of the key holds the entry. */
   static LogRecord entry(String key, LogEntry entry) {
     return new LogRecord(
-        Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.snapshot(), entry.event());
+        Kind.ENTRY, key, entry.epoch(), entry.sequence(), entry.snapshot(), entry.payload());
   }
 
   /** The entries of the key up to the sequence are committed. */
--- a/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicator.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicator.java
@@ -173,7 +173,7 @@
   }
 
   private void recordIfLarge(FollowerProgress follower, long from, List<LogEntry> missing) {
-    long bytes = missing.stream().mapToLong(entry -> entry.event().length).sum();
+    long bytes = missing.stream().mapToLong(entry -> entry.eventBytes()).sum();
     if (bytes >= ReplicationConstants.LARGE_APPEND_BYTES) {
       long arrivesBeforeMs =
           environment.nowMs()
--- a/core-logic/src/main/java/applespindle/corelogic/replication/PageAssembly.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/PageAssembly.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.replication;
 
 import applespindle.corelogic.log.LogEntry;
+import applespindle.corelogic.log.Payload;
 import applespindle.corelogic.metadata.NodeAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,7 +32,7 @@
   private final ReplicaCatchUp.Page page;
   private final Listener listener;
   private final Map<EntryPosition, DetachedEntry> detached = new HashMap<>();
-  private final Map<EntryPosition, byte[]> fetched = new HashMap<>();
+  private final Map<EntryPosition, Payload> fetched = new HashMap<>();
   private int missing;
   private boolean failed;
 
@@ -77,7 +78,7 @@
 
       @Override
       public void fetched(byte[] event) {
-        fetched.put(positionOf(entry), event);
+        fetched.put(positionOf(entry), Payload.of(event));
         missing--;
         if (missing == 0 && !failed) {
           complete();
@@ -121,7 +122,7 @@
         entries.add(entry);
         continue;
       }
-      Optional<byte[]> event =
+      Optional<Payload> event =
           Optional.ofNullable(fetched.get(position)).or(() -> heldEvent(apart));
       if (event.isEmpty()) {
         return Optional.empty();
@@ -131,7 +132,7 @@
     return Optional.of(entries);
   }
 
-  private Optional<byte[]> heldEvent(DetachedEntry entry) {
-    return replicas.heldEntry(entry.key(), entry.sequence(), entry.epoch()).map(LogEntry::event);
+  private Optional<Payload> heldEvent(DetachedEntry entry) {
+    return replicas.heldEntry(entry.key(), entry.sequence(), entry.epoch()).map(LogEntry::payload);
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaCatchUp.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaCatchUp.java
@@ -10,6 +10,7 @@
 import applespindle.corelogic.log.Epoch;
 import applespindle.corelogic.log.LogEntry;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.log.Payload;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.protocol.Message;
@@ -23,7 +24,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -341,10 +341,10 @@
     List<DetachedEntry> large = new ArrayList<>();
     for (ReplicaSnapshot snapshot : snapshots) {
       for (LogEntry entry : snapshot.entries()) {
-        if (entry.event().length >= ReplicationConstants.MIN_DETACHED_ENTRY_BYTES) {
+        if (entry.eventBytes() >= ReplicationConstants.MIN_DETACHED_ENTRY_BYTES) {
           large.add(
               new DetachedEntry(
-                  snapshot.key(), entry.sequence(), entry.epoch(), entry.event().length));
+                  snapshot.key(), entry.sequence(), entry.epoch(), entry.eventBytes()));
         }
       }
     }
@@ -365,7 +365,7 @@
   }
 
   private static LogEntry withoutLargeEvent(LogEntry entry) {
-    return entry.event().length < ReplicationConstants.MIN_DETACHED_ENTRY_BYTES
+    return entry.eventBytes() < ReplicationConstants.MIN_DETACHED_ENTRY_BYTES
         ? entry
         : new LogEntry(entry.sequence(), entry.epoch(), entry.snapshot(), NO_EVENT);
   }
@@ -390,16 +390,16 @@
   private EntryChunk chunkOf(EntryChunkRequest request) {
     Optional<LogEntry> held =
         replicas.heldEntry(request.key(), request.sequence(), request.epoch());
-    byte[] event = held.map(LogEntry::event).orElse(NO_EVENT);
-    int from = Math.max(0, Math.min(request.offset(), event.length));
-    int bytes = Math.min(Math.max(0, request.maxBytes()), event.length - from);
+    Payload event = held.map(LogEntry::payload).orElse(Payload.of(NO_EVENT));
+    int from = Math.max(0, Math.min(request.offset(), event.length()));
+    int bytes = Math.min(Math.max(0, request.maxBytes()), event.length() - from);
     return new EntryChunk(
         request.key(),
         request.sequence(),
         request.epoch(),
         request.offset(),
-        event.length,
-        Arrays.copyOfRange(event, from, from + bytes));
+        event.length(),
+        event.slice(from, bytes));
   }
 
   private Map<String, String> onceClaimsOf(String configurationName) {
--- a/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaStore.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaStore.java
@@ -93,7 +93,7 @@
       }
       case ENTRY ->
           replica.put(
-              new LogEntry(record.sequence(), record.epoch(), record.snapshot(), record.payload()));
+              new LogEntry(record.sequence(), record.epoch(), record.snapshot(), record.content()));
       case COMMITTED -> {
         replica.committedSequence =
             Math.max(
--- a/core-logic/src/main/java/applespindle/corelogic/replication/SnapshotPages.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/SnapshotPages.java
@@ -72,7 +72,7 @@
 
   /** The bytes of the events of a snapshot. */
   static int eventBytes(ReplicaSnapshot snapshot) {
-    return snapshot.entries().stream().mapToInt(entry -> entry.event().length).sum();
+    return snapshot.entries().stream().mapToInt(entry -> entry.eventBytes()).sum();
   }
 
   private static ReplicaSnapshot snapshot(String key, LogReplica replica, LogEndPosition known) {
--- a/test-fleet/src/main/java/applespindle/testfleet/scenario/ManyChanges.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/scenario/ManyChanges.java
@@ -195,7 +195,7 @@
   private static boolean isChange(LogRecord record) {
     return record.kind() == LogRecord.Kind.ENTRY
         && record.key().equals(BUNDLE)
-        && record.payload().length > 0;
+        && record.payloadBytes() > 0;
   }
 
   private SimulatedProcess voter() {
@@ -214,7 +214,7 @@
     return ((ControlPlaneNode) voter().node())
         .checkpoint().stream()
             .filter(ManyChanges::isChange)
-            .mapToLong(record -> record.payload().length)
+            .mapToLong(record -> record.payloadBytes())
             .sum();
   }
 }
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedDisk.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedDisk.java
@@ -1,7 +1,9 @@
 package applespindle.testfleet.simulation;
 
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.log.Payload;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
@@ -90,13 +92,20 @@
    */
   void write(List<LogRecord> records, BooleanSupplier writerAlive, Runnable whenSynced) {
     unsynced.addAll(records);
-    records.forEach(record -> writtenBytes += record.payload().length);
+    records.forEach(record -> writtenBytes += record.payloadBytes());
     long earliestUs = Math.max(events.nowUs(), stalledUntilUs);
     long syncUs = earliestUs + LEAST_SYNC_US + random.nextLong(SYNC_SPREAD_US);
     lastSyncUs = Math.max(syncUs, lastSyncUs + 1);
     sync(lastSyncUs, List.copyOf(records), writerAlive, whenSynced);
   }
 
+  /** From now on the node reads the payload from this disk, as it does on a real one. */
+  private static void releaseFromHeap(Payload payload) {
+    byte[] stored = payload.bytes();
+    payload.storeAt((offset, length) -> Arrays.copyOfRange(stored, offset, offset + length));
+    payload.releaseFromHeap();
+  }
+
   private void sync(
       long atUs, List<LogRecord> records, BooleanSupplier writerAlive, Runnable whenSynced) {
     events.at(
@@ -111,6 +120,7 @@
           }
           synced.addAll(records);
           unsynced.subList(0, records.size()).clear();
+          records.forEach(record -> releaseFromHeap(record.content()));
           whenSynced.run();
         });
   }
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SubmissionStages.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SubmissionStages.java
@@ -94,7 +94,7 @@
     } else if (message instanceof Message.VoteRequest promise) {
       reachKey(promise.key(), from, promise.preVote() ? Stage.CLAIM_TRIED : Stage.CLAIM_ASKED);
     } else if (message instanceof Message.AppendRequest append) {
-      boolean hasEvent = append.entries().stream().anyMatch(entry -> entry.event().length > 0);
+      boolean hasEvent = append.entries().stream().anyMatch(entry -> entry.eventBytes() > 0);
       reachKey(append.key(), from, hasEvent ? Stage.APPEND_SENT : Stage.CLAIM_SETTLING);
     }
   }
