Bound the bodies of all requests of an edge together, before they are read

Cause: each body was bounded, their sum was not. A body of B bytes took about four times B: the library's buffer, which its pool keeps, the array for the logic, the message for the worker, and parts on their way.

Change: ByteBudget bounds the sum of bytes of the bodies, from the first byte to the end of the request, to a quarter of the heap. Bytes are reserved by Content-Length before anything is read; of a body in chunks 64 KiB, then all that it may have. Who finds no room waits up to 500 ms with its socket unread, and is then answered 503 with the time to come back, while another edge can still serve it. Small requests (64 KiB) don't wait behind large ones. A body is read into one array, and written to the worker from it in parts of 128 KiB. Submissions of batches take turns within a sixteenth of the heap, as each takes a few times its size. The edge's own interface and that of other processes have a budget of their own; frames from peers use the same class. GET /metrics shows bytes, limit, waits and refusals of each.

Why this works: the heap that bodies take is at most the limit, once; a request that does not fit has not been read.

--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -5,6 +5,7 @@
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.constants.LifecycleConstants;
 import applespindle.corelogic.constants.SizeLimits;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -90,6 +91,9 @@
   private final NodeProcess process;
   private final List<Path> paths = new ArrayList<>();
 
+  /** The bodies of all requests that have not ended. */
+  private final ByteBudget bodies;
+
   /**
    * A table without the paths that every process answers, for interfaces to others than operators.
    */
@@ -104,6 +108,11 @@
 
   private HttpInterface(NodeProcess process, boolean withStatus) {
     this.process = process;
+    bodies =
+        new ByteBudget(
+            process.httpLoop(),
+            Runtime.getRuntime().maxMemory() / ClientConnectionConstants.INTERFACE_BODIES_ONE_IN,
+            ClientConnectionConstants.MAX_BODY_WAIT_MS);
     if (withStatus) {
       addStatus();
     }
@@ -333,9 +342,19 @@
         && (length.length() > 9 || Long.parseLong(length) > SizeLimits.MAX_BODY_BYTES)) {
       return Promise.of(tooLarge());
     }
-    return request
-        .loadBody(SizeLimits.MAX_BODY_BYTES)
-        .then(body -> handler.handle(body.getArray()), fault -> Promise.of(tooLarge()));
+    boolean chunked = request.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
+    int unstated = chunked ? SizeLimits.MAX_BODY_BYTES : 0;
+    SettablePromise<HttpResponse> response = new SettablePromise<>();
+    bodies.reserve(
+        length == null ? unstated : Integer.parseInt(length),
+        reservation ->
+            request
+                .loadBody(SizeLimits.MAX_BODY_BYTES)
+                .then(body -> handler.handle(body.getArray()), fault -> Promise.of(tooLarge()))
+                .whenComplete(reservation::release)
+                .subscribe(response),
+        () -> response.set(render(Response.of(new ApiError.Overloaded("bodies")))));
+    return response;
   }
 
   private static HttpResponse tooLarge() {
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -38,6 +38,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -106,6 +107,7 @@
 
   private final ProcessorUsage processorUsage;
   private final Node node;
+  private final List<Supplier<Map<String, Long>>> heldBytesOfInterfaces = new ArrayList<>();
   private final CountDownLatch nodeStopped = new CountDownLatch(1);
   private volatile boolean stopping;
 
@@ -379,19 +381,22 @@
    * metric.
    */
   Map<String, Long> heldBytes() {
-    Map<String, Long> held = new TreeMap<>();
-    held.put("peer.inbound.bytes", transport.inboundBudget().reservedBytes());
-    held.put("peer.inbound.limit.bytes", transport.inboundBudget().limitBytes());
-    held.put("peer.inbound.waits", transport.inboundBudget().waits());
+    Map<String, Long> held = new TreeMap<>(transport.inboundBudget().figures("peer.inbound"));
     if (diskWriter != null) {
       held.put("disk.queued.bytes", diskWriter.queuedBytes());
       held.put("disk.queued.limit.bytes", DiskConstants.MAX_QUEUED_WRITE_BYTES);
       held.put("disk.resident.bytes", diskWriter.residentPayloadBytes());
       held.put("disk.resident.limit.bytes", diskWriter.residentPayloadLimitBytes());
     }
+    heldBytesOfInterfaces.forEach(each -> held.putAll(each.get()));
     return held;
   }
 
+  /** Adds the bytes that an interface to clients holds to the metrics; before the start. */
+  public void addHeldBytes(Supplier<Map<String, Long>> heldBytes) {
+    heldBytesOfInterfaces.add(heldBytes);
+  }
+
   /** By reason, the frames for peers that this process has dropped. */
   Map<String, Long> droppedFramesByReason() {
     return transport.droppedFramesByReason();
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -66,8 +66,8 @@
     private final ITcpSocket socket;
     private final FrameReader reader = new FrameReader(deflation, this);
 
-    /** Reserved for the large frame that is being read; 0 if there is none. */
-    private int reservedBytes;
+    /** For the large frame that is being read; null if there is none. */
+    private ByteBudget.Reservation reservation;
 
     InboundConnection(ITcpSocket socket) {
       this.socket = socket;
@@ -79,28 +79,26 @@
 
     private void readNext() {
       int frameBytes = reader.incompleteFrameBytes();
-      if (reservedBytes > 0 || frameBytes < PeerConnectionConstants.LARGE_FRAME_BYTES) {
+      if (reservation != null || frameBytes < PeerConnectionConstants.LARGE_FRAME_BYTES) {
         readChunk();
         return;
       }
       inboundBudget.reserve(
           frameBytes,
-          () -> {
-            reservedBytes = frameBytes;
+          reserved -> {
+            reservation = reserved;
             readChunk();
-          });
+          },
+          () -> {});
     }
 
     /** The frame that was being read will never be complete. */
     private void close() {
       socket.close();
-      inboundBudget.release(takeReservedBytes());
-    }
-
-    private int takeReservedBytes() {
-      int taken = reservedBytes;
-      reservedBytes = 0;
-      return taken;
+      if (reservation != null) {
+        reservation.release();
+        reservation = null;
+      }
     }
 
     private void readChunk() {
@@ -132,23 +130,20 @@
     @Override
     public void frame(byte[] frame) throws UnreadableFrameException {
       Envelope envelope = codec.decode(frame);
-      int handledBytes = takeReservedBytes();
+      ByteBudget.Reservation held = reservation;
+      reservation = null;
       PeerChannels sender = peers.get(envelope.fromAddress());
       if (sender != null) {
         sender.noteContact();
       }
-      receiver.receive(
-          envelope,
-          handledBytes == 0
-              ? () -> {}
-              : () -> eventloop.execute(() -> inboundBudget.release(handledBytes)));
+      receiver.receive(envelope, held == null ? () -> {} : () -> eventloop.execute(held::release));
     }
   }
 
   private final Eventloop eventloop;
   private final Receiver receiver;
-  private final InboundBudget inboundBudget =
-      new InboundBudget(
+  private final ByteBudget inboundBudget =
+      ByteBudget.ofPatientSenders(
           Runtime.getRuntime().maxMemory() / PeerConnectionConstants.INBOUND_FRAMES_ONE_IN);
   private final Consumer<String> log;
   private final PeerCodec codec = new PeerCodec();
@@ -259,7 +254,7 @@
   }
 
   /** The large frames that are being read or wait for the logic. */
-  InboundBudget inboundBudget() {
+  ByteBudget inboundBudget() {
     return inboundBudget;
   }
 
--- a/adapters/src/main/java/applespindle/adapters/WorkerConnection.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerConnection.java
@@ -74,20 +74,29 @@
   }
 
   /** Sends a request; the connection is the exchange's until its response has ended. */
-  void send(WorkerHttpExchange exchange, byte[] request) {
+  void send(WorkerHttpExchange exchange, EncodedRequest request) {
     this.exchange = exchange;
     exchange.attach(this);
     lastRequestId = exchange.call().request().id();
     written = false;
     parser.expect(exchange.call().request().method());
+    writePart(exchange, request, 0);
+  }
+
+  private void writePart(WorkerHttpExchange sent, EncodedRequest request, int part) {
     socket
-        .write(ByteBuf.wrapForReading(request))
+        .write(request.part(part))
         .whenComplete(
             (done, fault) -> {
+              boolean last = part == request.parts() - 1;
+              if (fault == null && !last && !closed) {
+                writePart(sent, request, part + 1);
+                return;
+              }
               written = true;
               if (fault != null) {
-                closeWith(new ApiError.WorkerStreamTruncated(exchange.call().workerId()));
-              } else if (this.exchange == null) {
+                closeWith(new ApiError.WorkerStreamTruncated(sent.call().workerId()));
+              } else if (exchange == null) {
                 becomeIdle();
               }
             });
--- a/adapters/src/main/java/applespindle/adapters/WorkerHttpExchange.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerHttpExchange.java
@@ -53,7 +53,7 @@
     if (over) {
       return;
     }
-    byte[] request = WorkerRequestEncoder.encode(client.protocol(), call);
+    EncodedRequest request = WorkerRequestEncoder.encode(client.protocol(), call);
     if (request == null) {
       fail(
           new ApiError.InvalidInput(
--- a/adapters/src/main/java/applespindle/adapters/WorkerRequestEncoder.java
+++ b/adapters/src/main/java/applespindle/adapters/WorkerRequestEncoder.java
@@ -6,7 +6,6 @@
 import applespindle.corelogic.environment.Environment.WorkerExchange;
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.environment.ProxiedRequest.Header;
-import java.util.Arrays;
 
 /** Writes proxied requests as HTTP/1.1. */
 final class WorkerRequestEncoder {
@@ -15,7 +14,7 @@
    * others, or let one request look like two. Headers that concern one connection only are left
    * out.
    */
-  static byte[] encode(WorkerProtocol protocol, WorkerExchange call) {
+  static EncodedRequest encode(WorkerProtocol protocol, WorkerExchange call) {
     ProxiedRequest request = call.request();
     StringBuilder head = new StringBuilder(512);
     head.append(request.method()).append(' ').append(request.target()).append(" HTTP/1.1\r\n");
@@ -37,10 +36,7 @@
     if (!valid) {
       return null;
     }
-    byte[] headBytes = head.toString().getBytes(ISO_8859_1);
-    byte[] message = Arrays.copyOf(headBytes, headBytes.length + request.body().length);
-    System.arraycopy(request.body(), 0, message, headBytes.length, request.body().length);
-    return message;
+    return new EncodedRequest(head.toString().getBytes(ISO_8859_1), request.body());
   }
 
   /** An empty body counts as one for methods that usually have one. */
--- a/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaCatchUp.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/ReplicaCatchUp.java
@@ -180,23 +180,27 @@
     private void finishSource(int source) {
       finished++;
       if (finished == majority()) {
-        statistics.lastDurationMs = environment.nowMs() - startedAtMs;
-        environment.log(
-            "repair",
-            "Caught up with "
-                + name
-                + ", "
-                + pages
-                + " pages, "
-                + bytes
-                + " bytes of entries, in "
-                + statistics.lastDurationMs
-                + " ms.");
+        reportDuration();
         whenDone.run();
       }
       startNextAfter(source);
     }
 
+    private void reportDuration() {
+      statistics.lastDurationMs = environment.nowMs() - startedAtMs;
+      environment.log(
+          "repair",
+          "Caught up with "
+              + name
+              + ", "
+              + pages
+              + " pages, "
+              + bytes
+              + " bytes of entries, in "
+              + statistics.lastDurationMs
+              + " ms.");
+    }
+
     /** Starts the next source, unless that was done already. */
     private void startNextAfter(int source) {
       if (started == source + 1) {
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -1,5 +1,6 @@
 package applespindle.dataplane;
 
+import applespindle.adapters.ByteBudget;
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
 import applespindle.corelogic.api.ApiError;
@@ -7,14 +8,17 @@
 import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.edge.EdgeGateway;
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.environment.StageTimer;
 import applespindle.dataplane.RequestFormat.Arrived;
 import applespindle.dataplane.RequestFormat.BatchCall;
 import applespindle.dataplane.RequestFormat.Parsed;
+import io.activej.bytebuf.ByteBuf;
 import io.activej.common.inspector.AbstractInspector;
 import io.activej.csp.consumer.ChannelConsumers;
+import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -33,7 +37,9 @@
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /**
@@ -63,11 +69,46 @@
   /** The connection that the library is taking over at present. */
   private ClientConnection accepted;
 
+  /** The bodies of all requests that have not ended. */
+  private final ByteBudget bodies;
+
+  /** The submissions of batches that are not answered, a part of the bodies. */
+  private final ByteBudget submissions;
+
   /** An endpoint that does not listen yet. */
   public ProxyEndpoint(NodeProcess process, EdgeGateway gateway, RequestFormat format) {
+    this(
+        process,
+        gateway,
+        format,
+        Runtime.getRuntime().maxMemory() / ClientConnectionConstants.BODIES_ONE_IN);
+  }
+
+  /**
+   * An endpoint that does not listen yet.
+   *
+   * @param maxBodiesBytes the most bytes that the bodies of all requests together may have
+   */
+  ProxyEndpoint(
+      NodeProcess process, EdgeGateway gateway, RequestFormat format, long maxBodiesBytes) {
     this.process = process;
     this.gateway = gateway;
     this.format = format;
+    bodies =
+        new ByteBudget(
+            process.httpLoop(), maxBodiesBytes, ClientConnectionConstants.MAX_BODY_WAIT_MS);
+    submissions =
+        new ByteBudget(
+            process.httpLoop(),
+            Runtime.getRuntime().maxMemory() / ClientConnectionConstants.SUBMISSIONS_ONE_IN,
+            ClientConnectionConstants.MAX_SUBMISSION_WAIT_MS);
+    process.addHeldBytes(this::heldBytes);
+  }
+
+  private Map<String, Long> heldBytes() {
+    Map<String, Long> held = new TreeMap<>(bodies.figures("bodies"));
+    held.putAll(submissions.figures("submissions"));
+    return held;
   }
 
   /**
@@ -163,16 +204,22 @@
 
   /** Refuses a request and ends its connection; a body that is still coming is read and dropped. */
   private Promise<HttpResponse> refuseUnread(HttpRequest request, ApiError error) {
-    request.takeBodyStream().streamTo(ChannelConsumers.recycling());
-    return refuseAndClose(request, error);
+    return refuseUnread(request, request.takeBodyStream(), Response.of(error));
   }
 
-  private Promise<HttpResponse> refuseAndClose(HttpRequest request, ApiError error) {
+  private Promise<HttpResponse> refuseUnread(
+      HttpRequest request, ChannelSupplier<ByteBuf> body, Response refusal) {
+    body.streamTo(ChannelConsumers.recycling());
     socket(request).closeAfterWrite();
-    return respondLater(
-        HttpInterface.begin(Response.of(error))
-            .withHeader(HttpHeaders.CONNECTION, "close")
-            .build());
+    return respondLater(begin(refusal).withHeader(HttpHeaders.CONNECTION, "close").build());
+  }
+
+  /** The refusal of a request whose body could not be read. */
+  private static Response refusalOf(Exception fault, int maxBodyBytes) {
+    return fault instanceof BodyReader.NoRoomException
+        ? Response.ofRetryAfterMs(
+            new ApiError.Overloaded("bodies"), ClientConnectionConstants.BODY_RETRY_MS)
+        : Response.of(new ApiError.InputTooLarge(maxBodyBytes));
   }
 
   /**
@@ -206,27 +253,26 @@
     List<ProxiedRequest.Header> headers = RequestHeaders.endToEnd(request);
     String method = request.getMethod().name();
     StageTimer trace = new StageTimer(process);
-    return request
-        .loadBody(maxBodyBytes)
+    ChannelSupplier<ByteBuf> stream = request.takeBodyStream();
+    int statedLength = length != null ? Integer.parseInt(length) : chunked ? -1 : 0;
+    return BodyReader.read(process.httpLoop(), bodies, stream, statedLength, maxBodyBytes)
         .then(
-            // The library looks at the size before it adds a chunk, and not behind the last.
             body -> {
               trace.mark("body");
-              return body.readRemaining() > maxBodyBytes
-                  ? refuseAndClose(request, new ApiError.InputTooLarge(maxBodyBytes))
-                  : answer(
-                      request,
-                      socket,
-                      new Arrived(method, target, host, headers, body.getArray()),
-                      trace);
+              Arrived arrived = new Arrived(method, target, host, headers, body.bytes());
+              return answer(request, socket, arrived, body.reservation(), trace);
             },
-            unreadable -> refuseAndClose(request, new ApiError.InputTooLarge(maxBodyBytes)));
+            unreadable -> refuseUnread(request, stream, refusalOf(unreadable, maxBodyBytes)));
   }
 
   private Promise<HttpResponse> answer(
-      HttpRequest http, ClientConnection socket, Arrived arrived, StageTimer trace) {
+      HttpRequest http,
+      ClientConnection socket,
+      Arrived arrived,
+      ByteBudget.Reservation reservation,
+      StageTimer trace) {
     SettablePromise<HttpResponse> response = new SettablePromise<>();
-    Runnable whenGone = dispatch(arrived, response, trace);
+    Runnable whenGone = dispatch(arrived, reservation, response, trace);
     socket.served(
         () -> {
           whenGone.run();
@@ -247,9 +293,13 @@
 
   /** Passes the request on; what it returns is to be run if the client goes before the response. */
   private Runnable dispatch(
-      Arrived arrived, SettablePromise<HttpResponse> response, StageTimer trace) {
+      Arrived arrived,
+      ByteBudget.Reservation reservation,
+      SettablePromise<HttpResponse> response,
+      StageTimer trace) {
     Parsed<BatchCall> batchCall = format.batchCall(arrived);
     if (!batchCall.isNone()) {
+      reservation.release();
       if (batchCall.fault() != null) {
         response.set(render(Response.of(batchCall.fault())));
       } else {
@@ -259,20 +309,26 @@
     }
     Parsed<ProxiedRequest> request = format.request(arrived);
     if (request.fault() != null) {
+      reservation.release();
       response.set(render(Response.of(request.fault())));
       return () -> {};
     }
-    ProxyExchange exchange = new ProxyExchange(process, response, this::render);
+    ProxyExchange exchange =
+        new ProxyExchange(process, response, this::render, reservation::release);
     boolean taken =
         process.toLogic(
             () -> {
               if (arrived.method().equals("POST") && isRoutedToBatches(request.value())) {
-                process.toHttp(() -> submit(arrived, request.value().apiKey(), response, trace));
+                process.toHttp(
+                    () ->
+                        submitInTurn(
+                            arrived, request.value().apiKey(), reservation, response, trace));
               } else {
                 exchange.begin(listener -> gateway.proxy(request.value(), listener));
               }
             });
     if (!taken) {
+      reservation.release();
       response.set(render(Response.of(new ApiError.Overloaded("logic"))));
     }
     return exchange::clientGone;
@@ -280,11 +336,15 @@
 
   /** Renders a response of the edge itself; the format decides how the time to retry is written. */
   private HttpResponse render(Response response) {
+    return begin(response).build();
+  }
+
+  private HttpResponse.Builder begin(Response response) {
     HttpResponse.Builder builder = HttpInterface.begin(response.withRetryAfterMs(0));
     if (response.retryAfterMs() > 0) {
       builder.withHeader(HttpHeaders.RETRY_AFTER, format.retryAfter(response.retryAfterMs()));
     }
-    return builder.build();
+    return builder;
   }
 
   private boolean isRoutedToBatches(ProxiedRequest request) {
@@ -292,6 +352,28 @@
     return route != null && route.type() == RoutingConfiguration.RouteType.BATCH;
   }
 
+  /** Submits a batch once those before it leave room. */
+  private void submitInTurn(
+      Arrived arrived,
+      String apiKey,
+      ByteBudget.Reservation body,
+      SettablePromise<HttpResponse> response,
+      StageTimer trace) {
+    response.whenComplete((answer, fault) -> body.release());
+    submissions.reserve(
+        arrived.body().length,
+        turn -> {
+          response.whenComplete((answer, fault) -> turn.release());
+          submit(arrived, apiKey, response, trace);
+        },
+        () ->
+            response.trySet(
+                render(
+                    Response.ofRetryAfterMs(
+                        new ApiError.Overloaded("submissions"),
+                        ClientConnectionConstants.BODY_RETRY_MS))));
+  }
+
   private void submit(
       Arrived arrived, String apiKey, SettablePromise<HttpResponse> response, StageTimer trace) {
     trace.mark("route");
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyExchange.java
@@ -30,6 +30,9 @@
   private final SettablePromise<HttpResponse> response;
   private final Function<Response, HttpResponse> refusal;
 
+  /** On the HTTP thread. */
+  private final Runnable whenOver;
+
   /** On the HTTP thread only. */
   private ChunkStream body;
 
@@ -52,13 +55,24 @@
   /** Guarded by this; null once the HTTP thread has taken it. */
   private PendingUpdate pendingUpdate;
 
+  /**
+   * @param whenOver runs once the request has ended or its client has gone; its body is then of no
+   *     more use here
+   */
   ProxyExchange(
       NodeProcess process,
       SettablePromise<HttpResponse> response,
-      Function<Response, HttpResponse> refusal) {
+      Function<Response, HttpResponse> refusal,
+      Runnable whenOver) {
     this.process = process;
     this.response = response;
     this.refusal = refusal;
+    this.whenOver = whenOver;
+  }
+
+  private void markOver() {
+    over = true;
+    whenOver.run();
   }
 
   /** On the logic thread. */
@@ -72,7 +86,7 @@
   /** On the HTTP thread. */
   void clientGone() {
     if (!over) {
-      over = true;
+      markOver();
       process.toLogic(
           () -> {
             clientDisconnected = true;
@@ -132,12 +146,12 @@
   private void applyUpdate() {
     PendingUpdate update = takeUpdate();
     if (update.refused != null) {
-      over = true;
+      markOver();
       response.trySet(refusal.apply(update.refused));
       return;
     }
     if (update.head != null && update.ended) {
-      over = true;
+      markOver();
       response.trySet(begin(update.head).withBody(join(update.chunks)).build());
       return;
     }
@@ -149,10 +163,10 @@
     }
     update.chunks.forEach(body::push);
     if (update.ended) {
-      over = true;
+      markOver();
       body.end();
     } else if (update.truncated) {
-      over = true;
+      markOver();
       body.truncate();
     }
   }
--- a/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
@@ -136,6 +136,13 @@
   private Consumer<RoutingConfiguration> bundleChanges;
 
   TestProxyEndpoint() throws IOException {
+    this(Long.MAX_VALUE / 2);
+  }
+
+  /**
+   * @param maxBodiesBytes the most bytes that the bodies of all requests together may have
+   */
+  TestProxyEndpoint(long maxBodiesBytes) throws IOException {
     ProxyEndpoint.allowHeads();
     port = freePort();
     String peer = "127.0.0.1:" + freePort();
@@ -156,7 +163,9 @@
             startup,
             (environment, identity) -> new EdgeNode(environment, identity, NodeSettings.DEFAULT));
     process.start(
-        started -> new ProxyEndpoint(started, new Gateway(), FORMAT).listen("127.0.0.1:" + port));
+        started ->
+            new ProxyEndpoint(started, new Gateway(), FORMAT, maxBodiesBytes)
+                .listen("127.0.0.1:" + port));
   }
 
   private static int freePort() throws IOException {
