Queue several large records for a peer, bounded for all peers together

Change: 12 MiB for one connection; the large frames that are queued for all peers together are bounded at a sixth of the heap. Small frames, heartbeats and votes among them, are not counted and never wait for large ones. GET /metrics shows applespindle_peer_queued_bytes and its limit. LargeLogRepairTest keeps the 4 MiB of the fault.

--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -382,6 +382,8 @@
    */
   Map<String, Long> heldBytes() {
     Map<String, Long> held = new TreeMap<>(transport.inboundBudget().figures("peer.inbound"));
+    held.put("peer.queued.bytes", transport.queuedFrames().get());
+    held.put("peer.queued.limit.bytes", transport.queuedFrames().limit());
     if (diskWriter != null) {
       held.put("disk.queued.bytes", diskWriter.queuedBytes());
       held.put("disk.queued.limit.bytes", DiskConstants.MAX_QUEUED_WRITE_BYTES);
--- a/adapters/src/main/java/applespindle/adapters/PeerChannel.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerChannel.java
@@ -22,6 +22,9 @@
   private final String address;
   private final DroppedFrames droppedFrames;
 
+  /** Null for a channel whose frames are not counted. */
+  private final QueuedFrameBytes queuedOfAllPeers;
+
   /** Invariant: at most one write is in flight; the frames that follow wait here in order. */
   private final ArrayDeque<PeerFrame> queue = new ArrayDeque<>();
 
@@ -47,22 +50,30 @@
   /** When the peer was asked for a keepalive; 0 if none is awaited. */
   private long keepaliveSentAt;
 
-  PeerChannel(Eventloop eventloop, String address, DroppedFrames droppedFrames) {
+  /**
+   * @param queuedOfAllPeers where the bytes queued for all peers are counted and bounded; null if
+   *     those of this channel are not
+   */
+  PeerChannel(
+      Eventloop eventloop,
+      String address,
+      DroppedFrames droppedFrames,
+      QueuedFrameBytes queuedOfAllPeers) {
     this.eventloop = eventloop;
     this.address = address;
     this.droppedFrames = droppedFrames;
+    this.queuedOfAllPeers = queuedOfAllPeers;
   }
 
   /** Queues a frame; drops it if too many bytes wait already or no connection can be made. */
   void add(PeerFrame frame) {
-    if (!queue.isEmpty()
-        && queuedBytes + frame.bytes().length > PeerConnectionConstants.MAX_QUEUED_BYTES) {
+    if (!hasRoomFor(frame.bytes().length)) {
       droppedFrames.add(DroppedFrames.Reason.QUEUE_FULL, 1);
       return;
     }
     checkSilence();
     queue.add(frame);
-    queuedBytes += frame.bytes().length;
+    countQueued(frame.bytes().length);
     if (socket == null) {
       connect();
     } else if (!writing) {
@@ -70,6 +81,19 @@
     }
   }
 
+  private boolean hasRoomFor(int bytes) {
+    boolean fitsHere =
+        queue.isEmpty() || queuedBytes + bytes <= PeerConnectionConstants.MAX_QUEUED_BYTES;
+    return fitsHere && (queuedOfAllPeers == null || queuedOfAllPeers.hasRoomFor(bytes));
+  }
+
+  private void countQueued(int bytes) {
+    queuedBytes += bytes;
+    if (queuedOfAllPeers != null) {
+      queuedOfAllPeers.add(bytes);
+    }
+  }
+
   /** Notes that the peer has shown a sign of life, here or on another connection. */
   void noteContact() {
     unansweredSince = 0;
@@ -196,7 +220,7 @@
         break;
       }
       queue.poll();
-      queuedBytes -= frame.bytes().length;
+      countQueued(-frame.bytes().length);
       firstFrameWritten = 0;
     }
     return bytes;
@@ -205,7 +229,7 @@
   private void clearQueue(DroppedFrames.Reason reason) {
     droppedFrames.add(reason, queue.size());
     queue.clear();
-    queuedBytes = 0;
+    countQueued(-queuedBytes);
     firstFrameWritten = 0;
   }
 
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -43,10 +43,14 @@
 
   /** The two connections out to one peer; each connects once it has something to send. */
   private record PeerChannels(PeerChannel small, PeerChannel large) {
-    PeerChannels(Eventloop eventloop, String address, DroppedFrames droppedFrames) {
+    PeerChannels(
+        Eventloop eventloop,
+        String address,
+        DroppedFrames droppedFrames,
+        QueuedFrameBytes queuedFrames) {
       this(
-          new PeerChannel(eventloop, address, droppedFrames),
-          new PeerChannel(eventloop, address, droppedFrames));
+          new PeerChannel(eventloop, address, droppedFrames, null),
+          new PeerChannel(eventloop, address, droppedFrames, queuedFrames));
     }
 
     void add(PeerFrame frame) {
@@ -154,6 +158,9 @@
   private final Map<String, LongAdder> bytesOfKind = new ConcurrentHashMap<>();
 
   private final DroppedFrames droppedFrames = new DroppedFrames();
+  private final QueuedFrameBytes queuedFrames =
+      new QueuedFrameBytes(
+          Runtime.getRuntime().maxMemory() / PeerConnectionConstants.OUTBOUND_FRAMES_ONE_IN);
 
   /** By address. */
   private final Map<String, PeerChannels> peers = new HashMap<>();
@@ -244,7 +251,8 @@
         .computeIfAbsent(MessageNames.of(envelope.message()), kind -> new LongAdder())
         .add(frame.size());
     peers
-        .computeIfAbsent(toAddress, address -> new PeerChannels(eventloop, address, droppedFrames))
+        .computeIfAbsent(
+            toAddress, address -> new PeerChannels(eventloop, address, droppedFrames, queuedFrames))
         .add(frame);
   }
 
@@ -253,6 +261,11 @@
     return droppedFrames.byReason();
   }
 
+  /** The large frames that are queued for peers. */
+  QueuedFrameBytes queuedFrames() {
+    return queuedFrames;
+  }
+
   /** The large frames that are being read or wait for the logic. */
   ByteBudget inboundBudget() {
     return inboundBudget;
--- a/core-logic/src/main/java/applespindle/corelogic/constants/PeerConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/PeerConnectionConstants.java
@@ -42,10 +42,15 @@
   public static final int MAX_INFLATE_RATIO = 1_100;
 
   /**
-   * Bytes that may be queued for one connection, unless a single frame is larger: a peer that
-   * receives more slowly counts as failed.
+   * Bytes that may be queued for one connection, unless a single frame is larger: several of the
+   * largest records. A peer that receives more slowly counts as failed.
    */
-  public static final int MAX_QUEUED_BYTES = 4 << 20;
+  public static final int MAX_QUEUED_BYTES = 12 << 20;
+
+  /**
+   * One in this many parts of the heap holds large frames that are queued for all peers together.
+   */
+  public static final long OUTBOUND_FRAMES_ONE_IN = 6;
 
   /**
    * One in this many parts of the heap holds large frames from peers that are being read or wait to
--- a/core-logic/src/test/java/applespindle/corelogic/replication/LargeLogRepairTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/replication/LargeLogRepairTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import applespindle.corelogic.constants.PeerConnectionConstants;
 import applespindle.corelogic.environment.FakeEnvironment;
 import applespindle.corelogic.log.Epoch;
 import applespindle.corelogic.log.LogEntry;
@@ -38,6 +37,10 @@
  */
 final class LargeLogRepairTest {
   private static final Epoch EPOCH = new Epoch(3, "edge");
+
+  /** What a connection queued when the fault was found. */
+  private static final long MAX_QUEUED_BYTES = 4 << 20;
+
   private static final int SHARDS = 12;
   private static final int LOGS = 30;
   private static final int EVENT_BYTES = 3_000_000;
@@ -80,7 +83,7 @@
       long bytes = sizeOf(envelope.message());
       Link link = links.computeIfAbsent(envelope.fromId(), id -> new Link());
       long queued = link.queuedBytes.getOrDefault(peerAddress, 0L);
-      if (queued > 0 && queued + bytes > PeerConnectionConstants.MAX_QUEUED_BYTES) {
+      if (queued > 0 && queued + bytes > MAX_QUEUED_BYTES) {
         dropped++;
         return;
       }
