--- a/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
+++ b/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
@@ -16,6 +16,9 @@
  * On the HTTP thread.
  */
 final class BodyReader {
+  /** The length of a body that comes in chunks. */
+  static final int UNKNOWN_LENGTH = -1;
+
   /** A body that was read, and the bytes reserved for it, which its reader is to release. */
   record Body(byte[] bytes, ByteBudget.Reservation reservation) {}
 
@@ -61,7 +64,7 @@
   /**
    * Reads a body.
    *
-   * @param length the length that the request states; negative if it states none
+   * @param length the length that the request states, or {@link #UNKNOWN_LENGTH}
    * @param maxBytes the largest length allowed, at least that stated
    * @return fails with one of the exceptions above, or with that of the connection; nothing is
    *     reserved then
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -254,8 +254,9 @@
     String method = request.getMethod().name();
     StageTimer trace = new StageTimer(process);
     ChannelSupplier<ByteBuf> stream = request.takeBodyStream();
-    int statedLength = length != null ? Integer.parseInt(length) : chunked ? -1 : 0;
-    return BodyReader.read(process.httpLoop(), bodies, stream, statedLength, maxBodyBytes)
+    int unstated = chunked ? BodyReader.UNKNOWN_LENGTH : 0;
+    int bodyLength = length == null ? unstated : Integer.parseInt(length);
+    return BodyReader.read(process.httpLoop(), bodies, stream, bodyLength, maxBodyBytes)
         .then(
             body -> {
               trace.mark("body");
