Bound what is queued for slow clients in sum

Up to 4 MB of a response were queued for each client that reads slowly, and the sum over all clients was bounded by nothing.

Change: QueuedBytes counts what is queued for all clients of an endpoint, bounded at a sixth of the heap; a client for which more would be queued counts as gone, as one beyond its own bound did already. The class is the one that bounds the large frames queued for peers. GET /metrics shows applespindle_responses_bytes and its limit.

--- a/adapters/src/main/java/applespindle/adapters/PeerChannel.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerChannel.java
@@ -23,7 +23,7 @@
   private final DroppedFrames droppedFrames;
 
   /** Null for a channel whose frames are not counted. */
-  private final QueuedFrameBytes queuedOfAllPeers;
+  private final QueuedBytes queuedOfAllPeers;
 
   /** Invariant: at most one write is in flight; the frames that follow wait here in order. */
   private final ArrayDeque<PeerFrame> queue = new ArrayDeque<>();
@@ -58,7 +58,7 @@
       Eventloop eventloop,
       String address,
       DroppedFrames droppedFrames,
-      QueuedFrameBytes queuedOfAllPeers) {
+      QueuedBytes queuedOfAllPeers) {
     this.eventloop = eventloop;
     this.address = address;
     this.droppedFrames = droppedFrames;
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -47,7 +47,7 @@
         Eventloop eventloop,
         String address,
         DroppedFrames droppedFrames,
-        QueuedFrameBytes queuedFrames) {
+        QueuedBytes queuedFrames) {
       this(
           new PeerChannel(eventloop, address, droppedFrames, null),
           new PeerChannel(eventloop, address, droppedFrames, queuedFrames));
@@ -158,8 +158,10 @@
   private final Map<String, LongAdder> bytesOfKind = new ConcurrentHashMap<>();
 
   private final DroppedFrames droppedFrames = new DroppedFrames();
-  private final QueuedFrameBytes queuedFrames =
-      new QueuedFrameBytes(
+
+  /** Of large frames only: heartbeats and votes must not be held up by large records. */
+  private final QueuedBytes queuedFrames =
+      new QueuedBytes(
           Runtime.getRuntime().maxMemory() / PeerConnectionConstants.OUTBOUND_FRAMES_ONE_IN);
 
   /** By address. */
@@ -262,7 +264,7 @@
   }
 
   /** The large frames that are queued for peers. */
-  QueuedFrameBytes queuedFrames() {
+  QueuedBytes queuedFrames() {
     return queuedFrames;
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
@@ -52,6 +52,9 @@
   /** How long a submission waits for those before it. */
   public static final long MAX_SUBMISSION_WAIT_MS = 1_500;
 
+  /** One in this many parts of the heap holds what clients have not read yet of streams to them. */
+  public static final long RESPONSES_ONE_IN = 6;
+
   /** Largest part of a request's body, in bytes, that is written to a worker at once. */
   public static final int MAX_BODY_WRITE_BYTES = 128 << 10;
 
--- a/data-plane/src/main/java/applespindle/dataplane/ChunkStream.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ChunkStream.java
@@ -1,5 +1,6 @@
 package applespindle.dataplane;
 
+import applespindle.adapters.QueuedBytes;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.AbstractChannelSupplier;
 import io.activej.promise.Promise;
@@ -15,16 +16,27 @@
   private final Runnable onClientDisconnected;
   private final int maxQueuedChunks;
   private final int maxQueuedBytes;
+  private final QueuedBytes queuedForAllClients;
   private int queuedBytes;
   private SettablePromise<ByteBuf> pendingRead;
   private boolean ended;
   private Exception truncation;
 
-  /** A client that does not read, with so many chunks or bytes queued for it, counts as gone. */
-  ChunkStream(Runnable whenClientGone, int maxQueuedChunks, int maxQueuedBytes) {
+  /**
+   * A client that does not read, with so many chunks or bytes queued for it, counts as gone.
+   *
+   * @param queuedForAllClients where the bytes queued for all clients are counted; beyond its limit
+   *     a client for which more would be queued counts as gone
+   */
+  ChunkStream(
+      Runnable whenClientGone,
+      int maxQueuedChunks,
+      int maxQueuedBytes,
+      QueuedBytes queuedForAllClients) {
     this.onClientDisconnected = whenClientGone;
     this.maxQueuedChunks = maxQueuedChunks;
     this.maxQueuedBytes = maxQueuedBytes;
+    this.queuedForAllClients = queuedForAllClients;
   }
 
   /** Adds a chunk; nothing is added to a body that has ended. */
@@ -36,14 +48,21 @@
       SettablePromise<ByteBuf> present = pendingRead;
       pendingRead = null;
       present.trySet(ByteBuf.wrapForReading(chunk));
-    } else if (queue.size() < maxQueuedChunks && queuedBytes < maxQueuedBytes) {
+    } else if (queue.size() < maxQueuedChunks
+        && queuedBytes < maxQueuedBytes
+        && queuedForAllClients.hasRoomFor(chunk.length)) {
       queue.add(chunk);
-      queuedBytes += chunk.length;
+      countQueued(chunk.length);
     } else {
       closeEx(new StreamTruncatedException());
     }
   }
 
+  private void countQueued(int bytes) {
+    queuedBytes += bytes;
+    queuedForAllClients.add(bytes);
+  }
+
   /** Ends the body properly. */
   void end() {
     ended = true;
@@ -87,12 +106,14 @@
       }
       bytes = joined;
     }
-    queuedBytes = 0;
+    countQueued(-queuedBytes);
     return ByteBuf.wrapForReading(bytes);
   }
 
   @Override
   protected void onClosed(Exception fault) {
+    queue.clear();
+    countQueued(-queuedBytes);
     if (pendingRead != null) {
       pendingRead.trySetException(fault);
     }
--- a/data-plane/src/main/java/applespindle/dataplane/EdgeHttpInterface.java
+++ b/data-plane/src/main/java/applespindle/dataplane/EdgeHttpInterface.java
@@ -5,11 +5,13 @@
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.HttpInterface.Call;
 import applespindle.adapters.NodeProcess;
+import applespindle.adapters.QueuedBytes;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.InputReader;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchInput;
 import applespindle.corelogic.constants.BatchConstants;
+import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.constants.SizeLimits;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.live.LiveRequest;
@@ -47,6 +49,11 @@
   private final NodeProcess process;
   private final EdgeNode edge;
 
+  /** What clients have not read yet of the responses to them. */
+  private final QueuedBytes queuedResponses =
+      new QueuedBytes(
+          Runtime.getRuntime().maxMemory() / ClientConnectionConstants.RESPONSES_ONE_IN);
+
   EdgeHttpInterface(NodeProcess process, EdgeNode edge) {
     this.process = process;
     this.edge = edge;
@@ -149,7 +156,7 @@
             body,
             streams,
             call.header("Applespindle-Once"));
-    LiveExchange exchange = new LiveExchange(process, edge, request);
+    LiveExchange exchange = new LiveExchange(process, edge, request, queuedResponses);
     return exchange.begin();
   }
 
--- a/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/LiveExchange.java
@@ -5,6 +5,7 @@
 
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
+import applespindle.adapters.QueuedBytes;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.common.Json;
@@ -28,6 +29,7 @@
   private final NodeProcess process;
   private final EdgeNode edge;
   private final LiveRequest request;
+  private final QueuedBytes queuedResponses;
   private final SettablePromise<HttpResponse> response = new SettablePromise<>();
 
   /** On the HTTP thread only. */
@@ -39,10 +41,12 @@
   /** On the logic thread only. */
   private RequestHandle handle;
 
-  LiveExchange(NodeProcess process, EdgeNode edge, LiveRequest request) {
+  LiveExchange(
+      NodeProcess process, EdgeNode edge, LiveRequest request, QueuedBytes queuedResponses) {
     this.process = process;
     this.edge = edge;
     this.request = request;
+    this.queuedResponses = queuedResponses;
   }
 
   Promise<HttpResponse> begin() {
@@ -62,9 +66,13 @@
     process.toLogic(() -> handle.cancel());
   }
 
+  private ChunkStream newStream() {
+    return new ChunkStream(this::clientGone, MAX_QUEUED_CHUNKS, Integer.MAX_VALUE, queuedResponses);
+  }
+
   private ChunkStream events() {
     if (events == null) {
-      events = new ChunkStream(this::clientGone, MAX_QUEUED_CHUNKS, Integer.MAX_VALUE);
+      events = newStream();
       response.trySet(EdgeHttpInterface.streamed(events));
     }
     return events;
@@ -114,7 +122,7 @@
                 return;
               }
               if (events == null) {
-                events = new ChunkStream(this::clientGone, MAX_QUEUED_CHUNKS, Integer.MAX_VALUE);
+                events = newStream();
                 response.trySet(EdgeHttpInterface.completionWithKeepalive(events));
               }
               events.push(new byte[] {' '});
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -3,6 +3,7 @@
 import applespindle.adapters.ByteBudget;
 import applespindle.adapters.HttpInterface;
 import applespindle.adapters.NodeProcess;
+import applespindle.adapters.QueuedBytes;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchReference;
@@ -72,6 +73,11 @@
   /** The bodies of all requests that have not ended. */
   private final ByteBudget bodies;
 
+  /** What clients have not read yet of the responses to them. */
+  private final QueuedBytes queuedResponses =
+      new QueuedBytes(
+          Runtime.getRuntime().maxMemory() / ClientConnectionConstants.RESPONSES_ONE_IN);
+
   /** The submissions of batches that are not answered, a part of the bodies. */
   private final ByteBudget submissions;
 
@@ -108,6 +114,8 @@
   private Map<String, Long> heldBytes() {
     Map<String, Long> held = new TreeMap<>(bodies.figures("bodies"));
     held.putAll(submissions.figures("submissions"));
+    held.put("responses.bytes", queuedResponses.get());
+    held.put("responses.limit.bytes", queuedResponses.limit());
     return held;
   }
 
@@ -315,7 +323,7 @@
       return () -> {};
     }
     ProxyExchange exchange =
-        new ProxyExchange(process, response, this::render, reservation::release);
+        new ProxyExchange(process, response, this::render, queuedResponses, reservation::release);
     boolean taken =
         process.toLogic(
             () -> {
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyExchange.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyExchange.java
@@ -1,6 +1,7 @@
 package applespindle.dataplane;
 
 import applespindle.adapters.NodeProcess;
+import applespindle.adapters.QueuedBytes;
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.environment.ProxiedRequest;
@@ -29,6 +30,7 @@
   private final NodeProcess process;
   private final SettablePromise<HttpResponse> response;
   private final Function<Response, HttpResponse> refusal;
+  private final QueuedBytes queuedResponses;
 
   /** On the HTTP thread. */
   private final Runnable whenOver;
@@ -56,6 +58,7 @@
   private PendingUpdate pendingUpdate;
 
   /**
+   * @param queuedResponses where bytes that clients have not read yet are counted
    * @param whenOver runs once the request has ended or its client has gone; its body is then of no
    *     more use here
    */
@@ -63,10 +66,12 @@
       NodeProcess process,
       SettablePromise<HttpResponse> response,
       Function<Response, HttpResponse> refusal,
+      QueuedBytes queuedResponses,
       Runnable whenOver) {
     this.process = process;
     this.response = response;
     this.refusal = refusal;
+    this.queuedResponses = queuedResponses;
     this.whenOver = whenOver;
   }
 
@@ -156,7 +161,8 @@
       return;
     }
     if (update.head != null) {
-      body = new ChunkStream(this::clientGone, Integer.MAX_VALUE, MAX_QUEUED_BYTES);
+      body =
+          new ChunkStream(this::clientGone, Integer.MAX_VALUE, MAX_QUEUED_BYTES, queuedResponses);
       boolean bodiless = update.head.status() == 204 || update.head.status() == 304;
       HttpResponse.Builder builder = begin(update.head);
       response.trySet(bodiless ? builder.build() : builder.withBodyStream(body).build());
