--- a/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
@@ -26,6 +26,13 @@
 class SubmissionAcrossEdgesTest {
   private static final int LARGE_EDGES = 6;
   private static final int LARGE_BODY_BYTES = 430_000;
+  private static final int BURST_BATCHES = 20;
+  private static final long BURST_BODY_BYTES = 2_800_000;
+  private static final long BURST_INTERVAL_MS = 300;
+
+  /** A quarter of the heap of an edge by deploy/system.toml, as for the bodies of requests. */
+  private static final long MAX_LED_BYTES = 32 << 20;
+
   private static final long GRACE_MS = 8_000;
   private static final long SETTLED_MS = 6_000;
   private final Simulation simulation = new Simulation(1, Map.of(), Deployment.AUTHORITY.pace);
@@ -159,6 +166,28 @@
     assertWithMessage("" + answer.response).that(answer.response.status()).isEqualTo(201);
   }
 
+  /**
+   * Guards against an edge that ends for want of memory: it holds the logs and items of all batches
+   * that it leads, and takes further ones however many these are.
+   */
+  @Test
+  void aLeaderTakesNoMoreBatchesThanItHasRoomFor() {
+    for (int index = 1; index < LARGE_EDGES; index++) {
+      process("large-" + index).kill(true);
+    }
+    simulation.runUntil(simulation.simulatedNowMs() + SETTLED_MS);
+    List<SimulatedResponse> answers = new ArrayList<>();
+    for (int number = 0; number < BURST_BATCHES; number++) {
+      answers.add(submit("large-0", "burst-" + number, (int) BURST_BODY_BYTES));
+      simulation.runUntil(simulation.simulatedNowMs() + BURST_INTERVAL_MS);
+    }
+    simulation.runUntil(simulation.simulatedNowMs() + GRACE_MS);
+    long ledBytes = process("large-0").node().status().path("leads").size() * BURST_BODY_BYTES;
+
+    assertWithMessage("bytes of the bodies of led batches").that(ledBytes).isAtMost(MAX_LED_BYTES);
+    answers.forEach(answer -> assertThat(answer.response).isNotNull());
+  }
+
   private long bodiesReceived(String edge) {
     return process(edge).receivedBytes().entrySet().stream()
             .filter(each -> each.getKey().startsWith("Ask"))
