--- a/review/src-2/ItemBodies.java
+++ b/review/src-2/ItemBodies.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 4: clients ask for the bodies of items that are still being worked on. */
+/** Case 5: clients ask for the bodies of items that are still being worked on. */
 public final class ItemBodies {
   private static final int EDGES = 3;
   private static final int ITEM_BYTES = 2_900_000;
--- a/review/src-2/LargeConfigurations.java
+++ b/review/src-2/LargeConfigurations.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Case 5: one operator changes a configuration of many routes, one change after the other. */
+/** Case 6: one operator changes a configuration of many routes, one change after the other. */
 public final class LargeConfigurations {
   private static final int EDGES = 3;
   private static final int ROUTES = Integer.getInteger("routes", 8_000);
