--- a/review/src-2/Fleet.java
+++ b/review/src-2/Fleet.java
@@ -229,7 +229,11 @@
     text.append(values.length == 0 ? format : String.format(format, values)).append('\n');
   }
 
-  private void start(Node node, boolean bootstrap) throws IOException {
+  /** Starts nothing any more once the fleet is being closed. */
+  private synchronized void start(Node node, boolean bootstrap) throws IOException {
+    if (closing) {
+      return;
+    }
     writeSettings(node, bootstrap);
     ProcessBuilder builder =
         new ProcessBuilder(commands.get(node.role))
