Read large bodies of items from the replicas, with room for each before the leader is asked

Cause: the leader turned each body into base64 in JSON, the edge of the client parsed and decoded that and held it until the client had read it; none of this was counted.

Change: the leader confirms its leadership and says where a large body is (sequence, epoch, offset); the edge of the client reads the section from a replica, in chunks, by credit. A small body is sent as the bytes that it is. ProxyEndpoint reserves the largest body from a budget of an eighth of the heap before it asks, keeps its size until the client has read it (ReservedBody), and else answers 503 with the time to come back. JSON stays for a reader of the version before.

--- a/adapters/src/main/java/applespindle/adapters/ByteBudget.java
+++ b/adapters/src/main/java/applespindle/adapters/ByteBudget.java
@@ -39,6 +39,16 @@
       }
     }
 
+    /** Gives a part of the bytes back: fewer are needed than was thought. */
+    public void shrinkTo(long needed) {
+      long released = bytes - needed;
+      if (released > 0) {
+        bytes = needed;
+        reservedBytes.addAndGet(-released);
+        serveWaiting();
+      }
+    }
+
     /** Adds the bytes of another reservation of the same budget, which is over by that. */
     public void absorb(Reservation other) {
       bytes += other.bytes;
--- a/adapters/src/test/java/applespindle/adapters/StoredFleetStartTest.java
+++ b/adapters/src/test/java/applespindle/adapters/StoredFleetStartTest.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.batch.BatchReference;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.protocol.Operation;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -174,8 +175,10 @@
 
   @Test
   void servesTheBodyOfAProxiedItem() throws IOException {
-    JsonNode item = ok(then -> fleet.edge().readProxiedItem(reference("ended"), "item-1", then));
-    assertThat(new String(item.get("body").binaryValue(), UTF_8)).isEqualTo("hold this body");
+    Response item =
+        fleet.answerTo(then -> fleet.edge().readProxiedItem(reference("ended"), "item-1", then));
+    assertThat(item.status()).isEqualTo(200);
+    assertThat(new String(ItemBody.of(item).copy(), UTF_8)).isEqualTo("hold this body");
   }
 
   @Test
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchLeader.java
@@ -293,9 +293,13 @@
     reads.readProxiedResults(from, holdMs, then);
   }
 
-  /** Responds with the request body of an item by its client's id for it, or NoSuchBatch. */
-  public void readProxiedItem(String item, Consumer<Response> then) {
-    reads.readProxiedItem(item, then);
+  /**
+   * Responds with the request body of an item by its client's id for it, or NoSuchBatch.
+   *
+   * @param raw whether as an {@link ItemBody}; else as JSON, for an edge of an earlier version
+   */
+  public void readProxiedItem(String item, boolean raw, Consumer<Response> then) {
+    reads.readProxiedItem(item, raw, then);
   }
 
   // ---- dispatchers
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchLog.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchLog.java
@@ -136,6 +136,11 @@
     logLeader.confirmLeadershipWithHeartbeat(then);
   }
 
+  /** Where a part of a committed event is, for a reader at another node. */
+  ItemBody.Location location(EventPart part) {
+    return new ItemBody.Location(logLeader.detachedEntry(part.section().sequence()), part);
+  }
+
   private void checkAcceptedOnce() {
     if (state.acceptedTwice) {
       edge.reportViolation(Invariant.BATCH_ACCEPTED_ONCE, batch);
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
@@ -2,6 +2,7 @@
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.constants.ReplicationConstants;
 import applespindle.corelogic.environment.Environment;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -65,13 +66,17 @@
         });
   }
 
-  void readProxiedItem(String itemId, Consumer<Response> then) {
+  void readProxiedItem(String itemId, boolean raw, Consumer<Response> then) {
     confirmAccepted(
         then,
         () -> {
           int item = log.state.itemOfId(itemId);
           if (item < 0) {
             then.accept(Response.of(new ApiError.NoSuchBatch(log.batch)));
+          } else if (raw && isLarge(log.state.itemPart(item))) {
+            then.accept(ItemBody.response(log.location(log.state.itemPart(item))));
+          } else if (raw) {
+            responses.rawProxiedItem(item, body -> respondRaw(body, then));
           } else {
             responses.proxiedItem(item, body -> respond(body, then));
           }
@@ -101,6 +106,15 @@
     responses.proxiedResultsPage(from, page -> respond(page, then));
   }
 
+  private static boolean isLarge(EventPart part) {
+    return part.section().bytes() >= ReplicationConstants.MIN_DETACHED_ENTRY_BYTES;
+  }
+
+  private void respondRaw(byte[] body, Consumer<Response> then) {
+    then.accept(
+        body == null ? Response.of(new ApiError.NoQuorum(log.batch)) : ItemBody.response(body));
+  }
+
   /** Responds with the body; null stands for contents that no replica sent, or not in time. */
   private void respond(ObjectNode body, Consumer<Response> then) {
     then.accept(
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchResponses.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchResponses.java
@@ -156,4 +156,12 @@
                     ? null
                     : JSON.createObjectNode().set("body", items.get(0).path("body"))));
   }
+
+  /** The same as bytes; null if the item can't be read. */
+  void rawProxiedItem(int item, Consumer<byte[]> callback) {
+    log.contents.readItems(
+        List.of(log.state.itemPart(item)),
+        items ->
+            callback.accept(items == null ? null : ItemBody.binary(items.get(0).path("body"))));
+  }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
@@ -52,6 +52,15 @@
   /** How long a submission waits for those before it. */
   public static final long MAX_SUBMISSION_WAIT_MS = 1_500;
 
+  /**
+   * One in this many parts of the heap holds bodies of items that clients have asked for, from the
+   * request to the leader until the client has read the answer.
+   */
+  public static final long ITEM_BODIES_ONE_IN = 8;
+
+  /** Size, in bytes, of the parts in which a body of an item is written to its client. */
+  public static final int ITEM_BODY_PART_BYTES = 128 << 10;
+
   /** One in this many parts of the heap holds what clients have not read yet of streams to them. */
   public static final long RESPONSES_ONE_IN = 6;
 
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.batch.BatchEvent.ProxiedRoute;
 import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.batch.BatchLeader;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.batch.SubmissionReader;
 import applespindle.corelogic.batch.SubmissionsInProgress;
 import applespindle.corelogic.common.Json;
@@ -295,7 +296,8 @@
           leader.readProxiedResults(
               body.path("from").asLong(), body.path("holdMs").asLong(), responder);
       case READ_PROXIED_ITEM ->
-          leader.readProxiedItem(body.path("item").asText(), responder);
+          leader.readProxiedItem(
+              body.path("item").asText(), body.path(ItemBody.RAW_FIELD).asBoolean(), responder);
       default -> respond(request, new ApiError.UnknownRequest(request.operationName()));
     }
   }
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
@@ -9,6 +9,7 @@
 import applespindle.corelogic.batch.BatchKeys;
 import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.batch.PendingSubmissions;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
@@ -221,9 +222,34 @@
   }
 
   void readProxiedItem(BatchReference batch, String item, Consumer<Response> callback) {
-    ObjectNode body = JSON.createObjectNode().put("item", item);
+    ObjectNode body = JSON.createObjectNode().put("item", item).put(ItemBody.RAW_FIELD, true);
     callAbout(
-        batch, (id, then) -> readProxied(Operation.READ_PROXIED_ITEM, id, body, 0, then), callback);
+        batch,
+        (id, then) ->
+            readProxied(
+                Operation.READ_PROXIED_ITEM,
+                id,
+                body,
+                0,
+                response -> fetchIfElsewhere(id, response, then)),
+        callback);
+  }
+
+  /** A leader only says where a large body is: it is read from a replica here. */
+  private void fetchIfElsewhere(String batch, Response response, Consumer<Response> callback) {
+    ItemBody.Location location =
+        response.isSuccess() ? ItemBody.locationIn(response, BatchKeys.keyOf(batch)) : null;
+    if (location == null) {
+      callback.accept(response);
+      return;
+    }
+    leaders.fetchSection(
+        location.section(),
+        bytes ->
+            callback.accept(
+                bytes == null
+                    ? Response.of(new ApiError.NoQuorum(batch))
+                    : location.read(bytes).toResponse()));
   }
 
   /** A read has no effect, so that after any failure the client may simply repeat it. */
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
@@ -40,7 +40,10 @@
    */
   void readProxiedResults(BatchReference batch, long from, long holdMs, Consumer<Response> then);
 
-  /** Reads the body of an item that has no result yet: {@code {body: base64}}. */
+  /**
+   * Reads the body of an item that has no result yet; a successful response is read with {@link
+   * applespindle.corelogic.batch.ItemBody#of}.
+   */
   void readProxiedItem(BatchReference batch, String item, Consumer<Response> then);
 
   /** Ends a batch; no item of it starts any more. */
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.edge.EdgeGateway;
@@ -35,7 +36,6 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.time.Duration;
-import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -78,6 +78,9 @@
       new QueuedBytes(
           Runtime.getRuntime().maxMemory() / ClientConnectionConstants.RESPONSES_ONE_IN);
 
+  /** The bodies of items that clients have asked for and not read yet. */
+  private final ByteBudget itemBodies;
+
   /** The submissions of batches that are not answered, a part of the bodies. */
   private final ByteBudget submissions;
 
@@ -93,7 +96,8 @@
   /**
    * An endpoint that does not listen yet.
    *
-   * @param maxBodiesBytes the most bytes that the bodies of all requests together may have
+   * @param maxBodiesBytes the most bytes that the bodies of all requests together may have; those
+   *     of items in responses may have a fixed part of it besides
    */
   ProxyEndpoint(
       NodeProcess process, EdgeGateway gateway, RequestFormat format, long maxBodiesBytes) {
@@ -103,6 +107,13 @@
     bodies =
         new ByteBudget(
             process.httpLoop(), maxBodiesBytes, ClientConnectionConstants.MAX_BODY_WAIT_MS);
+    itemBodies =
+        new ByteBudget(
+            process.httpLoop(),
+            maxBodiesBytes
+                / (ClientConnectionConstants.ITEM_BODIES_ONE_IN
+                    / ClientConnectionConstants.BODIES_ONE_IN),
+            ClientConnectionConstants.MAX_BODY_WAIT_MS);
     submissions =
         new ByteBudget(
             process.httpLoop(),
@@ -114,6 +125,7 @@
   private Map<String, Long> heldBytes() {
     Map<String, Long> held = new TreeMap<>(bodies.figures("bodies"));
     held.putAll(submissions.figures("submissions"));
+    held.putAll(itemBodies.figures("item_bodies"));
     held.put("responses.bytes", queuedResponses.get());
     held.put("responses.limit.bytes", queuedResponses.limit());
     return held;
@@ -407,27 +419,51 @@
 
   private void answer(BatchCall call, Arrived arrived, SettablePromise<HttpResponse> response) {
     var batch = new BatchReference(call.batch(), arrived.host(), format.apiKey(arrived));
+    if (call instanceof BatchCall.ItemBody item) {
+      answerWithItemBody(batch, item, response);
+      return;
+    }
     ask(
         then -> {
           if (call instanceof BatchCall.Results results) {
             gateway.readProxiedResults(batch, results.from(), results.holdMs(), then);
-          } else if (call instanceof BatchCall.ItemBody item) {
-            gateway.readProxiedItem(batch, item.item(), then);
           } else if (call instanceof BatchCall.End) {
             gateway.endProxiedBatch(batch, then);
           }
         },
-        answer ->
+        answer -> response.trySet(render(format.show(call, answer))));
+  }
+
+  /** Asks for the body once there is room for the largest that it may be. */
+  private void answerWithItemBody(
+      BatchReference batch, BatchCall.ItemBody call, SettablePromise<HttpResponse> response) {
+    itemBodies.reserve(
+        limits.maxBodyBytes(),
+        reservation ->
+            ask(
+                then -> gateway.readProxiedItem(batch, call.item(), then),
+                answer -> {
+                  if (answer.isSuccess() && !response.isComplete()) {
+                    response.set(itemBody(ItemBody.of(answer), reservation));
+                  } else {
+                    reservation.release();
+                    response.trySet(render(format.show(call, answer)));
+                  }
+                }),
+        () ->
             response.trySet(
-                answer.isSuccess() && call instanceof BatchCall.ItemBody
-                    ? itemBody(answer)
-                    : render(format.show(call, answer))));
+                render(
+                    Response.ofRetryAfterMs(
+                        new ApiError.Overloaded("bodies of items"),
+                        ClientConnectionConstants.BODY_RETRY_MS))));
   }
 
-  private static HttpResponse itemBody(Response answer) {
+  private static HttpResponse itemBody(ItemBody body, ByteBudget.Reservation reservation) {
+    reservation.shrinkTo(body.length());
     return HttpResponse.ok200()
         .withHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream")
-        .withBody(Base64.getDecoder().decode(answer.body().path("body").asText()))
+        .withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()))
+        .withBodyStream(new ReservedBody(body, reservation))
         .build();
   }
 
--- a/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
@@ -31,6 +31,9 @@
 final class TestProxyEndpoint {
   static final long LIMIT_S = 20;
 
+  /** A request for this target asks for the body of an item. */
+  static final String ITEM_TARGET = "/item";
+
   /** One request that reached the logic, which tells its listener what the test wants. */
   record Passed(
       ProxiedRequest request,
@@ -70,7 +73,7 @@
 
     @Override
     public void readProxiedItem(BatchReference batch, String item, Consumer<Response> then) {
-      throw new AssertionError("no batches here");
+      itemReads.add(then);
     }
 
     @Override
@@ -112,7 +115,9 @@
 
         @Override
         public Parsed<BatchCall> batchCall(Arrived arrived) {
-          return Parsed.none();
+          return arrived.target().equals(ITEM_TARGET)
+              ? new Parsed<>(new BatchCall.ItemBody("batch", "item"), null)
+              : Parsed.none();
         }
 
         @Override
@@ -126,6 +131,9 @@
         }
       };
 
+  /** The reads of bodies of items that reached the logic. */
+  final BlockingQueue<Consumer<Response>> itemReads = new LinkedBlockingQueue<>();
+
   final BlockingQueue<Passed> passed = new LinkedBlockingQueue<>();
 
   /** Called at once with each request's listener, on the logic thread. */
--- a/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchReader.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/clients/ProxiedBatchReader.java
@@ -3,13 +3,13 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.batch.ProxiedBatch;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.testfleet.history.History.Kind;
 import applespindle.testfleet.simulation.SimulatedProcess;
 import applespindle.testfleet.simulation.Simulation;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -134,7 +134,7 @@
   }
 
   private void recordBody(String itemId, Response response) {
-    byte[] body = Base64.getDecoder().decode(response.body().path("body").asText());
+    byte[] body = ItemBody.of(response).copy();
     simulation.history.add(
         simulation.simulatedNowMs(),
         Kind.OPAQUE_BODY,
--- a/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
@@ -5,7 +5,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import applespindle.corelogic.api.Response;
+import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.batch.ProxiedBatch;
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.edge.EdgeNode;
@@ -221,6 +223,29 @@
     assertThat(process("large-1").node().status().path("leads").size()).isEqualTo(BURST_BATCHES);
   }
 
+  /** The leader says where a large body is, and the edge of the client reads it from a replica. */
+  @Test
+  void aLargeBodyIsReadAtAnEdgeThatDoesNotLeadItsBatch() {
+    SimulatedResponse answer = submit("large-0", "c1", (int) BURST_BODY_BYTES);
+    simulation.runUntil(simulation.simulatedNowMs() + GRACE_MS);
+    assertThat(answer.response.status()).isEqualTo(201);
+    SimulatedResponse item = new SimulatedResponse();
+    BatchReference batch = new BatchReference("c1", "h.example", "");
+    simulation.call(
+        process("small"),
+        (Consumer<Response> then) ->
+            ((EdgeNode) process("small").node()).readProxiedItem(batch, "c1-1", then),
+        item);
+    simulation.runUntil(simulation.simulatedNowMs() + GRACE_MS);
+
+    assertWithMessage("" + item.response.status()).that(item.response.status()).isEqualTo(200);
+    byte[] expected = new byte[(int) BURST_BODY_BYTES];
+    new Random(7).nextBytes(expected);
+    assertThat(ItemBody.of(item.response).copy()).isEqualTo(expected);
+    assertThat(process("small").node().status().path("sectionBytesRead").asLong())
+        .isAtLeast(BURST_BODY_BYTES);
+  }
+
   private void killAllLargeEdgesButTheFirst(int living) {
     for (int index = living; index < LARGE_EDGES; index++) {
       process("large-" + index).kill(true);
