Refuse a configuration that the control plane has no room for, and hold its value once

Cause: what an operator sends was bounded, what is made of it was not. The stored form has the routes and the text that they came from, and was held as an event, as a JSON tree and decoded.

Change: the stored form may have 3 MiB, else 413 before anything is appended, at the operator's endpoint and at the leader of the key. LedKey shares the bytes of its value with the log and decodes them when they are asked for.

Eight large changes at once were not run.

--- a/core-logic/src/main/java/applespindle/corelogic/constants/SizeLimits.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/SizeLimits.java
@@ -11,6 +11,12 @@
    */
   public static final int MAX_FRAME_BYTES = 64 << 20;
 
+  /**
+   * Largest configuration in its stored form, in bytes: a control plane node with a heap of 96 MB
+   * holds and sends it several times over while it is accepted.
+   */
+  public static final int MAX_CONFIGURATION_BYTES = 3 << 20;
+
   /** Largest number of items in a batch. */
   public static final int MAX_BATCH_ITEMS = 10_000;
 
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/ConfigurationManager.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/ConfigurationManager.java
@@ -10,6 +10,7 @@
 import applespindle.corelogic.configuration.ConfigurationPatchRequest;
 import applespindle.corelogic.configuration.ConfigurationValidator;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.constants.SizeLimits;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.metadata.AcceptedRevisions;
@@ -132,6 +133,10 @@
   }
 
   private ConfigurationValidator.ValidationResult validate(SignedConfiguration sent) {
+    if (sent.bytes().length > SizeLimits.MAX_CONFIGURATION_BYTES) {
+      return new ConfigurationValidator.ValidationResult(
+          null, new ApiError.InputTooLarge(SizeLimits.MAX_CONFIGURATION_BYTES));
+    }
     return settings.signedConfigurations()
         ? ConfigurationValidator.validate(
             sent.bytes(), sent.keyId(), sent.signature(), operatorKeys)
--- a/core-logic/src/main/java/applespindle/corelogic/controlplane/LedKey.java
+++ b/core-logic/src/main/java/applespindle/corelogic/controlplane/LedKey.java
@@ -23,8 +23,11 @@
 final class LedKey {
   private final ReplicatedLogLeader leader;
 
-  /** The last appended event; JSON null before the first and always for the batch capacity key. */
-  private JsonNode value = JSON.nullNode();
+  /**
+   * The last appended event, shared with the log; null before the first and always for the batch
+   * capacity key. It is decoded when it is asked for, as a large value must not be held twice.
+   */
+  private byte[] valueEvent;
 
   /** The sequence of the value in the key's log; takeover entries may follow it. */
   private long valueSequence;
@@ -38,11 +41,9 @@
   /** For a changing replica set: the latest set number under which each node has caught up. */
   private final Map<String, Long> caughtUpVersions = new HashMap<>();
 
-  /** The value as last decoded, and the value from which it was decoded. */
+  /** The value as last decoded; null while it is not. */
   private Object decoded;
 
-  private JsonNode decodedFrom;
-
   LedKey(ReplicatedLogLeader leader) {
     this.leader = leader;
   }
@@ -59,11 +60,11 @@
 
   /** The value as JSON; JSON null if there is none yet. */
   JsonNode value() {
-    return value;
+    return valueEvent == null ? JSON.nullNode() : Json.tree(valueEvent);
   }
 
   boolean hasValue() {
-    return !value.isNull();
+    return valueEvent != null;
   }
 
   /** The sequence of the value in the key's log. */
@@ -73,9 +74,8 @@
 
   /** The value as this type, null if there is none yet; decoded once for each value. */
   <T> T as(Class<T> type) {
-    if (decodedFrom != value || !type.isInstance(decoded)) {
-      decodedFrom = value;
-      decoded = value.isNull() ? null : JSON.convertValue(value, type);
+    if (!type.isInstance(decoded)) {
+      decoded = valueEvent == null ? null : Json.read(valueEvent, type);
     }
     return type.cast(decoded);
   }
@@ -89,7 +89,7 @@
       capacityLedger.replay(entry);
       return;
     }
-    value = Json.tree(entry.event());
+    setValue(entry.event());
     valueSequence = entry.sequence();
   }
 
@@ -99,10 +99,15 @@
    */
   void append(Object newValue, Consumer<ApiError> then) {
     byte[] event = Json.bytes(newValue);
-    value = Json.tree(event);
+    setValue(event);
     valueSequence = leader.append(true, event, then);
   }
 
+  private void setValue(byte[] event) {
+    valueEvent = event;
+    decoded = null;
+  }
+
   /**
    * The callback gets null once everything appended before is committed and a majority has
    * confirmed that this node still leads the key, or an error otherwise.
