Read sections of a log from replicas in contact first

What callers would see: while a storage machine is gone, each range of a batch that was taken over could come a second late, as the first replica was asked first, whether or not it answers.

Cause: the replicas were asked in the order of the configuration; the next one follows only after LOG_FETCH_TIMEOUT_MS.

Change: a leader asks first the replicas that are in contact and have synced the entry, another edge those that are members.

Test: LeaderPayloadsTest.readsFromAReplicaInContactFirst, which failed before (nothing read within half of that time).

--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchLeaders.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchLeaders.java
@@ -19,9 +19,9 @@
 import applespindle.corelogic.replication.Elections;
 import applespindle.corelogic.replication.EntrySection;
 import applespindle.corelogic.replication.LeaderPayloads;
-import applespindle.corelogic.replication.ReplicaConfiguration;
 import applespindle.corelogic.replication.ReplicatedLogLeader;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -83,8 +83,11 @@
 
   /** Reads a section of a batch's log, which another edge may lead, from a replica. */
   void fetchSection(EntrySection section, Consumer<byte[]> callback) {
-    ReplicaConfiguration replicas = edge.replicaConfigurationOf(section.entry().key());
-    payloads.fetch(section, List.copyOf(replicas.allReplicas()), callback);
+    List<NodeAddress> liveFirst =
+        edge.replicaConfigurationOf(section.entry().key()).allReplicas().stream()
+            .sorted(Comparator.comparing(replica -> !edge.members().containsKey(replica.id())))
+            .toList();
+    payloads.fetch(section, liveFirst, callback);
   }
 
   boolean isEmpty() {
--- a/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicator.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/LogReplicator.java
@@ -7,6 +7,7 @@
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.protocol.Message.AppendRequest;
 import applespindle.corelogic.protocol.MessageSender;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,6 +78,18 @@
     return followers.values().stream().map(each -> each.replica).toList();
   }
 
+  /** The replicas, those first that are in contact and have synced the entry of this sequence. */
+  List<NodeAddress> replicasHolding(long sequence) {
+    return followers.values().stream()
+        .sorted(Comparator.comparing(each -> !isHolding(each, sequence)))
+        .map(each -> each.replica)
+        .toList();
+  }
+
+  private static boolean isHolding(FollowerProgress follower, long sequence) {
+    return follower.isInContactWithin(CONTACT_HEARTBEATS) && follower.matchedSequence >= sequence;
+  }
+
   /** A replica's progress, or null if it isn't part of the configuration. */
   FollowerProgress follower(String replicaId) {
     return followers.get(replicaId);
@@ -216,7 +229,7 @@
         entry,
         0,
         entry.eventBytes(),
-        replicas(),
+        replicasHolding(entry.sequence()),
         event -> {
           follower.fetching = false;
           boolean stillNext =
--- a/core-logic/src/main/java/applespindle/corelogic/replication/ReplicatedLogLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/ReplicatedLogLeader.java
@@ -293,7 +293,7 @@
         entry,
         offset,
         bytes,
-        replicator.replicas(),
+        replicator.replicasHolding(sequence),
         section -> callback.accept(state == LeadershipState.LOST ? null : section));
   }
 
--- a/core-logic/src/test/java/applespindle/corelogic/replication/LeaderPayloadsTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/replication/LeaderPayloadsTest.java
@@ -20,9 +20,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -41,6 +43,8 @@
   private final Map<Long, LogEntry> stored = new HashMap<>();
   private final List<AppendRequest> appendsToLagging = new ArrayList<>();
   private final List<LogEntry> votedLog = new ArrayList<>();
+  private final Set<String> silent = new HashSet<>();
+  private boolean lagging = true;
   private int chunksServed;
   private ReplicatedLogLeader leader;
 
@@ -73,6 +77,9 @@
   }
 
   private void deliver(String replica, Message message) {
+    if (silent.contains(replica)) {
+      return;
+    }
     if (message instanceof VoteRequest vote) {
       Verdict verdict = vote.preVote() ? Verdict.WOULD_GRANT : Verdict.OK;
       List<LogEntry> log = vote.preVote() ? List.of() : copyOfVotedLog();
@@ -91,7 +98,7 @@
   }
 
   private void handleAppend(String replica, AppendRequest append) {
-    if (replica.equals("c")) {
+    if (replica.equals("c") && lagging) {
       appendsToLagging.add(append);
       return;
     }
@@ -108,7 +115,7 @@
   }
 
   private void serveChunk(String replica, EntryChunkRequest request) {
-    boolean holds = !replica.equals("c");
+    boolean holds = !replica.equals("c") || !lagging;
     byte[] event = holds ? stored.get(request.sequence()).event() : new byte[0];
     int from = Math.min(request.offset(), event.length);
     int to = Math.min(from + request.maxBytes(), event.length);
@@ -225,6 +232,21 @@
     assertThat(payloads.fetches()).isEqualTo(fetchesBefore);
   }
 
+  /** Guards against reads that wait for a replica of which the leader knows that it is gone. */
+  @Test
+  void readsFromAReplicaInContactFirst() {
+    lagging = false;
+    appendEvents();
+    silent.add("a");
+    environment.run(ReplicationConstants.LEADER_STEP_DOWN_MS);
+    assertThat(leader.isLeading()).isTrue();
+    List<byte[]> read = new ArrayList<>();
+    leader.readEvent(2, 0, FRAME_BYTES, read::add);
+    environment.run(ReplicationConstants.LOG_FETCH_TIMEOUT_MS / 2);
+
+    assertThat(read).hasSize(1);
+  }
+
   /** The lagging replica takes what follows on its log, as replicas do. */
   private long acceptAppends(long syncedBefore) {
     long synced = syncedBefore;
