Timers of finished requests and transfers keep their bytes no more

Cause: heap dumps of ended edges show that the largest holder is none that has a limit. EntryTransfer left its retry timer in the queue of the event loop when it ended (six complete sections of 2.9 MB, 17 MB, in one dump), and OutgoingRequest its attempt timer (three bodies of submissions and the submissions in their callbacks, 30 MB, in another). Their budgets were released at the end of the work, so each new read was let in while the timers of the last second of reads still kept their bytes.

Change: both cancel their timer when they end.

--- a/core-logic/src/main/java/applespindle/corelogic/node/OutgoingRequest.java
+++ b/core-logic/src/main/java/applespindle/corelogic/node/OutgoingRequest.java
@@ -49,8 +49,11 @@
   private int attempts;
   private boolean finished;
 
-  /** Ends the latest attempt unless its node makes progress. */
-  private Environment.ScheduledTask attemptTimeout;
+  /**
+   * Begins the next attempt, or ends the latest one unless its node makes progress; null before the
+   * first. Cancelled at the end of the request, so that it doesn't keep the body.
+   */
+  private Environment.ScheduledTask timer;
 
   /** Whether some attempt went unanswered, so that it may have taken effect. */
   private boolean outcomeUnknown;
@@ -97,7 +100,7 @@
     }
     NodeAddress target = targets.apply(attempts++);
     if (target == null) {
-      environment.schedule(
+      restartTimer(
           Math.min(remainingMs, PeerRequestConstants.RETRY_DELAY_MS), this::sendAttempt);
       return;
     }
@@ -111,13 +114,20 @@
   }
 
   private void awaitAnswer(long correlation) {
-    if (attemptTimeout != null) {
-      attemptTimeout.cancel();
-    }
     long remainingMs = expiresAt - environment.nowMs();
-    attemptTimeout =
-        environment.schedule(
-            Math.max(0, Math.min(remainingMs, attemptTimeoutMs)), () -> timedOut(correlation));
+    restartTimer(
+        Math.max(0, Math.min(remainingMs, attemptTimeoutMs)), () -> timedOut(correlation));
+  }
+
+  private void restartTimer(long delayMs, Runnable task) {
+    cancelTimer();
+    timer = environment.schedule(delayMs, task);
+  }
+
+  private void cancelTimer() {
+    if (timer != null) {
+      timer.cancel();
+    }
   }
 
   private void timedOut(long correlation) {
@@ -143,7 +153,7 @@
       finish(response);
     } else if (isLatest(correlation)) {
       lastResponse = response;
-      environment.schedule(PeerRequestConstants.RETRY_DELAY_MS, this::sendAttempt);
+      restartTimer(PeerRequestConstants.RETRY_DELAY_MS, this::sendAttempt);
     }
   }
 
@@ -152,6 +162,7 @@
       return;
     }
     finished = true;
+    cancelTimer();
     correlations.forEach(pending::remove);
     boolean saysNothingDone =
         response.status() == 429 || response.status() == 503 || response.status() == 413;
--- a/core-logic/src/main/java/applespindle/corelogic/replication/EntryTransfer.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/EntryTransfer.java
@@ -50,6 +50,9 @@
   private long retryAfterMs = ReplicationConstants.LOG_FETCH_TIMEOUT_MS;
   private boolean ended;
 
+  /** Cancelled at the end, so that it doesn't keep the bytes; null before the start. */
+  private Environment.ScheduledTask retry;
+
   EntryTransfer(
       Environment environment,
       MessageSender sender,
@@ -137,7 +140,7 @@
     requestedAtMs = progressAtMs;
     retryAfterMs = ReplicationConstants.LOG_FETCH_TIMEOUT_MS;
     if (arrivedChunks == arrived.length) {
-      ended = true;
+      end();
       listener.fetched(bytes);
     } else {
       requestNextChunks();
@@ -165,7 +168,7 @@
 
   private void scheduleRetry() {
     long dueInMs = requestedAtMs + retryAfterMs - environment.nowMs();
-    environment.schedule(Math.max(1, dueInMs), this::retryIfDue);
+    retry = environment.schedule(Math.max(1, dueInMs), this::retryIfDue);
   }
 
   private void retryIfDue() {
@@ -187,7 +190,12 @@
   }
 
   private void fail() {
-    ended = true;
+    end();
     listener.failed();
   }
+
+  private void end() {
+    ended = true;
+    retry.cancel();
+  }
 }
--- a/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
+++ b/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
@@ -68,6 +68,11 @@
     now = until;
   }
 
+  /** How many tasks are scheduled and neither run nor cancelled. */
+  public int scheduledTasks() {
+    return queue.size();
+  }
+
   /** Time passes without any task being run, as in a frozen process. */
   public void freeze(long millis) {
     now += millis;
