--- a/adapters/src/main/java/applespindle/adapters/ByteBudget.java
+++ b/adapters/src/main/java/applespindle/adapters/ByteBudget.java
@@ -1,21 +1,20 @@
 package applespindle.adapters;
 
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import io.activej.reactor.nio.NioReactor;
 import java.util.ArrayDeque;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 /**
- * Bounds the sum of bytes that are read from connections and held at a time. Whoever finds no room
- * waits in line and does not read its connection meanwhile, so that TCP holds the sender back. A
- * budget with a limit of time then refuses it, so that it can go elsewhere in time. On one thread,
- * but for the figures.
+ * Reserves the bytes that are read from connections in the account of the process. Whoever finds no
+ * room waits in line and does not read its connection meanwhile, so that TCP holds the sender back.
+ * A budget with a limit of time then refuses it, so that it can go elsewhere in time. On one
+ * thread, but for the figures.
  *
- * <p>Small reservations don't wait behind large ones: a quarter of the limit beyond it is theirs.
- *
- * <p>Invariant: the reserved bytes are within the limit and that quarter, unless a single
- * reservation is larger.
+ * <p>Small reservations don't wait behind large ones: they may have an account of their own.
  */
 public final class ByteBudget {
   /** Largest size, in bytes, of a small reservation. */
@@ -25,34 +24,48 @@
   public final class Reservation {
     private long bytes;
 
-    private Reservation(long bytes) {
+    /** The part of the bytes that is in the account of small reservations. */
+    private long smallBytes;
+
+    private Reservation(long bytes, long smallBytes) {
       this.bytes = bytes;
+      this.smallBytes = smallBytes;
     }
 
     /** Gives the bytes back; no effect after the first call. */
     public void release() {
-      long released = bytes;
-      bytes = 0;
-      if (released > 0) {
-        reservedBytes.addAndGet(-released);
-        serveWaiting();
-      }
+      shrinkTo(0);
     }
 
     /** Gives a part of the bytes back: fewer are needed than was thought. */
     public void shrinkTo(long needed) {
       long released = bytes - needed;
-      if (released > 0) {
-        bytes = needed;
-        reservedBytes.addAndGet(-released);
-        serveWaiting();
+      if (released <= 0) {
+        return;
+      }
+      long releasedSmall = Math.max(0, smallBytes - needed);
+      bytes -= released;
+      smallBytes -= releasedSmall;
+      if (releasedSmall > 0) {
+        small.release(releasedSmall);
+      }
+      if (released > releasedSmall) {
+        account.release(released - releasedSmall);
       }
+      serveWaiting();
     }
 
     /** Adds the bytes of another reservation of the same budget, which is over by that. */
     public void absorb(Reservation other) {
       bytes += other.bytes;
+      smallBytes += other.smallBytes;
       other.bytes = 0;
+      other.smallBytes = 0;
+    }
+
+    /** Whether others wait for room, so that whoever holds this one should be quick. */
+    public boolean isWanted() {
+      return !waiting.isEmpty();
     }
   }
 
@@ -67,101 +80,143 @@
     }
   }
 
-  /** Null if reservations wait as long as they must. */
+  /** Null if what waits is served by releases of the same budget only. */
   private final NioReactor reactor;
 
-  private final long limitBytes;
+  private final HolderAccount account;
+
+  /** The account of small reservations; the same one if they have none of their own. */
+  private final HolderAccount small;
+
+  /** Zero if reservations wait as long as they must. */
   private final long maxWaitMs;
+
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
-  private final AtomicLong reservedBytes = new AtomicLong();
-  private final AtomicLong waits = new AtomicLong();
-  private final AtomicLong refusals = new AtomicLong();
 
-  /** A budget of which nothing is reserved, and whose reservations wait as long as they must. */
-  public static ByteBudget ofPatientSenders(long limitBytes) {
-    return new ByteBudget(null, limitBytes, 0);
+  /** Whether somebody waits; read by the threads that release bytes of other holders. */
+  private volatile boolean hasWaiting;
+
+  private final AtomicBoolean serveScheduled = new AtomicBoolean();
+
+  /** A budget whose reservations wait as long as they must, with a limit of its own. */
+  static ByteBudget ofPatientSenders(long limitBytes) {
+    HolderAccount account = HolderAccount.unshared(MemoryHolder.PEER_INBOUND, limitBytes);
+    return new ByteBudget(null, account, account, 0);
+  }
+
+  /** A budget of an account whose reservations wait as long as they must. */
+  static ByteBudget ofPatientSenders(NioReactor reactor, HolderAccount account) {
+    return new ByteBudget(reactor, account, account, 0);
+  }
+
+  /**
+   * A budget that refuses what finds no room in time.
+   *
+   * @param maxWaitMs how long a reservation may wait before it is refused, in milliseconds
+   */
+  public ByteBudget(NioReactor reactor, HolderAccount account, long maxWaitMs) {
+    this(reactor, account, account, maxWaitMs);
   }
 
   /**
-   * A budget of which nothing is reserved.
+   * A budget that refuses what finds no room in time, and has an account of its own for small
+   * reservations.
    *
    * @param maxWaitMs how long a reservation may wait before it is refused, in milliseconds
    */
-  public ByteBudget(NioReactor reactor, long limitBytes, long maxWaitMs) {
+  public ByteBudget(
+      NioReactor reactor, HolderAccount account, HolderAccount small, long maxWaitMs) {
     this.reactor = reactor;
-    this.limitBytes = limitBytes;
+    this.account = account;
+    this.small = small;
     this.maxWaitMs = maxWaitMs;
+    if (reactor != null) {
+      account.process().onRoom(this::roomFreed);
+    }
+  }
+
+  /** From any thread: others have released bytes. */
+  private void roomFreed() {
+    if (hasWaiting && serveScheduled.compareAndSet(false, true)) {
+      reactor.execute(
+          () -> {
+            serveScheduled.set(false);
+            serveWaiting();
+          });
+    }
   }
 
   /** Reserves bytes; one of the callbacks runs, once, perhaps at once. */
   public void reserve(long bytes, Consumer<Reservation> whenReserved, Runnable whenRefused) {
-    boolean fits =
-        bytes <= SMALL_BYTES ? hasRoomForSmall(bytes) : waiting.isEmpty() && hasRoomFor(bytes);
-    if (fits) {
-      take(bytes, whenReserved);
+    if (bytes <= SMALL_BYTES && small != account && reserveSmall(bytes, whenReserved)) {
+      return;
+    }
+    if (waiting.isEmpty() && account.tryReserve(bytes)) {
+      whenReserved.accept(new Reservation(bytes, 0));
       return;
     }
-    waits.incrementAndGet();
+    account.countWait();
     Waiting entry = new Waiting(bytes, whenReserved);
     waiting.add(entry);
-    if (reactor != null) {
+    hasWaiting = true;
+    if (maxWaitMs > 0) {
       reactor.delayBackground(maxWaitMs, () -> refuse(entry, whenRefused));
     }
+    // Room that was freed before the entry was seen.
+    if (waiting.size() == 1) {
+      serveWaiting();
+    }
+  }
+
+  private boolean reserveSmall(long bytes, Consumer<Reservation> whenReserved) {
+    if (bytes > 0 && !small.tryReserve(bytes)) {
+      return false;
+    }
+    whenReserved.accept(new Reservation(bytes, bytes));
+    return true;
   }
 
   private void refuse(Waiting entry, Runnable whenRefused) {
     if (!entry.over) {
       entry.over = true;
       waiting.remove(entry);
-      refusals.incrementAndGet();
+      hasWaiting = !waiting.isEmpty();
+      account.countRefusal();
       whenRefused.run();
       serveWaiting();
     }
   }
 
-  private boolean hasRoomFor(long bytes) {
-    long reserved = reservedBytes.get();
-    return reserved == 0 || reserved + bytes <= limitBytes;
-  }
-
-  private boolean hasRoomForSmall(long bytes) {
-    return bytes == 0 || reservedBytes.get() + bytes <= limitBytes + limitBytes / 4;
-  }
-
-  private void take(long bytes, Consumer<Reservation> whenReserved) {
-    reservedBytes.addAndGet(bytes);
-    whenReserved.accept(new Reservation(bytes));
-  }
-
   private void serveWaiting() {
-    while (!waiting.isEmpty() && hasRoomFor(waiting.peek().bytes)) {
+    while (!waiting.isEmpty() && account.tryReserve(waiting.peek().bytes)) {
       Waiting next = waiting.remove();
+      hasWaiting = !waiting.isEmpty();
       next.over = true;
-      take(next.bytes, next.whenReserved);
+      next.whenReserved.accept(new Reservation(next.bytes, 0));
     }
   }
 
   /** The bytes reserved at present; from any thread. */
   public long reservedBytes() {
-    return reservedBytes.get();
+    return small == account ? account.heldBytes() : account.heldBytes() + small.heldBytes();
   }
 
   /** The most bytes that are reserved, unless a single reservation is larger. */
   public long limitBytes() {
-    return limitBytes;
+    return account.limitBytes();
   }
 
   /** How many reservations had to wait since the start; from any thread. */
   public long waits() {
-    return waits.get();
+    return account.waits();
   }
 
   /** How many reservations were refused since the start; from any thread. */
   public long refusals() {
-    return refusals.get();
+    return account.refusals();
   }
 
-  /** The figures of the budget as metrics; from any thread. */
+  /** The figures of the budget as metrics, under another name than the holder's own. */
   public Map<String, Long> figures(String name) {
     return Map.of(
         name + ".bytes", reservedBytes(),
--- a/adapters/src/main/java/applespindle/adapters/DiskLog.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskLog.java
@@ -3,6 +3,9 @@
 import applespindle.adapters.LogFolder.DiskFile;
 import applespindle.corelogic.constants.DiskConstants;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -69,29 +72,37 @@
   /** The disk refuses writes at present; they are tried again until it takes them. */
   private volatile boolean refusing;
 
-  private DiskLog(LogFolder folder, LogSizes sizes, Consumer<String> log) {
+  private DiskLog(
+      LogFolder folder, LogSizes sizes, PayloadCache payloadCache, Consumer<String> log) {
     this.folder = folder;
     this.sizes = sizes;
     this.log = log;
     identity = new IdentityFile(folder);
-    payloadCache = new PayloadCache(sizes.residentBytes());
+    this.payloadCache = payloadCache;
   }
 
   /** Opens a folder on a disk of unknown size; see the other method. */
   public static DiskLog open(Path folder, Consumer<LogRecord> replay, Consumer<String> log) {
-    return open(folder, LogSizes.of(0), replay, log);
+    MemoryAccount memory = MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), Runnable::run);
+    return open(folder, LogSizes.of(0), memory.openCache(MemoryHolder.DISK_CACHE), replay, log);
   }
 
   /**
    * Opens a folder that no other process may have open, and replays what it holds.
    *
+   * @param cache the account of the payloads that are kept in the heap
    * @param replay takes the records in the order in which they were written
    * @param log takes messages for the operator
    * @throws DiskException if the folder can't be read or is in use
    */
-  static DiskLog open(Path path, LogSizes sizes, Consumer<LogRecord> replay, Consumer<String> log) {
+  static DiskLog open(
+      Path path,
+      LogSizes sizes,
+      HolderAccount cache,
+      Consumer<LogRecord> replay,
+      Consumer<String> log) {
     try {
-      return open(FileSystemLogFolder.open(path), sizes, replay, log);
+      return open(FileSystemLogFolder.open(path), sizes, cache, replay, log);
     } catch (IOException fault) {
       throw new DiskException(DiskException.Kind.UNREADABLE, path.toString(), fault);
     }
@@ -103,9 +114,14 @@
    * starts as a new, empty one under a new id.
    */
   static DiskLog open(
-      LogFolder folder, LogSizes sizes, Consumer<LogRecord> replay, Consumer<String> log)
+      LogFolder folder,
+      LogSizes sizes,
+      HolderAccount cache,
+      Consumer<LogRecord> replay,
+      Consumer<String> log)
       throws IOException {
-    DiskLog opened = new DiskLog(folder, sizes, log);
+    PayloadCache payloadCache = new PayloadCache(cache);
+    DiskLog opened = new DiskLog(folder, sizes, payloadCache, log);
     List<LogRecord> records = new ArrayList<>();
     try {
       opened.readIdentity();
@@ -118,7 +134,7 @@
       opened.closeFiles();
       opened.setAside();
       records.clear();
-      opened = new DiskLog(folder, sizes, log);
+      opened = new DiskLog(folder, sizes, payloadCache, log);
       opened.readIdentity();
     }
     opened.identity.countStart();
@@ -462,11 +478,6 @@
     return payloadCache.heldBytes();
   }
 
-  /** The most bytes of payloads that are kept in the heap. */
-  long residentPayloadLimitBytes() {
-    return payloadCache.limitBytes();
-  }
-
   private static void syncCheckpoint(DiskFile written, String name) {
     try {
       written.force();
--- a/adapters/src/main/java/applespindle/adapters/DiskWriter.java
+++ b/adapters/src/main/java/applespindle/adapters/DiskWriter.java
@@ -2,6 +2,7 @@
 
 import applespindle.corelogic.constants.DiskConstants;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.HolderAccount;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -40,8 +41,8 @@
       new OneToOneConcurrentArrayQueue<>(DiskConstants.WRITE_RING_SLOTS);
   private final Thread thread = new Thread(this::run, "disk");
 
-  /** Bytes of payloads that wait to be written. */
-  private final AtomicLong queuedBytes = new AtomicLong();
+  /** Of the payloads that wait to be written. */
+  private final HolderAccount queueAccount;
 
   /** Too little room is left for new records; read by all threads. */
   private volatile boolean full;
@@ -56,10 +57,12 @@
 
   DiskWriter(
       DiskLog log,
+      HolderAccount queueAccount,
       LogicThread logicThread,
       Supplier<List<LogRecord>> snapshot,
       Consumer<String> messages) {
     this.log = log;
+    this.queueAccount = queueAccount;
     this.logicThread = logicThread;
     this.snapshot = snapshot;
     this.messages = messages;
@@ -76,7 +79,7 @@
    * queue is full.
    */
   void write(List<LogRecord> records, Runnable whenSynced) {
-    queuedBytes.addAndGet(payloadBytes(records));
+    queueAccount.hold(payloadBytes(records));
     offer(new Job(records, whenSynced, false));
   }
 
@@ -91,26 +94,11 @@
   /** Whether new records are welcome: the queue has room, and so has the disk. */
   boolean acceptsWrites() {
     return queue.size() < DiskConstants.WRITE_RING_SLOTS / 2
-        && queuedBytes.get() < DiskConstants.MAX_QUEUED_WRITE_BYTES
+        && queueAccount.heldBytes() < DiskConstants.MAX_QUEUED_WRITE_BYTES
         && !full
         && !log.refusing();
   }
 
-  /** Bytes of payloads that wait to be written; from any thread. */
-  long queuedBytes() {
-    return queuedBytes.get();
-  }
-
-  /** Bytes of payloads that are on the disk and in the heap as well; from any thread. */
-  long residentPayloadBytes() {
-    return log.residentPayloadBytes();
-  }
-
-  /** The most bytes of payloads that are kept in the heap. */
-  long residentPayloadLimitBytes() {
-    return log.residentPayloadLimitBytes();
-  }
-
   /** So little is left on the disk that nothing new is taken; what is there stays. */
   boolean full() {
     return full;
@@ -194,7 +182,7 @@
     List<LogRecord> records = new ArrayList<>();
     group.forEach(job -> records.addAll(job.records()));
     log.append(records);
-    queuedBytes.addAndGet(-payloadBytes(records));
+    queueAccount.release(payloadBytes(records));
     List<Runnable> callbacks = group.stream().map(Job::whenSynced).toList();
     group.clear();
     logicThread.reportSynced(callbacks);
--- a/adapters/src/main/java/applespindle/adapters/HttpInterface.java
+++ b/adapters/src/main/java/applespindle/adapters/HttpInterface.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.constants.LifecycleConstants;
 import applespindle.corelogic.constants.SizeLimits;
+import applespindle.corelogic.memory.MemoryHolder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.bytebuf.ByteBuf;
@@ -111,7 +112,8 @@
     bodies =
         new ByteBudget(
             process.httpLoop(),
-            Runtime.getRuntime().maxMemory() / ClientConnectionConstants.INTERFACE_BODIES_ONE_IN,
+            process.memory().open(MemoryHolder.INTERFACE_BODIES),
+            process.memory().open(MemoryHolder.SMALL_BODIES),
             ClientConnectionConstants.MAX_BODY_WAIT_MS);
     if (withStatus) {
       addStatus();
--- a/adapters/src/main/java/applespindle/adapters/LogSizes.java
+++ b/adapters/src/main/java/applespindle/adapters/LogSizes.java
@@ -7,17 +7,8 @@
  *
  * @param segmentBytes when a segment is full
  * @param keptBytes how much of the disk is kept free
- * @param residentBytes how many bytes of payloads are kept in the heap
  */
-record LogSizes(long segmentBytes, long keptBytes, long residentBytes) {
-  /** The sizes of a log with the usual share of the heap. */
-  LogSizes(long segmentBytes, long keptBytes) {
-    this(
-        segmentBytes,
-        keptBytes,
-        Runtime.getRuntime().maxMemory() / DiskConstants.RESIDENT_PAYLOADS_ONE_IN);
-  }
-
+record LogSizes(long segmentBytes, long keptBytes) {
   /**
    * The sizes for a disk.
    *
--- a/adapters/src/main/java/applespindle/adapters/NodeProcess.java
+++ b/adapters/src/main/java/applespindle/adapters/NodeProcess.java
@@ -19,6 +19,8 @@
 import applespindle.corelogic.environment.PlatformCall;
 import applespindle.corelogic.environment.PlatformCallResult;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
 import applespindle.corelogic.protocol.Envelope;
@@ -32,13 +34,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -96,6 +96,8 @@
   private final AtomicInteger pendingTasks = new AtomicInteger();
 
   private final RandomGenerator random;
+  private final MemoryAccount memory =
+      MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), this::executeOnLogic);
   private final PeerTransport transport;
   private final WorkerClient workerClient;
 
@@ -107,7 +109,6 @@
 
   private final ProcessorUsage processorUsage;
   private final Node node;
-  private final List<Supplier<Map<String, Long>>> heldBytesOfInterfaces = new ArrayList<>();
   private final CountDownLatch nodeStopped = new CountDownLatch(1);
   private volatile boolean stopping;
 
@@ -167,7 +168,8 @@
     diskWriter = diskLog == null ? null : diskWriter(diskLog);
     processorUsage = new ProcessorUsage(eventLoopThreads(), diskWriter);
     transport =
-        new PeerTransport(peerThread.loop(), this::received, message -> log("peer", message));
+        new PeerTransport(
+            peerThread.loop(), memory, this::received, message -> log("peer", message));
     workerClient = new WorkerClient(httpThread.loop());
     workerHttpClient =
         workerIntegration.format() == null
@@ -182,6 +184,7 @@
     return DiskLog.open(
         Path.of(startup.data()),
         LogSizes.of(settings.diskBytes()),
+        memory.openCache(MemoryHolder.DISK_CACHE),
         replay,
         message -> log(DISK_LOG_PREFIX, message));
   }
@@ -200,7 +203,11 @@
           }
         };
     return new DiskWriter(
-        diskLog, logic, () -> node().checkpoint(), message -> log(DISK_LOG_PREFIX, message));
+        diskLog,
+        memory.open(MemoryHolder.DISK_QUEUE),
+        logic,
+        () -> node().checkpoint(),
+        message -> log(DISK_LOG_PREFIX, message));
   }
 
   /** A node without a disk is a new one at each start. */
@@ -377,26 +384,11 @@
   }
 
   /**
-   * The bytes that this process holds at present beside its index, and the limits, by the name of a
-   * metric.
+   * The bytes that the work of this process holds at present and the limits, of the whole process
+   * and of each holder, by the name of a metric.
    */
   Map<String, Long> heldBytes() {
-    Map<String, Long> held = new TreeMap<>(transport.inboundBudget().figures("peer.inbound"));
-    held.put("peer.queued.bytes", transport.queuedFrames().get());
-    held.put("peer.queued.limit.bytes", transport.queuedFrames().limit());
-    if (diskWriter != null) {
-      held.put("disk.queued.bytes", diskWriter.queuedBytes());
-      held.put("disk.queued.limit.bytes", DiskConstants.MAX_QUEUED_WRITE_BYTES);
-      held.put("disk.resident.bytes", diskWriter.residentPayloadBytes());
-      held.put("disk.resident.limit.bytes", diskWriter.residentPayloadLimitBytes());
-    }
-    heldBytesOfInterfaces.forEach(each -> held.putAll(each.get()));
-    return held;
-  }
-
-  /** Adds the bytes that an interface to clients holds to the metrics; before the start. */
-  public void addHeldBytes(Supplier<Map<String, Long>> heldBytes) {
-    heldBytesOfInterfaces.add(heldBytes);
+    return memory.figures();
   }
 
   /** By reason, the frames for peers that this process has dropped. */
@@ -441,8 +433,8 @@
   }
 
   @Override
-  public long heapBytes() {
-    return Runtime.getRuntime().maxMemory();
+  public MemoryAccount memory() {
+    return memory;
   }
 
   @Override
--- a/adapters/src/main/java/applespindle/adapters/PeerChannel.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerChannel.java
@@ -67,13 +67,13 @@
 
   /** Queues a frame; drops it if too many bytes wait already or no connection can be made. */
   void add(PeerFrame frame) {
-    if (!hasRoomFor(frame.bytes().length)) {
+    if (!reserveRoom(frame.bytes().length)) {
       droppedFrames.add(DroppedFrames.Reason.QUEUE_FULL, 1);
       return;
     }
     checkSilence();
     queue.add(frame);
-    countQueued(frame.bytes().length);
+    queuedBytes += frame.bytes().length;
     if (socket == null) {
       connect();
     } else if (!writing) {
@@ -81,16 +81,16 @@
     }
   }
 
-  private boolean hasRoomFor(int bytes) {
+  private boolean reserveRoom(int bytes) {
     boolean fitsHere =
         queue.isEmpty() || queuedBytes + bytes <= PeerConnectionConstants.MAX_QUEUED_BYTES;
-    return fitsHere && (queuedOfAllPeers == null || queuedOfAllPeers.hasRoomFor(bytes));
+    return fitsHere && (queuedOfAllPeers == null || queuedOfAllPeers.tryAdd(bytes));
   }
 
-  private void countQueued(int bytes) {
-    queuedBytes += bytes;
+  private void countRemoved(int bytes) {
+    queuedBytes -= bytes;
     if (queuedOfAllPeers != null) {
-      queuedOfAllPeers.add(bytes);
+      queuedOfAllPeers.remove(bytes);
     }
   }
 
@@ -220,7 +220,7 @@
         break;
       }
       queue.poll();
-      countQueued(-frame.bytes().length);
+      countRemoved(frame.bytes().length);
       firstFrameWritten = 0;
     }
     return bytes;
@@ -229,7 +229,7 @@
   private void clearQueue(DroppedFrames.Reason reason) {
     droppedFrames.add(reason, queue.size());
     queue.clear();
-    countQueued(-queuedBytes);
+    countRemoved(queuedBytes);
     firstFrameWritten = 0;
   }
 
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -2,6 +2,8 @@
 
 import applespindle.corelogic.constants.DiskConstants;
 import applespindle.corelogic.constants.PeerConnectionConstants;
+import applespindle.corelogic.memory.MemoryAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.MessageNames;
 import io.activej.bytebuf.ByteBuf;
@@ -146,9 +148,7 @@
 
   private final Eventloop eventloop;
   private final Receiver receiver;
-  private final ByteBudget inboundBudget =
-      ByteBudget.ofPatientSenders(
-          Runtime.getRuntime().maxMemory() / PeerConnectionConstants.INBOUND_FRAMES_ONE_IN);
+  private final ByteBudget inboundBudget;
   private final Consumer<String> log;
   private final PeerCodec codec = new PeerCodec();
   private final FrameDeflation deflation = new FrameDeflation();
@@ -160,9 +160,7 @@
   private final DroppedFrames droppedFrames = new DroppedFrames();
 
   /** Of large frames only: heartbeats and votes must not be held up by large records. */
-  private final QueuedBytes queuedFrames =
-      new QueuedBytes(
-          Runtime.getRuntime().maxMemory() / PeerConnectionConstants.OUTBOUND_FRAMES_ONE_IN);
+  private final QueuedBytes queuedFrames;
 
   /** By address. */
   private final Map<String, PeerChannels> peers = new HashMap<>();
@@ -175,9 +173,14 @@
   private final AtomicInteger pendingFrames = new AtomicInteger();
 
   /** A transport whose receiver has dealt with a message when it returns. */
-  PeerTransport(Eventloop eventloop, Consumer<Envelope> receiver, Consumer<String> log) {
+  PeerTransport(
+      Eventloop eventloop,
+      MemoryAccount memory,
+      Consumer<Envelope> receiver,
+      Consumer<String> log) {
     this(
         eventloop,
+        memory,
         (envelope, whenHandled) -> {
           receiver.accept(envelope);
           whenHandled.run();
@@ -185,8 +188,13 @@
         log);
   }
 
-  PeerTransport(Eventloop eventloop, Receiver receiver, Consumer<String> log) {
+  /** A transport whose large frames are counted in the account of the process. */
+  PeerTransport(
+      Eventloop eventloop, MemoryAccount memory, Receiver receiver, Consumer<String> log) {
     this.eventloop = eventloop;
+    this.inboundBudget =
+        ByteBudget.ofPatientSenders(eventloop, memory.open(MemoryHolder.PEER_INBOUND));
+    this.queuedFrames = new QueuedBytes(memory.open(MemoryHolder.PEER_OUTBOUND));
     this.receiver = receiver;
     this.log = log;
   }
--- a/adapters/src/main/java/applespindle/adapters/QueuedBytes.java
+++ b/adapters/src/main/java/applespindle/adapters/QueuedBytes.java
@@ -1,38 +1,36 @@
 package applespindle.adapters;
 
-import java.util.concurrent.atomic.AtomicLong;
+import applespindle.corelogic.memory.HolderAccount;
 
 /**
- * The bytes that are queued for all receivers together, and their limit: whoever queues them asks
- * whether there is room and counts them. Written on one thread, read on any.
+ * The bytes that are queued for all receivers together, in the account of the process: whoever
+ * queues them asks whether there is room and counts them. Written on one thread, read on any.
  */
 public final class QueuedBytes {
-  private final long limit;
-  private final AtomicLong bytes = new AtomicLong();
+  private final HolderAccount account;
 
-  /** Nothing is queued yet. */
-  public QueuedBytes(long limit) {
-    this.limit = limit;
+  /** Counts in the account of a holder. */
+  public QueuedBytes(HolderAccount account) {
+    this.account = account;
   }
 
-  /** Whether so many bytes more may be queued now; the only ones always may. */
-  public boolean hasRoomFor(int more) {
-    long queued = bytes.get();
-    return queued == 0 || queued + more <= limit;
+  /** Reserves so many bytes more, which are queued then, if there is room; the only ones always. */
+  public boolean tryAdd(int more) {
+    return account.tryReserve(more);
   }
 
-  /** Counts bytes that were queued, or with a negative number that are queued no more. */
-  public void add(long more) {
-    bytes.addAndGet(more);
+  /** Counts bytes that are queued no more. */
+  public void remove(long bytes) {
+    account.release(bytes);
   }
 
   /** The bytes queued at present. */
   public long get() {
-    return bytes.get();
+    return account.heldBytes();
   }
 
   /** The most bytes that are queued, unless a single receiver has more. */
   public long limit() {
-    return limit;
+    return account.limitBytes();
   }
 }
--- a/adapters/src/test/java/applespindle/adapters/ByteBudgetTest.java
+++ b/adapters/src/test/java/applespindle/adapters/ByteBudgetTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,7 +17,7 @@
 final class ByteBudgetTest {
   private static final long MEGABYTE = 1_000_000;
 
-  private final ByteBudget budget = ByteBudget.ofPatientSenders(10 * MEGABYTE);
+  private ByteBudget budget = ByteBudget.ofPatientSenders(10 * MEGABYTE);
   private final Map<String, ByteBudget.Reservation> reserved = new LinkedHashMap<>();
 
   private void reserve(String name, long bytes) {
@@ -59,9 +61,15 @@
     assertThat(budget.reservedBytes()).isEqualTo(0);
   }
 
-  /** The small ones have a quarter of the limit of their own, and no more. */
+  /** The small ones have an account of their own, and no more. */
   @Test
   void smallReservationsDoNotWaitBehindLargeOnes() {
+    budget =
+        new ByteBudget(
+            null,
+            HolderAccount.unshared(MemoryHolder.LARGE_BODIES, 10 * MEGABYTE),
+            HolderAccount.unshared(MemoryHolder.SMALL_BODIES, 10 * MEGABYTE / 4),
+            0);
     reserve("large", 10 * MEGABYTE);
     reserve("waiting", MEGABYTE);
     int small = 0;
--- a/adapters/src/test/java/applespindle/adapters/DiskCheckpointTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskCheckpointTest.java
@@ -32,7 +32,13 @@
     final List<Long> sequences = new ArrayList<>();
 
     Opened(VolatileLogFolder folder) throws IOException {
-      log = DiskLog.open(folder, SIZES, record -> sequences.add(record.sequence()), sentence -> {});
+      log =
+          DiskLog.open(
+              folder,
+              SIZES,
+              DiskMemory.ample(),
+              record -> sequences.add(record.sequence()),
+              sentence -> {});
     }
 
     long last() {
--- a/adapters/src/test/java/applespindle/adapters/DiskLossSweepTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskLossSweepTest.java
@@ -84,7 +84,7 @@
     }
 
     DiskLog open(Consumer<LogRecord> replay) throws IOException {
-      return DiskLog.open(folder, SIZES, replay, message -> {});
+      return DiskLog.open(folder, SIZES, DiskMemory.ample(), replay, message -> {});
     }
   }
 
--- a/adapters/src/test/java/applespindle/adapters/DiskMemoryTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskMemoryTest.java
@@ -23,7 +23,7 @@
   private static final int RECORDS = 200;
   private static final int EVENT_BYTES = 100_000;
   private static final long RESIDENT_BYTES = 1_000_000;
-  private static final LogSizes SIZES = new LogSizes(4_000_000, 0, RESIDENT_BYTES);
+  private static final LogSizes SIZES = new LogSizes(4_000_000, 0);
   private static final int MAX_COLLECTIONS = 50;
 
   @TempDir Path folder;
@@ -42,7 +42,8 @@
 
   private DiskLog open() {
     state.clear();
-    return DiskLog.open(folder, SIZES, state::add, sentence -> {});
+    return DiskLog.open(
+        folder, SIZES, DiskMemory.ofBytes(RESIDENT_BYTES), state::add, sentence -> {});
   }
 
   private void appendAll(DiskLog log) {
--- a/adapters/src/test/java/applespindle/adapters/DiskPowerLossTest.java
+++ b/adapters/src/test/java/applespindle/adapters/DiskPowerLossTest.java
@@ -30,7 +30,12 @@
       throws IOException {
     List<Long> sequences = new ArrayList<>();
     opened.add(
-        DiskLog.open(folder, SIZES, record -> sequences.add(record.sequence()), message -> {}));
+        DiskLog.open(
+            folder,
+            SIZES,
+            DiskMemory.ample(),
+            record -> sequences.add(record.sequence()),
+            message -> {}));
     return sequences;
   }
 
--- a/adapters/src/test/java/applespindle/adapters/FrameFixturesTest.java
+++ b/adapters/src/test/java/applespindle/adapters/FrameFixturesTest.java
@@ -5,6 +5,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
 import applespindle.corelogic.constants.PeerConnectionConstants;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.protocol.Message.QuorumDiscoveryResponse;
@@ -77,7 +78,9 @@
     BlockingQueue<Envelope> received = new LinkedBlockingQueue<>();
     Eventloop loop = Eventloop.create();
     loop.keepAlive(true);
-    new PeerTransport(loop, received::add, message -> {}).listen(address);
+    new PeerTransport(
+            loop, MemoryAccount.ofHeap(128 << 20, Runnable::run), received::add, message -> {})
+        .listen(address);
     Thread thread = new Thread(loop, "peer");
     thread.setDaemon(true);
     thread.start();
--- a/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
+++ b/adapters/src/test/java/applespindle/adapters/PeerTransportTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import applespindle.corelogic.constants.PeerConnectionConstants;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.protocol.Envelope;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.protocol.Message.AppliedPositionsRequest;
@@ -41,9 +42,12 @@
     PeerTransport receiver =
         new PeerTransport(
             loop,
+            MemoryAccount.ofHeap(128 << 20, Runnable::run),
             envelope -> received.add(((AppliedPositionsRequest) envelope.message()).sentAt()),
             message -> {});
-    PeerTransport sender = new PeerTransport(loop, envelope -> {}, message -> {});
+    PeerTransport sender =
+        new PeerTransport(
+            loop, MemoryAccount.ofHeap(128 << 20, Runnable::run), envelope -> {}, message -> {});
     receiver.listen(address);
     for (long number = 0; number < MESSAGES; number++) {
       sender.send(
@@ -78,9 +82,12 @@
     PeerTransport receiver =
         new PeerTransport(
             loop,
+            MemoryAccount.ofHeap(128 << 20, Runnable::run),
             envelope -> received.add(((QuorumHeartbeat) envelope.message()).body()),
             message -> {});
-    PeerTransport sender = new PeerTransport(loop, envelope -> {}, message -> {});
+    PeerTransport sender =
+        new PeerTransport(
+            loop, MemoryAccount.ofHeap(128 << 20, Runnable::run), envelope -> {}, message -> {});
     receiver.listen(address);
     Thread thread = new Thread(loop, "peer");
     thread.start();
@@ -111,7 +118,9 @@
   private static final class Side implements AutoCloseable {
     final AtomicLong now = new AtomicLong(1_000);
     final Eventloop loop = Eventloop.builder().withTimeProvider(now::get).build();
-    final PeerTransport transport = new PeerTransport(loop, envelope -> {}, message -> {});
+    final PeerTransport transport =
+        new PeerTransport(
+            loop, MemoryAccount.ofHeap(128 << 20, Runnable::run), envelope -> {}, message -> {});
     final Thread thread = new Thread(loop, "peer");
     final ServerSocket other = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     final String address = "127.0.0.1:" + other.getLocalPort();
--- a/adapters/src/test/java/applespindle/adapters/StoredFleet.java
+++ b/adapters/src/test/java/applespindle/adapters/StoredFleet.java
@@ -15,6 +15,7 @@
 import applespindle.corelogic.environment.NodeSettings;
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
 import applespindle.corelogic.protocol.Envelope;
@@ -157,6 +158,8 @@
 
   /** One node with what surrounds it. */
   private final class Member implements Environment {
+    private final MemoryAccount memory =
+        MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), Runnable::run);
     private final PeerCodec codec = new PeerCodec();
     private final RandomGenerator random;
     private final DiskLog log;
@@ -251,8 +254,8 @@
     }
 
     @Override
-    public long heapBytes() {
-      return Runtime.getRuntime().maxMemory();
+    public MemoryAccount memory() {
+      return memory;
     }
 
     @Override
--- a/core-logic/src/main/java/applespindle/corelogic/batch/AssignedRange.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/AssignedRange.java
@@ -142,7 +142,7 @@
       bytes += item.body().length;
     }
     for (ItemRun run : running.values()) {
-      bytes += run.item.body().length;
+      bytes += run.heldBytes();
     }
     return bytes;
   }
@@ -176,7 +176,7 @@
       partialStreams.put(run.item.index(), run.stream);
     }
     if (!dropped && !returning) {
-      unsent.addFirst(run.item);
+      unsent.addFirst(run.itemToRepeat());
     }
   }
 
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchDispatcher.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchDispatcher.java
@@ -105,6 +105,7 @@
       NodeAddress leader = new NodeAddress(fromId, fromAddress);
       ranges.add(new AssignedRange(assignment, leader, environment.nowMs()));
     }
+    rangeRequester.recount();
     dispatch();
   }
 
@@ -146,6 +147,7 @@
    */
   public void tick() {
     workerDispatcher.failLostRuns();
+    rangeRequester.recount();
     ranges.all().stream()
         .filter(range -> registry.get(range.worker) == null)
         .forEach(reporter::returnRange);
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchLeader.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchLeader.java
@@ -137,19 +137,19 @@
     }
     acceptancePending = true;
     StageTimer stages = new StageTimer(environment);
+    int items = accepted.items().size();
     log.append(
         BatchEvent.accepted(accepted),
         () -> {
           acceptancePending = false;
           stages.mark("commit");
-          logAcceptance(accepted, stages);
+          logAcceptance(items, stages);
         },
         respondWithSummary(201, then));
-    ranges.appendOrder(accepted.items().size());
+    ranges.appendOrder(items);
   }
 
-  private void logAcceptance(Accepted accepted, StageTimer stages) {
-    int items = accepted.items().size();
+  private void logAcceptance(int items, StageTimer stages) {
     edge.log(
         "Batch accepted: "
             + batch
--- a/core-logic/src/main/java/applespindle/corelogic/batch/ItemRun.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/ItemRun.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic.batch;
 
+import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.environment.Environment.WorkerCallHandle;
 import applespindle.corelogic.live.StreamText;
@@ -11,8 +12,15 @@
  * the worker still has to read. A run ends once, see {@link RunCompletion}.
  */
 final class ItemRun {
+  private static final byte[] NO_BYTES = {};
+
   final AssignedRange range;
-  final AssignedItem item;
+
+  /** Without its body once {@link #assignment} is set. */
+  AssignedItem item;
+
+  /** What the body of a proxied item says, with its request; null for a prompt. */
+  private ProxiedItemAssignment assignment;
 
   /** Unique among the runs of this node's process; results carry it. */
   final String id;
@@ -52,6 +60,22 @@
     this.lastActivityAt = now;
   }
 
+  /** The item is run as its body says, which isn't needed in its encoded form meanwhile. */
+  void begin(ProxiedItemAssignment decoded) {
+    assignment = decoded;
+    item = new AssignedItem(item.index(), NO_BYTES);
+  }
+
+  /** The item as it was assigned, for another run. */
+  AssignedItem itemToRepeat() {
+    return assignment == null ? item : new AssignedItem(item.index(), Json.bytes(assignment));
+  }
+
+  /** The size of the item as it is held while it runs, in bytes. */
+  long heldBytes() {
+    return assignment == null ? item.body().length : assignment.item().body().length;
+  }
+
   boolean isProxied() {
     return stream != null;
   }
--- a/core-logic/src/main/java/applespindle/corelogic/batch/ItemRunner.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/ItemRunner.java
@@ -123,6 +123,7 @@
   }
 
   private void sendProxied(ItemRun run, ProxiedItemAssignment assignment, Route route) {
+    run.begin(assignment);
     run.stream = earlierStream(run, assignment);
     run.route = route;
     long timeoutMs =
--- a/core-logic/src/main/java/applespindle/corelogic/batch/RangeRequester.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/RangeRequester.java
@@ -2,8 +2,9 @@
 
 import applespindle.corelogic.configuration.RoutingConfiguration.Route;
 import applespindle.corelogic.constants.BatchConstants;
-import applespindle.corelogic.constants.BatchMemoryConstants;
 import applespindle.corelogic.environment.Environment;
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.metadata.WorkerRegistration;
 import applespindle.corelogic.protocol.Message.BatchOffer;
@@ -56,7 +57,7 @@
   private final Map<String, RangeRoom> roomByBatch = new HashMap<>();
 
   private final LongSupplier heldItemBytes;
-  private final long maxItemBytes;
+  private final HolderAccount account;
 
   /**
    * @param heldItemBytes the size of the items that are held now, in bytes
@@ -66,7 +67,7 @@
     this.environment = environment;
     this.edge = edge;
     this.heldItemBytes = heldItemBytes;
-    this.maxItemBytes = environment.heapBytes() / BatchMemoryConstants.ASSIGNED_ITEMS_ONE_IN;
+    this.account = environment.memory().open(MemoryHolder.ASSIGNED_ITEMS);
   }
 
   void recordOffer(BatchOffer offer, NodeAddress leader) {
@@ -119,7 +120,7 @@
       }
       long rangeBytes = rangeBytes(batch);
       String name = requestKey(batch, workerId);
-      if (!pendingRequests.containsKey(name) && hasRoomFor(rangeBytes)) {
+      if (!pendingRequests.containsKey(name) && reserve(rangeBytes)) {
         pendingRequests.put(name, new PendingRequest(now, rangeBytes));
         NodeAddress leader = offers.get(batch).leader;
         edge.send(leader.address(), leader.id(), new RangeRequest(batch, workerId, now));
@@ -133,12 +134,22 @@
     return room == null ? 0 : room.bytes();
   }
 
-  private boolean hasRoomFor(long rangeBytes) {
-    long taken = heldItemBytes.getAsLong();
+  /** Counts what is held or requested anew, as runs have begun or ended since. */
+  void recount() {
+    long bytes = heldItemBytes.getAsLong();
     for (PendingRequest request : pendingRequests.values()) {
-      taken += request.reservedBytes();
+      bytes += request.reservedBytes();
     }
-    return taken == 0 || taken + rangeBytes <= maxItemBytes;
+    account.holdExactly(bytes);
+  }
+
+  private boolean reserve(long rangeBytes) {
+    recount();
+    if (account.heldBytes() == 0) {
+      account.hold(rangeBytes);
+      return true;
+    }
+    return account.tryReserveEvicting(rangeBytes);
   }
 
   private List<String> batchesByDeadline(WorkerRegistration worker, DeadlineOrder order) {
--- a/core-logic/src/main/java/applespindle/corelogic/batch/SubmissionsInProgress.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/SubmissionsInProgress.java
@@ -1,5 +1,6 @@
 package applespindle.corelogic.batch;
 
+import applespindle.corelogic.memory.HolderAccount;
 import applespindle.corelogic.protocol.Message.PeerRequest;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -15,20 +16,20 @@
 public final class SubmissionsInProgress {
   private record SubmissionInProgress(PeerRequest request, List<PeerRequest> joined) {}
 
+  /** A body and the items that are read of it, which are a little smaller, are held at a time. */
+  private static final long COPIES = 2;
+
   private final Map<String, SubmissionInProgress> inProgressByKey = new HashMap<>();
-  private final long maxBytes;
-  private long bytes;
+  private final HolderAccount account;
 
-  /**
-   * @param maxBytes the most bytes of all bodies in progress, unless a single one is larger
-   */
-  public SubmissionsInProgress(long maxBytes) {
-    this.maxBytes = maxBytes;
+  /** The submissions in progress are counted in this account. */
+  public SubmissionsInProgress(HolderAccount account) {
+    this.account = account;
   }
 
-  /** Whether there is room for the body of a further submission. */
-  public boolean hasRoomFor(PeerRequest request) {
-    return bytes == 0 || bytes + request.body().length <= maxBytes;
+  /** What a submission takes from its arrival to its response: its body, and what is read of it. */
+  private static long bytesOf(PeerRequest request) {
+    return request.body().length * COPIES;
   }
 
   /**
@@ -44,13 +45,20 @@
     return true;
   }
 
-  /** Starts a request. One with another body under a key in progress is not kept. */
-  public void begin(PeerRequest request) {
-    if (inProgressByKey.putIfAbsent(
-            request.key(), new SubmissionInProgress(request, new ArrayList<>()))
-        == null) {
-      bytes += request.body().length;
+  /**
+   * Starts a request, if there is room for it. One with another body under a key in progress is not
+   * kept.
+   */
+  public boolean begin(PeerRequest request) {
+    if (inProgressByKey.containsKey(request.key())) {
+      return account.isWithinLimit(bytesOf(request));
+    }
+    if (!account.tryReserveEvicting(bytesOf(request))) {
+      account.countRefusal();
+      return false;
     }
+    inProgressByKey.put(request.key(), new SubmissionInProgress(request, new ArrayList<>()));
+    return true;
   }
 
   /** The request and those that joined it, while it is in progress; empty otherwise. */
@@ -71,12 +79,12 @@
       return List.of();
     }
     inProgressByKey.remove(request.key());
-    bytes -= request.body().length;
+    account.release(bytesOf(request));
     return inProgress.joined;
   }
 
-  /** Size of all bodies in progress. */
+  /** What all submissions in progress take. */
   public long bytes() {
-    return bytes;
+    return account.heldBytes();
   }
 }
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
@@ -20,15 +20,6 @@
    */
   public static final long FINAL_READ_DELAY_MS = 50;
 
-  /**
-   * One in this many parts of the heap holds bodies of clients' requests, from the first byte until
-   * the request has ended.
-   */
-  public static final long BODIES_ONE_IN = 4;
-
-  /** The same for the requests of one interface other than that of proxied requests. */
-  public static final long INTERFACE_BODIES_ONE_IN = 8;
-
   /**
    * How long a request waits for room for its body before it is refused: long enough for the
    * requests before it to end, short enough to be served by another edge.
@@ -43,27 +34,12 @@
    */
   public static final int FIRST_BODY_BYTES = 64 << 10;
 
-  /**
-   * One in this many parts of the heap holds submissions of batches, from their dispatch to the
-   * response: each takes a few times its size while it is read, sent on and replicated.
-   */
-  public static final long SUBMISSIONS_ONE_IN = 16;
-
   /** How long a submission waits for those before it. */
   public static final long MAX_SUBMISSION_WAIT_MS = 1_500;
 
-  /**
-   * One in this many parts of the heap holds bodies of items that clients have asked for, from the
-   * request to the leader until the client has read the answer.
-   */
-  public static final long ITEM_BODIES_ONE_IN = 8;
-
   /** Size, in bytes, of the parts in which a body of an item is written to its client. */
   public static final int ITEM_BODY_PART_BYTES = 128 << 10;
 
-  /** One in this many parts of the heap holds what clients have not read yet of streams to them. */
-  public static final long RESPONSES_ONE_IN = 6;
-
   /** Largest part of a request's body, in bytes, that is written to a worker at once. */
   public static final int MAX_BODY_WRITE_BYTES = 128 << 10;
 
--- a/core-logic/src/main/java/applespindle/corelogic/constants/DiskConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/DiskConstants.java
@@ -37,12 +37,6 @@
    */
   public static final int WRITE_BUFFER_BYTES = 64 << 10;
 
-  /**
-   * One in this many parts of the heap holds payloads of the log; the others are read from the
-   * disk. The rest of the heap is for the index, messages and records on their way.
-   */
-  public static final long RESIDENT_PAYLOADS_ONE_IN = 5;
-
   /** Delay before a failed write is retried: the failure of a disk usually lasts for seconds. */
   public static final long STARTUP_RETRY_DELAY_MS = 100;
 
--- a/core-logic/src/main/java/applespindle/corelogic/constants/PeerConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/PeerConnectionConstants.java
@@ -47,17 +47,6 @@
    */
   public static final int MAX_QUEUED_BYTES = 12 << 20;
 
-  /**
-   * One in this many parts of the heap holds large frames that are queued for all peers together.
-   */
-  public static final long OUTBOUND_FRAMES_ONE_IN = 6;
-
-  /**
-   * One in this many parts of the heap holds large frames from peers that are being read or wait to
-   * be handled. Beyond it connections are not read.
-   */
-  public static final long INBOUND_FRAMES_ONE_IN = 8;
-
   /**
    * Idle time, in seconds, after which the kernel probes a connection. With the interval and number
    * of probes, the connections of a lost peer are closed after four seconds.
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchLeaders.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchLeaders.java
@@ -42,7 +42,6 @@
   private final BatchLeader.Context context;
   private final Elections elections;
   private final LeaderPayloads payloads;
-  private final long maxUnappliedBytes;
   private final BoundedTasks takeovers =
       new BoundedTasks(BatchMemoryConstants.MAX_CONCURRENT_TAKEOVERS);
 
@@ -56,11 +55,7 @@
     this.environment = environment;
     this.edge = edge;
     this.context = context;
-    long heapBytes = environment.heapBytes();
-    this.maxUnappliedBytes = heapBytes / BatchMemoryConstants.UNCOMMITTED_EVENTS_ONE_IN;
-    this.payloads =
-        new LeaderPayloads(
-            environment, edge::send, heapBytes / BatchMemoryConstants.LED_EVENTS_ONE_IN);
+    this.payloads = new LeaderPayloads(environment, edge::send);
     this.elections =
         new Elections(
             environment,
@@ -73,7 +68,7 @@
 
   /** Whether events may be appended for a further batch: those on their way are bounded. */
   boolean hasRoomForSubmissions() {
-    return payloads.unappliedBytes() < maxUnappliedBytes;
+    return payloads.hasRoomForEvents();
   }
 
   /** Takes a part of an entry that a replica sent. */
@@ -308,7 +303,7 @@
         .put("ledEventBytes", payloads.residentBytes())
         .put("ledEventBytesMost", payloads.maxBytes())
         .put("unappliedEventBytes", payloads.unappliedBytes())
-        .put("unappliedEventBytesMost", maxUnappliedBytes)
+        .put("unappliedEventBytesMost", payloads.maxUnappliedBytes())
         .put("takeoversWaiting", takeoverKeys.size())
         .put("sectionsRead", payloads.fetches())
         .put("sectionBytesRead", payloads.fetchedBytes())
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequestHandler.java
@@ -13,11 +13,11 @@
 import applespindle.corelogic.batch.SubmissionsInProgress;
 import applespindle.corelogic.common.Json;
 import applespindle.corelogic.configuration.RoutingConfiguration;
-import applespindle.corelogic.constants.BatchMemoryConstants;
 import applespindle.corelogic.constants.PeerRequestConstants;
 import applespindle.corelogic.edge.ReplicaRequests.RecordLookup;
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.environment.StageTimer;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.metadata.MetadataKeys;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.protocol.Message.PeerRequest;
@@ -54,8 +54,7 @@
     this.replicaRequests = replicaRequests;
     this.submissionReader = submissionReader;
     this.submissions =
-        new SubmissionsInProgress(
-            environment.heapBytes() / BatchMemoryConstants.SUBMISSIONS_ONE_IN);
+        new SubmissionsInProgress(environment.memory().open(MemoryHolder.SUBMISSIONS));
   }
 
   void handle(PeerRequest request) {
@@ -109,12 +108,11 @@
   }
 
   private void readSubmission(PeerRequest request, ReadContinuation continuation) {
-    if (!submissions.hasRoomFor(request) || !leaders.hasRoomForSubmissions()) {
+    if (!leaders.hasRoomForSubmissions() || !submissions.begin(request)) {
       edge.incrementCounter("submissions_refused_for_memory");
       respond(request, new ApiError.Overloaded("batches being accepted"));
       return;
     }
-    submissions.begin(request);
     scheduleProgressReport(request);
     if (!edge.leaderPlacement().mayLead(edge.identity().id())) {
       edge.incrementCounter("submissions_at_unfit_edge");
--- a/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
+++ b/core-logic/src/main/java/applespindle/corelogic/environment/Environment.java
@@ -2,6 +2,7 @@
 
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.protocol.Envelope;
 import java.util.List;
 import java.util.function.Consumer;
@@ -45,8 +46,8 @@
    */
   boolean acceptsWrites();
 
-  /** The most bytes that the heap of this process may take. */
-  long heapBytes();
+  /** The memory that the work of this process may hold. */
+  MemoryAccount memory();
 
   /**
    * Starts a run of a prompt at a worker. The listener gets any number of texts, and then exactly
--- a/core-logic/src/main/java/applespindle/corelogic/node/OutgoingRequest.java
+++ b/core-logic/src/main/java/applespindle/corelogic/node/OutgoingRequest.java
@@ -100,8 +100,7 @@
     }
     NodeAddress target = targets.apply(attempts++);
     if (target == null) {
-      restartTimer(
-          Math.min(remainingMs, PeerRequestConstants.RETRY_DELAY_MS), this::sendAttempt);
+      restartTimer(Math.min(remainingMs, PeerRequestConstants.RETRY_DELAY_MS), this::sendAttempt);
       return;
     }
     long correlation = sender.send(this, target);
@@ -115,8 +114,7 @@
 
   private void awaitAnswer(long correlation) {
     long remainingMs = expiresAt - environment.nowMs();
-    restartTimer(
-        Math.max(0, Math.min(remainingMs, attemptTimeoutMs)), () -> timedOut(correlation));
+    restartTimer(Math.max(0, Math.min(remainingMs, attemptTimeoutMs)), () -> timedOut(correlation));
   }
 
   private void restartTimer(long delayMs, Runnable task) {
--- a/core-logic/src/main/java/applespindle/corelogic/replication/LeaderPayloads.java
+++ b/core-logic/src/main/java/applespindle/corelogic/replication/LeaderPayloads.java
@@ -4,6 +4,8 @@
 import applespindle.corelogic.environment.Environment;
 import applespindle.corelogic.log.FramedEvent;
 import applespindle.corelogic.log.LogEntry;
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.protocol.Message.EntryChunk;
 import applespindle.corelogic.protocol.MessageSender;
@@ -22,7 +24,8 @@
  * the replicas holds its bytes.
  */
 public final class LeaderPayloads implements EventRetention {
-  private final long maxBytes;
+  private final HolderAccount cache;
+  private final HolderAccount uncommitted;
   private final EntryTransfers transfers;
 
   /** The applied entries that are wholly in the heap, oldest first. */
@@ -31,17 +34,15 @@
   /** The appended entries that are not applied yet. */
   private final Map<EntryTransfers.EntryId, LogEntry> unapplied = new LinkedHashMap<>();
 
-  private long residentBytes;
-  private long unappliedBytes;
   private long fetches;
   private long fetchedBytes;
   private long failedFetches;
 
-  /**
-   * @param maxBytes the most bytes of applied events in the heap
-   */
-  public LeaderPayloads(Environment environment, MessageSender sender, long maxBytes) {
-    this.maxBytes = maxBytes;
+  /** The events of one node, in the account of its memory. */
+  public LeaderPayloads(Environment environment, MessageSender sender) {
+    this.cache = environment.memory().openCache(MemoryHolder.LED_EVENTS);
+    this.uncommitted = environment.memory().open(MemoryHolder.UNCOMMITTED_EVENTS);
+    environment.memory().onEviction(this::evict);
     this.transfers =
         new EntryTransfers(
             environment,
@@ -66,21 +67,31 @@
   @Override
   public void appended(String key, LogEntry entry) {
     unapplied.put(EntryTransfers.EntryId.of(key, entry), entry);
-    unappliedBytes += entry.eventBytes();
+    uncommitted.hold(entry.eventBytes());
   }
 
   @Override
   public void applied(String key, LogEntry entry) {
     if (unapplied.remove(EntryTransfers.EntryId.of(key, entry)) != null) {
-      unappliedBytes -= entry.eventBytes();
+      uncommitted.release(entry.eventBytes());
     }
     if (entry.eventBytes() < ReplicationConstants.MIN_RELEASED_EVENT_BYTES
         || !entry.payload().isInHeap()) {
       return;
     }
+    while (!cache.tryCache(entry.eventBytes())) {
+      if (resident.isEmpty()) {
+        release(entry);
+        return;
+      }
+      releaseOldest();
+    }
     resident.put(EntryTransfers.EntryId.of(key, entry), entry);
-    residentBytes += entry.eventBytes();
-    while (residentBytes > maxBytes) {
+  }
+
+  /** Releases what other holders need. */
+  private void evict() {
+    while (!resident.isEmpty() && cache.process().excessBytes() > 0) {
       releaseOldest();
     }
   }
@@ -89,14 +100,18 @@
     Iterator<LogEntry> oldestFirst = resident.values().iterator();
     LogEntry oldest = oldestFirst.next();
     oldestFirst.remove();
-    residentBytes -= oldest.eventBytes();
-    oldest.payload().retainStart(FramedEvent.headerBytes(oldest.payload()));
+    release(oldest);
+    cache.evicted(oldest.eventBytes());
+  }
+
+  private static void release(LogEntry entry) {
+    entry.payload().retainStart(FramedEvent.headerBytes(entry.payload()));
   }
 
   @Override
   public void forget(String key) {
-    residentBytes -= removeAll(resident, key);
-    unappliedBytes -= removeAll(unapplied, key);
+    cache.release(removeAll(resident, key));
+    uncommitted.release(removeAll(unapplied, key));
   }
 
   /** Removes the entries of a log, and returns their size. */
@@ -169,17 +184,27 @@
 
   /** The bytes of applied events in the heap. */
   public long residentBytes() {
-    return residentBytes;
+    return cache.heldBytes();
   }
 
   /** The bytes of events that are appended and not applied yet. */
   public long unappliedBytes() {
-    return unappliedBytes;
+    return uncommitted.heldBytes();
+  }
+
+  /** Whether events of a further batch may be appended: those on their way are bounded. */
+  public boolean hasRoomForEvents() {
+    return uncommitted.heldBytes() < uncommitted.limitBytes();
+  }
+
+  /** From how many bytes of events that are not applied on no further batch is taken. */
+  public long maxUnappliedBytes() {
+    return uncommitted.limitBytes();
   }
 
   /** The most bytes of applied events in the heap. */
   public long maxBytes() {
-    return maxBytes;
+    return cache.limitBytes();
   }
 
   /** How many sections were fetched from replicas, or tried to. */
--- a/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/PackageLayersTest.java
@@ -26,6 +26,7 @@
       List.of(
           "common",
           "constants",
+          "memory",
           "api",
           "log",
           "metadata",
--- a/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
+++ b/core-logic/src/test/java/applespindle/corelogic/environment/FakeEnvironment.java
@@ -12,6 +12,7 @@
 import applespindle.corelogic.environment.Environment.WorkerLoad;
 import applespindle.corelogic.environment.ProxiedRequest.ResponseChunk;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.protocol.Envelope;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -50,6 +51,7 @@
       new PriorityQueue<>(
           Comparator.comparingLong(Scheduled::at).thenComparingLong(Scheduled::order));
   private final RandomGenerator random = new SplittableRandom(7);
+  private final MemoryAccount memory = MemoryAccount.ofHeap(128 << 20, Runnable::run);
   private long now;
   private long wallClockAheadMs;
   private long order;
@@ -114,8 +116,8 @@
   public void write(List<LogRecord> records, Runnable whenSynced) {}
 
   @Override
-  public long heapBytes() {
-    return 128 << 20;
+  public MemoryAccount memory() {
+    return memory;
   }
 
   @Override
--- a/core-logic/src/test/java/applespindle/corelogic/replication/LeaderPayloadsTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/replication/LeaderPayloadsTest.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.log.Epoch;
 import applespindle.corelogic.log.FramedEvent;
 import applespindle.corelogic.log.LogEntry;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.metadata.NodeAddress;
 import applespindle.corelogic.protocol.Message;
 import applespindle.corelogic.protocol.Message.AppendRequest;
@@ -37,9 +38,17 @@
   private static final int MAX_RESIDENT_BYTES = 1_000_000;
   private static final int HEADER_BYTES_MOST = 1_000;
 
-  private final FakeEnvironment environment = new FakeEnvironment(1_000) {};
-  private final LeaderPayloads payloads =
-      new LeaderPayloads(environment, this::send, MAX_RESIDENT_BYTES);
+  /** A cache of events may have a quarter of the memory of a process. */
+  private final MemoryAccount memory = new MemoryAccount(4 * MAX_RESIDENT_BYTES, Runnable::run);
+
+  private final FakeEnvironment environment =
+      new FakeEnvironment(1_000) {
+        @Override
+        public MemoryAccount memory() {
+          return memory;
+        }
+      };
+  private final LeaderPayloads payloads = new LeaderPayloads(environment, this::send);
   private final Map<Long, LogEntry> stored = new HashMap<>();
   private final List<AppendRequest> appendsToLagging = new ArrayList<>();
   private final List<LogEntry> votedLog = new ArrayList<>();
--- a/core-logic/src/test/java/applespindle/corelogic/replication/ModelRuntime.java
+++ b/core-logic/src/test/java/applespindle/corelogic/replication/ModelRuntime.java
@@ -8,6 +8,7 @@
 import applespindle.corelogic.environment.Environment.WorkerCallListener;
 import applespindle.corelogic.environment.Environment.WorkerLoad;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.protocol.Envelope;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -136,8 +137,8 @@
   }
 
   @Override
-  public long heapBytes() {
-    return 128 << 20;
+  public MemoryAccount memory() {
+    return MemoryAccount.ofHeap(128 << 20, Runnable::run);
   }
 
   @Override
--- a/data-plane/src/main/java/applespindle/dataplane/ChunkStream.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ChunkStream.java
@@ -50,17 +50,17 @@
       present.trySet(ByteBuf.wrapForReading(chunk));
     } else if (queue.size() < maxQueuedChunks
         && queuedBytes < maxQueuedBytes
-        && queuedForAllClients.hasRoomFor(chunk.length)) {
+        && queuedForAllClients.tryAdd(chunk.length)) {
       queue.add(chunk);
-      countQueued(chunk.length);
+      queuedBytes += chunk.length;
     } else {
       closeEx(new StreamTruncatedException());
     }
   }
 
-  private void countQueued(int bytes) {
-    queuedBytes += bytes;
-    queuedForAllClients.add(bytes);
+  private void countTaken() {
+    queuedForAllClients.remove(queuedBytes);
+    queuedBytes = 0;
   }
 
   /** Ends the body properly. */
@@ -106,14 +106,14 @@
       }
       bytes = joined;
     }
-    countQueued(-queuedBytes);
+    countTaken();
     return ByteBuf.wrapForReading(bytes);
   }
 
   @Override
   protected void onClosed(Exception fault) {
     queue.clear();
-    countQueued(-queuedBytes);
+    countTaken();
     if (pendingRead != null) {
       pendingRead.trySetException(fault);
     }
--- a/data-plane/src/main/java/applespindle/dataplane/EdgeHttpInterface.java
+++ b/data-plane/src/main/java/applespindle/dataplane/EdgeHttpInterface.java
@@ -11,10 +11,10 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchInput;
 import applespindle.corelogic.constants.BatchConstants;
-import applespindle.corelogic.constants.ClientConnectionConstants;
 import applespindle.corelogic.constants.SizeLimits;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.live.LiveRequest;
+import applespindle.corelogic.memory.MemoryHolder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.activej.http.HttpHeaders;
@@ -50,13 +50,12 @@
   private final EdgeNode edge;
 
   /** What clients have not read yet of the responses to them. */
-  private final QueuedBytes queuedResponses =
-      new QueuedBytes(
-          Runtime.getRuntime().maxMemory() / ClientConnectionConstants.RESPONSES_ONE_IN);
+  private final QueuedBytes queuedResponses;
 
   EdgeHttpInterface(NodeProcess process, EdgeNode edge) {
     this.process = process;
     this.edge = edge;
+    this.queuedResponses = new QueuedBytes(process.memory().open(MemoryHolder.RESPONSES));
   }
 
   void addTo(HttpInterface http) {
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -38,9 +38,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 
 /**
@@ -74,61 +72,40 @@
   private final ByteBudget bodies;
 
   /** What clients have not read yet of the responses to them. */
-  private final QueuedBytes queuedResponses =
-      new QueuedBytes(
-          Runtime.getRuntime().maxMemory() / ClientConnectionConstants.RESPONSES_ONE_IN);
+  private final QueuedBytes queuedResponses;
 
   /** The bodies of items that clients have asked for and not read yet. */
   private final ByteBudget itemBodies;
 
-  /** The submissions of batches that are not answered, a part of the bodies. */
+  /** The submissions of batches that are not answered, in the form that is sent on. */
   private final ByteBudget submissions;
 
   /** An endpoint that does not listen yet. */
   public ProxyEndpoint(NodeProcess process, EdgeGateway gateway, RequestFormat format) {
-    this(
-        process,
-        gateway,
-        format,
-        Runtime.getRuntime().maxMemory() / ClientConnectionConstants.BODIES_ONE_IN);
+    this(process, gateway, format, ClientMemory.of(process.memory()));
   }
 
-  /**
-   * An endpoint that does not listen yet.
-   *
-   * @param maxBodiesBytes the most bytes that the bodies of all requests together may have; those
-   *     of items in responses may have a fixed part of it besides
-   */
+  /** An endpoint that does not listen yet, with other accounts than those of its process. */
   ProxyEndpoint(
-      NodeProcess process, EdgeGateway gateway, RequestFormat format, long maxBodiesBytes) {
+      NodeProcess process, EdgeGateway gateway, RequestFormat format, ClientMemory memory) {
     this.process = process;
     this.gateway = gateway;
     this.format = format;
+    queuedResponses = new QueuedBytes(memory.responses());
     bodies =
-        new ByteBudget(
-            process.httpLoop(), maxBodiesBytes, ClientConnectionConstants.MAX_BODY_WAIT_MS);
-    itemBodies =
         new ByteBudget(
             process.httpLoop(),
-            maxBodiesBytes
-                / (ClientConnectionConstants.ITEM_BODIES_ONE_IN
-                    / ClientConnectionConstants.BODIES_ONE_IN),
+            memory.largeBodies(),
+            memory.smallBodies(),
             ClientConnectionConstants.MAX_BODY_WAIT_MS);
+    itemBodies =
+        new ByteBudget(
+            process.httpLoop(), memory.itemBodies(), ClientConnectionConstants.MAX_BODY_WAIT_MS);
     submissions =
         new ByteBudget(
             process.httpLoop(),
-            Runtime.getRuntime().maxMemory() / ClientConnectionConstants.SUBMISSIONS_ONE_IN,
+            memory.submissions(),
             ClientConnectionConstants.MAX_SUBMISSION_WAIT_MS);
-    process.addHeldBytes(this::heldBytes);
-  }
-
-  private Map<String, Long> heldBytes() {
-    Map<String, Long> held = new TreeMap<>(bodies.figures("bodies"));
-    held.putAll(submissions.figures("submissions"));
-    held.putAll(itemBodies.figures("item_bodies"));
-    held.put("responses.bytes", queuedResponses.get());
-    held.put("responses.limit.bytes", queuedResponses.limit());
-    return held;
   }
 
   /**
--- a/data-plane/src/test/java/applespindle/dataplane/ChunkStreamTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/ChunkStreamTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import applespindle.adapters.QueuedBytes;
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import io.activej.eventloop.Eventloop;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,7 +18,8 @@
   private static final int CHUNK_BYTES = 1_000;
   private static final int LIMIT_BYTES = 10_000;
 
-  private final QueuedBytes queued = new QueuedBytes(LIMIT_BYTES);
+  private final QueuedBytes queued =
+      new QueuedBytes(HolderAccount.unshared(MemoryHolder.RESPONSES, LIMIT_BYTES));
   private int gone;
 
   private ChunkStream stream() {
--- a/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
@@ -14,6 +14,8 @@
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.live.ProxiedResponseListener;
 import applespindle.corelogic.live.RequestHandle;
+import applespindle.corelogic.memory.HolderAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ServerSocket;
@@ -172,10 +174,21 @@
             (environment, identity) -> new EdgeNode(environment, identity, NodeSettings.DEFAULT));
     process.start(
         started ->
-            new ProxyEndpoint(started, new Gateway(), FORMAT, maxBodiesBytes)
+            new ProxyEndpoint(started, new Gateway(), FORMAT, memory(maxBodiesBytes))
                 .listen("127.0.0.1:" + port));
   }
 
+  /** Each holder has memory of its own; that of item bodies is half of that of other bodies. */
+  private static ClientMemory memory(long maxBodiesBytes) {
+    return new ClientMemory(
+        HolderAccount.unshared(MemoryHolder.SMALL_BODIES, maxBodiesBytes / 4),
+        HolderAccount.unshared(MemoryHolder.LARGE_BODIES, maxBodiesBytes),
+        HolderAccount.unshared(MemoryHolder.FORWARDED_SUBMISSIONS, maxBodiesBytes),
+        HolderAccount.unshared(MemoryHolder.ITEM_BODIES, maxBodiesBytes / 2),
+        HolderAccount.unshared(MemoryHolder.RESULT_PAGES, maxBodiesBytes),
+        HolderAccount.unshared(MemoryHolder.RESPONSES, Long.MAX_VALUE / 2));
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket(0)) {
       return socket.getLocalPort();
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/IsolatedNode.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/IsolatedNode.java
@@ -10,6 +10,7 @@
 import applespindle.corelogic.environment.Environment.WorkerCallHandle;
 import applespindle.corelogic.environment.Environment.WorkerCallListener;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.metadata.NodeRegistration;
 import applespindle.corelogic.metadata.QuorumMember;
 import applespindle.corelogic.metadata.QuorumMembership;
@@ -34,6 +35,8 @@
  */
 final class IsolatedNode extends StubEnvironment {
   private static final int FRAME_HEAD_BYTES = 4;
+  private final MemoryAccount memory =
+      MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), Runnable::run);
   private final PeerCodec codec = new PeerCodec();
   final Node node;
   long sentBytes;
@@ -175,8 +178,8 @@
   }
 
   @Override
-  public long heapBytes() {
-    return Runtime.getRuntime().maxMemory();
+  public MemoryAccount memory() {
+    return memory;
   }
 
   @Override
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/LightweightEdge.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/LightweightEdge.java
@@ -3,6 +3,7 @@
 import applespindle.adapters.PeerCodec;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
 import applespindle.corelogic.protocol.Envelope;
@@ -21,6 +22,8 @@
 final class LightweightEdge extends StubEnvironment {
   final int index;
   final LightweightPeerTransport peers;
+  private final MemoryAccount memory =
+      MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), Runnable::run);
   private final Eventloop eventloop;
   private final FleetLayout layout;
   private final NetworkCut networkCut;
@@ -123,8 +126,8 @@
   }
 
   @Override
-  public long heapBytes() {
-    return Runtime.getRuntime().maxMemory();
+  public MemoryAccount memory() {
+    return memory;
   }
 
   @Override
--- a/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/capacity/MeasuredFleet.java
@@ -15,6 +15,7 @@
 import applespindle.corelogic.environment.Environment.WorkerCallListener;
 import applespindle.corelogic.environment.Environment.WorkerLoad;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.metadata.SignedConfiguration;
 import applespindle.corelogic.metadata.WorkerInput;
 import applespindle.corelogic.node.Node;
@@ -74,6 +75,8 @@
 
   /** One node and the machine under it. */
   final class Machine extends StubEnvironment {
+    private final MemoryAccount memory =
+        MemoryAccount.ofHeap(Runtime.getRuntime().maxMemory(), Runnable::run);
     final String name;
     final String zone;
     final String region;
@@ -199,8 +202,8 @@
     }
 
     @Override
-    public long heapBytes() {
-      return Runtime.getRuntime().maxMemory();
+    public MemoryAccount memory() {
+      return memory;
     }
 
     @Override
--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
@@ -11,6 +11,7 @@
 import applespindle.corelogic.environment.PlatformCall;
 import applespindle.corelogic.environment.PlatformCallResult;
 import applespindle.corelogic.log.LogRecord;
+import applespindle.corelogic.memory.MemoryAccount;
 import applespindle.corelogic.node.Node;
 import applespindle.corelogic.node.NodeIdentity;
 import applespindle.corelogic.protocol.Envelope;
@@ -50,6 +51,9 @@
 
   private final ProcessWorkerCalls workerCalls;
 
+  /** Of the present incarnation; null until the first start. */
+  private MemoryAccount memory;
+
   /** Null until the first start; of a dead process, the node of its last incarnation. */
   private Node node;
 
@@ -163,6 +167,7 @@
       recordFault(false, "stopping");
     }
     recordFault(false, "down");
+    memory = MemoryAccount.ofHeap(HEAP_BYTES, Runnable::run);
     node = createNode(createIdentity());
     if (disk != null) {
       disk.synced().forEach(node::recover);
@@ -469,8 +474,8 @@
   }
 
   @Override
-  public long heapBytes() {
-    return HEAP_BYTES;
+  public MemoryAccount memory() {
+    return memory;
   }
 
   @Override
