Reads, pages and slow clients hold what the account says and no longer

Callers who read bodies of items found room for four at a time whatever their size, as room for the largest was reserved before the leader was asked; pages of results were bounded each and not in sum; a few clients that send or read slowly held the room of all until the idle limit.

Change: the leader says how large an item is, and its bytes are fetched once that much has room; they are inflated into the one array that is written to the client (BatchEventCodec made a tree and three copies). Pages from 64 KiB on are counted until they are read. Frames are reserved with their inflated size. Timers of waiting reservations and of answered live requests keep nothing any more.

ItemBodiesAtOnceTest and BodiesAtOnceTest have the slow clients (both fail without ClientPace: the others wait for the whole limit of the test).

--- a/adapters/src/main/java/applespindle/adapters/ByteBudget.java
+++ b/adapters/src/main/java/applespindle/adapters/ByteBudget.java
@@ -3,6 +3,7 @@
 import applespindle.corelogic.memory.HolderAccount;
 import applespindle.corelogic.memory.MemoryHolder;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.ArrayDeque;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -55,6 +56,14 @@
       serveWaiting();
     }
 
+    /** Counts bytes that turned out to be held beside those that were reserved. */
+    public void growTo(long needed) {
+      if (needed > bytes) {
+        account.hold(needed - bytes);
+        bytes = needed;
+      }
+    }
+
     /** Adds the bytes of another reservation of the same budget, which is over by that. */
     public void absorb(Reservation other) {
       bytes += other.bytes;
@@ -74,6 +83,9 @@
     final Consumer<Reservation> whenReserved;
     boolean over;
 
+    /** Cancelled at the end of the wait, so that it keeps nothing; null if there is no limit. */
+    ScheduledRunnable timeout;
+
     Waiting(long bytes, Consumer<Reservation> whenReserved) {
       this.bytes = bytes;
       this.whenReserved = whenReserved;
@@ -160,7 +172,7 @@
     waiting.add(entry);
     hasWaiting = true;
     if (maxWaitMs > 0) {
-      reactor.delayBackground(maxWaitMs, () -> refuse(entry, whenRefused));
+      entry.timeout = reactor.delayBackground(maxWaitMs, () -> refuse(entry, whenRefused));
     }
     // Room that was freed before the entry was seen.
     if (waiting.size() == 1) {
@@ -168,6 +180,15 @@
     }
   }
 
+  /** Reserves bytes at once, or refuses with null: for what is in the heap already. */
+  public Reservation reserveNow(long bytes) {
+    if (waiting.isEmpty() && account.tryReserve(bytes)) {
+      return new Reservation(bytes, 0);
+    }
+    account.countRefusal();
+    return null;
+  }
+
   private boolean reserveSmall(long bytes, Consumer<Reservation> whenReserved) {
     if (bytes > 0 && !small.tryReserve(bytes)) {
       return false;
@@ -192,6 +213,9 @@
       Waiting next = waiting.remove();
       hasWaiting = !waiting.isEmpty();
       next.over = true;
+      if (next.timeout != null) {
+        next.timeout.cancel();
+      }
       next.whenReserved.accept(new Reservation(next.bytes, 0));
     }
   }
--- a/adapters/src/main/java/applespindle/adapters/FrameDeflation.java
+++ b/adapters/src/main/java/applespindle/adapters/FrameDeflation.java
@@ -19,7 +19,7 @@
    */
   public static final int DEFLATED = 1 << 31;
 
-  private static final int LENGTH_BYTES = 4;
+  static final int LENGTH_BYTES = 4;
 
   /** Made at the first large frame: a process that meets none keeps no memory for them. */
   private Deflater deflater;
@@ -42,6 +42,18 @@
         : frame;
   }
 
+  private static int mostInflatedBytes(int size) {
+    return (int)
+        Math.min(
+            SizeLimits.MAX_FRAME_BYTES, (long) PeerConnectionConstants.MAX_INFLATE_RATIO * size);
+  }
+
+  /** The size of a deflated frame once it is inflated, as it says, within what is accepted. */
+  static int inflatedBytes(byte[] bytes, int from, int size) {
+    int length = ByteBuffer.wrap(bytes, from, LENGTH_BYTES).getInt();
+    return Math.max(0, Math.min(length, mostInflatedBytes(size)));
+  }
+
   /**
    * Inflates a frame.
    *
@@ -54,11 +66,7 @@
       throw new UnreadableFrameException(UnreadableFrameException.Kind.BROKEN);
     }
     int length = ByteBuffer.wrap(bytes, from, LENGTH_BYTES).getInt();
-    if (length <= 0
-        || length
-            > Math.min(
-                SizeLimits.MAX_FRAME_BYTES,
-                (long) PeerConnectionConstants.MAX_INFLATE_RATIO * size)) {
+    if (length <= 0 || length > mostInflatedBytes(size)) {
       throw new UnreadableFrameException(UnreadableFrameException.Kind.TOO_LARGE);
     }
     if (inflater == null) {
--- a/adapters/src/main/java/applespindle/adapters/FrameReader.java
+++ b/adapters/src/main/java/applespindle/adapters/FrameReader.java
@@ -70,11 +70,26 @@
     }
   }
 
+  /**
+   * The bytes of heap that it takes to read the frame whose beginning is held and to inflate it, as
+   * the frame says; 0 if there is none or its beginning doesn't say it yet.
+   */
+  int incompleteFrameHeapBytes() {
+    int frameBytes = incompleteFrameBytes();
+    int header = frameBytes == 0 ? 0 : ByteBuffer.wrap(buffer, 0, PeerFrame.HEADER_BYTES).getInt();
+    if (!PeerFrame.isDeflated(header)) {
+      return frameBytes;
+    }
+    return length < PeerFrame.HEADER_BYTES + FrameDeflation.LENGTH_BYTES
+        ? 0
+        : frameBytes + FrameDeflation.inflatedBytes(buffer, PeerFrame.HEADER_BYTES, frameBytes);
+  }
+
   /**
    * The size of the frame whose beginning is held, as its header says; 0 if there is none or its
    * header is not complete.
    */
-  int incompleteFrameBytes() {
+  private int incompleteFrameBytes() {
     if (length < PeerFrame.HEADER_BYTES) {
       return 0;
     }
--- a/adapters/src/main/java/applespindle/adapters/PeerTransport.java
+++ b/adapters/src/main/java/applespindle/adapters/PeerTransport.java
@@ -84,7 +84,7 @@
     }
 
     private void readNext() {
-      int frameBytes = reader.incompleteFrameBytes();
+      int frameBytes = reader.incompleteFrameHeapBytes();
       if (reservation != null || frameBytes < PeerConnectionConstants.LARGE_FRAME_BYTES) {
         readChunk();
         return;
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchLog.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchLog.java
@@ -136,9 +136,11 @@
     logLeader.confirmLeadershipWithHeartbeat(then);
   }
 
-  /** Where a part of a committed event is, for a reader at another node. */
-  ItemBody.Location location(EventPart part) {
-    return new ItemBody.Location(logLeader.detachedEntry(part.section().sequence()), part);
+  /** Where the contents of an item are, for a reader at another node. */
+  ItemBody.Location location(int item) {
+    EventPart part = state.itemPart(item);
+    return new ItemBody.Location(
+        logLeader.detachedEntry(part.section().sequence()), part, state.itemBytes(item));
   }
 
   private void checkAcceptedOnce() {
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchReads.java
@@ -73,8 +73,8 @@
           int item = log.state.itemOfId(itemId);
           if (item < 0) {
             then.accept(Response.of(new ApiError.NoSuchBatch(log.batch)));
-          } else if (raw && isLarge(log.state.itemPart(item))) {
-            then.accept(ItemBody.response(log.location(log.state.itemPart(item))));
+          } else if (raw && isLarge(item)) {
+            then.accept(ItemBody.response(log.location(item)));
           } else if (raw) {
             responses.rawProxiedItem(item, body -> respondRaw(body, then));
           } else {
@@ -106,8 +106,10 @@
     responses.proxiedResultsPage(from, page -> respond(page, then));
   }
 
-  private static boolean isLarge(EventPart part) {
-    return part.section().bytes() >= ReplicationConstants.MIN_DETACHED_ENTRY_BYTES;
+  /** Whether the item is large, or what it would take to read it. */
+  private boolean isLarge(int item) {
+    int bytes = Math.max(log.state.itemPart(item).section().bytes(), log.state.itemBytes(item));
+    return bytes >= ReplicationConstants.MIN_DETACHED_ENTRY_BYTES;
   }
 
   private void respondRaw(byte[] body, Consumer<Response> then) {
--- a/core-logic/src/main/java/applespindle/corelogic/batch/BatchState.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/BatchState.java
@@ -186,6 +186,11 @@
     return Arrays.asList(itemIds).indexOf(id);
   }
 
+  /** The size of an item's contents; that of all items if its event has no frames. */
+  int itemBytes(int item) {
+    return itemBytes[item];
+  }
+
   /** Where the contents of an item are in the log. */
   EventPart itemPart(int item) {
     return itemParts.part(item);
--- a/core-logic/src/main/java/applespindle/corelogic/batch/EventFrame.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/EventFrame.java
@@ -1,6 +1,7 @@
 package applespindle.corelogic.batch;
 
 import applespindle.corelogic.log.DeflatedEvents;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -60,6 +61,34 @@
     return parts;
   }
 
+  /**
+   * The bytes of one part, which are inflated into the only array that is made of them.
+   *
+   * @param offset how many bytes of the array are left free before them
+   * @return null if the part has no bytes
+   */
+  static byte[] decodeBytes(byte[] stored, int position, int offset) {
+    try (DataInputStream in = new DataInputStream(DeflatedEvents.open(stored))) {
+      if (in.readByte() != VERSION) {
+        throw new IOException("a frame of an event cannot be decoded");
+      }
+      for (int part = 0; part < position; part++) {
+        in.skipNBytes((long) in.readInt() + in.readInt());
+      }
+      int jsonBytes = in.readInt();
+      int size = in.readInt();
+      if (size == 0) {
+        return null;
+      }
+      in.skipNBytes(jsonBytes);
+      byte[] bytes = new byte[offset + size];
+      in.readFully(bytes, offset, size);
+      return bytes;
+    } catch (IOException error) {
+      throw new UncheckedIOException("a frame of an event cannot be inflated", error);
+    }
+  }
+
   private static byte[] inflate(byte[] stored) {
     try (InputStream in = DeflatedEvents.open(stored)) {
       return in.readAllBytes();
--- a/core-logic/src/main/java/applespindle/corelogic/batch/ItemBody.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/ItemBody.java
@@ -31,8 +31,9 @@
    *
    * @param entry the entry of the batch's acceptance
    * @param part of the entry's event
+   * @param itemBytes the size of the item; 0 if a leader of an earlier version didn't say it
    */
-  public record Location(DetachedEntry entry, EventPart part) {
+  public record Location(DetachedEntry entry, EventPart part, int itemBytes) {
     /** The section that holds the body. */
     public EntrySection section() {
       return new EntrySection(entry, part.section().offset(), part.section().bytes());
@@ -40,9 +41,24 @@
 
     /** The body, taken from the bytes of the section. */
     public ItemBody read(byte[] section) {
+      byte[] framed =
+          part.section().frame() ? EventFrame.decodeBytes(section, part.position(), 1) : null;
+      if (framed != null) {
+        framed[0] = RAW;
+        return new ItemBody(framed, 1);
+      }
       JsonNode item = BatchEventCodec.items(part.section(), section).get(part.position());
       return new ItemBody(binary(item.path("body")), 0);
     }
+
+    /**
+     * The bytes of heap that it takes to fetch and decode the body.
+     *
+     * @param mostItemBytes the size of the largest item, for a location that doesn't say it
+     */
+    public long fetchBytes(int mostItemBytes) {
+      return (long) part.section().bytes() + (itemBytes > 0 ? itemBytes : mostItemBytes);
+    }
   }
 
   /** A response with the bytes. */
@@ -66,12 +82,14 @@
             .put("offset", section.offset())
             .put("bytes", section.bytes())
             .put("frame", section.frame())
-            .put("position", location.part.position()));
+            .put("position", location.part.position())
+            .put("itemBytes", location.itemBytes));
   }
 
   /** The response that carries this body, for the edge's own use. */
   public Response toResponse() {
-    return response(offset == 0 ? bytes : copy());
+    boolean encoded = offset == 1 && bytes[0] == RAW;
+    return encoded ? Response.encoded(200, bytes, 0) : response(offset == 0 ? bytes : copy());
   }
 
   /**
@@ -94,7 +112,8 @@
             body.path("frame").asBoolean());
     return new Location(
         new DetachedEntry(key, sequence, epoch, body.path("entryBytes").asInt()),
-        new EventPart(section, body.path("position").asInt()));
+        new EventPart(section, body.path("position").asInt()),
+        body.path("itemBytes").asInt());
   }
 
   /**
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
@@ -37,6 +37,24 @@
   /** How long a submission waits for those before it. */
   public static final long MAX_SUBMISSION_WAIT_MS = 1_500;
 
+  /**
+   * Bytes of heap for which an item is asked of its leader: a small body is in the response, of a
+   * large one the response says where it is.
+   */
+  public static final int SMALL_ITEM_BYTES = 128 << 10;
+
+  /**
+   * Interval in which the pace of large bodies is checked while others wait for the memory that
+   * they hold, in milliseconds.
+   */
+  public static final long PACE_INTERVAL_MS = 2_000;
+
+  /** Least bytes of a large body, in an interval, of a client whose memory others wait for. */
+  public static final int MIN_PACE_BYTES = 128 << 10;
+
+  /** Size, in bytes, from which responses are counted while they are written. */
+  public static final int COUNTED_RESPONSE_BYTES = 64 << 10;
+
   /** Size, in bytes, of the parts in which a body of an item is written to its client. */
   public static final int ITEM_BODY_PART_BYTES = 128 << 10;
 
--- a/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/BatchRequests.java
@@ -221,7 +221,11 @@
         callback);
   }
 
-  void readProxiedItem(BatchReference batch, String item, Consumer<Response> callback) {
+  void readProxiedItem(
+      BatchReference batch,
+      String item,
+      EdgeGateway.FetchAdmission admission,
+      Consumer<Response> callback) {
     ObjectNode body = JSON.createObjectNode().put("item", item).put(ItemBody.RAW_FIELD, true);
     callAbout(
         batch,
@@ -231,18 +235,26 @@
                 id,
                 body,
                 0,
-                response -> fetchIfElsewhere(id, response, then)),
+                response -> fetchIfElsewhere(id, response, admission, then)),
         callback);
   }
 
   /** A leader only says where a large body is: it is read from a replica here. */
-  private void fetchIfElsewhere(String batch, Response response, Consumer<Response> callback) {
+  private void fetchIfElsewhere(
+      String batch,
+      Response response,
+      EdgeGateway.FetchAdmission admission,
+      Consumer<Response> callback) {
     ItemBody.Location location =
         response.isSuccess() ? ItemBody.locationIn(response, BatchKeys.keyOf(batch)) : null;
     if (location == null) {
       callback.accept(response);
       return;
     }
+    admission.admit(location, () -> fetch(batch, location, callback));
+  }
+
+  private void fetch(String batch, ItemBody.Location location, Consumer<Response> callback) {
     leaders.fetchSection(
         location.section(),
         bytes ->
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeGateway.java
@@ -3,6 +3,7 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.live.ProxiedResponseListener;
@@ -42,9 +43,25 @@
 
   /**
    * Reads the body of an item that has no result yet; a successful response is read with {@link
-   * applespindle.corelogic.batch.ItemBody#of}.
+   * ItemBody#of}.
    */
-  void readProxiedItem(BatchReference batch, String item, Consumer<Response> then);
+  default void readProxiedItem(BatchReference batch, String item, Consumer<Response> then) {
+    readProxiedItem(batch, item, (location, fetch) -> fetch.run(), then);
+  }
+
+  /** Decides when a large body of an item, whose size is known by then, is fetched. */
+  interface FetchAdmission {
+    /**
+     * Lets a body be fetched once there is room for it.
+     *
+     * @param fetch to be run on the logic thread; if it never is, there is no response
+     */
+    void admit(ItemBody.Location location, Runnable fetch);
+  }
+
+  /** Reads the body of an item in the same way, a large one only once it is admitted. */
+  void readProxiedItem(
+      BatchReference batch, String item, FetchAdmission admission, Consumer<Response> then);
 
   /** Ends a batch; no item of it starts any more. */
   void endProxiedBatch(BatchReference batch, Consumer<Response> then);
--- a/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
+++ b/core-logic/src/main/java/applespindle/corelogic/edge/EdgeNode.java
@@ -249,8 +249,9 @@
   }
 
   @Override
-  public void readProxiedItem(BatchReference batch, String item, Consumer<Response> callback) {
-    batchRequests.readProxiedItem(batch, item, callback);
+  public void readProxiedItem(
+      BatchReference batch, String item, FetchAdmission admission, Consumer<Response> callback) {
+    batchRequests.readProxiedItem(batch, item, admission, callback);
   }
 
   @Override
--- a/core-logic/src/main/java/applespindle/corelogic/live/LiveRequestCall.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/LiveRequestCall.java
@@ -3,6 +3,7 @@
 import applespindle.corelogic.api.ApiError;
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.configuration.RoutingConfiguration;
+import applespindle.corelogic.environment.Environment.ScheduledTask;
 import applespindle.corelogic.worker.WorkerState;
 import java.util.HashSet;
 import java.util.Set;
@@ -45,6 +46,9 @@
 
   private boolean closed;
 
+  /** Ends the wait for a worker; null until the call waits. Cancelled so that it keeps nothing. */
+  private ScheduledTask expiry;
+
   LiveRequestCall(
       LiveContext context,
       LiveRequest request,
@@ -201,8 +205,16 @@
         textForwarded);
   }
 
+  /** Sets the timer that ends the wait for a worker. */
+  void setExpiry(ScheduledTask timer) {
+    expiry = timer;
+  }
+
   private void close() {
     closed = true;
+    if (expiry != null) {
+      expiry.cancel();
+    }
     context.queues().of(this).remove(this);
     if (attempt != null) {
       attempt.cancel();
--- a/core-logic/src/main/java/applespindle/corelogic/live/LiveRequestDispatcher.java
+++ b/core-logic/src/main/java/applespindle/corelogic/live/LiveRequestDispatcher.java
@@ -158,13 +158,14 @@
 
   private void enqueue(LiveRequestCall call) {
     queues.of(call).add(call);
-    environment.schedule(
-        Math.max(0, call.expiresAt() - environment.nowMs()),
-        () -> {
-          if (!call.isClosedOrRunning()) {
-            call.reject(new ApiError.DeadlineExceeded());
-          }
-        });
+    call.setExpiry(
+        environment.schedule(
+            Math.max(0, call.expiresAt() - environment.nowMs()),
+            () -> {
+              if (!call.isClosedOrRunning()) {
+                call.reject(new ApiError.DeadlineExceeded());
+              }
+            }));
     dispatchQueued();
   }
 
--- a/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/live/LiveRequestDispatcherTest.java
@@ -75,6 +75,16 @@
     assertThat(client.events).containsExactly("running", "end xy").inOrder();
   }
 
+  /** Guards against an edge ending for memory: timers kept the prompts of answered requests. */
+  @Test
+  void anAnsweredRequestIsKeptByNoTimer() {
+    LiveRequestDispatcherFixture fixture = withWorkers(1, 1);
+    int scheduled = fixture.scheduledTasks();
+    fixture.submit(NORMAL, "a");
+    fixture.lastCall().listener.end("stop");
+    assertThat(fixture.scheduledTasks()).isEqualTo(scheduled);
+  }
+
   // ---- queues
 
   @Test
--- a/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
+++ b/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
@@ -47,6 +47,12 @@
   private final SettablePromise<Body> promise = new SettablePromise<>();
   private ByteBudget.Reservation reservation;
 
+  /** Of a large body only; null for others. */
+  private ClientPace pace;
+
+  /** The client was too slow while others waited for the room. */
+  private boolean tooSlow;
+
   /** How many bytes may be read as yet. */
   private int grantedBytes;
 
@@ -84,12 +90,32 @@
           reader.reservation = reserved;
           reader.grantedBytes = first;
           reader.bytes = new byte[first];
+          reader.watchPace();
           reader.readNext();
         },
         () -> reader.promise.setException(new NoRoomException()));
     return reader.promise;
   }
 
+  private void watchPace() {
+    if (grantedBytes > ClientConnectionConstants.FIRST_BODY_BYTES) {
+      pace = new ClientPace(reactor, reservation, this::giveUp);
+    }
+  }
+
+  /** The room is free at once; the refusal follows when the read that is under way has ended. */
+  private void giveUp() {
+    tooSlow = true;
+    bytes = new byte[0];
+    reservation.release();
+  }
+
+  private void endPace() {
+    if (pace != null) {
+      pace.end();
+    }
+  }
+
   private void readNext() {
     stream.get().subscribe(this::take);
   }
@@ -98,7 +124,11 @@
   private void take(ByteBuf chunk, Exception fault) {
     if (fault != null) {
       fail(fault);
+    } else if (tooSlow) {
+      recycle(chunk);
+      fail(new NoRoomException());
     } else if (chunk == null) {
+      endPace();
       byte[] complete = size == bytes.length ? bytes : Arrays.copyOf(bytes, size);
       promise.set(new Body(complete, reservation));
     } else if (chunk.readRemaining() > maxBytes - size) {
@@ -111,12 +141,19 @@
     }
   }
 
+  private static void recycle(ByteBuf chunk) {
+    if (chunk != null) {
+      chunk.recycle();
+    }
+  }
+
   private void reserveRest(ByteBuf chunk) {
     budget.reserve(
         maxBytes - grantedBytes,
         more -> {
           reservation.absorb(more);
           grantedBytes = maxBytes;
+          watchPace();
           add(chunk);
         },
         () -> {
@@ -130,6 +167,9 @@
     if (size + length > bytes.length) {
       bytes = Arrays.copyOf(bytes, Math.min(grantedBytes, Math.max(size + length, size * 2)));
     }
+    if (pace != null) {
+      pace.progress(length);
+    }
     chunk.drainTo(bytes, size, length);
     chunk.recycle();
     size += length;
@@ -138,6 +178,7 @@
 
   /** In a task of its own: whoever drops the rest of the body can't read within a read. */
   private void fail(Exception fault) {
+    endPace();
     bytes = new byte[0];
     reservation.release();
     reactor.post(() -> promise.setException(fault));
--- a/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ProxyEndpoint.java
@@ -77,6 +77,9 @@
   /** The bodies of items that clients have asked for and not read yet. */
   private final ByteBudget itemBodies;
 
+  /** The pages of results that clients have not read yet. */
+  private final ByteBudget resultPages;
+
   /** The submissions of batches that are not answered, in the form that is sent on. */
   private final ByteBudget submissions;
 
@@ -101,6 +104,9 @@
     itemBodies =
         new ByteBudget(
             process.httpLoop(), memory.itemBodies(), ClientConnectionConstants.MAX_BODY_WAIT_MS);
+    resultPages =
+        new ByteBudget(
+            process.httpLoop(), memory.resultPages(), ClientConnectionConstants.MAX_BODY_WAIT_MS);
     submissions =
         new ByteBudget(
             process.httpLoop(),
@@ -364,12 +370,7 @@
           response.whenComplete((answer, fault) -> turn.release());
           submit(arrived, apiKey, response, trace);
         },
-        () ->
-            response.trySet(
-                render(
-                    Response.ofRetryAfterMs(
-                        new ApiError.Overloaded("submissions"),
-                        ClientConnectionConstants.BODY_RETRY_MS))));
+        () -> refuse(response, "submissions"));
   }
 
   private void submit(
@@ -408,17 +409,52 @@
             gateway.endProxiedBatch(batch, then);
           }
         },
-        answer -> response.trySet(render(format.show(call, answer))));
+        answer -> answerWithPage(format.show(call, answer), response));
+  }
+
+  /**
+   * Answers with a page of results, which the client may read slowly. One that finds no room is
+   * dropped: the client asks for it again.
+   */
+  private void answerWithPage(Response page, SettablePromise<HttpResponse> response) {
+    byte[] bytes = page.encodedBody();
+    if (response.isComplete()
+        || !page.isSuccess()
+        || bytes.length < ClientConnectionConstants.COUNTED_RESPONSE_BYTES) {
+      response.trySet(render(page));
+      return;
+    }
+    ByteBudget.Reservation reservation = resultPages.reserveNow(bytes.length);
+    if (reservation == null) {
+      refuse(response, "pages of results");
+    } else {
+      response.set(
+          reserved(
+              HttpResponse.ofCode(page.status())
+                  .withHeader(HttpHeaders.CONTENT_TYPE, "application/json"),
+              new ItemBody(bytes, 0),
+              reservation));
+    }
   }
 
-  /** Asks for the body once there is room for the largest that it may be. */
+  /**
+   * Asks the leader once there is room for a small body; a large one, whose size is known then, is
+   * fetched once there is room for it.
+   */
   private void answerWithItemBody(
       BatchReference batch, BatchCall.ItemBody call, SettablePromise<HttpResponse> response) {
     itemBodies.reserve(
-        limits.maxBodyBytes(),
+        ClientConnectionConstants.SMALL_ITEM_BYTES,
         reservation ->
             ask(
-                then -> gateway.readProxiedItem(batch, call.item(), then),
+                then ->
+                    gateway.readProxiedItem(
+                        batch,
+                        call.item(),
+                        (location, fetch) ->
+                            process.toHttp(
+                                () -> admitFetch(location, fetch, reservation, response)),
+                        then),
                 answer -> {
                   if (answer.isSuccess() && !response.isComplete()) {
                     response.set(itemBody(ItemBody.of(answer), reservation));
@@ -427,18 +463,48 @@
                     response.trySet(render(format.show(call, answer)));
                   }
                 }),
-        () ->
-            response.trySet(
-                render(
-                    Response.ofRetryAfterMs(
-                        new ApiError.Overloaded("bodies of items"),
-                        ClientConnectionConstants.BODY_RETRY_MS))));
+        () -> refuse(response, "bodies of items"));
+  }
+
+  private void admitFetch(
+      ItemBody.Location location,
+      Runnable fetch,
+      ByteBudget.Reservation reservation,
+      SettablePromise<HttpResponse> response) {
+    itemBodies.reserve(
+        location.fetchBytes(limits.maxBodyBytes()),
+        more -> {
+          reservation.absorb(more);
+          if (response.isComplete() || !process.toLogic(fetch)) {
+            reservation.release();
+            refuse(response, "bodies of items");
+          }
+        },
+        () -> {
+          reservation.release();
+          refuse(response, "bodies of items");
+        });
+  }
+
+  private void refuse(SettablePromise<HttpResponse> response, String what) {
+    response.trySet(
+        render(
+            Response.ofRetryAfterMs(
+                new ApiError.Overloaded(what), ClientConnectionConstants.BODY_RETRY_MS)));
   }
 
   private static HttpResponse itemBody(ItemBody body, ByteBudget.Reservation reservation) {
     reservation.shrinkTo(body.length());
-    return HttpResponse.ok200()
-        .withHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream")
+    reservation.growTo(body.length());
+    return reserved(
+        HttpResponse.ok200().withHeader(HttpHeaders.CONTENT_TYPE, "application/octet-stream"),
+        body,
+        reservation);
+  }
+
+  private static HttpResponse reserved(
+      HttpResponse.Builder builder, ItemBody body, ByteBudget.Reservation reservation) {
+    return builder
         .withHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length()))
         .withBodyStream(new ReservedBody(body, reservation))
         .build();
--- a/data-plane/src/main/java/applespindle/dataplane/ReservedBody.java
+++ b/data-plane/src/main/java/applespindle/dataplane/ReservedBody.java
@@ -9,10 +9,20 @@
 
 /**
  * A complete body on its way to one client, part by part as the client reads. Its reservation is
- * released once the last part was taken or the client has gone. On the HTTP thread.
+ * released once the last part was taken, the client has gone, or it reads too slowly while others
+ * wait for the room. On the HTTP thread.
  */
 final class ReservedBody extends AbstractChannelSupplier<ByteBuf> {
+  private static final class SlowReaderException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    SlowReaderException() {
+      super("the client reads too slowly", null, false, false);
+    }
+  }
+
   private final ByteBudget.Reservation reservation;
+  private final ClientPace pace;
 
   /** Null once everything was taken. */
   private ItemBody body;
@@ -22,6 +32,7 @@
   ReservedBody(ItemBody body, ByteBudget.Reservation reservation) {
     this.body = body;
     this.reservation = reservation;
+    this.pace = new ClientPace(reactor, reservation, () -> closeEx(new SlowReaderException()));
   }
 
   @Override
@@ -32,6 +43,7 @@
     }
     int end = Math.min(written + ClientConnectionConstants.ITEM_BODY_PART_BYTES, body.length());
     byte[] part = body.slice(written, end);
+    pace.progress(part.length);
     written = end;
     return Promise.of(ByteBuf.wrapForReading(part));
   }
@@ -43,6 +55,7 @@
 
   private void release() {
     body = null;
+    pace.end();
     reservation.release();
   }
 }
--- a/data-plane/src/test/java/applespindle/dataplane/BodiesAtOnceTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/BodiesAtOnceTest.java
@@ -160,6 +160,42 @@
     respondUntilAnswered(calls);
   }
 
+  /** Guards against a few slow senders holding the room of all for as long as the idle limit. */
+  @Test
+  void aSlowSenderLosesItsRoomToThoseThatWaitForIt() throws Exception {
+    List<Socket> slow = new ArrayList<>();
+    for (int client = 0; client < FITTING; client++) {
+      Socket socket = endpoint.connect();
+      slow.add(socket);
+      TestProxyEndpoint.send(socket, withLength(BODY_BYTES).substring(0, 1_000));
+    }
+    long endsAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(TestProxyEndpoint.LIMIT_S);
+    TestProxyEndpoint.Passed served = null;
+    while (served == null && System.nanoTime() < endsAt) {
+      call(withLength(BODY_BYTES));
+      served = endpoint.passed.poll(100, TimeUnit.MILLISECONDS);
+    }
+    assertWithMessage("a request that found room beside slow senders").that(served).isNotNull();
+    assertThat(answerToOneOf(slow)).startsWith("HTTP/1.1 503");
+  }
+
+  /** The head of the first response to senders that send on a little. */
+  private static String answerToOneOf(List<Socket> slow) throws Exception {
+    for (Socket socket : slow) {
+      TestProxyEndpoint.send(socket, "x");
+    }
+    long endsAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(TestProxyEndpoint.LIMIT_S);
+    while (System.nanoTime() < endsAt) {
+      for (Socket socket : slow) {
+        if (socket.getInputStream().available() > 0) {
+          return TestProxyEndpoint.readUntil(socket, "\r\n\r\n");
+        }
+      }
+      Thread.sleep(10);
+    }
+    return "";
+  }
+
   @Test
   void clientsThatLeaveGiveTheirRoomBack() throws Exception {
     for (int client = 0; client < 3 * FITTING; client++) {
--- a/data-plane/src/test/java/applespindle/dataplane/ItemBodiesAtOnceTest.java
+++ b/data-plane/src/test/java/applespindle/dataplane/ItemBodiesAtOnceTest.java
@@ -99,6 +99,23 @@
         .contains("content-length: 5");
   }
 
+  /** Guards against a few clients that stop reading shutting all others out. */
+  @Test
+  void aClientThatDoesNotReadLosesItsRoomToThoseThatWaitForIt() throws Exception {
+    Socket slow = ask();
+    answer(nextRead(), new byte[2 * BODY_BYTES]);
+    assertThat(TestProxyEndpoint.readUntil(slow, "\r\n\r\n")).startsWith("HTTP/1.1 200");
+    long endsAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(TestProxyEndpoint.LIMIT_S);
+    Consumer<Response> read = null;
+    while (read == null && System.nanoTime() < endsAt) {
+      ask();
+      read = endpoint.itemReads.poll(100, TimeUnit.MILLISECONDS);
+    }
+    assertWithMessage("a read that found room while the slow client was still there")
+        .that(read)
+        .isNotNull();
+  }
+
   @Test
   void aBodyThatWasReadLeavesItsRoomAndTheConnection() throws Exception {
     Socket client = ask();
--- a/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
+++ b/data-plane/src/test/java/applespindle/dataplane/TestProxyEndpoint.java
@@ -7,6 +7,8 @@
 import applespindle.corelogic.api.Response;
 import applespindle.corelogic.batch.BatchReference;
 import applespindle.corelogic.batch.BatchSubmission;
+import applespindle.corelogic.batch.EventPart;
+import applespindle.corelogic.batch.ItemBody;
 import applespindle.corelogic.configuration.RoutingConfiguration;
 import applespindle.corelogic.edge.EdgeGateway;
 import applespindle.corelogic.edge.EdgeNode;
@@ -14,8 +16,10 @@
 import applespindle.corelogic.environment.ProxiedRequest;
 import applespindle.corelogic.live.ProxiedResponseListener;
 import applespindle.corelogic.live.RequestHandle;
+import applespindle.corelogic.log.Epoch;
 import applespindle.corelogic.memory.HolderAccount;
 import applespindle.corelogic.memory.MemoryHolder;
+import applespindle.corelogic.replication.DetachedEntry;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ServerSocket;
@@ -74,8 +78,11 @@
     }
 
     @Override
-    public void readProxiedItem(BatchReference batch, String item, Consumer<Response> then) {
-      itemReads.add(then);
+    public void readProxiedItem(
+        BatchReference batch, String item, FetchAdmission admission, Consumer<Response> then) {
+      admission.admit(
+          new ItemBody.Location(LARGE_ENTRY, LARGE_PART, LARGE_ITEM_BYTES),
+          () -> itemReads.add(then));
     }
 
     @Override
@@ -84,6 +91,14 @@
     }
   }
 
+  /** Every item is a large one, whose fetch is admitted first. */
+  private static final int LARGE_ITEM_BYTES = 4 << 20;
+
+  private static final DetachedEntry LARGE_ENTRY =
+      new DetachedEntry("batch/large", 1, new Epoch(1, "edge"), LARGE_ITEM_BYTES);
+  private static final EventPart LARGE_PART =
+      new EventPart(new EventPart.Section(1, 0, 1, true), 0);
+
   private static final RequestFormat FORMAT =
       new RequestFormat() {
         @Override
