--- a/adapters/src/main/java/applespindle/adapters/ByteBudget.java
+++ b/adapters/src/main/java/applespindle/adapters/ByteBudget.java
@@ -72,9 +72,9 @@
       other.smallBytes = 0;
     }
 
-    /** Whether others wait for room, so that whoever holds this one should be quick. */
+    /** Whether anybody waits for memory, so that whoever holds this one should be quick. */
     public boolean isWanted() {
-      return !waiting.isEmpty();
+      return account.process().isWanted();
     }
   }
 
@@ -170,6 +170,7 @@
     account.countWait();
     Waiting entry = new Waiting(bytes, whenReserved);
     waiting.add(entry);
+    account.process().addWaiting(1);
     hasWaiting = true;
     if (maxWaitMs > 0) {
       entry.timeout = reactor.delayBackground(maxWaitMs, () -> refuse(entry, whenRefused));
@@ -201,6 +202,7 @@
     if (!entry.over) {
       entry.over = true;
       waiting.remove(entry);
+      account.process().addWaiting(-1);
       hasWaiting = !waiting.isEmpty();
       account.countRefusal();
       whenRefused.run();
@@ -211,6 +213,7 @@
   private void serveWaiting() {
     while (!waiting.isEmpty() && account.tryReserve(waiting.peek().bytes)) {
       Waiting next = waiting.remove();
+      account.process().addWaiting(-1);
       hasWaiting = !waiting.isEmpty();
       next.over = true;
       if (next.timeout != null) {
--- a/core-logic/src/main/java/applespindle/corelogic/batch/ItemBody.java
+++ b/core-logic/src/main/java/applespindle/corelogic/batch/ItemBody.java
@@ -88,8 +88,10 @@
 
   /** The response that carries this body, for the edge's own use. */
   public Response toResponse() {
-    boolean encoded = offset == 1 && bytes[0] == RAW;
-    return encoded ? Response.encoded(200, bytes, 0) : response(offset == 0 ? bytes : copy());
+    if (offset == 1 && bytes[0] == RAW) {
+      return Response.encoded(200, bytes, 0);
+    }
+    return response(copy());
   }
 
   /**
--- a/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
+++ b/core-logic/src/main/java/applespindle/corelogic/constants/ClientConnectionConstants.java
@@ -34,6 +34,15 @@
    */
   public static final int FIRST_BODY_BYTES = 64 << 10;
 
+  /** Size, in bytes, up to which a body of known length is reserved whole before it is read. */
+  public static final int WHOLE_BODY_BYTES = 1 << 20;
+
+  /**
+   * Bytes of a larger body that must have come before the rest is reserved: a slow sender holds no
+   * more for long.
+   */
+  public static final int FIRST_LARGE_BODY_BYTES = 256 << 10;
+
   /** How long a submission waits for those before it. */
   public static final long MAX_SUBMISSION_WAIT_MS = 1_500;
 
@@ -47,7 +56,7 @@
    * Interval in which the pace of large bodies is checked while others wait for the memory that
    * they hold, in milliseconds.
    */
-  public static final long PACE_INTERVAL_MS = 2_000;
+  public static final long PACE_INTERVAL_MS = 1_000;
 
   /** Least bytes of a large body, in an interval, of a client whose memory others wait for. */
   public static final int MIN_PACE_BYTES = 128 << 10;
--- a/core-logic/src/main/java/applespindle/corelogic/memory/MemoryAccount.java
+++ b/core-logic/src/main/java/applespindle/corelogic/memory/MemoryAccount.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * The bytes of heap that the work of one process holds, with a child for each {@link MemoryHolder}.
@@ -31,6 +32,7 @@
   private final Map<MemoryHolder, HolderAccount> holders = new EnumMap<>(MemoryHolder.class);
   private final List<Runnable> evictors = new ArrayList<>();
   private final List<Runnable> roomListeners = new ArrayList<>();
+  private final AtomicInteger waitingReservations = new AtomicInteger();
   private long floorBytes;
 
   /** Sum of what holders have beyond their floors, caches excepted. */
@@ -107,6 +109,16 @@
     roomListeners.add(listener);
   }
 
+  /** A reservation of any holder begins to wait, or with -1 waits no more. */
+  public void addWaiting(int change) {
+    waitingReservations.addAndGet(change);
+  }
+
+  /** Whether reservations of any holder wait for room. */
+  public boolean isWanted() {
+    return waitingReservations.get() > 0;
+  }
+
   /** By how many bytes caches must shrink for the account to be within its limit. */
   public synchronized long excessBytes() {
     return Math.max(0, Math.min(cachedBytes, heldBytes + cachedBytes + wantedBytes - limitBytes));
--- a/core-logic/src/main/java/applespindle/corelogic/memory/MemoryHolder.java
+++ b/core-logic/src/main/java/applespindle/corelogic/memory/MemoryHolder.java
@@ -10,16 +10,16 @@
  */
 public enum MemoryHolder {
   /** Bodies of requests up to a small size. */
-  SMALL_BODIES("small_bodies", 8, 2, Share.ALL),
+  SMALL_BODIES("small_bodies", 8, 1, Share.ALL),
 
   /** Larger bodies of proxied requests, from the first byte until the request has ended. */
   LARGE_BODIES("bodies", 12, 2, Share.NINE_TENTHS),
 
   /** Larger bodies of requests to the other interfaces of a process. */
-  INTERFACE_BODIES("interface_bodies", 8, 1, Share.NINE_TENTHS),
+  INTERFACE_BODIES("interface_bodies", 8, 0, Share.NINE_TENTHS),
 
   /** Bodies of items that clients have asked for and not read yet. */
-  ITEM_BODIES("item_bodies", 8, 2, Share.HALF),
+  ITEM_BODIES("item_bodies", 8, 3, Share.HALF),
 
   /** Pages of results that clients have asked for and that are not answered yet. */
   RESULT_PAGES("result_pages", 4, 1, Share.HALF),
@@ -28,16 +28,16 @@
   RESPONSES("responses", 8, 1, Share.ALL),
 
   /** Large frames from peers that are being read or wait to be handled. */
-  PEER_INBOUND("peer_inbound", 8, 3, Share.ALL),
+  PEER_INBOUND("peer_inbound", 8, 4, Share.ALL),
 
   /** Large frames that wait to be written to peers. */
-  PEER_OUTBOUND("peer_queued", 12, 5, Share.ALL),
+  PEER_OUTBOUND("peer_queued", 12, 4, Share.ALL),
 
   /** Batches that clients of this node submit, in the form in which they are sent to the leader. */
   FORWARDED_SUBMISSIONS("submissions", 4, 2, Share.THREE_QUARTERS),
 
   /** Batches that this node is accepting as their leader. */
-  SUBMISSIONS("led_submissions", 12, 3, Share.THREE_QUARTERS),
+  SUBMISSIONS("led_submissions", 12, 4, Share.THREE_QUARTERS),
 
   /** Events of led batches that are not committed yet. */
   UNCOMMITTED_EVENTS("unapplied_events", 12, 0, Share.ALL),
--- a/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
+++ b/data-plane/src/main/java/applespindle/dataplane/BodyReader.java
@@ -11,9 +11,9 @@
 
 /**
  * Reads the body of one request into one array. Nothing is read before its bytes are reserved: of a
- * body of known length all of them, of one in chunks a small part, and all that it may have once it
- * is larger than that. While a reservation waits the socket is not read, and TCP holds the client.
- * On the HTTP thread.
+ * body of known length all of them, of a very large one or one in chunks a part, and all that it
+ * may have once that part has come. While a reservation waits the socket is not read, and TCP holds
+ * the client. On the HTTP thread.
  */
 final class BodyReader {
   /** The length of a body that comes in chunks. */
@@ -44,6 +44,7 @@
   private final ByteBudget budget;
   private final ChannelSupplier<ByteBuf> stream;
   private final int maxBytes;
+  private final boolean isLengthKnown;
   private final SettablePromise<Body> promise = new SettablePromise<>();
   private ByteBudget.Reservation reservation;
 
@@ -60,7 +61,12 @@
   private int size;
 
   private BodyReader(
-      Reactor reactor, ByteBudget budget, ChannelSupplier<ByteBuf> stream, int maxBytes) {
+      Reactor reactor,
+      ByteBudget budget,
+      ChannelSupplier<ByteBuf> stream,
+      int maxBytes,
+      boolean isLengthKnown) {
+    this.isLengthKnown = isLengthKnown;
     this.reactor = reactor;
     this.budget = budget;
     this.stream = stream;
@@ -81,9 +87,10 @@
       ChannelSupplier<ByteBuf> stream,
       int length,
       int maxBytes) {
-    int first =
-        length >= 0 ? length : Math.min(maxBytes, ClientConnectionConstants.FIRST_BODY_BYTES);
-    BodyReader reader = new BodyReader(reactor, budget, stream, length >= 0 ? length : maxBytes);
+    int first = firstBytes(length, maxBytes);
+    boolean isLengthKnown = length >= 0;
+    BodyReader reader =
+        new BodyReader(reactor, budget, stream, isLengthKnown ? length : maxBytes, isLengthKnown);
     budget.reserve(
         first,
         reserved -> {
@@ -97,8 +104,18 @@
     return reader.promise;
   }
 
+  /** How many bytes are reserved before the first read. */
+  private static int firstBytes(int length, int maxBytes) {
+    if (length < 0) {
+      return Math.min(maxBytes, ClientConnectionConstants.FIRST_BODY_BYTES);
+    }
+    return length <= ClientConnectionConstants.WHOLE_BODY_BYTES
+        ? length
+        : ClientConnectionConstants.FIRST_LARGE_BODY_BYTES;
+  }
+
   private void watchPace() {
-    if (grantedBytes > ClientConnectionConstants.FIRST_BODY_BYTES) {
+    if (grantedBytes > ClientConnectionConstants.FIRST_LARGE_BODY_BYTES) {
       pace = new ClientPace(reactor, reservation, this::giveUp);
     }
   }
@@ -165,7 +182,8 @@
   private void add(ByteBuf chunk) {
     int length = chunk.readRemaining();
     if (size + length > bytes.length) {
-      bytes = Arrays.copyOf(bytes, Math.min(grantedBytes, Math.max(size + length, size * 2)));
+      int grown = isLengthKnown ? grantedBytes : Math.max(size + length, size * 2);
+      bytes = Arrays.copyOf(bytes, Math.min(grantedBytes, grown));
     }
     if (pace != null) {
       pace.progress(length);
