The simulator holds every process to the limit of its memory

After each task of each process the simulator demands that what the account of memory has is within its limit, and SubmissionAcrossEdgesTest counts the logs of a leader entry by entry through submissions, takeover and transfer: the account may miss no more than headers, and gives all back in the end.

--- a/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
+++ b/test-fleet/src/main/java/applespindle/testfleet/simulation/SimulatedProcess.java
@@ -404,6 +404,14 @@
     } else {
       task.run();
       simulation.invariants.checkAfterStep(this, simulation.steps());
+      checkMemory();
+    }
+  }
+
+  private void checkMemory() {
+    if (memory.heldBytes() > memory.limitBytes()) {
+      throw new InvariantViolationException(
+          name + " holds " + memory.heldBytes() + " bytes, beyond " + memory.limitBytes());
     }
   }
 
--- a/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
+++ b/test-fleet/src/test/java/applespindle/testfleet/scenario/SubmissionAcrossEdgesTest.java
@@ -12,6 +12,8 @@
 import applespindle.corelogic.controlplane.ControlPlaneNode;
 import applespindle.corelogic.edge.EdgeNode;
 import applespindle.corelogic.environment.NodeSettings;
+import applespindle.corelogic.memory.MemoryAccount;
+import applespindle.corelogic.memory.MemoryHolder;
 import applespindle.corelogic.metadata.SignedConfiguration;
 import applespindle.corelogic.protocol.Operation;
 import applespindle.testfleet.deployment.Deployment;
@@ -38,6 +40,10 @@
 
   private static final long GRACE_MS = 8_000;
   private static final long SETTLED_MS = 6_000;
+
+  /** The headers of all batches of a burst, and events that are too small to have one. */
+  private static final long MAX_HEADER_BYTES = 100_000;
+
   private final Simulation simulation = new Simulation(1, Map.of(), Deployment.AUTHORITY.pace);
 
   SubmissionAcrossEdgesTest() {
@@ -183,6 +189,7 @@
     assertWithMessage("accepted batches").that(accepted(answers)).isEqualTo(BURST_BATCHES);
     assertThat(process("large-0").node().status().path("leads").size()).isEqualTo(BURST_BATCHES);
     assertHeldBytes("large-0");
+    assertAllIsGivenBack("large-0");
   }
 
   /**
@@ -203,6 +210,7 @@
     }
 
     assertThat(process("large-1").node().status().path("leads").size()).isEqualTo(BURST_BATCHES);
+    assertAllIsGivenBack("large-1");
   }
 
   /** Guards against an edge that ends as another one that stops hands all its batches over. */
@@ -221,6 +229,7 @@
     }
 
     assertThat(process("large-1").node().status().path("leads").size()).isEqualTo(BURST_BATCHES);
+    assertAllIsGivenBack("large-1");
   }
 
   /** The leader says where a large body is, and the edge of the client reads it from a replica. */
@@ -258,6 +267,7 @@
     for (int number = 0; number < BURST_BATCHES; number++) {
       answers.add(submit(edge, "burst-" + number, (int) BURST_BODY_BYTES));
       simulation.runUntil(simulation.simulatedNowMs() + BURST_INTERVAL_MS);
+      assertHeldBytes(edge);
     }
     return answers;
   }
@@ -276,6 +286,26 @@
             + status.path("submissionBytes").asLong()
             + status.path("heldItemBytes").asLong();
     assertWithMessage("bytes of batches at " + edge).that(heldBytes).isAtMost(MAX_LED_BYTES);
+    assertAccountAgrees(edge, status.path("ledLogBytes").asLong());
+  }
+
+  /** Guards against an account of memory that misses what is really held. */
+  private void assertAccountAgrees(String edge, long ledLogBytes) {
+    MemoryAccount memory = process(edge).memory();
+    long accountedBytes =
+        memory.open(MemoryHolder.UNCOMMITTED_EVENTS).heldBytes()
+            + memory.open(MemoryHolder.LED_EVENTS).heldBytes();
+    assertWithMessage("bytes of logs at " + edge + " that the account misses")
+        .that(ledLogBytes - accountedBytes)
+        .isAtMost(MAX_HEADER_BYTES);
+    assertThat(memory.heldBytes()).isAtMost(memory.limitBytes());
+  }
+
+  private void assertAllIsGivenBack(String edge) {
+    MemoryAccount memory = process(edge).memory();
+    for (MemoryHolder holder : List.of(MemoryHolder.SUBMISSIONS, MemoryHolder.UNCOMMITTED_EVENTS)) {
+      assertWithMessage(holder + " at " + edge).that(memory.open(holder).heldBytes()).isEqualTo(0);
+    }
   }
 
   private long bodiesReceived(String edge) {
