--- a/core-logic/src/test/java/applespindle/corelogic/memory/MemoryAccountTest.java
+++ b/core-logic/src/test/java/applespindle/corelogic/memory/MemoryAccountTest.java
@@ -39,7 +39,7 @@
 
   private static long fill(HolderAccount account) {
     long bytes = 0;
-    while (account.tryReserve(PIECE_BYTES)) {
+    while (bytes < HEAP_BYTES && account.tryReserve(PIECE_BYTES)) {
       bytes += PIECE_BYTES;
     }
     return bytes;
@@ -115,7 +115,7 @@
     HolderAccount frames = memory.open(MemoryHolder.PEER_OUTBOUND);
     List.of(reads, submissions, live, frames).forEach(each -> each.hold(each.floorBytes()));
     List<String> refused = new ArrayList<>();
-    while (refused.size() < 3) {
+    while (refused.size() < 3 && memory.heldBytes() <= memory.limitBytes()) {
       record(refused, "reads", reads);
       record(refused, "submissions", submissions);
       record(refused, "live", live);
